Lay out the workspace and its interfaces

Cause: an empty repository; several libraries are to be written side by side. Change: CMake workspace of small libraries, typed wire messages with a cereal codec, interfaces of transport, storage, registers, sessions, configuration, routing, admission, claims, streams and http, result codes, request/reply calls between peers. Conclusion: interfaces only; nothing serves yet.

--- /dev/null
+++ b/cmake/Toolchain.cmake
@@ -0,0 +1,12 @@
+# Compiler cache, fast linker and warnings shared by every target.
+find_program(CCACHE_PROGRAM ccache)
+if(CCACHE_PROGRAM)
+  set(CMAKE_CXX_COMPILER_LAUNCHER ${CCACHE_PROGRAM})
+endif()
+find_program(MOLD_PROGRAM mold)
+if(MOLD_PROGRAM)
+  add_link_options(-fuse-ld=mold)
+endif()
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual -Werror)
+# GCC 12 reports false positives of these two in optimised coroutine and std::variant code.
+add_compile_options(-Wno-maybe-uninitialized -Wno-dangling-pointer)
--- /dev/null
+++ b/libraries/base/include/switchsaddle/base/node_address.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace switchsaddle::base {
+
+/** An IP address in numbers and a port: where a process listens. */
+struct NodeAddress {
+  std::string ip;
+  std::uint16_t port = 0;
+
+  auto operator<=>(const NodeAddress&) const = default;
+  bool empty() const { return ip.empty(); }
+  /** "IP:PORT". */
+  std::string toString() const;
+  /** Parses "IP:PORT". Throws Error with InvalidAddress. */
+  static NodeAddress parse(std::string_view text);
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(ip, port);
+  }
+};
+
+}  // namespace switchsaddle::base
+
+template <>
+struct std::hash<switchsaddle::base::NodeAddress> {
+  std::size_t operator()(const switchsaddle::base::NodeAddress& address) const noexcept {
+    return std::hash<std::string>{}(address.ip) * 31U + address.port;
+  }
+};
--- /dev/null
+++ b/libraries/http/include/switchsaddle/http/message.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace switchsaddle::http {
+
+/** One header field; names compare without regard to case. */
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+/** A request as received or to be sent. */
+struct Request {
+  std::string method;
+  /** Path and query. */
+  std::string target;
+  std::vector<Header> headers;
+  std::string body;
+
+  /** The first value of the header, or an empty view. */
+  std::string_view header(std::string_view name) const;
+};
+
+/** A complete response. */
+struct Response {
+  std::uint16_t status = 200;
+  std::vector<Header> headers;
+  std::string body;
+
+  std::string_view header(std::string_view name) const;
+};
+
+/** The path of a target, without its query. */
+std::string_view targetPath(std::string_view target);
+
+/** The decoded value of a query parameter, or an empty string. */
+std::string queryParameter(std::string_view target, std::string_view name);
+
+}  // namespace switchsaddle::http
--- /dev/null
+++ b/libraries/transport/source/peer_calls.cc
@@ -0,0 +1,116 @@
+#include "switchsaddle/transport/peer_calls.h"
+
+#include <utility>
+#include <vector>
+
+namespace switchsaddle::transport {
+
+PeerCalls::PeerCalls(base::Dispatcher& dispatcher, Transport& transport)
+    : dispatcher_(dispatcher), transport_(transport) {
+  transport_.setReceiver(this);
+}
+
+PeerCalls::~PeerCalls() {
+  transport_.setReceiver(nullptr);
+}
+
+void PeerCalls::call(const base::NodeAddress& to, wire::Message request, base::Duration timeout,
+                     CallCallback callback) {
+  const std::uint64_t request_id = next_request_id_++;
+  PendingCall pending;
+  pending.to = to;
+  pending.callback = std::move(callback);
+  pending.timer = dispatcher_.createTimer([this, request_id] {
+    finish(request_id, CallResult{base::ResultCode::PeerTimeout, std::nullopt});
+  });
+  pending.timer->enable(timeout);
+  pending_.emplace(request_id, std::move(pending));
+  wire::Envelope envelope{localAddress(), wire::EnvelopeKind::Request, request_id,
+                          std::move(request)};
+  if (to != localAddress()) {
+    transport_.send(to, envelope);
+    return;
+  }
+  dispatcher_.post([this, alive = std::weak_ptr(alive_), envelope = std::move(envelope)] {
+    if (!alive.expired()) {
+      deliver(envelope);
+    }
+  });
+}
+
+void PeerCalls::notify(const base::NodeAddress& to, wire::Message message) {
+  wire::Envelope envelope{localAddress(), wire::EnvelopeKind::Notification, 0, std::move(message)};
+  if (to != localAddress()) {
+    transport_.send(to, envelope);
+    return;
+  }
+  dispatcher_.post([this, alive = std::weak_ptr(alive_), envelope = std::move(envelope)] {
+    if (!alive.expired()) {
+      deliver(envelope);
+    }
+  });
+}
+
+void PeerCalls::onEnvelope(wire::Envelope envelope) {
+  deliver(envelope);
+}
+
+void PeerCalls::onRefused(const base::NodeAddress& peer) {
+  std::vector<std::uint64_t> refused;
+  for (const auto& [request_id, pending] : pending_) {
+    if (pending.to == peer) {
+      refused.push_back(request_id);
+    }
+  }
+  for (const std::uint64_t request_id : refused) {
+    finish(request_id, CallResult{base::ResultCode::PeerUnreachable, std::nullopt});
+  }
+}
+
+void PeerCalls::deliver(const wire::Envelope& envelope) {
+  if (envelope.kind == wire::EnvelopeKind::Reply) {
+    const auto pending = pending_.find(envelope.request_id);
+    const bool expected = pending != pending_.end() && pending->second.to == envelope.sender;
+    if (expected) {
+      finish(envelope.request_id, CallResult{base::ResultCode::Ok, envelope.message});
+    }
+    return;
+  }
+  const Handler& handler = handlers_[envelope.message.index()];
+  if (!handler) {
+    return;
+  }
+  ReplyFunction reply = [](const wire::Message&) {};
+  if (envelope.kind == wire::EnvelopeKind::Request) {
+    reply = [this, alive = std::weak_ptr(alive_), to = envelope.sender,
+             request_id = envelope.request_id](wire::Message message) {
+      if (alive.expired()) {
+        return;
+      }
+      wire::Envelope answer{localAddress(), wire::EnvelopeKind::Reply, request_id,
+                            std::move(message)};
+      if (to != localAddress()) {
+        transport_.send(to, answer);
+        return;
+      }
+      dispatcher_.post([this, alive, answer = std::move(answer)] {
+        if (!alive.expired()) {
+          deliver(answer);
+        }
+      });
+    };
+  }
+  handler(envelope.sender, envelope.message, std::move(reply));
+}
+
+void PeerCalls::finish(std::uint64_t request_id, const CallResult& result) {
+  const auto found = pending_.find(request_id);
+  if (found == pending_.end()) {
+    return;
+  }
+  const PendingCall pending = std::move(found->second);
+  pending_.erase(found);
+  pending.callback(result);
+}
+
+}  // namespace switchsaddle::transport
--- /dev/null
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/base/node_address.h"
+
+/**
+ * @file
+ * Sessions of front nodes with core nodes. A session is granted, and each renewal counts, once a
+ * majority of core nodes has recorded it.
+ */
+
+namespace switchsaddle::wire {
+
+/** One front's session as a core node records it. Durations only; each core counts from receipt. */
+struct SessionRecord {
+  base::NodeAddress front;
+  /** The front process's random instance id. */
+  std::uint64_t instance = 0;
+  /** Counts the front's renewals; older ones are ignored. */
+  std::uint64_t sequence = 0;
+  /** Configuration version the front has in force. */
+  std::uint64_t applied_version = 0;
+  std::uint64_t applied_digest = 0;
+  std::string zone;
+  /** The front has ended its session; it does no more work. */
+  bool closed = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(front, instance, sequence, applied_version, applied_digest, zone, closed);
+  }
+};
+
+/** Front to core: opens or renews the session. */
+struct SessionOpenRequest {
+  SessionRecord record;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(record);
+  }
+};
+
+/** Core to front, once a majority has recorded the request. */
+struct SessionOpenReply {
+  bool granted = false;
+  std::uint64_t sequence = 0;
+  /** The front serves only once it has this version in force. */
+  std::uint64_t committed_version = 0;
+  /** The present acceptor set, so that a front finds replaced cores. */
+  std::vector<base::NodeAddress> core_addresses;
+  /** Fronts with live sessions, as dissemination peers. */
+  std::vector<base::NodeAddress> front_addresses;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(granted, sequence, committed_version, core_addresses, front_addresses);
+  }
+};
+
+/** Core to core: records to be kept. */
+struct SessionRecordBatch {
+  std::vector<SessionRecord> records;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(records);
+  }
+};
+
+/** Acknowledges a batch with the accepted configuration version of the answering acceptor. */
+struct SessionRecordBatchReply {
+  /** False while the node recovers or may not vote. */
+  bool recorded = false;
+  std::uint64_t accepted_version = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(recorded, accepted_version);
+  }
+};
+
+/** Asks a core node for the live sessions it knows. */
+struct SessionTableRequest {
+  template <class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
+/** A live session and the time it has left at the answering node. */
+struct SessionTableEntry {
+  SessionRecord record;
+  std::uint32_t remaining_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(record, remaining_ms);
+  }
+};
+
+/** The table. `recovering` is set while less than one session length has passed since start. */
+struct SessionTableReply {
+  bool recovering = false;
+  std::vector<SessionTableEntry> sessions;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(recovering, sessions);
+  }
+};
+
+}  // namespace switchsaddle::wire
