Add the simulated world, processes and network

Change: seeded event queue; processes that can be killed, frozen and woken; a network with delay, loss, duplication, cuts and refusals.

--- /dev/null
+++ b/libraries/simulation/source/network.cc
@@ -0,0 +1,114 @@
+#include "switchsaddle/simulation/network.h"
+
+#include <algorithm>
+
+namespace switchsaddle::simulation {
+
+/** The transport of one life of a process at one address. */
+class Network::Endpoint : public transport::Transport {
+ public:
+  Endpoint(Network& network, base::NodeAddress address, Process& process, std::uint64_t life)
+      : network_(network), address_(std::move(address)), process_(process), life_(life) {}
+  ~Endpoint() override { network_.detach(address_); }
+
+  const base::NodeAddress& localAddress() const override { return address_; }
+  void setReceiver(transport::Receiver* receiver) override { receiver_ = receiver; }
+  void send(const base::NodeAddress& to, const wire::Envelope& envelope) override {
+    network_.send(*this, to, envelope);
+  }
+
+  Process& process() { return process_; }
+  std::uint64_t life() const { return life_; }
+  transport::Receiver* receiver() { return receiver_; }
+
+ private:
+  Network& network_;
+  base::NodeAddress address_;
+  Process& process_;
+  std::uint64_t life_;
+  transport::Receiver* receiver_ = nullptr;
+};
+
+Network::~Network() = default;
+
+std::unique_ptr<transport::Transport> Network::attach(const base::NodeAddress& address,
+                                                      Process& process) {
+  auto endpoint = std::make_unique<Endpoint>(*this, address, process, next_life_++);
+  endpoints_[address] = endpoint.get();
+  return endpoint;
+}
+
+void Network::detach(const base::NodeAddress& address) {
+  endpoints_.erase(address);
+}
+
+void Network::cut(const base::NodeAddress& first, const base::NodeAddress& second) {
+  cuts_.insert(std::minmax(first, second));
+}
+
+void Network::heal(const base::NodeAddress& first, const base::NodeAddress& second) {
+  cuts_.erase(std::minmax(first, second));
+}
+
+bool Network::isCut(const base::NodeAddress& first, const base::NodeAddress& second) const {
+  return cuts_.contains(std::minmax(first, second));
+}
+
+base::Duration Network::randomDelay() {
+  const auto spread = conditions.maximum_delay - conditions.minimum_delay;
+  const auto extra = world_.random().below(static_cast<std::uint64_t>(spread.count()) + 1);
+  return conditions.minimum_delay + base::Duration(static_cast<std::int64_t>(extra));
+}
+
+void Network::send(Endpoint& from, const base::NodeAddress& to, const wire::Envelope& envelope) {
+  const std::string bytes = wire::encode(envelope);
+  ++envelopes_sent_;
+  bytes_sent_ += bytes.size();
+  if (world_.random().chance(conditions.loss)) {
+    return;
+  }
+  scheduleDelivery(from.localAddress(), to, bytes, from.life());
+  if (world_.random().chance(conditions.duplication)) {
+    scheduleDelivery(from.localAddress(), to, bytes, from.life());
+  }
+}
+
+void Network::scheduleDelivery(const base::NodeAddress& from, const base::NodeAddress& to,
+                               const std::string& bytes, std::uint64_t sender_life) {
+  world_.schedule(randomDelay(),
+                  [this, from, to, bytes, sender_life] { deliver(from, to, sender_life, bytes); });
+}
+
+void Network::deliver(const base::NodeAddress& from, const base::NodeAddress& to,
+                      std::uint64_t sender_life, const std::string& bytes) {
+  if (isCut(from, to)) {
+    return;
+  }
+  const auto target = endpoints_.find(to);
+  if (target == endpoints_.end()) {
+    const auto sender = endpoints_.find(from);
+    const bool sender_lives = sender != endpoints_.end() && sender->second->life() == sender_life;
+    if (!sender_lives) {
+      return;
+    }
+    Endpoint* endpoint = sender->second;
+    endpoint->process().postAfter(conditions.minimum_delay, [this, from, to, sender_life] {
+      const auto found = endpoints_.find(from);
+      if (found != endpoints_.end() && found->second->life() == sender_life &&
+          found->second->receiver() != nullptr) {
+        found->second->receiver()->onRefused(to);
+      }
+    });
+    return;
+  }
+  const std::uint64_t target_life = target->second->life();
+  target->second->process().post([this, to, target_life, bytes] {
+    const auto found = endpoints_.find(to);
+    if (found != endpoints_.end() && found->second->life() == target_life &&
+        found->second->receiver() != nullptr) {
+      found->second->receiver()->onEnvelope(wire::decode(bytes));
+    }
+  });
+}
+
+}  // namespace switchsaddle::simulation
