--- /dev/null
+++ b/libraries/lease/include/switchsaddle/lease/lease_granter.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/journal/journal.h"
+#include "switchsaddle/lease/lease_times.h"
+#include "switchsaddle/storage/record_store.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::lease {
+
+/** Test-only deviations that show that a rule is needed; never set in a daemon. */
+struct LeaseGranterFaults {
+  /** Grants right after start, though an earlier life may have granted. */
+  bool skip_recovery = false;
+};
+
+/**
+ * A core node's part in granting leases. Keeps, for each name, the highest term it has granted
+ * (durable before the grant is answered) and the holder until the lease ends by its own clock.
+ *
+ * Invariant: of two grants of one name by this node, through all its lives, the later has the
+ * higher term, and was made after the earlier one had ended or been released; renewals apart. It
+ * grants nothing for one lease duration after start, since an earlier life may have granted, nor
+ * while it may not vote. Runs on the control strand.
+ */
+class LeaseGranter {
+ public:
+  LeaseGranter(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+               storage::RecordStore& store, journal::Journal& journal, LeaseTimes times,
+               LeaseGranterFaults faults = {});
+
+  /** Takes the terms over from the opened store; called before the first request. */
+  void load(const storage::OpenedStore& opened);
+  /** Asked before each grant; without it the node always votes. */
+  void setMayVote(std::function<bool()> may_vote) { may_vote_ = std::move(may_vote); }
+
+ private:
+  struct Lease {
+    std::uint64_t highest_term = 0;
+    /** Whether highest_term is in the store. */
+    bool durable = true;
+    base::NodeAddress holder;
+    std::uint64_t holder_instance = 0;
+    base::TimePoint expires_at;
+  };
+
+  void onRequest(const wire::LeaseRequest& request, transport::ReplyFunction reply);
+  void onRelease(const wire::LeaseRelease& release);
+  bool mayGrant(const wire::LeaseRequest& request) const;
+  void grantNewTerm(const wire::LeaseRequest& request, transport::ReplyFunction reply);
+  void onStored(const wire::LeaseRequest& request, base::ResultCode code,
+                const transport::ReplyFunction& reply);
+  wire::LeaseReply answer(const Lease& lease, bool granted) const;
+
+  base::Dispatcher& dispatcher_;
+  storage::RecordStore& store_;
+  journal::Journal& journal_;
+  LeaseTimes times_;
+  LeaseGranterFaults faults_;
+  base::TimePoint started_at_;
+  std::function<bool()> may_vote_;
+  std::map<std::string, Lease> leases_;
+  /** Expires with this object, so that late callbacks find it gone. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::lease
--- /dev/null
+++ b/libraries/lease/include/switchsaddle/lease/lease_holder.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/lease/granter_set.h"
+#include "switchsaddle/lease/lease_times.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::lease {
+
+/** Test-only deviations that show that a rule is needed; never set in a daemon. */
+struct LeaseHolderFaults {
+  /** Counts the lease from receipt of the grants, not from the moment of asking. */
+  bool count_from_receipt = false;
+};
+
+/**
+ * A candidate for, and holder of, one named lease. Campaigns with random pauses until a majority of
+ * granters has granted one term, then renews at a third of the duration.
+ *
+ * Invariant: at most one held() in the fleet at any moment, and each holder has a higher term than
+ * the one before it. held() is judged by the clock at the moment of asking; the lease counts from
+ * the moment of asking a majority, less the margin for drift. Runs on the dispatcher's strand.
+ */
+class LeaseHolder {
+ public:
+  /** Told true when the lease is gained and false when it is lost, released or given up. */
+  using Listener = std::function<void(bool)>;
+
+  LeaseHolder(base::Dispatcher& dispatcher, transport::PeerCalls& calls, base::RandomSource& random,
+              LeaseTimes times, std::string name, GranterSet& granters, std::uint64_t instance,
+              LeaseHolderFaults faults = {});
+
+  void setListener(Listener listener) { listener_ = std::move(listener); }
+  void start();
+  /** Gives the lease back and campaigns no more. */
+  void stop();
+  bool held() const;
+  /** The term of the lease held; 0 where none is. */
+  std::uint64_t term() const { return held() ? term_ : 0; }
+
+ private:
+  /** One question to all granters, for a new term or a renewal. */
+  struct Round {
+    std::uint64_t term = 0;
+    base::TimePoint asked_at;
+    std::set<base::NodeAddress> granted_by;
+    /** Longest time left of another's lease, as granters told. */
+    base::Duration held_elsewhere{};
+    bool settled = false;
+  };
+  using RoundPtr = std::shared_ptr<Round>;
+
+  void act();
+  void startRound(std::uint64_t term);
+  void onReply(const RoundPtr& round, const base::NodeAddress& granter,
+               const transport::CallResult& result);
+  void onMajority(const RoundPtr& round);
+  void onRoundEnded();
+  void onExpired();
+  void lose();
+  void release(std::uint64_t term);
+  base::Duration holdTime() const;
+  base::Duration backOff();
+
+  base::Dispatcher& dispatcher_;
+  transport::PeerCalls& calls_;
+  base::RandomSource& random_;
+  LeaseTimes times_;
+  std::string name_;
+  GranterSet& granters_;
+  std::uint64_t instance_;
+  LeaseHolderFaults faults_;
+  Listener listener_;
+  bool running_ = false;
+  /** Whether the listener was last told of a gain. */
+  bool announced_ = false;
+  std::uint64_t term_ = 0;
+  std::uint64_t highest_heard_ = 0;
+  std::optional<base::TimePoint> held_until_;
+  RoundPtr round_;
+  /** Starts the next round. */
+  base::TimerPtr action_timer_;
+  /** Ends the present round. */
+  base::TimerPtr round_timer_;
+  base::TimerPtr expiry_timer_;
+  /** Expires with this object, so that late callbacks find it gone. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::lease
--- /dev/null
+++ b/libraries/lease/source/lease_granter.cc
@@ -0,0 +1,151 @@
+#include "switchsaddle/lease/lease_granter.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::lease {
+
+namespace {
+
+constexpr std::string_view KeyPrefix = "lease/";
+
+}  // namespace
+
+LeaseGranter::LeaseGranter(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                           storage::RecordStore& store, journal::Journal& journal, LeaseTimes times,
+                           LeaseGranterFaults faults)
+    : dispatcher_(dispatcher),
+      store_(store),
+      journal_(journal),
+      times_(times),
+      faults_(faults),
+      started_at_(dispatcher.now()) {
+  const std::weak_ptr<bool> alive = alive_;
+  calls.handle<wire::LeaseRequest>([this, alive](const base::NodeAddress& /*from*/,
+                                                 const wire::LeaseRequest& request,
+                                                 transport::ReplyFunction reply) {
+    if (!alive.expired()) {
+      onRequest(request, std::move(reply));
+    }
+  });
+  calls.handle<wire::LeaseRelease>([this, alive](const base::NodeAddress& /*from*/,
+                                                 const wire::LeaseRelease& release,
+                                                 const transport::ReplyFunction& reply) {
+    if (!alive.expired()) {
+      onRelease(release);
+      reply(wire::Acknowledgement{});
+    }
+  });
+}
+
+void LeaseGranter::load(const storage::OpenedStore& opened) {
+  for (const auto& [key, bytes] : opened.records) {
+    if (!key.starts_with(KeyPrefix)) {
+      continue;
+    }
+    std::uint64_t term = 0;
+    const auto [end, error] = std::from_chars(bytes.data(), bytes.data() + bytes.size(), term);
+    if (error != std::errc{} || end != bytes.data() + bytes.size()) {
+      throw base::Error(base::ResultCode::RecordCorrupt, "the stored term is not a number", key);
+    }
+    Lease& lease = leases_[key.substr(KeyPrefix.size())];
+    lease.highest_term = std::max(lease.highest_term, term);
+  }
+}
+
+wire::LeaseReply LeaseGranter::answer(const Lease& lease, bool granted) const {
+  wire::LeaseReply reply;
+  reply.granted = granted;
+  reply.term = lease.highest_term;
+  reply.holder = lease.holder;
+  const base::Duration left = lease.expires_at - dispatcher_.now();
+  reply.remaining_ms =
+      static_cast<std::uint32_t>(std::max<std::int64_t>(0, base::toMilliseconds(left)));
+  return reply;
+}
+
+bool LeaseGranter::mayGrant(const wire::LeaseRequest& request) const {
+  const bool recovering =
+      !faults_.skip_recovery && dispatcher_.now() < started_at_ + times_.duration;
+  const bool duration_fits = std::chrono::milliseconds(request.duration_ms) <= times_.duration;
+  const bool votes = !may_vote_ || may_vote_();
+  return votes && !recovering && duration_fits;
+}
+
+void LeaseGranter::onRequest(const wire::LeaseRequest& request, transport::ReplyFunction reply) {
+  Lease& lease = leases_[request.name];
+  if (!mayGrant(request)) {
+    reply(answer(lease, false));
+    return;
+  }
+  const base::TimePoint now = dispatcher_.now();
+  const bool same_holder =
+      lease.holder_instance == request.holder_instance && lease.holder == request.holder;
+  if (same_holder && request.term == lease.highest_term && lease.durable) {
+    lease.expires_at = now + times_.duration;
+    reply(answer(lease, true));
+    return;
+  }
+  const bool held = now < lease.expires_at && !same_holder;
+  if (held || !lease.durable || request.term <= lease.highest_term) {
+    reply(answer(lease, false));
+    return;
+  }
+  grantNewTerm(request, std::move(reply));
+}
+
+void LeaseGranter::grantNewTerm(const wire::LeaseRequest& request, transport::ReplyFunction reply) {
+  Lease& lease = leases_[request.name];
+  lease.highest_term = request.term;
+  lease.durable = false;
+  lease.holder = request.holder;
+  lease.holder_instance = request.holder_instance;
+  lease.expires_at = dispatcher_.now() + times_.duration;
+  storage::Record record{std::string(KeyPrefix) + request.name, std::to_string(request.term)};
+  store_.commit({std::move(record)}, [this, alive = std::weak_ptr(alive_), request,
+                                      reply = std::move(reply)](base::ResultCode code) {
+    if (!alive.expired()) {
+      onStored(request, code, reply);
+    }
+  });
+}
+
+void LeaseGranter::onStored(const wire::LeaseRequest& request, base::ResultCode code,
+                            const transport::ReplyFunction& reply) {
+  Lease& lease = leases_[request.name];
+  lease.durable = true;
+  const bool stored = code == base::ResultCode::Ok;
+  if (!stored) {
+    // The term stays used up; a higher one has to be stored before the next grant.
+    lease.holder = {};
+    lease.holder_instance = 0;
+    lease.expires_at = dispatcher_.now();
+  }
+  const bool still_held = dispatcher_.now() < lease.expires_at;
+  journal_.append(journal::Subject::Lease, request.name, still_held ? lease.holder.toString() : "",
+                  lease.highest_term);
+  reply(answer(lease, stored && still_held));
+}
+
+void LeaseGranter::onRelease(const wire::LeaseRelease& release) {
+  const auto found = leases_.find(release.name);
+  if (found == leases_.end()) {
+    return;
+  }
+  Lease& lease = found->second;
+  const bool theirs =
+      lease.holder_instance == release.holder_instance && lease.highest_term == release.term;
+  if (!theirs) {
+    return;
+  }
+  lease.holder = {};
+  lease.holder_instance = 0;
+  lease.expires_at = dispatcher_.now();
+  journal_.append(journal::Subject::Lease, release.name, "", lease.highest_term);
+}
+
+}  // namespace switchsaddle::lease
--- /dev/null
+++ b/libraries/lease/source/lease_holder.cc
@@ -0,0 +1,161 @@
+#include "switchsaddle/lease/lease_holder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace switchsaddle::lease {
+
+LeaseHolder::LeaseHolder(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                         base::RandomSource& random, LeaseTimes times, std::string name,
+                         GranterSet& granters, std::uint64_t instance, LeaseHolderFaults faults)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      random_(random),
+      times_(times),
+      name_(std::move(name)),
+      granters_(granters),
+      instance_(instance),
+      faults_(faults) {
+  action_timer_ = dispatcher_.createTimer([this] { act(); });
+  round_timer_ = dispatcher_.createTimer([this] { onRoundEnded(); });
+  expiry_timer_ = dispatcher_.createTimer([this] { onExpired(); });
+}
+
+void LeaseHolder::start() {
+  running_ = true;
+  action_timer_->enable(backOff());
+}
+
+void LeaseHolder::stop() {
+  running_ = false;
+  action_timer_->disable();
+  round_timer_->disable();
+  const std::uint64_t used = round_ ? std::max(term_, round_->term) : term_;
+  round_.reset();
+  lose();
+  if (used != 0) {
+    release(used);
+  }
+}
+
+bool LeaseHolder::held() const {
+  return held_until_ && dispatcher_.now() < *held_until_;
+}
+
+base::Duration LeaseHolder::holdTime() const {
+  const double part = 1.0 - times_.drift_margin;
+  const double held = static_cast<double>(times_.duration.count()) * part;
+  return base::Duration(static_cast<base::Duration::rep>(held));
+}
+
+base::Duration LeaseHolder::backOff() {
+  const auto bound = static_cast<std::uint64_t>(times_.maximum_back_off.count()) + 1;
+  return base::Duration(static_cast<base::Duration::rep>(random_.below(bound)));
+}
+
+void LeaseHolder::act() {
+  startRound(held() ? term_ : highest_heard_ + 1);
+}
+
+void LeaseHolder::startRound(std::uint64_t term) {
+  round_ = std::make_shared<Round>();
+  round_->term = term;
+  round_->asked_at = dispatcher_.now();
+  highest_heard_ = std::max(highest_heard_, term);
+  round_timer_->enable(times_.call_timeout);
+  wire::LeaseRequest request;
+  request.name = name_;
+  request.holder = calls_.localAddress();
+  request.holder_instance = instance_;
+  request.term = term;
+  request.duration_ms = static_cast<std::uint32_t>(base::toMilliseconds(times_.duration));
+  for (const base::NodeAddress& granter : granters_.coreAddresses()) {
+    calls_.call(granter, request, times_.call_timeout,
+                [this, alive = std::weak_ptr(alive_), round = round_, granter](const auto& result) {
+                  if (!alive.expired()) {
+                    onReply(round, granter, result);
+                  }
+                });
+  }
+}
+
+void LeaseHolder::onReply(const RoundPtr& round, const base::NodeAddress& granter,
+                          const transport::CallResult& result) {
+  const auto* reply = result.as<wire::LeaseReply>();
+  if (reply == nullptr) {
+    return;
+  }
+  highest_heard_ = std::max(highest_heard_, reply->term);
+  if (round != round_ || round->settled) {
+    return;
+  }
+  if (!reply->granted) {
+    const base::Duration left = std::chrono::milliseconds(reply->remaining_ms);
+    round->held_elsewhere = std::max(round->held_elsewhere, left);
+    return;
+  }
+  round->granted_by.insert(granter);
+  if (granters_.quorum(round->granted_by)) {
+    onMajority(round);
+  }
+}
+
+void LeaseHolder::onMajority(const RoundPtr& round) {
+  round->settled = true;
+  round_timer_->disable();
+  const base::TimePoint now = dispatcher_.now();
+  const base::TimePoint from = faults_.count_from_receipt ? now : round->asked_at;
+  const base::TimePoint until = from + holdTime();
+  if (now >= until) {
+    onRoundEnded();
+    return;
+  }
+  if (announced_ && !held()) {
+    // Granted anew after a gap: the owner is to hear of the loss first.
+    lose();
+  }
+  term_ = round->term;
+  held_until_ = until;
+  expiry_timer_->enable(until - now);
+  action_timer_->enable(times_.duration / 3);
+  if (!std::exchange(announced_, true) && listener_) {
+    listener_(true);
+  }
+}
+
+void LeaseHolder::onRoundEnded() {
+  const RoundPtr round = std::exchange(round_, nullptr);
+  if (!running_ || !round) {
+    return;
+  }
+  if (held()) {
+    action_timer_->enable(base::Duration::zero());
+    return;
+  }
+  // What was granted is given back, so that a rival need not wait for it to end.
+  release(round->term);
+  action_timer_->enable(round->held_elsewhere + backOff());
+}
+
+void LeaseHolder::onExpired() {
+  if (!held()) {
+    lose();
+  }
+}
+
+void LeaseHolder::lose() {
+  held_until_.reset();
+  expiry_timer_->disable();
+  if (std::exchange(announced_, false) && listener_) {
+    listener_(false);
+  }
+}
+
+void LeaseHolder::release(std::uint64_t term) {
+  wire::LeaseRelease message{name_, instance_, term};
+  for (const base::NodeAddress& granter : granters_.coreAddresses()) {
+    calls_.notify(granter, message);
+  }
+}
+
+}  // namespace switchsaddle::lease
--- /dev/null
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/journal/journal.h"
+#include "switchsaddle/sessions/core_view.h"
+#include "switchsaddle/sessions/session_directory.h"
+#include "switchsaddle/sessions/session_times.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::sessions {
+
+/** Test-only deviations that show that a rule is needed; never set in a daemon. */
+struct SessionTableFaults {
+  /** Answers table requests right after start as if it knew every session. */
+  bool skip_recovery = false;
+  /** Accepts replies of a read however late they come. */
+  bool unbounded_read = false;
+};
+
+/**
+ * A core node's table of front sessions. Grants a session once a majority of cores has recorded it,
+ * keeps the records its peers send it, and reads the live sessions of the fleet.
+ *
+ * Invariant: a front which a completed readLive() does not list dispatches nothing until it has
+ * opened again with a version at least as new as every one accepted at a majority before the read.
+ * It rests on four rules: records live longer at a core than at their front; a core which may have
+ * forgotten records is not counted for one core limit; all answers of one read lie within the
+ * difference of the two limits; and a front takes its version only from a request made after its
+ * session was first granted.
+ *
+ * Two instances at one front address are kept side by side until they expire: records carry nothing
+ * that tells which process is the newer, and a late record of the dead one must not hide the living
+ * one. Runs on the control strand.
+ */
+class SessionTable : public SessionDirectory {
+ public:
+  SessionTable(base::Dispatcher& dispatcher, transport::PeerCalls& calls, journal::Journal& journal,
+               SessionTimes times, CoreView& view, SessionTableFaults faults = {});
+
+  void readLive(LiveSessionsCallback callback) override;
+  std::vector<wire::SessionTableEntry> localSessions() const override;
+  /** Whether sessions granted through this node's earlier life may still be unknown to it. */
+  bool recovering() const;
+
+ private:
+  using SessionKey = std::pair<base::NodeAddress, std::uint64_t>;
+  struct Entry {
+    wire::SessionRecord record;
+    base::TimePoint expires_at;
+  };
+  struct PendingGrant {
+    wire::SessionRecord record;
+    transport::ReplyFunction reply;
+    std::set<base::NodeAddress> recorded_at;
+    std::uint64_t committed_version = 0;
+    base::TimePoint expires_at;
+  };
+  using PendingGrantPtr = std::shared_ptr<PendingGrant>;
+  struct Read;
+  using ReadPtr = std::shared_ptr<Read>;
+
+  void onOpen(const wire::SessionOpenRequest& request, transport::ReplyFunction reply);
+  void onBatch(const wire::SessionRecordBatch& batch, const transport::ReplyFunction& reply);
+  void record(const wire::SessionRecord& record);
+  void scheduleFlush();
+  void flush();
+  void onBatchReply(const base::NodeAddress& peer, const std::vector<PendingGrantPtr>& grants,
+                    const transport::CallResult& result);
+  void grant(PendingGrant& pending) const;
+  void startRound(const ReadPtr& read);
+  void onTable(const ReadPtr& read, std::uint64_t round, const base::NodeAddress& peer,
+               const transport::CallResult& result);
+  void finishRead(const ReadPtr& read, base::ResultCode code);
+  base::Duration roundLimit() const;
+  void sweep();
+  void observeVote() const;
+
+  base::Dispatcher& dispatcher_;
+  transport::PeerCalls& calls_;
+  journal::Journal& journal_;
+  SessionTimes times_;
+  CoreView& view_;
+  SessionTableFaults faults_;
+  /** Since when this life of the node has been able to record; unset while it may not vote. */
+  mutable std::optional<base::TimePoint> recording_since_;
+  std::map<SessionKey, Entry> entries_;
+  std::vector<PendingGrantPtr> unsent_;
+  std::optional<base::TimePoint> last_flush_;
+  base::TimerPtr flush_timer_;
+  base::TimerPtr sweep_timer_;
+  std::set<ReadPtr> reads_;
+  /** Expires with this object, so that late callbacks find it gone. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::sessions
--- /dev/null
+++ b/libraries/sessions/source/session_table.cc
@@ -0,0 +1,278 @@
+#include "switchsaddle/sessions/session_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace switchsaddle::sessions {
+
+/** One readLive() under way: rounds of questions until one of them finds a majority in time. */
+struct SessionTable::Read {
+  LiveSessionsCallback callback;
+  base::TimePoint deadline;
+  base::TimePoint round_started;
+  std::uint64_t round = 0;
+  std::set<base::NodeAddress> answered;
+  std::map<SessionKey, wire::SessionTableEntry> live;
+  base::TimerPtr timer;
+};
+
+SessionTable::SessionTable(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                           journal::Journal& journal, SessionTimes times, CoreView& view,
+                           SessionTableFaults faults)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      journal_(journal),
+      times_(times),
+      view_(view),
+      faults_(faults) {
+  flush_timer_ = dispatcher_.createTimer([this] { flush(); });
+  sweep_timer_ = dispatcher_.createTimer([this] { sweep(); });
+  sweep_timer_->enable(times_.core_limit);
+  observeVote();
+  const std::weak_ptr<bool> alive = alive_;
+  calls_.handle<wire::SessionOpenRequest>([this, alive](const base::NodeAddress& /*from*/,
+                                                        const wire::SessionOpenRequest& request,
+                                                        transport::ReplyFunction reply) {
+    if (!alive.expired()) {
+      onOpen(request, std::move(reply));
+    }
+  });
+  calls_.handle<wire::SessionRecordBatch>([this, alive](const base::NodeAddress& /*from*/,
+                                                        const wire::SessionRecordBatch& batch,
+                                                        const transport::ReplyFunction& reply) {
+    if (!alive.expired()) {
+      onBatch(batch, reply);
+    }
+  });
+  calls_.handle<wire::SessionTableRequest>(
+      [this, alive](const base::NodeAddress& /*from*/, const wire::SessionTableRequest& /*request*/,
+                    const transport::ReplyFunction& reply) {
+        if (!alive.expired()) {
+          reply(wire::SessionTableReply{recovering(), localSessions()});
+        }
+      });
+}
+
+void SessionTable::observeVote() const {
+  if (!view_.mayVote()) {
+    recording_since_.reset();
+  } else if (!recording_since_) {
+    recording_since_ = dispatcher_.now();
+  }
+}
+
+bool SessionTable::recovering() const {
+  observeVote();
+  if (!recording_since_) {
+    return true;
+  }
+  return !faults_.skip_recovery && dispatcher_.now() < *recording_since_ + times_.core_limit;
+}
+
+std::vector<wire::SessionTableEntry> SessionTable::localSessions() const {
+  std::vector<wire::SessionTableEntry> sessions;
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [key, entry] : entries_) {
+    if (!entry.record.closed && now < entry.expires_at) {
+      const auto remaining = base::toMilliseconds(entry.expires_at - now);
+      sessions.push_back({entry.record, static_cast<std::uint32_t>(remaining)});
+    }
+  }
+  return sessions;
+}
+
+void SessionTable::onOpen(const wire::SessionOpenRequest& request, transport::ReplyFunction reply) {
+  auto pending = std::make_shared<PendingGrant>();
+  pending->record = request.record;
+  pending->reply = std::move(reply);
+  pending->expires_at = dispatcher_.now() + times_.front_limit;
+  unsent_.push_back(std::move(pending));
+  scheduleFlush();
+}
+
+void SessionTable::scheduleFlush() {
+  if (flush_timer_->enabled()) {
+    return;
+  }
+  base::Duration delay = base::Duration::zero();
+  if (last_flush_) {
+    delay = std::max(delay, *last_flush_ + times_.batch_interval - dispatcher_.now());
+  }
+  flush_timer_->enable(delay);
+}
+
+void SessionTable::flush() {
+  last_flush_ = dispatcher_.now();
+  const std::vector<PendingGrantPtr> grants = std::move(unsent_);
+  unsent_.clear();
+  wire::SessionRecordBatch batch;
+  for (const PendingGrantPtr& pending : grants) {
+    batch.records.push_back(pending->record);
+  }
+  for (const base::NodeAddress& peer : view_.coreAddresses()) {
+    calls_.call(peer, batch, times_.front_limit,
+                [this, alive = std::weak_ptr(alive_), peer, grants](const auto& result) {
+                  if (!alive.expired()) {
+                    onBatchReply(peer, grants, result);
+                  }
+                });
+  }
+}
+
+void SessionTable::onBatch(const wire::SessionRecordBatch& batch,
+                           const transport::ReplyFunction& reply) {
+  observeVote();
+  if (!view_.mayVote()) {
+    reply(wire::SessionRecordBatchReply{});
+    return;
+  }
+  for (const wire::SessionRecord& each : batch.records) {
+    record(each);
+  }
+  reply(wire::SessionRecordBatchReply{true, view_.acceptedVersion()});
+}
+
+void SessionTable::record(const wire::SessionRecord& record) {
+  const SessionKey key{record.front, record.instance};
+  const auto known = entries_.find(key);
+  if (known != entries_.end() && record.sequence <= known->second.record.sequence) {
+    return;
+  }
+  if (known == entries_.end() || record.closed) {
+    journal_.append(journal::Subject::Session, record.front.toString(), record.closed ? "" : "live",
+                    record.sequence);
+  }
+  entries_[key] = Entry{record, dispatcher_.now() + times_.core_limit};
+}
+
+void SessionTable::onBatchReply(const base::NodeAddress& peer,
+                                const std::vector<PendingGrantPtr>& grants,
+                                const transport::CallResult& result) {
+  const auto* answer = result.as<wire::SessionRecordBatchReply>();
+  if (answer == nullptr || !answer->recorded) {
+    return;
+  }
+  for (const PendingGrantPtr& pending : grants) {
+    if (!pending->reply || dispatcher_.now() >= pending->expires_at) {
+      continue;
+    }
+    pending->recorded_at.insert(peer);
+    pending->committed_version = std::max(pending->committed_version, answer->accepted_version);
+    if (view_.quorum(pending->recorded_at)) {
+      grant(*pending);
+    }
+  }
+}
+
+void SessionTable::grant(PendingGrant& pending) const {
+  wire::SessionOpenReply granted;
+  granted.granted = true;
+  granted.sequence = pending.record.sequence;
+  granted.committed_version = pending.committed_version;
+  granted.core_addresses = view_.coreAddresses();
+  std::set<base::NodeAddress> fronts;
+  for (const wire::SessionTableEntry& entry : localSessions()) {
+    fronts.insert(entry.record.front);
+  }
+  granted.front_addresses.assign(fronts.begin(), fronts.end());
+  const transport::ReplyFunction reply = std::exchange(pending.reply, nullptr);
+  reply(std::move(granted));
+}
+
+base::Duration SessionTable::roundLimit() const {
+  // A fifth is left for clocks that run at different speeds.
+  return (times_.core_limit - times_.front_limit) * 4 / 5;
+}
+
+void SessionTable::readLive(LiveSessionsCallback callback) {
+  auto read = std::make_shared<Read>();
+  read->callback = std::move(callback);
+  read->deadline = dispatcher_.now() + times_.read_deadline;
+  read->timer = dispatcher_.createTimer([this, weak = std::weak_ptr(read)] {
+    if (const ReadPtr held = weak.lock()) {
+      startRound(held);
+    }
+  });
+  reads_.insert(read);
+  startRound(read);
+}
+
+void SessionTable::startRound(const ReadPtr& read) {
+  const base::TimePoint now = dispatcher_.now();
+  if (now >= read->deadline) {
+    finishRead(read, base::ResultCode::NoQuorum);
+    return;
+  }
+  read->round_started = now;
+  const std::uint64_t round = ++read->round;
+  read->answered.clear();
+  read->live.clear();
+  read->timer->enable(std::min(roundLimit(), read->deadline - now));
+  for (const base::NodeAddress& peer : view_.coreAddresses()) {
+    calls_.call(peer, wire::SessionTableRequest{}, times_.read_deadline,
+                [this, alive = std::weak_ptr(alive_), read, round, peer](const auto& result) {
+                  if (!alive.expired()) {
+                    onTable(read, round, peer, result);
+                  }
+                });
+  }
+}
+
+void SessionTable::onTable(const ReadPtr& read, std::uint64_t round, const base::NodeAddress& peer,
+                           const transport::CallResult& result) {
+  const base::TimePoint now = dispatcher_.now();
+  const bool in_time =
+      now < read->deadline && round == read->round && now < read->round_started + roundLimit();
+  const auto* table = result.as<wire::SessionTableReply>();
+  const bool usable = table != nullptr && !table->recovering && read->callback;
+  if (!usable || (!in_time && !faults_.unbounded_read)) {
+    return;
+  }
+  read->answered.insert(peer);
+  for (const wire::SessionTableEntry& entry : table->sessions) {
+    const SessionKey key{entry.record.front, entry.record.instance};
+    wire::SessionTableEntry& merged = read->live.try_emplace(key, entry).first->second;
+    const auto applied = std::max(merged.record.applied_version, entry.record.applied_version);
+    if (entry.record.sequence > merged.record.sequence) {
+      merged.record = entry.record;
+    }
+    merged.record.applied_version = applied;
+    merged.remaining_ms = std::max(merged.remaining_ms, entry.remaining_ms);
+  }
+  if (view_.quorum(read->answered)) {
+    finishRead(read, base::ResultCode::Ok);
+  }
+}
+
+void SessionTable::finishRead(const ReadPtr& read, base::ResultCode code) {
+  const ReadPtr kept = read;
+  const LiveSessionsCallback callback = std::exchange(kept->callback, nullptr);
+  kept->timer->disable();
+  reads_.erase(kept);
+  std::vector<wire::SessionTableEntry> live;
+  if (code == base::ResultCode::Ok) {
+    for (const auto& [key, entry] : kept->live) {
+      live.push_back(entry);
+    }
+  }
+  callback(code, live);
+}
+
+void SessionTable::sweep() {
+  observeVote();
+  const base::TimePoint now = dispatcher_.now();
+  std::erase_if(entries_, [this, now](const auto& item) {
+    const Entry& entry = item.second;
+    if (now < entry.expires_at) {
+      return false;
+    }
+    if (!entry.record.closed) {
+      journal_.append(journal::Subject::Session, entry.record.front.toString(), "",
+                      entry.record.sequence);
+    }
+    return true;
+  });
+  sweep_timer_->enable(times_.core_limit);
+}
+
+}  // namespace switchsaddle::sessions
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -74,7 +74,7 @@
 
 /** Acknowledges a batch with the accepted configuration version of the answering acceptor. */
 struct SessionRecordBatchReply {
-  /** False while the node recovers or may not vote. */
+  /** False while the node may not vote. A recovering node does record. */
   bool recorded = false;
   std::uint64_t accepted_version = 0;
 
