Test leases in the simulation and raise the term where a rival used a granter up

A rival's failed campaign with the same term left granters which never renewed the holder's lease, so that the restart of one of the others ended it. The holder now raises its term while it holds. Ruled out: forgetting the rival's term at the granter, since one term could then have two holders.

--- a/libraries/lease/include/switchsaddle/lease/lease_granter.h
+++ b/libraries/lease/include/switchsaddle/lease/lease_granter.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "switchsaddle/base/dispatcher.h"
@@ -25,8 +26,9 @@
  *
  * Invariant: of two grants of one name by this node, through all its lives, the later has the
  * higher term, and was made after the earlier one had ended or been released; renewals apart. It
- * grants nothing for one lease duration after start, since an earlier life may have granted, nor
- * while it may not vote. Runs on the control strand.
+ * grants nothing for one lease duration after it has begun to vote, since an earlier life may have
+ * granted. The term and its holder's instance are stored, so that a holder outlives the restart of
+ * one granter after another. Runs on the control strand.
  */
 class LeaseGranter {
  public:
@@ -37,13 +39,17 @@
   /** Takes the terms over from the opened store; called before the first request. */
   void load(const storage::OpenedStore& opened);
   /** Asked before each grant; without it the node always votes. */
-  void setMayVote(std::function<bool()> may_vote) { may_vote_ = std::move(may_vote); }
+  void setMayVote(std::function<bool()> may_vote) {
+    may_vote_ = std::move(may_vote);
+    observeVote();
+  }
 
  private:
   struct Lease {
     std::uint64_t highest_term = 0;
     /** Whether highest_term is in the store. */
     bool durable = true;
+    /** The holder, or the last one known; empty after start. */
     base::NodeAddress holder;
     std::uint64_t holder_instance = 0;
     base::TimePoint expires_at;
@@ -51,7 +57,8 @@
 
   void onRequest(const wire::LeaseRequest& request, transport::ReplyFunction reply);
   void onRelease(const wire::LeaseRelease& release);
-  bool mayGrant(const wire::LeaseRequest& request) const;
+  bool observeVote();
+  bool mayGrant(const wire::LeaseRequest& request);
   void grantNewTerm(const wire::LeaseRequest& request, transport::ReplyFunction reply);
   void onStored(const wire::LeaseRequest& request, base::ResultCode code,
                 const transport::ReplyFunction& reply);
@@ -62,7 +69,8 @@
   journal::Journal& journal_;
   LeaseTimes times_;
   LeaseGranterFaults faults_;
-  base::TimePoint started_at_;
+  /** Since when this life has been voting; unset while it may not. */
+  std::optional<base::TimePoint> voting_since_;
   std::function<bool()> may_vote_;
   std::map<std::string, Lease> leases_;
   /** Expires with this object, so that late callbacks find it gone. */
--- a/libraries/lease/include/switchsaddle/lease/lease_holder.h
+++ b/libraries/lease/include/switchsaddle/lease/lease_holder.h
@@ -25,12 +25,15 @@
  * granters has granted one term, then renews at a third of the duration.
  *
  * Invariant: at most one held() in the fleet at any moment, and each holder has a higher term than
- * the one before it. held() is judged by the clock at the moment of asking; the lease counts from
- * the moment of asking a majority, less the margin for drift. Runs on the dispatcher's strand.
+ * the one before it. A granter which a rival's failed campaign has used up for the holder's term is
+ * won back by raising the term while the lease is held. held() is judged by the clock at the moment
+ * of asking; the lease counts from the moment of asking a majority, less the margin for drift. Runs
+ * on the dispatcher's strand.
  */
 class LeaseHolder {
  public:
-  /** Told true when the lease is gained and false when it is lost, released or given up. */
+  /** Told true when the lease is gained or its term has risen, and false when it is lost or given
+   * back. */
   using Listener = std::function<void(bool)>;
 
   LeaseHolder(base::Dispatcher& dispatcher, transport::PeerCalls& calls, base::RandomSource& random,
@@ -61,6 +64,9 @@
   void startRound(std::uint64_t term);
   void onReply(const RoundPtr& round, const base::NodeAddress& granter,
                const transport::CallResult& result);
+  /** Whether this granter will never grant the round's term, a rival having used it or a higher
+   * one. */
+  bool isContested(const Round& round, const wire::LeaseReply& reply) const;
   void onMajority(const RoundPtr& round);
   void onRoundEnded();
   void onExpired();
@@ -83,6 +89,8 @@
   bool announced_ = false;
   std::uint64_t term_ = 0;
   std::uint64_t highest_heard_ = 0;
+  /** The next renewal has to raise the term, so that every granter can grant it. */
+  bool contested_ = false;
   std::optional<base::TimePoint> held_until_;
   RoundPtr round_;
   /** Starts the next round. */
--- a/libraries/lease/source/lease_granter.cc
+++ b/libraries/lease/source/lease_granter.cc
@@ -1,7 +1,7 @@
 #include "switchsaddle/lease/lease_granter.h"
 
 #include <algorithm>
-#include <charconv>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -23,7 +23,7 @@
       journal_(journal),
       times_(times),
       faults_(faults),
-      started_at_(dispatcher.now()) {
+      voting_since_(dispatcher.now()) {
   const std::weak_ptr<bool> alive = alive_;
   calls.handle<wire::LeaseRequest>([this, alive](const base::NodeAddress& /*from*/,
                                                  const wire::LeaseRequest& request,
@@ -47,13 +47,15 @@
     if (!key.starts_with(KeyPrefix)) {
       continue;
     }
+    std::istringstream text(bytes);
     std::uint64_t term = 0;
-    const auto [end, error] = std::from_chars(bytes.data(), bytes.data() + bytes.size(), term);
-    if (error != std::errc{} || end != bytes.data() + bytes.size()) {
-      throw base::Error(base::ResultCode::RecordCorrupt, "the stored term is not a number", key);
+    std::uint64_t instance = 0;
+    if (!(text >> term >> instance)) {
+      throw base::Error(base::ResultCode::RecordCorrupt, "a stored lease is not two numbers", key);
     }
     Lease& lease = leases_[key.substr(KeyPrefix.size())];
-    lease.highest_term = std::max(lease.highest_term, term);
+    lease.highest_term = term;
+    lease.holder_instance = instance;
   }
 }
 
@@ -68,12 +70,25 @@
   return reply;
 }
 
-bool LeaseGranter::mayGrant(const wire::LeaseRequest& request) const {
-  const bool recovering =
-      !faults_.skip_recovery && dispatcher_.now() < started_at_ + times_.duration;
+bool LeaseGranter::observeVote() {
+  if (may_vote_ && !may_vote_()) {
+    voting_since_.reset();
+    return false;
+  }
+  if (!voting_since_) {
+    voting_since_ = dispatcher_.now();
+  }
+  return true;
+}
+
+bool LeaseGranter::mayGrant(const wire::LeaseRequest& request) {
+  if (!observeVote()) {
+    return false;
+  }
+  const bool paused =
+      !faults_.skip_recovery && dispatcher_.now() < *voting_since_ + times_.duration;
   const bool duration_fits = std::chrono::milliseconds(request.duration_ms) <= times_.duration;
-  const bool votes = !may_vote_ || may_vote_();
-  return votes && !recovering && duration_fits;
+  return !paused && duration_fits;
 }
 
 void LeaseGranter::onRequest(const wire::LeaseRequest& request, transport::ReplyFunction reply) {
@@ -86,6 +101,7 @@
   const bool same_holder =
       lease.holder_instance == request.holder_instance && lease.holder == request.holder;
   if (same_holder && request.term == lease.highest_term && lease.durable) {
+    lease.holder = request.holder;
     lease.expires_at = now + times_.duration;
     reply(answer(lease, true));
     return;
@@ -105,7 +121,9 @@
   lease.holder = request.holder;
   lease.holder_instance = request.holder_instance;
   lease.expires_at = dispatcher_.now() + times_.duration;
-  storage::Record record{std::string(KeyPrefix) + request.name, std::to_string(request.term)};
+  storage::Record record{
+      std::string(KeyPrefix) + request.name,
+      std::to_string(request.term) + " " + std::to_string(request.holder_instance)};
   store_.commit({std::move(record)}, [this, alive = std::weak_ptr(alive_), request,
                                       reply = std::move(reply)](base::ResultCode code) {
     if (!alive.expired()) {
@@ -121,7 +139,6 @@
   const bool stored = code == base::ResultCode::Ok;
   if (!stored) {
     // The term stays used up; a higher one has to be stored before the next grant.
-    lease.holder = {};
     lease.holder_instance = 0;
     lease.expires_at = dispatcher_.now();
   }
@@ -142,7 +159,6 @@
   if (!theirs) {
     return;
   }
-  lease.holder = {};
   lease.holder_instance = 0;
   lease.expires_at = dispatcher_.now();
   journal_.append(journal::Subject::Lease, release.name, "", lease.highest_term);
--- a/libraries/lease/source/lease_holder.cc
+++ b/libraries/lease/source/lease_holder.cc
@@ -54,7 +54,8 @@
 }
 
 void LeaseHolder::act() {
-  startRound(held() ? term_ : highest_heard_ + 1);
+  const bool renewal = held() && !std::exchange(contested_, false);
+  startRound(renewal ? term_ : highest_heard_ + 1);
 }
 
 void LeaseHolder::startRound(std::uint64_t term) {
@@ -86,12 +87,13 @@
     return;
   }
   highest_heard_ = std::max(highest_heard_, reply->term);
-  if (round != round_ || round->settled) {
+  if (round != round_ || (round->settled && reply->granted)) {
     return;
   }
   if (!reply->granted) {
     const base::Duration left = std::chrono::milliseconds(reply->remaining_ms);
     round->held_elsewhere = std::max(round->held_elsewhere, left);
+    contested_ = contested_ || isContested(*round, *reply);
     return;
   }
   round->granted_by.insert(granter);
@@ -100,6 +102,12 @@
   }
 }
 
+bool LeaseHolder::isContested(const Round& round, const wire::LeaseReply& reply) const {
+  const bool of_another = !reply.holder.empty() && reply.holder != calls_.localAddress();
+  const bool never_grants = reply.term > round.term || (reply.term == round.term && of_another);
+  return never_grants && reply.remaining_ms == 0;
+}
+
 void LeaseHolder::onMajority(const RoundPtr& round) {
   round->settled = true;
   round_timer_->disable();
@@ -114,11 +122,13 @@
     // Granted anew after a gap: the owner is to hear of the loss first.
     lose();
   }
+  const bool raised = term_ != round->term;
   term_ = round->term;
   held_until_ = until;
   expiry_timer_->enable(until - now);
   action_timer_->enable(times_.duration / 3);
-  if (!std::exchange(announced_, true) && listener_) {
+  const bool gained = !std::exchange(announced_, true);
+  if ((gained || raised) && listener_) {
     listener_(true);
   }
 }
--- /dev/null
+++ b/libraries/lease/test/lease_granter_test.cc
@@ -0,0 +1,102 @@
+#include "switchsaddle/lease/lease_granter.h"
+
+#include <gtest/gtest.h>
+
+#include "lease_fleet.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/lease/term_gate.h"
+
+namespace switchsaddle::lease {
+namespace {
+
+using std::chrono::seconds;
+
+class LeaseGranterTest : public testing::Test {
+ protected:
+  LeaseGranterTest() {
+    for (std::size_t index = LeaseFleet::GranterCount; index < fleet_.nodes.size(); ++index) {
+      fleet_.kill(*fleet_.nodes[index]);
+    }
+    client_.transport = fleet_.network.attach({"127.0.0.9", 7000}, client_.process);
+    client_.calls = std::make_unique<transport::PeerCalls>(client_.process, *client_.transport);
+    fleet_.world.runFor(seconds(3));
+  }
+
+  wire::LeaseReply ask(std::uint64_t instance, std::uint64_t term,
+                       std::uint32_t duration_ms = 2'000) {
+    std::optional<wire::LeaseReply> answer;
+    wire::LeaseRequest request{"name", client_.calls->localAddress(), instance, term, duration_ms};
+    client_.calls->call(
+        granter_.address, request, seconds(1),
+        [&](const transport::CallResult& result) { answer = *result.as<wire::LeaseReply>(); });
+    fleet_.world.runUntil([&] { return answer.has_value(); }, seconds(1));
+    return answer.value();
+  }
+
+  LeaseFleet fleet_{1};
+  LeaseNode& granter_ = *fleet_.nodes[0];
+  LeaseNode client_{fleet_.world};
+};
+
+TEST_F(LeaseGranterTest, GrantsOneHolderAtATimeAndOnlyHigherTerms) {
+  EXPECT_TRUE(ask(1, 5).granted);
+  EXPECT_TRUE(ask(1, 5).granted);
+  const wire::LeaseReply refused = ask(2, 6);
+  EXPECT_FALSE(refused.granted);
+  EXPECT_EQ(refused.term, 5U);
+  EXPECT_GT(refused.remaining_ms, 1'900U);
+  fleet_.world.runFor(seconds(2));
+  EXPECT_FALSE(ask(2, 5).granted);
+  EXPECT_TRUE(ask(2, 6).granted);
+  EXPECT_FALSE(ask(1, 5).granted);
+}
+
+TEST_F(LeaseGranterTest, ReleaseFreesAtOnceAndOnlyForItsHolder) {
+  ASSERT_TRUE(ask(1, 1).granted);
+  client_.calls->notify(granter_.address, wire::LeaseRelease{"name", 2, 1});
+  fleet_.world.runFor(std::chrono::milliseconds(10));
+  EXPECT_FALSE(ask(2, 2).granted);
+  client_.calls->notify(granter_.address, wire::LeaseRelease{"name", 1, 1});
+  fleet_.world.runFor(std::chrono::milliseconds(10));
+  EXPECT_TRUE(ask(2, 2).granted);
+}
+
+TEST_F(LeaseGranterTest, GrantsNothingWithoutVoteStorageOrWithinTheRecoveryPause) {
+  EXPECT_FALSE(ask(1, 1, 2'001).granted);
+  granter_.store->failing = true;
+  EXPECT_FALSE(ask(1, 1).granted);
+  granter_.store->failing = false;
+  EXPECT_TRUE(ask(1, 2).granted);
+  EXPECT_EQ(granter_.disk["lease/name"], "2 1");
+  fleet_.kill(granter_);
+  fleet_.start(granter_);
+  EXPECT_FALSE(ask(2, 3).granted);
+  fleet_.world.runFor(seconds(2));
+  EXPECT_FALSE(ask(2, 2).granted);
+  EXPECT_TRUE(ask(2, 3).granted);
+  bool votes = false;
+  granter_.granter->setMayVote([&] { return votes; });
+  EXPECT_FALSE(ask(2, 3).granted);
+  votes = true;
+  EXPECT_FALSE(ask(2, 3).granted);
+  fleet_.world.runFor(seconds(2));
+  EXPECT_TRUE(ask(2, 3).granted);
+}
+
+TEST_F(LeaseGranterTest, RefusesACorruptRecord) {
+  storage::OpenedStore opened;
+  opened.records["lease/name"] = "x";
+  EXPECT_THROW(granter_.granter->load(opened), base::Error);
+}
+
+TEST(TermGateTest, TakesOnlyTermsThatDoNotGoBack) {
+  TermGate gate;
+  EXPECT_TRUE(gate.accept("a", 2));
+  EXPECT_TRUE(gate.accept("a", 2));
+  EXPECT_FALSE(gate.accept("a", 1));
+  EXPECT_TRUE(gate.accept("b", 1));
+  EXPECT_EQ(gate.highest("a"), 2U);
+}
+
+}  // namespace
+}  // namespace switchsaddle::lease
--- a/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
+++ b/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
@@ -27,6 +27,8 @@
 struct SessionClientFaults {
   /** Counts the limit from receipt of the grant, not from the moment of asking. */
   bool count_from_receipt = false;
+  /** Takes the version to be in force from the very first grant. */
+  bool version_of_first_grant = false;
 };
 
 /**
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -132,6 +132,9 @@
   if (!continues) {
     chain_granted_at_ = now;
     required_version_.reset();
+    if (faults_.version_of_first_grant) {
+      required_version_ = reply.committed_version;
+    }
     granted_until_ = until;
   } else {
     granted_until_ = std::max(*granted_until_, until);
