--- /dev/null
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -0,0 +1,125 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/routing/arm_selection.h"
+#include "switchsaddle/routing/model_pool.h"
+#include "switchsaddle/routing/router.h"
+
+namespace switchsaddle::routing {
+
+/** What is switched on over plain ADR-0021; each has a measurement in docs/ROUTING.md. */
+struct RouterOptions {
+  bool prefix_affinity = true;
+  bool load_estimates = true;
+  bool cold_guard = true;
+  /** Draw on speed apart from prefix hits and lengths, in place of raw end-to-end tokens/s. */
+  bool score_hygiene = true;
+  /** Chains of shared prefix parts remembered. */
+  std::size_t prefix_chains = 1U << 16U;
+  ColdPrior cold_prior;
+
+  /** The source's policy alone, as a baseline. */
+  static RouterOptions plain();
+};
+
+/**
+ * ADR-0021's bandit on one front, extended as docs/ROUTING.md says. Owns the arms of each model,
+ * their means, the epochs and the index of prefix chains. Invariant: an arm of a worker that is
+ * draining, gone or evacuated, or outside the route's pool, is never a candidate. Runs on the
+ * control strand; choose() makes no call, takes no lock, and looks at each arm of the model at most
+ * once.
+ */
+class LearnedRouter : public Router {
+ public:
+  LearnedRouter(base::Dispatcher& dispatcher, base::RandomSource& random, base::NodeAddress self,
+                RouterOptions options);
+
+  void setConfiguration(std::shared_ptr<const configuration::View> view) override;
+  void setWorkers(workers::WorkerSnapshotPtr snapshot) override;
+  void setFronts(const std::vector<base::NodeAddress>& fronts) override;
+  std::optional<Placement> choose(const Prompt& prompt, const configuration::Route& route,
+                                  const std::vector<std::string>& excluded) override;
+  void complete(const Completion& completion) override;
+  std::vector<RoutingRow> table(const std::string& model) const override;
+  std::vector<wire::RouteScore> exportScores() const override;
+  void importScores(const std::vector<wire::RouteScore>& scores) override;
+
+  std::uint64_t epochOf(const std::string& model) const;
+
+ private:
+  /** One arm under consideration for a prompt. */
+  struct Candidate {
+    Arm* arm = nullptr;
+    std::uint32_t cached_tokens = 0;
+    double first_token_s = 0;
+  };
+  struct InFlight {
+    ArmPtr arm;
+    std::string model;
+    std::vector<std::uint64_t> chains;
+  };
+
+  // Pools, in source/pool_builder.cc.
+  void rebuildPools();
+  void updateWorkerRecords();
+  void buildPool(ModelPool& pool);
+  void addArm(ModelPool& pool, std::map<std::string, ArmPtr>& former,
+              const WorkerRecordPtr& prefill, const WorkerRecordPtr& decode);
+  std::string topologyOf(const ModelPool& pool) const;
+  void bumpEpoch(ModelPool& pool);
+  void pruneRetired(ModelPool& pool);
+
+  // Candidates of one prompt, in source/candidates.cc.
+  void collectCandidates(const ModelPool& pool, const Prompt& prompt,
+                         const std::vector<std::uint64_t>& chains,
+                         const std::vector<std::string>& excluded);
+  void collectOwners(const ModelPool& pool, const Prompt& prompt,
+                     const std::vector<std::uint64_t>& chains);
+  void collectByRendezvous(const ModelPool& pool, std::uint64_t chain);
+  void collectAtRandom(const ModelPool& pool, std::size_t limit);
+  void collectLeastMeasured(const ModelPool& pool);
+  void consider(Arm& arm, std::uint32_t cached_tokens);
+  void rankCandidates(const Prompt& prompt, std::size_t limit);
+  /** Drops arms the cold guard holds back, as long as others remain. */
+  void dropHeldBack();
+  void dropFarFromBest();
+  bool isExcluded(const Arm& arm) const;
+  Selection select(const ModelPool& pool, const Prompt& prompt);
+  double drawSpeed(const Candidate& candidate, const Prompt& prompt) const;
+  bool mayScout(const Arm& arm) const;
+
+  void recordLoad(WorkerRecord& worker, const Completion& completion);
+  void recordFailure(ModelPool& pool, Arm& arm);
+  ModelPool* findPool(const std::string& model);
+  const ModelPool* findPool(const std::string& model) const;
+
+  base::Dispatcher& dispatcher_;
+  base::RandomSource& random_;
+  base::NodeAddress self_;
+  RouterOptions options_;
+  std::shared_ptr<const configuration::View> view_;
+  workers::WorkerSnapshotPtr snapshot_;
+  bool first_list_taken_ = false;
+  configuration::Tuning tuning_;
+  ColdGuard cold_guard_;
+  PrefixIndex prefix_index_;
+  std::map<std::string, WorkerRecordPtr> workers_;
+  std::vector<WorkerRecordPtr> workers_by_number_;
+  std::unordered_map<std::string, ModelPool> pools_;
+  std::unordered_map<std::uint64_t, InFlight> in_flight_;
+  std::uint64_t next_ticket_ = 1;
+  // Reused between calls of choose(), so that the ordinary path does not allocate.
+  std::vector<Candidate> candidates_;
+  std::vector<SelectionCandidate> selection_;
+  const std::vector<std::string>* excluded_ = nullptr;
+};
+
+}  // namespace switchsaddle::routing
--- /dev/null
+++ b/libraries/routing/include/switchsaddle/routing/route_statistics.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstdint>
+
+#include "switchsaddle/base/time.h"
+
+namespace switchsaddle::routing {
+
+/** How ADR-0021 classes an arm. Only proven arms are drawn from. */
+enum class ArmStatus : std::uint8_t { Proven, Unsampled, Stale, Decayed };
+
+/** The name shown in the routing table. */
+const char* armStatusName(ArmStatus status);
+
+/** Mass below which an arm leaves the exploit pool (ADR-0021). */
+inline constexpr double ProvenMass = 0.5;
+
+/** One finished completion, as scored. Rates that were not measured are zero. */
+struct SpeedSample {
+  /** End-to-end output tokens per second, the source's score. */
+  double tokens_per_second = 0;
+  /** Time to the first token for each uncached prompt token. */
+  double seconds_per_prefill_token = 0;
+  /** Time for each output token after the first. */
+  double seconds_per_output_token = 0;
+};
+
+/**
+ * An exponentially weighted mean whose mass halves every half-life. Adding a sample decays the
+ * mass, then weighs the old value by it and the sample by one; the source names no smoothing
+ * factor, and this form merges cleanly between nodes. Times are this node's own.
+ */
+class RouteStatistics {
+ public:
+  void add(const SpeedSample& sample, base::TimePoint now, double half_life_s);
+  /**
+   * Merges another node's mean, last measured `age` ago: values are weighed by mass and the mass becomes
+   * the larger one, so that hearing one value twice does not count it twice. `mass` is decayed to now.
+   */
+  void merge(const SpeedSample& mean, double mass, base::Duration age, base::TimePoint now,
+             double half_life_s);
+  double mass(base::TimePoint now, double half_life_s) const;
+  /** Status given when the model's present epoch began. */
+  ArmStatus status(base::TimePoint now, base::TimePoint epoch_start, double half_life_s) const;
+  /** Demotes the arm until it is measured again; its mean stays as a prior. */
+  void markStale() { forced_stale_ = true; }
+  const SpeedSample& mean() const { return mean_; }
+  std::uint64_t samples() const { return samples_; }
+  bool measured() const { return measured_; }
+  base::TimePoint measuredAt() const { return measured_at_; }
+  base::TimePoint decayedAt() const { return decayed_at_; }
+
+ private:
+  void decayTo(base::TimePoint now, double half_life_s);
+
+  SpeedSample mean_;
+  double mass_ = 0;
+  std::uint64_t samples_ = 0;
+  bool measured_ = false;
+  bool forced_stale_ = false;
+  base::TimePoint decayed_at_{};
+  base::TimePoint measured_at_{};
+};
+
+}  // namespace switchsaddle::routing
--- a/libraries/routing/include/switchsaddle/routing/router.h
+++ b/libraries/routing/include/switchsaddle/routing/router.h
@@ -87,6 +87,8 @@
   virtual ~Router() = default;
   virtual void setConfiguration(std::shared_ptr<const configuration::View> view) = 0;
   virtual void setWorkers(workers::WorkerSnapshotPtr snapshot) = 0;
+  /** The fronts with live sessions, this one included, for the cold guard. */
+  virtual void setFronts(const std::vector<base::NodeAddress>& fronts) = 0;
   /**
    * Places a prompt within the route's pool. `excluded` names workers already tried for this
    * prompt. Returns nothing where no usable worker remains.
--- /dev/null
+++ b/libraries/routing/source/candidates.cc
@@ -0,0 +1,215 @@
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+#include "switchsaddle/base/hash.h"
+#include "switchsaddle/routing/learned_router.h"
+
+namespace switchsaddle::routing {
+
+namespace {
+
+/** Workers chosen by rendezvous hashing for a chain this front has no owner for. */
+constexpr std::size_t RendezvousChoices = 2;
+/** Candidates this much slower to the first token than the best are not drawn from. */
+constexpr double FarFactor = 1.25;
+constexpr double FarSeconds = 0.010;
+
+/** A cheap mix of two hashes; ranks arms for a chain. */
+std::uint64_t rendezvousWeight(std::uint64_t chain, std::uint64_t arm) {
+  std::uint64_t mixed = (chain ^ arm) * 0x9e3779b97f4a7c15ULL;
+  mixed ^= mixed >> 32U;
+  return mixed * 0xd6e8feb86659fd93ULL;
+}
+
+}  // namespace
+
+bool LearnedRouter::isExcluded(const Arm& arm) const {
+  for (const std::string& id : *excluded_) {
+    const bool is_prefill = arm.prefill->worker.entry.id == id;
+    const bool is_decode = arm.decode && arm.decode->worker.entry.id == id;
+    if (is_prefill || is_decode) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void LearnedRouter::consider(Arm& arm, std::uint32_t cached_tokens) {
+  for (const Candidate& known : candidates_) {
+    if (known.arm == &arm) {
+      return;
+    }
+  }
+  if (arm.usable() && !isExcluded(arm)) {
+    candidates_.push_back(Candidate{&arm, cached_tokens, 0});
+  }
+}
+
+void LearnedRouter::collectCandidates(const ModelPool& pool, const Prompt& prompt,
+                                      const std::vector<std::uint64_t>& chains,
+                                      const std::vector<std::string>& excluded) {
+  candidates_.clear();
+  excluded_ = &excluded;
+  const std::size_t limit = std::max(1U, tuning_.route_candidates);
+  if (options_.prefix_affinity && !chains.empty()) {
+    collectOwners(pool, prompt, chains);
+    collectByRendezvous(pool, chains.front());
+  }
+  collectLeastMeasured(pool);
+  collectAtRandom(pool, limit);
+  rankCandidates(prompt, limit);
+}
+
+void LearnedRouter::collectOwners(const ModelPool& pool, const Prompt& prompt,
+                                  const std::vector<std::uint64_t>& chains) {
+  std::uint32_t cached_tokens = 0;
+  for (const PrefixPart& part : prompt.prefix_parts) {
+    cached_tokens += part.tokens;
+  }
+  for (std::size_t depth = chains.size(); depth > 0; --depth) {
+    for (const WorkerNumber owner : prefix_index_.find(chains[depth - 1])) {
+      if (owner == NoWorker) {
+        continue;
+      }
+      for (const ArmPtr& arm : pool.arms) {
+        if (arm->prefill->number == owner) {
+          consider(*arm, cached_tokens);
+        }
+      }
+    }
+    cached_tokens -= prompt.prefix_parts[depth - 1].tokens;
+  }
+}
+
+void LearnedRouter::collectByRendezvous(const ModelPool& pool, std::uint64_t chain) {
+  std::array<Arm*, RendezvousChoices> best{};
+  std::array<std::uint64_t, RendezvousChoices> weights{};
+  for (const ArmPtr& arm : pool.arms) {
+    const std::uint64_t weight = rendezvousWeight(chain, arm->prefill->hash);
+    if (best[0] == nullptr || weight > weights[0]) {
+      best[1] = best[0];
+      weights[1] = weights[0];
+      best[0] = arm.get();
+      weights[0] = weight;
+    } else if (best[1] == nullptr || weight > weights[1]) {
+      best[1] = arm.get();
+      weights[1] = weight;
+    }
+  }
+  for (Arm* arm : best) {
+    if (arm != nullptr) {
+      consider(*arm, 0);
+    }
+  }
+}
+
+void LearnedRouter::collectLeastMeasured(const ModelPool& pool) {
+  const base::TimePoint now = dispatcher_.now();
+  Arm* least = nullptr;
+  double least_mass = std::numeric_limits<double>::infinity();
+  for (const ArmPtr& arm : pool.arms) {
+    const ArmStatus status =
+        arm->statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
+    if (status == ArmStatus::Proven) {
+      continue;
+    }
+    const double mass = arm->statistics.mass(now, tuning_.route_stats_half_life_s);
+    if (mass < least_mass && mayScout(*arm) && !isExcluded(*arm)) {
+      least = arm.get();
+      least_mass = mass;
+    }
+  }
+  if (least != nullptr) {
+    consider(*least, 0);
+  }
+}
+
+void LearnedRouter::collectAtRandom(const ModelPool& pool, std::size_t limit) {
+  const std::size_t size = pool.arms.size();
+  if (size <= limit) {
+    for (const ArmPtr& arm : pool.arms) {
+      consider(*arm, 0);
+    }
+    return;
+  }
+  const std::size_t attempts = 2 * limit;
+  for (std::size_t attempt = 0; attempt < attempts && candidates_.size() < limit; ++attempt) {
+    consider(*pool.arms[random_.below(size)], 0);
+  }
+  // With most arms excluded the sample may have missed the few that remain.
+  for (std::size_t index = 0; candidates_.empty() && index < size; ++index) {
+    consider(*pool.arms[index], 0);
+  }
+}
+
+void LearnedRouter::rankCandidates(const Prompt& prompt, std::size_t limit) {
+  const base::TimePoint now = dispatcher_.now();
+  for (Candidate& candidate : candidates_) {
+    const std::uint32_t cached = std::min(candidate.cached_tokens, prompt.prompt_tokens);
+    candidate.first_token_s = estimateFirstToken(*candidate.arm, prompt.prompt_tokens - cached,
+                                                 prompt.maximum_tokens, options_.cold_prior, now);
+  }
+  std::stable_sort(candidates_.begin(), candidates_.end(),
+                   [](const Candidate& first, const Candidate& second) {
+                     return first.first_token_s < second.first_token_s;
+                   });
+  if (candidates_.size() > limit) {
+    candidates_.resize(limit);
+  }
+}
+
+void LearnedRouter::dropHeldBack() {
+  const auto allowed = [this](const Candidate& candidate) { return mayScout(*candidate.arm); };
+  if (std::any_of(candidates_.begin(), candidates_.end(), allowed)) {
+    std::erase_if(candidates_, std::not_fn(allowed));
+  }
+}
+
+void LearnedRouter::dropFarFromBest() {
+  const double bound = candidates_.front().first_token_s * FarFactor + FarSeconds;
+  const base::TimePoint now = dispatcher_.now();
+  std::erase_if(candidates_, [this, bound, now](const Candidate& candidate) {
+    const bool measured =
+        candidate.arm->statistics.mass(now, tuning_.route_stats_half_life_s) >= ProvenMass;
+    return measured && candidate.first_token_s > bound;
+  });
+}
+
+bool LearnedRouter::mayScout(const Arm& arm) const {
+  if (!options_.cold_guard) {
+    return true;
+  }
+  const base::TimePoint now = dispatcher_.now();
+  const bool decode_allows = !arm.decode || cold_guard_.mayPlace(arm.decode->cold, now);
+  return decode_allows && cold_guard_.mayPlace(arm.prefill->cold, now);
+}
+
+double LearnedRouter::drawSpeed(const Candidate& candidate, const Prompt& prompt) const {
+  const SpeedSample& mean = candidate.arm->statistics.mean();
+  const bool has_rates = mean.seconds_per_output_token > 0;
+  if (!options_.score_hygiene || !has_rates) {
+    return mean.tokens_per_second;
+  }
+  const double tokens = std::max(1U, prompt.maximum_tokens);
+  return tokens / (candidate.first_token_s + tokens * mean.seconds_per_output_token);
+}
+
+Selection LearnedRouter::select(const ModelPool& pool, const Prompt& prompt) {
+  const base::TimePoint now = dispatcher_.now();
+  selection_.clear();
+  for (const Candidate& candidate : candidates_) {
+    const RouteStatistics& statistics = candidate.arm->statistics;
+    SelectionCandidate row;
+    row.proven = statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s) ==
+                 ArmStatus::Proven;
+    row.mass = statistics.mass(now, tuning_.route_stats_half_life_s);
+    row.prior = -candidate.first_token_s;
+    row.tokens_per_second = drawSpeed(candidate, prompt);
+    row.may_scout = mayScout(*candidate.arm);
+    selection_.push_back(row);
+  }
+  return selectArm(selection_, tuning_.route_explore_share, tuning_.route_weight_alpha, random_);
+}
+
+}  // namespace switchsaddle::routing
--- /dev/null
+++ b/libraries/routing/source/learned_router.cc
@@ -0,0 +1,275 @@
+#include "switchsaddle/routing/learned_router.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "switchsaddle/base/hash.h"
+
+namespace switchsaddle::routing {
+
+namespace {
+
+base::Duration fromSeconds(double seconds) {
+  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(seconds));
+}
+
+double toSeconds(base::Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/** Hashes of the chain's leading parts: one for each depth. */
+std::vector<std::uint64_t> chainHashes(const Prompt& prompt) {
+  std::vector<std::uint64_t> chains;
+  chains.reserve(prompt.prefix_parts.size());
+  std::uint64_t chain = base::hashBytes(prompt.model);
+  for (const PrefixPart& part : prompt.prefix_parts) {
+    chain = base::combineHashes(chain, base::hashBytes(part.id));
+    chains.push_back(chain);
+  }
+  return chains;
+}
+
+SpeedSample sampleOf(const Completion& completion) {
+  SpeedSample sample;
+  const double total_s = toSeconds(completion.total);
+  const double first_token_s = toSeconds(completion.time_to_first_token);
+  sample.tokens_per_second = total_s > 0 ? completion.output_tokens / total_s : 0;
+  if (completion.uncached_tokens > 0 && first_token_s > 0) {
+    sample.seconds_per_prefill_token = first_token_s / completion.uncached_tokens;
+  }
+  if (completion.output_tokens > 1 && total_s > first_token_s) {
+    sample.seconds_per_output_token = (total_s - first_token_s) / (completion.output_tokens - 1);
+  }
+  return sample;
+}
+
+}  // namespace
+
+RouterOptions RouterOptions::plain() {
+  RouterOptions options;
+  options.prefix_affinity = false;
+  options.load_estimates = false;
+  options.cold_guard = false;
+  options.score_hygiene = false;
+  return options;
+}
+
+LearnedRouter::LearnedRouter(base::Dispatcher& dispatcher, base::RandomSource& random,
+                             base::NodeAddress self, RouterOptions options)
+    : dispatcher_(dispatcher),
+      random_(random),
+      self_(std::move(self)),
+      options_(options),
+      prefix_index_(options.prefix_chains) {}
+
+ModelPool* LearnedRouter::findPool(const std::string& model) {
+  const auto found = pools_.find(model);
+  return found == pools_.end() ? nullptr : &found->second;
+}
+
+const ModelPool* LearnedRouter::findPool(const std::string& model) const {
+  const auto found = pools_.find(model);
+  return found == pools_.end() ? nullptr : &found->second;
+}
+
+std::uint64_t LearnedRouter::epochOf(const std::string& model) const {
+  const ModelPool* pool = findPool(model);
+  return pool == nullptr ? 0 : pool->epoch;
+}
+
+std::optional<Placement> LearnedRouter::choose(const Prompt& prompt,
+                                               const configuration::Route& route,
+                                               const std::vector<std::string>& excluded) {
+  ModelPool* pool = findPool(prompt.model);
+  if (pool == nullptr || pool->pool != route.pool) {
+    return std::nullopt;
+  }
+  std::vector<std::uint64_t> chains = chainHashes(prompt);
+  collectCandidates(*pool, prompt, chains, excluded);
+  if (candidates_.empty()) {
+    return std::nullopt;
+  }
+  dropHeldBack();
+  if (options_.load_estimates) {
+    dropFarFromBest();
+  }
+  const Selection selection = select(*pool, prompt);
+  const Candidate& chosen = candidates_[selection.index];
+  const auto owner = std::find_if(pool->arms.begin(), pool->arms.end(),
+                                  [&chosen](const ArmPtr& arm) { return arm.get() == chosen.arm; });
+
+  Placement placement;
+  placement.mode = selection.mode;
+  placement.arm = chosen.arm->signature;
+  placement.prefill = chosen.arm->prefill->worker;
+  if (chosen.arm->decode) {
+    placement.decode = chosen.arm->decode->worker;
+    ++chosen.arm->decode->cold.in_flight;
+  }
+  placement.first_token_estimate = fromSeconds(chosen.first_token_s);
+  placement.ticket = next_ticket_++;
+  ++chosen.arm->prefill->cold.in_flight;
+  for (const std::uint64_t chain : chains) {
+    prefix_index_.add(chain, chosen.arm->prefill->number);
+  }
+  in_flight_.emplace(placement.ticket, InFlight{*owner, prompt.model, std::move(chains)});
+  return placement;
+}
+
+void LearnedRouter::complete(const Completion& completion) {
+  const auto found = in_flight_.find(completion.ticket);
+  if (found == in_flight_.end()) {
+    return;
+  }
+  const InFlight in_flight = std::move(found->second);
+  in_flight_.erase(found);
+  Arm& arm = *in_flight.arm;
+  --arm.prefill->cold.in_flight;
+  if (arm.decode) {
+    --arm.decode->cold.in_flight;
+  }
+  ModelPool* pool = findPool(in_flight.model);
+  if (pool == nullptr) {
+    return;
+  }
+  recordLoad(*arm.prefill, completion);
+  if (completion.failed) {
+    for (const std::uint64_t chain : in_flight.chains) {
+      prefix_index_.forget(chain, arm.prefill->number);
+    }
+    recordFailure(*pool, arm);
+    return;
+  }
+  const std::string& listed = arm.prefill->worker.entry.weights_version;
+  const bool other_weights = !completion.weights_version.empty() && !listed.empty() &&
+                             completion.weights_version != listed;
+  if (other_weights) {
+    arm.prefill->worker.entry.weights_version = completion.weights_version;
+    bumpEpoch(*pool);
+  }
+  arm.prefill->cold.samples += 1;
+  if (arm.decode) {
+    arm.decode->cold.samples += 1;
+  }
+  if (completion.output_tokens >= tuning_.route_min_sample_tokens) {
+    arm.statistics.add(sampleOf(completion), dispatcher_.now(), tuning_.route_stats_half_life_s);
+  }
+}
+
+void LearnedRouter::recordLoad(WorkerRecord& worker, const Completion& completion) {
+  if (!completion.has_load) {
+    return;
+  }
+  const std::uint32_t reported = completion.running + completion.queued;
+  const std::uint32_t own = worker.cold.in_flight + 1;
+  worker.others_load = reported > own ? reported - own : 0;
+  worker.load_at = dispatcher_.now();
+  if (completion.slots > 0) {
+    worker.slots = completion.slots;
+  }
+}
+
+void LearnedRouter::recordFailure(ModelPool& pool, Arm& arm) {
+  /** Failures in a storm bump the epoch at most this often, else no arm would ever be proven. */
+  constexpr base::Duration ShortestEpoch = std::chrono::seconds(10);
+  arm.statistics.markStale();
+  if (dispatcher_.now() - pool.epoch_start >= ShortestEpoch) {
+    bumpEpoch(pool);
+  }
+}
+
+std::vector<RoutingRow> LearnedRouter::table(const std::string& model) const {
+  std::vector<RoutingRow> rows;
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [name, pool] : pools_) {
+    if (!model.empty() && name != model) {
+      continue;
+    }
+    double best = 0;
+    double total = 0;
+    const std::size_t first = rows.size();
+    for (const ArmPtr& arm : pool.arms) {
+      const RouteStatistics& statistics = arm->statistics;
+      const ArmStatus status =
+          statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
+      RoutingRow row;
+      row.model = name;
+      row.arm = arm->signature;
+      row.tokens_per_second = statistics.mean().tokens_per_second;
+      row.samples = statistics.samples();
+      row.mass = statistics.mass(now, tuning_.route_stats_half_life_s);
+      row.status = armStatusName(status);
+      row.epoch = pool.epoch;
+      row.first_token_estimate_ms = estimateFirstToken(*arm, 0, 1, options_.cold_prior, now) * 1e3;
+      row.in_flight = arm->prefill->cold.in_flight;
+      row.seconds_per_prefill_token = statistics.mean().seconds_per_prefill_token;
+      row.seconds_per_output_token = statistics.mean().seconds_per_output_token;
+      if (status == ArmStatus::Proven) {
+        best = std::max(best, row.tokens_per_second);
+        row.expected_share = std::pow(row.tokens_per_second, tuning_.route_weight_alpha);
+        total += row.expected_share;
+      }
+      rows.push_back(std::move(row));
+    }
+    for (std::size_t index = first; index < rows.size(); ++index) {
+      rows[index].coefficient = best > 0 ? rows[index].tokens_per_second / best : 0;
+      rows[index].expected_share = total > 0 ? rows[index].expected_share / total : 0;
+    }
+  }
+  std::sort(rows.begin(), rows.end(), [](const RoutingRow& one, const RoutingRow& other) {
+    return one.model != other.model ? one.model < other.model : one.arm < other.arm;
+  });
+  return rows;
+}
+
+std::vector<wire::RouteScore> LearnedRouter::exportScores() const {
+  std::vector<wire::RouteScore> scores;
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [model, pool] : pools_) {
+    for (const ArmPtr& arm : pool.arms) {
+      const RouteStatistics& statistics = arm->statistics;
+      if (!statistics.measured() || statistics.measuredAt() < pool.epoch_start) {
+        continue;
+      }
+      wire::RouteScore score;
+      score.model = model;
+      score.arm = arm->signature;
+      score.epoch = pool.epoch;
+      score.tokens_per_second = statistics.mean().tokens_per_second;
+      score.seconds_per_prefill_token = statistics.mean().seconds_per_prefill_token;
+      score.seconds_per_output_token = statistics.mean().seconds_per_output_token;
+      score.mass = statistics.mass(now, tuning_.route_stats_half_life_s);
+      score.age_ms =
+          static_cast<std::uint32_t>(base::toMilliseconds(now - statistics.measuredAt()));
+      scores.push_back(std::move(score));
+    }
+  }
+  return scores;
+}
+
+void LearnedRouter::importScores(const std::vector<wire::RouteScore>& scores) {
+  const base::TimePoint now = dispatcher_.now();
+  for (const wire::RouteScore& score : scores) {
+    ModelPool* pool = findPool(score.model);
+    if (pool == nullptr) {
+      continue;
+    }
+    const auto found =
+        std::find_if(pool->arms.begin(), pool->arms.end(),
+                     [&score](const ArmPtr& arm) { return arm->signature == score.arm; });
+    const base::Duration age = std::chrono::milliseconds(score.age_ms);
+    const bool of_this_epoch = now - age >= pool->epoch_start;
+    if (found == pool->arms.end() || !of_this_epoch) {
+      continue;
+    }
+    Arm& arm = **found;
+    SpeedSample mean;
+    mean.tokens_per_second = score.tokens_per_second;
+    mean.seconds_per_prefill_token = score.seconds_per_prefill_token;
+    mean.seconds_per_output_token = score.seconds_per_output_token;
+    arm.statistics.merge(mean, score.mass, age, now, tuning_.route_stats_half_life_s);
+    arm.prefill->cold.samples = std::max(arm.prefill->cold.samples, score.mass);
+  }
+}
+
+}  // namespace switchsaddle::routing
--- /dev/null
+++ b/libraries/routing/source/model_pool.cc
@@ -0,0 +1,42 @@
+#include "switchsaddle/routing/model_pool.h"
+
+#include <algorithm>
+
+namespace switchsaddle::routing {
+
+namespace {
+
+/** A reported load older than this says nothing any more. */
+constexpr base::Duration LoadReportLifetime = std::chrono::seconds(5);
+
+double orPrior(double measured, double prior) {
+  return measured > 0 ? measured : prior;
+}
+
+}  // namespace
+
+std::uint32_t believedLoad(const WorkerRecord& record, base::TimePoint now) {
+  const bool fresh = now - record.load_at < LoadReportLifetime;
+  return record.cold.in_flight + (fresh ? record.others_load : 0);
+}
+
+double estimateFirstToken(const Arm& arm, std::uint32_t uncached_tokens,
+                          std::uint32_t output_tokens, const ColdPrior& prior,
+                          base::TimePoint now) {
+  const SpeedSample& mean = arm.statistics.mean();
+  const double prefill_rate =
+      orPrior(mean.seconds_per_prefill_token, prior.seconds_per_prefill_token);
+  const double output_rate = orPrior(mean.seconds_per_output_token, prior.seconds_per_output_token);
+  const double prefill_s = uncached_tokens * prefill_rate;
+  const double service_s = prefill_s + output_tokens * output_rate;
+  const WorkerRecord& worker = *arm.prefill;
+  const double slots = std::max(1U, worker.slots);
+  const double load = believedLoad(worker, now);
+  const double waiting = std::max(0.0, load + 1.0 - slots);
+  const double queue_s = waiting / slots * service_s;
+  // Running requests share the processor with a new prefill; spread load before slots run out.
+  const double sharing_s = prefill_s * std::min(1.0, load / slots);
+  return prior.base_seconds + queue_s + prefill_s + sharing_s;
+}
+
+}  // namespace switchsaddle::routing
--- /dev/null
+++ b/libraries/routing/source/pool_builder.cc
@@ -0,0 +1,166 @@
+#include <algorithm>
+
+#include "switchsaddle/base/hash.h"
+#include "switchsaddle/routing/learned_router.h"
+
+namespace switchsaddle::routing {
+
+namespace {
+
+bool serves(const WorkerRecord& record, const ModelPool& pool) {
+  const wire::WorkerEntry& entry = record.worker.entry;
+  const bool in_pool = entry.service == pool.pool;
+  return in_pool &&
+         std::find(entry.models.begin(), entry.models.end(), pool.model) != entry.models.end();
+}
+
+}  // namespace
+
+void LearnedRouter::setConfiguration(std::shared_ptr<const configuration::View> view) {
+  view_ = std::move(view);
+  tuning_ = view_->tuning;
+  rebuildPools();
+}
+
+void LearnedRouter::setWorkers(workers::WorkerSnapshotPtr snapshot) {
+  snapshot_ = std::move(snapshot);
+  updateWorkerRecords();
+  rebuildPools();
+}
+
+void LearnedRouter::setFronts(const std::vector<base::NodeAddress>& fronts) {
+  cold_guard_.setFronts(self_, fronts);
+}
+
+void LearnedRouter::updateWorkerRecords() {
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [id, worker] : snapshot_->workers) {
+    WorkerRecordPtr& record = workers_[id];
+    const bool same_instance = record && record->worker.entry.instance == worker.entry.instance;
+    if (!same_instance) {
+      record = std::make_shared<WorkerRecord>();
+      record->number = static_cast<WorkerNumber>(workers_by_number_.size());
+      workers_by_number_.push_back(record);
+      record->hash = base::hashBytes(id);
+      record->cold.instance = base::combineHashes(record->hash, worker.entry.instance);
+      record->cold.first_seen = now;
+      record->cold.present_at_start = !first_list_taken_;
+    }
+    record->worker = worker;
+    record->slots = std::max(1U, worker.entry.slots);
+  }
+  std::erase_if(workers_,
+                [this](const auto& item) { return !snapshot_->workers.contains(item.first); });
+  first_list_taken_ = first_list_taken_ || !snapshot_->workers.empty();
+}
+
+void LearnedRouter::rebuildPools() {
+  if (!view_ || !snapshot_) {
+    return;
+  }
+  for (const auto& [id, record] : workers_) {
+    record->evacuated = view_->evacuated_zones.contains(record->worker.entry.zone);
+  }
+  for (const auto& [name, route] : view_->routes) {
+    for (const std::string& model : route.models) {
+      ModelPool& pool = pools_[model];
+      pool.model = model;
+      pool.pool = route.pool;
+      buildPool(pool);
+    }
+  }
+}
+
+void LearnedRouter::buildPool(ModelPool& pool) {
+  const std::string topology_before = topologyOf(pool);
+  std::map<std::string, ArmPtr> former;
+  for (const ArmPtr& arm : pool.arms) {
+    former[arm->signature] = arm;
+  }
+  for (const ArmPtr& arm : pool.retired) {
+    former.emplace(arm->signature, arm);
+  }
+  pool.arms.clear();
+  std::vector<WorkerRecordPtr> prefill_workers;
+  std::vector<WorkerRecordPtr> decode_workers;
+  for (const auto& [id, record] : workers_) {
+    if (!record->usable() || !serves(*record, pool)) {
+      continue;
+    }
+    switch (record->worker.entry.stage) {
+      case wire::WorkerStage::Both:
+        addArm(pool, former, record, nullptr);
+        break;
+      case wire::WorkerStage::Prefill:
+        prefill_workers.push_back(record);
+        break;
+      case wire::WorkerStage::Decode:
+        decode_workers.push_back(record);
+        break;
+    }
+  }
+  for (const WorkerRecordPtr& prefill : prefill_workers) {
+    for (const WorkerRecordPtr& decode : decode_workers) {
+      addArm(pool, former, prefill, decode);
+    }
+  }
+  pool.retired.clear();
+  for (auto& [signature, arm] : former) {
+    pool.retired.push_back(std::move(arm));
+  }
+  pruneRetired(pool);
+  if (topologyOf(pool) != topology_before) {
+    bumpEpoch(pool);
+  }
+}
+
+void LearnedRouter::addArm(ModelPool& pool, std::map<std::string, ArmPtr>& former,
+                           const WorkerRecordPtr& prefill, const WorkerRecordPtr& decode) {
+  std::string signature = prefill->worker.entry.id;
+  if (decode) {
+    signature += ">" + decode->worker.entry.id;
+  }
+  const auto known = former.find(signature);
+  ArmPtr arm;
+  if (known != former.end()) {
+    arm = known->second;
+    former.erase(known);
+  } else {
+    arm = std::make_shared<Arm>();
+    arm->signature = signature;
+    arm->hash = base::hashBytes(signature);
+  }
+  arm->prefill = prefill;
+  arm->decode = decode;
+  pool.arms.push_back(std::move(arm));
+}
+
+std::string LearnedRouter::topologyOf(const ModelPool& pool) const {
+  std::string topology;
+  for (const ArmPtr& arm : pool.arms) {
+    const wire::WorkerEntry& entry = arm->prefill->worker.entry;
+    topology += arm->signature + "/" + std::to_string(entry.instance) + "/" + entry.weights_version;
+    if (arm->decode) {
+      const wire::WorkerEntry& decode = arm->decode->worker.entry;
+      topology += "/" + std::to_string(decode.instance) + "/" + decode.weights_version;
+    }
+    topology += ";";
+  }
+  return topology;
+}
+
+void LearnedRouter::bumpEpoch(ModelPool& pool) {
+  ++pool.epoch;
+  pool.epoch_start = dispatcher_.now();
+}
+
+void LearnedRouter::pruneRetired(ModelPool& pool) {
+  const auto limit = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(tuning_.route_prune_after_s));
+  const base::TimePoint now = dispatcher_.now();
+  std::erase_if(pool.retired, [now, limit](const ArmPtr& arm) {
+    return !arm->statistics.measured() || now - arm->statistics.measuredAt() > limit;
+  });
+}
+
+}  // namespace switchsaddle::routing
--- /dev/null
+++ b/libraries/routing/test/learned_router_test.cc
@@ -0,0 +1,233 @@
+#include "switchsaddle/routing/learned_router.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::routing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A router with one pool of workers w0..wN-1 for model "m", and a worker of another pool. */
+class LearnedRouterTest : public testing::Test {
+ protected:
+  LearnedRouterTest() { useConfiguration(); }
+
+  void useConfiguration() {
+    auto view = std::make_shared<configuration::View>(view_);
+    view->routes["chat"] = configuration::Route{"chat", "completions", {"m"}, "llm"};
+    router_.setConfiguration(view);
+    route_ = view->routes["chat"];
+  }
+
+  wire::WorkerEntry entry(const std::string& id, const std::string& zone = "z1") {
+    wire::WorkerEntry worker;
+    worker.id = id;
+    worker.zone = zone;
+    worker.models = {"m"};
+    worker.service = "llm";
+    worker.slots = 8;
+    worker.instance = 1;
+    return worker;
+  }
+
+  void publish() {
+    auto snapshot = std::make_shared<workers::WorkerSnapshot>();
+    snapshot->revision = ++revision_;
+    snapshot->workers = workers_;
+    router_.setWorkers(snapshot);
+  }
+
+  void addWorkers(int count) {
+    for (int index = 0; index < count; ++index) {
+      const std::string id = "w" + std::to_string(index);
+      workers_[id] = workers::Worker{entry(id), false, false};
+    }
+    publish();
+  }
+
+  std::optional<Placement> place(std::vector<std::string> excluded = {},
+                                 std::vector<PrefixPart> parts = {}) {
+    Prompt prompt{"m", std::move(parts), 100, 100};
+    return router_.choose(prompt, route_, excluded);
+  }
+
+  void finish(const Placement& placement, double tokens_per_second, std::uint32_t tokens = 100) {
+    Completion completion;
+    completion.ticket = placement.ticket;
+    completion.output_tokens = tokens;
+    completion.uncached_tokens = 100;
+    completion.time_to_first_token = milliseconds(10);
+    completion.total = std::chrono::duration_cast<base::Duration>(
+        std::chrono::duration<double>(tokens / tokens_per_second));
+    router_.complete(completion);
+  }
+
+  const RoutingRow* rowOf(const std::string& arm) {
+    rows_ = router_.table("m");
+    for (const RoutingRow& row : rows_) {
+      if (row.arm == arm) {
+        return &row;
+      }
+    }
+    return nullptr;
+  }
+
+  simulation::World world_{7};
+  simulation::Process process_{world_};
+  base::RandomSource random_{7};
+  LearnedRouter router_{process_, random_, base::NodeAddress{"127.0.0.1", 1}, RouterOptions{}};
+  configuration::View view_;
+  configuration::Route route_;
+  std::map<std::string, workers::Worker> workers_;
+  std::vector<RoutingRow> rows_;
+  std::uint64_t revision_ = 0;
+};
+
+TEST_F(LearnedRouterTest, PlacesNothingWithoutWorkers) {
+  publish();
+  EXPECT_FALSE(place().has_value());
+}
+
+TEST_F(LearnedRouterTest, NeverPlacesOnDrainingGoneEvacuatedOrForeignWorkers) {
+  addWorkers(4);
+  workers_["w0"].draining = true;
+  workers_["w1"].gone = true;
+  workers_["w2"].entry.zone = "z2";
+  workers_["foreign"] = workers::Worker{entry("foreign"), false, false};
+  workers_["foreign"].entry.service = "other";
+  view_.evacuated_zones = {"z2"};
+  useConfiguration();
+  publish();
+  for (int draw = 0; draw < 500; ++draw) {
+    const std::optional<Placement> placement = place();
+    ASSERT_TRUE(placement);
+    EXPECT_EQ(placement->arm, "w3");
+    finish(*placement, 50);
+  }
+}
+
+TEST_F(LearnedRouterTest, PlacesNothingWhereEveryWorkerIsExcluded) {
+  addWorkers(2);
+  EXPECT_FALSE(place({"w0", "w1"}).has_value());
+  EXPECT_EQ(place({"w0"})->arm, "w1");
+}
+
+TEST_F(LearnedRouterTest, RejectsSamplesBelowTheTokenMinimum) {
+  addWorkers(1);
+  finish(*place(), 50, 7);
+  EXPECT_EQ(rowOf("w0")->samples, 0U);
+  finish(*place(), 50, 8);
+  EXPECT_EQ(rowOf("w0")->samples, 1U);
+}
+
+TEST_F(LearnedRouterTest, AJoinBumpsTheEpochAndMakesScoresStale) {
+  addWorkers(2);
+  finish(*place({"w1"}), 50);
+  finish(*place({"w0"}), 50);
+  EXPECT_EQ(rowOf("w0")->status, "proven");
+  const std::uint64_t before = router_.epochOf("m");
+  world_.runFor(seconds(1));
+  addWorkers(3);
+  EXPECT_EQ(router_.epochOf("m"), before + 1);
+  EXPECT_EQ(rowOf("w0")->status, "stale");
+  EXPECT_DOUBLE_EQ(rowOf("w0")->tokens_per_second, 50);
+  EXPECT_EQ(rowOf("w2")->status, "unsampled");
+}
+
+TEST_F(LearnedRouterTest, AnUnchangedListKeepsTheEpoch) {
+  addWorkers(2);
+  const std::uint64_t before = router_.epochOf("m");
+  publish();
+  EXPECT_EQ(router_.epochOf("m"), before);
+}
+
+TEST_F(LearnedRouterTest, EnumeratesPrefillToDecodePairs) {
+  workers_["p"] = workers::Worker{entry("p"), false, false};
+  workers_["p"].entry.stage = wire::WorkerStage::Prefill;
+  workers_["d1"] = workers::Worker{entry("d1"), false, false};
+  workers_["d1"].entry.stage = wire::WorkerStage::Decode;
+  workers_["d2"] = workers_["d1"];
+  workers_["d2"].entry.id = "d2";
+  publish();
+  EXPECT_EQ(router_.table("m").size(), 2U);
+  const std::optional<Placement> placement = place();
+  ASSERT_TRUE(placement && placement->decode);
+  EXPECT_EQ(placement->arm, "p>" + placement->decode->entry.id);
+}
+
+TEST_F(LearnedRouterTest, ReturnsRepeatedPrefixesToTheWorkerThatHasThem) {
+  addWorkers(6);
+  for (int index = 0; index < 60; ++index) {
+    finish(*place(), 50);
+  }
+  const std::vector<PrefixPart> parts{{"system", 4000}, {"menu", 4000}};
+  Prompt prompt{"m", parts, 8100, 100};
+  const std::optional<Placement> first = router_.choose(prompt, route_, {});
+  finish(*first, 50);
+  int returned = 0;
+  for (int index = 0; index < 50; ++index) {
+    const std::optional<Placement> next = router_.choose(prompt, route_, {});
+    returned += next->arm == first->arm ? 1 : 0;
+    finish(*next, 50);
+  }
+  EXPECT_GE(returned, 45);
+}
+
+TEST_F(LearnedRouterTest, TableGivesCoefficientsAndShares) {
+  addWorkers(2);
+  finish(*place({"w1"}), 60);
+  finish(*place({"w0"}), 40);
+  EXPECT_NEAR(rowOf("w0")->expected_share, 0.6, 1e-6);
+  EXPECT_NEAR(rowOf("w1")->coefficient, 40.0 / 60.0, 1e-6);
+}
+
+TEST_F(LearnedRouterTest, ScoresOfPeersProveAnArmUnlessOlderThanTheEpoch) {
+  addWorkers(2);
+  world_.runFor(seconds(10));
+  wire::RouteScore score;
+  score.model = "m";
+  score.arm = "w0";
+  score.tokens_per_second = 70;
+  score.mass = 4;
+  score.age_ms = 1'000;
+  router_.importScores({score});
+  EXPECT_EQ(rowOf("w0")->status, "proven");
+  score.arm = "w1";
+  score.age_ms = 20'000;
+  router_.importScores({score});
+  EXPECT_EQ(rowOf("w1")->status, "unsampled");
+}
+
+TEST_F(LearnedRouterTest, FailedStreamsMakeTheArmStale) {
+  addWorkers(2);
+  finish(*place({"w1"}), 50);
+  const std::optional<Placement> placement = place({"w1"});
+  Completion failed;
+  failed.ticket = placement->ticket;
+  failed.failed = true;
+  router_.complete(failed);
+  EXPECT_EQ(rowOf("w0")->status, "stale");
+  EXPECT_EQ(rowOf("w0")->in_flight, 0U);
+}
+
+TEST_F(LearnedRouterTest, AColdWorkerGetsOnePromptAtATimeFromTheFrontsRankedFirst) {
+  router_.setFronts({base::NodeAddress{"127.0.0.1", 1}});
+  addWorkers(2);
+  world_.runFor(seconds(20));
+  finish(*place({"w1"}), 50);
+  finish(*place({"w0"}), 50);
+  addWorkers(3);
+  int on_cold = 0;
+  for (int index = 0; index < 200; ++index) {
+    on_cold += place()->arm == "w2" ? 1 : 0;
+  }
+  EXPECT_LE(on_cold, 1);
+}
+
+}  // namespace
+}  // namespace switchsaddle::routing
