Grant the share tree's slots by a limit ledger with durable reservations

Cause: a branch's limit holds for all fronts together, and a request inside it is never refused. Change: one ledger a shard, under a lease, grants slots to fronts; what a front may hold is bounded in a register before it is granted, so that a successor counts silent fronts; a recall comes before a refusal. Every message about a branch is numbered and a grant counts only while nothing later was told. Ruled out: one register write for each grant (two quorum rounds each); counting on sessions alone, since a frozen front's streams go on at the workers after its session has lapsed. Conclusion: holds in the simulation; not yet assembled into the daemons.

--- /dev/null
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/admission/reservation_table.h"
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/registers/proposer.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::admission {
+
+/** The lease a ledger acts under. */
+class LedgerLease {
+ public:
+  virtual ~LedgerLease() = default;
+  /** Evaluated against the clock at this very moment. */
+  virtual bool held() const = 0;
+  virtual std::uint64_t term() const = 0;
+};
+
+struct SlotLedgerOptions {
+  /** How long a front may take to answer a recall before it counts as silent. */
+  base::Duration recall_timeout = std::chrono::milliseconds(200);
+  /** A front silent for this long holds nothing any more: longer than any stream may last. */
+  base::Duration silence_bound = std::chrono::seconds(330);
+  /** Reservations grow in steps of this, so that most grants need no register write. */
+  std::uint32_t reservation_step = 8;
+};
+
+/**
+ * The limit ledger of one shard on a core node: it alone grants the slots of the shard's branches
+ * while it holds the shard's lease. Invariant: for each branch the slots it counts as held by
+ * fronts are at least those held, and it grants only below the branch's limit; so all fronts
+ * together never exceed it. What a front may hold is bounded in a register before it is granted,
+ * which a successor starts from. Runs on the control strand.
+ */
+class SlotLedger {
+ public:
+  SlotLedger(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+             registers::RegisterProposer& proposer, LedgerLease& lease, std::uint32_t shard,
+             SlotLedgerOptions options);
+
+  /** The limits in force, by branch; those of other shards are ignored. */
+  void setLimits(std::map<std::string, std::uint32_t> limits);
+  /** The lease was won: fences earlier ledgers, reads the reservations, and asks the fronts. */
+  void onLeaseGained();
+  void onLeaseLost();
+  void onRequest(const wire::SlotRequest& request, transport::ReplyFunction reply);
+  bool serving() const;
+  /** Slots counted as held, for status. */
+  std::uint32_t heldOf(const std::string& branch) const;
+
+ private:
+  /** What the ledger counts for one front in one branch. */
+  struct Holding {
+    std::uint64_t sequence = 0;
+    std::uint32_t held = 0;
+    std::uint32_t in_use = 0;
+    /** False until the front has told this ledger itself; `held` is then the reservation. */
+    bool confirmed = false;
+    base::TimePoint heard_at{};
+  };
+  struct Waiting {
+    wire::SlotRequest request;
+    transport::ReplyFunction reply;
+  };
+  struct BranchState {
+    std::map<FrontIdentity, Holding> holdings;
+    std::deque<Waiting> waiting;
+    bool recalling = false;
+    std::uint32_t recalls_open = 0;
+  };
+
+  void takeOver(const ReservationTable& table);
+  void askFront(const FrontIdentity& front);
+  void noteReport(const FrontIdentity& front, const wire::SlotReport& report,
+                  const std::string& branch);
+  void dropOtherInstances(const FrontIdentity& front);
+  void dropFront(const FrontIdentity& front);
+  void serveWaiting(const std::string& branch);
+  std::uint32_t freeSlots(const std::string& branch) const;
+  void grant(const std::string& branch, Waiting waiting, std::uint32_t slots);
+  void answer(const Waiting& waiting, std::uint32_t granted, bool exhausted);
+  void startRecall(const std::string& branch);
+  void finishRecall(const std::string& branch);
+  bool allKnownInUse(const std::string& branch) const;
+  void reserve(const FrontIdentity& front, const std::string& branch, std::uint32_t slots);
+  bool reservedFor(const Waiting& waiting, std::uint32_t granted) const;
+  void writeReservations();
+  void onReservationsWritten(const registers::RegisterOutcome& outcome,
+                             const ReservationTable& written);
+  ReservationTable tableToWrite();
+  void dropSilent();
+  std::string registerKey() const;
+
+  base::Dispatcher& dispatcher_;
+  transport::PeerCalls& calls_;
+  registers::RegisterProposer& proposer_;
+  LedgerLease& lease_;
+  std::uint32_t shard_;
+  SlotLedgerOptions options_;
+  std::map<std::string, std::uint32_t> limits_;
+  std::map<std::string, BranchState> branches_;
+  /** The reservations known to be in the register. */
+  ReservationTable durable_;
+  /** What is to be in it; differs while a write is wanted or under way. */
+  ReservationTable wanted_;
+  bool writing_ = false;
+  /** Grants which wait for their reservation. */
+  struct PendingGrant {
+    Waiting waiting;
+    std::uint32_t slots = 0;
+  };
+  std::vector<PendingGrant> pending_grants_;
+  bool serving_ = false;
+  /** The term this ledger serves under; 0 where it does not. */
+  std::uint64_t term_ = 0;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::admission
--- /dev/null
+++ b/libraries/admission/test/slot_fleet.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/admission/ledger_shard.h"
+#include "switchsaddle/admission/ledger_slot_broker.h"
+#include "switchsaddle/admission/slot_ledger.h"
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::admission::testing {
+
+/** One linearizable register for all cores, answering after a delay; may be made unavailable. */
+class SharedRegister {
+ public:
+  explicit SharedRegister(simulation::World& world) : world_(world) {}
+  bool available = true;
+
+  class Proposer : public registers::RegisterProposer {
+   public:
+    Proposer(SharedRegister& shared, simulation::Process& process)
+        : shared_(shared), process_(process) {}
+    void change(const std::string& key, registers::ChangeFunction function,
+                registers::RegisterCallback callback) override {
+      process_.postAfter(std::chrono::milliseconds(2), [this, key, function, callback] {
+        registers::RegisterOutcome outcome;
+        if (shared_.available) {
+          outcome.code = base::ResultCode::Ok;
+          const std::optional<std::string> next = function(shared_.values_[key]);
+          outcome.changed = next.has_value();
+          if (next) {
+            shared_.values_[key] = *next;
+          }
+          outcome.value = shared_.values_[key];
+        }
+        process_.postAfter(std::chrono::milliseconds(2),
+                           [outcome, callback] { callback(outcome); });
+      });
+    }
+    void read(const std::string& key, registers::RegisterCallback callback) override {
+      change(
+          key, [](const std::string&) { return std::nullopt; }, std::move(callback));
+    }
+
+   private:
+    SharedRegister& shared_;
+    simulation::Process& process_;
+  };
+
+ private:
+  simulation::World& world_;
+  std::map<std::string, std::string> values_;
+};
+
+/** A core process with one ledger, whose lease the test grants and takes. */
+struct LedgerNode : LedgerLease {
+  LedgerNode(simulation::World& world, simulation::Network& network, SharedRegister& shared,
+             base::NodeAddress node_address)
+      : address(std::move(node_address)),
+        process(world),
+        proposer(shared, process),
+        network_(network) {
+    start();
+  }
+
+  void start() {
+    transport = network_.attach(address, process);
+    calls = std::make_unique<transport::PeerCalls>(process, *transport);
+    ledger = std::make_unique<SlotLedger>(process, *calls, proposer, *this, 0, SlotLedgerOptions{});
+    calls->handle<wire::SlotRequest>(
+        [this](const base::NodeAddress&, const wire::SlotRequest& request,
+               const transport::ReplyFunction& reply) { ledger->onRequest(request, reply); });
+  }
+
+  bool held() const override { return has_lease; }
+  std::uint64_t term() const override { return lease_term; }
+
+  base::NodeAddress address;
+  simulation::Process process;
+  SharedRegister::Proposer proposer;
+  std::unique_ptr<transport::Transport> transport;
+  std::unique_ptr<transport::PeerCalls> calls;
+  std::unique_ptr<SlotLedger> ledger;
+  bool has_lease = false;
+  std::uint64_t lease_term = 0;
+
+ private:
+  simulation::Network& network_;
+};
+
+/** A front process with a broker and the requests it serves. */
+class FrontNode {
+ public:
+  FrontNode(simulation::World& world, simulation::Network& network, base::NodeAddress address,
+            std::vector<base::NodeAddress> cores)
+      : process(world), network_(network), address_(std::move(address)), cores_(std::move(cores)) {
+    start();
+  }
+
+  void start() {
+    transport_ = network_.attach(address_, process);
+    calls_ = std::make_unique<transport::PeerCalls>(process, *transport_);
+    broker = std::make_unique<LedgerSlotBroker>(
+        process, *calls_, ++instance_, [this] { return cores_; }, SlotBrokerOptions{});
+  }
+
+  void kill() {
+    process.kill();
+    broker.reset();
+    holds.clear();
+    calls_.reset();
+    transport_.reset();
+  }
+
+  bool alive() const { return broker != nullptr; }
+
+  /** Asks for a slot and keeps it for `duration`. */
+  void request(const std::string& branch, base::Duration duration) {
+    ++asked;
+    broker->acquire(branch, [this, duration](SlotOutcome outcome) {
+      ++answers[outcome.code];
+      if (outcome.hold == nullptr) {
+        return;
+      }
+      auto hold = std::make_shared<SlotHoldPtr>(std::move(outcome.hold));
+      holds.push_back(hold);
+      process.postAfter(duration, [this, hold] {
+        std::erase(holds, hold);
+        // Giving the slot back may serve a waiting request, which adds to `holds`.
+        hold->reset();
+      });
+    });
+  }
+
+  simulation::Process process;
+  std::unique_ptr<LedgerSlotBroker> broker;
+  std::vector<std::shared_ptr<SlotHoldPtr>> holds;
+  std::map<base::ResultCode, int> answers;
+  int asked = 0;
+
+ private:
+  simulation::Network& network_;
+  base::NodeAddress address_;
+  std::vector<base::NodeAddress> cores_;
+  std::unique_ptr<transport::Transport> transport_;
+  std::unique_ptr<transport::PeerCalls> calls_;
+  std::uint64_t instance_ = 100;
+};
+
+/** A branch name which shard 0 keeps. */
+inline std::string branchOfShardZero() {
+  int number = 0;
+  while (ledgerShardOf("branch-" + std::to_string(number)) != 0) {
+    ++number;
+  }
+  return "branch-" + std::to_string(number);
+}
+
+}  // namespace switchsaddle::admission::testing
--- /dev/null
+++ b/libraries/admission/test/slot_ledger_test.cc
@@ -0,0 +1,226 @@
+#include <gtest/gtest.h>
+
+#include "slot_fleet.h"
+
+namespace switchsaddle::admission::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t Limit = 12;
+
+class SlotLedgerTest : public ::testing::Test {
+ protected:
+  void build(std::uint64_t seed, int front_count) {
+    world = std::make_unique<simulation::World>(seed);
+    network = std::make_unique<simulation::Network>(*world);
+    shared = std::make_unique<SharedRegister>(*world);
+    for (int index = 0; index < 3; ++index) {
+      const base::NodeAddress address{"127.0.0.1", static_cast<std::uint16_t>(100 + index)};
+      core_addresses.push_back(address);
+      cores.push_back(std::make_unique<LedgerNode>(*world, *network, *shared, address));
+      cores.back()->ledger->setLimits({{branch, Limit}});
+    }
+    for (int index = 0; index < front_count; ++index) {
+      const base::NodeAddress address{"127.0.0.2", static_cast<std::uint16_t>(200 + index)};
+      fronts.push_back(std::make_unique<FrontNode>(*world, *network, address, core_addresses));
+    }
+  }
+
+  void TearDown() override {
+    fronts.clear();
+    cores.clear();
+  }
+
+  void giveLease(std::size_t index) {
+    for (const auto& core : cores) {
+      if (core->has_lease) {
+        core->has_lease = false;
+        core->ledger->onLeaseLost();
+      }
+    }
+    cores[index]->has_lease = true;
+    cores[index]->lease_term = ++term;
+    cores[index]->ledger->onLeaseGained();
+  }
+
+  /** Slots in use as the workers would see them: a killed front's connections are closed. */
+  std::size_t inUse() const {
+    std::size_t used = 0;
+    for (const auto& front : fronts) {
+      used += front->holds.size();
+    }
+    return used;
+  }
+
+  int answers(base::ResultCode code) const {
+    int count = 0;
+    for (const auto& front : fronts) {
+      const auto found = front->answers.find(code);
+      count += found == front->answers.end() ? 0 : found->second;
+    }
+    return count;
+  }
+
+  std::string branch = branchOfShardZero();
+  std::unique_ptr<simulation::World> world;
+  std::unique_ptr<simulation::Network> network;
+  std::unique_ptr<SharedRegister> shared;
+  std::vector<base::NodeAddress> core_addresses;
+  std::vector<std::unique_ptr<LedgerNode>> cores;
+  std::vector<std::unique_ptr<FrontNode>> fronts;
+  std::uint64_t term = 0;
+};
+
+TEST_F(SlotLedgerTest, GrantsUpToTheLimitAndRefusesTheNextAtOnce) {
+  build(1, 2);
+  giveLease(1);
+  world->runFor(milliseconds(50));
+  for (std::uint32_t index = 0; index < Limit; ++index) {
+    fronts[index % 2]->request(branch, seconds(30));
+  }
+  world->runFor(seconds(1));
+  EXPECT_EQ(inUse(), Limit);
+  const base::TimePoint before = world->now();
+  fronts[0]->request(branch, seconds(1));
+  ASSERT_TRUE(
+      world->runUntil([&] { return answers(base::ResultCode::OverBranchLimit) == 1; }, seconds(5)));
+  EXPECT_LT(world->now() - before, milliseconds(300));
+  EXPECT_EQ(inUse(), Limit);
+}
+
+TEST_F(SlotLedgerTest, RecallsIdleSlotsBeforeItRefuses) {
+  build(2, 2);
+  giveLease(0);
+  world->runFor(milliseconds(50));
+  for (std::uint32_t index = 0; index < Limit; ++index) {
+    fronts[0]->request(branch, milliseconds(100));
+  }
+  world->runUntil([&] { return inUse() == Limit; }, seconds(2));
+  world->runUntil([&] { return inUse() == 0; }, seconds(2));
+  fronts[1]->request(branch, seconds(1));
+  world->runUntil([&] { return fronts[1]->answers.size() == 1; }, seconds(2));
+  EXPECT_EQ(fronts[1]->answers.begin()->first, base::ResultCode::Ok);
+}
+
+TEST_F(SlotLedgerTest, SlotsOfAKilledFrontComeBack) {
+  build(3, 2);
+  giveLease(0);
+  world->runFor(milliseconds(50));
+  for (std::uint32_t index = 0; index < Limit; ++index) {
+    fronts[0]->request(branch, seconds(60));
+  }
+  world->runFor(milliseconds(200));
+  fronts[0]->kill();
+  fronts[1]->request(branch, seconds(1));
+  world->runUntil([&] { return fronts[1]->answers.size() == 1; }, seconds(3));
+  EXPECT_EQ(fronts[1]->answers.begin()->first, base::ResultCode::Ok);
+}
+
+TEST_F(SlotLedgerTest, ASuccessorCountsTheSlotsOfAFrozenFront) {
+  build(4, 2);
+  giveLease(0);
+  world->runFor(milliseconds(50));
+  for (std::uint32_t index = 0; index < 8; ++index) {
+    fronts[0]->request(branch, seconds(60));
+  }
+  world->runFor(milliseconds(300));
+  ASSERT_EQ(inUse(), 8U);
+  fronts[0]->process.freeze();
+  cores[0]->process.kill();
+  giveLease(2);
+  world->runFor(milliseconds(300));
+  for (std::uint32_t index = 0; index < Limit; ++index) {
+    fronts[1]->request(branch, seconds(60));
+  }
+  world->runFor(seconds(5));
+  EXPECT_LE(inUse(), Limit);
+  EXPECT_GT(inUse(), 8U);
+}
+
+TEST_F(SlotLedgerTest, NothingIsGrantedWhileNoNodeHoldsTheLease) {
+  build(5, 1);
+  fronts[0]->request(branch, seconds(1));
+  world->runFor(seconds(3));
+  EXPECT_EQ(answers(base::ResultCode::LimitsUnavailable), 1);
+  EXPECT_EQ(inUse(), 0U);
+}
+
+class SlotFleetTest : public SlotLedgerTest, public ::testing::WithParamInterface<int> {
+ protected:
+  void healAll() {
+    network->conditions.loss = 0;
+    for (const auto& front : fronts) {
+      if (!front->alive()) {
+        front->process.start();
+        front->start();
+      }
+      front->process.wake();
+    }
+    giveLease(0);
+    world->runFor(seconds(3));
+  }
+
+  void disturb() {
+    base::RandomSource& random = world->random();
+    const std::size_t index = random.below(fronts.size());
+    FrontNode& front = *fronts[index];
+    switch (random.below(6)) {
+      case 0:
+        if (front.alive()) {
+          front.kill();
+        }
+        break;
+      case 1:
+        front.process.freeze();
+        break;
+      case 2:
+      case 3:
+        if (!front.alive()) {
+          front.process.start();
+          front.start();
+        }
+        front.process.wake();
+        break;
+      default:
+        giveLease(random.below(cores.size()));
+        break;
+    }
+  }
+};
+
+TEST_P(SlotFleetTest, TheFleetNeverExceedsTheBranchWhileFrontsAndLedgersFail) {
+  build(static_cast<std::uint64_t>(GetParam()), 4);
+  network->conditions.loss = 0.02;
+  network->conditions.duplication = 0.02;
+  network->conditions.maximum_delay = milliseconds(20);
+  giveLease(0);
+  for (int step = 0; step < 1'500; ++step) {
+    for (const auto& front : fronts) {
+      const bool asks = front->alive() && !front->process.frozen() && world->random().chance(0.4);
+      if (asks) {
+        front->request(branch, milliseconds(20 + world->random().below(300)));
+      }
+    }
+    if (world->random().chance(0.02)) {
+      disturb();
+    }
+    world->runFor(milliseconds(10));
+    ASSERT_LE(inUse(), Limit) << "at step " << step;
+  }
+  // Once all is well again every slot can be had, so none has leaked.
+  healAll();
+  fronts[0]->answers.clear();
+  for (std::uint32_t index = 0; index < Limit; ++index) {
+    fronts[0]->request(branch, seconds(60));
+  }
+  world->runFor(seconds(2));
+  EXPECT_EQ(fronts[0]->answers[base::ResultCode::Ok], static_cast<int>(Limit));
+  EXPECT_EQ(inUse(), Limit);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SlotFleetTest, ::testing::Range(1, 61));
+
+}  // namespace
+}  // namespace switchsaddle::admission::testing
--- a/libraries/wire/include/switchsaddle/wire/admission_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/admission_messages.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -9,66 +8,81 @@
 
 /**
  * @file
- * Fleet-wide slots of the share tree, granted to fronts by a limit ledger and recalled when needed.
+ * Fleet-wide slots of the share tree, granted to fronts by a limit ledger and recalled when needed. A
+ * front numbers everything it tells of a branch; a grant counts only while nothing later was told.
  */
 
 namespace switchsaddle::wire {
 
-/** Front to ledger: asks for slots of a branch, and tells what it holds and uses. */
+/** Front to ledger: what it holds of a branch now, and how many slots more it wants (0 to give back). */
 struct SlotRequest {
   std::string branch;
   std::uint64_t front_instance = 0;
   base::NodeAddress front;
-  std::uint32_t wanted = 0;
+  std::uint64_t sequence = 0;
   std::uint32_t held = 0;
   std::uint32_t in_use = 0;
+  std::uint32_t wanted = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(branch, front_instance, front, wanted, held, in_use);
+    archive(branch, front_instance, front, sequence, held, in_use, wanted);
   }
 };
 
-/** The ledger's answer. `exhausted` is set only when the ledger knows every slot in use. */
+/** The ledger's answer. */
 struct SlotReply {
-  std::uint32_t granted = 0;
-  bool exhausted = false;
-  /** False where the node does not hold the ledger's lease. */
-  bool is_ledger = true;
-  /** Where the ledger is, if known. */
+  /** False where the asked node does not hold the ledger's lease; `ledger` then says who may. */
+  bool is_ledger = false;
   base::NodeAddress ledger;
   std::uint64_t term = 0;
+  /** The request's sequence. */
+  std::uint64_t sequence = 0;
+  std::uint32_t granted = 0;
+  /** Every slot of the branch is known to be in use. */
+  bool exhausted = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(granted, exhausted, is_ledger, ledger, term);
+    archive(is_ledger, ledger, term, sequence, granted, exhausted);
   }
 };
 
-/** Ledger to front: give back idle slots. */
+/** Ledger to front: give back idle slots and tell what is held; an empty branch means all of the shard. */
 struct SlotRecall {
-  std::string branch;
-  std::uint32_t wanted = 0;
   std::uint64_t term = 0;
+  std::uint32_t shard = 0;
+  std::string branch;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(branch, wanted, term);
+    archive(term, shard, branch);
   }
 };
 
-/** Front to ledger: slots given back. */
-struct SlotReturn {
+/** What a front holds of one branch. */
+struct SlotHolding {
   std::string branch;
-  std::uint64_t front_instance = 0;
-  std::uint32_t returned = 0;
+  std::uint64_t sequence = 0;
   std::uint32_t held = 0;
   std::uint32_t in_use = 0;
-  std::uint64_t term = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(branch, front_instance, returned, held, in_use, term);
+    archive(branch, sequence, held, in_use);
+  }
+};
+
+/** Answer to a recall. A branch that is not listed is not held. */
+struct SlotReport {
+  std::uint64_t front_instance = 0;
+  /** False where the recall's term was older than one this front has heard of. */
+  bool term_accepted = false;
+  std::vector<SlotHolding> holdings;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(front_instance, term_accepted, holdings);
   }
 };
 
--- a/libraries/wire/include/switchsaddle/wire/message.h
+++ b/libraries/wire/include/switchsaddle/wire/message.h
@@ -31,7 +31,7 @@
                  LeaseRelease, SessionOpenRequest, SessionOpenReply, SessionRecordBatch,
                  SessionRecordBatchReply, SessionTableRequest, SessionTableReply,
                  ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest, GossipDelta,
-                 SlotRequest, SlotReply, SlotRecall, SlotReturn, ClaimBegin, ClaimFinish,
+                 SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
                  ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply>;
 
 inline constexpr std::uint16_t ProtocolVersion = 1;
