Add the file record store, the POSIX file system and the simulated disk

The acceptors need records that last once acknowledged. A commit is one checksummed file, written aside, synced, renamed and its folder synced; commits gather into runs and runs into one file for each bucket of keys, each step bounded and covered before what it replaces goes. Built; not yet tested.

--- /dev/null
+++ b/libraries/storage/include/switchsaddle/storage/thread_storage_executor.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/storage/storage_executor.h"
+
+namespace switchsaddle::storage {
+
+/**
+ * Runs disk work in order on one thread of its own and posts completions to the dispatcher, which
+ * must outlive it. Destruction waits for the work under way and drops what has not begun, along
+ * with its completions.
+ */
+class ThreadStorageExecutor : public StorageExecutor {
+ public:
+  explicit ThreadStorageExecutor(base::Dispatcher& dispatcher);
+  ~ThreadStorageExecutor() override;
+  /** Callable from any thread. `work` must not throw. */
+  void execute(std::function<void()> work, std::function<void()> completion) override;
+
+ private:
+  struct Job {
+    std::function<void()> work;
+    std::function<void()> completion;
+  };
+  void run();
+
+  base::Dispatcher& dispatcher_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<Job> jobs_;
+  bool stopping_ = false;
+  /** Last, so that it starts when all else is made. */
+  std::thread thread_;
+};
+
+}  // namespace switchsaddle::storage
--- /dev/null
+++ b/libraries/storage/source/record_directory.cc
@@ -0,0 +1,219 @@
+#include "record_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "identity_file.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/base/hash.h"
+
+namespace switchsaddle::storage {
+
+namespace {
+
+const std::string RootFolder;
+const std::string RecordsFolder = "records";
+const std::string LostFolder = "lost";
+const std::string IdentityName = "identity";
+const std::string TemporarySuffix = ".tmp";
+constexpr std::uint64_t GenesisCommit = 1;
+
+std::string join(const std::string& folder, const std::string& name) {
+  return folder.empty() ? name : folder + "/" + name;
+}
+
+std::string inRecords(const std::string& name) {
+  return join(RecordsFolder, name);
+}
+
+bool contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+/** The records of a map of each key's newest record, in order of key. */
+std::vector<Record> takeRecords(std::map<std::string, Record>& newest) {
+  std::vector<Record> records;
+  records.reserve(newest.size());
+  for (auto& [key, record] : newest) {
+    records.push_back(std::move(record));
+  }
+  return records;
+}
+
+}  // namespace
+
+RecordDirectory::RecordDirectory(FileSystem& file_system, FileRecordStoreOptions options)
+    : file_system_(file_system), options_(options) {}
+
+OpenedStore RecordDirectory::open(std::uint64_t candidate_instance) {
+  failed_ = true;
+  merge_.reset();
+  const bool has_identity = contains(file_system_.list(RootFolder), IdentityName);
+  if (!has_identity) {
+    return create(candidate_instance, holdsCommits() ? "records without an identity" : "");
+  }
+  const std::optional<Identity> identity = decodeIdentity(file_system_.read(IdentityName));
+  if (!identity || identity->bucket_count == 0) {
+    return create(candidate_instance, "the identity is torn");
+  }
+  OpenedStore opened;
+  opened.instance = identity->instance;
+  bucket_last_.assign(identity->bucket_count, 0);
+  const std::string loss = loadRecords(opened.records);
+  if (!loss.empty()) {
+    return create(candidate_instance, loss);
+  }
+  // A former process may have been killed between a rename and the sync of its folder; nobody may
+  // act on what was read before it lasts.
+  file_system_.syncFolder(RecordsFolder);
+  file_system_.syncFolder(RootFolder);
+  failed_ = false;
+  return opened;
+}
+
+OpenedStore RecordDirectory::create(std::uint64_t instance, const std::string& loss) {
+  if (!loss.empty()) {
+    moveAside(instance);
+  }
+  segments_.clear();
+  bucket_last_.assign(options_.bucket_count, 0);
+  next_commit_ = GenesisCommit;
+  file_system_.createFolder(RecordsFolder);
+  file_system_.syncFolder(RootFolder);
+  failed_ = false;
+  // The first commit is empty and precedes the identity, so that an identity without any record
+  // file always tells of a loss.
+  append({});
+  publish(RootFolder, IdentityName, encodeIdentity(Identity{instance, options_.bucket_count}));
+  OpenedStore opened;
+  opened.instance = instance;
+  opened.is_new = true;
+  opened.loss = loss;
+  return opened;
+}
+
+bool RecordDirectory::holdsCommits() {
+  // The first commit alone, or its temporary file, is what an unfinished create() leaves.
+  const std::string genesis = nameOf(Segment{GenesisCommit, GenesisCommit, 0, false});
+  const std::vector<std::string> names = file_system_.list(RecordsFolder);
+  return std::any_of(names.begin(), names.end(),
+                     [&](const std::string& name) { return !name.starts_with(genesis); });
+}
+
+void RecordDirectory::moveAside(std::uint64_t instance) {
+  const std::string target = join(LostFolder, paddedNumber(instance));
+  file_system_.createFolder(LostFolder);
+  file_system_.createFolder(target);
+  file_system_.syncFolder(LostFolder);
+  // The identity goes first: without it, a folder moved by half is never taken for a whole one.
+  if (contains(file_system_.list(RootFolder), IdentityName)) {
+    file_system_.rename(IdentityName, join(target, IdentityName));
+    file_system_.syncFolder(target);
+  }
+  file_system_.syncFolder(RootFolder);
+  for (const std::string& name : file_system_.list(RecordsFolder)) {
+    file_system_.rename(inRecords(name), join(target, name));
+  }
+  file_system_.syncFolder(target);
+  if (contains(file_system_.list(RootFolder), RecordsFolder)) {
+    file_system_.syncFolder(RecordsFolder);
+  }
+}
+
+void RecordDirectory::append(std::vector<Record> records) {
+  if (failed_) {
+    throw base::Error(base::ResultCode::StorageFailed, "the store must be opened again");
+  }
+  std::map<std::string, Record> newest;
+  for (Record& record : records) {
+    std::string key = record.key;
+    newest.insert_or_assign(std::move(key), std::move(record));
+  }
+  const std::uint64_t commit = next_commit_;
+  const std::string bytes = encodeRecordFile(RecordFile{commit, commit, takeRecords(newest)});
+  const Segment segment{commit, commit, bytes.size(), false};
+  publish(RecordsFolder, nameOf(segment), bytes);
+  segments_.push_back(segment);
+  ++next_commit_;
+}
+
+void RecordDirectory::publish(const std::string& folder, const std::string& name,
+                              const std::string& bytes) {
+  const std::string path = join(folder, name);
+  const std::string temporary = path + TemporarySuffix;
+  // A write that fails leaves only the temporary file; what follows may leave more.
+  try {
+    file_system_.write(temporary, bytes);
+  } catch (const base::Error&) {
+    removeQuietly(temporary);
+    throw;
+  }
+  failed_ = true;
+  file_system_.syncFile(temporary);
+  file_system_.rename(temporary, path);
+  file_system_.syncFolder(folder);
+  failed_ = false;
+}
+
+std::vector<std::string> RecordDirectory::liveFiles() const {
+  std::vector<std::string> names;
+  for (std::size_t bucket = 0; bucket < bucket_last_.size(); ++bucket) {
+    if (bucket_last_[bucket] != 0) {
+      names.push_back(bucketName(bucket, bucket_last_[bucket]));
+    }
+  }
+  for (const Segment& segment : segments_) {
+    names.push_back(nameOf(segment));
+  }
+  return names;
+}
+
+ScrubbedFile RecordDirectory::scrub(const std::string& name) {
+  if (!contains(liveFiles(), name)) {
+    return {};
+  }
+  DecodedFile decoded;
+  try {
+    decoded = decodeRecordFile(file_system_.read(inRecords(name)));
+  } catch (const base::Error&) {
+    decoded.intact = false;
+  }
+  return ScrubbedFile{decoded.intact, std::move(decoded.damaged_keys)};
+}
+
+RecordFile RecordDirectory::readIntact(const std::string& name) {
+  DecodedFile decoded = decodeRecordFile(file_system_.read(inRecords(name)));
+  if (!decoded.intact) {
+    throw base::Error(base::ResultCode::RecordCorrupt, "corrupt record file " + name);
+  }
+  return std::move(decoded.file);
+}
+
+void RecordDirectory::removeQuietly(const std::string& path) {
+  try {
+    file_system_.remove(path);
+  } catch (const base::Error&) {
+    // Opening the store removes what is covered by other files.
+  }
+}
+
+std::size_t RecordDirectory::bucketOf(const std::string& key) const {
+  return base::hashBytes(key) % bucket_last_.size();
+}
+
+std::uint64_t RecordDirectory::bucketFloor() const {
+  return *std::min_element(bucket_last_.begin(), bucket_last_.end());
+}
+
+std::string RecordDirectory::nameOf(const Segment& segment) {
+  if (segment.run) {
+    return paddedNumber(segment.first) + "-" + paddedNumber(segment.last) + ".run";
+  }
+  return paddedNumber(segment.first) + ".rec";
+}
+
+std::string RecordDirectory::bucketName(std::size_t bucket, std::uint64_t last) {
+  return "bucket-" + paddedNumber(bucket) + "-" + paddedNumber(last) + ".snap";
+}
+
+}  // namespace switchsaddle::storage
