--- a/libraries/storage/include/switchsaddle/storage/record_store.h
+++ b/libraries/storage/include/switchsaddle/storage/record_store.h
@@ -21,7 +21,8 @@
 struct OpenedStore {
   /** Made when the data folder was made; a new one where it was empty, torn or unreadable. */
   std::uint64_t instance = 0;
-  /** True where the instance is new, so that this node holds no state it could vote on. */
+  /** True where the instance is new, so that this node holds no state it could vote on. Stays true
+   * over reopening until the first commit, since the answer to a former open may have been lost. */
   bool is_new = false;
   /** Why a former instance was given up; empty where none was. */
   std::string loss;
--- a/libraries/storage/source/record_directory.cc
+++ b/libraries/storage/source/record_directory.cc
@@ -63,14 +63,30 @@
   if (!loss.empty()) {
     return create(candidate_instance, loss);
   }
-  // A former process may have been killed between a rename and the sync of its folder; nobody may
-  // act on what was read before it lasts.
-  file_system_.syncFolder(RecordsFolder);
-  file_system_.syncFolder(RootFolder);
-  failed_ = false;
+  makeDurable(*identity);
+  opened.is_new = next_commit_ == GenesisCommit + 1;
   return opened;
 }
 
+void RecordDirectory::makeDurable(const Identity& identity) {
+  republish(RootFolder, IdentityName, encodeIdentity(identity));
+  const std::string newest = liveFiles().back();
+  republish(RecordsFolder, newest, file_system_.read(inRecords(newest)));
+  failed_ = false;
+}
+
+void RecordDirectory::republish(const std::string& folder, const std::string& name,
+                                const std::string& bytes) {
+  try {
+    publish(folder, name, bytes);
+  } catch (const base::Error& error) {
+    if (error.code() != base::ResultCode::StorageFull) {
+      throw;
+    }
+    file_system_.syncFolder(folder);
+  }
+}
+
 OpenedStore RecordDirectory::create(std::uint64_t instance, const std::string& loss) {
   if (!loss.empty()) {
     moveAside(instance);
--- a/libraries/storage/source/record_directory.h
+++ b/libraries/storage/source/record_directory.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "identity_file.h"
 #include "record_file.h"
 #include "switchsaddle/storage/file_record_store.h"
 #include "switchsaddle/storage/file_system.h"
@@ -59,6 +60,12 @@
   };
   struct Leftovers;
 
+  /** Makes what was read last. A former process may have died between a rename and the sync of its
+   * folder, or that sync may have failed, after which a bare sync can succeed without effect. Each
+   * folder gets a change anew, so that its sync covers all its names; a full disk gets the sync
+   * alone. */
+  void makeDurable(const Identity& identity);
+  void republish(const std::string& folder, const std::string& name, const std::string& bytes);
   OpenedStore create(std::uint64_t instance, const std::string& loss);
   /** Whether `records/` holds more than an unfinished create() leaves. */
   bool holdsCommits();
--- /dev/null
+++ b/libraries/storage/test/store_bench.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/simulation/simulated_disk.h"
+#include "switchsaddle/simulation/simulated_storage_executor.h"
+#include "switchsaddle/storage/file_record_store.h"
+#include "switchsaddle/storage/posix_file_system.h"
+#include "switchsaddle/storage/thread_storage_executor.h"
+
+namespace switchsaddle::storage {
+
+/** A new folder below the system's temporary one, removed with the object. */
+class TemporaryFolder {
+ public:
+  TemporaryFolder();
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+/** A dispatcher run by the test's own thread. Its timers never fire. */
+class ManualDispatcher : public base::Dispatcher {
+ public:
+  base::TimePoint now() const override { return {}; }
+  base::TimerPtr createTimer(std::function<void()> callback) override;
+  void post(std::function<void()> callback) override;
+  /** Runs callbacks, waiting for them, until the condition holds. */
+  void runUntil(const std::function<bool()>& condition);
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::deque<std::function<void()>> callbacks_;
+};
+
+/** A store and all below it, of either kind, for tests of the contract. */
+class StoreBench {
+ public:
+  virtual ~StoreBench() = default;
+  virtual FileSystem& fileSystem() = 0;
+  virtual RecordStore& store() = 0;
+  /** Destroys the store and makes one over the same files. */
+  virtual void restart() = 0;
+  virtual void runUntil(const std::function<bool()>& condition) = 0;
+
+  OpenedStore open();
+  base::ResultCode openCode();
+  base::ResultCode commit(std::vector<Record> records);
+  base::ResultCode put(const std::string& key, const std::string& bytes);
+  base::ResultCode erase(const std::string& key);
+  base::ResultCode scrub(std::vector<std::string>& damaged_keys);
+  /** Until the compaction that is due has been done. */
+  void settle();
+};
+
+class SimulatedBench : public StoreBench {
+ public:
+  explicit SimulatedBench(FileRecordStoreOptions options, std::uint64_t seed = 1);
+  FileSystem& fileSystem() override { return disk; }
+  RecordStore& store() override { return *store_; }
+  void restart() override;
+  /** Ends early once the disk has been interrupted. */
+  void runUntil(const std::function<bool()>& condition) override;
+  simulation::SimulatedStorageExecutor& executor() { return *executor_; }
+  void destroyStore() { store_.reset(); }
+
+  simulation::World world;
+  simulation::Process process;
+  simulation::SimulatedDisk disk;
+
+ private:
+  FileRecordStoreOptions options_;
+  std::unique_ptr<simulation::SimulatedStorageExecutor> executor_;
+  std::unique_ptr<FileRecordStore> store_;
+};
+
+class PosixBench : public StoreBench {
+ public:
+  explicit PosixBench(FileRecordStoreOptions options);
+  FileSystem& fileSystem() override { return *file_system_; }
+  RecordStore& store() override { return *store_; }
+  void restart() override;
+  void runUntil(const std::function<bool()>& condition) override {
+    dispatcher_.runUntil(condition);
+  }
+
+ private:
+  TemporaryFolder folder_;
+  FileRecordStoreOptions options_;
+  base::RandomSource random_ = base::RandomSource::fromSystem();
+  ManualDispatcher dispatcher_;
+  std::optional<PosixFileSystem> file_system_;
+  std::unique_ptr<ThreadStorageExecutor> executor_;
+  std::unique_ptr<FileRecordStore> store_;
+};
+
+/** Options under which a few commits bring about runs and merges. */
+FileRecordStoreOptions smallOptions();
+
+}  // namespace switchsaddle::storage
