Add the acceptor and the quorum proposer of the replicated registers

Registers are changed by a prepare and an accept round on the acceptor set. A value carries the ballots it was built on, so that an attempt whose accept round stayed unanswered is recognised and no change function takes effect twice.

--- /dev/null
+++ b/libraries/registers/source/quorum_tally.cc
@@ -0,0 +1,58 @@
+#include "quorum_tally.h"
+
+#include <algorithm>
+#include <set>
+
+namespace switchsaddle::registers {
+
+QuorumTally::QuorumTally(const wire::AcceptorSet& set, std::size_t quorum_size) {
+  for (const auto* members : {&set.members, &set.previous}) {
+    if (members == &set.members || !members->empty()) {
+      const std::size_t majority = members->size() / 2 + 1;
+      counts_.push_back({*members, quorum_size == 0 ? majority : quorum_size, 0, 0});
+    }
+  }
+}
+
+void QuorumTally::grant(const base::NodeAddress& address, std::uint64_t instance) {
+  for (Count& count : counts_) {
+    for (const wire::AcceptorMember& member : count.members) {
+      if (member.address == address) {
+        ++(member.instance == instance ? count.granted : count.failed);
+      }
+    }
+  }
+}
+
+void QuorumTally::fail(const base::NodeAddress& address) {
+  for (Count& count : counts_) {
+    for (const wire::AcceptorMember& member : count.members) {
+      if (member.address == address) {
+        ++count.failed;
+      }
+    }
+  }
+}
+
+bool QuorumTally::reached() const {
+  return std::all_of(counts_.begin(), counts_.end(),
+                     [](const Count& count) { return count.granted >= count.needed; });
+}
+
+bool QuorumTally::impossible() const {
+  return std::any_of(counts_.begin(), counts_.end(), [](const Count& count) {
+    return count.members.size() < count.failed + count.needed;
+  });
+}
+
+std::vector<base::NodeAddress> memberAddresses(const wire::AcceptorSet& set) {
+  std::set<base::NodeAddress> addresses;
+  for (const auto* members : {&set.members, &set.previous}) {
+    for (const wire::AcceptorMember& member : *members) {
+      addresses.insert(member.address);
+    }
+  }
+  return {addresses.begin(), addresses.end()};
+}
+
+}  // namespace switchsaddle::registers
--- /dev/null
+++ b/libraries/registers/test/cluster.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/registers/acceptor.h"
+#include "switchsaddle/registers/quorum_proposer.h"
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::registers {
+
+/** What outlives the kill of a simulated core node. */
+struct TestDisk {
+  std::uint64_t instance = 0;
+  bool is_new = true;
+  bool failing = false;
+  std::map<std::string, std::string> records;
+  /** Record keys that the next scrub reports as damaged. */
+  std::vector<std::string> damaged;
+  /** Counts wipes; writes handed over before one are lost. */
+  std::uint64_t wipes = 0;
+};
+
+/** A record store in memory with commit delays, for one life of a simulated process. */
+class TestRecordStore : public storage::RecordStore {
+ public:
+  TestRecordStore(simulation::World& world, simulation::Process& process, TestDisk& disk)
+      : world_(world), process_(process), disk_(disk) {}
+  void open(storage::OpenCallback callback) override;
+  void commit(std::vector<storage::Record> records, storage::CommitCallback callback) override;
+  void scrub(
+      std::function<void(base::ResultCode, const std::vector<std::string>&)> callback) override;
+
+ private:
+  simulation::World& world_;
+  simulation::Process& process_;
+  TestDisk& disk_;
+  base::TimePoint last_completion_{};
+  bool failed_ = false;
+};
+
+/** One simulated core node. */
+struct TestCore {
+  TestCore(simulation::World& world, simulation::Network& network, base::NodeAddress address);
+  void start(const std::vector<wire::AcceptorMember>& initial_members,
+             const ProposerOptions& options);
+  void kill();
+
+  simulation::World& world;
+  simulation::Network& network;
+  base::NodeAddress address;
+  simulation::Process process;
+  TestDisk disk;
+  std::unique_ptr<TestRecordStore> store;
+  std::unique_ptr<transport::Transport> transport;
+  std::unique_ptr<transport::PeerCalls> calls;
+  std::unique_ptr<journal::Journal> journal;
+  std::unique_ptr<Acceptor> acceptor;
+  std::unique_ptr<QuorumProposer> proposer;
+};
+
+/** A simulated set of core nodes that share one first acceptor set. */
+class TestCluster {
+ public:
+  TestCluster(std::uint64_t seed, std::size_t size, ProposerOptions options = {});
+  ~TestCluster();
+
+  /** Adds an empty core node at a new address and starts it; its index. */
+  std::size_t addCore();
+  void kill(std::size_t index);
+  void restart(std::size_t index);
+  /** Kills the node and empties its disk. */
+  void wipe(std::size_t index);
+  /** Cuts the nodes below `boundary` of a shuffled order off the others. */
+  void cutAtRandom(std::size_t boundary);
+  void cut(std::size_t first, std::size_t second);
+  wire::AcceptorMember member(std::size_t index) const;
+  TestCore& core(std::size_t index) { return *cores_[index]; }
+  std::size_t size() const { return cores_.size(); }
+
+  simulation::World world;
+  simulation::Network network;
+
+ private:
+  std::vector<wire::AcceptorMember> initial_members_;
+  ProposerOptions options_;
+  std::vector<std::unique_ptr<TestCore>> cores_;
+};
+
+}  // namespace switchsaddle::registers
--- a/libraries/wire/include/switchsaddle/wire/control_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/control_messages.h
@@ -54,10 +54,13 @@
 /** The acceptor set the answering node knows. */
 struct CoreAnnounceReply {
   AcceptorSet acceptor_set;
+  /** The answering core process. */
+  AcceptorMember member;
+  bool holds_state = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(acceptor_set);
+    archive(acceptor_set, member, holds_state);
   }
 };
 
--- a/libraries/wire/include/switchsaddle/wire/register_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/register_messages.h
@@ -78,10 +78,12 @@
   Ballot ballot;
   std::uint64_t set_epoch = 0;
   std::string value;
+  /** Ballots of the newest proposals that the value was built on, oldest first. */
+  std::vector<Ballot> lineage;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, ballot, set_epoch, value);
+    archive(key, ballot, set_epoch, value, lineage);
   }
 };
 
@@ -94,12 +96,16 @@
   Ballot accepted;
   /** The accepted value; only in answers to a prepare. */
   std::string value;
-  /** Set only with verdict OtherAcceptorSet. */
+  /** Ballots of the newest proposals that the value was built on; only in answers to a prepare. */
+  std::vector<Ballot> lineage;
+  /** The answering acceptor's set; not set with verdicts Granted and Refused. */
   AcceptorSet newer_set;
+  /** The answering acceptor's instance; a vote counts only for the member of this instance. */
+  std::uint64_t instance = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verdict, promised, accepted, value, newer_set);
+    archive(verdict, promised, accepted, value, lineage, newer_set, instance);
   }
 };
 
@@ -121,10 +127,11 @@
   Ballot promised;
   Ballot accepted;
   std::string value;
+  std::vector<Ballot> lineage;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(key, promised, accepted, value);
+    archive(key, promised, accepted, value, lineage);
   }
 };
 
@@ -132,10 +139,14 @@
 struct RegisterScanReply {
   std::vector<RegisterScanEntry> entries;
   bool done = false;
+  /** The answering acceptor's instance. */
+  std::uint64_t instance = 0;
+  /** False where the acceptor may not vote or knows of damaged registers, so that keys may lack. */
+  bool complete = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(entries, done);
+    archive(entries, done, instance, complete);
   }
 };
 
