--- a/libraries/registers/include/switchsaddle/registers/proposer.h
+++ b/libraries/registers/include/switchsaddle/registers/proposer.h
@@ -42,6 +42,8 @@
 
 /** Keys of the registers. */
 inline constexpr const char* ConfigurationRegister = "configuration";
+/** Orders the acceptor sets; its value is an encoded wire::AcceptorSet. */
+inline constexpr const char* AcceptorSetRegister = "acceptor-set";
 /** Claims have keys "claim/" + tenant + '/' + idempotency key. */
 inline constexpr const char* ClaimRegisterPrefix = "claim/";
 
--- a/libraries/registers/source/acceptor.cc
+++ b/libraries/registers/source/acceptor.cc
@@ -61,11 +61,11 @@
   calls_.handle<wire::RegisterInstallRequest>(
       [this](const auto&, const wire::RegisterInstallRequest& request, auto reply) {
         if (!mayVote() || request.set_epoch > acceptor_set_.epoch) {
-          reply(wire::RegisterInstallReply{false});
+          reply(wire::RegisterInstallReply{false, instance_});
           return;
         }
-        installRegisters(request.entries, [reply = std::move(reply)](bool synced) {
-          reply(wire::RegisterInstallReply{synced});
+        installRegisters(request.entries, [this, reply = std::move(reply)](bool synced) {
+          reply(wire::RegisterInstallReply{synced, instance_});
         });
       });
   calls_.handle<wire::AcceptorSetInstallRequest>(
@@ -339,6 +339,7 @@
 wire::RegisterScanReply Acceptor::scan(const std::string& after, std::uint32_t limit) const {
   wire::RegisterScanReply reply;
   reply.instance = instance_;
+  reply.set_epoch = acceptor_set_.epoch;
   reply.complete = mayVote() && damaged_.empty();
   const std::uint32_t bound = std::min(std::max(limit, 1U), options_.scan_limit);
   auto position = after.empty() ? registers_.begin() : registers_.upper_bound(after);
--- /dev/null
+++ b/libraries/registers/source/bootstrap.cc
@@ -0,0 +1,116 @@
+#include "switchsaddle/registers/bootstrap.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace switchsaddle::registers {
+
+namespace {
+
+bool isMember(const wire::AcceptorSet& set, std::uint64_t instance) {
+  const auto same = [instance](const auto& member) { return member.instance == instance; };
+  return std::any_of(set.members.begin(), set.members.end(), same) ||
+         std::any_of(set.previous.begin(), set.previous.end(), same);
+}
+
+}  // namespace
+
+Bootstrap::Bootstrap(base::Dispatcher& dispatcher, transport::PeerCalls& calls, Acceptor& acceptor,
+                     BootstrapOptions options)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      acceptor_(acceptor),
+      options_(std::move(options)),
+      timer_(dispatcher_.createTimer([this] { announce(); })) {
+  calls_.handle<wire::CoreAnnounce>([this](const auto&, const wire::CoreAnnounce& announce,
+                                           auto reply) { onAnnounce(announce, std::move(reply)); });
+}
+
+void Bootstrap::start() {
+  timer_->enable(base::Duration::zero());
+}
+
+wire::AcceptorMember Bootstrap::ownMember() const {
+  return {calls_.localAddress(), acceptor_.instance()};
+}
+
+void Bootstrap::onAnnounce(const wire::CoreAnnounce& announce, transport::ReplyFunction reply) {
+  if (!acceptor_.loaded()) {
+    return;
+  }
+  const wire::AcceptorSet& set = acceptor_.acceptorSet();
+  reply(wire::CoreAnnounceReply{set, ownMember(), acceptor_.holdsState()});
+  const bool is_candidate = set.epoch != 0 && !isMember(set, announce.member.instance);
+  if (is_candidate && listener_) {
+    listener_(announce);
+  }
+}
+
+void Bootstrap::announce() {
+  timer_->enable(options_.announce_interval);
+  if (!acceptor_.loaded() || isMember(acceptor_.acceptorSet(), acceptor_.instance())) {
+    return;
+  }
+  const std::uint64_t round = ++round_;
+  empty_cores_.clear();
+  std::set<base::NodeAddress> targets(options_.initial_cores.begin(), options_.initial_cores.end());
+  targets.insert(options_.seeds.begin(), options_.seeds.end());
+  const wire::CoreAnnounce announcement{ownMember(), acceptor_.holdsState(), options_.zone};
+  for (const base::NodeAddress& target : targets) {
+    calls_.call(target, announcement, options_.call_timeout,
+                [this, alive = std::weak_ptr(alive_), round](const auto& result) {
+                  const auto* reply = result.template as<wire::CoreAnnounceReply>();
+                  if (!alive.expired() && reply != nullptr) {
+                    onReply(round, *reply);
+                  }
+                });
+  }
+}
+
+void Bootstrap::onReply(std::uint64_t round, const wire::CoreAnnounceReply& reply) {
+  if (reply.acceptor_set.epoch > acceptor_.acceptorSet().epoch) {
+    acceptor_.installSet(reply.acceptor_set, [](bool) {});
+    return;
+  }
+  const bool is_empty = reply.acceptor_set.epoch == 0 && !reply.holds_state;
+  if (round != round_ || !is_empty) {
+    return;
+  }
+  empty_cores_[reply.member.address] = reply.member;
+  settleFirstSet();
+}
+
+bool Bootstrap::isFirstInitialCore() const {
+  const auto& cores = options_.initial_cores;
+  return !cores.empty() && *std::min_element(cores.begin(), cores.end()) == calls_.localAddress();
+}
+
+void Bootstrap::settleFirstSet() {
+  if (acceptor_.holdsState() || !isFirstInitialCore()) {
+    return;
+  }
+  wire::AcceptorSet first;
+  first.epoch = 1;
+  for (const base::NodeAddress& address : options_.initial_cores) {
+    const auto found = empty_cores_.find(address);
+    if (found == empty_cores_.end()) {
+      return;
+    }
+    first.members.push_back(found->second);
+  }
+  acceptor_.installSet(first, [this, first](bool synced) {
+    if (synced) {
+      publish(first);
+    }
+  });
+}
+
+void Bootstrap::publish(const wire::AcceptorSet& set) {
+  for (const wire::AcceptorMember& member : set.members) {
+    calls_.call(member.address, wire::AcceptorSetInstallRequest{set}, options_.call_timeout,
+                [](const transport::CallResult&) {});
+  }
+}
+
+}  // namespace switchsaddle::registers
--- a/libraries/registers/source/key_proposer.cc
+++ b/libraries/registers/source/key_proposer.cc
@@ -177,7 +177,7 @@
   // A proposal excluded from the present value may linger on a minority of acceptors; only a newer
   // proposal keeps it from coming back after its operations were told that it had no effect.
   const bool must_bury = !unsettled_.empty() && !outcomes_settled_;
-  return changed || !committed_ || must_bury || (rewrite && !newest_.accepted.isZero());
+  return changed || !committed_ || must_bury || rewrite;
 }
 
 KeyProposer::Descent KeyProposer::descentOf(const wire::Ballot& ballot) const {
--- /dev/null
+++ b/libraries/registers/source/register_copy.cc
@@ -0,0 +1,162 @@
+#include "register_copy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace switchsaddle::registers {
+
+RegisterCopy::RegisterCopy(transport::PeerCalls& calls, QuorumProposer& proposer,
+                           wire::AcceptorSet joint, wire::AcceptorMember target,
+                           RegisterCopyOptions options)
+    : calls_(calls),
+      proposer_(proposer),
+      joint_(std::move(joint)),
+      target_(std::move(target)),
+      options_(options) {}
+
+void RegisterCopy::start(std::function<void()> on_page, DoneCallback on_done) {
+  on_page_ = std::move(on_page);
+  on_done_ = std::move(on_done);
+  requestPage();
+}
+
+void RegisterCopy::cancel() {
+  on_page_ = nullptr;
+  on_done_ = nullptr;
+}
+
+void RegisterCopy::end(bool complete) {
+  if (on_done_) {
+    const DoneCallback callback = std::exchange(on_done_, nullptr);
+    callback(complete);
+  }
+}
+
+void RegisterCopy::requestPage() {
+  wire::AcceptorSet sources;
+  sources.members = joint_.previous;
+  tally_.emplace(sources);
+  replies_.clear();
+  const std::uint64_t page = ++page_;
+  const std::vector<base::NodeAddress> addresses = memberAddresses(sources);
+  outstanding_ = addresses.size();
+  for (const base::NodeAddress& address : addresses) {
+    calls_.call(address, wire::RegisterScanRequest{cursor_, options_.page_limit},
+                options_.call_timeout,
+                [weak = weak_from_this(), page, address](const transport::CallResult& result) {
+                  if (const auto self = weak.lock()) {
+                    self->onPage(page, address, result);
+                  }
+                });
+  }
+}
+
+void RegisterCopy::onPage(std::uint64_t page, const base::NodeAddress& from,
+                          const transport::CallResult& result) {
+  if (page != page_ || !on_done_) {
+    return;
+  }
+  --outstanding_;
+  const auto* reply = result.as<wire::RegisterScanReply>();
+  const bool usable = reply != nullptr && reply->complete && reply->set_epoch >= joint_.epoch &&
+                      (reply->done || !reply->entries.empty());
+  if (usable) {
+    tally_->grant(from, reply->instance);
+    replies_.push_back(*reply);
+  }
+  if (tally_->reached()) {
+    ++page_;
+    mergePage();
+  } else if (outstanding_ == 0) {
+    end(false);
+  }
+}
+
+void RegisterCopy::mergePage() {
+  // Up to the frontier every source has told all its keys.
+  std::optional<std::string> frontier;
+  for (const wire::RegisterScanReply& reply : replies_) {
+    if (!reply.done) {
+      const std::string& last = reply.entries.back().key;
+      frontier = frontier ? std::min(*frontier, last) : last;
+    }
+  }
+  std::map<std::string, wire::RegisterScanEntry> newest;
+  for (const wire::RegisterScanReply& reply : replies_) {
+    for (const wire::RegisterScanEntry& entry : reply.entries) {
+      const bool in_page = !frontier || entry.key <= *frontier;
+      if (in_page && newest[entry.key].accepted < entry.accepted) {
+        newest[entry.key] = entry;
+      }
+    }
+  }
+  entries_.clear();
+  for (const auto& [key, entry] : newest) {
+    if (!entry.accepted.isZero()) {
+      entries_.push_back(entry);
+    }
+  }
+  last_page_ = !frontier;
+  cursor_ = frontier.value_or(cursor_);
+  proposed_anew_ = false;
+  installPage();
+}
+
+void RegisterCopy::installPage() {
+  if (entries_.empty()) {
+    nextPage();
+    return;
+  }
+  calls_.call(
+      target_.address, wire::RegisterInstallRequest{entries_, joint_.epoch}, options_.call_timeout,
+      [weak = weak_from_this()](const transport::CallResult& result) {
+        const auto self = weak.lock();
+        if (!self || !self->on_done_) {
+          return;
+        }
+        const auto* reply = result.as<wire::RegisterInstallReply>();
+        const bool is_target = reply != nullptr && reply->instance == self->target_.instance;
+        if (!is_target) {
+          self->end(false);
+        } else if (reply->synced) {
+          self->nextPage();
+        } else if (self->proposed_anew_) {
+          self->end(false);
+        } else {
+          self->proposeAnew(0);
+        }
+      });
+}
+
+void RegisterCopy::proposeAnew(std::size_t index) {
+  if (index == entries_.size()) {
+    proposed_anew_ = true;
+    installPage();
+    return;
+  }
+  proposer_.rewrite(entries_[index].key,
+                    [weak = weak_from_this(), index](const RegisterOutcome& outcome) {
+                      const auto self = weak.lock();
+                      if (!self || !self->on_done_) {
+                        return;
+                      }
+                      if (outcome.code != base::ResultCode::Ok) {
+                        self->end(false);
+                        return;
+                      }
+                      self->proposeAnew(index + 1);
+                    });
+}
+
+void RegisterCopy::nextPage() {
+  if (on_page_) {
+    on_page_();
+  }
+  if (last_page_) {
+    end(true);
+    return;
+  }
+  requestPage();
+}
+
+}  // namespace switchsaddle::registers
--- a/libraries/wire/include/switchsaddle/wire/register_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/register_messages.h
@@ -143,10 +143,12 @@
   std::uint64_t instance = 0;
   /** False where the acceptor may not vote or knows of damaged registers, so that keys may lack. */
   bool complete = false;
+  /** Epoch of the acceptor set it held when it made the page. */
+  std::uint64_t set_epoch = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(entries, done, instance, complete);
+    archive(entries, done, instance, complete, set_epoch);
   }
 };
 
@@ -164,10 +166,12 @@
 /** Whether the copied registers are synced. */
 struct RegisterInstallReply {
   bool synced = false;
+  /** The answering acceptor's instance. */
+  std::uint64_t instance = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(synced);
+    archive(synced, instance);
   }
 };
 
