Check, change and index configurations by hand-written checks

Cause: the control plane needs one place that tells a sound configuration from a faulty one, lists every fault, and decides on changes in a pure function that a register may repeat. AnyBaseVersion lets orders such as emptying a zone be resent unchanged.

--- a/libraries/configuration/include/switchsaddle/configuration/document.h
+++ b/libraries/configuration/include/switchsaddle/configuration/document.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -47,6 +48,12 @@
   std::string json;
 };
 
+/**
+ * As a base version: the change applies to whichever version it finds. Orders such as emptying a
+ * zone or revoking a key use it, so that a resend is the same change whatever happened in between.
+ */
+inline constexpr std::uint64_t AnyBaseVersion = std::numeric_limits<std::uint64_t>::max();
+
 /** A change as an operator sends it. With `whole`, entries not named in `set` are removed. */
 struct Change {
   std::string change_id;
@@ -55,7 +62,8 @@
   std::vector<std::string> remove;
   bool whole = false;
 
-  /** Hash of all but change_id, to tell a resend from another change under the same id. */
+  /** Hash of all but change_id, whatever the order of `set` and `remove`, to tell a resend from
+   * another change under the same id. */
   std::uint64_t fingerprint() const;
 };
 
@@ -68,6 +76,12 @@
 /** The document with the change applied as `version + 1`; does not check the content. */
 Document applyChange(const Document& document, const Change& change);
 
+/**
+ * Faults of the change itself: its id, paths it sets or removes twice, and, against the document it
+ * applies to, removals of what is not there.
+ */
+std::vector<Fault> checkChange(const Document& document, const Change& change);
+
 /** Every fault of the live entries of a document: each entry's form and the references between
  * them. */
 std::vector<Fault> checkDocument(const Document& document);
--- a/libraries/configuration/include/switchsaddle/configuration/view.h
+++ b/libraries/configuration/include/switchsaddle/configuration/view.h
@@ -11,9 +11,12 @@
 
 namespace switchsaddle::configuration {
 
+/** The service of model streams; any other service is one of one-shots. */
+inline constexpr const char* CompletionsService = "completions";
+
 /** What a tenant's session shape comes to once its parameters are filled in. */
 struct SessionShape {
-  /** Route (routes/NAME) that serves each service the shape allows, by service name. */
+  /** The services the shape allows; a route serves each. */
   std::vector<std::string> services;
   /** Longest wait for the first token that is accepted at admission, in milliseconds. */
   std::uint32_t first_token_ms = 2'000;
--- /dev/null
+++ b/libraries/configuration/source/checks/routes.cc
@@ -0,0 +1,70 @@
+#include <algorithm>
+
+#include "checks/checks.h"
+#include "object_reader.h"
+#include "switchsaddle/configuration/view.h"
+
+namespace switchsaddle::configuration {
+
+namespace {
+
+using base::ResultCode;
+
+void checkModels(ObjectReader& reader, const Route& route) {
+  std::vector<std::string> seen;
+  for (std::size_t index = 0; index < route.models.size(); ++index) {
+    const std::string& model = route.models[index];
+    const std::string member = "models[" + std::to_string(index) + "]";
+    if (!isModelName(model)) {
+      reader.fault(member, ResultCode::InvalidValue, "is not the name of a model");
+    }
+    if (std::ranges::find(seen, model) != seen.end()) {
+      reader.fault(member, ResultCode::InvalidValue, "stands in the list twice");
+    }
+    seen.push_back(model);
+  }
+  if (route.service == CompletionsService && route.models.empty()) {
+    reader.fault("models", ResultCode::MissingField, "a route of completions must name its models");
+  }
+}
+
+void noteSecond(const std::string& place, const std::string& what, const std::string& owner,
+                Faults& faults) {
+  faults.push_back({place, ResultCode::InvalidValue, what + " is served by routes/" + owner});
+}
+
+}  // namespace
+
+void parseRoute(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults) {
+  Route& route = parsed.routes[entry.name];
+  ObjectReader reader(entry.value, entry.path, faults);
+  route.name = entry.name;
+  route.service = reader.name("service");
+  route.models = reader.texts("models");
+  route.pool = reader.name("pool");
+  checkModels(reader, route);
+  reader.finish();
+}
+
+void checkRoutes(const ParsedConfiguration& parsed, Faults& faults) {
+  std::map<std::string, std::string> owner_of_model;
+  std::map<std::string, std::string> owner_of_service;
+  for (const auto& [name, route] : parsed.routes) {
+    const std::string path = "routes/" + name;
+    if (route.service != CompletionsService) {
+      const auto [owner, is_first] = owner_of_service.emplace(route.service, name);
+      if (!is_first && !route.service.empty()) {
+        noteSecond(path + ".service", "the service '" + route.service + "'", owner->second, faults);
+      }
+      continue;
+    }
+    for (const std::string& model : route.models) {
+      const auto [owner, is_first] = owner_of_model.emplace(model, name);
+      if (!is_first && owner->second != name) {
+        noteSecond(path + ".models", "the model '" + model + "'", owner->second, faults);
+      }
+    }
+  }
+}
+
+}  // namespace switchsaddle::configuration
--- /dev/null
+++ b/libraries/configuration/source/checks/share.cc
@@ -0,0 +1,80 @@
+#include <algorithm>
+
+#include "checks/checks.h"
+#include "object_reader.h"
+#include "share_tree.h"
+
+namespace switchsaddle::configuration {
+
+namespace {
+
+using base::ResultCode;
+
+constexpr IntegerRange SlotRange{1, 1'000'000};
+constexpr IntegerRange PartRange{0, 1'000'000};
+constexpr std::size_t MaximumDepth = 8;
+constexpr const char* RootName = "root";
+
+/** Notes where the path of a branch is not made of names or too deep. */
+bool checkBranchPath(const EntryText& entry, Faults& faults) {
+  std::size_t depth = 0;
+  bool is_good = true;
+  for (std::size_t begin = 0; begin <= entry.name.size() && is_good;) {
+    const std::size_t end = std::min(entry.name.find('/', begin), entry.name.size());
+    is_good = isName(std::string_view(entry.name).substr(begin, end - begin));
+    begin = end + 1;
+    ++depth;
+  }
+  if (!is_good) {
+    faults.push_back({entry.path, ResultCode::UnknownPath, "the path must be made of names"});
+  } else if (depth > MaximumDepth) {
+    faults.push_back({entry.path, ResultCode::InvalidValue,
+                      "is deeper than " + std::to_string(MaximumDepth) + " branches"});
+  }
+  return is_good;
+}
+
+}  // namespace
+
+void parseShare(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults) {
+  if (!checkBranchPath(entry, faults)) {
+    return;
+  }
+  ShareEntry& share = parsed.share[entry.name];
+  ObjectReader reader(entry.value, entry.path, faults);
+  const bool is_root = parentBranch(entry.name).empty();
+  const std::string member = is_root ? "slots" : "parts";
+  reader.required(member);
+  if (is_root) {
+    share.slots = static_cast<std::uint32_t>(reader.integer(member, SlotRange, SlotRange.minimum));
+    if (entry.name != RootName) {
+      faults.push_back({entry.path, ResultCode::InvalidValue, "the root must be share/root"});
+    }
+  } else {
+    share.parts = static_cast<std::uint32_t>(reader.integer(member, PartRange, 1));
+  }
+  reader.finish();
+}
+
+void checkShareTree(const ParsedConfiguration& parsed, Faults& faults) {
+  std::map<std::string, std::uint64_t> sums;
+  for (const auto& [path, entry] : parsed.share) {
+    const std::string parent = parentBranch(path);
+    if (parent.empty()) {
+      continue;
+    }
+    sums[parent] += entry.parts;
+    if (!parsed.share.contains(parent)) {
+      faults.push_back(
+          {"share/" + path, ResultCode::InvalidValue, "there is no parent share/" + parent});
+    }
+  }
+  for (const auto& [parent, sum] : sums) {
+    if (sum == 0) {
+      faults.push_back({"share/" + parent, ResultCode::InvalidValue,
+                        "the parts of its children add up to zero"});
+    }
+  }
+}
+
+}  // namespace switchsaddle::configuration
--- /dev/null
+++ b/libraries/configuration/source/checks/tenants.cc
@@ -0,0 +1,125 @@
+#include <algorithm>
+
+#include "checks/checks.h"
+#include "checks/shape_fields.h"
+#include "object_reader.h"
+
+namespace switchsaddle::configuration {
+
+namespace {
+
+using base::ResultCode;
+
+void parseTenantParameters(ObjectReader& reader, TenantEntry& tenant) {
+  const JsonValue* parameters = reader.optional("parameters");
+  if (parameters == nullptr) {
+    return;
+  }
+  if (parameters->kind != JsonKind::Object) {
+    reader.fault("parameters", ResultCode::InvalidValue, "must be an object");
+    return;
+  }
+  for (std::size_t index = 0; index < parameters->names.size(); ++index) {
+    const std::string& name = parameters->names[index];
+    const JsonValue& value = parameters->elements[index];
+    if (value.kind == JsonKind::Integer) {
+      tenant.parameters[name] = value.integer;
+    } else {
+      reader.fault("parameters." + name, ResultCode::InvalidValue, "must be an integer");
+    }
+  }
+}
+
+std::string parseBranch(ObjectReader& reader, const std::string& member) {
+  reader.required(member);
+  return reader.text(member);
+}
+
+void checkParameters(const std::string& path, const TenantEntry& tenant, const ShapeTemplate& shape,
+                     Faults& faults) {
+  for (const auto& [name, value] : tenant.parameters) {
+    const std::string place = path + ".parameters." + name;
+    const auto parameter = shape.parameters.find(name);
+    if (parameter == shape.parameters.end()) {
+      faults.push_back({place, ResultCode::UnknownField,
+                        "the shape '" + tenant.shape + "' has no such parameter"});
+      continue;
+    }
+    const ShapeParameter& known = parameter->second;
+    if (value < known.minimum || value > known.maximum) {
+      faults.push_back({place, ResultCode::InvalidValue,
+                        "must lie between " + std::to_string(known.minimum) + " and " +
+                            std::to_string(known.maximum)});
+    }
+  }
+}
+
+bool hasChildren(const ParsedConfiguration& parsed, const std::string& branch) {
+  const auto child = parsed.share.lower_bound(branch + "/");
+  return child != parsed.share.end() && child->first.starts_with(branch + "/");
+}
+
+void checkBranch(const std::string& path, const std::string& branch,
+                 const ParsedConfiguration& parsed, Faults& faults) {
+  if (branch.empty()) {
+    return;
+  }
+  if (!parsed.share.contains(branch)) {
+    faults.push_back({path, ResultCode::InvalidValue, "there is no branch share/" + branch});
+  } else if (hasChildren(parsed, branch)) {
+    // Sessions counted against a branch and its children at once could exceed the branch.
+    faults.push_back({path, ResultCode::InvalidValue, "share/" + branch + " is not a leaf"});
+  }
+}
+
+}  // namespace
+
+void parseTenant(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults) {
+  TenantEntry& tenant = parsed.tenants[entry.name];
+  ObjectReader reader(entry.value, entry.path, faults);
+  tenant.shape = reader.name("shape");
+  parseTenantParameters(reader, tenant);
+  tenant.stream_branch = parseBranch(reader, "stream_branch");
+  tenant.one_shot_branch = parseBranch(reader, "one_shot_branch");
+  for (const char* member : {"stream_branch", "one_shot_branch"}) {
+    const JsonValue* value = entry.value.find(member);
+    if (value != nullptr && value->kind == JsonKind::String && value->text.empty()) {
+      reader.fault(member, ResultCode::InvalidValue, "names no branch");
+    }
+  }
+  reader.finish();
+}
+
+void checkTenants(const ParsedConfiguration& parsed, Faults& faults) {
+  for (const auto& [name, tenant] : parsed.tenants) {
+    const std::string path = "tenants/" + name;
+    const auto shape = parsed.shapes.find(tenant.shape);
+    if (shape != parsed.shapes.end()) {
+      checkParameters(path, tenant, shape->second, faults);
+    } else if (!tenant.shape.empty()) {
+      faults.push_back(
+          {path + ".shape", ResultCode::InvalidValue, "there is no shapes/" + tenant.shape});
+    }
+    checkBranch(path + ".stream_branch", tenant.stream_branch, parsed, faults);
+    checkBranch(path + ".one_shot_branch", tenant.one_shot_branch, parsed, faults);
+  }
+}
+
+SessionShape fillShape(const ShapeTemplate& shape, const TenantEntry& tenant) {
+  SessionShape filled;
+  filled.services = shape.services;
+  for (const ShapeField& field : ShapeFields) {
+    const ShapeNumber& number = shape.*field.member;
+    std::int64_t value = number.value;
+    if (!number.parameter.empty()) {
+      const auto given = tenant.parameters.find(number.parameter);
+      value = given != tenant.parameters.end()
+                  ? given->second
+                  : shape.parameters.at(number.parameter).default_value;
+    }
+    filled.*field.filled = static_cast<std::uint32_t>(value);
+  }
+  return filled;
+}
+
+}  // namespace switchsaddle::configuration
--- /dev/null
+++ b/libraries/configuration/source/register_value.cc
@@ -0,0 +1,188 @@
+#include "switchsaddle/configuration/register_value.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/base/hash.h"
+
+namespace switchsaddle::configuration {
+
+namespace {
+
+using base::ResultCode;
+
+/** Bumped with every change of the stored form. */
+constexpr std::uint16_t RegisterFormat = 1;
+constexpr std::size_t ChecksumSize = 8;
+
+std::string checksumOf(std::string_view body) {
+  std::uint64_t hash = base::hashBytes(body);
+  std::string bytes;
+  for (std::size_t index = 0; index < ChecksumSize; ++index) {
+    bytes.push_back(static_cast<char>(hash & 0xffU));
+    hash >>= 8U;
+  }
+  return bytes;
+}
+
+std::vector<wire::ConfigurationEntry> entriesOf(const Document& document) {
+  std::vector<wire::ConfigurationEntry> entries;
+  entries.reserve(document.entries.size());
+  for (const auto& [path, entry] : document.entries) {
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+template <class Element>
+void keepNewest(std::vector<Element>& elements, std::size_t maximum) {
+  if (elements.size() > maximum) {
+    elements.erase(elements.begin(), elements.end() - static_cast<std::ptrdiff_t>(maximum));
+  }
+}
+
+void record(RegisterValue& value, const Change& change, ResultCode code, std::uint64_t version) {
+  value.recorded.push_back({change.change_id, change.fingerprint(), code, version});
+  keepNewest(value.recorded, MaximumRecordedChanges);
+}
+
+/** The history line of a change: what it set and removed in effect. */
+HistoryLine describeChange(const Document& next, const Change& change) {
+  HistoryLine line;
+  line.version = next.version;
+  line.change_id = change.change_id;
+  for (const auto& [path, entry] : next.entries) {
+    if (entry.version == next.version) {
+      (entry.removed ? line.removed : line.set).push_back(path);
+    }
+  }
+  return line;
+}
+
+ChangeDecision repeatRecorded(const RegisterValue& present, const Change& change,
+                              const RecordedChange& recorded) {
+  ChangeDecision decision;
+  decision.next = present;
+  if (recorded.fingerprint != change.fingerprint()) {
+    decision.code = ResultCode::ChangeIdReused;
+    decision.version = present.document.version;
+    return decision;
+  }
+  decision.code = recorded.code;
+  decision.version = recorded.version;
+  decision.repeated = true;
+  return decision;
+}
+
+ChangeDecision refuseInvalid(const RegisterValue& present, std::vector<Fault> faults) {
+  ChangeDecision decision;
+  decision.code = ResultCode::ConfigurationInvalid;
+  decision.version = present.document.version;
+  decision.faults = std::move(faults);
+  decision.next = present;
+  return decision;
+}
+
+ChangeDecision refuseConflict(const RegisterValue& present, const Change& change) {
+  ChangeDecision decision;
+  decision.code = ResultCode::ConfigurationConflict;
+  decision.version = present.document.version;
+  decision.writes = true;
+  decision.next = present;
+  record(decision.next, change, decision.code, decision.version);
+  return decision;
+}
+
+ChangeDecision commit(const RegisterValue& present, const Change& change, Document next) {
+  ChangeDecision decision;
+  decision.version = next.version;
+  decision.writes = true;
+  decision.next = present;
+  decision.next.document = std::move(next);
+  decision.next.history.push_back(describeChange(decision.next.document, change));
+  keepNewest(decision.next.history, MaximumHistoryLines);
+  record(decision.next, change, decision.code, decision.version);
+  return decision;
+}
+
+}  // namespace
+
+template <class Archive>
+void serialize(Archive& archive, RecordedChange& recorded) {
+  archive(recorded.change_id, recorded.fingerprint, recorded.code, recorded.version);
+}
+
+template <class Archive>
+void serialize(Archive& archive, HistoryLine& line) {
+  archive(line.version, line.change_id, line.set, line.removed);
+}
+
+const RecordedChange* RegisterValue::findRecorded(const std::string& change_id) const {
+  const auto found = std::ranges::find(recorded, change_id, &RecordedChange::change_id);
+  return found == recorded.end() ? nullptr : &*found;
+}
+
+std::string encodeRegisterValue(const RegisterValue& value) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(RegisterFormat, value.document.version, entriesOf(value.document), value.recorded,
+            value.history);
+  }
+  const std::string body = std::move(stream).str();
+  return checksumOf(body) + body;
+}
+
+RegisterValue decodeRegisterValue(const std::string& bytes) {
+  RegisterValue value;
+  if (bytes.empty()) {
+    return value;
+  }
+  const std::string_view all(bytes);
+  if (all.size() < ChecksumSize ||
+      checksumOf(all.substr(ChecksumSize)) != all.substr(0, ChecksumSize)) {
+    throw base::Error(ResultCode::RecordCorrupt, "the configuration fails its checksum");
+  }
+  std::uint16_t format = 0;
+  std::vector<wire::ConfigurationEntry> entries;
+  try {
+    std::istringstream stream(bytes.substr(ChecksumSize));
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(format, value.document.version, entries, value.recorded, value.history);
+  } catch (const std::exception& exception) {
+    throw base::Error(ResultCode::RecordCorrupt, exception.what());
+  }
+  if (format != RegisterFormat) {
+    throw base::Error(ResultCode::RecordCorrupt, "the configuration is of another format");
+  }
+  for (wire::ConfigurationEntry& entry : entries) {
+    std::string path = entry.path;
+    value.document.entries.emplace(std::move(path), std::move(entry));
+  }
+  return value;
+}
+
+ChangeDecision decideChange(const RegisterValue& present, const Change& change) {
+  if (const RecordedChange* recorded = present.findRecorded(change.change_id)) {
+    return repeatRecorded(present, change, *recorded);
+  }
+  const bool is_on_any_base = change.base_version == AnyBaseVersion;
+  std::vector<Fault> faults = checkChange(present.document, change);
+  const bool has_id = !change.change_id.empty();
+  if (has_id && !is_on_any_base && change.base_version != present.document.version) {
+    return refuseConflict(present, change);
+  }
+  Document next = applyChange(present.document, change);
+  const std::vector<Fault> content_faults = checkDocument(next);
+  faults.insert(faults.end(), content_faults.begin(), content_faults.end());
+  if (!faults.empty()) {
+    return refuseInvalid(present, std::move(faults));
+  }
+  return commit(present, change, std::move(next));
+}
+
+}  // namespace switchsaddle::configuration
