--- a/libraries/configuration/source/checks/shapes.cc
+++ b/libraries/configuration/source/checks/shapes.cc
@@ -91,14 +91,14 @@
 }
 
 void parseServices(ObjectReader& reader, ShapeTemplate& shape) {
-  reader.required("services");
+  const JsonValue* services = reader.required("services");
   shape.services = reader.texts("services");
   std::vector<std::string> sorted = shape.services;
   std::ranges::sort(sorted);
   if (std::ranges::adjacent_find(sorted) != sorted.end()) {
     reader.fault("services", ResultCode::InvalidValue, "names a service twice");
   }
-  if (shape.services.empty() && reader.has("services")) {
+  if (services != nullptr && services->kind == JsonKind::Array && services->elements.empty()) {
     reader.fault("services", ResultCode::InvalidValue, "names no service");
   }
 }
--- /dev/null
+++ b/libraries/configuration/test/settings_test.cc
@@ -0,0 +1,80 @@
+#include "switchsaddle/configuration/settings.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace switchsaddle::configuration::test {
+namespace {
+
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+std::vector<std::string> placesOf(const std::vector<Fault>& faults) {
+  std::vector<std::string> places;
+  for (const Fault& fault : faults) {
+    places.push_back(fault.path + " " + std::string(base::describe(fault.code).name));
+  }
+  return places;
+}
+
+std::vector<std::string> parseFaults(const std::string& text) {
+  std::vector<Fault> faults;
+  parseSettings(text, faults);
+  return placesOf(faults);
+}
+
+Settings soundSettings() {
+  std::vector<Fault> faults;
+  return parseSettings(R"({
+      // Comments are taken in files.
+      "peer_address": "127.0.0.1:7000", "http_address": "127.0.0.1:8000", "zone": "north",
+      "data_folder": "data", "seeds": ["127.0.0.2:7000", "127.0.0.3:7000"],
+      "platform_address": "127.0.0.9:9000", "times": {"gossip_interval_ms": 500}
+    })",
+                       faults);
+}
+
+TEST(SettingsTest, ReadsEveryField) {
+  const Settings settings = soundSettings();
+  EXPECT_EQ(settings.peer_address.toString(), "127.0.0.1:7000");
+  EXPECT_EQ(settings.seeds.size(), 2);
+  EXPECT_EQ(settings.times.gossip_interval, std::chrono::milliseconds(500));
+  EXPECT_EQ(settings.times.platform_poll, TimeSettings{}.platform_poll);
+  EXPECT_THAT(placesOf(checkSettings(settings, "core")), IsEmpty());
+  EXPECT_THAT(placesOf(checkSettings(settings, "front")), IsEmpty());
+}
+
+TEST(SettingsTest, FaultsOfTheForm) {
+  EXPECT_THAT(parseFaults("{} x"), ElementsAre(" MalformedJson"));
+  EXPECT_THAT(parseFaults("[]"), ElementsAre(" InvalidValue"));
+  EXPECT_THAT(parseFaults(R"({"zone": "a", "zone": "b"})"), ElementsAre("zone InvalidValue"));
+  EXPECT_THAT(parseFaults(R"({"peer_address": "host:1", "http_address": 5, "seeds": ["1", 2],
+                              "zone": 1, "times": {"x": 1, "session_renewal_ms": 0}, "y": 1})"),
+              ElementsAre("peer_address InvalidAddress", "http_address InvalidValue",
+                          "zone InvalidValue", "seeds[1] InvalidValue", "seeds[0] InvalidAddress",
+                          "times.session_renewal_ms InvalidValue", "times.x UnknownField",
+                          "y UnknownField"));
+  EXPECT_THAT(parseFaults(R"({"times": 1})"), ElementsAre("times InvalidValue"));
+  EXPECT_THAT(parseFaults(std::string(300'000, ' ')), ElementsAre(" BodyTooLarge"));
+}
+
+TEST(SettingsTest, FaultsForARole) {
+  EXPECT_THAT(placesOf(checkSettings(Settings{}, "core")),
+              ElementsAre("peer_address MissingField", "http_address MissingField",
+                          "zone MissingField", "seeds MissingField", "data_folder MissingField"));
+  Settings settings = soundSettings();
+  settings.http_address = settings.peer_address;
+  settings.zone = "North";
+  settings.operator_hashes = {"12"};
+  settings.seeds.push_back(settings.seeds.front());
+  settings.times.session_core_limit = settings.times.session_front_limit;
+  settings.times.session_renewal = std::chrono::milliseconds(501);
+  EXPECT_THAT(placesOf(checkSettings(settings, "worker")),
+              ElementsAre("role InvalidValue", "http_address InvalidValue", "zone InvalidValue",
+                          "operator_hashes[0] InvalidValue", "seeds[2] InvalidValue",
+                          "times.session_front_limit_ms InvalidValue",
+                          "times.session_renewal_ms InvalidValue"));
+}
+
+}  // namespace
+}  // namespace switchsaddle::configuration::test
