--- a/libraries/http/include/switchsaddle/http/client.h
+++ b/libraries/http/include/switchsaddle/http/client.h
@@ -60,6 +60,8 @@
   base::Duration idle_timeout = std::chrono::seconds(30);
   /** Use a connection which carried nothing before and carries nothing after. */
   bool fresh_connection = false;
+  /** The address to connect from, in numbers; empty for any. */
+  std::string local_ip;
 };
 
 /** An HTTP/1.1 client with a keep-alive pool for each address. */
--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -46,8 +46,11 @@
   int header_timeout_s = 15;
 };
 
-/** An HTTP/1.1 server with keep-alive. Malformed input gets a numbered JSON error and never ends
- * the process. */
+/**
+ * An HTTP/1.1 server with keep-alive. Malformed input gets a numbered JSON error and never ends the
+ * process. Destroy it on its strand or while the io_context does not run; it closes its connections
+ * and calls nobody afterwards.
+ */
 class Server {
  public:
   virtual ~Server() = default;
--- /dev/null
+++ b/libraries/http/source/client.cc
@@ -0,0 +1,76 @@
+#include "switchsaddle/http/client.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "client_exchange.h"
+
+namespace switchsaddle::http {
+
+namespace {
+
+constexpr std::size_t FetchBodyLimit = 64U << 20U;
+
+/** Collects a small response for Client::fetch(). */
+class Collector : public ExchangeObserver {
+ public:
+  using Callback = std::function<void(const Response*, ExchangeFailure)>;
+
+  explicit Collector(Callback callback) : callback_(std::move(callback)) {}
+
+  void setExchange(std::weak_ptr<Exchange> exchange) { exchange_ = std::move(exchange); }
+
+  void onResponseHead(const Response& head) override { response_ = head; }
+  void onBodyBytes(std::string bytes, std::function<void()> resume) override {
+    response_.body += bytes;
+    if (response_.body.size() <= FetchBodyLimit) {
+      resume();
+      return;
+    }
+    if (const auto exchange = exchange_.lock()) {
+      exchange->cancel();
+    }
+    callback_(nullptr, ExchangeFailure::BodyCut);
+  }
+  void onComplete() override { callback_(&response_, ExchangeFailure::NoResponse); }
+  void onFailure(ExchangeFailure failure, bool /*refused*/) override {
+    callback_(nullptr, failure);
+  }
+
+ private:
+  Callback callback_;
+  std::weak_ptr<Exchange> exchange_;
+  Response response_;
+};
+
+class ClientImplementation : public Client {
+ public:
+  explicit ClientImplementation(boost::asio::io_context& context)
+      : state_(std::make_shared<ClientState>(ClientState{boost::asio::make_strand(context), {}})) {}
+
+  std::shared_ptr<Exchange> start(const base::NodeAddress& address, Request request,
+                                  const ExchangeOptions& options,
+                                  std::shared_ptr<ExchangeObserver> observer) override {
+    auto exchange = std::make_shared<ClientExchange>(state_, address, std::move(request), options,
+                                                     std::move(observer));
+    boost::asio::post(state_->strand, [exchange] { exchange->start(); });
+    return exchange;
+  }
+
+  void fetch(const base::NodeAddress& address, Request request, const ExchangeOptions& options,
+             std::function<void(const Response*, ExchangeFailure)> callback) override {
+    auto collector = std::make_shared<Collector>(std::move(callback));
+    collector->setExchange(start(address, std::move(request), options, collector));
+  }
+
+ private:
+  std::shared_ptr<ClientState> state_;
+};
+
+}  // namespace
+
+std::unique_ptr<Client> createClient(boost::asio::io_context& context) {
+  return std::make_unique<ClientImplementation>(context);
+}
+
+}  // namespace switchsaddle::http
--- /dev/null
+++ b/libraries/http/source/server.cc
@@ -0,0 +1,123 @@
+#include "switchsaddle/http/server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <utility>
+
+#include "server_connection.h"
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::http {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
+
+/** Accepts connections for a server. */
+class Listener : public std::enable_shared_from_this<Listener> {
+ public:
+  Listener(std::shared_ptr<ServerState> server, const base::NodeAddress& address)
+      : server_(std::move(server)), acceptor_(server_->strand), retry_timer_(server_->strand) {
+    try {
+      const tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
+      acceptor_.open(endpoint.protocol());
+      acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      acceptor_.bind(endpoint);
+      acceptor_.listen();
+      address_ = {address.ip, acceptor_.local_endpoint().port()};
+    } catch (const std::exception& exception) {
+      throw base::Error(base::ResultCode::InvalidAddress,
+                        "cannot listen on " + address.toString() + ": " + exception.what());
+    }
+  }
+
+  const base::NodeAddress& address() const { return address_; }
+
+  void accept() {
+    acceptor_.async_accept(
+        [self = shared_from_this()](const error_code& error, tcp::socket socket) {
+          if (!self->acceptor_.is_open()) {
+            return;
+          }
+          if (error) {
+            self->retryLater();
+            return;
+          }
+          self->take(std::move(socket));
+          self->accept();
+        });
+  }
+
+  void close() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    retry_timer_.cancel();
+  }
+
+ private:
+  void take(tcp::socket socket) {
+    if (server_->connections.size() >= server_->limits.connections) {
+      return;
+    }
+    auto connection = std::make_shared<ServerConnection>(server_, std::move(socket));
+    server_->connections.insert(connection);
+    connection->start();
+  }
+
+  /** Accepting fails for want of file descriptors, for one; some may be free later. */
+  void retryLater() {
+    retry_timer_.expires_after(AcceptRetryDelay);
+    retry_timer_.async_wait([self = shared_from_this()](const error_code&) {
+      if (self->acceptor_.is_open()) {
+        self->accept();
+      }
+    });
+  }
+
+  std::shared_ptr<ServerState> server_;
+  tcp::acceptor acceptor_;
+  boost::asio::steady_timer retry_timer_;
+  base::NodeAddress address_;
+};
+
+class ServerImplementation : public Server {
+ public:
+  ServerImplementation(boost::asio::io_context& context, const base::NodeAddress& address,
+                       const ServerLimits& limits, RequestHandler handler)
+      : state_(std::make_shared<ServerState>(
+            ServerState{boost::asio::make_strand(context), limits, std::move(handler), false, {}})),
+        listener_(std::make_shared<Listener>(state_, address)) {
+    listener_->accept();
+  }
+  ~ServerImplementation() override {
+    state_->closed = true;
+    listener_->close();
+    const auto connections = state_->connections;
+    for (const auto& connection : connections) {
+      connection->close();
+    }
+    state_->handler = nullptr;
+  }
+
+  base::NodeAddress address() const override { return listener_->address(); }
+  void stopAccepting() override { listener_->close(); }
+  std::size_t openConnections() const override { return state_->connections.size(); }
+
+ private:
+  std::shared_ptr<ServerState> state_;
+  std::shared_ptr<Listener> listener_;
+};
+
+}  // namespace
+
+std::unique_ptr<Server> startServer(boost::asio::io_context& context,
+                                    const base::NodeAddress& address, const ServerLimits& limits,
+                                    RequestHandler handler) {
+  return std::make_unique<ServerImplementation>(context, address, limits, std::move(handler));
+}
+
+}  // namespace switchsaddle::http
--- /dev/null
+++ b/libraries/http/source/server_connection.cc
@@ -0,0 +1,472 @@
+#include "server_connection.h"
+
+#include <glog/logging.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <utility>
+#include <vector>
+
+#include "switchsaddle/http/error_response.h"
+
+namespace switchsaddle::http {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast_http = boost::beast::http;
+using boost::system::error_code;
+
+/** How long a connection may lie idle between two requests. */
+constexpr auto KeepAliveLimit = std::chrono::seconds(75);
+/** How long, and for how many bytes, a refused client may go on sending before it is cut. */
+constexpr auto LingerLimit = std::chrono::seconds(2);
+constexpr std::size_t LingerBytes = 16U << 20U;
+/** Bytes taken from the socket while an answer is awaited. */
+constexpr std::size_t ReadAheadBytes = 4U << 10U;
+/** Kept small, so that a slow client is noticed by whoever writes the stream. */
+constexpr int StreamSendBuffer = 64 << 10;
+/** How long a client may acknowledge nothing. */
+constexpr int UserTimeoutMilliseconds = 60'000;
+constexpr std::size_t GatheredWrites = 16;
+constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+void setConnectionOptions(asio::ip::tcp::socket& socket) {
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
+}
+
+Request takeRequest(beast_http::request<beast_http::string_body> parsed) {
+  Request request;
+  request.method = std::string(parsed.method_string());
+  request.target = std::string(parsed.target());
+  for (const auto& field : parsed) {
+    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  request.body = std::move(parsed.body());
+  return request;
+}
+
+/** The writer given to the handler: calls for an exchange that has ended do nothing. */
+class ConnectionWriter : public ResponseWriter {
+ public:
+  ConnectionWriter(std::shared_ptr<ServerConnection> connection, Strand strand,
+                   std::shared_ptr<ServerState> server, std::uint64_t exchange)
+      : connection_(std::move(connection)),
+        strand_(std::move(strand)),
+        server_(std::move(server)),
+        exchange_(exchange) {}
+
+  ~ConnectionWriter() override {
+    if (answered_ || server_->closed) {
+      return;
+    }
+    run([](ServerConnection& connection) {
+      if (connection.streaming()) {
+        connection.close();
+      } else {
+        connection.respond(
+            errorResponse(base::ResultCode::InternalError, "the request was not answered"));
+      }
+    });
+  }
+
+  void respond(Response response) override {
+    answered_ = true;
+    run([response = std::move(response)](ServerConnection& connection) mutable {
+      if (!connection.streaming()) {
+        connection.respond(std::move(response));
+      }
+    });
+  }
+  void startStream(Response head) override {
+    run([head = std::move(head)](ServerConnection& connection) mutable {
+      connection.startStream(std::move(head));
+    });
+  }
+  void writeChunk(std::string chunk, std::function<void(bool)> written) override {
+    asio::dispatch(strand_, [connection = connection_, exchange = exchange_,
+                             chunk = std::move(chunk), written = std::move(written)]() mutable {
+      if (connection->current(exchange) && connection->streaming()) {
+        connection->writeChunk(chunk, std::move(written));
+      } else if (written) {
+        connection->postWritten(std::move(written), false);
+      }
+    });
+  }
+  void endStream() override {
+    answered_ = true;
+    run([](ServerConnection& connection) { connection.endStream(); });
+  }
+  void abort() override {
+    answered_ = true;
+    run([](ServerConnection& connection) { connection.close(); });
+  }
+  void onClientGone(std::function<void()> callback) override {
+    asio::dispatch(strand_, [connection = connection_, exchange = exchange_,
+                             callback = std::move(callback)]() mutable {
+      connection->onClientGone(exchange, std::move(callback));
+    });
+  }
+
+ private:
+  template <class Action>
+  void run(Action action) {
+    asio::dispatch(strand_, [connection = connection_, exchange = exchange_,
+                             action = std::move(action)]() mutable {
+      if (connection->current(exchange)) {
+        action(*connection);
+      }
+    });
+  }
+
+  std::shared_ptr<ServerConnection> connection_;
+  Strand strand_;
+  std::shared_ptr<ServerState> server_;
+  std::uint64_t exchange_;
+  bool answered_ = false;
+};
+
+}  // namespace
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerState> server,
+                                   asio::ip::tcp::socket socket)
+    : server_(std::move(server)), socket_(std::move(socket)), timer_(server_->strand) {}
+
+void ServerConnection::start() {
+  setConnectionOptions(socket_);
+  nextRequest();
+}
+
+void ServerConnection::close() {
+  if (phase_ == Phase::Closed) {
+    return;
+  }
+  const bool in_exchange =
+      phase_ == Phase::Awaiting || phase_ == Phase::Streaming || phase_ == Phase::Finishing;
+  phase_ = Phase::Closed;
+  ++timer_arming_;
+  timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  for (Pending& pending : queue_) {
+    if (pending.written) {
+      postWritten(std::move(pending.written), false);
+    }
+  }
+  queue_.clear();
+  std::function<void()> gone = std::exchange(client_gone_, nullptr);
+  if (in_exchange && gone && !server_->closed) {
+    asio::post(server_->strand, std::move(gone));
+  }
+  server_->connections.erase(shared_from_this());
+}
+
+bool ServerConnection::current(std::uint64_t exchange) const {
+  const bool open = phase_ == Phase::Awaiting || phase_ == Phase::Streaming;
+  return open && exchange == exchange_;
+}
+
+void ServerConnection::nextRequest() {
+  phase_ = Phase::Idle;
+  if (buffer_.size() > 0 && !reading_ahead_) {
+    readHead();
+    return;
+  }
+  if (buffer_.size() > 0) {
+    // The next request may be here in full, so that the read ahead could wait for nothing.
+    error_code ignored;
+    socket_.cancel(ignored);
+    return;
+  }
+  armTimer(first_request_ ? std::chrono::seconds(server_->limits.header_timeout_s)
+                          : std::chrono::seconds(KeepAliveLimit));
+  readAhead();
+}
+
+void ServerConnection::readAhead() {
+  const bool full = buffer_.size() >= ReadAheadBytes;
+  if (reading_ahead_ || full) {
+    return;
+  }
+  reading_ahead_ = true;
+  socket_.async_read_some(buffer_.prepare(ReadAheadBytes),
+                          [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+                            self->onReadAhead(error, bytes);
+                          });
+}
+
+void ServerConnection::onReadAhead(const error_code& error, std::size_t bytes) {
+  reading_ahead_ = false;
+  if (phase_ == Phase::Closed) {
+    return;
+  }
+  if (error == asio::error::eof && phase_ == Phase::Finishing) {
+    // The answer is on its way, and a client may have closed only its sending side.
+    keep_alive_ = false;
+    return;
+  }
+  const bool cancelled = error == asio::error::operation_aborted && phase_ == Phase::Idle;
+  if (error && !cancelled) {
+    close();
+    return;
+  }
+  buffer_.commit(bytes);
+  if (phase_ == Phase::Idle) {
+    readHead();
+  } else if (phase_ == Phase::Lingering) {
+    buffer_.clear();
+    readLingering();
+  } else {
+    readAhead();
+  }
+}
+
+void ServerConnection::readHead() {
+  phase_ = Phase::Reading;
+  first_request_ = false;
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(server_->limits.header_bytes));
+  parser_->body_limit(server_->limits.body_bytes);
+  armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
+  beast_http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) { self->onHead(error); });
+}
+
+void ServerConnection::onHead(const error_code& error) {
+  if (phase_ == Phase::Closed || refuseRead(error)) {
+    return;
+  }
+  const bool continue_expected =
+      beast_http::token_list(parser_->get()[beast_http::field::expect]).exists("100-continue");
+  if (!continue_expected || parser_->is_done()) {
+    readBody();
+    return;
+  }
+  asio::async_write(socket_, asio::buffer(Continue),
+                    [self = shared_from_this()](const error_code& failure, std::size_t) {
+                      if (failure) {
+                        self->close();
+                      } else if (self->phase_ != Phase::Closed) {
+                        self->readBody();
+                      }
+                    });
+}
+
+void ServerConnection::readBody() {
+  armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
+  beast_http::async_read(socket_, buffer_, *parser_,
+                         [self = shared_from_this()](const error_code& error, std::size_t) {
+                           self->onRequest(error);
+                         });
+}
+
+void ServerConnection::onRequest(const error_code& error) {
+  if (phase_ == Phase::Closed || refuseRead(error)) {
+    return;
+  }
+  ++timer_arming_;
+  timer_.cancel();
+  const unsigned version = parser_->get().version();
+  keep_alive_ = parser_->get().keep_alive();
+  head_only_ = parser_->get().method() == beast_http::verb::head;
+  framing_ = version >= 11 ? BodyFraming::Chunked : BodyFraming::UntilClose;
+  Request request = takeRequest(parser_->release());
+  parser_.reset();
+  handOver(std::move(request));
+}
+
+void ServerConnection::handOver(Request request) {
+  phase_ = Phase::Awaiting;
+  const std::uint64_t exchange = ++exchange_;
+  readAhead();
+  auto writer =
+      std::make_shared<ConnectionWriter>(shared_from_this(), server_->strand, server_, exchange);
+  try {
+    server_->handler(std::move(request), writer);
+  } catch (const std::exception& exception) {
+    LOG(ERROR) << "event=handler_failed reason=" << exception.what();
+    if (streaming()) {
+      close();
+    } else {
+      writer->respond(errorResponse(base::ResultCode::InternalError));
+    }
+  }
+}
+
+/** Answers a request that could not be read; false where there is no error. */
+bool ServerConnection::refuseRead(const error_code& error) {
+  if (!error) {
+    return false;
+  }
+  const bool fault_of_syntax =
+      error.category() == error_code(beast_http::error::bad_method).category();
+  const bool cut_short =
+      error == beast_http::error::end_of_stream || error == beast_http::error::partial_message;
+  if (!fault_of_syntax || cut_short) {
+    close();
+  } else if (error == beast_http::error::body_limit) {
+    refuse(errorResponse(base::ResultCode::BodyTooLarge));
+  } else {
+    refuse(errorResponse(base::ResultCode::MalformedHttp, error.message()));
+  }
+  return true;
+}
+
+void ServerConnection::refuse(const Response& response) {
+  phase_ = Phase::Finishing;
+  keep_alive_ = false;
+  armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
+  enqueue(serialiseHead(response, BodyFraming::ContentLength, false) + response.body, nullptr);
+}
+
+void ServerConnection::linger() {
+  phase_ = Phase::Lingering;
+  armTimer(LingerLimit);
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  buffer_.clear();
+  readLingering();
+}
+
+void ServerConnection::readLingering() {
+  lingered_bytes_ += ReadAheadBytes;
+  if (lingered_bytes_ > LingerBytes) {
+    close();
+    return;
+  }
+  readAhead();
+}
+
+void ServerConnection::armTimer(std::chrono::seconds delay) {
+  const std::uint64_t arming = ++timer_arming_;
+  timer_.expires_after(delay);
+  timer_.async_wait([weak = weak_from_this(), arming](const error_code&) {
+    const auto self = weak.lock();
+    if (self && self->timer_arming_ == arming) {
+      self->close();
+    }
+  });
+}
+
+void ServerConnection::respond(Response response) {
+  phase_ = Phase::Finishing;
+  const bool bodiless = response.status == 204 || response.status == 304;
+  std::string bytes = serialiseHead(
+      response, bodiless ? BodyFraming::None : BodyFraming::ContentLength, keep_alive_);
+  if (!bodiless && !head_only_) {
+    bytes += response.body;
+  }
+  enqueue(std::move(bytes), nullptr);
+}
+
+void ServerConnection::startStream(Response head) {
+  if (phase_ != Phase::Awaiting) {
+    return;
+  }
+  phase_ = Phase::Streaming;
+  error_code ignored;
+  socket_.set_option(asio::socket_base::send_buffer_size(StreamSendBuffer), ignored);
+  keep_alive_ = keep_alive_ && framing_ == BodyFraming::Chunked;
+  enqueue(serialiseHead(head, framing_, keep_alive_), nullptr);
+}
+
+void ServerConnection::writeChunk(const std::string& chunk, std::function<void(bool)> written) {
+  if (chunk.empty() || head_only_) {
+    enqueue(std::string(), std::move(written));
+    return;
+  }
+  enqueue(framing_ == BodyFraming::Chunked ? serialiseChunk(chunk) : chunk, std::move(written));
+}
+
+void ServerConnection::endStream() {
+  if (phase_ != Phase::Streaming) {
+    return;
+  }
+  phase_ = Phase::Finishing;
+  const bool chunked = framing_ == BodyFraming::Chunked && !head_only_;
+  enqueue(chunked ? std::string(LastChunk) : std::string(), nullptr);
+}
+
+void ServerConnection::onClientGone(std::uint64_t exchange, std::function<void()> callback) {
+  if (exchange != exchange_) {
+    return;
+  }
+  if (phase_ == Phase::Closed) {
+    asio::post(server_->strand, std::move(callback));
+  } else if (current(exchange)) {
+    client_gone_ = std::move(callback);
+  }
+}
+
+void ServerConnection::enqueue(std::string bytes, std::function<void(bool)> written) {
+  queue_.push_back({std::move(bytes), std::move(written)});
+  if (!writing_) {
+    write();
+  }
+}
+
+void ServerConnection::write() {
+  std::vector<asio::const_buffer> buffers;
+  const std::size_t count = std::min(queue_.size(), GatheredWrites);
+  auto batch = std::make_shared<std::vector<Pending>>();
+  for (std::size_t index = 0; index < count; ++index) {
+    batch->push_back(std::move(queue_.front()));
+    queue_.pop_front();
+  }
+  for (const Pending& pending : *batch) {
+    buffers.push_back(asio::buffer(pending.bytes));
+  }
+  writing_ = true;
+  asio::async_write(socket_, buffers,
+                    [self = shared_from_this(), batch](const error_code& error, std::size_t) {
+                      self->onWritten(error, *batch);
+                    });
+}
+
+void ServerConnection::onWritten(const error_code& error, std::vector<Pending>& batch) {
+  writing_ = false;
+  if (error) {
+    close();
+  }
+  const bool taken = phase_ != Phase::Closed;
+  if (taken && !queue_.empty()) {
+    write();
+  } else if (taken && phase_ == Phase::Finishing) {
+    finish();
+  }
+  for (Pending& pending : batch) {
+    if (pending.written) {
+      postWritten(std::move(pending.written), taken);
+    }
+  }
+}
+
+void ServerConnection::finish() {
+  client_gone_ = nullptr;
+  if (keep_alive_ && !server_->closed) {
+    nextRequest();
+  } else {
+    linger();
+  }
+}
+
+void ServerConnection::postWritten(std::function<void(bool)> written, bool result) {
+  asio::post(server_->strand, [server = server_, written = std::move(written), result] {
+    if (!server->closed) {
+      written(result);
+    }
+  });
+}
+
+}  // namespace switchsaddle::http
--- /dev/null
+++ b/libraries/http/test/client_test.cc
@@ -0,0 +1,246 @@
+#include "switchsaddle/http/client.h"
+
+#include <boost/asio/write.hpp>
+
+#include "http_fixture.h"
+
+namespace switchsaddle::http {
+namespace {
+
+using boost::asio::ip::tcp;
+
+class ClientTest : public HttpFixture {
+ protected:
+  void serveEcho() {
+    serve([](Request request, ResponseWriterPtr writer) {
+      writer->respond({200, {}, request.body + std::string(request.header("connection"))});
+    });
+  }
+
+  /**
+   * A server that reads a little of each connection, sends the given bytes and closes it;
+   * with `hold_open` it keeps the connection instead.
+   */
+  base::NodeAddress serveRaw(std::string answer, bool hold_open = false) {
+    acceptor.emplace(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+    raw_answer = std::move(answer);
+    raw_hold_open = hold_open;
+    acceptRaw();
+    return {"127.0.0.1", acceptor->local_endpoint().port()};
+  }
+  void acceptRaw() {
+    acceptor->async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+      if (error) {
+        return;
+      }
+      ++raw_connections;
+      auto kept = std::make_shared<tcp::socket>(std::move(socket));
+      auto bytes = std::make_shared<std::string>(4096, '\0');
+      kept->async_read_some(boost::asio::buffer(*bytes),
+                            [this, kept, bytes](const boost::system::error_code&, std::size_t) {
+                              boost::system::error_code ignored;
+                              boost::asio::write(*kept, boost::asio::buffer(raw_answer), ignored);
+                              if (raw_hold_open) {
+                                raw_sockets.push_back(kept);
+                              }
+                            });
+      acceptRaw();
+    });
+  }
+  std::shared_ptr<RecordingObserver> runAt(const base::NodeAddress& address, Request request,
+                                           const ExchangeOptions& options = {}) {
+    auto observer = std::make_shared<RecordingObserver>();
+    running = client->start(address, std::move(request), options, observer);
+    EXPECT_TRUE(runUntil([&] { return observer->ended(); }));
+    return observer;
+  }
+
+  std::optional<tcp::acceptor> acceptor;
+  std::string raw_answer;
+  bool raw_hold_open = false;
+  int raw_connections = 0;
+  std::vector<std::shared_ptr<tcp::socket>> raw_sockets;
+};
+
+TEST_F(ClientTest, KeepsAConnectionForTheNextExchange) {
+  serveEcho();
+  for (int repeat = 0; repeat < 5; ++repeat) {
+    EXPECT_EQ(run({"POST", "/", {}, "x"})->body, "xkeep-alive");
+  }
+  EXPECT_EQ(server->openConnections(), 1U);
+}
+
+TEST_F(ClientTest, FreshConnectionsCarryNothingElse) {
+  serveEcho();
+  ExchangeOptions fresh;
+  fresh.fresh_connection = true;
+  run({"POST", "/", {}, "x"});
+  EXPECT_EQ(run({"POST", "/", {}, "x"}, fresh)->body, "xclose");
+  EXPECT_EQ(run({"POST", "/", {}, "x"}, fresh)->body, "xclose");
+  EXPECT_TRUE(runUntil([&] { return server->openConnections() == 1; }));
+}
+
+TEST_F(ClientTest, TellsARefusedConnection) {
+  serveEcho();
+  const base::NodeAddress address = server->address();
+  server.reset();
+  const auto observer = runAt(address, {"POST", "/", {}, "x"});
+  EXPECT_EQ(observer->failure, ExchangeFailure::NotConnected);
+  EXPECT_TRUE(observer->refused);
+  EXPECT_EQ(observer->failures, 1);
+}
+
+TEST_F(ClientTest, TellsAnAddressThatCannotBeUsed) {
+  const auto observer = runAt({"not an address", 1}, {"POST", "/", {}, "x"});
+  EXPECT_EQ(observer->failure, ExchangeFailure::NotConnected);
+  EXPECT_FALSE(observer->refused);
+}
+
+TEST_F(ClientTest, TellsAConnectionClosedWithoutAnAnswer) {
+  const base::NodeAddress address = serveRaw("");
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"})->failure, ExchangeFailure::NoResponse);
+  EXPECT_EQ(raw_connections, 1);
+}
+
+TEST_F(ClientTest, TellsAnAnswerThatIsNotHttp) {
+  const base::NodeAddress address = serveRaw("garbage\r\n\r\n");
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"})->failure, ExchangeFailure::NoResponse);
+}
+
+TEST_F(ClientTest, TellsACutBody) {
+  const base::NodeAddress address = serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc");
+  const auto observer = runAt(address, {"GET", "/", {}, ""});
+  EXPECT_EQ(observer->failure, ExchangeFailure::BodyCut);
+  EXPECT_EQ(observer->body, "abc");
+  EXPECT_EQ(raw_connections, 1);
+}
+
+TEST_F(ClientTest, TellsACutChunkedBody) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n");
+  const auto observer = runAt(address, {"GET", "/", {}, ""});
+  EXPECT_EQ(observer->failure, ExchangeFailure::BodyCut);
+  EXPECT_EQ(observer->body, "abc");
+}
+
+TEST_F(ClientTest, TakesABodyThatEndsWithTheConnection) {
+  const base::NodeAddress address = serveRaw("HTTP/1.1 200 OK\r\n\r\nabc");
+  const auto observer = runAt(address, {"GET", "/", {}, ""});
+  EXPECT_EQ(observer->completions, 1);
+  EXPECT_EQ(observer->body, "abc");
+}
+
+TEST_F(ClientTest, PassesOverInformationalAnswers) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok");
+  const auto observer = runAt(address, {"POST", "/", {}, "x"});
+  EXPECT_EQ(observer->head->status, 201);
+  EXPECT_EQ(observer->body, "ok");
+}
+
+TEST_F(ClientTest, AHugeAnnouncedLengthTakesNoMemory) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 9000000000000000000\r\n\r\nabc");
+  EXPECT_EQ(runAt(address, {"GET", "/", {}, ""})->failure, ExchangeFailure::BodyCut);
+}
+
+TEST_F(ClientTest, TimesOutWithoutAResponse) {
+  const base::NodeAddress address = serveRaw("", true);
+  ExchangeOptions options;
+  options.response_timeout = std::chrono::milliseconds(50);
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"}, options)->failure, ExchangeFailure::TimedOut);
+}
+
+TEST_F(ClientTest, TimesOutOnASilentBody) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc", true);
+  ExchangeOptions options;
+  options.idle_timeout = std::chrono::milliseconds(50);
+  const auto observer = runAt(address, {"GET", "/", {}, ""}, options);
+  EXPECT_EQ(observer->failure, ExchangeFailure::TimedOut);
+  EXPECT_EQ(observer->body, "abc");
+}
+
+TEST_F(ClientTest, NeverSendsAPostTwice) {
+  // The first answer allows keep-alive; the connection is then closed by the server.
+  const base::NodeAddress address = serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"})->completions, 1);
+  raw_sockets.clear();
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"})->completions, 1);
+  EXPECT_EQ(raw_connections, 2);
+  // The server reads the request on the kept connection and closes it without an answer.
+  auto kept = raw_sockets.back();
+  raw_sockets.clear();
+  auto bytes = std::make_shared<std::string>(4096, '\0');
+  kept->async_read_some(boost::asio::buffer(*bytes),
+                        [kept, bytes](const boost::system::error_code&, std::size_t) {});
+  kept.reset();
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"})->failure, ExchangeFailure::NoResponse);
+  EXPECT_EQ(raw_connections, 2);
+}
+
+TEST_F(ClientTest, SendsAGetOnceMoreAfterAKeptConnectionFails) {
+  const base::NodeAddress address = serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", true);
+  EXPECT_EQ(runAt(address, {"GET", "/", {}, ""})->completions, 1);
+  auto kept = raw_sockets.back();
+  raw_sockets.clear();
+  auto bytes = std::make_shared<std::string>(4096, '\0');
+  kept->async_read_some(boost::asio::buffer(*bytes),
+                        [kept, bytes](const boost::system::error_code&, std::size_t) {});
+  kept.reset();
+  EXPECT_EQ(runAt(address, {"GET", "/", {}, ""})->completions, 1);
+  EXPECT_EQ(raw_connections, 2);
+}
+
+TEST_F(ClientTest, CancelledExchangesAreSilent) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", true);
+  auto observer = std::make_shared<RecordingObserver>();
+  auto cancelled = client->start(address, {"GET", "/", {}, ""}, {}, observer);
+  cancelled->cancel();
+  cancelled->cancel();
+  auto held = std::make_shared<RecordingObserver>();
+  held->hold = true;
+  auto cancelled_later = client->start(address, {"GET", "/", {}, ""}, {}, held);
+  ASSERT_TRUE(runUntil([&] { return held->held != nullptr; }));
+  cancelled_later->cancel();
+  held->held();
+  EXPECT_EQ(runAt(address, {"GET", "/", {}, ""})->completions, 1);
+  EXPECT_FALSE(observer->head.has_value());
+  EXPECT_FALSE(observer->ended());
+  EXPECT_FALSE(held->ended());
+}
+
+TEST_F(ClientTest, ConnectsFromTheGivenAddress) {
+  acceptor.emplace(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
+  std::string seen;
+  acceptor->async_accept([&](const boost::system::error_code&, tcp::socket socket) {
+    seen = socket.remote_endpoint().address().to_string();
+  });
+  ExchangeOptions options;
+  options.local_ip = "127.9.8.7";
+  const base::NodeAddress address{"127.0.0.1", acceptor->local_endpoint().port()};
+  runAt(address, {"GET", "/", {}, ""}, options);
+  EXPECT_EQ(seen, "127.9.8.7");
+}
+
+TEST_F(ClientTest, FetchGivesTheWholeResponseOrTheFailure) {
+  serveEcho();
+  std::string body;
+  client->fetch(server->address(), {"POST", "/", {}, "hello "}, {},
+                [&](const Response* response, ExchangeFailure) { body = response->body; });
+  EXPECT_TRUE(runUntil([&] { return body == "hello keep-alive"; }));
+  const base::NodeAddress address = server->address();
+  server.reset();
+  std::optional<ExchangeFailure> failure;
+  client->fetch(address, {"GET", "/", {}, ""}, {},
+                [&](const Response* response, ExchangeFailure how) {
+                  EXPECT_EQ(response, nullptr);
+                  failure = how;
+                });
+  EXPECT_TRUE(runUntil([&] { return failure.has_value(); }));
+  EXPECT_EQ(failure, ExchangeFailure::NotConnected);
+}
+
+}  // namespace
+}  // namespace switchsaddle::http
--- /dev/null
+++ b/libraries/http/test/server_test.cc
@@ -0,0 +1,306 @@
+#include "switchsaddle/http/server.h"
+
+#include <boost/asio/write.hpp>
+#include <stdexcept>
+
+#include "http_fixture.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/http/error_response.h"
+
+namespace switchsaddle::http {
+namespace {
+
+class ServerTest : public HttpFixture {
+ protected:
+  void serveEcho(const ServerLimits& limits = {}) {
+    serve(
+        [this](Request request, ResponseWriterPtr writer) {
+          ++requests;
+          writer->respond({200, {}, request.method + " " + request.target + " " + request.body});
+        },
+        limits);
+  }
+  std::string exchangeRaw(const std::string& bytes) {
+    auto socket = connectRaw();
+    boost::asio::write(socket, boost::asio::buffer(bytes));
+    return readToEnd(socket);
+  }
+
+  int requests = 0;
+};
+
+TEST_F(ServerTest, EchoesARequest) {
+  serveEcho();
+  const auto observer = run({"POST", "/a?b=c", {}, "body"});
+  EXPECT_EQ(observer->head->status, 200);
+  EXPECT_EQ(observer->body, "POST /a?b=c body");
+}
+
+TEST_F(ServerTest, AnswersPipelinedRequestsInOrder) {
+  serveEcho();
+  const std::string received = exchangeRaw(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+      "GET /3 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  const std::size_t first = received.find("GET /1");
+  const std::size_t second = received.find("GET /2");
+  const std::size_t third = received.find("GET /3");
+  EXPECT_LT(first, second);
+  EXPECT_LT(second, third);
+  EXPECT_NE(third, std::string::npos);
+}
+
+TEST_F(ServerTest, AnswersMalformedInputWithItsNumberAndLivesOn) {
+  serveEcho();
+  const std::vector<std::string> inputs{
+      "\r\n\r\n\r\n ",
+      "GARBAGE\r\n\r\n",
+      "GET / HTTP/9.9\r\n\r\n",
+      "GET  / HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\nno colon\r\n\r\n",
+      "GET / HTTP/1.1\r\nBad Name: x\r\n\r\n",
+      "GET / HTTP/1.1\r\nName\x01: x\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n",
+      "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n",
+      std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11),
+      "GET /" + std::string(20'000, 'x') + " HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\nA: " + std::string(20'000, 'x') + "\r\n\r\n",
+  };
+  for (const std::string& input : inputs) {
+    const std::string received = exchangeRaw(input);
+    EXPECT_EQ(received.substr(0, 12), "HTTP/1.1 400") << input.substr(0, 80);
+    EXPECT_NE(received.find("\"code\":1009"), std::string::npos) << input.substr(0, 80);
+  }
+  EXPECT_EQ(requests, 0);
+  EXPECT_EQ(run({"GET", "/", {}, ""})->head->status, 200);
+}
+
+TEST_F(ServerTest, RefusesABodyBeyondTheLimit) {
+  ServerLimits limits;
+  limits.body_bytes = 100;
+  serveEcho(limits);
+  EXPECT_EQ(run({"POST", "/", {}, std::string(100, 'x')})->head->status, 200);
+  const auto announced = run({"POST", "/", {}, std::string(3'000'000, 'x')});
+  ASSERT_TRUE(announced->head);
+  EXPECT_EQ(announced->head->status, 413);
+  EXPECT_NE(announced->body.find("\"code\":1005"), std::string::npos);
+  const std::string chunked =
+      exchangeRaw("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80\r\n" +
+                  std::string(128, 'x') + "\r\n");
+  EXPECT_EQ(chunked.substr(0, 12), "HTTP/1.1 413");
+  EXPECT_EQ(requests, 1);
+}
+
+TEST_F(ServerTest, ClosesAConnectionWhoseHeaderDoesNotCome) {
+  ServerLimits limits;
+  limits.header_timeout_s = 1;
+  serveEcho(limits);
+  EXPECT_EQ(exchangeRaw("GET / HTTP/1.1\r\nHo"), "");
+  EXPECT_EQ(exchangeRaw(""), "");
+  EXPECT_TRUE(runUntil([&] { return server->openConnections() == 0; }));
+}
+
+TEST_F(ServerTest, AnswersAnExpectationToContinue) {
+  serveEcho();
+  const std::string received = exchangeRaw(
+      "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\nConnection: "
+      "close\r\n\r\nhi");
+  EXPECT_EQ(received.substr(0, 25), "HTTP/1.1 100 Continue\r\n\r\n");
+  EXPECT_NE(received.find("POST / hi"), std::string::npos);
+}
+
+TEST_F(ServerTest, AnswersForAHandlerThatThrows) {
+  serve([](const Request&, const ResponseWriterPtr&) { throw std::runtime_error("fault"); });
+  const auto observer = run({"GET", "/", {}, ""});
+  EXPECT_EQ(observer->head->status, 500);
+  EXPECT_NE(observer->body.find("\"code\":9001"), std::string::npos);
+}
+
+TEST_F(ServerTest, AnswersForAHandlerThatDropsTheWriter) {
+  serve([](const Request&, const ResponseWriterPtr&) {});
+  const auto observer = run({"GET", "/", {}, ""});
+  EXPECT_EQ(observer->head->status, 500);
+  EXPECT_NE(observer->body.find("\"code\":9001"), std::string::npos);
+}
+
+TEST_F(ServerTest, CutsAStreamWhoseWriterIsDropped) {
+  serve([](const Request&, const ResponseWriterPtr& writer) {
+    writer->startStream({200, {}, ""});
+    writer->writeChunk("piece", [writer](bool) {});
+  });
+  const auto observer = run({"GET", "/", {}, ""});
+  EXPECT_EQ(observer->failure, ExchangeFailure::BodyCut);
+  EXPECT_EQ(observer->body, "piece");
+}
+
+TEST_F(ServerTest, StreamsChunksToTheEndAndKeepsTheConnection) {
+  serve([this](const Request&, const ResponseWriterPtr& writer) {
+    ++requests;
+    writer->startStream({200, {{"Content-Type", "text/event-stream"}}, ""});
+    writer->writeChunk("one ", nullptr);
+    writer->writeChunk("", nullptr);
+    writer->writeChunk("two", nullptr);
+    writer->endStream();
+  });
+  for (int repeat = 0; repeat < 3; ++repeat) {
+    const auto observer = run({"GET", "/", {}, ""});
+    EXPECT_EQ(observer->completions, 1);
+    EXPECT_EQ(observer->body, "one two");
+    EXPECT_EQ(observer->head->header("content-type"), "text/event-stream");
+  }
+  EXPECT_EQ(server->openConnections(), 1U);
+}
+
+TEST_F(ServerTest, StreamsToAnOldClientWithoutChunks) {
+  serve([](const Request&, const ResponseWriterPtr& writer) {
+    writer->startStream({200, {}, ""});
+    writer->writeChunk("plain", nullptr);
+    writer->endStream();
+  });
+  const std::string received = exchangeRaw("GET / HTTP/1.0\r\n\r\n");
+  EXPECT_NE(received.find("\r\n\r\nplain"), std::string::npos);
+  EXPECT_EQ(received.find("chunked"), std::string::npos);
+}
+
+TEST_F(ServerTest, TellsOfAClientThatLeavesWhileAnAnswerIsAwaited) {
+  ResponseWriterPtr kept;
+  int gone = 0;
+  serve([&](const Request&, const ResponseWriterPtr& writer) {
+    kept = writer;
+    writer->onClientGone([&] { ++gone; });
+  });
+  exchange({"GET", "/", {}, ""});
+  ASSERT_TRUE(runUntil([&] { return kept != nullptr; }));
+  running->cancel();
+  EXPECT_TRUE(runUntil([&] { return gone == 1; }));
+  kept->respond({200, {}, "late"});
+  bool late_chunk = true;
+  kept->writeChunk("late", [&](bool taken) { late_chunk = taken; });
+  EXPECT_TRUE(runUntil([&] { return !late_chunk; }));
+  EXPECT_EQ(gone, 1);
+}
+
+TEST_F(ServerTest, TellsOfAClientThatLeavesDuringAStream) {
+  ResponseWriterPtr kept;
+  int gone = 0;
+  serve([&](const Request&, const ResponseWriterPtr& writer) {
+    kept = writer;
+    writer->onClientGone([&] { ++gone; });
+    writer->startStream({200, {}, ""});
+    writer->writeChunk("piece", nullptr);
+  });
+  const auto observer = exchange({"GET", "/", {}, ""});
+  ASSERT_TRUE(runUntil([&] { return !observer->body.empty(); }));
+  running->cancel();
+  EXPECT_TRUE(runUntil([&] { return gone == 1; }));
+}
+
+TEST_F(ServerTest, HoldsAStreamBackForASlowClient) {
+  constexpr std::size_t ChunkBytes = 16U << 10U;
+  constexpr std::size_t TotalBytes = 64U << 20U;
+  std::size_t written = 0;
+  std::function<void(bool)> write_next;
+  ResponseWriterPtr kept;
+  serve([&](const Request&, const ResponseWriterPtr& writer) {
+    kept = writer;
+    writer->startStream({200, {}, ""});
+    write_next = [&](bool taken) {
+      written += taken ? ChunkBytes : 0;
+      if (written >= TotalBytes) {
+        kept->endStream();
+      } else if (taken) {
+        kept->writeChunk(std::string(ChunkBytes, 'x'), write_next);
+      }
+    };
+    kept->writeChunk(std::string(ChunkBytes, 'x'), write_next);
+  });
+  auto observer = std::make_shared<RecordingObserver>();
+  observer->hold = true;
+  running = client->start(server->address(), {"GET", "/", {}, ""}, {}, observer);
+  ASSERT_TRUE(runUntil([&] { return observer->held != nullptr; }));
+  // Runs until nothing more can happen: the sockets' buffers are full.
+  std::size_t before = 0;
+  do {
+    before = written;
+    context.restart();
+    context.run_for(std::chrono::milliseconds(100));
+  } while (written != before);
+  EXPECT_LT(written, TotalBytes / 2);
+  observer->hold = false;
+  observer->held();
+  EXPECT_TRUE(runUntil([&] { return observer->ended(); }));
+  EXPECT_EQ(observer->completions, 1);
+  EXPECT_EQ(observer->body.size(), TotalBytes);
+}
+
+TEST_F(ServerTest, LeavesOutCharactersThatWouldEndAHeader) {
+  serve([](const Request&, const ResponseWriterPtr& writer) {
+    writer->respond({200, {{"Echo", "a\r\nInjected: b"}, {"Content-Length", "999"}}, "body"});
+  });
+  const auto observer = run({"GET", "/", {}, ""});
+  EXPECT_EQ(observer->head->header("injected"), "");
+  EXPECT_EQ(observer->body, "body");
+}
+
+TEST_F(ServerTest, RefusesAnAddressInUse) {
+  serveEcho();
+  try {
+    startServer(context, server->address(), {}, nullptr);
+    FAIL() << "listened twice";
+  } catch (const base::Error& error) {
+    EXPECT_EQ(error.code(), base::ResultCode::InvalidAddress);
+  }
+}
+
+TEST_F(ServerTest, StopsAcceptingButEndsOpenExchanges) {
+  ResponseWriterPtr kept;
+  serve([&](const Request&, const ResponseWriterPtr& writer) { kept = writer; });
+  const auto open = exchange({"GET", "/", {}, ""});
+  ASSERT_TRUE(runUntil([&] { return kept != nullptr; }));
+  server->stopAccepting();
+  EXPECT_TRUE(run({"GET", "/", {}, ""})->refused);
+  kept->respond({200, {}, "done"});
+  EXPECT_TRUE(runUntil([&] { return open->ended(); }));
+  EXPECT_EQ(open->body, "done");
+}
+
+TEST_F(ServerTest, DestructionCallsNobody) {
+  ResponseWriterPtr kept;
+  int calls = 0;
+  serve([&](const Request&, const ResponseWriterPtr& writer) {
+    kept = writer;
+    writer->onClientGone([&] { ++calls; });
+    writer->startStream({200, {}, ""});
+  });
+  const auto observer = exchange({"GET", "/", {}, ""});
+  ASSERT_TRUE(runUntil([&] { return observer->head.has_value(); }));
+  server.reset();
+  kept->writeChunk("late", [&](bool) { ++calls; });
+  kept.reset();
+  EXPECT_TRUE(runUntil([&] { return observer->ended(); }));
+  EXPECT_EQ(observer->failure, ExchangeFailure::BodyCut);
+  EXPECT_EQ(calls, 0);
+}
+
+TEST(ErrorResponseTest, TakesItsStatusAndNameFromTheTable) {
+  const Response response = errorResponse(base::ResultCode::OverBranchLimit, "full", "share/a");
+  EXPECT_EQ(response.status, 429);
+  EXPECT_EQ(response.header("content-type"), "application/json");
+  EXPECT_EQ(response.body, R"({"error":{"code":3001,"name":"OverBranchLimit","message":"full",)"
+                           R"("retry_safe":true,"path":"share/a"}})");
+}
+
+TEST(MessageTest, SplitsTargets) {
+  EXPECT_EQ(targetPath("/a/b?c=d"), "/a/b");
+  EXPECT_EQ(targetPath("/a"), "/a");
+  EXPECT_EQ(queryParameter("/a?model=x%20y&b", "model"), "x y");
+  EXPECT_EQ(queryParameter("/a?model=x", "other"), "");
+  EXPECT_EQ(queryParameter("/a?%zz", "model"), "");
+  EXPECT_EQ(queryParameter("/a", "model"), "");
+}
+
+}  // namespace
+}  // namespace switchsaddle::http
