--- a/libraries/workers/include/switchsaddle/workers/worker_directory.h
+++ b/libraries/workers/include/switchsaddle/workers/worker_directory.h
@@ -56,7 +56,13 @@
   void addListener(ChangeListener listener) { listeners_.push_back(std::move(listener)); }
 
  private:
+  /** Merges one observation; returns whether anything was new. */
+  bool note(const wire::WorkerObservation& observation);
+  /** Drops observations of earlier instances, and bounds those of workers not listed. */
+  void prune();
   void rebuild();
+  /** Workers that left the list stay in the snapshot, as gone, while that is remembered. */
+  void keepVanished(WorkerSnapshot& next) const;
 
   wire::WorkerView view_;
   std::map<std::string, wire::WorkerObservation> observations_;
--- /dev/null
+++ b/libraries/workers/test/platform_watcher_test.cc
@@ -0,0 +1,241 @@
+#include "switchsaddle/workers/platform_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::workers {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class FakePlatform : public PlatformSource {
+ public:
+  void read(std::function<void(PlatformReading)> callback) override {
+    ++reads;
+    if (!silent) {
+      callback(reading);
+    }
+  }
+
+  PlatformReading reading;
+  bool silent = false;
+  int reads = 0;
+};
+
+class PlatformWatcherTest : public testing::Test {
+ protected:
+  PlatformWatcherTest() {
+    platform_.reading.code = base::ResultCode::Ok;
+    list({entry("a"), entry("b")});
+  }
+
+  static wire::WorkerEntry entry(const std::string& id,
+                                 wire::WorkerState state = wire::WorkerState::Ready,
+                                 std::uint64_t generation = 0) {
+    wire::WorkerEntry result;
+    result.id = id;
+    result.address = {"127.0.0.1", 9000};
+    result.state = state;
+    result.instance = generation;
+    return result;
+  }
+
+  void list(std::vector<wire::WorkerEntry> workers) { platform_.reading.workers = workers; }
+
+  /** Lets the watcher read the list `readings` times more. */
+  void poll(int readings = 1) { world_.runFor(milliseconds(500) * readings); }
+
+  std::uint64_t instanceOf(const std::string& id) const {
+    for (const wire::WorkerEntry& worker : directory_.view().workers) {
+      if (worker.id == id) {
+        return worker.instance;
+      }
+    }
+    return 0;
+  }
+
+  bool usable(const std::string& id) const {
+    const auto found = directory_.snapshot()->workers.find(id);
+    return found != directory_.snapshot()->workers.end() && found->second.usable();
+  }
+
+  simulation::World world_{1};
+  simulation::Process process_{world_};
+  journal::Journal journal_{process_};
+  FakePlatform platform_;
+  WorkerDirectory directory_;
+  int published_ = 0;
+  PlatformWatcher watcher_{process_,
+                           platform_,
+                           directory_,
+                           journal_,
+                           PlatformWatcherOptions{},
+                           [this](const wire::WorkerView& view) {
+                             ++published_;
+                             EXPECT_TRUE(directory_.applyView(view));
+                           }};
+};
+
+TEST_F(PlatformWatcherTest, PublishesOnlyWhatChanged) {
+  watcher_.start(3);
+  poll(5);
+  EXPECT_EQ(published_, 1);
+  EXPECT_EQ(directory_.view().term, 3U);
+  list({entry("a"), entry("b"), entry("c")});
+  poll(3);
+  EXPECT_EQ(published_, 2);
+  EXPECT_EQ(instanceOf("a"), workerInstance(3, 1));
+  EXPECT_EQ(instanceOf("c"), workerInstance(3, 2));
+}
+
+TEST_F(PlatformWatcherTest, IsSilentWithoutTheLease) {
+  poll(3);
+  EXPECT_EQ(platform_.reads, 0);
+  watcher_.start(1);
+  watcher_.stop();
+  list({entry("a")});
+  poll(3);
+  EXPECT_EQ(published_, 1);
+}
+
+TEST_F(PlatformWatcherTest, AReadingWhichEndsAfterTheLeaseIsDropped) {
+  std::function<void(PlatformReading)> pending;
+  class SlowPlatform : public PlatformSource {
+   public:
+    explicit SlowPlatform(std::function<void(PlatformReading)>& pending) : pending_(pending) {}
+    void read(std::function<void(PlatformReading)> callback) override { pending_ = callback; }
+
+   private:
+    std::function<void(PlatformReading)>& pending_;
+  };
+  SlowPlatform slow(pending);
+  int published = 0;
+  PlatformWatcher watcher(process_, slow, directory_, journal_, PlatformWatcherOptions{},
+                          [&](const wire::WorkerView&) { ++published; });
+  watcher.start(1);
+  watcher.stop();
+  pending(platform_.reading);
+  EXPECT_EQ(published, 0);
+}
+
+TEST_F(PlatformWatcherTest, AReturnedWorkerGetsANewInstance) {
+  watcher_.start(1);
+  const std::uint64_t first = instanceOf("a");
+  list({entry("b")});
+  poll();
+  EXPECT_FALSE(usable("a"));
+  list({entry("a"), entry("b")});
+  poll();
+  EXPECT_GT(instanceOf("a"), first);
+  EXPECT_TRUE(usable("a"));
+}
+
+TEST_F(PlatformWatcherTest, AnotherGenerationIsANewInstance) {
+  list({entry("a", wire::WorkerState::Ready, 5)});
+  watcher_.start(1);
+  const std::uint64_t first = instanceOf("a");
+  list({entry("a", wire::WorkerState::Ready, 6)});
+  poll();
+  EXPECT_GT(instanceOf("a"), first);
+}
+
+TEST_F(PlatformWatcherTest, InstancesGrowOverAChangeOfWatchers) {
+  watcher_.start(1);
+  poll(3);
+  const std::uint64_t kept = instanceOf("a");
+  PlatformWatcher next(process_, platform_, directory_, journal_, PlatformWatcherOptions{},
+                       [&](const wire::WorkerView& view) { directory_.applyView(view); });
+  watcher_.stop();
+  list({entry("a")});
+  next.start(2);
+  EXPECT_EQ(instanceOf("a"), kept) << "a worker listed all along keeps its instance";
+  list({entry("a"), entry("b")});
+  poll();
+  EXPECT_GE(instanceOf("b"), workerInstance(2, 1));
+}
+
+TEST_F(PlatformWatcherTest, KeepsTheLastListWhereTheNextIsUnreadableOrEmpty) {
+  watcher_.start(1);
+  platform_.reading.code = base::ResultCode::MalformedJson;
+  platform_.reading.fault = "broken";
+  poll(4);
+  list({});
+  platform_.reading.code = base::ResultCode::Ok;
+  poll(4);
+  EXPECT_EQ(published_, 1);
+  EXPECT_TRUE(usable("a"));
+  int told = 0;
+  for (const journal::Event& event : journal_.events()) {
+    told += event.key == "platform" && event.value.find("stays in force") != std::string::npos;
+  }
+  EXPECT_EQ(told, 2) << "each fault is journalled once, not at each reading";
+}
+
+TEST_F(PlatformWatcherTest, DrainingIsWithdrawnOnlyAfterSteadyReadingsAndAsANewInstance) {
+  watcher_.start(1);
+  const std::uint64_t first = instanceOf("a");
+  list({entry("a", wire::WorkerState::Draining), entry("b")});
+  poll();
+  EXPECT_FALSE(usable("a"));
+  list({entry("a"), entry("b")});
+  poll(3);
+  EXPECT_FALSE(usable("a"));
+  EXPECT_EQ(instanceOf("a"), first);
+  poll();
+  EXPECT_TRUE(usable("a"));
+  EXPECT_GT(instanceOf("a"), first);
+}
+
+TEST_F(PlatformWatcherTest, AFlappingWorkerIsHeldBackEverLonger) {
+  watcher_.start(1);
+  int usable_readings = 0;
+  for (int round = 0; round < 40; ++round) {
+    list({entry("b")});
+    poll();
+    list({entry("a"), entry("b")});
+    poll();
+    usable_readings += usable("a") ? 1 : 0;
+  }
+  EXPECT_LE(usable_readings, 1);
+  poll(64);
+  EXPECT_TRUE(usable("a"));
+}
+
+TEST_F(PlatformWatcherTest, AWorkerSeenGoneButListedIsTriedAgainAfterAGrowingWhile) {
+  watcher_.start(1);
+  const std::uint64_t first = instanceOf("a");
+  directory_.applyObservation({"a", first, false, true});
+  world_.runFor(seconds(9));
+  EXPECT_FALSE(usable("a"));
+  world_.runFor(seconds(2));
+  EXPECT_TRUE(usable("a"));
+  const std::uint64_t second = instanceOf("a");
+  directory_.applyObservation({"a", second, false, true});
+  world_.runFor(seconds(19));
+  EXPECT_FALSE(usable("a"));
+  world_.runFor(seconds(2));
+  EXPECT_TRUE(usable("a"));
+}
+
+TEST_F(PlatformWatcherTest, AWorkerSeenDrainingIsNotTriedAgainByTime) {
+  watcher_.start(1);
+  directory_.applyObservation({"a", instanceOf("a"), true, false});
+  world_.runFor(seconds(300));
+  EXPECT_FALSE(usable("a"));
+}
+
+TEST_F(PlatformWatcherTest, AnOlderListIsPassedOverAsLagging) {
+  platform_.reading.generation = 10;
+  watcher_.start(1);
+  platform_.reading.generation = 9;
+  list({entry("a")});
+  poll(3);
+  EXPECT_TRUE(usable("b"));
+  poll(30);
+  EXPECT_FALSE(usable("b")) << "a platform which started anew is believed in the end";
+}
+
+}  // namespace
+}  // namespace switchsaddle::workers
