--- /dev/null
+++ b/libraries/dissemination/source/gossip_agent.cc
@@ -0,0 +1,243 @@
+#include "switchsaddle/dissemination/gossip_agent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace switchsaddle::dissemination {
+
+namespace {
+
+bool viewIsOlder(std::uint64_t term, std::uint64_t sequence, std::uint64_t other_term,
+                 std::uint64_t other_sequence) {
+  return term != other_term ? term < other_term : sequence < other_sequence;
+}
+
+}  // namespace
+
+GossipAgent::GossipAgent(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                         base::RandomSource& random, ConfigurationReplica& replica,
+                         workers::WorkerDirectory& workers, GossipOptions options)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      random_(random),
+      replica_(replica),
+      workers_(workers),
+      options_(options),
+      timer_(dispatcher.createTimer([this] { onInterval(); })) {
+  registerHandlers();
+}
+
+void GossipAgent::registerHandlers() {
+  calls_.handle<wire::GossipDigest>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& from,
+                                            const wire::GossipDigest& peer,
+                                            const transport::ReplyFunction& reply) {
+        if (!alive.expired()) {
+          onDigest(from, peer, reply);
+        }
+      });
+  calls_.handle<wire::GossipDelta>([this, alive = std::weak_ptr(alive_)](
+                                       const base::NodeAddress& from,
+                                       const wire::GossipDelta& delta, const auto& /*reply*/) {
+    if (!alive.expired()) {
+      onDelta(from, delta);
+    }
+  });
+  calls_.handle<wire::ConfigurationDelta>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& from,
+                                            const wire::ConfigurationDelta& delta,
+                                            const transport::ReplyFunction& reply) {
+        if (!alive.expired()) {
+          onConfiguration(from, delta);
+          reply(wire::Acknowledgement{});
+        }
+      });
+  calls_.handle<wire::ConfigurationFetch>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& /*from*/,
+                                            const wire::ConfigurationFetch& fetch,
+                                            const transport::ReplyFunction& reply) {
+        if (!alive.expired()) {
+          reply(replica_.document().deltaSince(fetch.since_version));
+        }
+      });
+  calls_.handle<wire::WorkerView>([this, alive = std::weak_ptr(alive_)](
+                                      const base::NodeAddress& /*from*/,
+                                      const wire::WorkerView& view, const auto& /*reply*/) {
+    if (!alive.expired()) {
+      takeView(view);
+    }
+  });
+}
+
+void GossipAgent::start() {
+  const auto first = static_cast<base::Duration::rep>(random_.uniform() *
+                                                      static_cast<double>(options_.interval.count()));
+  timer_->enable(base::Duration(first));
+}
+
+void GossipAgent::stop() {
+  timer_->disable();
+}
+
+void GossipAgent::setPeers(std::vector<base::NodeAddress> peers) {
+  std::sort(peers.begin(), peers.end());
+  peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+  std::erase(peers, calls_.localAddress());
+  peers_ = std::move(peers);
+}
+
+void GossipAgent::onInterval() {
+  timer_->enable(options_.interval);
+  for (const base::NodeAddress& peer : randomPeers(1)) {
+    pullFrom(peer);
+  }
+}
+
+void GossipAgent::pullFrom(const base::NodeAddress& peer) {
+  if (!asked_.insert(peer).second) {
+    return;
+  }
+  calls_.call(peer, digest(), options_.call_timeout,
+              [this, alive = std::weak_ptr(alive_), peer](const transport::CallResult& result) {
+                if (alive.expired()) {
+                  return;
+                }
+                asked_.erase(peer);
+                if (const auto* delta = result.as<wire::GossipDelta>()) {
+                  onDelta(peer, *delta);
+                }
+              });
+}
+
+wire::GossipDigest GossipAgent::digest() const {
+  wire::GossipDigest digest;
+  digest.configuration_version = replica_.version();
+  digest.configuration_digest = replica_.digest();
+  digest.worker_term = workers_.view().term;
+  digest.worker_sequence = workers_.view().sequence;
+  digest.observations_digest = workers_.observationsDigest();
+  return digest;
+}
+
+wire::GossipDelta GossipAgent::deltaFor(const wire::GossipDigest& peer) const {
+  wire::GossipDelta delta;
+  if (replica_.version() > peer.configuration_version) {
+    delta.configuration = replica_.document().deltaSince(peer.configuration_version);
+  }
+  const wire::WorkerView& view = workers_.view();
+  if (viewIsOlder(peer.worker_term, peer.worker_sequence, view.term, view.sequence)) {
+    delta.workers = view;
+  }
+  if (peer.observations_digest != workers_.observationsDigest()) {
+    delta.observations = workers_.observations();
+  }
+  if (score_source_) {
+    delta.scores = score_source_();
+  }
+  return delta;
+}
+
+bool GossipAgent::isAhead(const wire::GossipDigest& peer) const {
+  const wire::WorkerView& view = workers_.view();
+  return peer.configuration_version > replica_.version() ||
+         viewIsOlder(view.term, view.sequence, peer.worker_term, peer.worker_sequence) ||
+         peer.observations_digest != workers_.observationsDigest();
+}
+
+void GossipAgent::onDigest(const base::NodeAddress& from, const wire::GossipDigest& peer,
+                           const transport::ReplyFunction& reply) {
+  reply(deltaFor(peer));
+  if (isAhead(peer)) {
+    pullFrom(from);
+  }
+}
+
+void GossipAgent::onDelta(const base::NodeAddress& from, const wire::GossipDelta& delta) {
+  if (delta.configuration.to_version > replica_.version()) {
+    onConfiguration(from, delta.configuration);
+  }
+  takeView(delta.workers);
+  takeObservations(delta.observations);
+  if (score_sink_ && !delta.scores.empty()) {
+    score_sink_(delta.scores);
+  }
+}
+
+void GossipAgent::onConfiguration(const base::NodeAddress& from,
+                                  const wire::ConfigurationDelta& delta) {
+  if (replica_.apply(delta) == ApplyOutcome::DoesNotFit) {
+    fetchConfiguration(from);
+  }
+}
+
+void GossipAgent::fetchConfiguration(const base::NodeAddress& from) {
+  if (!fetching_.insert(from).second) {
+    return;
+  }
+  calls_.call(from, wire::ConfigurationFetch{replica_.version()}, options_.call_timeout,
+              [this, alive = std::weak_ptr(alive_), from](const transport::CallResult& result) {
+                if (alive.expired()) {
+                  return;
+                }
+                fetching_.erase(from);
+                if (const auto* delta = result.as<wire::ConfigurationDelta>()) {
+                  replica_.apply(*delta);
+                }
+              });
+}
+
+void GossipAgent::observe(const wire::WorkerObservation& observation) {
+  takeObservations({observation});
+}
+
+void GossipAgent::takeObservations(const std::vector<wire::WorkerObservation>& observations) {
+  std::vector<wire::WorkerObservation> learned;
+  for (const wire::WorkerObservation& observation : observations) {
+    if (workers_.applyObservation(observation)) {
+      learned.push_back(observation);
+    }
+  }
+  if (!learned.empty()) {
+    pushObservations(learned);
+  }
+}
+
+void GossipAgent::pushObservations(const std::vector<wire::WorkerObservation>& observations) {
+  wire::GossipDelta push;
+  push.observations = observations;
+  for (const base::NodeAddress& peer : randomPeers(options_.fanout)) {
+    calls_.notify(peer, push);
+  }
+}
+
+void GossipAgent::takeView(const wire::WorkerView& view) {
+  if (!workers_.applyView(view)) {
+    return;
+  }
+  for (const base::NodeAddress& peer : randomPeers(options_.fanout)) {
+    calls_.notify(peer, view);
+  }
+}
+
+void GossipAgent::publishView(const wire::WorkerView& view,
+                              const std::vector<base::NodeAddress>& first) {
+  for (const base::NodeAddress& peer : first) {
+    if (peer != calls_.localAddress()) {
+      calls_.notify(peer, view);
+    }
+  }
+  takeView(view);
+}
+
+std::vector<base::NodeAddress> GossipAgent::randomPeers(std::size_t count) {
+  std::vector<base::NodeAddress> candidates = peers_;
+  const std::size_t chosen = std::min(count, candidates.size());
+  for (std::size_t index = 0; index < chosen; ++index) {
+    const std::size_t other = index + random_.below(candidates.size() - index);
+    std::swap(candidates[index], candidates[other]);
+  }
+  candidates.resize(chosen);
+  return candidates;
+}
+
+}  // namespace switchsaddle::dissemination
--- /dev/null
+++ b/libraries/dissemination/test/gossip_agent_test.cc
@@ -0,0 +1,164 @@
+#include "switchsaddle/dissemination/gossip_agent.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::dissemination {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** One simulated node with an agent. */
+struct Node {
+  Node(simulation::World& world, simulation::Network& network, std::uint16_t port)
+      : address{"127.0.0.1", port},
+        process(world),
+        transport(network.attach(address, process)),
+        random(port) {}
+
+  base::NodeAddress address;
+  simulation::Process process;
+  std::unique_ptr<transport::Transport> transport;
+  transport::PeerCalls calls{process, *transport};
+  base::RandomSource random;
+  journal::Journal journal{process};
+  ConfigurationReplica replica{journal};
+  workers::WorkerDirectory workers;
+  GossipAgent agent{process, calls, random, replica, workers, GossipOptions{}};
+};
+
+configuration::Document documentWithRoutes(int routes) {
+  configuration::Document document;
+  for (int index = 0; index < routes; ++index) {
+    configuration::Change change;
+    change.base_version = document.version;
+    const std::string name = std::to_string(index);
+    change.set.push_back({"routes/r" + name,
+                          R"({"models":["m)" + name + R"("],"pool":"p","service":"completions"})"});
+    document = configuration::applyChange(document, change);
+  }
+  return document;
+}
+
+class GossipAgentTest : public testing::Test {
+ protected:
+  static constexpr std::uint16_t FirstPort = 7000;
+
+  void addNodes(int count) {
+    std::vector<base::NodeAddress> addresses;
+    for (int index = 0; index < count; ++index) {
+      nodes_.push_back(std::make_unique<Node>(
+          world_, network_, static_cast<std::uint16_t>(FirstPort + index)));
+      addresses.push_back(nodes_.back()->address);
+    }
+    for (const auto& node : nodes_) {
+      node->agent.setPeers(addresses);
+      node->agent.start();
+    }
+  }
+
+  template <class Condition>
+  bool untilAll(Condition condition, base::Duration limit) {
+    return world_.runUntil(
+        [&] {
+          return std::all_of(nodes_.begin(), nodes_.end(),
+                             [&](const auto& node) { return condition(*node); });
+        },
+        limit);
+  }
+
+  simulation::World world_{7};
+  simulation::Network network_{world_};
+  std::vector<std::unique_ptr<Node>> nodes_;
+};
+
+TEST_F(GossipAgentTest, AConfigurationHeldByOneReachesAll) {
+  addNodes(14);
+  const configuration::Document document = documentWithRoutes(3);
+  ASSERT_EQ(nodes_[0]->replica.apply(document.deltaSince(0)), ApplyOutcome::Applied);
+  EXPECT_TRUE(untilAll([&](Node& node) { return node.replica.digest() == document.digest(); },
+                       seconds(10)));
+}
+
+TEST_F(GossipAgentTest, ReachesAllOverALossyNetwork) {
+  network_.conditions.loss = 0.2;
+  network_.conditions.duplication = 0.1;
+  addNodes(14);
+  const configuration::Document document = documentWithRoutes(3);
+  nodes_[0]->replica.apply(document.deltaSince(0));
+  nodes_[1]->agent.publishView({1, 1, {}});
+  nodes_[2]->agent.observe({"a", 1, false, true});
+  EXPECT_TRUE(untilAll(
+      [&](Node& node) {
+        return node.replica.version() == 3 && node.workers.view().sequence == 1 &&
+               node.workers.observations().size() == 1;
+      },
+      seconds(30)));
+}
+
+TEST_F(GossipAgentTest, AnObservationSpreadsWellWithinAnInterval) {
+  addNodes(14);
+  nodes_[3]->agent.observe({"a", 1, true, false});
+  world_.runFor(milliseconds(50));
+  int reached = 0;
+  for (const auto& node : nodes_) {
+    reached += node->workers.observations().empty() ? 0 : 1;
+  }
+  EXPECT_GE(reached, 10);
+}
+
+TEST_F(GossipAgentTest, APushDiesOutAfterBoundedMessages) {
+  addNodes(10);
+  for (const auto& node : nodes_) {
+    node->agent.stop();
+  }
+  nodes_[0]->agent.observe({"a", 1, true, false});
+  nodes_[0]->agent.observe({"a", 1, true, false});
+  world_.runFor(seconds(5));
+  EXPECT_LE(network_.envelopesSent(), 10U * GossipOptions{}.fanout);
+}
+
+TEST_F(GossipAgentTest, APushedDeltaWithAGapIsFetchedFromItsSender) {
+  addNodes(2);
+  for (const auto& node : nodes_) {
+    node->agent.stop();
+  }
+  const configuration::Document document = documentWithRoutes(4);
+  nodes_[0]->replica.apply(document.deltaSince(0));
+  nodes_[0]->calls.notify(nodes_[1]->address, document.deltaSince(3));
+  world_.runFor(milliseconds(100));
+  EXPECT_EQ(nodes_[1]->replica.version(), 4U);
+}
+
+TEST_F(GossipAgentTest, ScoresTravelWithTheExchange) {
+  addNodes(2);
+  nodes_[0]->agent.setScoreSource([] {
+    wire::RouteScore score;
+    score.model = "m";
+    score.arm = "a";
+    return std::vector<wire::RouteScore>{score};
+  });
+  std::vector<wire::RouteScore> heard;
+  nodes_[1]->agent.setScoreSink([&](const auto& scores) { heard = scores; });
+  world_.runFor(seconds(3));
+  ASSERT_EQ(heard.size(), 1U);
+  EXPECT_EQ(heard.front().arm, "a");
+}
+
+TEST_F(GossipAgentTest, EqualNodesFallSilentButForTheirDigests) {
+  addNodes(4);
+  nodes_[0]->agent.observe({"a", 1, true, false});
+  world_.runFor(seconds(5));
+  const std::uint64_t before = network_.envelopesSent();
+  world_.runFor(seconds(10));
+  // One question and one answer for each node and second.
+  EXPECT_LE(network_.envelopesSent() - before, 4U * 2U * 11U);
+}
+
+}  // namespace
+}  // namespace switchsaddle::dissemination
