--- /dev/null
+++ b/libraries/core/include/switchsaddle/core/in_force_tracker.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/dissemination/configuration_replica.h"
+#include "switchsaddle/sessions/session_directory.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::core {
+
+/** Times of the wait until a version is in force. */
+struct InForceOptions {
+  /** Pause between two readings of the session tables. */
+  base::Duration reading_pause = std::chrono::milliseconds(10);
+  /** Pause before a delta is pushed to one front again. */
+  base::Duration push_pause = std::chrono::milliseconds(100);
+};
+
+/**
+ * Pushes the committed configuration to the fronts with live sessions, and tells when each of them
+ * has confirmed a version or its session has lapsed. Only readings begun after the wait count, so
+ * that every front which could still work by an older version is among those read. One reading
+ * serves all waits. Runs on the control strand.
+ */
+class InForceTracker {
+ public:
+  /** True where the version is in force everywhere, false where the deadline passed first. */
+  using Callback = std::function<void(bool)>;
+
+  InForceTracker(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                 sessions::SessionDirectory& sessions,
+                 const dissemination::ConfigurationReplica& replica, InForceOptions options = {});
+  InForceTracker(const InForceTracker&) = delete;
+  InForceTracker& operator=(const InForceTracker&) = delete;
+
+  /** Waits until `version` is in force everywhere, at most until `deadline`. */
+  void wait(std::uint64_t version, base::TimePoint deadline, Callback callback);
+  /** Pushes the configuration held here to the fronts this node knows, where they lack it. */
+  void pushToLocalSessions();
+
+ private:
+  struct Wait {
+    std::uint64_t version = 0;
+    /** The first reading that counts. */
+    std::uint64_t first_reading = 0;
+    Callback callback;
+    base::TimerPtr deadline;
+  };
+
+  void startReading();
+  void onReading(base::ResultCode code, const std::vector<wire::SessionTableEntry>& sessions);
+  void push(const std::vector<wire::SessionTableEntry>& sessions);
+  void finish(std::uint64_t wait, bool in_force);
+
+  base::Dispatcher& dispatcher_;
+  transport::PeerCalls& calls_;
+  sessions::SessionDirectory& sessions_;
+  const dissemination::ConfigurationReplica& replica_;
+  InForceOptions options_;
+  base::TimerPtr reading_timer_;
+  bool reading_ = false;
+  /** Number of the newest reading begun. */
+  std::uint64_t reading_number_ = 0;
+  std::uint64_t next_wait_ = 1;
+  std::map<std::uint64_t, Wait> waits_;
+  /** When and which version was last pushed to a front. */
+  struct Push {
+    std::uint64_t version = 0;
+    base::TimePoint at;
+  };
+  std::map<base::NodeAddress, Push> pushes_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/configuration/register_value.h"
+#include "switchsaddle/core/change_coordinator.h"
+#include "switchsaddle/core/in_force_tracker.h"
+#include "switchsaddle/dissemination/configuration_replica.h"
+#include "switchsaddle/registers/proposer.h"
+
+namespace switchsaddle::core {
+
+/**
+ * Commits changes in the configuration register, takes the result into this node's replica, and
+ * waits until it is in force on every front with a live session. The decision is taken inside the
+ * register's change function, so that of two changes on one base version exactly one wins and a
+ * change sent again finds its recorded result. Refusals are answered at once; only a committed
+ * change waits, at most until the acknowledgement deadline, counted from its arrival. Runs on the
+ * control strand.
+ */
+class RegisterChangeCoordinator : public ChangeCoordinator {
+ public:
+  RegisterChangeCoordinator(base::Dispatcher& dispatcher, registers::RegisterProposer& proposer,
+                            dissemination::ConfigurationReplica& replica, InForceTracker& tracker,
+                            base::Duration acknowledgement_deadline);
+
+  void submit(const configuration::Change& change, bool dry_run,
+              std::function<void(const ChangeAnswer&)> callback) override;
+
+ private:
+  using Callback = std::function<void(const ChangeAnswer&)>;
+
+  void commit(const configuration::Change& change, Callback callback);
+  void check(const configuration::Change& change, Callback callback);
+  void onCommitted(const registers::RegisterOutcome& outcome,
+                   const configuration::ChangeDecision& decision, base::TimePoint deadline,
+                   Callback callback);
+
+  base::Dispatcher& dispatcher_;
+  registers::RegisterProposer& proposer_;
+  dissemination::ConfigurationReplica& replica_;
+  InForceTracker& tracker_;
+  base::Duration acknowledgement_deadline_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/source/in_force_tracker.cc
@@ -0,0 +1,111 @@
+#include "switchsaddle/core/in_force_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace switchsaddle::core {
+
+InForceTracker::InForceTracker(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                               sessions::SessionDirectory& sessions,
+                               const dissemination::ConfigurationReplica& replica,
+                               InForceOptions options)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      sessions_(sessions),
+      replica_(replica),
+      options_(options),
+      reading_timer_(dispatcher.createTimer([this] { startReading(); })) {}
+
+void InForceTracker::wait(std::uint64_t version, base::TimePoint deadline, Callback callback) {
+  const std::uint64_t number = next_wait_++;
+  Wait& wait = waits_[number];
+  wait.version = version;
+  wait.first_reading = reading_number_ + 1;
+  wait.callback = std::move(callback);
+  wait.deadline = dispatcher_.createTimer([this, number] { finish(number, false); });
+  wait.deadline->enable(std::max(base::Duration::zero(), deadline - dispatcher_.now()));
+  pushToLocalSessions();
+  if (!reading_) {
+    startReading();
+  }
+}
+
+void InForceTracker::pushToLocalSessions() {
+  push(sessions_.localSessions());
+}
+
+void InForceTracker::startReading() {
+  reading_timer_->disable();
+  if (reading_ || waits_.empty()) {
+    return;
+  }
+  reading_ = true;
+  ++reading_number_;
+  sessions_.readLive(
+      [this, alive = std::weak_ptr(alive_)](base::ResultCode code, const auto& sessions) {
+        if (!alive.expired()) {
+          onReading(code, sessions);
+        }
+      });
+}
+
+void InForceTracker::onReading(base::ResultCode code,
+                               const std::vector<wire::SessionTableEntry>& sessions) {
+  reading_ = false;
+  if (code == base::ResultCode::Ok) {
+    push(sessions);
+    std::uint64_t in_force = UINT64_MAX;
+    for (const wire::SessionTableEntry& session : sessions) {
+      if (!session.record.closed) {
+        in_force = std::min(in_force, session.record.applied_version);
+      }
+    }
+    std::vector<std::uint64_t> done;
+    for (const auto& [number, wait] : waits_) {
+      if (wait.first_reading <= reading_number_ && wait.version <= in_force) {
+        done.push_back(number);
+      }
+    }
+    for (const std::uint64_t number : done) {
+      finish(number, true);
+    }
+  }
+  if (!waits_.empty() && !reading_) {
+    reading_timer_->enable(options_.reading_pause);
+  }
+}
+
+void InForceTracker::push(const std::vector<wire::SessionTableEntry>& sessions) {
+  const base::TimePoint now = dispatcher_.now();
+  std::erase_if(pushes_,
+                [&](const auto& item) { return now - item.second.at > std::chrono::seconds(10); });
+  for (const wire::SessionTableEntry& session : sessions) {
+    const bool lacks =
+        !session.record.closed && session.record.applied_version < replica_.version();
+    if (!lacks) {
+      continue;
+    }
+    const auto pushed = pushes_.find(session.record.front);
+    const bool just_pushed = pushed != pushes_.end() &&
+                             pushed->second.version == replica_.version() &&
+                             now - pushed->second.at < options_.push_pause;
+    if (just_pushed) {
+      continue;
+    }
+    pushes_[session.record.front] = {replica_.version(), now};
+    calls_.notify(session.record.front,
+                  replica_.document().deltaSince(session.record.applied_version));
+  }
+}
+
+void InForceTracker::finish(std::uint64_t wait, bool in_force) {
+  const auto found = waits_.find(wait);
+  if (found == waits_.end()) {
+    return;
+  }
+  const Wait finished = std::move(found->second);
+  waits_.erase(found);
+  finished.callback(in_force);
+}
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -0,0 +1,125 @@
+#include "switchsaddle/core/register_change_coordinator.h"
+
+#include <optional>
+#include <utility>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::core {
+
+namespace {
+
+using base::ResultCode;
+using configuration::ChangeDecision;
+using configuration::RegisterValue;
+
+ChangeAnswer answerOf(const ChangeDecision& decision) {
+  ChangeAnswer answer;
+  answer.code = decision.code;
+  answer.version = decision.version;
+  answer.faults = decision.faults;
+  answer.repeated = decision.repeated;
+  return answer;
+}
+
+ChangeAnswer refusal(ResultCode code) {
+  ChangeAnswer answer;
+  answer.code = code;
+  return answer;
+}
+
+/** Decodes a register's value; nothing where it is corrupt. */
+std::optional<RegisterValue> decode(const std::string& bytes) {
+  try {
+    return configuration::decodeRegisterValue(bytes);
+  } catch (const base::Error&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+RegisterChangeCoordinator::RegisterChangeCoordinator(base::Dispatcher& dispatcher,
+                                                     registers::RegisterProposer& proposer,
+                                                     dissemination::ConfigurationReplica& replica,
+                                                     InForceTracker& tracker,
+                                                     base::Duration acknowledgement_deadline)
+    : dispatcher_(dispatcher),
+      proposer_(proposer),
+      replica_(replica),
+      tracker_(tracker),
+      acknowledgement_deadline_(acknowledgement_deadline) {}
+
+void RegisterChangeCoordinator::submit(const configuration::Change& change, bool dry_run,
+                                       Callback callback) {
+  if (dry_run) {
+    check(change, std::move(callback));
+  } else {
+    commit(change, std::move(callback));
+  }
+}
+
+void RegisterChangeCoordinator::check(const configuration::Change& change, Callback callback) {
+  proposer_.read(registers::ConfigurationRegister, [change, callback = std::move(callback)](
+                                                       const registers::RegisterOutcome& outcome) {
+    if (outcome.code != ResultCode::Ok) {
+      callback(refusal(outcome.code));
+      return;
+    }
+    const std::optional<RegisterValue> present = decode(outcome.value);
+    callback(present ? answerOf(configuration::decideChange(*present, change))
+                     : refusal(ResultCode::RecordCorrupt));
+  });
+}
+
+void RegisterChangeCoordinator::commit(const configuration::Change& change, Callback callback) {
+  const base::TimePoint deadline = dispatcher_.now() + acknowledgement_deadline_;
+  // The decision of the change function's last run is the one the outcome stands for.
+  auto decision = std::make_shared<ChangeDecision>();
+  auto function = [change, decision](const std::string& bytes) -> std::optional<std::string> {
+    const std::optional<RegisterValue> present = decode(bytes);
+    if (!present) {
+      *decision = {};
+      decision->code = ResultCode::RecordCorrupt;
+      return std::nullopt;
+    }
+    *decision = configuration::decideChange(*present, change);
+    if (!decision->writes) {
+      return std::nullopt;
+    }
+    return configuration::encodeRegisterValue(decision->next);
+  };
+  proposer_.change(registers::ConfigurationRegister, std::move(function),
+                   [this, alive = std::weak_ptr(alive_), decision, deadline,
+                    callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
+                     if (!alive.expired()) {
+                       onCommitted(outcome, *decision, deadline, callback);
+                     }
+                   });
+}
+
+void RegisterChangeCoordinator::onCommitted(const registers::RegisterOutcome& outcome,
+                                            const ChangeDecision& decision,
+                                            base::TimePoint deadline, Callback callback) {
+  if (outcome.code != ResultCode::Ok) {
+    callback(refusal(outcome.code));
+    return;
+  }
+  if (const std::optional<RegisterValue> value = decode(outcome.value)) {
+    replica_.apply(value->document.deltaSince(replica_.version()));
+  }
+  const ChangeAnswer answer = answerOf(decision);
+  if (answer.code != ResultCode::Ok) {
+    callback(answer);
+    return;
+  }
+  tracker_.wait(answer.version, deadline, [answer, callback](bool in_force) {
+    ChangeAnswer final_answer = answer;
+    if (!in_force) {
+      final_answer.code = ResultCode::CommittedNotYetInForce;
+    }
+    callback(final_answer);
+  });
+}
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -0,0 +1,192 @@
+#include "switchsaddle/core/register_change_coordinator.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "fakes.h"
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::core {
+namespace {
+
+using base::ResultCode;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* RouteJson = R"({"models":["m"],"pool":"p","service":"completions"})";
+
+configuration::Change changeOf(const std::string& id, std::uint64_t base,
+                               const std::string& json = RouteJson) {
+  configuration::Change change;
+  change.change_id = id;
+  change.base_version = base;
+  change.set.push_back({"routes/r" + id, json});
+  return change;
+}
+
+/** A front that applies what is pushed to it and has its session say so. */
+struct Front {
+  Front(simulation::World& world, simulation::Network& network, FakeDirectory& directory,
+        base::NodeAddress address)
+      : address(address), process(world), transport(network.attach(address, process)) {
+    directory.setSession(address, 0);
+    calls.handle<wire::ConfigurationDelta>(
+        [this, &directory](const auto&, const wire::ConfigurationDelta& delta, const auto&) {
+          if (replica.apply(delta) == dissemination::ApplyOutcome::Applied && confirms) {
+            directory.setSession(this->address, replica.version());
+          }
+        });
+  }
+
+  base::NodeAddress address;
+  simulation::Process process;
+  std::unique_ptr<transport::Transport> transport;
+  transport::PeerCalls calls{process, *transport};
+  journal::Journal journal{process};
+  dissemination::ConfigurationReplica replica{journal};
+  bool confirms = true;
+};
+
+class RegisterChangeCoordinatorTest : public testing::Test {
+ protected:
+  ChangeAnswer submit(const configuration::Change& change, bool dry_run = false) {
+    std::optional<ChangeAnswer> answer;
+    const base::TimePoint before = world_.now();
+    coordinator_.submit(change, dry_run, [&](const ChangeAnswer& result) { answer = result; });
+    EXPECT_TRUE(world_.runUntil([&] { return answer.has_value(); }, seconds(10)));
+    taken_ = world_.now() - before;
+    return *answer;
+  }
+
+  simulation::World world_{3};
+  simulation::Network network_{world_};
+  simulation::Process process_{world_};
+  std::unique_ptr<transport::Transport> transport_ = network_.attach({"127.0.0.1", 7000}, process_);
+  transport::PeerCalls calls_{process_, *transport_};
+  journal::Journal journal_{process_};
+  dissemination::ConfigurationReplica replica_{journal_};
+  FakeProposer proposer_;
+  FakeDirectory directory_;
+  InForceTracker tracker_{process_, calls_, directory_, replica_};
+  RegisterChangeCoordinator coordinator_{process_, proposer_, replica_, tracker_, seconds(2)};
+  Front first_{world_, network_, directory_, {"127.0.0.1", 7001}};
+  Front second_{world_, network_, directory_, {"127.0.0.1", 7002}};
+  base::Duration taken_{};
+};
+
+TEST_F(RegisterChangeCoordinatorTest, AcknowledgesOnceEveryLiveFrontHasIt) {
+  const ChangeAnswer answer = submit(changeOf("1", 0));
+  EXPECT_EQ(answer.code, ResultCode::Ok);
+  EXPECT_EQ(answer.version, 1U);
+  EXPECT_EQ(first_.replica.version(), 1U);
+  EXPECT_EQ(second_.replica.version(), 1U);
+  EXPECT_LT(taken_, milliseconds(50));
+}
+
+TEST_F(RegisterChangeCoordinatorTest, DoesNotAcknowledgeWhileOneFrontIsBehind) {
+  second_.confirms = false;
+  const ChangeAnswer answer = submit(changeOf("1", 0));
+  EXPECT_EQ(answer.code, ResultCode::CommittedNotYetInForce);
+  EXPECT_EQ(answer.version, 1U);
+  EXPECT_EQ(taken_, seconds(2));
+}
+
+TEST_F(RegisterChangeCoordinatorTest, AResendRepeatsTheResultAndGoesOnWaiting) {
+  second_.confirms = false;
+  submit(changeOf("1", 0));
+  ChangeAnswer again = submit(changeOf("1", 0));
+  EXPECT_EQ(again.code, ResultCode::CommittedNotYetInForce);
+  directory_.setSession(second_.address, 1);
+  again = submit(changeOf("1", 0));
+  EXPECT_EQ(again.code, ResultCode::Ok);
+  EXPECT_EQ(again.version, 1U);
+  EXPECT_TRUE(again.repeated);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, AnswersAtOnceWhenTheLastFrontBehindLapses) {
+  second_.confirms = false;
+  std::optional<ChangeAnswer> answer;
+  coordinator_.submit(changeOf("1", 0), false,
+                      [&](const ChangeAnswer& result) { answer = result; });
+  world_.runFor(milliseconds(500));
+  ASSERT_FALSE(answer.has_value());
+  directory_.live.pop_back();
+  world_.runFor(milliseconds(20));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->code, ResultCode::Ok);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, ALostPushIsSentAgain) {
+  network_.cut({"127.0.0.1", 7000}, second_.address);
+  std::optional<ChangeAnswer> answer;
+  coordinator_.submit(changeOf("1", 0), false,
+                      [&](const ChangeAnswer& result) { answer = result; });
+  world_.runFor(milliseconds(300));
+  EXPECT_FALSE(answer.has_value());
+  network_.healAll();
+  world_.runFor(milliseconds(300));
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->code, ResultCode::Ok);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, OfTwoChangesOnOneBaseExactlyOneWins) {
+  EXPECT_EQ(submit(changeOf("1", 0)).code, ResultCode::Ok);
+  const ChangeAnswer loser = submit(changeOf("2", 0));
+  EXPECT_EQ(loser.code, ResultCode::ConfigurationConflict);
+  EXPECT_EQ(loser.version, 1U);
+  EXPECT_LT(taken_, milliseconds(1)) << "a refusal is not held back";
+  const ChangeAnswer again = submit(changeOf("2", 0));
+  EXPECT_EQ(again.code, ResultCode::ConfigurationConflict);
+  EXPECT_TRUE(again.repeated);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, TheAnswerIsThatOfTheLastRunOfTheChangeFunction) {
+  proposer_.runs = 3;
+  const ChangeAnswer answer = submit(changeOf("1", 0));
+  EXPECT_EQ(answer.code, ResultCode::Ok);
+  EXPECT_FALSE(answer.repeated);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, RefusesInvalidChangesWithTheirFaults) {
+  const ChangeAnswer answer = submit(changeOf("1", 0, "5"));
+  EXPECT_EQ(answer.code, ResultCode::ConfigurationInvalid);
+  EXPECT_FALSE(answer.faults.empty());
+}
+
+TEST_F(RegisterChangeCoordinatorTest, ADryRunChangesNothing) {
+  EXPECT_EQ(submit(changeOf("1", 0), true).code, ResultCode::Ok);
+  EXPECT_EQ(submit(changeOf("1", 7), true).code, ResultCode::ConfigurationConflict);
+  EXPECT_TRUE(proposer_.value.empty());
+  EXPECT_EQ(replica_.version(), 0U);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, WithoutAQuorumNothingIsPromised) {
+  proposer_.has_quorum = false;
+  EXPECT_EQ(submit(changeOf("1", 0)).code, ResultCode::NoQuorum);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, WithoutAReadingOfTheTablesNothingIsAcknowledged) {
+  directory_.code = ResultCode::NoQuorum;
+  EXPECT_EQ(submit(changeOf("1", 0)).code, ResultCode::CommittedNotYetInForce);
+}
+
+TEST_F(RegisterChangeCoordinatorTest, AReadingBegunBeforeTheCommitDoesNotCount) {
+  directory_.holds = true;
+  bool first_done = false;
+  tracker_.wait(0, world_.now() + seconds(2), [&](bool in_force) { first_done = in_force; });
+  std::optional<ChangeAnswer> answer;
+  coordinator_.submit(changeOf("1", 0), false,
+                      [&](const ChangeAnswer& result) { answer = result; });
+  ASSERT_EQ(directory_.held.size(), 1U);
+  // The earlier reading saw no sessions at all.
+  directory_.held.front()(ResultCode::Ok, {});
+  EXPECT_TRUE(first_done);
+  EXPECT_FALSE(answer.has_value());
+  directory_.holds = false;
+  world_.runFor(milliseconds(100));
+  EXPECT_TRUE(answer.has_value());
+}
+
+}  // namespace
+}  // namespace switchsaddle::core
--- a/libraries/dissemination/include/switchsaddle/dissemination/gossip_agent.h
+++ b/libraries/dissemination/include/switchsaddle/dissemination/gossip_agent.h
@@ -34,9 +34,9 @@
   using ScoreSource = std::function<std::vector<wire::RouteScore>()>;
   using ScoreSink = std::function<void(const std::vector<wire::RouteScore>&)>;
 
-  GossipAgent(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
-              base::RandomSource& random, ConfigurationReplica& replica,
-              workers::WorkerDirectory& workers, GossipOptions options);
+  GossipAgent(base::Dispatcher& dispatcher, transport::PeerCalls& calls, base::RandomSource& random,
+              ConfigurationReplica& replica, workers::WorkerDirectory& workers,
+              GossipOptions options);
   GossipAgent(const GossipAgent&) = delete;
   GossipAgent& operator=(const GossipAgent&) = delete;
 
--- a/libraries/dissemination/source/gossip_agent.cc
+++ b/libraries/dissemination/source/gossip_agent.cc
@@ -36,13 +36,13 @@
           onDigest(from, peer, reply);
         }
       });
-  calls_.handle<wire::GossipDelta>([this, alive = std::weak_ptr(alive_)](
-                                       const base::NodeAddress& from,
-                                       const wire::GossipDelta& delta, const auto& /*reply*/) {
-    if (!alive.expired()) {
-      onDelta(from, delta);
-    }
-  });
+  calls_.handle<wire::GossipDelta>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& from,
+                                            const wire::GossipDelta& delta, const auto& /*reply*/) {
+        if (!alive.expired()) {
+          onDelta(from, delta);
+        }
+      });
   calls_.handle<wire::ConfigurationDelta>(
       [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& from,
                                             const wire::ConfigurationDelta& delta,
@@ -60,18 +60,18 @@
           reply(replica_.document().deltaSince(fetch.since_version));
         }
       });
-  calls_.handle<wire::WorkerView>([this, alive = std::weak_ptr(alive_)](
-                                      const base::NodeAddress& /*from*/,
-                                      const wire::WorkerView& view, const auto& /*reply*/) {
-    if (!alive.expired()) {
-      takeView(view);
-    }
-  });
+  calls_.handle<wire::WorkerView>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& /*from*/,
+                                            const wire::WorkerView& view, const auto& /*reply*/) {
+        if (!alive.expired()) {
+          takeView(view);
+        }
+      });
 }
 
 void GossipAgent::start() {
-  const auto first = static_cast<base::Duration::rep>(random_.uniform() *
-                                                      static_cast<double>(options_.interval.count()));
+  const auto first = static_cast<base::Duration::rep>(
+      random_.uniform() * static_cast<double>(options_.interval.count()));
   timer_->enable(base::Duration(first));
 }
 
--- a/libraries/dissemination/test/gossip_agent_test.cc
+++ b/libraries/dissemination/test/gossip_agent_test.cc
@@ -52,8 +52,8 @@
   void addNodes(int count) {
     std::vector<base::NodeAddress> addresses;
     for (int index = 0; index < count; ++index) {
-      nodes_.push_back(std::make_unique<Node>(
-          world_, network_, static_cast<std::uint16_t>(FirstPort + index)));
+      nodes_.push_back(
+          std::make_unique<Node>(world_, network_, static_cast<std::uint16_t>(FirstPort + index)));
       addresses.push_back(nodes_.back()->address);
     }
     for (const auto& node : nodes_) {
--- /dev/null
+++ b/libraries/journal/test/belief_view_test.cc
@@ -0,0 +1,46 @@
+#include "switchsaddle/journal/belief_view.h"
+
+#include <gtest/gtest.h>
+
+namespace switchsaddle::journal {
+namespace {
+
+/** A dispatcher whose clock stands still. */
+class StillDispatcher : public base::Dispatcher {
+ public:
+  base::TimePoint now() const override { return {}; }
+  base::TimerPtr createTimer(std::function<void()> /*callback*/) override { return nullptr; }
+  void post(std::function<void()> /*callback*/) override {}
+};
+
+TEST(BeliefViewTest, KeepsTheNewestBeliefAndForgetsWithdrawnOnes) {
+  StillDispatcher dispatcher;
+  Journal journal(dispatcher, 2);
+  journal.append(Subject::Lease, "early", "x", 1);
+  BeliefView view(journal);
+  journal.append(Subject::Configuration, "a", "1", 1);
+  journal.append(Subject::Configuration, "a", "2", 2);
+  journal.append(Subject::Configuration, "b", "1", 3);
+  journal.append(Subject::Configuration, "b", "", 4);
+  ASSERT_EQ(view.beliefs().size(), 2U);
+  EXPECT_EQ(view.beliefs().at({Subject::Configuration, "a"}).value, "2");
+  EXPECT_EQ(view.beliefs().at({Subject::Lease, "early"}).version, 1U);
+}
+
+TEST(BeliefViewTest, DigestsAgreeWhereBeliefsDo) {
+  StillDispatcher dispatcher;
+  Journal first_journal(dispatcher);
+  Journal second_journal(dispatcher);
+  BeliefView first(first_journal);
+  BeliefView second(second_journal);
+  first_journal.append(Subject::Workers, "a", "1", 1);
+  first_journal.append(Subject::Workers, "b", "1", 2);
+  second_journal.append(Subject::Workers, "b", "1", 2);
+  second_journal.append(Subject::Lease, "c", "1", 2);
+  EXPECT_NE(first.digest(Subject::Workers), second.digest(Subject::Workers));
+  second_journal.append(Subject::Workers, "a", "1", 1);
+  EXPECT_EQ(first.digest(Subject::Workers), second.digest(Subject::Workers));
+}
+
+}  // namespace
+}  // namespace switchsaddle::journal
