--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -28,8 +28,8 @@
 /** A front that applies what is pushed to it and has its session say so. */
 struct Front {
   Front(simulation::World& world, simulation::Network& network, FakeDirectory& directory,
-        base::NodeAddress address)
-      : address(address), process(world), transport(network.attach(address, process)) {
+        base::NodeAddress own_address)
+      : address(own_address), process(world), transport(network.attach(address, process)) {
     directory.setSession(address, 0);
     calls.handle<wire::ConfigurationDelta>(
         [this, &directory](const auto&, const wire::ConfigurationDelta& delta, const auto&) {
