Add the laboratory library: stand-in worker and platform list

Cause: experiments need workers and a platform list that misbehave on order. Ruled out: threads and sockets in the models; they run on base::Dispatcher so that tests take no time. Conclusion: ready to be wired into the lab program.

--- /dev/null
+++ b/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace switchsaddle::laboratory {
+
+/** One line of a worker's journal: what it ran, whoever was told. */
+struct WorkerEvent {
+  /** Boot clock, milliseconds. */
+  std::int64_t at_ms = 0;
+  /** "up" when the process starts, else "start", "end" or "cancelled" of a run. */
+  std::string event;
+  /** "stream", "one-shot", "prefill" or, for "up", "process". */
+  std::string kind;
+  std::string run;
+  std::string idempotency_key;
+  std::string tenant;
+  std::string model;
+  std::uint64_t cached_tokens = 0;
+  std::string request_id;
+  /** Pieces sent so far; set on "end" and "cancelled" of a stream. */
+  std::uint64_t pieces = 0;
+};
+
+/** The event as one line of JSON without the line end. */
+std::string toJsonLine(const WorkerEvent& event);
+/** Throws base::Error with MalformedJson or InvalidValue. */
+WorkerEvent parseWorkerEvent(const std::string& line);
+
+/** Where a worker notes its events. */
+class EventSink {
+ public:
+  virtual ~EventSink() = default;
+  virtual void append(const WorkerEvent& event) = 0;
+};
+
+/** Appends each event to a file by one write(2), so that a killed process loses none. */
+class FileEventSink : public EventSink {
+ public:
+  /** Throws base::Error with StorageFailed. */
+  explicit FileEventSink(const std::string& path);
+  ~FileEventSink() override;
+  FileEventSink(const FileEventSink&) = delete;
+  FileEventSink& operator=(const FileEventSink&) = delete;
+  void append(const WorkerEvent& event) override;
+
+ private:
+  int file_ = -1;
+};
+
+/** All events of a journal file; a torn last line is left out. */
+std::vector<WorkerEvent> readWorkerEvents(const std::string& path);
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/decode_relay.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "stream_run.h"
+#include "switchsaddle/base/node_address.h"
+#include "switchsaddle/http/client.h"
+#include "switchsaddle/http/server.h"
+
+namespace switchsaddle::laboratory {
+
+/** The header by which a prefill worker tells the decode worker that the prefill is done. */
+inline constexpr const char* PrefilledHeader = "Prefilled";
+
+/**
+ * The prefill side of a pair: takes a slot for the prefill, then fetches the stream from the decode
+ * worker and relays its head and bytes as they are, reading on only as the client takes them.
+ */
+class DecodeRelay : public HeldRequest,
+                    public http::ExchangeObserver,
+                    public std::enable_shared_from_this<DecodeRelay> {
+ public:
+  DecodeRelay(WorkerState& worker, StreamRequest request, http::Request original,
+              base::NodeAddress decode_worker, http::ResponseWriterPtr writer);
+  void start();
+
+  void onResponseHead(const http::Response& head) override;
+  void onBodyBytes(std::string bytes, std::function<void()> resume) override;
+  void onComplete() override;
+  void onFailure(http::ExchangeFailure failure, bool refused) override;
+
+ private:
+  void onSlot();
+  void onPrefilled();
+  void onClientGone();
+  void close();
+
+  WorkerState& worker_;
+  StreamRequest request_;
+  http::Request original_;
+  base::NodeAddress decode_worker_;
+  http::ResponseWriterPtr writer_;
+  base::TimerPtr timer_;
+  std::shared_ptr<http::Exchange> exchange_;
+  SlotQueue::Ticket ticket_ = SlotQueue::Refused;
+  std::string run_;
+  bool prefilling_ = false;
+  bool streaming_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/kv_cache.cc
@@ -0,0 +1,56 @@
+#include "switchsaddle/laboratory/kv_cache.h"
+
+#include "switchsaddle/base/hash.h"
+
+namespace switchsaddle::laboratory {
+
+std::vector<std::uint64_t> KvCache::chainsOf(const std::vector<PrefixPart>& parts) {
+  std::vector<std::uint64_t> chains;
+  std::uint64_t chain = 0;
+  for (const PrefixPart& part : parts) {
+    chain = base::combineHashes(chain, base::hashBytes(part.id));
+    chains.push_back(chain);
+  }
+  return chains;
+}
+
+std::uint64_t KvCache::cachedTokens(const std::vector<PrefixPart>& parts) const {
+  const std::vector<std::uint64_t> chains = chainsOf(parts);
+  std::uint64_t tokens = 0;
+  for (std::size_t index = 0; index < parts.size(); ++index) {
+    if (!by_chain_.contains(chains[index])) {
+      break;
+    }
+    tokens += parts[index].tokens;
+  }
+  return tokens;
+}
+
+void KvCache::insert(const std::vector<PrefixPart>& parts) {
+  const std::vector<std::uint64_t> chains = chainsOf(parts);
+  for (std::size_t index = parts.size(); index > 0; --index) {
+    touch(chains[index - 1], parts[index - 1].tokens);
+  }
+  evict();
+}
+
+void KvCache::touch(std::uint64_t chain, std::uint32_t tokens) {
+  const auto found = by_chain_.find(chain);
+  if (found != by_chain_.end()) {
+    entries_.splice(entries_.begin(), entries_, found->second);
+    return;
+  }
+  entries_.push_front(Entry{chain, tokens});
+  by_chain_[chain] = entries_.begin();
+  used_tokens_ += tokens;
+}
+
+void KvCache::evict() {
+  while (used_tokens_ > capacity_tokens_ && !entries_.empty()) {
+    used_tokens_ -= entries_.back().tokens;
+    by_chain_.erase(entries_.back().chain);
+    entries_.pop_back();
+  }
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/one_shot_run.cc
@@ -0,0 +1,78 @@
+#include "one_shot_run.h"
+
+#include <boost/json.hpp>
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr const char* Kind = "one-shot";
+
+}  // namespace
+
+OneShotRun::OneShotRun(WorkerState& worker, RequestIdentity identity,
+                       http::ResponseWriterPtr writer)
+    : worker_(worker), identity_(std::move(identity)), writer_(std::move(writer)) {}
+
+void OneShotRun::start() {
+  worker_.held.insert(shared_from_this());
+  ticket_ = worker_.slots.acquire([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->onSlot();
+    }
+  });
+  if (ticket_ == SlotQueue::Refused) {
+    writer_->respond(worker_.refusal(503, identity_.request_id, "queue full"));
+    worker_.forget(shared_from_this());
+  }
+}
+
+void OneShotRun::onSlot() {
+  run_ = worker_.nextRun();
+  worker_.note("start", Kind, run_, identity_, 0, 0);
+  work_timer_ = worker_.dispatcher.createTimer([this] { onWorked(); });
+  work_timer_->enable(worker_.options.one_shot_time);
+}
+
+void OneShotRun::onWorked() {
+  FaultOrder& fault = worker_.fault;
+  if (fault.waits_for_piece && fault.take(FaultMode::Crash)) {
+    worker_.crash();
+    return;
+  }
+  worker_.note("end", Kind, run_, identity_, 0, 0);
+  worker_.slots.release();
+  if (fault.take(FaultMode::Stall)) {
+    return;
+  }
+  if (fault.take(FaultMode::SilentClose) || fault.take(FaultMode::Cut)) {
+    writer_->abort();
+    worker_.forget(shared_from_this());
+    return;
+  }
+  if (fault.take(FaultMode::Late)) {
+    answer_timer_ = worker_.dispatcher.createTimer([this] { answer(); });
+    answer_timer_->enable(fault.delay);
+    return;
+  }
+  answer();
+}
+
+void OneShotRun::answer() {
+  std::string shown_request = identity_.request_id;
+  if (worker_.fault.take(FaultMode::Crossed)) {
+    const bool usable =
+        !worker_.last_request_id.empty() && worker_.last_request_id != identity_.request_id;
+    shown_request = usable ? worker_.last_request_id : "crossed-" + identity_.request_id;
+  }
+  http::Response response;
+  response.headers = worker_.answerHeaders(shown_request);
+  response.headers.push_back({"Run", run_});
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = boost::json::serialize(
+      boost::json::object{{"result", "done " + identity_.idempotency_key}, {"run", run_}});
+  writer_->respond(std::move(response));
+  worker_.last_request_id = identity_.request_id;
+  worker_.forget(shared_from_this());
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/one_shot_run.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "switchsaddle/http/server.h"
+#include "worker_state.h"
+
+namespace switchsaddle::laboratory {
+
+/**
+ * One one-shot: its effect takes place at "start", and it goes on when the client has gone, as a
+ * charge does.
+ */
+class OneShotRun : public HeldRequest, public std::enable_shared_from_this<OneShotRun> {
+ public:
+  OneShotRun(WorkerState& worker, RequestIdentity identity, http::ResponseWriterPtr writer);
+  void start();
+
+ private:
+  void onSlot();
+  void onWorked();
+  void answer();
+
+  WorkerState& worker_;
+  RequestIdentity identity_;
+  http::ResponseWriterPtr writer_;
+  base::TimerPtr work_timer_;
+  base::TimerPtr answer_timer_;
+  SlotQueue::Ticket ticket_ = SlotQueue::Refused;
+  std::string run_;
+};
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/stream_run.cc
@@ -0,0 +1,172 @@
+#include "stream_run.h"
+
+#include <boost/json.hpp>
+#include <functional>
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr const char* Kind = "stream";
+
+std::string pieceEvent(std::uint64_t index, const std::string& run) {
+  const boost::json::object data{{"run", run},
+                                 {"index", index},
+                                 {"text", "word" + std::to_string(index) + " "},
+                                 {"tokens", 1}};
+  return "id: " + std::to_string(index) + "\ndata: " + boost::json::serialize(data) + "\n\n";
+}
+
+}  // namespace
+
+StreamRun::StreamRun(WorkerState& worker, StreamRequest request, http::ResponseWriterPtr writer)
+    : worker_(worker), request_(std::move(request)), writer_(std::move(writer)) {}
+
+void StreamRun::start() {
+  const std::weak_ptr<StreamRun> weak = weak_from_this();
+  worker_.held.insert(shared_from_this());
+  writer_->onClientGone([weak] {
+    if (const auto self = weak.lock()) {
+      self->onClientGone();
+    }
+  });
+  ticket_ = worker_.slots.acquire([weak] {
+    if (const auto self = weak.lock()) {
+      self->onSlot();
+    }
+  });
+  if (ticket_ == SlotQueue::Refused) {
+    closed_ = true;
+    writer_->respond(worker_.refusal(503, request_.identity.request_id, "queue full"));
+    worker_.forget(shared_from_this());
+  }
+}
+
+void StreamRun::onSlot() {
+  running_ = true;
+  run_ = worker_.nextRun();
+  shown_run_ = run_;
+  cached_tokens_ = worker_.cache.cachedTokens(request_.parts);
+  std::uint64_t prompt_tokens = request_.own_tokens;
+  for (const PrefixPart& part : request_.parts) {
+    prompt_tokens += part.tokens;
+  }
+  worker_.cache.insert(request_.parts);
+  worker_.note("start", Kind, run_, request_.identity, cached_tokens_, 0);
+
+  const base::Duration age = worker_.dispatcher.now() - worker_.started;
+  const std::uint64_t uncached = request_.prefilled ? 0 : prompt_tokens - cached_tokens_;
+  base::Duration delay = worker_.options.speed.prefillTime(uncached, age);
+  if (worker_.fault.take(FaultMode::Late)) {
+    delay += worker_.fault.delay;
+  }
+  prefill_timer_ = worker_.dispatcher.createTimer([this] { onPrefilled(); });
+  prefill_timer_->enable(delay);
+}
+
+void StreamRun::onPrefilled() {
+  http::Response head;
+  head.headers = worker_.answerHeaders(request_.identity.request_id);
+  head.headers.push_back({"Run", run_});
+  head.headers.push_back({"Cached-Tokens", std::to_string(cached_tokens_)});
+  head.headers.push_back({"Content-Type", "text/event-stream"});
+  writer_->startStream(std::move(head));
+  piece_timer_ = worker_.dispatcher.createTimer([this] { sendPiece(); });
+  piece_timer_->enable(base::Duration::zero());
+}
+
+void StreamRun::sendPiece() {
+  if (struck()) {
+    return;
+  }
+  if (pieces_ == request_.output_tokens) {
+    finish();
+    return;
+  }
+  std::string chunk = pieceEvent(index_, shown_run_);
+  ++pieces_;
+  ++index_;
+  sendChunk(std::move(chunk));
+}
+
+void StreamRun::sendChunk(std::string chunk) {
+  writer_->writeChunk(std::move(chunk), [weak = weak_from_this()](bool taken) {
+    if (const auto self = weak.lock()) {
+      self->onWritten(taken);
+    }
+  });
+}
+
+void StreamRun::onWritten(bool taken) {
+  if (closed_) {
+    return;
+  }
+  if (!taken) {
+    onClientGone();
+    return;
+  }
+  piece_timer_->enable(worker_.options.speed.tokenTime(worker_.slots.running()));
+}
+
+bool StreamRun::struck() {
+  FaultOrder& fault = worker_.fault;
+  if (pieces_ < fault.after_pieces) {
+    return false;
+  }
+  if (fault.waits_for_piece && fault.take(FaultMode::Crash)) {
+    worker_.crash();
+    return true;
+  }
+  if (fault.take(FaultMode::Stall)) {
+    return true;
+  }
+  if (fault.take(FaultMode::Cut)) {
+    close("cancelled");
+    writer_->abort();
+    return true;
+  }
+  if (fault.take(FaultMode::SilentClose)) {
+    close("cancelled");
+    writer_->endStream();
+    return true;
+  }
+  if (fault.take(FaultMode::Gap)) {
+    ++index_;
+  } else if (index_ > 0 && fault.take(FaultMode::Repeat)) {
+    --index_;
+  } else if (fault.take(FaultMode::ChangeRun)) {
+    shown_run_ = run_ + "-other";
+  }
+  return false;
+}
+
+void StreamRun::finish() {
+  close("end");
+  writer_->writeChunk("id: " + std::to_string(index_) + "\ndata: [DONE]\n\n", [](bool) {});
+  writer_->endStream();
+  worker_.last_request_id = request_.identity.request_id;
+}
+
+void StreamRun::onClientGone() {
+  if (!closed_) {
+    close("cancelled");
+  }
+}
+
+void StreamRun::close(const std::string& event) {
+  const auto self = shared_from_this();
+  closed_ = true;
+  for (const base::TimerPtr& timer : {std::cref(prefill_timer_), std::cref(piece_timer_)}) {
+    if (timer != nullptr) {
+      timer->disable();
+    }
+  }
+  if (running_) {
+    worker_.note(event, Kind, run_, request_.identity, cached_tokens_, pieces_);
+    worker_.slots.release();
+  } else {
+    worker_.slots.cancel(ticket_);
+  }
+  worker_.forget(self);
+}
+
+}  // namespace switchsaddle::laboratory
