Add the stream relay, claims and the worker protocol

Cause: fronts need the sequence of a worker's stream checked, and one-shot keys claimed at most once. Change: EventStreamParser, SequenceChecker and RelayMachine (no sockets); ClaimService over registers and PeerClaimClient with the next core on silence; docs/WORKERS.md. SequenceChecker gains expectRun, WorkerEvent gains tokens; streams links Boost.JSON, claims names transport. A claim that a run withdrew before its begin was recorded is kept as not run, so that the late begin can't hold the key for nobody. A corrupt claim reads as unknown. Not done: claims are not removed after their lifetime.

--- /dev/null
+++ b/libraries/claims/include/switchsaddle/claims/claim_value.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "switchsaddle/wire/claim_messages.h"
+
+namespace switchsaddle::claims {
+
+/** What the register of one claim holds. */
+struct ClaimValue {
+  wire::ClaimState state = wire::ClaimState::InFlight;
+  /** Hash of the request that claimed the key. */
+  std::uint64_t fingerprint = 0;
+  /** The attempt that holds or ended the claim. */
+  std::string run;
+  std::uint16_t http_status = 0;
+  /** The recorded answer; only with state Ran. */
+  std::string answer;
+  std::uint32_t lifetime_s = 0;
+};
+
+/** The register's key of a claim. No two pairs of tenant and idempotency key share one. */
+std::string claimKey(const std::string& tenant, const std::string& idempotency_key);
+
+std::string encodeClaim(const ClaimValue& value);
+
+/** Reverses encodeClaim(). Throws base::Error with RecordCorrupt. */
+ClaimValue decodeClaim(const std::string& bytes);
+
+}  // namespace switchsaddle::claims
--- /dev/null
+++ b/libraries/claims/include/switchsaddle/claims/peer_claim_client.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/claims/claim_client.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::claims {
+
+/** Bounds of the claim client. */
+struct ClaimClientOptions {
+  /** A core node silent for this long is passed over for the next. */
+  base::Duration core_silence = std::chrono::milliseconds(300);
+  /** The whole of a begin or finish; then it is answered as unavailable. */
+  base::Duration deadline = std::chrono::seconds(2);
+  /** Pause after all core nodes have been asked in vain. */
+  base::Duration pause = std::chrono::milliseconds(50);
+};
+
+/**
+ * Asks core nodes in turn for claims, beginning with the one that answered last. Each callback runs
+ * exactly once unless the client is destroyed before. An answer `available == false` means that the
+ * request may or may not be recorded. Runs on the dispatcher's strand.
+ */
+class PeerClaimClient : public ClaimClient {
+ public:
+  using CoreAddresses = std::function<std::vector<base::NodeAddress>()>;
+
+  /** `cores` is asked at each try for the core nodes known now. */
+  PeerClaimClient(base::Dispatcher& dispatcher, transport::PeerCalls& calls, CoreAddresses cores,
+                  ClaimClientOptions options = {});
+
+  void begin(const wire::ClaimBegin& request, ClaimCallback callback) override;
+  void finish(const wire::ClaimFinish& request, ClaimCallback callback) override;
+
+ private:
+  struct Operation {
+    wire::Message request;
+    ClaimCallback callback;
+    base::TimePoint deadline;
+    std::size_t core = 0;
+    std::size_t tries_in_round = 0;
+    base::TimerPtr pause;
+  };
+
+  void startOperation(wire::Message request, ClaimCallback callback);
+  void tryNext(std::uint64_t id);
+  void onAnswer(std::uint64_t id, std::size_t core, const transport::CallResult& result);
+  void passOver(std::uint64_t id);
+  void end(std::uint64_t id, const wire::ClaimReply& reply);
+
+  base::Dispatcher& dispatcher_;
+  transport::PeerCalls& calls_;
+  CoreAddresses cores_;
+  ClaimClientOptions options_;
+  std::size_t preferred_core_ = 0;
+  std::uint64_t next_id_ = 0;
+  std::map<std::uint64_t, Operation> operations_;
+  /** Expires with this object, so that answers do not outlive it. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::claims
--- /dev/null
+++ b/libraries/claims/source/peer_claim_client.cc
@@ -0,0 +1,78 @@
+#include "switchsaddle/claims/peer_claim_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace switchsaddle::claims {
+
+PeerClaimClient::PeerClaimClient(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                                 CoreAddresses cores, ClaimClientOptions options)
+    : dispatcher_(dispatcher), calls_(calls), cores_(std::move(cores)), options_(options) {}
+
+void PeerClaimClient::begin(const wire::ClaimBegin& request, ClaimCallback callback) {
+  startOperation(request, std::move(callback));
+}
+
+void PeerClaimClient::finish(const wire::ClaimFinish& request, ClaimCallback callback) {
+  startOperation(request, std::move(callback));
+}
+
+void PeerClaimClient::startOperation(wire::Message request, ClaimCallback callback) {
+  const std::uint64_t id = next_id_++;
+  Operation operation;
+  operation.request = std::move(request);
+  operation.callback = std::move(callback);
+  operation.deadline = dispatcher_.now() + options_.deadline;
+  operation.core = preferred_core_;
+  operation.pause = dispatcher_.createTimer([this, id] { tryNext(id); });
+  operations_.emplace(id, std::move(operation));
+  tryNext(id);
+}
+
+void PeerClaimClient::tryNext(std::uint64_t id) {
+  Operation& operation = operations_.at(id);
+  const base::Duration left = operation.deadline - dispatcher_.now();
+  if (left <= base::Duration::zero()) {
+    end(id, wire::ClaimReply{});
+    return;
+  }
+  const std::vector<base::NodeAddress> cores = cores_();
+  if (cores.empty() || operation.tries_in_round >= cores.size()) {
+    operation.tries_in_round = 0;
+    operation.pause->enable(std::min(options_.pause, left));
+    return;
+  }
+  ++operation.tries_in_round;
+  const std::size_t core = operation.core % cores.size();
+  calls_.call(cores[core], operation.request, std::min(options_.core_silence, left),
+              [this, alive = std::weak_ptr(alive_), id, core](const auto& result) {
+                if (!alive.expired()) {
+                  onAnswer(id, core, result);
+                }
+              });
+}
+
+void PeerClaimClient::onAnswer(std::uint64_t id, std::size_t core,
+                               const transport::CallResult& result) {
+  const auto* reply = result.as<wire::ClaimReply>();
+  if (reply == nullptr || !reply->available) {
+    passOver(id);
+    return;
+  }
+  preferred_core_ = core;
+  end(id, *reply);
+}
+
+void PeerClaimClient::passOver(std::uint64_t id) {
+  ++operations_.at(id).core;
+  tryNext(id);
+}
+
+void PeerClaimClient::end(std::uint64_t id, const wire::ClaimReply& reply) {
+  const auto found = operations_.find(id);
+  const ClaimCallback callback = std::move(found->second.callback);
+  operations_.erase(found);
+  callback(reply);
+}
+
+}  // namespace switchsaddle::claims
--- a/libraries/streams/include/switchsaddle/streams/sequence_checker.h
+++ b/libraries/streams/include/switchsaddle/streams/sequence_checker.h
@@ -18,6 +18,8 @@
   std::string data;
   /** The worker's own end of the run ("[DONE]"); index then is the number of pieces. */
   bool done = false;
+  /** Output tokens of the piece, as the worker counts them. */
+  std::uint32_t tokens = 1;
 };
 
 /**
@@ -26,6 +28,9 @@
  */
 class SequenceChecker {
  public:
+  /** Binds the stream to the run the worker named in its response header; an empty name binds
+   * nothing. Called before the first event. */
+  void expectRun(const std::string& run);
   /** Ok, or StreamGap, StreamRepeat or StreamRunChanged. */
   base::ResultCode accept(const WorkerEvent& event);
   /** Whether the run's own end has been accepted. */
