Add the front's one-shot and stream flows with their limits

Cause: a front must run one-shots at most once and end each stream truly. Change: OneShotFlow (claim, slot, session check, dispatch on a fresh connection, record), StreamFlow (admit, place, dispatch, relay, record), RetryBudget, WorkerCircuit, Stage and BoundedQueue, judgePlacement, Counters, WorkerPort. The slot of a one-shot is taken after its claim, so that a refusal can promise that the key has not run. A claim that can't be read is answered unknown, since an earlier attempt may have run.

--- /dev/null
+++ b/libraries/front/include/switchsaddle/front/retry_budget.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "switchsaddle/base/dispatcher.h"
+
+namespace switchsaddle::front {
+
+/**
+ * Keeps the retries of each service below a share of its first tries over a sliding window. There
+ * is no floor: a service with few first tries has no retries, so that nothing adds up over a fleet.
+ * Counted in slices; first tries leave the window early and retries late by up to one slice, so
+ * that rounding never allows a retry too many. Runs on the control strand.
+ */
+class RetryBudget {
+ public:
+  static constexpr base::Duration Window = std::chrono::seconds(10);
+  static constexpr base::Duration Slice = std::chrono::milliseconds(100);
+
+  explicit RetryBudget(base::Dispatcher& dispatcher) : dispatcher_(dispatcher) {}
+
+  void countFirstTry(const std::string& service);
+  /** Counts a retry and returns true where retries + 1 <= share * first tries; else counts nothing.
+   */
+  bool trySpend(const std::string& service, double share);
+
+ private:
+  struct SliceCount {
+    base::TimePoint start;
+    std::uint64_t count = 0;
+  };
+  struct Counts {
+    std::deque<SliceCount> slices;
+    std::uint64_t total = 0;
+  };
+  struct ServiceCounts {
+    Counts first_tries;
+    Counts retries;
+  };
+
+  void count(Counts& counts);
+  void expire(Counts& counts, base::Duration age);
+
+  base::Dispatcher& dispatcher_;
+  std::map<std::string, ServiceCounts> services_;
+};
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/one_shot_run.cc
@@ -0,0 +1,415 @@
+#include "one_shot_run.h"
+
+#include <utility>
+
+namespace switchsaddle::front {
+
+using base::ResultCode;
+using wire::ClaimState;
+
+namespace {
+
+/** Between looks at a key that is in flight elsewhere. */
+constexpr base::Duration PollInterval = std::chrono::milliseconds(100);
+/** For recording a not-run end once the caller's deadline has passed. */
+constexpr base::Duration RecordGrace = std::chrono::milliseconds(500);
+/** Longest answer that is recorded. */
+constexpr std::size_t MaximumAnswerBytes = 1U << 20U;
+/** Rounds of recording an end while the core can't be reached. */
+constexpr int RecordTries = 10;
+constexpr std::uint16_t StatusOk = 200;
+
+/** Passes a worker's answer on to the run while there is one. */
+class OneShotObserver : public WorkerObserver {
+ public:
+  OneShotObserver(std::weak_ptr<OneShotRun> run, std::string attempt)
+      : run_(std::move(run)), attempt_(std::move(attempt)) {}
+
+  void onHead(const WorkerHead& head) override {
+    if (const auto run = run_.lock()) {
+      run->onHead(attempt_, head);
+    }
+  }
+  void onBytes(std::string bytes, std::function<void()> resume) override {
+    if (const auto run = run_.lock()) {
+      run->onBytes(attempt_, bytes);
+      resume();
+    }
+  }
+  void onComplete() override {
+    if (const auto run = run_.lock()) {
+      run->onComplete(attempt_);
+    }
+  }
+  void onFailure(WorkerFailure failure, bool refused) override {
+    if (const auto run = run_.lock()) {
+      run->onFailure(attempt_, failure, refused);
+    }
+  }
+
+ private:
+  std::weak_ptr<OneShotRun> run_;
+  std::string attempt_;
+};
+
+OneShotAnswer notRun(ResultCode code, std::uint32_t retry_after_ms) {
+  OneShotAnswer answer;
+  answer.outcome = Outcome::NotRun;
+  answer.code = code;
+  answer.retry_after_ms = retry_after_ms;
+  return answer;
+}
+
+OneShotAnswer unknown(ResultCode code) {
+  OneShotAnswer answer;
+  answer.outcome = Outcome::Unknown;
+  answer.code = code;
+  return answer;
+}
+
+}  // namespace
+
+OneShotRun::OneShotRun(OneShotFlow& flow, OneShotRequest request, OneShotCallback callback)
+    : flow_(flow),
+      environment_(flow.environment_),
+      request_(std::move(request)),
+      callback_(std::move(callback)) {}
+
+void OneShotRun::start() {
+  deadline_timer_ = environment_.dispatcher.createTimer([this] { onDeadline(); });
+  poll_timer_ = environment_.dispatcher.createTimer([this] { sendBegin(); });
+  deadline_timer_->enable(request_.deadline);
+  claim();
+}
+
+void OneShotRun::claim() {
+  state_ = State::Claiming;
+  run_ = flow_.newRunName();
+  sendBegin();
+}
+
+void OneShotRun::sendBegin() {
+  const wire::ClaimBegin begin{request_.tenant, request_.idempotency_key, request_.fingerprint,
+                               run_, wire::ClaimBegin{}.lifetime_s};
+  environment_.claims.begin(
+      begin, [flow = &flow_, alive = std::weak_ptr(flow_.alive_), weak = weak_from_this(),
+              withdrawal = finishOf(ClaimState::NotRun)](const wire::ClaimReply& reply) {
+        if (alive.expired()) {
+          return;
+        }
+        const auto run = weak.lock();
+        const bool awaited = run && run->state_ == State::Claiming && run->run_ == withdrawal.run;
+        if (!reply.available || (reply.won && !awaited)) {
+          // The key must not stay claimed by an attempt that will never dispatch.
+          flow->record(withdrawal, {}, RecordTries);
+        }
+        if (awaited) {
+          run->onClaim(reply);
+        }
+      });
+}
+
+void OneShotRun::onClaim(const wire::ClaimReply& reply) {
+  if (!reply.available) {
+    // An earlier attempt under this key may have run, so "not run" can't be promised.
+    answer(unknown(ResultCode::ClaimsUnavailable));
+    return;
+  }
+  if (reply.won) {
+    acquireSlot();
+    return;
+  }
+  if (reply.state != ClaimState::NotRun && reply.fingerprint != request_.fingerprint) {
+    answer(unknown(ResultCode::KeyReusedForOtherRequest));
+    return;
+  }
+  if (reply.state == ClaimState::Ran) {
+    OneShotAnswer recorded;
+    recorded.outcome = Outcome::Ran;
+    recorded.replayed = true;
+    recorded.answer = reply.answer;
+    answer(recorded);
+    return;
+  }
+  if (reply.state == ClaimState::Unknown) {
+    answer(unknown(ResultCode::OutcomeUnknown));
+    return;
+  }
+  seen_in_flight_elsewhere_ = true;
+  poll_timer_->enable(PollInterval);
+}
+
+void OneShotRun::acquireSlot() {
+  if (slot_) {
+    dispatch();
+    return;
+  }
+  state_ = State::AwaitingSlot;
+  environment_.slots.acquire(request_.branch,
+                             [weak = weak_from_this()](admission::SlotOutcome outcome) {
+                               if (const auto run = weak.lock()) {
+                                 run->onSlot(std::move(outcome));
+                               }
+                             });
+}
+
+void OneShotRun::onSlot(admission::SlotOutcome outcome) {
+  if (state_ != State::AwaitingSlot) {
+    return;
+  }
+  if (!outcome.hold) {
+    withhold(outcome.code, outcome.retry_after_ms);
+    return;
+  }
+  slot_ = std::move(outcome.hold);
+  dispatch();
+}
+
+void OneShotRun::dispatch() {
+  const workers::WorkerSnapshotPtr snapshot = environment_.beliefs.workers();
+  const workers::Worker* worker = flow_.chooseWorker(*snapshot, request_, excluded_);
+  if (worker == nullptr) {
+    withhold(ResultCode::NoWorkerAvailable, OneShotAnswer{}.retry_after_ms);
+    return;
+  }
+  if (!first_try_counted_) {
+    first_try_counted_ = true;
+    environment_.retries.countFirstTry(request_.service);
+  }
+  if (!environment_.session.mayDispatch()) {
+    withhold(ResultCode::NotServing, OneShotAnswer{}.retry_after_ms);
+    return;
+  }
+  send(*worker);
+}
+
+void OneShotRun::send(const workers::Worker& worker) {
+  state_ = State::Dispatched;
+  worker_ = worker;
+  head_matches_ = false;
+  body_.clear();
+  ++flow_.in_flight_[worker_.entry.id];
+  ++environment_.counters.dispatches;
+  environment_.circuit.onDispatch(worker_);
+  WorkerRequest request;
+  request.address = worker_.entry.address;
+  request.target = "/v1/one-shots";
+  request.request_id = run_;
+  request.idempotency_key = request_.idempotency_key;
+  request.body = request_.body;
+  request.fresh_connection = true;
+  request.response_timeout = request_.deadline;
+  call_ =
+      environment_.workers.send(request, std::make_shared<OneShotObserver>(weak_from_this(), run_));
+}
+
+void OneShotRun::onHead(const std::string& attempt, const WorkerHead& head) {
+  if (!isDispatched(attempt)) {
+    return;
+  }
+  environment_.circuit.onConnected(worker_);
+  if (head.draining) {
+    environment_.beliefs.observeDraining(worker_);
+  }
+  head_matches_ = head.request_id == run_ && head.status == StatusOk;
+  if (!head_matches_) {
+    endUnknown();
+  }
+}
+
+void OneShotRun::onBytes(const std::string& attempt, const std::string& bytes) {
+  if (!isDispatched(attempt)) {
+    return;
+  }
+  if (body_.size() + bytes.size() > MaximumAnswerBytes) {
+    endUnknown();
+    return;
+  }
+  body_ += bytes;
+}
+
+void OneShotRun::onComplete(const std::string& attempt) {
+  if (!isDispatched(attempt)) {
+    return;
+  }
+  if (head_matches_) {
+    endRan();
+  } else {
+    endUnknown();
+  }
+}
+
+void OneShotRun::onFailure(const std::string& attempt, WorkerFailure failure, bool refused) {
+  if (!isDispatched(attempt)) {
+    return;
+  }
+  if (refused) {
+    environment_.circuit.onRefused(worker_);
+    environment_.beliefs.observeRefused(worker_);
+  }
+  if (failure != WorkerFailure::NotSent) {
+    endUnknown();
+    return;
+  }
+  excluded_.insert(worker_.entry.id);
+  leaveWorker();
+  retryOrWithhold();
+}
+
+void OneShotRun::retryOrWithhold() {
+  state_ = State::Recording;
+  flow_.record(
+      finishOf(ClaimState::NotRun),
+      [weak = weak_from_this()](const wire::ClaimReply& reply) {
+        const auto run = weak.lock();
+        if (!run || run->state_ != State::Recording) {
+          return;
+        }
+        if (!reply.won) {
+          run->answer(unknown(ResultCode::OutcomeUnknown));
+          return;
+        }
+        const ResultCode code = run->mayRetry();
+        if (code == ResultCode::Ok) {
+          ++run->environment_.counters.retries;
+          run->claim();
+          return;
+        }
+        run->answer(notRun(code, OneShotAnswer{}.retry_after_ms));
+      },
+      RecordTries);
+}
+
+ResultCode OneShotRun::mayRetry() {
+  const workers::WorkerSnapshotPtr snapshot = environment_.beliefs.workers();
+  const bool possible = !grace_given_ && environment_.session.mayDispatch() &&
+                        flow_.chooseWorker(*snapshot, request_, excluded_) != nullptr;
+  if (!possible) {
+    return ResultCode::NotRun;
+  }
+  const double share = environment_.beliefs.configuration()->tuning.retry_share;
+  const bool spent = environment_.retries.trySpend(request_.service, share);
+  return spent ? ResultCode::Ok : ResultCode::RetryBudgetSpent;
+}
+
+void OneShotRun::withhold(ResultCode code, std::uint32_t retry_after_ms) {
+  state_ = State::Recording;
+  flow_.record(
+      finishOf(ClaimState::NotRun),
+      [weak = weak_from_this(), code, retry_after_ms](const wire::ClaimReply& reply) {
+        const auto run = weak.lock();
+        if (run && run->state_ == State::Recording) {
+          run->answer(reply.won ? notRun(code, retry_after_ms)
+                                : unknown(ResultCode::OutcomeUnknown));
+        }
+      },
+      RecordTries);
+}
+
+void OneShotRun::endRan() {
+  leaveWorker();
+  state_ = State::Recording;
+  ran_ = true;
+  wire::ClaimFinish finish = finishOf(ClaimState::Ran);
+  finish.http_status = StatusOk;
+  finish.answer = body_;
+  flow_.record(
+      finish,
+      [weak = weak_from_this()](const wire::ClaimReply& /*reply*/) {
+        const auto run = weak.lock();
+        if (run && run->state_ == State::Recording) {
+          run->answer(OneShotAnswer{Outcome::Ran, false, run->body_, ResultCode::Ok, 0});
+        }
+      },
+      RecordTries);
+}
+
+void OneShotRun::endUnknown() {
+  leaveWorker();
+  state_ = State::Recording;
+  flow_.record(
+      finishOf(ClaimState::Unknown),
+      [weak = weak_from_this()](const wire::ClaimReply& /*reply*/) {
+        const auto run = weak.lock();
+        if (run && run->state_ == State::Recording) {
+          run->answer(unknown(ResultCode::OutcomeUnknown));
+        }
+      },
+      RecordTries);
+}
+
+void OneShotRun::leaveWorker() {
+  const auto found = flow_.in_flight_.find(worker_.entry.id);
+  if (found != flow_.in_flight_.end() && --found->second == 0) {
+    flow_.in_flight_.erase(found);
+  }
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+}
+
+void OneShotRun::onDeadline() {
+  const auto self = shared_from_this();
+  switch (state_) {
+    case State::Claiming:
+      poll_timer_->disable();
+      answer(unknown(seen_in_flight_elsewhere_ ? ResultCode::OutcomeUnknown
+                                               : ResultCode::ClaimsUnavailable));
+      return;
+    case State::AwaitingSlot:
+      grace_given_ = true;
+      deadline_timer_->enable(RecordGrace);
+      withhold(ResultCode::LimitsUnavailable, OneShotAnswer{}.retry_after_ms);
+      return;
+    case State::Dispatched:
+      endUnknown();
+      break;
+    case State::Recording:
+      break;
+    case State::Over:
+      return;
+  }
+  if (state_ == State::Over) {
+    return;
+  }
+  // The record goes on in the flow; the caller waits no longer.
+  if (ran_) {
+    answer(OneShotAnswer{Outcome::Ran, false, body_, ResultCode::Ok, 0});
+  } else {
+    answer(unknown(ResultCode::OutcomeUnknown));
+  }
+}
+
+void OneShotRun::answer(const OneShotAnswer& answer) {
+  const auto self = shared_from_this();
+  state_ = State::Over;
+  Counters& counters = environment_.counters;
+  counters.one_shots_ran += answer.outcome == Outcome::Ran && !answer.replayed ? 1 : 0;
+  counters.one_shots_replayed += answer.replayed ? 1 : 0;
+  counters.one_shots_not_run += answer.outcome == Outcome::NotRun ? 1 : 0;
+  counters.one_shots_unknown += answer.outcome == Outcome::Unknown ? 1 : 0;
+  if (answer.code != ResultCode::Ok) {
+    ++counters.refusals[answer.code];
+  }
+  flow_.runs_.erase(self);
+  slot_.reset();
+  deadline_timer_->disable();
+  poll_timer_->disable();
+  callback_(answer);
+}
+
+bool OneShotRun::isDispatched(const std::string& attempt) const {
+  return state_ == State::Dispatched && attempt == run_;
+}
+
+wire::ClaimFinish OneShotRun::finishOf(ClaimState state) const {
+  wire::ClaimFinish finish;
+  finish.tenant = request_.tenant;
+  finish.idempotency_key = request_.idempotency_key;
+  finish.run = run_;
+  finish.state = state;
+  return finish;
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/stream_run.cc
@@ -0,0 +1,385 @@
+#include "stream_run.h"
+
+#include <utility>
+
+#include "switchsaddle/front/admission_gate.h"
+
+namespace switchsaddle::front {
+
+using base::ResultCode;
+
+namespace {
+
+constexpr const char* CompletionsService = "completions";
+constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint32_t DefaultRetryAfterMs = 1'000;
+/** Longest wait for a worker's response header. */
+constexpr base::Duration ResponseTimeout = std::chrono::seconds(15);
+
+/** Passes a worker's answer on to the run while there is one. */
+class StreamObserver : public WorkerObserver {
+ public:
+  StreamObserver(std::weak_ptr<StreamRun> run, std::string attempt)
+      : run_(std::move(run)), attempt_(std::move(attempt)) {}
+
+  void onHead(const WorkerHead& head) override {
+    if (const auto run = run_.lock()) {
+      run->onHead(attempt_, head);
+    }
+  }
+  void onBytes(std::string bytes, std::function<void()> resume) override {
+    if (const auto run = run_.lock()) {
+      run->onBytes(attempt_, bytes, std::move(resume));
+    }
+  }
+  void onComplete() override {
+    if (const auto run = run_.lock()) {
+      run->onComplete(attempt_);
+    }
+  }
+  void onFailure(WorkerFailure failure, bool refused) override {
+    if (const auto run = run_.lock()) {
+      run->onFailure(attempt_, failure, refused);
+    }
+  }
+
+ private:
+  std::weak_ptr<StreamRun> run_;
+  std::string attempt_;
+};
+
+const configuration::Route* findRoute(const configuration::View& view, const std::string& model) {
+  for (const auto& [name, route] : view.routes) {
+    if (route.service != CompletionsService) {
+      continue;
+    }
+    for (const std::string& served : route.models) {
+      if (served == model) {
+        return &route;
+      }
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+StreamRun::StreamRun(StreamFlow& flow, StreamRequest request, std::shared_ptr<StreamSink> sink)
+    : flow_(flow),
+      environment_(flow.environment_),
+      request_(std::move(request)),
+      sink_(std::move(sink)) {}
+
+void StreamRun::start() {
+  deadline_timer_ = environment_.dispatcher.createTimer([this] {
+    const auto self = shared_from_this();
+    excluded_.clear();
+    last_failure_ = ResultCode::StreamBroken;
+    if (relay_.mayRetryElsewhere()) {
+      refuse(ResultCode::StreamBroken, DefaultRetryAfterMs);
+    } else {
+      attemptFailed(ResultCode::StreamBroken);
+    }
+  });
+  deadline_timer_->enable(std::chrono::milliseconds(request_.shape.stream_deadline_ms));
+  const bool queued = environment_.stages.admit.submit([weak = weak_from_this()](auto ticket) {
+    if (const auto run = weak.lock(); run && !run->over_) {
+      run->admit(std::move(ticket));
+    }
+  });
+  if (!queued) {
+    refuse(ResultCode::QueueFull, DefaultRetryAfterMs);
+  }
+}
+
+void StreamRun::admit(StageTicket ticket) {
+  ticket_ = std::move(ticket);
+  environment_.slots.acquire(request_.branch,
+                             [weak = weak_from_this()](admission::SlotOutcome outcome) {
+                               if (const auto run = weak.lock(); run && !run->over_) {
+                                 run->onSlot(std::move(outcome));
+                               }
+                             });
+}
+
+void StreamRun::onSlot(admission::SlotOutcome outcome) {
+  if (!outcome.hold) {
+    refuse(outcome.code, outcome.retry_after_ms);
+    return;
+  }
+  slot_ = std::move(outcome.hold);
+  const StageTicket admitted = std::exchange(ticket_, {});
+  const bool queued = environment_.stages.relay.submit([weak = weak_from_this()](auto ticket) {
+    if (const auto run = weak.lock(); run && !run->over_) {
+      run->ticket_ = std::move(ticket);
+      run->place();
+    }
+  });
+  if (!queued) {
+    refuse(ResultCode::QueueFull, DefaultRetryAfterMs);
+  }
+}
+
+void StreamRun::place() {
+  std::optional<routing::Placement> placement = choose();
+  if (!placement) {
+    return;
+  }
+  placement_ = std::move(placement);
+  completion_ = routing::Completion{};
+  completion_.ticket = placement_->ticket;
+  placement_sent_ = false;
+  if (mayDispatch(*placement_)) {
+    send(*placement_);
+  }
+}
+
+std::optional<routing::Placement> StreamRun::choose() {
+  const std::shared_ptr<const configuration::View> view = environment_.beliefs.configuration();
+  const configuration::Route* route = findRoute(*view, request_.prompt.model);
+  if (route == nullptr) {
+    refuse(ResultCode::UnknownModel, 0);
+    return std::nullopt;
+  }
+  std::vector<std::string> excluded = environment_.circuit.openWorkers();
+  excluded.insert(excluded.end(), excluded_.begin(), excluded_.end());
+  std::optional<routing::Placement> placement =
+      environment_.router.choose(request_.prompt, *route, excluded);
+  if (!placement) {
+    refuse(last_failure_, DefaultRetryAfterMs);
+  }
+  return placement;
+}
+
+bool StreamRun::mayDispatch(const routing::Placement& placement) {
+  PlacementVerdict verdict;
+  verdict.retry_after_ms = DefaultRetryAfterMs;
+  if (attempts_ == 0) {
+    environment_.retries.countFirstTry(CompletionsService);
+    const PlacementVerdict judged = judgePlacement(placement, request_.shape);
+    verdict = judged.code == ResultCode::Ok ? verdict : judged;
+  } else {
+    const double share = environment_.beliefs.configuration()->tuning.retry_share;
+    const bool spent = environment_.retries.trySpend(CompletionsService, share);
+    verdict.code = spent ? ResultCode::Ok : ResultCode::RetryBudgetSpent;
+    environment_.counters.retries += spent ? 1 : 0;
+  }
+  if (verdict.code == ResultCode::Ok && !environment_.session.mayDispatch()) {
+    verdict.code = ResultCode::NotServing;
+  }
+  if (verdict.code != ResultCode::Ok) {
+    refuse(verdict.code, verdict.retry_after_ms);
+    return false;
+  }
+  return true;
+}
+
+void StreamRun::send(const routing::Placement& placement) {
+  ++attempts_;
+  placement_sent_ = true;
+  ++environment_.counters.dispatches;
+  environment_.counters.streams_started += attempts_ == 1 ? 1 : 0;
+  dispatched_at_ = environment_.dispatcher.now();
+  attempt_ = std::to_string(environment_.random.next()) + '-' + std::to_string(attempts_);
+  resume_ = nullptr;
+  environment_.circuit.onDispatch(placement.prefill);
+  WorkerRequest request;
+  request.address = placement.prefill.entry.address;
+  request.target = "/v1/chat/completions";
+  request.request_id = attempt_;
+  request.body = request_.body;
+  request.response_timeout = ResponseTimeout;
+  if (placement.decode) {
+    request.decode = placement.decode->entry.address;
+  }
+  call_ = environment_.workers.send(request,
+                                    std::make_shared<StreamObserver>(weak_from_this(), attempt_));
+}
+
+void StreamRun::onHead(const std::string& attempt, const WorkerHead& head) {
+  if (!isCurrent(attempt)) {
+    return;
+  }
+  sent_ = true;
+  const workers::Worker& worker = placement_->prefill;
+  environment_.circuit.onConnected(worker);
+  if (head.draining) {
+    environment_.beliefs.observeDraining(worker);
+  }
+  completion_.weights_version = head.weights_version;
+  completion_.cached_tokens = head.cached_tokens;
+  if (request_.prompt.prompt_tokens > head.cached_tokens) {
+    completion_.uncached_tokens = request_.prompt.prompt_tokens - head.cached_tokens;
+  }
+  if (head.load) {
+    completion_.has_load = true;
+    completion_.running = head.load->running;
+    completion_.queued = head.load->queued;
+    completion_.slots = head.load->slots;
+  }
+  if (head.status != StatusOk || head.request_id != attempt) {
+    attemptFailed(ResultCode::WorkerFailed);
+    return;
+  }
+  relay_.onHead(head.run);
+}
+
+void StreamRun::onBytes(const std::string& attempt, const std::string& bytes,
+                        std::function<void()> resume) {
+  if (!isCurrent(attempt)) {
+    return;
+  }
+  const bool first = relay_.pieces() == 0;
+  const streams::RelayStep step = relay_.onBytes(bytes);
+  if (first && relay_.pieces() > 0) {
+    completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
+  }
+  sendEvents(step.events);
+  if (over_) {
+    return;
+  }
+  resume_ = std::move(resume);
+  if (step.code != ResultCode::Ok) {
+    attemptFailed(step.code);
+    return;
+  }
+  if (relay_.ended()) {
+    finish(ResultCode::Ok);
+    return;
+  }
+  if (resume_ && relay_.mayRead()) {
+    std::exchange(resume_, nullptr)();
+  }
+}
+
+void StreamRun::onComplete(const std::string& attempt) {
+  if (isCurrent(attempt)) {
+    attemptFailed(relay_.onWorkerEnd());
+  }
+}
+
+void StreamRun::onFailure(const std::string& attempt, WorkerFailure failure, bool refused) {
+  if (!isCurrent(attempt)) {
+    return;
+  }
+  if (refused) {
+    environment_.circuit.onRefused(placement_->prefill);
+    environment_.beliefs.observeRefused(placement_->prefill);
+  }
+  sent_ = sent_ || failure != WorkerFailure::NotSent;
+  attemptFailed(relay_.mayRetryElsewhere() ? ResultCode::WorkerFailed : ResultCode::StreamBroken);
+}
+
+void StreamRun::attemptFailed(ResultCode code) {
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+  attempt_.clear();
+  last_failure_ = code;
+  if (!relay_.mayRetryElsewhere()) {
+    sendEvents(relay_.endWithError(code).events);
+    if (!over_) {
+      finish(code);
+    }
+    return;
+  }
+  excluded_.push_back(placement_->prefill.entry.id);
+  if (placement_->decode) {
+    excluded_.push_back(placement_->decode->entry.id);
+  }
+  completePlacement(true);
+  relay_.beginAttempt();
+  place();
+}
+
+void StreamRun::sendEvents(const std::vector<std::string>& events) {
+  for (const std::string& event : events) {
+    sink_->sendEvent(event, [weak = weak_from_this()](bool written) {
+      if (const auto run = weak.lock()) {
+        run->onWritten(written);
+      }
+    });
+    if (over_) {
+      return;
+    }
+  }
+}
+
+void StreamRun::onWritten(bool written) {
+  if (over_) {
+    return;
+  }
+  if (!written) {
+    cancel();
+    return;
+  }
+  relay_.onWritten();
+  if (resume_ && relay_.mayRead() && !relay_.ended()) {
+    std::exchange(resume_, nullptr)();
+  }
+}
+
+void StreamRun::finish(ResultCode code) {
+  environment_.counters.streams_finished += code == ResultCode::Ok ? 1 : 0;
+  environment_.counters.streams_broken += code == ResultCode::Ok ? 0 : 1;
+  completePlacement(code != ResultCode::Ok);
+  const auto self = shared_from_this();
+  release();
+  sink_->end(code);
+}
+
+void StreamRun::refuse(ResultCode code, std::uint32_t retry_after_ms) {
+  ++environment_.counters.refusals[code];
+  completePlacement(placement_sent_);
+  const auto self = shared_from_this();
+  release();
+  sink_->refuse(StreamRefusal{code, sent_, retry_after_ms});
+}
+
+void StreamRun::cancel() {
+  if (over_) {
+    return;
+  }
+  completePlacement(false);
+  release();
+}
+
+void StreamRun::completePlacement(bool failed) {
+  if (!placement_) {
+    return;
+  }
+  completion_.failed = failed;
+  completion_.output_tokens = static_cast<std::uint32_t>(relay_.tokens());
+  if (placement_sent_) {
+    completion_.total = environment_.dispatcher.now() - dispatched_at_;
+  }
+  environment_.counters.stream_pieces += relay_.pieces();
+  placement_.reset();
+  environment_.router.complete(completion_);
+}
+
+void StreamRun::release() {
+  const auto self = shared_from_this();
+  abandon();
+  flow_.runs_.erase(self);
+  slot_.reset();
+  const StageTicket ticket = std::exchange(ticket_, {});
+}
+
+void StreamRun::abandon() {
+  over_ = true;
+  attempt_.clear();
+  deadline_timer_->disable();
+  resume_ = nullptr;
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+}
+
+bool StreamRun::isCurrent(const std::string& attempt) const {
+  return !over_ && attempt == attempt_;
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/limits_test.cc
@@ -0,0 +1,102 @@
+#include <gtest/gtest.h>
+
+#include "switchsaddle/front/retry_budget.h"
+#include "switchsaddle/front/stage.h"
+#include "switchsaddle/front/worker_circuit.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::front {
+namespace {
+
+class LimitsTest : public testing::Test {
+ protected:
+  simulation::World world{1};
+  simulation::Process process{world};
+};
+
+TEST_F(LimitsTest, RetriesStayBelowTheShareWithoutAFloor) {
+  RetryBudget budget(process);
+  for (int count = 0; count < 9; ++count) {
+    budget.countFirstTry("orders");
+  }
+  EXPECT_FALSE(budget.trySpend("orders", 0.1));
+  budget.countFirstTry("orders");
+  EXPECT_TRUE(budget.trySpend("orders", 0.1));
+  EXPECT_FALSE(budget.trySpend("orders", 0.1));
+  EXPECT_FALSE(budget.trySpend("cues", 0.1));
+}
+
+TEST_F(LimitsTest, TheRetryWindowSlides) {
+  RetryBudget budget(process);
+  for (int count = 0; count < 20; ++count) {
+    budget.countFirstTry("orders");
+  }
+  EXPECT_TRUE(budget.trySpend("orders", 0.1));
+  world.runFor(std::chrono::seconds(9));
+  EXPECT_TRUE(budget.trySpend("orders", 0.1));
+  EXPECT_FALSE(budget.trySpend("orders", 0.1));
+  world.runFor(std::chrono::seconds(2));
+  EXPECT_FALSE(budget.trySpend("orders", 0.1));
+  for (int count = 0; count < 20; ++count) {
+    budget.countFirstTry("orders");
+  }
+  // One of the retries is still within the window.
+  EXPECT_TRUE(budget.trySpend("orders", 0.1));
+  EXPECT_FALSE(budget.trySpend("orders", 0.1));
+}
+
+TEST_F(LimitsTest, TheCircuitLetsOneProbeThrough) {
+  WorkerCircuit circuit(process);
+  workers::Worker worker;
+  worker.entry.id = "w1";
+  worker.entry.instance = 1;
+  EXPECT_TRUE(circuit.mayTry(worker));
+  circuit.onRefused(worker);
+  EXPECT_FALSE(circuit.mayTry(worker));
+  EXPECT_EQ(circuit.openWorkers(), std::vector<std::string>{"w1"});
+  world.runFor(WorkerCircuit::FirstOpenTime);
+  EXPECT_TRUE(circuit.mayTry(worker));
+  circuit.onDispatch(worker);
+  EXPECT_FALSE(circuit.mayTry(worker));
+  circuit.onConnected(worker);
+  EXPECT_TRUE(circuit.mayTry(worker));
+  circuit.onRefused(worker);
+  worker.entry.instance = 2;
+  EXPECT_TRUE(circuit.mayTry(worker));
+}
+
+TEST(Stage, BoundsWhatRunsAndWhatWaits) {
+  Stage stage(1, 1);
+  std::vector<StageTicket> tickets;
+  std::vector<int> ran;
+  const auto task = [&](int number) {
+    return [&, number](StageTicket ticket) {
+      ran.push_back(number);
+      tickets.push_back(std::move(ticket));
+    };
+  };
+  EXPECT_TRUE(stage.submit(task(1)));
+  EXPECT_TRUE(stage.submit(task(2)));
+  EXPECT_FALSE(stage.submit(task(3)));
+  EXPECT_EQ(ran, std::vector<int>{1});
+  StageTicket first = std::exchange(tickets[0], {});
+  first.reset();
+  EXPECT_EQ(ran, (std::vector<int>{1, 2}));
+  EXPECT_TRUE(stage.submit(task(4)));
+}
+
+TEST(Stage, RunsLongQueuesOfShortTasksOnAFlatStack) {
+  Stage stage(1, 100'000);
+  StageTicket held;
+  int ran = 0;
+  stage.submit([&held](StageTicket ticket) { held = std::move(ticket); });
+  for (int count = 0; count < 100'000; ++count) {
+    EXPECT_TRUE(stage.submit([&ran](const StageTicket& /*ticket*/) { ++ran; }));
+  }
+  held.reset();
+  EXPECT_EQ(ran, 100'000);
+  EXPECT_EQ(stage.running(), 0U);
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/one_shot_flow_test.cc
@@ -0,0 +1,286 @@
+#include "switchsaddle/front/one_shot_flow.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "fakes.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using base::ResultCode;
+using wire::ClaimState;
+
+const std::string Key = "k1";
+
+class OneShotFlowTest : public testing::Test {
+ protected:
+  OneShotFlowTest() {
+    beliefs.view.routes["orders"] = configuration::Route{"orders", "orders", {}, "ordinary"};
+    beliefs.addWorker("w1", "ordinary");
+    beliefs.addWorker("w2", "ordinary");
+  }
+  std::shared_ptr<std::optional<OneShotAnswer>> run(std::uint64_t fingerprint = 7) {
+    auto result = std::make_shared<std::optional<OneShotAnswer>>();
+    OneShotRequest request;
+    request.tenant = "editors";
+    request.service = "orders";
+    request.idempotency_key = Key;
+    request.fingerprint = fingerprint;
+    request.body = "{}";
+    flow->run(request, [result](const OneShotAnswer& answer) {
+      EXPECT_FALSE(result->has_value()) << "answered twice";
+      *result = answer;
+    });
+    return result;
+  }
+  /** Many first tries, so that the budget allows retries. */
+  void fillBudget() {
+    for (int count = 0; count < 100; ++count) {
+      retries.countFirstTry("orders");
+    }
+  }
+  void passDeadline() { world.runFor(std::chrono::seconds(11)); }
+
+  simulation::World world{1};
+  simulation::Process process{world};
+  FakeClaims claims;
+  FakeSlots slots;
+  FakeSession session;
+  FakeWorkers workers;
+  FakeBeliefs beliefs;
+  RetryBudget retries{process};
+  WorkerCircuit circuit{process};
+  Counters counters;
+  std::unique_ptr<OneShotFlow> flow = std::make_unique<OneShotFlow>(
+      OneShotEnvironment{process, world.random(), claims, slots, session, workers, beliefs, retries,
+                         circuit, counters});
+};
+
+TEST_F(OneShotFlowTest, RunsOnceAndReplays) {
+  const auto first = run();
+  ASSERT_EQ(workers.sent.size(), 1U);
+  EXPECT_TRUE(workers.sent[0].request.fresh_connection);
+  EXPECT_EQ(workers.sent[0].request.idempotency_key, Key);
+  EXPECT_EQ(claims.state(Key), ClaimState::InFlight);
+  workers.sent[0].head();
+  workers.sent[0].bytes("{\"n\":");
+  workers.sent[0].bytes("1}");
+  workers.sent[0].observer->onComplete();
+  ASSERT_TRUE(first->has_value());
+  EXPECT_EQ((*first)->outcome, Outcome::Ran);
+  EXPECT_EQ((*first)->answer, "{\"n\":1}");
+  EXPECT_FALSE((*first)->replayed);
+  const auto again = run();
+  ASSERT_TRUE(again->has_value());
+  EXPECT_TRUE((*again)->replayed);
+  EXPECT_EQ((*again)->answer, "{\"n\":1}");
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_EQ(*slots.in_use, 0);
+  EXPECT_EQ(flow->active(), 0U);
+}
+
+/** Ways in which a sent request ends without its matching whole answer. */
+using Ending = std::function<void(const FakeWorkers::Sent&)>;
+class AmbiguousEnd : public OneShotFlowTest, public testing::WithParamInterface<int> {};
+
+const std::vector<Ending> Endings{
+    [](const auto& sent) { sent.observer->onFailure(WorkerFailure::Lost, false); },
+    [](const auto& sent) {
+      sent.head();
+      sent.bytes("{");
+      sent.observer->onFailure(WorkerFailure::Lost, false);
+    },
+    [](const auto& sent) {
+      WorkerHead crossed;
+      crossed.status = 200;
+      crossed.request_id = "another";
+      sent.observer->onHead(crossed);
+    },
+    [](const auto& sent) { sent.head(503); },
+    [](const auto& sent) { sent.observer->onComplete(); },
+    [](const auto& sent) { sent.bytes(std::string((1U << 20U) + 1, 'x')); },
+};
+
+TEST_P(AmbiguousEnd, IsUnknownForGood) {
+  fillBudget();
+  const auto result = run();
+  Endings[GetParam()](workers.sent[0]);
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::Unknown);
+  EXPECT_EQ((*result)->code, ResultCode::OutcomeUnknown);
+  EXPECT_EQ(claims.state(Key), ClaimState::Unknown);
+  // The true answer comes late.
+  workers.sent[0].head();
+  workers.sent[0].bytes("{}");
+  workers.sent[0].observer->onComplete();
+  const auto again = run();
+  EXPECT_EQ((*again)->outcome, Outcome::Unknown);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+}
+
+INSTANTIATE_TEST_SUITE_P(Endings, AmbiguousEnd,
+                         testing::Range(0, static_cast<int>(Endings.size())));
+
+TEST_F(OneShotFlowTest, NoAnswerByTheDeadlineIsUnknownForGood) {
+  const auto result = run();
+  passDeadline();
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::Unknown);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  workers.sent[0].head();
+  workers.sent[0].observer->onComplete();
+  EXPECT_EQ(claims.state(Key), ClaimState::Unknown);
+}
+
+TEST_F(OneShotFlowTest, ADoubledAnswerIsTakenOnce) {
+  const auto result = run();
+  for (int copy = 0; copy < 2; ++copy) {
+    workers.sent[0].head();
+    workers.sent[0].bytes("1");
+    workers.sent[0].observer->onComplete();
+  }
+  EXPECT_EQ((*result)->answer, "1");
+  EXPECT_EQ(claims.records[Key].answer, "1");
+}
+
+TEST_F(OneShotFlowTest, ARefusedWorkerIsReplacedUnderANewClaim) {
+  fillBudget();
+  const auto result = run();
+  const std::string first_run = claims.records[Key].run;
+  workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
+  ASSERT_EQ(workers.sent.size(), 2U);
+  EXPECT_NE(workers.sent[1].request.address, workers.sent[0].request.address);
+  EXPECT_NE(claims.records[Key].run, first_run);
+  EXPECT_EQ(workers.sent[1].request.request_id, claims.records[Key].run);
+  EXPECT_EQ(beliefs.refused.size(), 1U);
+  workers.sent[1].observer->onFailure(WorkerFailure::NotSent, true);
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+  EXPECT_EQ(*slots.in_use, 0);
+}
+
+TEST_F(OneShotFlowTest, WithoutBudgetARefusedWorkerIsNotReplaced) {
+  const auto result = run();
+  workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ((*result)->code, ResultCode::RetryBudgetSpent);
+}
+
+TEST_F(OneShotFlowTest, NotRunIsToldOnlyOnceRecorded) {
+  fillBudget();
+  const auto result = run();
+  claims.finishes_available = false;
+  workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
+  EXPECT_EQ((*result)->outcome, Outcome::Unknown);
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
+TEST_F(OneShotFlowTest, ASessionLapsedAfterTheClaimIsRecordedNotRun) {
+  claims.before_begin_answer = [this] { session.now = sessions::SessionState::Lapsed; };
+  const auto result = run();
+  EXPECT_TRUE(workers.sent.empty());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ((*result)->code, ResultCode::NotServing);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, WithoutClaimsNothingIsSentAndNothingPromised) {
+  claims.begins_available = false;
+  const auto result = run();
+  EXPECT_TRUE(workers.sent.empty());
+  EXPECT_EQ((*result)->code, ResultCode::ClaimsUnavailable);
+  EXPECT_EQ((*result)->outcome, Outcome::Unknown);
+  // The begin was recorded after all; it has been withdrawn.
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, AClaimThatIsWonAfterTheDeadlineIsWithdrawn) {
+  claims.held = true;
+  const auto result = run();
+  passDeadline();
+  ASSERT_TRUE(result->has_value());
+  claims.release();
+  EXPECT_TRUE(workers.sent.empty());
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, AKilledFrontsKeyIsUnknownToAResend) {
+  const auto lost = run();
+  flow = std::make_unique<OneShotFlow>(OneShotEnvironment{process, world.random(), claims, slots,
+                                                          session, workers, beliefs, retries,
+                                                          circuit, counters});
+  const auto again = run();
+  EXPECT_FALSE(again->has_value());
+  passDeadline();
+  ASSERT_TRUE(again->has_value());
+  EXPECT_EQ((*again)->outcome, Outcome::Unknown);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_FALSE(lost->has_value());
+}
+
+TEST_F(OneShotFlowTest, AResendWaitsForTheRecordOfTheRunElsewhere) {
+  run();
+  const auto again = run();
+  world.runFor(std::chrono::seconds(1));
+  EXPECT_FALSE(again->has_value());
+  workers.sent[0].head();
+  workers.sent[0].bytes("1");
+  workers.sent[0].observer->onComplete();
+  world.runFor(std::chrono::seconds(1));
+  ASSERT_TRUE(again->has_value());
+  EXPECT_TRUE((*again)->replayed);
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
+TEST_F(OneShotFlowTest, AnotherRequestUnderTheKeyIsRefused) {
+  run(7);
+  const auto other = run(8);
+  ASSERT_TRUE(other->has_value());
+  EXPECT_EQ((*other)->code, ResultCode::KeyReusedForOtherRequest);
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
+TEST_F(OneShotFlowTest, RefusalsForWantOfSlotsOrWorkersAreRecordedNotRun) {
+  slots.code = ResultCode::OverBranchLimit;
+  EXPECT_EQ((**run()).code, ResultCode::OverBranchLimit);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+  slots.code = ResultCode::Ok;
+  beliefs.view.evacuated_zones = {"zone-w1"};
+  beliefs.snapshot.workers["w2"].draining = true;
+  const auto result = run();
+  EXPECT_EQ((*result)->code, ResultCode::NoWorkerAvailable);
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_TRUE(workers.sent.empty());
+}
+
+TEST_F(OneShotFlowTest, ASlotThatNeverComesEndsNotRunAtTheDeadline) {
+  slots.silent = true;
+  const auto result = run();
+  passDeadline();
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, SpreadsOverTheLeastBusyWorkersAndLearnsDraining) {
+  run();
+  claims.records.clear();
+  run();
+  ASSERT_EQ(workers.sent.size(), 2U);
+  EXPECT_NE(workers.sent[0].request.address, workers.sent[1].request.address);
+  WorkerHead head;
+  head.status = 200;
+  head.request_id = workers.sent[0].request.request_id;
+  head.draining = true;
+  workers.sent[0].observer->onHead(head);
+  EXPECT_EQ(beliefs.draining.size(), 1U);
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/stream_flow_test.cc
@@ -0,0 +1,252 @@
+#include "switchsaddle/front/stream_flow.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "fakes.h"
+#include "switchsaddle/simulation/process.h"
+#include "switchsaddle/streams/relay_machine.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using base::ResultCode;
+
+std::string piece(std::uint64_t index, const std::string& run = "r1") {
+  const std::string number = std::to_string(index);
+  return "id: " + number + "\ndata: {\"run\":\"" + run + "\",\"index\":" + number + "}\n\n";
+}
+
+std::string done(std::uint64_t count) {
+  return "id: " + std::to_string(count) + "\ndata: [DONE]\n\n";
+}
+
+/** What one caller saw. */
+class FakeSink : public StreamSink {
+ public:
+  void refuse(const StreamRefusal& value) override {
+    EXPECT_FALSE(refusal || ended);
+    refusal = value;
+  }
+  void sendEvent(std::string event, std::function<void(bool)> written) override {
+    EXPECT_FALSE(refusal || ended);
+    events.push_back(std::move(event));
+    if (slow) {
+      waiting.push_back(std::move(written));
+    } else {
+      written(true);
+    }
+  }
+  void end(ResultCode code) override {
+    EXPECT_FALSE(refusal || ended);
+    ended = code;
+  }
+
+  std::optional<StreamRefusal> refusal;
+  std::optional<ResultCode> ended;
+  std::vector<std::string> events;
+  bool slow = false;
+  std::deque<std::function<void(bool)>> waiting;
+};
+
+class StreamFlowTest : public testing::Test {
+ protected:
+  StreamFlowTest() {
+    beliefs.view.routes["large"] =
+        configuration::Route{"large", "completions", {"large"}, "models"};
+    router.workers = {beliefs.addWorker("w1", "models"), beliefs.addWorker("w2", "models")};
+    for (int count = 0; count < 100; ++count) {
+      retries.countFirstTry("completions");
+    }
+  }
+  std::shared_ptr<FakeSink> run() {
+    auto sink = std::make_shared<FakeSink>();
+    StreamRequest request;
+    request.prompt.model = "large";
+    handle = flow.run(request, sink);
+    return sink;
+  }
+  void expectReleased() {
+    EXPECT_EQ(flow.active(), 0U);
+    EXPECT_EQ(*slots.in_use, 0);
+    EXPECT_EQ(stages.relay.running(), 0U);
+    EXPECT_EQ(router.completions.size(), router.tickets);
+  }
+
+  simulation::World world{1};
+  simulation::Process process{world};
+  FakeSlots slots;
+  FakeSession session;
+  FakeRouter router;
+  FakeWorkers workers;
+  FakeBeliefs beliefs;
+  RetryBudget retries{process};
+  WorkerCircuit circuit{process};
+  Counters counters;
+  StreamStages stages;
+  StreamFlow flow{StreamEnvironment{process, world.random(), slots, session, router, workers,
+                                    beliefs, retries, circuit, counters, stages}};
+  std::shared_ptr<StreamHandle> handle;
+};
+
+TEST_F(StreamFlowTest, RelaysAWholeRun) {
+  const auto sink = run();
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0) + piece(1));
+  workers.sent[0].bytes(done(2));
+  EXPECT_EQ(sink->events, (std::vector<std::string>{piece(0), piece(1), done(2)}));
+  EXPECT_EQ(sink->ended, ResultCode::Ok);
+  expectReleased();
+  EXPECT_FALSE(router.completions[0].failed);
+  EXPECT_EQ(router.completions[0].output_tokens, 2U);
+}
+
+TEST_F(StreamFlowTest, ACrashBeforeTheFirstPieceIsRetriedElsewhere) {
+  const auto sink = run();
+  workers.sent[0].head();
+  workers.sent[0].observer->onFailure(WorkerFailure::Lost, false);
+  ASSERT_EQ(workers.sent.size(), 2U);
+  EXPECT_NE(workers.sent[1].request.address, workers.sent[0].request.address);
+  EXPECT_NE(workers.sent[1].request.request_id, workers.sent[0].request.request_id);
+  workers.sent[0].bytes(piece(0, "late"));
+  workers.sent[1].head(200, "r2");
+  workers.sent[1].bytes(piece(0, "r2") + done(1));
+  EXPECT_EQ(sink->events, (std::vector<std::string>{piece(0, "r2"), done(1)}));
+  EXPECT_TRUE(router.completions[0].failed);
+  expectReleased();
+}
+
+TEST_F(StreamFlowTest, ACrashAfterTheFirstPieceEndsWithAnErrorEvent) {
+  const auto sink = run();
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0));
+  workers.sent[0].observer->onFailure(WorkerFailure::Lost, false);
+  ASSERT_EQ(sink->events.size(), 2U);
+  EXPECT_TRUE(sink->events[1].starts_with("event: error\nid: 1\n"));
+  EXPECT_EQ(sink->ended, ResultCode::StreamBroken);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  expectReleased();
+}
+
+class BrokenStream : public StreamFlowTest, public testing::WithParamInterface<std::string> {};
+
+TEST_P(BrokenStream, EndsWithAnErrorEventAndNeverWithDone) {
+  const auto sink = run();
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0) + GetParam());
+  workers.sent[0].observer->onComplete();
+  ASSERT_EQ(sink->events.size(), 2U);
+  EXPECT_TRUE(sink->events[1].starts_with("event: error\n"));
+  EXPECT_NE(sink->ended, ResultCode::Ok);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  expectReleased();
+}
+
+INSTANTIATE_TEST_SUITE_P(Faults, BrokenStream,
+                         testing::Values(piece(2), piece(0), piece(1, "r2"), std::string(), done(2),
+                                         std::string("data: [DONE]\n\n")));
+
+TEST_F(StreamFlowTest, WithoutBudgetAFailureIsRefusedWithoutPromise) {
+  world.runFor(std::chrono::seconds(11));
+  const auto sink = run();
+  workers.sent[0].head(503);
+  ASSERT_TRUE(sink->refusal);
+  EXPECT_EQ(sink->refusal->code, ResultCode::RetryBudgetSpent);
+  EXPECT_TRUE(sink->refusal->sent);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  expectReleased();
+}
+
+TEST_F(StreamFlowTest, ARefusedWorkerIsKeptOutOfTheNextPlacements) {
+  run();
+  workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
+  EXPECT_EQ(beliefs.refused, std::vector<std::string>{"w1"});
+  run();
+  ASSERT_EQ(workers.sent.size(), 3U);
+  EXPECT_EQ(workers.sent[2].request.address, workers.sent[1].request.address);
+}
+
+TEST_F(StreamFlowTest, ALapsedSessionDispatchesNothingButKeepsOpenStreams) {
+  const auto open = run();
+  session.now = sessions::SessionState::Lapsed;
+  const auto sink = run();
+  ASSERT_TRUE(sink->refusal);
+  EXPECT_EQ(sink->refusal->code, ResultCode::NotServing);
+  EXPECT_FALSE(sink->refusal->sent);
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0) + done(1));
+  EXPECT_EQ(open->ended, ResultCode::Ok);
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
+TEST_F(StreamFlowTest, RetriesCheckTheSessionToo) {
+  const auto sink = run();
+  session.now = sessions::SessionState::Lapsed;
+  workers.sent[0].observer->onFailure(WorkerFailure::Lost, false);
+  EXPECT_EQ(sink->refusal->code, ResultCode::NotServing);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  expectReleased();
+}
+
+TEST_F(StreamFlowTest, RefusalsOfAdmissionAreTold) {
+  slots.code = ResultCode::OverBranchLimit;
+  EXPECT_EQ(run()->refusal->code, ResultCode::OverBranchLimit);
+  slots.code = ResultCode::Ok;
+  router.estimate = std::chrono::seconds(3);
+  const auto late = run();
+  EXPECT_EQ(late->refusal->code, ResultCode::FirstTokenTooLate);
+  EXPECT_EQ(late->refusal->retry_after_ms, 1'000U);
+  EXPECT_TRUE(workers.sent.empty());
+  expectReleased();
+}
+
+TEST_F(StreamFlowTest, AFullAdmissionQueueRefusesAtOnce) {
+  slots.silent = true;
+  std::vector<std::shared_ptr<FakeSink>> waiting;
+  for (int count = 0; count < 512; ++count) {
+    waiting.push_back(run());
+    EXPECT_FALSE(waiting.back()->refusal);
+  }
+  EXPECT_EQ(run()->refusal->code, ResultCode::QueueFull);
+}
+
+TEST_F(StreamFlowTest, ASlowCallerHoldsItsWorkerBack) {
+  const auto sink = run();
+  sink->slow = true;
+  workers.sent[0].head();
+  std::uint64_t index = 0;
+  bool resumed = true;
+  while (resumed && index < 1'000) {
+    resumed = false;
+    workers.sent[0].observer->onBytes(piece(index), [&resumed] { resumed = true; });
+    ++index;
+  }
+  EXPECT_EQ(sink->waiting.size(), streams::RelayMachine::DefaultMaximumOutstanding);
+  sink->waiting.front()(true);
+  EXPECT_TRUE(resumed);
+}
+
+TEST_F(StreamFlowTest, ACallerWhoGoesGivesTheSlotBack) {
+  const auto sink = run();
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0));
+  handle->cancel();
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  EXPECT_FALSE(sink->ended);
+  expectReleased();
+}
+
+TEST_F(StreamFlowTest, TheStreamDeadlineEndsBeforeAndAfterTheFirstPiece) {
+  const auto before = run();
+  const auto after = run();
+  workers.sent[1].head();
+  workers.sent[1].bytes(piece(0));
+  world.runFor(std::chrono::seconds(301));
+  EXPECT_TRUE(before->refusal);
+  EXPECT_EQ(after->ended, ResultCode::StreamBroken);
+  expectReleased();
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
