--- a/libraries/storage/source/record_directory.h
+++ b/libraries/storage/source/record_directory.h
@@ -57,7 +57,8 @@
   struct Merge {
     std::uint64_t last = 0;
     std::size_t next_bucket = 0;
-    std::vector<std::vector<RecordFile>> parts;
+    /** Records of all the runs for each bucket, in order of their commits. */
+    std::vector<std::vector<Record>> parts;
   };
   struct Leftovers;
 
--- a/libraries/storage/source/record_directory_compaction.cc
+++ b/libraries/storage/source/record_directory_compaction.cc
@@ -91,16 +91,8 @@
       break;
     }
     RecordFile file = readIntact(nameOf(segment));
-    std::vector<std::vector<Record>> parts(bucket_last_.size());
     for (Record& record : file.records) {
-      parts[bucketOf(record.key)].push_back(std::move(record));
-    }
-    for (std::size_t bucket = 0; bucket < parts.size(); ++bucket) {
-      const bool is_new = segment.first > bucket_last_[bucket];
-      if (is_new && !parts[bucket].empty()) {
-        merge.parts[bucket].push_back(
-            RecordFile{segment.first, segment.last, std::move(parts[bucket])});
-      }
+      merge.parts[bucketOf(record.key)].push_back(std::move(record));
     }
     merge.last = segment.last;
   }
@@ -119,9 +111,7 @@
     if (former != 0) {
       keepNewest(newest, readIntact(bucketName(bucket, former)).records);
     }
-    for (const RecordFile& part : merge_->parts[bucket]) {
-      keepNewest(newest, part.records);
-    }
+    keepNewest(newest, merge_->parts[bucket]);
     const RecordFile file{1, merge_->last, newestRecords(newest, false)};
     publish("records", bucketName(bucket, merge_->last), encodeRecordFile(file));
     bucket_last_[bucket] = merge_->last;
--- a/libraries/storage/source/record_directory_load.cc
+++ b/libraries/storage/source/record_directory_load.cc
@@ -146,10 +146,9 @@
     if (!decoded.intact || !range_matches) {
       return "corrupt record file " + name;
     }
+    // Buckets ahead of the others see some records again; all that came later follow as well.
     for (Record& record : decoded.file.records) {
-      if (segment.first > bucket_last_[bucketOf(record.key)]) {
-        applyRecord(records, std::move(record));
-      }
+      applyRecord(records, std::move(record));
     }
   }
   return {};
