--- a/libraries/configuration/include/switchsaddle/configuration/beliefs.h
+++ b/libraries/configuration/include/switchsaddle/configuration/beliefs.h
@@ -50,7 +50,11 @@
  */
 std::vector<BeliefDifference> compareBeliefs(const BeliefReport& first, const BeliefReport& second);
 
-/** The differences as a table for people. */
+/** {"first", "second", "differences": [{"kind", "subject", "key", "first", "second"}]}. */
+std::string renderDifferencesJson(const BeliefReport& first, const BeliefReport& second,
+                                  const std::vector<BeliefDifference>& differences);
+
+/** The differences as text for people. */
 std::string renderDifferences(const BeliefReport& first, const BeliefReport& second,
                               const std::vector<BeliefDifference>& differences);
 
--- a/libraries/configuration/source/beliefs.cc
+++ b/libraries/configuration/source/beliefs.cc
@@ -48,6 +48,36 @@
   return belief;
 }
 
+void writeBelief(JsonWriter& writer, const Belief& belief) {
+  writer.beginObject();
+  writer.name("subject").string(belief.subject);
+  writer.name("key").string(belief.key);
+  writer.name("value").string(belief.value);
+  writer.name("version").unsignedInteger(belief.version);
+  writer.name("since_ms").integer(belief.since_ms);
+  writer.endObject();
+}
+
+void writeSideJson(JsonWriter& writer, std::string_view name, const std::optional<Belief>& side) {
+  if (side) {
+    writeBelief(writer.name(name), *side);
+  } else {
+    writer.name(name).raw("null");
+  }
+}
+
+std::string_view nameOf(BeliefDifferenceKind kind) {
+  switch (kind) {
+    case BeliefDifferenceKind::OnlyFirst:
+      return "only-first";
+    case BeliefDifferenceKind::OnlySecond:
+      return "only-second";
+    case BeliefDifferenceKind::Different:
+      return "different";
+  }
+  return "different";
+}
+
 void writeSide(std::ostream& out, const BeliefReport& report, const std::optional<Belief>& side) {
   out << "    " << report.node << ": ";
   if (!side) {
@@ -67,13 +97,7 @@
   writer.name("now_ms").integer(report.now_ms);
   writer.name("beliefs").beginArray();
   for (const Belief& belief : report.beliefs) {
-    writer.beginObject();
-    writer.name("subject").string(belief.subject);
-    writer.name("key").string(belief.key);
-    writer.name("value").string(belief.value);
-    writer.name("version").unsignedInteger(belief.version);
-    writer.name("since_ms").integer(belief.since_ms);
-    writer.endObject();
+    writeBelief(writer, belief);
   }
   writer.endArray().endObject();
   return writer.text();
@@ -128,6 +152,26 @@
   return ordered;
 }
 
+std::string renderDifferencesJson(const BeliefReport& first, const BeliefReport& second,
+                                  const std::vector<BeliefDifference>& differences) {
+  JsonWriter writer;
+  writer.beginObject();
+  writer.name("first").string(first.node);
+  writer.name("second").string(second.node);
+  writer.name("differences").beginArray();
+  for (const BeliefDifference& difference : differences) {
+    writer.beginObject();
+    writer.name("kind").string(nameOf(difference.kind));
+    writer.name("subject").string(difference.subject);
+    writer.name("key").string(difference.key);
+    writeSideJson(writer, "first", difference.first);
+    writeSideJson(writer, "second", difference.second);
+    writer.endObject();
+  }
+  writer.endArray().endObject();
+  return writer.text();
+}
+
 std::string renderDifferences(const BeliefReport& first, const BeliefReport& second,
                               const std::vector<BeliefDifference>& differences) {
   std::ostringstream out;
--- /dev/null
+++ b/programs/switchsaddle/check_command.cc
@@ -0,0 +1,31 @@
+#include "check_command.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <map>
+#include <memory>
+
+#include "switchsaddle/configuration/check_report.h"
+
+namespace switchsaddle {
+
+using configuration::CheckKind;
+using configuration::CheckOptions;
+
+void addCheckCommand(CLI::App& app, int& exit_code) {
+  const std::map<std::string, CheckKind> kinds{{"detect", CheckKind::Detect},
+                                               {"configuration", CheckKind::Configuration},
+                                               {"settings", CheckKind::Settings}};
+  auto options = std::make_shared<CheckOptions>();
+  CLI::App* command = app.add_subcommand("check", "Check a settings file or a configuration");
+  command->add_option("file", options->file, "The file")->required();
+  command->add_option("--kind", options->kind, "What the file is; told by its content if left out")
+      ->transform(CLI::CheckedTransformer(kinds));
+  command->add_option("--role", options->role, "Check settings for this role: front or core")
+      ->check(CLI::IsMember({"front", "core"}));
+  command->add_flag("--json", options->json, "Write the faults as JSON");
+  command->callback(
+      [options, &exit_code] { exit_code = configuration::runCheck(*options, std::cout); });
+}
+
+}  // namespace switchsaddle
