--- /dev/null
+++ b/libraries/transport/test/peer_calls_test.cc
@@ -0,0 +1,177 @@
+#include "switchsaddle/transport/peer_calls.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "recording_receiver.h"
+#include "transport_harness.h"
+
+namespace switchsaddle::transport {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Three simulated nodes with PeerCalls. */
+class PeerCallsTest : public testing::Test {
+ protected:
+  PeerCallsTest() {
+    for (int node = 1; node <= 3; ++node) {
+      transports[node] = &harness.start(node);
+      calls[node] = std::make_unique<PeerCalls>(harness.dispatcher(node), *transports[node]);
+    }
+  }
+  ~PeerCallsTest() override {
+    for (auto& calls_of_node : calls) {
+      calls_of_node.reset();
+    }
+  }
+
+  static wire::Message request(const std::string& key) {
+    wire::PrepareRequest message;
+    message.key = key;
+    return message;
+  }
+  static wire::Message reply(const std::string& value) {
+    wire::RegisterReply message;
+    message.value = value;
+    return message;
+  }
+  /** Lets node `to` answer with the request's key. */
+  void echo(int to) {
+    calls[to]->handle<wire::PrepareRequest>(
+        [](const base::NodeAddress&, const wire::PrepareRequest& message, ReplyFunction answer) {
+          answer(reply(message.key));
+        });
+  }
+  void call(int from, const base::NodeAddress& to, const std::string& key = "key") {
+    calls[from]->call(to, request(key), milliseconds(100),
+                      [this](const CallResult& result) { results.push_back(result); });
+  }
+  bool runUntilResults(std::size_t count) {
+    return harness.runUntil([&] { return results.size() >= count; });
+  }
+  /** Runs long past every timeout of these tests. */
+  void runOn() {
+    harness.runUntil([end = harness.dispatcher(1).now() + std::chrono::seconds(1), this] {
+      return harness.dispatcher(1).now() > end;
+    });
+  }
+
+  SimulatedHarness harness;
+  std::array<Transport*, 4> transports{};
+  std::array<std::unique_ptr<PeerCalls>, 4> calls;
+  std::vector<CallResult> results;
+};
+
+TEST_F(PeerCallsTest, GivesTheReply) {
+  echo(2);
+  call(1, harness.address(2), "question");
+  ASSERT_TRUE(runUntilResults(1));
+  EXPECT_EQ(results[0].code, base::ResultCode::Ok);
+  ASSERT_NE(results[0].as<wire::RegisterReply>(), nullptr);
+  EXPECT_EQ(results[0].as<wire::RegisterReply>()->value, "question");
+  EXPECT_EQ(results[0].as<wire::LeaseReply>(), nullptr);
+}
+
+TEST_F(PeerCallsTest, TimesOutOnceWhereNobodyAnswersAndIgnoresALateReply) {
+  ReplyFunction late;
+  calls[2]->handle<wire::PrepareRequest>([&](const base::NodeAddress&, const wire::PrepareRequest&,
+                                             ReplyFunction answer) { late = std::move(answer); });
+  call(1, harness.address(2));
+  ASSERT_TRUE(runUntilResults(1));
+  EXPECT_EQ(results[0].code, base::ResultCode::PeerTimeout);
+  EXPECT_FALSE(results[0].reply.has_value());
+  ASSERT_TRUE(late);
+  late(reply("late"));
+  runOn();
+  EXPECT_EQ(results.size(), 1U);
+}
+
+TEST_F(PeerCallsTest, TellsARefusalBeforeTheTimeout) {
+  const base::TimePoint begin = harness.dispatcher(1).now();
+  call(1, harness.address(9));
+  call(1, harness.address(9));
+  ASSERT_TRUE(runUntilResults(2));
+  EXPECT_EQ(results[0].code, base::ResultCode::PeerUnreachable);
+  EXPECT_EQ(results[1].code, base::ResultCode::PeerUnreachable);
+  EXPECT_LT(harness.dispatcher(1).now() - begin, milliseconds(100));
+  runOn();
+  EXPECT_EQ(results.size(), 2U);
+}
+
+TEST_F(PeerCallsTest, TakesAReplyOnlyFromThePeerThatWasAsked) {
+  calls[2]->handle<wire::PrepareRequest>(
+      [](const base::NodeAddress&, const wire::PrepareRequest&, const ReplyFunction&) {});
+  call(1, harness.address(2));
+  // The first request's number, from a node that was not asked.
+  transports[3]->send(harness.address(1),
+                      {harness.address(3), wire::EnvelopeKind::Reply, 1, reply("forged")});
+  ASSERT_TRUE(runUntilResults(1));
+  EXPECT_EQ(results[0].code, base::ResultCode::PeerTimeout);
+  call(1, harness.address(2));
+  transports[3]->send(harness.address(1),
+                      {harness.address(2), wire::EnvelopeKind::Reply, 2, reply("right sender")});
+  ASSERT_TRUE(runUntilResults(2));
+  EXPECT_EQ(results[1].code, base::ResultCode::Ok);
+}
+
+TEST_F(PeerCallsTest, CallsItselfWithoutReentry) {
+  echo(1);
+  call(1, harness.address(1), "self");
+  EXPECT_TRUE(results.empty());
+  ASSERT_TRUE(runUntilResults(1));
+  EXPECT_EQ(results[0].as<wire::RegisterReply>()->value, "self");
+}
+
+TEST_F(PeerCallsTest, ASecondReplyIsIgnored) {
+  calls[2]->handle<wire::PrepareRequest>(
+      [](const base::NodeAddress&, const wire::PrepareRequest&, const ReplyFunction& answer) {
+        answer(reply("one"));
+        answer(reply("two"));
+      });
+  call(1, harness.address(2));
+  ASSERT_TRUE(runUntilResults(1));
+  runOn();
+  EXPECT_EQ(results.size(), 1U);
+}
+
+TEST_F(PeerCallsTest, NotificationsReachTheHandlerAndAnswersToThemGoNowhere) {
+  int notified = 0;
+  calls[2]->handle<wire::PrepareRequest>(
+      [&](const base::NodeAddress& from, const wire::PrepareRequest&, ReplyFunction answer) {
+        EXPECT_EQ(from, harness.address(1));
+        ++notified;
+        answer(reply("unasked"));
+      });
+  calls[1]->notify(harness.address(2), request("key"));
+  EXPECT_TRUE(harness.runUntil([&] { return notified == 1; }));
+  runOn();
+  EXPECT_EQ(notified, 1);
+  EXPECT_TRUE(results.empty());
+}
+
+TEST_F(PeerCallsTest, AReplyFunctionOutlivesItsPeerCalls) {
+  ReplyFunction kept;
+  calls[2]->handle<wire::PrepareRequest>([&](const base::NodeAddress&, const wire::PrepareRequest&,
+                                             ReplyFunction answer) { kept = std::move(answer); });
+  call(1, harness.address(2));
+  ASSERT_TRUE(harness.runUntil([&] { return static_cast<bool>(kept); }));
+  calls[2].reset();
+  kept(reply("late"));
+  ASSERT_TRUE(runUntilResults(1));
+  EXPECT_EQ(results[0].code, base::ResultCode::PeerTimeout);
+}
+
+TEST_F(PeerCallsTest, CallsBackNobodyOnceDestroyed) {
+  echo(1);
+  echo(2);
+  call(1, harness.address(1));
+  call(1, harness.address(2));
+  calls[1].reset();
+  runOn();
+  EXPECT_TRUE(results.empty());
+}
+
+}  // namespace
+}  // namespace switchsaddle::transport
--- /dev/null
+++ b/libraries/transport/test/recording_receiver.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <vector>
+
+#include "switchsaddle/transport/transport.h"
+
+namespace switchsaddle::transport {
+
+/** Keeps all it is told. */
+class RecordingReceiver : public Receiver {
+ public:
+  void onEnvelope(wire::Envelope envelope) override { envelopes.push_back(std::move(envelope)); }
+  void onRefused(const base::NodeAddress& peer) override { refused.push_back(peer); }
+
+  std::vector<wire::Envelope> envelopes;
+  std::vector<base::NodeAddress> refused;
+};
+
+/** A notification with a number and a payload. */
+inline wire::Envelope numbered(const Transport& from, std::uint64_t number,
+                               std::string payload = {}) {
+  wire::AcceptRequest message;
+  message.key = "key";
+  message.value = std::move(payload);
+  return {from.localAddress(), wire::EnvelopeKind::Notification, number, std::move(message)};
+}
+
+}  // namespace switchsaddle::transport
--- /dev/null
+++ b/libraries/transport/test/tcp_transport_test.cc
@@ -0,0 +1,249 @@
+#include "switchsaddle/transport/tcp_transport.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <stdexcept>
+
+#include "recording_receiver.h"
+#include "switchsaddle/base/error.h"
+#include "transport_harness.h"
+
+namespace switchsaddle::transport {
+namespace {
+
+using boost::asio::ip::tcp;
+
+class TcpTransportTest : public testing::Test {
+ protected:
+  std::unique_ptr<TcpTransport> make(const std::string& ip,
+                                     const TcpTransportOptions& options = {}) {
+    return std::make_unique<TcpTransport>(context, dispatcher, base::NodeAddress{ip, 0}, options);
+  }
+  bool runUntil(const std::function<bool()>& condition) {
+    return runContextUntil(context, condition);
+  }
+  tcp::socket connectRaw(const TcpTransport& transport) {
+    tcp::socket socket(context);
+    const base::NodeAddress& address = transport.localAddress();
+    socket.connect({boost::asio::ip::make_address(address.ip), address.port});
+    return socket;
+  }
+  /** Runs until the transport has closed the socket. */
+  bool closedByPeer(tcp::socket& socket) {
+    bool closed = false;
+    char byte = 0;
+    socket.async_read_some(boost::asio::buffer(&byte, 1),
+                           [&](const boost::system::error_code& error, std::size_t) {
+                             closed = static_cast<bool>(error);
+                           });
+    return runUntil([&] { return closed; });
+  }
+  static std::string frame(const std::string& bytes) {
+    std::string out;
+    for (unsigned shift = 32; shift > 0; shift -= 8) {
+      out.push_back(static_cast<char>((bytes.size() >> (shift - 8)) & 0xffU));
+    }
+    return out + bytes;
+  }
+
+  boost::asio::io_context context;
+  AsioDispatcher dispatcher{context};
+  RecordingReceiver receiver;
+};
+
+TEST_F(TcpTransportTest, DropsTheOldestFramesOfAFullQueue) {
+  TcpTransportOptions options;
+  options.queue_bytes = 1U << 20U;
+  const auto sender = make("127.0.2.1", options);
+  const auto target = make("127.0.2.2");
+  target->setReceiver(&receiver);
+  constexpr std::uint64_t Count = 100;
+  for (std::uint64_t number = 0; number < Count; ++number) {
+    sender->send(target->localAddress(), numbered(*sender, number, std::string(64U << 10U, 'x')));
+  }
+  ASSERT_TRUE(runUntil([&] {
+    return !receiver.envelopes.empty() && receiver.envelopes.back().request_id == Count - 1;
+  }));
+  EXPECT_EQ(receiver.envelopes.size() + sender->counters().frames_dropped, Count);
+  EXPECT_EQ(receiver.envelopes.front().request_id, Count - receiver.envelopes.size());
+  EXPECT_EQ(receiver.envelopes.size(), 15U);
+}
+
+TEST_F(TcpTransportTest, BoundsTheQueueTowardsAPeerThatDoesNotRead) {
+  TcpTransportOptions options;
+  options.queue_bytes = 1U << 20U;
+  const auto sender = make("127.0.2.1", options);
+  tcp::acceptor silent(context, {boost::asio::ip::make_address("127.0.2.3"), 0});
+  const base::NodeAddress peer{"127.0.2.3", silent.local_endpoint().port()};
+  std::uint64_t number = 0;
+  EXPECT_TRUE(runUntil([&] {
+    sender->send(peer, numbered(*sender, ++number, std::string(256U << 10U, 'x')));
+    return sender->counters().frames_dropped > 100;
+  }));
+}
+
+TEST_F(TcpTransportTest, GivesUpAPeerThatAcknowledgesNothing) {
+  TcpTransportOptions options;
+  options.user_timeout = std::chrono::milliseconds(200);
+  const auto sender = make("127.0.2.1", options);
+  tcp::acceptor silent(context, {boost::asio::ip::make_address("127.0.2.3"), 0});
+  const base::NodeAddress peer{"127.0.2.3", silent.local_endpoint().port()};
+  int connections = 0;
+  std::vector<tcp::socket> unread;
+  std::function<void()> accept = [&] {
+    silent.async_accept([&](const boost::system::error_code&, tcp::socket socket) {
+      ++connections;
+      unread.push_back(std::move(socket));
+      accept();
+    });
+  };
+  accept();
+  for (std::uint64_t number = 0; number < 60; ++number) {
+    sender->send(peer, numbered(*sender, number, std::string(1U << 20U, 'x')));
+  }
+  EXPECT_TRUE(runUntil([&] { return connections >= 2; }));
+}
+
+TEST_F(TcpTransportTest, ClosesOnlyTheConnectionWithMalformedFrames) {
+  TcpTransportOptions options;
+  options.frame_bytes = 1U << 20U;
+  const auto target = make("127.0.2.2", options);
+  const auto sender = make("127.0.2.1");
+  target->setReceiver(&receiver);
+  std::string damaged = wire::encode(numbered(*sender, 1));
+  damaged.back() = static_cast<char>(damaged.back() + 1);
+  const std::vector<std::string> inputs{"\xff\xff\xff\xff garbage",
+                                        frame("garbage"),
+                                        frame(""),
+                                        frame(damaged),
+                                        frame(std::string((1U << 20U) + 1, 'x')),
+                                        "GET / HTTP/1.1\r\n\r\n"};
+  std::uint64_t malformed = 0;
+  for (const std::string& input : inputs) {
+    tcp::socket socket = connectRaw(*target);
+    boost::system::error_code ignored;
+    boost::asio::async_write(socket, boost::asio::buffer(input),
+                             [](const boost::system::error_code&, std::size_t) {});
+    EXPECT_TRUE(closedByPeer(socket)) << input.substr(0, 20);
+    EXPECT_EQ(target->counters().malformed_frames, ++malformed);
+  }
+  sender->send(target->localAddress(), numbered(*sender, 7));
+  EXPECT_TRUE(runUntil([&] { return receiver.envelopes.size() == 1; }));
+}
+
+TEST_F(TcpTransportTest, TakesFramesInAnyPieces) {
+  const auto target = make("127.0.2.2");
+  target->setReceiver(&receiver);
+  tcp::socket socket = connectRaw(*target);
+  socket.set_option(tcp::no_delay(true));
+  const std::string one = frame(wire::encode(numbered(*target, 1)));
+  for (const char byte : one) {
+    boost::asio::write(socket, boost::asio::buffer(&byte, 1));
+    context.restart();
+    context.poll();
+  }
+  boost::asio::write(socket, boost::asio::buffer(one + one + one.substr(0, 9)));
+  EXPECT_TRUE(runUntil([&] { return receiver.envelopes.size() == 3; }));
+  boost::asio::write(socket, boost::asio::buffer(one.substr(9)));
+  EXPECT_TRUE(runUntil([&] { return receiver.envelopes.size() == 4; }));
+  EXPECT_EQ(target->counters().malformed_frames, 0U);
+}
+
+TEST_F(TcpTransportTest, CallsFromItsListeningAddress) {
+  const auto sender = make("127.0.2.77");
+  tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.2.3"), 0});
+  std::string seen;
+  acceptor.async_accept([&](const boost::system::error_code&, tcp::socket socket) {
+    seen = socket.remote_endpoint().address().to_string();
+  });
+  sender->send({"127.0.2.3", acceptor.local_endpoint().port()}, numbered(*sender, 1));
+  ASSERT_TRUE(runUntil([&] { return !seen.empty(); }));
+  EXPECT_EQ(seen, "127.0.2.77");
+}
+
+TEST_F(TcpTransportTest, TellsOfOneAttemptOnceForAllItsFrames) {
+  const auto sender = make("127.0.2.1");
+  sender->setReceiver(&receiver);
+  for (std::uint64_t number = 0; number < 10; ++number) {
+    sender->send({"127.0.2.250", 9}, numbered(*sender, number));
+  }
+  ASSERT_TRUE(runUntil([&] { return !receiver.refused.empty(); }));
+  context.restart();
+  context.poll();
+  EXPECT_EQ(receiver.refused.size(), 1U);
+  EXPECT_EQ(sender->counters().frames_dropped, 10U);
+}
+
+/** Throws for the first envelope. */
+class ThrowingReceiver : public RecordingReceiver {
+ public:
+  void onEnvelope(wire::Envelope envelope) override {
+    if (envelope.request_id == 0) {
+      throw std::runtime_error("fault");
+    }
+    RecordingReceiver::onEnvelope(std::move(envelope));
+  }
+};
+
+TEST_F(TcpTransportTest, LivesOnAfterAReceiverThatThrows) {
+  const auto sender = make("127.0.2.1");
+  const auto target = make("127.0.2.2");
+  ThrowingReceiver throwing;
+  target->setReceiver(&throwing);
+  sender->send(target->localAddress(), numbered(*sender, 0));
+  sender->send(target->localAddress(), numbered(*sender, 1));
+  EXPECT_TRUE(runUntil([&] { return throwing.envelopes.size() == 1; }));
+  EXPECT_EQ(target->counters().failed_deliveries, 1U);
+}
+
+/** Destroys its transport from within a callback. */
+class DestroyingReceiver : public Receiver {
+ public:
+  explicit DestroyingReceiver(std::unique_ptr<TcpTransport>& transport) : transport_(transport) {}
+  void onEnvelope(wire::Envelope /*envelope*/) override { destroy(); }
+  void onRefused(const base::NodeAddress& /*peer*/) override { destroy(); }
+  int calls = 0;
+
+ private:
+  void destroy() {
+    ++calls;
+    transport_.reset();
+  }
+  std::unique_ptr<TcpTransport>& transport_;
+};
+
+TEST_F(TcpTransportTest, MayBeDestroyedFromItsCallbacks) {
+  const auto sender = make("127.0.2.1");
+  auto target = make("127.0.2.2");
+  DestroyingReceiver destroying(target);
+  target->setReceiver(&destroying);
+  const base::NodeAddress address = target->localAddress();
+  for (std::uint64_t number = 0; number < 10; ++number) {
+    sender->send(address, numbered(*sender, number));
+  }
+  EXPECT_TRUE(runUntil([&] { return target == nullptr; }));
+  EXPECT_EQ(destroying.calls, 1);
+  target = make("127.0.2.2");
+  target->setReceiver(&destroying);
+  target->send({"127.0.2.250", 9}, numbered(*target, 1));
+  EXPECT_TRUE(runUntil([&] { return target == nullptr; }));
+  EXPECT_EQ(destroying.calls, 2);
+}
+
+TEST_F(TcpTransportTest, RefusesAnAddressItCannotListenOn) {
+  const auto taken = make("127.0.2.1");
+  for (const base::NodeAddress& address :
+       {taken->localAddress(), base::NodeAddress{"not an address", 1}}) {
+    try {
+      TcpTransport transport(context, dispatcher, address);
+      FAIL() << "listens on " << address.toString();
+    } catch (const base::Error& error) {
+      EXPECT_EQ(error.code(), base::ResultCode::InvalidAddress);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace switchsaddle::transport
