Add the log ring

Events were to be seen only in glog, which leaves out the low severities that explain a fault. The ring keeps the last 10,000 lines of all severities in memory and is written to a bounded number of files on demand.

--- /dev/null
+++ b/libraries/base/include/switchsaddle/base/log.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <filesystem>
+#include <initializer_list>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace switchsaddle::base {
+
+/** How serious a logged event is. Warnings and above also go to the process's log. */
+enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+
+/** One named value of an event. */
+struct LogField {
+  std::string_view key;
+  std::string value;
+};
+
+/**
+ * The last events of a process as key=value lines in memory, oldest first, bounded in lines and in
+ * the bytes of each line. Thread-safe.
+ */
+class LogRing {
+ public:
+  static constexpr std::size_t DefaultLines = 10'000;
+  static constexpr std::size_t LongestLine = 2048;
+  static constexpr std::size_t DefaultFiles = 8;
+
+  explicit LogRing(std::size_t lines = DefaultLines) : capacity_(lines) {}
+
+  void append(std::string line);
+  std::vector<std::string> lines() const;
+  /** Lines appended since the ring was made, with those that have fallen out. */
+  std::uint64_t appended() const;
+
+  /**
+   * Writes the ring to `ring-N.log` in the folder, which is made where it is missing, and returns
+   * the file. N goes round from 0 to files - 1, so that the oldest file is replaced; a process that
+   * starts again goes on after the newest. The first line names the reason. Throws Error with
+   * StorageFailed where the file cannot be written.
+   */
+  std::filesystem::path dumpTo(const std::filesystem::path& folder, std::string_view reason,
+                               std::size_t files = DefaultFiles) const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::size_t capacity_;
+  std::deque<std::string> lines_;
+  std::uint64_t appended_ = 0;
+};
+
+/** The ring that logEvent() writes to. */
+LogRing& processLogRing();
+
+/**
+ * One line, `time=… severity=… event=NAME key=value …`, to the process's ring and, for warnings and
+ * above, to glog. Values with spaces, quotes or control characters are quoted and escaped.
+ */
+void logEvent(Severity severity, std::string_view event,
+              std::initializer_list<LogField> fields = {});
+
+/** The line without its time, for logEvent() and for tests. */
+std::string formatEvent(Severity severity, std::string_view event,
+                        std::initializer_list<LogField> fields);
+
+}  // namespace switchsaddle::base
--- /dev/null
+++ b/libraries/base/source/log.cc
@@ -0,0 +1,162 @@
+#include "switchsaddle/base/log.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <fstream>
+#include <optional>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::base {
+
+namespace {
+
+constexpr std::string_view HexDigits = "0123456789abcdef";
+
+std::string_view severityName(Severity severity) {
+  static constexpr std::array<std::string_view, 4> Names{"debug", "info", "warning", "error"};
+  return Names.at(static_cast<std::size_t>(severity));
+}
+
+bool isControl(char character) {
+  return static_cast<unsigned char>(character) < 0x20U || character == 0x7f;
+}
+
+bool needsQuotes(std::string_view value) {
+  return value.empty() || std::any_of(value.begin(), value.end(), [](char character) {
+           return character == ' ' || character == '"' || character == '=' || character == '\\' ||
+                  isControl(character);
+         });
+}
+
+void appendEscaped(std::string& out, char character) {
+  if (character == '"' || character == '\\') {
+    out += '\\';
+    out += character;
+  } else if (isControl(character)) {
+    const auto byte = static_cast<unsigned char>(character);
+    out += "\\x";
+    out += HexDigits[byte >> 4U];
+    out += HexDigits[byte & 0x0fU];
+  } else {
+    out += character;
+  }
+}
+
+void appendValue(std::string& out, std::string_view value) {
+  if (!needsQuotes(value)) {
+    out += value;
+    return;
+  }
+  out += '"';
+  for (const char character : value) {
+    appendEscaped(out, character);
+  }
+  out += '"';
+}
+
+std::string wallClockMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::filesystem::path fileName(const std::filesystem::path& folder, std::size_t number) {
+  return folder / ("ring-" + std::to_string(number) + ".log");
+}
+
+/** The first number without a file, or else that of the file written longest ago. */
+std::size_t nextNumber(const std::filesystem::path& folder, std::size_t files) {
+  std::size_t oldest = 0;
+  std::optional<std::filesystem::file_time_type> oldest_time;
+  for (std::size_t number = 0; number < files; ++number) {
+    std::error_code missing;
+    const auto time = std::filesystem::last_write_time(fileName(folder, number), missing);
+    if (missing) {
+      return number;
+    }
+    if (!oldest_time || time < *oldest_time) {
+      oldest_time = time;
+      oldest = number;
+    }
+  }
+  return oldest;
+}
+
+}  // namespace
+
+void LogRing::append(std::string line) {
+  if (line.size() > LongestLine) {
+    line.resize(LongestLine);
+  }
+  const std::scoped_lock lock(mutex_);
+  ++appended_;
+  lines_.push_back(std::move(line));
+  if (lines_.size() > capacity_) {
+    lines_.pop_front();
+  }
+}
+
+std::vector<std::string> LogRing::lines() const {
+  const std::scoped_lock lock(mutex_);
+  return {lines_.begin(), lines_.end()};
+}
+
+std::uint64_t LogRing::appended() const {
+  const std::scoped_lock lock(mutex_);
+  return appended_;
+}
+
+std::filesystem::path LogRing::dumpTo(const std::filesystem::path& folder, std::string_view reason,
+                                      std::size_t files) const {
+  std::error_code error;
+  std::filesystem::create_directories(folder, error);
+  const std::filesystem::path path =
+      fileName(folder, nextNumber(folder, std::max<std::size_t>(files, 1)));
+  std::ofstream file(path, std::ios::trunc);
+  std::string head = "reason=";
+  appendValue(head, reason);
+  file << "time=" << wallClockMilliseconds() << ' ' << head << '\n';
+  for (const std::string& line : lines()) {
+    file << line << '\n';
+  }
+  file.close();
+  if (!file) {
+    throw Error(ResultCode::StorageFailed, "cannot write " + path.string());
+  }
+  return path;
+}
+
+LogRing& processLogRing() {
+  static LogRing ring;
+  return ring;
+}
+
+std::string formatEvent(Severity severity, std::string_view event,
+                        std::initializer_list<LogField> fields) {
+  std::string line = "severity=";
+  line += severityName(severity);
+  line += " event=";
+  appendValue(line, event);
+  for (const LogField& field : fields) {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    appendValue(line, field.value);
+  }
+  return line;
+}
+
+void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields) {
+  const std::string line = formatEvent(severity, event, fields);
+  processLogRing().append("time=" + wallClockMilliseconds() + " " + line);
+  if (severity == Severity::Warning) {
+    LOG(WARNING) << line;
+  } else if (severity == Severity::Error) {
+    LOG(ERROR) << line;
+  }
+}
+
+}  // namespace switchsaddle::base
