Let servers drain and be destroyed from their handlers, and observers cancel

A server that stopped accepting kept its keep-alive connections for good; it now closes each after its next answer. A handler that destroyed its server ended its own function object, and an observer kept only by its exchange was destroyed within its own call by cancel(). The client's receive buffer is kept small, so that a reader held back soon holds back the server. Peers without a connection are forgotten past 4096 of them, since a forged sender could otherwise grow the table without bound.

--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -56,7 +56,7 @@
   virtual ~Server() = default;
   /** The bound address, with the real port where 0 was asked for. */
   virtual base::NodeAddress address() const = 0;
-  /** Stops accepting; open exchanges go on. */
+  /** Stops accepting; open exchanges go on, and each connection closes after its next answer. */
   virtual void stopAccepting() = 0;
   virtual std::size_t openConnections() const = 0;
 };
--- a/libraries/http/source/client_exchange.cc
+++ b/libraries/http/source/client_exchange.cc
@@ -2,7 +2,6 @@
 
 #include <netinet/in.h>
 
-#include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -21,6 +20,8 @@
 
 constexpr std::uint32_t HeaderLimit = 64U << 10U;
 constexpr unsigned InformationalClass = 1;
+/** Kept small, so that a reader held back soon holds back the server. */
+constexpr int ReceiveBuffer = 128 << 10;
 
 using BindAddressNoPort = asio::detail::socket_option::integer<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
 
@@ -60,7 +61,8 @@
   if (ended_.exchange(true)) {
     return;
   }
-  asio::dispatch(client_->strand, [self = shared_from_this()] { self->end(); });
+  // Later, since the observer may be calling this and must outlive its own call.
+  asio::post(client_->strand, [self = shared_from_this()] { self->end(); });
 }
 
 void ClientExchange::connect() {
@@ -87,7 +89,12 @@
   error_code error;
   socket_ = tcp::socket(client_->strand);
   socket_.open(endpoint.protocol(), error);
-  if (error || options_.local_ip.empty()) {
+  if (error) {
+    return error;
+  }
+  error_code ignored;
+  socket_.set_option(asio::socket_base::receive_buffer_size(ReceiveBuffer), ignored);
+  if (options_.local_ip.empty()) {
     return error;
   }
   const auto local = asio::ip::make_address(options_.local_ip, error);
--- a/libraries/http/source/server.cc
+++ b/libraries/http/source/server.cc
@@ -89,7 +89,12 @@
   ServerImplementation(boost::asio::io_context& context, const base::NodeAddress& address,
                        const ServerLimits& limits, RequestHandler handler)
       : state_(std::make_shared<ServerState>(
-            ServerState{boost::asio::make_strand(context), limits, std::move(handler), false, {}})),
+            ServerState{boost::asio::make_strand(context),
+                        limits,
+                        std::make_shared<const RequestHandler>(std::move(handler)),
+                        false,
+                        false,
+                        {}})),
         listener_(std::make_shared<Listener>(state_, address)) {
     listener_->accept();
   }
@@ -100,11 +105,14 @@
     for (const auto& connection : connections) {
       connection->close();
     }
-    state_->handler = nullptr;
+    state_->handler.reset();
   }
 
   base::NodeAddress address() const override { return listener_->address(); }
-  void stopAccepting() override { listener_->close(); }
+  void stopAccepting() override {
+    state_->draining = true;
+    listener_->close();
+  }
   std::size_t openConnections() const override { return state_->connections.size(); }
 
  private:
--- a/libraries/http/source/server_connection.cc
+++ b/libraries/http/source/server_connection.cc
@@ -292,8 +292,9 @@
   readAhead();
   auto writer =
       std::make_shared<ConnectionWriter>(shared_from_this(), server_->strand, server_, exchange);
+  const std::shared_ptr<const RequestHandler> handler = server_->handler;
   try {
-    server_->handler(std::move(request), writer);
+    (*handler)(std::move(request), writer);
   } catch (const std::exception& exception) {
     LOG(ERROR) << "event=handler_failed reason=" << exception.what();
     if (streaming()) {
@@ -361,6 +362,7 @@
 
 void ServerConnection::respond(Response response) {
   phase_ = Phase::Finishing;
+  keep_alive_ = keep_alive_ && !server_->draining;
   const bool bodiless = response.status == 204 || response.status == 304;
   std::string bytes = serialiseHead(
       response, bodiless ? BodyFraming::None : BodyFraming::ContentLength, keep_alive_);
@@ -377,7 +379,7 @@
   phase_ = Phase::Streaming;
   error_code ignored;
   socket_.set_option(asio::socket_base::send_buffer_size(StreamSendBuffer), ignored);
-  keep_alive_ = keep_alive_ && framing_ == BodyFraming::Chunked;
+  keep_alive_ = keep_alive_ && !server_->draining && framing_ == BodyFraming::Chunked;
   enqueue(serialiseHead(head, framing_, keep_alive_), nullptr);
 }
 
--- a/libraries/http/source/server_connection.h
+++ b/libraries/http/source/server_connection.h
@@ -26,9 +26,12 @@
 struct ServerState {
   Strand strand;
   ServerLimits limits;
-  RequestHandler handler;
+  /** Shared, so that a server destroyed from within its handler does not end the call. */
+  std::shared_ptr<const RequestHandler> handler;
   /** Set once the server is destroyed. */
   bool closed = false;
+  /** Set once no more connections are accepted; those open close after their next answer. */
+  bool draining = false;
   std::set<std::shared_ptr<ServerConnection>> connections;
 };
 
--- a/libraries/http/test/client_test.cc
+++ b/libraries/http/test/client_test.cc
@@ -211,6 +211,35 @@
   EXPECT_FALSE(held->ended());
 }
 
+/** Cancels its exchange from within a callback, and is kept by nothing but the exchange. */
+class CancellingObserver : public ExchangeObserver {
+ public:
+  explicit CancellingObserver(std::weak_ptr<Exchange>& exchange, int& calls)
+      : exchange_(exchange), calls_(calls) {}
+  void onResponseHead(const Response& /*head*/) override {
+    exchange_.lock()->cancel();
+    calls_ += static_cast<int>(padding_.size());
+  }
+  void onBodyBytes(std::string /*bytes*/, std::function<void()> /*resume*/) override { ++calls_; }
+  void onComplete() override { ++calls_; }
+  void onFailure(ExchangeFailure /*failure*/, bool /*refused*/) override { ++calls_; }
+
+ private:
+  std::weak_ptr<Exchange>& exchange_;
+  int& calls_;
+  std::string padding_ = std::string(100, 'x');
+};
+
+TEST_F(ClientTest, MayBeCancelledFromItsCallbacks) {
+  serveEcho();
+  std::weak_ptr<Exchange> exchange;
+  int calls = 0;
+  exchange = client->start(server->address(), {"POST", "/", {}, "x"}, {},
+                           std::make_shared<CancellingObserver>(exchange, calls));
+  ASSERT_TRUE(runUntil([&] { return exchange.expired(); }));
+  EXPECT_EQ(calls, 100);
+}
+
 TEST_F(ClientTest, ConnectsFromTheGivenAddress) {
   acceptor.emplace(context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
   std::string seen;
--- a/libraries/http/test/server_test.cc
+++ b/libraries/http/test/server_test.cc
@@ -267,6 +267,26 @@
   EXPECT_EQ(open->body, "done");
 }
 
+TEST_F(ServerTest, ClosesKeptConnectionsAfterTheirNextAnswerOnceItStopsAccepting) {
+  serveEcho();
+  run({"GET", "/", {}, ""});
+  server->stopAccepting();
+  const auto observer = run({"GET", "/", {}, ""});
+  EXPECT_EQ(observer->head->header("connection"), "close");
+  EXPECT_TRUE(runUntil([&] { return server->openConnections() == 0; }));
+}
+
+TEST_F(ServerTest, MayBeDestroyedFromItsHandler) {
+  bool destroyed = false;
+  serve([&, padding = std::string(100, 'x')](const Request&, const ResponseWriterPtr&) {
+    server.reset();
+    destroyed = padding.size() == 100;
+  });
+  const auto observer = exchange({"POST", "/", {}, ""});
+  EXPECT_TRUE(runUntil([&] { return observer->ended(); }));
+  EXPECT_TRUE(destroyed);
+}
+
 TEST_F(ServerTest, DestructionCallsNobody) {
   ResponseWriterPtr kept;
   int calls = 0;
--- a/libraries/transport/source/tcp_transport.cc
+++ b/libraries/transport/source/tcp_transport.cc
@@ -29,6 +29,8 @@
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 constexpr int KeepAliveSeconds = 1;
 constexpr int KeepAliveProbes = 3;
+/** Peers known at which those without a connection are forgotten. */
+constexpr std::size_t PeersBeforeSweep = 4096;
 
 template <int Level, int Name>
 using IntegerOption = boost::asio::detail::socket_option::integer<Level, Name>;
@@ -286,6 +288,9 @@
     }
   }
 
+  /** True where nothing is queued, under way or connected. */
+  bool idle() const { return state_ == State::Closed && queue_.empty(); }
+
   void close() {
     ++attempt_;
     state_ = State::Closed;
@@ -476,6 +481,10 @@
   }
   std::shared_ptr<OutgoingConnection>& connection = outgoing_[to];
   if (!connection) {
+    if (outgoing_.size() > PeersBeforeSweep) {
+      std::erase_if(outgoing_,
+                    [](const auto& entry) { return entry.second && entry.second->idle(); });
+    }
     connection = std::make_shared<OutgoingConnection>(shared_, to);
   }
   connection->send(makeFrame(bytes));
