Add the lab's worker, platform and fleet commands

Cause: the whole fleet has to be run, disturbed and replaced as real processes. Ruled out: finding processes by name, which could hit another fleet; every signal goes to a pid whose start time in /proc still fits. Change: worker, platform and fleet subcommands, layout and fleet state, detached launch, load plan and event-stream reader, layouts of the demo and both deployments. Conclusion: cores and fronts can be started once their programs exist; not run with them yet.

--- /dev/null
+++ b/libraries/laboratory/source/load_plan.cc
@@ -0,0 +1,153 @@
+#include "switchsaddle/laboratory/load_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/laboratory/json_fields.h"
+
+namespace switchsaddle::laboratory {
+namespace {
+
+/** Longest output asked for, as a multiple of the mean. */
+constexpr double LongestOutputFactor = 6.0;
+
+double rateField(const boost::json::object& object, std::string_view name) {
+  const double rate = numberField(object, name);
+  if (rate < 0) {
+    throw base::Error(base::ResultCode::InvalidValue, "must not be negative", std::string(name));
+  }
+  return rate;
+}
+
+std::uint32_t positiveField(const boost::json::object& object, std::string_view name,
+                            std::uint32_t fallback) {
+  const std::int64_t number = integerField(object, name, fallback);
+  if (number <= 0 || number > INT32_MAX) {
+    throw base::Error(base::ResultCode::InvalidValue, "out of range", std::string(name));
+  }
+  return static_cast<std::uint32_t>(number);
+}
+
+LoadTenant parseTenant(const boost::json::object& object) {
+  LoadTenant tenant;
+  tenant.name = textField(object, "name");
+  tenant.key = textField(object, "key");
+  tenant.streams_per_s = rateField(object, "streams_per_s");
+  tenant.one_shots_per_s = rateField(object, "one_shots_per_s");
+  tenant.one_shot_service = textField(object, "one_shot_service");
+  tenant.models = textListField(object, "models");
+  if (tenant.streams_per_s > 0 && tenant.models.empty()) {
+    throw base::Error(base::ResultCode::MissingField, "is required with streams", "models");
+  }
+  return tenant;
+}
+
+}  // namespace
+
+double LoadPlan::requestsPerSecond() const {
+  double rate = 0;
+  for (const LoadTenant& tenant : tenants) {
+    rate += tenant.streams_per_s + tenant.one_shots_per_s;
+  }
+  return rate;
+}
+
+LoadPlan parseLoadPlan(const std::string& text) {
+  const boost::json::object object = parseObject(text);
+  LoadPlan plan;
+  for (const boost::json::object& tenant : objectListField(object, "tenants")) {
+    plan.tenants.push_back(parseTenant(tenant));
+  }
+  const boost::json::object prefixes = objectField(object, "prefixes");
+  plan.prefix_families = positiveField(prefixes, "families", plan.prefix_families);
+  plan.prefix_zipf = numberField(prefixes, "zipf", plan.prefix_zipf);
+  plan.prefix_parts = positiveField(prefixes, "parts", plan.prefix_parts);
+  plan.part_tokens = positiveField(prefixes, "part_tokens", plan.part_tokens);
+  plan.prompt_tokens = positiveField(object, "prompt_tokens", plan.prompt_tokens);
+  plan.output_tokens = positiveField(object, "output_tokens", plan.output_tokens);
+  plan.resend_share = numberField(object, "resend_share", plan.resend_share);
+  plan.resend_delay = std::chrono::milliseconds(integerField(object, "resend_delay_ms", 200));
+  if (plan.requestsPerSecond() <= 0) {
+    throw base::Error(base::ResultCode::InvalidValue, "the load has no requests", "tenants");
+  }
+  return plan;
+}
+
+ArrivalGenerator::ArrivalGenerator(LoadPlan plan, std::uint64_t seed)
+    : plan_(std::move(plan)), seed_(seed), random_(seed) {
+  double rate = 0;
+  for (std::size_t index = 0; index < plan_.tenants.size(); ++index) {
+    rate += plan_.tenants[index].streams_per_s;
+    flows_.push_back(Flow{index, CallKind::Stream, rate});
+    rate += plan_.tenants[index].one_shots_per_s;
+    flows_.push_back(Flow{index, CallKind::OneShot, rate});
+  }
+  double popularity = 0;
+  for (std::uint32_t family = 0; family < plan_.prefix_families; ++family) {
+    popularity += 1.0 / std::pow(family + 1.0, plan_.prefix_zipf);
+    cumulated_popularity_.push_back(popularity);
+  }
+}
+
+double ArrivalGenerator::exponential(double mean) {
+  return -mean * std::log(1.0 - random_.uniform());
+}
+
+const ArrivalGenerator::Flow& ArrivalGenerator::drawFlow() {
+  const double drawn = random_.uniform() * flows_.back().cumulated_rate;
+  const auto found =
+      std::upper_bound(flows_.begin(), flows_.end(), drawn,
+                       [](double value, const Flow& flow) { return value < flow.cumulated_rate; });
+  return found == flows_.end() ? flows_.back() : *found;
+}
+
+std::uint32_t ArrivalGenerator::drawFamily() {
+  const double drawn = random_.uniform() * cumulated_popularity_.back();
+  const auto found =
+      std::upper_bound(cumulated_popularity_.begin(), cumulated_popularity_.end(), drawn);
+  const auto family = static_cast<std::uint32_t>(found - cumulated_popularity_.begin());
+  return std::min(family, plan_.prefix_families - 1);
+}
+
+Arrival ArrivalGenerator::next() {
+  elapsed_s_ += exponential(1.0 / plan_.requestsPerSecond());
+  const Flow& flow = drawFlow();
+  Arrival arrival;
+  arrival.at =
+      std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(elapsed_s_));
+  arrival.kind = flow.kind;
+  arrival.tenant = flow.tenant;
+  ++arrivals_;
+  if (flow.kind == CallKind::Stream) {
+    fillStream(arrival);
+  } else {
+    fillOneShot(arrival);
+  }
+  return arrival;
+}
+
+void ArrivalGenerator::fillStream(Arrival& arrival) {
+  const LoadTenant& tenant = plan_.tenants[arrival.tenant];
+  arrival.model = tenant.models[random_.below(tenant.models.size())];
+  const std::uint32_t family = drawFamily();
+  // The first part is the tenant's own, the others the family's.
+  arrival.parts.push_back(PrefixPart{tenant.name, plan_.part_tokens});
+  for (std::uint32_t part = 1; part < plan_.prefix_parts; ++part) {
+    arrival.parts.push_back(
+        PrefixPart{tenant.name + "/f" + std::to_string(family) + "/" + std::to_string(part),
+                   plan_.part_tokens});
+  }
+  arrival.prompt_tokens = static_cast<std::uint32_t>(1 + exponential(plan_.prompt_tokens));
+  const double output =
+      std::min(exponential(plan_.output_tokens), LongestOutputFactor * plan_.output_tokens);
+  arrival.max_tokens = static_cast<std::uint32_t>(1 + output);
+}
+
+void ArrivalGenerator::fillOneShot(Arrival& arrival) {
+  arrival.service = plan_.tenants[arrival.tenant].one_shot_service;
+  arrival.idempotency_key = "k" + std::to_string(seed_) + "-" + std::to_string(arrivals_);
+  arrival.resent_early = random_.chance(plan_.resend_share);
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/process_control.cc
@@ -0,0 +1,134 @@
+#include "switchsaddle/laboratory/process_control.h"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <thread>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr int ExecFailed = 127;
+constexpr auto PollInterval = std::chrono::milliseconds(2);
+/** Fields of /proc/PID/stat after the program's name: the state, then the start time. */
+constexpr int FieldsBetweenStateAndStart = 18;
+
+/** What /proc tells about a process. */
+struct ProcessStat {
+  char state = 'X';
+  std::uint64_t start_ticks = 0;
+};
+
+/** State 'X' where there is no such process. */
+ProcessStat readStat(std::int64_t pid) {
+  ProcessStat stat;
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  const std::size_t name_end = text.rfind(')');
+  if (name_end == std::string::npos) {
+    return stat;
+  }
+  std::istringstream fields(text.substr(name_end + 1));
+  fields >> stat.state;
+  std::string skipped;
+  for (int field = 0; field < FieldsBetweenStateAndStart; ++field) {
+    fields >> skipped;
+  }
+  fields >> stat.start_ticks;
+  return stat;
+}
+
+[[noreturn]] void runProgram(const std::vector<std::string>& command, const std::string& log_path) {
+  const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  const int nothing = ::open("/dev/null", O_RDONLY);
+  ::dup2(nothing, STDIN_FILENO);
+  ::dup2(log, STDOUT_FILENO);
+  ::dup2(log, STDERR_FILENO);
+  std::vector<char*> arguments;
+  for (const std::string& argument : command) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  ::execv(arguments[0], arguments.data());
+  ::_exit(ExecFailed);
+}
+
+/** The intermediate process: leaves the session, forks the program and reports its pid. */
+[[noreturn]] void forkProgram(const std::vector<std::string>& command, const std::string& log_path,
+                              int report) {
+  ::setsid();
+  const pid_t program = ::fork();
+  if (program == 0) {
+    runProgram(command, log_path);
+  }
+  const ssize_t written = ::write(report, &program, sizeof(program));
+  ::_exit(written == sizeof(program) ? 0 : 1);
+}
+
+}  // namespace
+
+ProcessIdentity launchDetached(const std::vector<std::string>& command,
+                               const std::string& log_path) {
+  if (command.empty() || ::access(command[0].c_str(), X_OK) != 0) {
+    throw base::Error(base::ResultCode::StorageFailed,
+                      "cannot execute " + (command.empty() ? "nothing" : command[0]));
+  }
+  int pipe_ends[2];
+  if (::pipe2(pipe_ends, O_CLOEXEC) != 0) {
+    throw base::Error(base::ResultCode::StorageFailed, "cannot make a pipe");
+  }
+  const pid_t middle = ::fork();
+  if (middle == 0) {
+    forkProgram(command, log_path, pipe_ends[1]);
+  }
+  ::close(pipe_ends[1]);
+  pid_t program = -1;
+  const ssize_t taken = middle > 0 ? ::read(pipe_ends[0], &program, sizeof(program)) : 0;
+  ::close(pipe_ends[0]);
+  if (middle > 0) {
+    ::waitpid(middle, nullptr, 0);
+  }
+  if (taken != sizeof(program) || program <= 0) {
+    throw base::Error(base::ResultCode::StorageFailed, "cannot start " + command[0]);
+  }
+  return ProcessIdentity{program, readStat(program).start_ticks};
+}
+
+ProcessCondition conditionOf(const ProcessIdentity& process) {
+  if (process.pid <= 0) {
+    return ProcessCondition::Gone;
+  }
+  const ProcessStat stat = readStat(process.pid);
+  if (stat.start_ticks != process.start_ticks || stat.state == 'X' || stat.state == 'Z') {
+    return ProcessCondition::Gone;
+  }
+  return stat.state == 'T' ? ProcessCondition::Stopped : ProcessCondition::Running;
+}
+
+bool sendSignal(const ProcessIdentity& process, int signal_number) {
+  if (conditionOf(process) == ProcessCondition::Gone) {
+    return false;
+  }
+  return ::kill(static_cast<pid_t>(process.pid), signal_number) == 0;
+}
+
+bool waitForCondition(const ProcessIdentity& process, ProcessCondition condition,
+                      base::Duration limit) {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (conditionOf(process) != condition) {
+    if (std::chrono::steady_clock::now() >= deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return true;
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/test/process_control_test.cc
@@ -0,0 +1,44 @@
+#include "switchsaddle/laboratory/process_control.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr base::Duration Patience = std::chrono::minutes(1);
+
+class ProcessControlTest : public testing::Test {
+ protected:
+  /** A program that only waits, for as long as the test may take. */
+  ProcessIdentity process_ = launchDetached({"/bin/sleep", "600"}, "/dev/null");
+  ~ProcessControlTest() override { sendSignal(process_, SIGKILL); }
+};
+
+TEST_F(ProcessControlTest, KillsStopsAndWakesJustThatProcess) {
+  EXPECT_NE(conditionOf(process_), ProcessCondition::Gone);
+  EXPECT_TRUE(sendSignal(process_, SIGSTOP));
+  EXPECT_TRUE(waitForCondition(process_, ProcessCondition::Stopped, Patience));
+  EXPECT_TRUE(sendSignal(process_, SIGCONT));
+  EXPECT_TRUE(waitForCondition(process_, ProcessCondition::Running, Patience));
+  EXPECT_TRUE(sendSignal(process_, SIGKILL));
+  EXPECT_TRUE(waitForCondition(process_, ProcessCondition::Gone, Patience));
+  EXPECT_FALSE(sendSignal(process_, SIGKILL));
+}
+
+TEST_F(ProcessControlTest, ANewProcessUnderAnOldPidIsNotTheSame) {
+  const ProcessIdentity other{process_.pid, process_.start_ticks + 1};
+  EXPECT_EQ(conditionOf(other), ProcessCondition::Gone);
+  EXPECT_FALSE(sendSignal(other, SIGKILL));
+  EXPECT_NE(conditionOf(process_), ProcessCondition::Gone);
+}
+
+TEST(ProcessLaunchTest, AMissingProgramIsAnError) {
+  EXPECT_THROW(launchDetached({"/nonexistent/program"}, "/dev/null"), base::Error);
+}
+
+}  // namespace
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/programs/lab/commands.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace CLI {
+class App;
+}
+
+namespace switchsaddle::lab {
+
+/** Each adds one subcommand with its options; the subcommand runs as its callback and throws
+ * CLI::RuntimeError with the exit code where that isn't 0. */
+void addWorkerCommand(CLI::App& app);
+void addPlatformCommand(CLI::App& app);
+void addFleetCommand(CLI::App& app);
+void addLoadCommand(CLI::App& app);
+void addJudgeCommand(CLI::App& app);
+
+}  // namespace switchsaddle::lab
--- /dev/null
+++ b/programs/lab/fleet_command.cc
@@ -0,0 +1,202 @@
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "commands.h"
+#include "fleet.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/laboratory/json_fields.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+using laboratory::FleetProcess;
+using laboratory::ProcessCondition;
+using laboratory::ProcessRole;
+
+constexpr base::Duration KillLimit = std::chrono::seconds(10);
+/** Longer than the daemons' own bound for open streams. */
+constexpr base::Duration StopLimit = std::chrono::seconds(60);
+
+/** The command lines of `lab fleet ...`. */
+struct FleetArguments {
+  std::string directory;
+  std::string layout;
+  std::string configuration;
+  std::string switchsaddle;
+  int ready_seconds = 30;
+  bool wait_ready = false;
+  std::vector<std::string> names;
+
+  base::Duration readyLimit() const { return std::chrono::seconds(ready_seconds); }
+};
+
+using Arguments = std::shared_ptr<FleetArguments>;
+
+void writeWorkersFile(const laboratory::FleetLayout& layout, const std::string& directory) {
+  std::vector<laboratory::ListedWorker> listed;
+  for (const laboratory::LayoutWorker& worker : layout.workers) {
+    listed.push_back(worker.listed);
+  }
+  std::ofstream(directory + "/workers.json") << laboratory::formatWorkersFile(listed) << "\n";
+}
+
+void refuseRunningFleet(const std::string& directory) {
+  if (!std::filesystem::exists(directory + "/fleet.json")) {
+    return;
+  }
+  Fleet earlier = Fleet::load(directory);
+  for (const FleetProcess* process : earlier.named({"all"})) {
+    if (laboratory::conditionOf(Fleet::identityOf(*process)) != ProcessCondition::Gone) {
+      throw base::Error(base::ResultCode::InvalidValue,
+                        process->name + " of an earlier fleet is running; use fleet down first");
+    }
+  }
+}
+
+void startAll(Fleet& fleet, const std::vector<FleetProcess*>& processes) {
+  for (FleetProcess* process : processes) {
+    fleet.start(*process);
+  }
+}
+
+void up(const FleetArguments& arguments) {
+  namespace files = std::filesystem;
+  const std::string lab = files::read_symlink("/proc/self/exe").string();
+  const std::string beside = (files::path(lab).parent_path() / "switchsaddle").string();
+  const std::string daemon = arguments.switchsaddle.empty() ? beside : arguments.switchsaddle;
+  const std::string directory = files::absolute(arguments.directory).lexically_normal().string();
+  files::create_directories(directory);
+  refuseRunningFleet(directory);
+  const auto layout = laboratory::parseFleetLayout(laboratory::readTextFile(arguments.layout));
+  writeWorkersFile(layout, directory);
+  Fleet fleet(laboratory::planFleet(layout, directory, {lab, files::absolute(daemon).string()}));
+  fleet.prepare();
+  fleet.save();
+  for (const ProcessRole role : {ProcessRole::Platform, ProcessRole::Worker, ProcessRole::Core}) {
+    startAll(fleet, fleet.ofRole(role));
+  }
+  for (const ProcessRole role : {ProcessRole::Platform, ProcessRole::Worker, ProcessRole::Core}) {
+    fleet.waitReady(fleet.ofRole(role), arguments.readyLimit());
+  }
+  if (!arguments.configuration.empty()) {
+    fleet.applyConfiguration(laboratory::readTextFile(arguments.configuration),
+                             arguments.readyLimit());
+  }
+  startAll(fleet, fleet.ofRole(ProcessRole::Front));
+  fleet.waitReady(fleet.ofRole(ProcessRole::Front), arguments.readyLimit());
+  std::cout << fleet.status();
+}
+
+void start(const FleetArguments& arguments) {
+  Fleet fleet = Fleet::load(arguments.directory);
+  const auto processes = fleet.named(arguments.names);
+  startAll(fleet, processes);
+  if (arguments.wait_ready) {
+    fleet.waitReady(processes, arguments.readyLimit());
+  }
+}
+
+void signalNamed(const FleetArguments& arguments, int signal_number, ProcessCondition condition,
+                 base::Duration limit) {
+  Fleet fleet = Fleet::load(arguments.directory);
+  fleet.signalAll(fleet.named(arguments.names), signal_number, condition, limit);
+}
+
+void wake(const FleetArguments& arguments) {
+  Fleet fleet = Fleet::load(arguments.directory);
+  fleet.signalAll(fleet.named(arguments.names), SIGCONT, ProcessCondition::Running, KillLimit);
+}
+
+void wipe(const FleetArguments& arguments) {
+  Fleet fleet = Fleet::load(arguments.directory);
+  for (const FleetProcess* process : fleet.named(arguments.names)) {
+    fleet.wipe(*process);
+  }
+}
+
+void replace(const FleetArguments& arguments) {
+  Fleet fleet = Fleet::load(arguments.directory);
+  fleet.signalAll(fleet.named(arguments.names), SIGKILL, ProcessCondition::Gone, KillLimit);
+  for (const std::string& name : arguments.names) {
+    FleetProcess& fresh = laboratory::replaceCore(fleet.state(), name);
+    fleet.writeSettings(fresh);
+    fleet.start(fresh);
+    std::cout << fresh.name << "\t" << fresh.peer_address.toString() << "\n";
+  }
+}
+
+void down(const FleetArguments& arguments) {
+  Fleet fleet = Fleet::load(arguments.directory);
+  std::vector<FleetProcess*> all = fleet.named({"all"});
+  fleet.signalAll(all, SIGKILL, ProcessCondition::Gone, KillLimit);
+}
+
+/** Adds `fleet NAME`, with the fleet's directory as an option. */
+CLI::App* addAction(CLI::App& fleet, const Arguments& arguments, const std::string& name,
+                    const std::string& help, std::function<void(const FleetArguments&)> action) {
+  CLI::App* command = fleet.add_subcommand(name, help);
+  command->add_option("--directory", arguments->directory, "The fleet's directory")->required();
+  command->callback([arguments, action = std::move(action)] { action(*arguments); });
+  return command;
+}
+
+void addNamedAction(CLI::App& fleet, const Arguments& arguments, const std::string& name,
+                    const std::string& help, std::function<void(const FleetArguments&)> action) {
+  CLI::App* command = addAction(fleet, arguments, name, help, std::move(action));
+  command->add_option("names", arguments->names, "Processes, or cores, fronts, workers, all")
+      ->required();
+}
+
+void addUp(CLI::App& fleet, const Arguments& arguments) {
+  CLI::App* command = addAction(fleet, arguments, "up", "Start a fleet and wait for it", up);
+  command->add_option("--layout", arguments->layout, "Layout file")->required();
+  command->add_option("--configuration", arguments->configuration,
+                      "Configuration applied once the cores are ready");
+  command->add_option("--switchsaddle", arguments->switchsaddle,
+                      "The daemon's program; the one beside this by default");
+  command->add_option("--ready-seconds", arguments->ready_seconds, "Limit of each wait");
+}
+
+void addStart(CLI::App& fleet, const Arguments& arguments) {
+  CLI::App* command = addAction(fleet, arguments, "start", "Start processes that are down", start);
+  command->add_option("names", arguments->names, "Processes or groups")->required();
+  command->add_flag("--ready", arguments->wait_ready, "Wait until they are ready");
+  command->add_option("--ready-seconds", arguments->ready_seconds, "Limit of that wait");
+}
+
+}  // namespace
+
+void addFleetCommand(CLI::App& app) {
+  auto arguments = std::make_shared<FleetArguments>();
+  CLI::App* fleet = app.add_subcommand("fleet", "Start a fleet of real processes and disturb it");
+  fleet->require_subcommand(1);
+  addUp(*fleet, arguments);
+  addStart(*fleet, arguments);
+  addNamedAction(*fleet, arguments, "kill", "SIGKILL and wait", [](const FleetArguments& given) {
+    signalNamed(given, SIGKILL, ProcessCondition::Gone, KillLimit);
+  });
+  addNamedAction(*fleet, arguments, "stop", "SIGTERM and wait", [](const FleetArguments& given) {
+    signalNamed(given, SIGTERM, ProcessCondition::Gone, StopLimit);
+  });
+  addNamedAction(*fleet, arguments, "freeze", "SIGSTOP", [](const FleetArguments& given) {
+    signalNamed(given, SIGSTOP, ProcessCondition::Stopped, KillLimit);
+  });
+  addNamedAction(*fleet, arguments, "wake", "SIGCONT", wake);
+  addNamedAction(*fleet, arguments, "wipe", "Empty the data folder of a process that is down",
+                 wipe);
+  addNamedAction(*fleet, arguments, "replace", "An empty core at a new address in a core's place",
+                 replace);
+  addAction(*fleet, arguments, "down", "Kill every process of the fleet", down);
+  addAction(
+      *fleet, arguments, "status", "One line on each process",
+      [](const FleetArguments& given) { std::cout << Fleet::load(given.directory).status(); });
+}
+
+}  // namespace switchsaddle::lab
--- a/programs/lab/main.cc
+++ b/programs/lab/main.cc
@@ -1,8 +1,23 @@
 #include <CLI/CLI.hpp>
+#include <exception>
+#include <iostream>
+
+#include "commands.h"
 
 /** Entry of the laboratory: stand-ins, load and experiments. Never installed. */
 int main(int argument_count, char** arguments) {
   CLI::App app{"switchsaddle-lab: stand-ins and experiments for switchsaddle"};
-  CLI11_PARSE(app, argument_count, arguments);
+  app.require_subcommand(1);
+  switchsaddle::lab::addWorkerCommand(app);
+  switchsaddle::lab::addPlatformCommand(app);
+  switchsaddle::lab::addFleetCommand(app);
+  switchsaddle::lab::addLoadCommand(app);
+  switchsaddle::lab::addJudgeCommand(app);
+  try {
+    CLI11_PARSE(app, argument_count, arguments);
+  } catch (const std::exception& error) {
+    std::cerr << "switchsaddle-lab: " << error.what() << "\n";
+    return 1;
+  }
   return 0;
 }
--- /dev/null
+++ b/programs/lab/platform_command.cc
@@ -0,0 +1,137 @@
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <memory>
+#include <string>
+
+#include "commands.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/http/client.h"
+#include "switchsaddle/http/server.h"
+#include "switchsaddle/laboratory/json_fields.h"
+#include "switchsaddle/laboratory/platform_list.h"
+#include "switchsaddle/transport/asio_dispatcher.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+constexpr base::Duration PollInterval = std::chrono::milliseconds(250);
+
+/** The command line of `lab platform`. */
+struct PlatformArguments {
+  std::string address;
+  std::string workers_file;
+  int lag_ms = 1'000;
+  int crashed_listed_ms = 8'000;
+};
+
+/** Polls the workers and serves the lagging list until it is told to stop. One thread. */
+class PlatformProcess {
+ public:
+  explicit PlatformProcess(const PlatformArguments& arguments)
+      : dispatcher_(context_),
+        client_(http::createClient(context_)),
+        list_(laboratory::parseWorkersFile(laboratory::readTextFile(arguments.workers_file)),
+              std::chrono::milliseconds(arguments.lag_ms),
+              std::chrono::milliseconds(arguments.crashed_listed_ms)),
+        server_(http::startServer(context_, base::NodeAddress::parse(arguments.address), {},
+                                  [this](http::Request request, http::ResponseWriterPtr writer) {
+                                    handle(request, *writer);
+                                  })),
+        signals_(context_, SIGTERM, SIGINT),
+        timer_(dispatcher_.createTimer([this] { poll(); })) {}
+
+  void run() {
+    signals_.async_wait([this](const boost::system::error_code& failure, int) {
+      if (!failure) {
+        context_.stop();
+      }
+    });
+    poll();
+    context_.run();
+  }
+
+ private:
+  void poll() {
+    for (std::size_t index = 0; index < list_.workers().size(); ++index) {
+      pollWorker(index);
+    }
+    timer_->enable(PollInterval);
+  }
+
+  void pollWorker(std::size_t index) {
+    http::Request request;
+    request.method = "GET";
+    request.target = "/lab/state";
+    http::ExchangeOptions options;
+    options.connect_timeout = std::chrono::seconds(1);
+    options.response_timeout = std::chrono::seconds(1);
+    client_->fetch(list_.workers()[index].address, std::move(request), options,
+                   [this, index](const http::Response* response, http::ExchangeFailure) {
+                     onPolled(index, response);
+                   });
+  }
+
+  void onPolled(std::size_t index, const http::Response* response) {
+    if (response == nullptr || response->status != 200) {
+      list_.missed(index, dispatcher_.now());
+      return;
+    }
+    try {
+      const auto state = laboratory::textField(laboratory::parseObject(response->body), "state");
+      list_.heard(index, state, dispatcher_.now());
+    } catch (const base::Error&) {
+      list_.missed(index, dispatcher_.now());
+    }
+  }
+
+  void handle(const http::Request& request, http::ResponseWriter& writer) {
+    http::Response response;
+    response.headers = {{"Content-Type", "application/json"}};
+    const std::string_view path = http::targetPath(request.target);
+    if (path == "/v1/workers") {
+      response.body = list_.answer(dispatcher_.now());
+    } else if (path == "/lab/faults" && request.method == "POST") {
+      response.body = orderFault(request.body, response.status);
+    } else if (path == "/lab/state" || path == "/readyz") {
+      response.body = "{}";
+    } else {
+      response.status = 404;
+    }
+    writer.respond(std::move(response));
+  }
+
+  std::string orderFault(const std::string& body, std::uint16_t& status) {
+    try {
+      list_.setFault(laboratory::parsePlatformFault(body));
+    } catch (const base::Error&) {
+      status = 400;
+    }
+    return "{}";
+  }
+
+  boost::asio::io_context context_{1};
+  transport::AsioDispatcher dispatcher_;
+  std::unique_ptr<http::Client> client_;
+  laboratory::PlatformList list_;
+  std::unique_ptr<http::Server> server_;
+  boost::asio::signal_set signals_;
+  base::TimerPtr timer_;
+};
+
+}  // namespace
+
+void addPlatformCommand(CLI::App& app) {
+  auto arguments = std::make_shared<PlatformArguments>();
+  CLI::App* command = app.add_subcommand("platform", "Run the stand-in platform");
+  command->add_option("--address", arguments->address, "IP:PORT to listen on")->required();
+  command->add_option("--workers", arguments->workers_file, "File that lists the workers")
+      ->required();
+  command->add_option("--lag-ms", arguments->lag_ms, "How late the list is");
+  command->add_option("--crashed-listed-ms", arguments->crashed_listed_ms,
+                      "How long a worker that vanished stays listed");
+  command->callback([arguments] { PlatformProcess(*arguments).run(); });
+}
+
+}  // namespace switchsaddle::lab
