--- /dev/null
+++ b/libraries/laboratory/source/call_history.cc
@@ -0,0 +1,70 @@
+#include "call_history.h"
+
+#include <set>
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr int FirstRefusalStatus = 400;
+
+}  // namespace
+
+bool CallHistory::promisedNotRun() const {
+  if (!answered) {
+    return false;
+  }
+  if (!answer.outcome.empty()) {
+    return answer.outcome == "not-run";
+  }
+  const bool client_fault = answer.status >= FirstRefusalStatus && answer.status < 500;
+  return answer.end == call_end::Refused && client_fault;
+}
+
+bool CallHistory::mayHaveRun() const {
+  return !promisedNotRun() && !(answered && answer.end == call_end::NotConnected);
+}
+
+std::map<std::uint64_t, CallHistory> foldCalls(const std::vector<CallEvent>& events) {
+  std::map<std::uint64_t, CallHistory> calls;
+  for (const CallEvent& event : events) {
+    CallHistory& call = calls[event.call];
+    if (event.event == "sent") {
+      call.sent = event;
+    } else if (event.event == "piece") {
+      call.pieces.push_back(SeenPiece{event.index, event.run, event.at_ms});
+    } else if (event.event == "answer") {
+      call.answer = event;
+      call.answered = true;
+    }
+  }
+  return calls;
+}
+
+void foldRuns(const std::vector<WorkerEvent>& journal, std::map<std::string, RunHistory>& runs) {
+  std::set<std::string> open;
+  std::int64_t last_ms = 0;
+  const auto closeOpen = [&] {
+    for (const std::string& run : open) {
+      runs[run].end_ms = last_ms;
+    }
+    open.clear();
+  };
+  for (const WorkerEvent& event : journal) {
+    if (event.event == "up") {
+      closeOpen();
+    } else if (event.event == "start") {
+      runs[event.run].start = event;
+      open.insert(event.run);
+    } else {
+      RunHistory& run = runs[event.run];
+      run.end_ms = event.at_ms;
+      run.pieces = event.pieces;
+      run.finished = event.event == "end";
+      open.erase(event.run);
+    }
+    last_ms = event.at_ms;
+  }
+  closeOpen();
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/call_history.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/laboratory/call_event.h"
+#include "switchsaddle/laboratory/worker_event.h"
+
+namespace switchsaddle::laboratory {
+
+/** One piece as a caller saw it. */
+struct SeenPiece {
+  std::int64_t index = -1;
+  std::string run;
+  std::int64_t at_ms = 0;
+};
+
+/** All that was recorded on one call. */
+struct CallHistory {
+  CallEvent sent;
+  std::vector<SeenPiece> pieces;
+  CallEvent answer;
+  bool answered = false;
+
+  /** Whether the call's answer leaves open or says that it ran. */
+  bool mayHaveRun() const;
+  /** Whether the answer promises that the call did not run. */
+  bool promisedNotRun() const;
+};
+
+/** One run of a worker. */
+struct RunHistory {
+  WorkerEvent start;
+  std::int64_t end_ms = 0;
+  std::uint64_t pieces = 0;
+  /** Whether the worker itself finished it. */
+  bool finished = false;
+};
+
+/** Calls by number. */
+std::map<std::uint64_t, CallHistory> foldCalls(const std::vector<CallEvent>& events);
+
+/**
+ * Adds a worker's runs, by run id. A run without an end ended at the latest with the last line that
+ * its process wrote.
+ */
+void foldRuns(const std::vector<WorkerEvent>& journal, std::map<std::string, RunHistory>& runs);
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/judge.cc
@@ -0,0 +1,276 @@
+#include "switchsaddle/laboratory/judge.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+#include "call_history.h"
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr const char* OneShot = "one-shot";
+constexpr const char* Stream = "stream";
+
+/** Applies each rule to the folded histories. */
+class Judge {
+ public:
+  explicit Judge(const Evidence& evidence)
+      : limits_(evidence.limits), calls_(foldCalls(evidence.calls)) {
+    for (const WorkerJournal& journal : evidence.journals) {
+      foldRuns(journal, runs_);
+    }
+    for (const auto& [number, call] : calls_) {
+      if (!call.sent.idempotency_key.empty()) {
+        calls_by_key_[call.sent.idempotency_key].push_back(&call);
+      }
+    }
+    for (const auto& [id, run] : runs_) {
+      if (run.start.kind == OneShot) {
+        runs_by_key_[run.start.idempotency_key].push_back(&run);
+      }
+    }
+  }
+
+  Judgement result() {
+    judgeKeys();
+    judgeRefusals();
+    for (const auto& [number, call] : calls_) {
+      count(call);
+      if (call.sent.kind == Stream) {
+        judgeStream(call);
+      }
+    }
+    judgeLimits();
+    measureFirstTokens();
+    return std::move(judgement_);
+  }
+
+ private:
+  void violated(Rule rule, const std::string& subject, const std::string& detail) {
+    judgement_.violations.push_back(Violation{rule, subject, detail});
+  }
+
+  static std::string subjectOf(const CallHistory& call) {
+    return "call " + std::to_string(call.sent.call) + " request " + call.sent.request_id;
+  }
+
+  void judgeKeys() {
+    for (const auto& [key, runs] : runs_by_key_) {
+      if (runs.size() > 1) {
+        violated(Rule::RanTwice, key, std::to_string(runs.size()) + " runs");
+      }
+      for (const RunHistory* run : runs) {
+        judgeRunOfKey(key, *run);
+      }
+    }
+    for (const auto& [key, calls] : calls_by_key_) {
+      judgeAnswersOfKey(key, calls);
+    }
+  }
+
+  /** Whether the call could be the one that the run was made for. */
+  static bool explains(const CallHistory& call, const RunHistory& run) {
+    return call.mayHaveRun() && call.sent.at_ms <= run.start.at_ms;
+  }
+
+  void judgeRunOfKey(const std::string& key, const RunHistory& run) {
+    const auto found = calls_by_key_.find(key);
+    if (found == calls_by_key_.end()) {
+      return;
+    }
+    const auto& calls = found->second;
+    const bool explained = std::any_of(calls.begin(), calls.end(), [&run](const CallHistory* call) {
+      return explains(*call, run);
+    });
+    if (!explained) {
+      violated(Rule::RanAfterNotRun, key, "run " + run.start.run);
+    }
+  }
+
+  void judgeAnswersOfKey(const std::string& key, const std::vector<const CallHistory*>& calls) {
+    if (runs_by_key_.contains(key)) {
+      return;
+    }
+    for (const CallHistory* call : calls) {
+      if (call->answered && call->answer.outcome == "ran") {
+        violated(Rule::AnsweredWithoutRun, key, subjectOf(*call));
+        return;
+      }
+    }
+  }
+
+  void judgeRefusals() {
+    std::map<std::string, const CallHistory*> refused;
+    for (const auto& [number, call] : calls_) {
+      if (call.promisedNotRun() && !call.sent.request_id.empty()) {
+        refused[call.sent.request_id] = &call;
+      }
+    }
+    for (const auto& [id, run] : runs_) {
+      const auto found = refused.find(run.start.request_id);
+      if (found != refused.end() && run.start.kind != "prefill") {
+        violated(Rule::RanAfterRefusal, subjectOf(*found->second), "run " + id);
+      }
+    }
+  }
+
+  void judgeStream(const CallHistory& call) {
+    judgePieces(call);
+    if (!call.answered) {
+      return;
+    }
+    if (call.answer.end == call_end::Silent) {
+      violated(Rule::SilentEnd, subjectOf(call), std::to_string(call.pieces.size()) + " pieces");
+    }
+    if (call.answer.end == call_end::Done) {
+      judgeEnd(call);
+    }
+  }
+
+  void judgePieces(const CallHistory& call) {
+    std::int64_t expected = 0;
+    for (const SeenPiece& piece : call.pieces) {
+      if (piece.index != expected) {
+        violated(
+            Rule::PieceOrder, subjectOf(call),
+            "piece " + std::to_string(piece.index) + " in place of " + std::to_string(expected));
+        break;
+      }
+      ++expected;
+    }
+    for (const SeenPiece& piece : call.pieces) {
+      if (piece.run != call.pieces.front().run) {
+        violated(Rule::RunChanged, subjectOf(call), call.pieces.front().run + " then " + piece.run);
+        break;
+      }
+    }
+  }
+
+  void judgeEnd(const CallHistory& call) {
+    const std::string run_id = call.pieces.empty() ? call.answer.run : call.pieces.front().run;
+    const auto run = runs_.find(run_id);
+    if (run == runs_.end() || !run->second.finished) {
+      violated(Rule::EarlyEnd, subjectOf(call), "run " + run_id + " was not ended by its worker");
+      return;
+    }
+    if (run->second.pieces != call.pieces.size()) {
+      violated(Rule::EarlyEnd, subjectOf(call),
+               std::to_string(call.pieces.size()) + " of " + std::to_string(run->second.pieces) +
+                   " pieces");
+    }
+  }
+
+  /** Most runs at once of a tenant; a run that ends as another starts doesn't overlap it. */
+  void judgeLimits() {
+    std::map<std::string, std::multiset<std::pair<std::int64_t, int>>> changes;
+    for (const auto& [id, run] : runs_) {
+      if (run.start.kind != "prefill") {
+        changes[run.start.tenant].insert({run.start.at_ms, 1});
+        changes[run.start.tenant].insert({run.end_ms, -1});
+      }
+    }
+    for (const auto& [tenant, steps] : changes) {
+      std::int64_t running = 0;
+      std::int64_t peak = 0;
+      for (const auto& [at_ms, step] : steps) {
+        running += step;
+        peak = std::max(peak, running);
+      }
+      judgement_.peak_by_tenant[tenant] = static_cast<std::uint32_t>(peak);
+      const auto limit = limits_.find(tenant);
+      if (limit != limits_.end() && peak > limit->second) {
+        violated(Rule::OverLimit, tenant,
+                 std::to_string(peak) + " at once, limit " + std::to_string(limit->second));
+      }
+    }
+  }
+
+  void count(const CallHistory& call) {
+    if (!call.answered) {
+      ++judgement_.open_calls;
+      return;
+    }
+    std::string name = call.sent.kind + " " + call.answer.end;
+    if (call.answer.code != 0) {
+      name += " " + std::to_string(call.answer.code);
+    }
+    if (!call.answer.outcome.empty()) {
+      name += " " + call.answer.outcome;
+    }
+    ++judgement_.answers[name];
+  }
+
+  void measureFirstTokens() {
+    std::vector<std::int64_t> times;
+    for (const auto& [number, call] : calls_) {
+      if (!call.pieces.empty()) {
+        times.push_back(call.pieces.front().at_ms - call.sent.at_ms);
+      }
+    }
+    std::sort(times.begin(), times.end());
+    judgement_.first_token.samples = times.size();
+    if (!times.empty()) {
+      judgement_.first_token.p50_ms = times[(times.size() - 1) * 50 / 100];
+      judgement_.first_token.p95_ms = times[(times.size() - 1) * 95 / 100];
+    }
+  }
+
+  const std::map<std::string, std::uint32_t>& limits_;
+  std::map<std::uint64_t, CallHistory> calls_;
+  std::map<std::string, RunHistory> runs_;
+  std::map<std::string, std::vector<const CallHistory*>> calls_by_key_;
+  std::map<std::string, std::vector<const RunHistory*>> runs_by_key_;
+  Judgement judgement_;
+};
+
+}  // namespace
+
+std::string ruleName(Rule rule) {
+  switch (rule) {
+    case Rule::RanTwice:
+      return "ran-twice";
+    case Rule::RanAfterNotRun:
+      return "ran-after-not-run";
+    case Rule::RanAfterRefusal:
+      return "ran-after-refusal";
+    case Rule::AnsweredWithoutRun:
+      return "answered-without-run";
+    case Rule::PieceOrder:
+      return "piece-order";
+    case Rule::RunChanged:
+      return "run-changed";
+    case Rule::EarlyEnd:
+      return "early-end";
+    case Rule::SilentEnd:
+      return "silent-end";
+    case Rule::OverLimit:
+      return "over-limit";
+  }
+  return "unknown";
+}
+
+Judgement judge(const Evidence& evidence) {
+  return Judge(evidence).result();
+}
+
+std::string formatJudgement(const Judgement& judgement) {
+  std::ostringstream text;
+  for (const auto& [name, count] : judgement.answers) {
+    text << "answers: " << name << ": " << count << "\n";
+  }
+  text << "calls still open: " << judgement.open_calls << "\n";
+  text << "first token: p50 " << judgement.first_token.p50_ms << " ms, p95 "
+       << judgement.first_token.p95_ms << " ms, samples " << judgement.first_token.samples << "\n";
+  for (const auto& [tenant, peak] : judgement.peak_by_tenant) {
+    text << "peak at once: " << tenant << ": " << peak << "\n";
+  }
+  for (const Violation& violation : judgement.violations) {
+    text << "VIOLATION " << ruleName(violation.rule) << ": " << violation.subject << ": "
+         << violation.detail << "\n";
+  }
+  text << "violations: " << judgement.violations.size() << "\n";
+  return text.str();
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/test/judge_test.cc
@@ -0,0 +1,219 @@
+#include "switchsaddle/laboratory/judge.h"
+
+#include <gtest/gtest.h>
+
+namespace switchsaddle::laboratory {
+namespace {
+
+/** Builds fabricated evidence; a healthy record by itself breaks no rule. */
+class JudgeTest : public testing::Test {
+ protected:
+  void sent(std::uint64_t call, const std::string& kind, std::int64_t at_ms,
+            const std::string& key = {}) {
+    CallEvent event;
+    event.event = "sent";
+    event.call = call;
+    event.kind = kind;
+    event.at_ms = at_ms;
+    event.request_id = "r" + std::to_string(call);
+    event.idempotency_key = key;
+    evidence_.calls.push_back(event);
+  }
+  void piece(std::uint64_t call, std::int64_t index, const std::string& run, std::int64_t at_ms) {
+    CallEvent event;
+    event.event = "piece";
+    event.call = call;
+    event.index = index;
+    event.run = run;
+    event.at_ms = at_ms;
+    evidence_.calls.push_back(event);
+  }
+  void answered(std::uint64_t call, const std::string& end, const std::string& outcome = {},
+                int status = 200) {
+    CallEvent event;
+    event.event = "answer";
+    event.call = call;
+    event.end = end;
+    event.outcome = outcome;
+    event.status = status;
+    event.at_ms = 1'000;
+    evidence_.calls.push_back(event);
+  }
+  void worker(const std::string& event, const std::string& kind, const std::string& run,
+              std::int64_t at_ms, const std::string& key = {}, const std::string& request_id = {},
+              std::uint64_t pieces = 0) {
+    WorkerEvent line;
+    line.event = event;
+    line.kind = kind;
+    line.run = run;
+    line.at_ms = at_ms;
+    line.idempotency_key = key;
+    line.request_id = request_id;
+    line.pieces = pieces;
+    line.tenant = "t1";
+    journal_.push_back(line);
+  }
+  /** A finished stream of two pieces under this call. */
+  void stream(std::uint64_t call, const std::string& end = call_end::Done) {
+    const std::string run = "run" + std::to_string(call);
+    sent(call, "stream", 10);
+    worker("start", "stream", run, 11, "", "r" + std::to_string(call));
+    piece(call, 0, run, 30);
+    piece(call, 1, run, 40);
+    worker("end", "stream", run, 41, "", "r" + std::to_string(call), 2);
+    answered(call, end);
+  }
+  std::vector<Rule> rules() {
+    Evidence evidence = evidence_;
+    evidence.journals.push_back(journal_);
+    std::vector<Rule> found;
+    for (const Violation& violation : judge(evidence).violations) {
+      found.push_back(violation.rule);
+    }
+    return found;
+  }
+  Evidence evidence_;
+  WorkerJournal journal_;
+};
+
+using Rules = std::vector<Rule>;
+
+TEST_F(JudgeTest, AHealthyRecordBreaksNoRule) {
+  stream(1);
+  sent(2, "one-shot", 10, "k");
+  worker("start", "one-shot", "o1", 12, "k", "r2");
+  worker("end", "one-shot", "o1", 13, "k", "r2");
+  answered(2, call_end::Done, "ran");
+  sent(3, "one-shot", 10, "other");
+  answered(3, call_end::Refused, "not-run", 429);
+  EXPECT_EQ(rules(), Rules{});
+}
+
+TEST_F(JudgeTest, FindsAKeyThatRanTwice) {
+  sent(1, "one-shot", 10, "k");
+  answered(1, call_end::Lost);
+  worker("start", "one-shot", "o1", 12, "k");
+  worker("start", "one-shot", "o2", 15, "k");
+  EXPECT_EQ(rules(), Rules{Rule::RanTwice});
+}
+
+TEST_F(JudgeTest, FindsAKeyThatRanThoughAnsweredNotRun) {
+  sent(1, "one-shot", 10, "k");
+  answered(1, call_end::Refused, "not-run", 503);
+  worker("start", "one-shot", "o1", 2'000, "k");
+  EXPECT_EQ(rules(), Rules{Rule::RanAfterNotRun});
+}
+
+TEST_F(JudgeTest, ARunForAnotherRequestOfTheKeyIsAllowed) {
+  sent(1, "one-shot", 10, "k");
+  answered(1, call_end::Refused, "not-run", 503);
+  sent(2, "one-shot", 1'500, "k");
+  worker("start", "one-shot", "o1", 2'000, "k");
+  answered(2, call_end::Done, "ran");
+  EXPECT_EQ(rules(), Rules{});
+}
+
+TEST_F(JudgeTest, AResendAfterTheRunDoesNotExcuseIt) {
+  sent(1, "one-shot", 10, "k");
+  answered(1, call_end::Refused, "not-run", 503);
+  worker("start", "one-shot", "o1", 2'000, "k");
+  sent(2, "one-shot", 3'000, "k");
+  answered(2, call_end::Done, "ran");
+  EXPECT_EQ(rules(), Rules{Rule::RanAfterNotRun});
+}
+
+TEST_F(JudgeTest, FindsARefusedRequestThatRan) {
+  sent(1, "stream", 10);
+  answered(1, call_end::Refused, "not-run", 429);
+  worker("start", "stream", "s1", 2'000, "", "r1");
+  EXPECT_EQ(rules(), Rules{Rule::RanAfterRefusal});
+}
+
+TEST_F(JudgeTest, FindsAnAnswerWithoutARun) {
+  sent(1, "one-shot", 10, "k");
+  answered(1, call_end::Done, "ran");
+  EXPECT_EQ(rules(), Rules{Rule::AnsweredWithoutRun});
+}
+
+TEST_F(JudgeTest, FindsGapsRepeatsAndLateStarts) {
+  for (const std::vector<std::int64_t>& indices :
+       {std::vector<std::int64_t>{0, 2}, {0, 0}, {1, 2}, {0, -1}}) {
+    evidence_.calls.clear();
+    sent(1, "stream", 10);
+    for (const std::int64_t index : indices) {
+      piece(1, index, "s1", 20);
+    }
+    answered(1, call_end::Cut);
+    EXPECT_EQ(rules(), Rules{Rule::PieceOrder});
+  }
+}
+
+TEST_F(JudgeTest, FindsTwoRunsInOneStream) {
+  sent(1, "stream", 10);
+  piece(1, 0, "s1", 20);
+  piece(1, 1, "s2", 30);
+  answered(1, call_end::Error);
+  EXPECT_EQ(rules(), Rules{Rule::RunChanged});
+}
+
+TEST_F(JudgeTest, FindsAnEndThatTheWorkerNeverMade) {
+  sent(1, "stream", 10);
+  worker("start", "stream", "s1", 11);
+  piece(1, 0, "s1", 20);
+  worker("cancelled", "stream", "s1", 30, "", "", 1);
+  answered(1, call_end::Done);
+  EXPECT_EQ(rules(), Rules{Rule::EarlyEnd});
+}
+
+TEST_F(JudgeTest, FindsAnEndThatLacksTheLastPiece) {
+  sent(1, "stream", 10);
+  worker("start", "stream", "s1", 11);
+  piece(1, 0, "s1", 20);
+  worker("end", "stream", "s1", 30, "", "", 2);
+  answered(1, call_end::Done);
+  EXPECT_EQ(rules(), Rules{Rule::EarlyEnd});
+}
+
+TEST_F(JudgeTest, FindsASilentEndButNotAVisibleOne) {
+  stream(1, call_end::Error);
+  stream(2, call_end::Cut);
+  EXPECT_EQ(rules(), Rules{});
+  stream(3, call_end::Silent);
+  EXPECT_EQ(rules(), Rules{Rule::SilentEnd});
+}
+
+TEST_F(JudgeTest, FindsATenantOverItsLimit) {
+  worker("start", "stream", "s1", 10);
+  worker("start", "stream", "s2", 20);
+  worker("end", "stream", "s1", 30);
+  worker("start", "stream", "s3", 30);
+  worker("end", "stream", "s2", 50);
+  evidence_.limits["t1"] = 2;
+  EXPECT_EQ(rules(), Rules{});
+  evidence_.limits["t1"] = 1;
+  EXPECT_EQ(rules(), Rules{Rule::OverLimit});
+}
+
+TEST_F(JudgeTest, ACrashedWorkersRunsEndWithItsLastLine) {
+  worker("start", "stream", "s1", 10);
+  worker("up", "process", "", 1'000);
+  worker("start", "stream", "s2", 1'010);
+  evidence_.limits["t1"] = 1;
+  EXPECT_EQ(rules(), Rules{});
+}
+
+TEST_F(JudgeTest, CountsAnswersAndFirstTokens) {
+  stream(1);
+  stream(2);
+  sent(3, "stream", 10);
+  evidence_.journals.push_back(journal_);
+  const Judgement judgement = judge(evidence_);
+  EXPECT_EQ(judgement.answers.at("stream done"), 2U);
+  EXPECT_EQ(judgement.open_calls, 1U);
+  EXPECT_EQ(judgement.first_token.samples, 2U);
+  EXPECT_EQ(judgement.first_token.p50_ms, 20);
+  EXPECT_EQ(judgement.first_token.p95_ms, 20);
+}
+
+}  // namespace
+}  // namespace switchsaddle::laboratory
