Add the lab's load and judge commands

Cause: promises to callers can only be checked from what callers and workers saw. Change: open-loop callers with resends, their record, the judge command and the load mixes of the demo and both deployments.

--- a/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
@@ -4,6 +4,8 @@
 #include <string>
 #include <vector>
 
+#include "switchsaddle/laboratory/line_file.h"
+
 namespace switchsaddle::laboratory {
 
 /** One line of a worker's journal: what it ran, whoever was told. */
@@ -36,18 +38,15 @@
   virtual void append(const WorkerEvent& event) = 0;
 };
 
-/** Appends each event to a file by one write(2), so that a killed process loses none. */
+/** Appends each event to a file as a line. */
 class FileEventSink : public EventSink {
  public:
   /** Throws base::Error with StorageFailed. */
-  explicit FileEventSink(const std::string& path);
-  ~FileEventSink() override;
-  FileEventSink(const FileEventSink&) = delete;
-  FileEventSink& operator=(const FileEventSink&) = delete;
-  void append(const WorkerEvent& event) override;
+  explicit FileEventSink(const std::string& path) : file_(path) {}
+  void append(const WorkerEvent& event) override { file_.append(toJsonLine(event)); }
 
  private:
-  int file_ = -1;
+  LineFile file_;
 };
 
 /** All events of a journal file; a torn last line is left out. */
--- a/libraries/laboratory/source/worker_event.cc
+++ b/libraries/laboratory/source/worker_event.cc
@@ -1,11 +1,7 @@
 #include "switchsaddle/laboratory/worker_event.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <boost/json.hpp>
 
-#include "switchsaddle/base/error.h"
 #include "switchsaddle/laboratory/json_fields.h"
 
 namespace switchsaddle::laboratory {
@@ -39,25 +35,6 @@
   return event;
 }
 
-FileEventSink::FileEventSink(const std::string& path)
-    : file_(::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644)) {
-  if (file_ < 0) {
-    throw base::Error(base::ResultCode::StorageFailed, "cannot open journal " + path);
-  }
-}
-
-FileEventSink::~FileEventSink() {
-  ::close(file_);
-}
-
-void FileEventSink::append(const WorkerEvent& event) {
-  const std::string line = toJsonLine(event) + "\n";
-  const ssize_t written = ::write(file_, line.data(), line.size());
-  if (written != static_cast<ssize_t>(line.size())) {
-    throw base::Error(base::ResultCode::StorageFailed, "cannot append to the journal");
-  }
-}
-
 std::vector<WorkerEvent> readWorkerEvents(const std::string& path) {
   std::vector<WorkerEvent> events;
   for (const std::string& line : readCompleteLines(path)) {
--- /dev/null
+++ b/programs/lab/call_exchange.cc
@@ -0,0 +1,131 @@
+#include "call_exchange.h"
+
+#include <charconv>
+#include <utility>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/laboratory/json_fields.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+namespace call_end = laboratory::call_end;
+
+constexpr int Success = 200;
+constexpr std::string_view StreamEnd = "[DONE]";
+
+/** A number in decimal digits, or the fallback. */
+std::int64_t toNumber(std::string_view text, std::int64_t fallback) {
+  std::int64_t number = fallback;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+void CallRecorder::record(laboratory::CallEvent event) const {
+  event.at_ms = base::toMilliseconds(dispatcher.now().time_since_epoch());
+  file.append(laboratory::toJsonLine(event));
+}
+
+CallExchange::CallExchange(CallRecorder recorder, const laboratory::CallEvent& sent, Ended ended)
+    : recorder_(recorder), ended_(std::move(ended)) {
+  answer_.call = sent.call;
+  answer_.kind = sent.kind;
+  answer_.event = "answer";
+}
+
+void CallExchange::onResponseHead(const http::Response& head) {
+  answer_.status = head.status;
+  answer_.run = head.header("Run");
+  answer_.cached_tokens = static_cast<std::uint64_t>(toNumber(head.header("Cached-Tokens"), 0));
+  streaming_ = head.status == Success && answer_.kind == "stream";
+  laboratory::CallEvent event = answer_;
+  event.event = "head";
+  recorder_.record(event);
+}
+
+void CallExchange::onBodyBytes(std::string bytes, std::function<void()> resume) {
+  if (streaming_) {
+    for (const laboratory::StreamEvent& event : reader_.feed(bytes)) {
+      takeEvent(event);
+    }
+  } else {
+    body_ += bytes;
+  }
+  resume();
+}
+
+void CallExchange::takeEvent(const laboratory::StreamEvent& event) {
+  if (event.event == "error") {
+    error_seen_ = true;
+    readOutcome(event.data);
+  } else if (event.data == StreamEnd) {
+    done_seen_ = true;
+  } else {
+    takePiece(event);
+  }
+}
+
+void CallExchange::takePiece(const laboratory::StreamEvent& event) {
+  laboratory::CallEvent piece;
+  piece.event = "piece";
+  piece.call = answer_.call;
+  piece.index = toNumber(event.id, -1);
+  try {
+    piece.run = laboratory::textField(laboratory::parseObject(event.data), "run", answer_.run);
+  } catch (const base::Error&) {
+    piece.run = "unreadable";
+  }
+  recorder_.record(piece);
+}
+
+void CallExchange::readOutcome(const std::string& text) {
+  try {
+    const auto object = laboratory::parseObject(text);
+    const auto error = laboratory::objectField(object, "error");
+    answer_.outcome = laboratory::textField(object, "outcome");
+    if (answer_.outcome.empty()) {
+      answer_.outcome = laboratory::textField(error, "outcome");
+    }
+    answer_.code = static_cast<int>(laboratory::integerField(object, "code"));
+    if (answer_.code == 0) {
+      answer_.code = static_cast<int>(laboratory::integerField(error, "code"));
+    }
+  } catch (const base::Error&) {
+    answer_.outcome.clear();
+  }
+}
+
+void CallExchange::onComplete() {
+  if (streaming_) {
+    const char* without_end = error_seen_ ? call_end::Error : call_end::Silent;
+    answer(done_seen_ && !error_seen_ ? call_end::Done : without_end);
+    return;
+  }
+  readOutcome(body_);
+  answer(answer_.status == Success ? call_end::Done : call_end::Refused);
+}
+
+void CallExchange::onFailure(http::ExchangeFailure failure, bool) {
+  if (streaming_ && error_seen_) {
+    answer(call_end::Error);
+  } else if (failure == http::ExchangeFailure::NotConnected) {
+    answer(call_end::NotConnected);
+  } else if (failure == http::ExchangeFailure::BodyCut) {
+    answer(call_end::Cut);
+  } else {
+    answer(call_end::Lost);
+  }
+}
+
+void CallExchange::answer(const std::string& end) {
+  if (std::exchange(answered_, true)) {
+    return;
+  }
+  answer_.end = end;
+  recorder_.record(answer_);
+  ended_(answer_);
+}
+
+}  // namespace switchsaddle::lab
--- /dev/null
+++ b/programs/lab/call_exchange.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/http/client.h"
+#include "switchsaddle/laboratory/call_event.h"
+#include "switchsaddle/laboratory/event_stream_reader.h"
+#include "switchsaddle/laboratory/line_file.h"
+
+namespace switchsaddle::lab {
+
+/** Where calls are recorded, and the clock they are recorded by. */
+struct CallRecorder {
+  base::Dispatcher& dispatcher;
+  laboratory::LineFile& file;
+
+  void record(laboratory::CallEvent event) const;
+};
+
+/**
+ * One call as its caller sees it: records the head, each piece and exactly one answer. Runs on the
+ * client's thread; kept alive by the client until the exchange has ended.
+ */
+class CallExchange : public http::ExchangeObserver {
+ public:
+  using Ended = std::function<void(const laboratory::CallEvent& answer)>;
+
+  /** `sent` is the call's "sent" event, recorded already. */
+  CallExchange(CallRecorder recorder, const laboratory::CallEvent& sent, Ended ended);
+
+  void onResponseHead(const http::Response& head) override;
+  void onBodyBytes(std::string bytes, std::function<void()> resume) override;
+  void onComplete() override;
+  void onFailure(http::ExchangeFailure failure, bool refused) override;
+
+ private:
+  void takeEvent(const laboratory::StreamEvent& event);
+  void takePiece(const laboratory::StreamEvent& event);
+  void readOutcome(const std::string& text);
+  void answer(const std::string& end);
+
+  CallRecorder recorder_;
+  laboratory::CallEvent answer_;
+  Ended ended_;
+  laboratory::EventStreamReader reader_;
+  std::string body_;
+  bool streaming_ = false;
+  bool done_seen_ = false;
+  bool error_seen_ = false;
+  bool answered_ = false;
+};
+
+}  // namespace switchsaddle::lab
