Move the callers into the laboratory library and test them

Change: CallExchange and LoadRunner record through a sink and run in the simulation with a scripted client. Conclusion: the lab program holds only command wiring and the fleet's processes.

--- a/programs/lab/call_exchange.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/call_exchange.h
@@ -10,14 +10,32 @@
 #include "switchsaddle/laboratory/event_stream_reader.h"
 #include "switchsaddle/laboratory/line_file.h"
 
-namespace switchsaddle::lab {
+namespace switchsaddle::laboratory {
 
-/** Where calls are recorded, and the clock they are recorded by. */
+/** Where calls are recorded. */
+class CallSink {
+ public:
+  virtual ~CallSink() = default;
+  virtual void append(const CallEvent& event) = 0;
+};
+
+/** Records into a file, one line for each event. */
+class FileCallSink : public CallSink {
+ public:
+  /** Throws base::Error with StorageFailed. */
+  explicit FileCallSink(const std::string& path) : file_(path) {}
+  void append(const CallEvent& event) override { file_.append(toJsonLine(event)); }
+
+ private:
+  LineFile file_;
+};
+
+/** A sink with the clock that its events are recorded by. */
 struct CallRecorder {
   base::Dispatcher& dispatcher;
-  laboratory::LineFile& file;
+  CallSink& sink;
 
-  void record(laboratory::CallEvent event) const;
+  void record(CallEvent event) const;
 };
 
 /**
@@ -26,10 +44,10 @@
  */
 class CallExchange : public http::ExchangeObserver {
  public:
-  using Ended = std::function<void(const laboratory::CallEvent& answer)>;
+  using Ended = std::function<void(const CallEvent& answer)>;
 
   /** `sent` is the call's "sent" event, recorded already. */
-  CallExchange(CallRecorder recorder, const laboratory::CallEvent& sent, Ended ended);
+  CallExchange(CallRecorder recorder, const CallEvent& sent, Ended ended);
 
   void onResponseHead(const http::Response& head) override;
   void onBodyBytes(std::string bytes, std::function<void()> resume) override;
@@ -37,15 +55,15 @@
   void onFailure(http::ExchangeFailure failure, bool refused) override;
 
  private:
-  void takeEvent(const laboratory::StreamEvent& event);
-  void takePiece(const laboratory::StreamEvent& event);
+  void takeEvent(const StreamEvent& event);
+  void takePiece(const StreamEvent& event);
   void readOutcome(const std::string& text);
   void answer(const std::string& end);
 
   CallRecorder recorder_;
-  laboratory::CallEvent answer_;
+  CallEvent answer_;
   Ended ended_;
-  laboratory::EventStreamReader reader_;
+  EventStreamReader reader_;
   std::string body_;
   bool streaming_ = false;
   bool done_seen_ = false;
@@ -53,4 +71,4 @@
   bool answered_ = false;
 };
 
-}  // namespace switchsaddle::lab
+}  // namespace switchsaddle::laboratory
--- a/programs/lab/load_runner.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/load_runner.h
@@ -5,20 +5,20 @@
 #include <string>
 #include <vector>
 
-#include "call_exchange.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/http/client.h"
+#include "switchsaddle/laboratory/call_exchange.h"
 #include "switchsaddle/laboratory/load_plan.h"
 #include "switchsaddle/laboratory/platform_list.h"
 
-namespace switchsaddle::lab {
+namespace switchsaddle::laboratory {
 
 /** Where the load goes: through the fronts or, for comparison, straight to workers. */
 struct LoadTargets {
   std::vector<base::NodeAddress> fronts;
   /** Used in place of the fronts where it isn't empty. */
-  std::vector<laboratory::ListedWorker> workers;
+  std::vector<ListedWorker> workers;
 };
 
 /**
@@ -27,9 +27,8 @@
  */
 class LoadRunner {
  public:
-  LoadRunner(laboratory::LoadPlan plan, LoadTargets targets, std::uint64_t seed,
-             base::Duration duration, CallRecorder recorder, http::Client& client,
-             std::function<void()> finished);
+  LoadRunner(LoadPlan plan, LoadTargets targets, std::uint64_t seed, base::Duration duration,
+             CallRecorder recorder, http::Client& client, std::function<void()> finished);
   void start();
   std::uint64_t callsSent() const { return calls_; }
 
@@ -37,20 +36,18 @@
   void schedule();
   void onArrival();
   /** `attempt` counts the sends of this one-shot's key before this one. */
-  void send(const laboratory::Arrival& arrival, int attempt, const base::NodeAddress& avoided);
-  void onEnded(const laboratory::Arrival& arrival, int attempt, const base::NodeAddress& target,
-               const laboratory::CallEvent& answer);
-  void resendLater(const laboratory::Arrival& arrival, int attempt,
-                   const base::NodeAddress& avoided);
+  void send(const Arrival& arrival, int attempt, const base::NodeAddress& avoided);
+  void onEnded(const Arrival& arrival, int attempt, const base::NodeAddress& target,
+               const CallEvent& answer);
+  void resendLater(const Arrival& arrival, int attempt, const base::NodeAddress& avoided);
   void finishIfIdle();
-  std::vector<base::NodeAddress> candidates(const laboratory::Arrival& arrival) const;
-  base::NodeAddress chooseTarget(const laboratory::Arrival& arrival,
-                                 const base::NodeAddress& avoided);
-  http::Request requestOf(const laboratory::Arrival& arrival, const std::string& request_id) const;
+  std::vector<base::NodeAddress> candidates(const Arrival& arrival) const;
+  base::NodeAddress chooseTarget(const Arrival& arrival, const base::NodeAddress& avoided);
+  http::Request requestOf(const Arrival& arrival, const std::string& request_id) const;
 
-  laboratory::LoadPlan plan_;
+  LoadPlan plan_;
   LoadTargets targets_;
-  laboratory::ArrivalGenerator generator_;
+  ArrivalGenerator generator_;
   base::RandomSource random_;
   std::uint64_t seed_;
   base::Duration duration_;
@@ -58,7 +55,7 @@
   http::Client& client_;
   std::function<void()> finished_;
   base::TimePoint started_{};
-  laboratory::Arrival next_;
+  Arrival next_;
   base::TimerPtr arrival_timer_;
   /** Timers of resends; kept until the runner ends. */
   std::vector<base::TimerPtr> resend_timers_;
@@ -67,4 +64,4 @@
   bool arrivals_over_ = false;
 };
 
-}  // namespace switchsaddle::lab
+}  // namespace switchsaddle::laboratory
--- a/programs/lab/call_exchange.cc
+++ b/libraries/laboratory/source/call_exchange.cc
@@ -1,4 +1,4 @@
-#include "call_exchange.h"
+#include "switchsaddle/laboratory/call_exchange.h"
 
 #include <charconv>
 #include <utility>
@@ -6,11 +6,9 @@
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/laboratory/json_fields.h"
 
-namespace switchsaddle::lab {
+namespace switchsaddle::laboratory {
 namespace {
 
-namespace call_end = laboratory::call_end;
-
 constexpr int Success = 200;
 constexpr std::string_view StreamEnd = "[DONE]";
 
@@ -23,12 +21,12 @@
 
 }  // namespace
 
-void CallRecorder::record(laboratory::CallEvent event) const {
+void CallRecorder::record(CallEvent event) const {
   event.at_ms = base::toMilliseconds(dispatcher.now().time_since_epoch());
-  file.append(laboratory::toJsonLine(event));
+  sink.append(event);
 }
 
-CallExchange::CallExchange(CallRecorder recorder, const laboratory::CallEvent& sent, Ended ended)
+CallExchange::CallExchange(CallRecorder recorder, const CallEvent& sent, Ended ended)
     : recorder_(recorder), ended_(std::move(ended)) {
   answer_.call = sent.call;
   answer_.kind = sent.kind;
@@ -40,14 +38,14 @@
   answer_.run = head.header("Run");
   answer_.cached_tokens = static_cast<std::uint64_t>(toNumber(head.header("Cached-Tokens"), 0));
   streaming_ = head.status == Success && answer_.kind == "stream";
-  laboratory::CallEvent event = answer_;
+  CallEvent event = answer_;
   event.event = "head";
   recorder_.record(event);
 }
 
 void CallExchange::onBodyBytes(std::string bytes, std::function<void()> resume) {
   if (streaming_) {
-    for (const laboratory::StreamEvent& event : reader_.feed(bytes)) {
+    for (const StreamEvent& event : reader_.feed(bytes)) {
       takeEvent(event);
     }
   } else {
@@ -56,7 +54,7 @@
   resume();
 }
 
-void CallExchange::takeEvent(const laboratory::StreamEvent& event) {
+void CallExchange::takeEvent(const StreamEvent& event) {
   if (event.event == "error") {
     error_seen_ = true;
     readOutcome(event.data);
@@ -67,13 +65,13 @@
   }
 }
 
-void CallExchange::takePiece(const laboratory::StreamEvent& event) {
-  laboratory::CallEvent piece;
+void CallExchange::takePiece(const StreamEvent& event) {
+  CallEvent piece;
   piece.event = "piece";
   piece.call = answer_.call;
   piece.index = toNumber(event.id, -1);
   try {
-    piece.run = laboratory::textField(laboratory::parseObject(event.data), "run", answer_.run);
+    piece.run = textField(parseObject(event.data), "run", answer_.run);
   } catch (const base::Error&) {
     piece.run = "unreadable";
   }
@@ -82,15 +80,15 @@
 
 void CallExchange::readOutcome(const std::string& text) {
   try {
-    const auto object = laboratory::parseObject(text);
-    const auto error = laboratory::objectField(object, "error");
-    answer_.outcome = laboratory::textField(object, "outcome");
+    const auto object = parseObject(text);
+    const auto error = objectField(object, "error");
+    answer_.outcome = textField(object, "outcome");
     if (answer_.outcome.empty()) {
-      answer_.outcome = laboratory::textField(error, "outcome");
+      answer_.outcome = textField(error, "outcome");
     }
-    answer_.code = static_cast<int>(laboratory::integerField(object, "code"));
+    answer_.code = static_cast<int>(integerField(object, "code"));
     if (answer_.code == 0) {
-      answer_.code = static_cast<int>(laboratory::integerField(error, "code"));
+      answer_.code = static_cast<int>(integerField(error, "code"));
     }
   } catch (const base::Error&) {
     answer_.outcome.clear();
@@ -128,4 +126,4 @@
   ended_(answer_);
 }
 
-}  // namespace switchsaddle::lab
+}  // namespace switchsaddle::laboratory
--- a/programs/lab/load_runner.cc
+++ b/libraries/laboratory/source/load_runner.cc
@@ -1,22 +1,18 @@
-#include "load_runner.h"
+#include "switchsaddle/laboratory/load_runner.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 
-namespace switchsaddle::lab {
+namespace switchsaddle::laboratory {
 namespace {
 
-namespace call_end = laboratory::call_end;
-using laboratory::Arrival;
-using laboratory::CallKind;
-
 constexpr int MaximumResends = 2;
 constexpr std::size_t BytesPerToken = 4;
 constexpr base::Duration AnswerLimit = std::chrono::seconds(30);
 
 std::string streamBody(const Arrival& arrival) {
   boost::json::array parts;
-  for (const laboratory::PrefixPart& part : arrival.parts) {
+  for (const PrefixPart& part : arrival.parts) {
     parts.push_back({{"id", part.id}, {"tokens", part.tokens}});
   }
   const std::string content(arrival.prompt_tokens * BytesPerToken, 'x');
@@ -34,12 +30,12 @@
       boost::json::object{{"service", arrival.service}, {"payload", payload}});
 }
 
-bool wentAstray(const laboratory::CallEvent& answer) {
+bool wentAstray(const CallEvent& answer) {
   return answer.end == call_end::Lost || answer.end == call_end::Cut ||
          answer.end == call_end::NotConnected;
 }
 
-bool serves(const laboratory::ListedWorker& worker, const Arrival& arrival) {
+bool serves(const ListedWorker& worker, const Arrival& arrival) {
   if (arrival.kind == CallKind::OneShot) {
     return worker.service == arrival.service;
   }
@@ -50,7 +46,7 @@
 
 }  // namespace
 
-LoadRunner::LoadRunner(laboratory::LoadPlan plan, LoadTargets targets, std::uint64_t seed,
+LoadRunner::LoadRunner(LoadPlan plan, LoadTargets targets, std::uint64_t seed,
                        base::Duration duration, CallRecorder recorder, http::Client& client,
                        std::function<void()> finished)
     : plan_(std::move(plan)),
@@ -91,7 +87,7 @@
     return targets_.fronts;
   }
   std::vector<base::NodeAddress> addresses;
-  for (const laboratory::ListedWorker& worker : targets_.workers) {
+  for (const ListedWorker& worker : targets_.workers) {
     if (serves(worker, arrival)) {
       addresses.push_back(worker.address);
     }
@@ -109,7 +105,7 @@
 }
 
 http::Request LoadRunner::requestOf(const Arrival& arrival, const std::string& request_id) const {
-  const laboratory::LoadTenant& tenant = plan_.tenants[arrival.tenant];
+  const LoadTenant& tenant = plan_.tenants[arrival.tenant];
   const bool stream = arrival.kind == CallKind::Stream;
   http::Request request;
   request.method = "POST";
@@ -130,7 +126,7 @@
   if (target.empty()) {
     return;
   }
-  laboratory::CallEvent sent;
+  CallEvent sent;
   sent.event = "sent";
   sent.call = ++calls_;
   sent.kind = arrival.kind == CallKind::Stream ? "stream" : "one-shot";
@@ -142,7 +138,7 @@
   recorder_.record(sent);
   ++open_;
   auto observer = std::make_shared<CallExchange>(
-      recorder_, sent, [this, arrival, attempt, target](const laboratory::CallEvent& answer) {
+      recorder_, sent, [this, arrival, attempt, target](const CallEvent& answer) {
         onEnded(arrival, attempt, target, answer);
       });
   http::ExchangeOptions options;
@@ -154,7 +150,7 @@
 }
 
 void LoadRunner::onEnded(const Arrival& arrival, int attempt, const base::NodeAddress& target,
-                         const laboratory::CallEvent& answer) {
+                         const CallEvent& answer) {
   --open_;
   const bool resent = arrival.kind == CallKind::OneShot && attempt < MaximumResends;
   if (resent && wentAstray(answer)) {
@@ -180,4 +176,4 @@
   }
 }
 
-}  // namespace switchsaddle::lab
+}  // namespace switchsaddle::laboratory
--- a/programs/lab/load_command.cc
+++ b/programs/lab/load_command.cc
@@ -6,11 +6,11 @@
 #include <string>
 
 #include "commands.h"
-#include "load_runner.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/http/client.h"
 #include "switchsaddle/laboratory/fleet_layout.h"
 #include "switchsaddle/laboratory/json_fields.h"
+#include "switchsaddle/laboratory/load_runner.h"
 #include "switchsaddle/transport/asio_dispatcher.h"
 
 namespace switchsaddle::lab {
@@ -29,9 +29,9 @@
   bool direct = false;
 };
 
-LoadTargets readTargets(const LoadArguments& arguments) {
+laboratory::LoadTargets readTargets(const LoadArguments& arguments) {
   const auto state = laboratory::parseFleetState(laboratory::readTextFile(arguments.fleet));
-  LoadTargets targets;
+  laboratory::LoadTargets targets;
   for (const laboratory::FleetProcess& process : state.processes) {
     if (process.role == laboratory::ProcessRole::Front) {
       targets.fronts.push_back(process.http_address);
@@ -55,10 +55,11 @@
   boost::asio::io_context context{1};
   transport::AsioDispatcher dispatcher(context);
   const auto client = http::createClient(context);
-  laboratory::LineFile file(arguments.record);
+  laboratory::FileCallSink sink(arguments.record);
   const base::Duration duration = std::chrono::seconds(arguments.seconds);
-  LoadRunner runner(std::move(plan), readTargets(arguments), arguments.seed, duration,
-                    CallRecorder{dispatcher, file}, *client, [&context] { context.stop(); });
+  laboratory::LoadRunner runner(std::move(plan), readTargets(arguments), arguments.seed, duration,
+                                laboratory::CallRecorder{dispatcher, sink}, *client,
+                                [&context] { context.stop(); });
   const auto limit = dispatcher.createTimer([&context] { context.stop(); });
   dispatcher.post([&] {
     limit->enable(duration + LongestTail);
