Test the control service and let it use the configuration library's bodies

The control API's bodies stand once, in the configuration library; the service keeps only those about the node itself.

--- a/libraries/core/include/switchsaddle/core/control_service.h
+++ b/libraries/core/include/switchsaddle/core/control_service.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/configuration/register_value.h"
 #include "switchsaddle/core/change_coordinator.h"
@@ -23,6 +24,7 @@
 
 /** What the control API works on; all of it outlives the service. */
 struct ControlDependencies {
+  base::Dispatcher& dispatcher;
   registers::RegisterProposer& proposer;
   ChangeCoordinator& coordinator;
   sessions::SessionDirectory& sessions;
@@ -69,9 +71,14 @@
   void deleteKey(const http::Request& request, const std::string& name, Respond respond);
   void postReplacement(const http::Request& request, const std::string& name, Respond respond);
 
-  void readRegister(std::function<http::Response(const configuration::RegisterValue&)> describe,
-                    Respond respond);
+  using RegisterReader =
+      std::function<void(const configuration::RegisterValue& value, const Respond& respond)>;
+  /** Reads the configuration register and hands it to the reader, or answers the failure. */
+  void readRegister(RegisterReader reader, Respond respond);
   void submit(const configuration::Change& change, bool dry_run, Respond respond);
+  /** Submits the change of an order, or answers the faults of its body. */
+  void submitOrder(const configuration::Change& change,
+                   const std::vector<configuration::Fault>& faults, Respond respond);
 
   ControlDependencies dependencies_;
 };
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -5,9 +5,10 @@
 #include <string_view>
 #include <utility>
 
-#include "control_json.h"
-#include "operator_orders.h"
+#include "status_json.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/configuration/change_json.h"
+#include "switchsaddle/configuration/json_value.h"
 #include "switchsaddle/configuration/view.h"
 
 namespace switchsaddle::core {
@@ -68,6 +69,107 @@
   return false;
 }
 
+http::Response jsonResponse(std::uint16_t status, std::string body) {
+  http::Response response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = std::move(body);
+  return response;
+}
+
+http::Response controlError(ResultCode code, const std::vector<Fault>& faults = {}) {
+  return jsonResponse(base::describe(code).http_status,
+                      configuration::renderError(code, {}, faults));
+}
+
+configuration::ChangeResult resultOf(const ChangeAnswer& answer, bool dry_run) {
+  configuration::ChangeResult result;
+  result.code = answer.code;
+  result.version = answer.version;
+  result.faults = answer.faults;
+  result.repeated = answer.repeated;
+  result.dry_run = dry_run;
+  return result;
+}
+
+std::vector<configuration::FrontInForce> frontsOf(
+    const std::vector<wire::SessionTableEntry>& sessions) {
+  std::vector<configuration::FrontInForce> fronts;
+  for (const wire::SessionTableEntry& session : sessions) {
+    const wire::SessionRecord& record = session.record;
+    fronts.push_back({record.front.toString(), record.instance, record.zone, record.applied_version,
+                      record.applied_digest});
+  }
+  return fronts;
+}
+
+/** The key the request carries; empty where it carries none. */
+std::string bearerOf(const http::Request& request) {
+  const std::string_view authorization = request.header("Authorization");
+  if (!authorization.starts_with(BearerPrefix)) {
+    return {};
+  }
+  return std::string(authorization.substr(BearerPrefix.size()));
+}
+
+/** A member of the acceptor set to be replaced by another process. */
+struct ReplacementOrder {
+  base::NodeAddress old_member;
+  base::NodeAddress new_member;
+};
+
+base::NodeAddress parseAddress(const std::string& name, const configuration::JsonValue& value,
+                               std::vector<Fault>& faults) {
+  if (value.kind != configuration::JsonKind::String) {
+    faults.push_back({name, ResultCode::InvalidValue, "must be a string"});
+    return {};
+  }
+  try {
+    return base::NodeAddress::parse(value.text);
+  } catch (const base::Error& error) {
+    faults.push_back({name, error.code(), error.what()});
+    return {};
+  }
+}
+
+/** The body of POST /v1/core/replacements: `{old, new}`, each "IP:PORT". */
+ReplacementOrder parseReplacement(const std::string& body, std::vector<Fault>& faults) {
+  ReplacementOrder order;
+  const std::optional<configuration::JsonValue> value =
+      configuration::parseJson(body, {}, "", faults);
+  if (!value) {
+    return order;
+  }
+  if (value->kind != configuration::JsonKind::Object) {
+    faults.push_back({"", ResultCode::InvalidValue, "must be an object"});
+    return order;
+  }
+  for (std::size_t index = 0; index < value->names.size(); ++index) {
+    const std::string& name = value->names[index];
+    if (name == "old") {
+      order.old_member = parseAddress(name, value->elements[index], faults);
+    } else if (name == "new") {
+      order.new_member = parseAddress(name, value->elements[index], faults);
+    } else {
+      faults.push_back({name, ResultCode::UnknownField, "is not known"});
+    }
+  }
+  if (faults.empty() && (order.old_member.empty() || order.new_member.empty())) {
+    faults.push_back(
+        {order.old_member.empty() ? "old" : "new", ResultCode::MissingField, "is missing"});
+  }
+  return order;
+}
+
+/** The change_id of an order which names nothing else: from the body or, without one, the query. */
+std::string changeIdOf(const http::Request& request, std::vector<Fault>& faults) {
+  const std::string from_query = http::queryParameter(request.target, "change_id");
+  if (request.body.empty() && !from_query.empty()) {
+    return from_query;
+  }
+  return configuration::parseEvacuationRequest(request.body, faults);
+}
+
 /** The code under which a faulty body is refused: that of its form, or of its content. */
 ResultCode codeOf(const std::vector<Fault>& faults) {
   const bool malformed = faults.front().code == ResultCode::MalformedJson;
@@ -141,12 +243,11 @@
 }
 
 ResultCode ControlService::authenticate(const http::Request& request) const {
-  const std::string_view authorization = request.header("Authorization");
-  if (!authorization.starts_with(BearerPrefix)) {
+  const std::string key = bearerOf(request);
+  if (key.empty()) {
     return ResultCode::MissingKey;
   }
-  const std::string hash =
-      configuration::sha256Hex(std::string(authorization.substr(BearerPrefix.size())));
+  const std::string hash = configuration::sha256Hex(key);
   const std::vector<std::string>& first = dependencies_.operator_hashes;
   const configuration::View& view = *dependencies_.replica.view();
   const bool is_operator = std::find(first.begin(), first.end(), hash) != first.end() ||
@@ -157,62 +258,92 @@
   return view.keys.contains(hash) ? ResultCode::NotAnOperator : ResultCode::UnknownKey;
 }
 
-void ControlService::readRegister(
-    std::function<http::Response(const configuration::RegisterValue&)> describe, Respond respond) {
+void ControlService::readRegister(RegisterReader reader, Respond respond) {
   dependencies_.proposer.read(registers::ConfigurationRegister,
-                              [describe = std::move(describe), respond = std::move(respond)](
+                              [reader = std::move(reader), respond = std::move(respond)](
                                   const registers::RegisterOutcome& outcome) {
                                 if (outcome.code != ResultCode::Ok) {
                                   respond(controlError(outcome.code));
                                   return;
                                 }
-                                http::Response response;
+                                configuration::RegisterValue value;
                                 try {
-                                  response =
-                                      describe(configuration::decodeRegisterValue(outcome.value));
+                                  value = configuration::decodeRegisterValue(outcome.value);
                                 } catch (const base::Error& error) {
-                                  response = controlError(error.code());
+                                  respond(controlError(error.code()));
+                                  return;
                                 }
-                                respond(std::move(response));
+                                reader(value, respond);
                               });
 }
 
 void ControlService::getConfiguration(const http::Request& /*request*/, const std::string& /*name*/,
                                       Respond respond) {
-  readRegister([](const auto& value) { return configurationResponse(value.document); },
-               std::move(respond));
+  readRegister(
+      [](const configuration::RegisterValue& value, const Respond& answer) {
+        answer(jsonResponse(200, configuration::renderConfiguration(value.document)));
+      },
+      std::move(respond));
 }
 
 void ControlService::getHistory(const http::Request& /*request*/, const std::string& /*name*/,
                                 Respond respond) {
-  readRegister([](const auto& value) { return historyResponse(value); }, std::move(respond));
+  readRegister(
+      [](const configuration::RegisterValue& value, const Respond& answer) {
+        answer(jsonResponse(200, configuration::renderHistory(value.history)));
+      },
+      std::move(respond));
 }
 
 void ControlService::getInForce(const http::Request& /*request*/, const std::string& /*name*/,
                                 Respond respond) {
-  dependencies_.sessions.readLive(
-      [respond = std::move(respond)](ResultCode code, const auto& sessions) {
-        respond(code == ResultCode::Ok ? inForceResponse(sessions) : controlError(code));
-      });
+  sessions::SessionDirectory& directory = dependencies_.sessions;
+  readRegister(
+      [&directory](const configuration::RegisterValue& value, const Respond& answer) {
+        const std::uint64_t version = value.document.version;
+        const std::uint64_t digest = value.document.digest();
+        directory.readLive([version, digest, answer](ResultCode code, const auto& sessions) {
+          if (code != ResultCode::Ok) {
+            answer(controlError(code));
+            return;
+          }
+          answer(
+              jsonResponse(200, configuration::renderInForce(version, digest, frontsOf(sessions))));
+        });
+      },
+      std::move(respond));
 }
 
 void ControlService::getStatus(const http::Request& /*request*/, const std::string& /*name*/,
                                Respond respond) {
   const dissemination::ConfigurationReplica& replica = dependencies_.replica;
-  respond(statusResponse(dependencies_.node.status(), dependencies_.sessions.localSessions(),
-                         replica.version(), replica.digest()));
+  respond(jsonResponse(
+      200, renderStatus(dependencies_.node.status(), dependencies_.sessions.localSessions(),
+                        replica.version(), replica.digest())));
 }
 
 void ControlService::getBeliefs(const http::Request& /*request*/, const std::string& /*name*/,
                                 Respond respond) {
-  respond(beliefsResponse(dependencies_.node.status().address, dependencies_.node.beliefs()));
+  const NodeInformation& node = dependencies_.node;
+  respond(jsonResponse(200, renderBeliefView(node.status().address, node.beliefs(),
+                                             dependencies_.dispatcher.now())));
 }
 
 void ControlService::submit(const configuration::Change& change, bool dry_run, Respond respond) {
-  dependencies_.coordinator.submit(change, dry_run,
-                                   [respond = std::move(respond)](const ChangeAnswer& answer) {
-                                     respond(changeResponse(answer));
-                                   });
+  dependencies_.coordinator.submit(
+      change, dry_run, [dry_run, respond = std::move(respond)](const ChangeAnswer& answer) {
+        respond(jsonResponse(base::describe(answer.code).http_status,
+                             configuration::renderChangeResult(resultOf(answer, dry_run))));
+      });
+}
+
+void ControlService::submitOrder(const configuration::Change& change,
+                                 const std::vector<Fault>& faults, Respond respond) {
+  if (!faults.empty()) {
+    respond(controlError(codeOf(faults), faults));
+    return;
+  }
+  submit(change, false, std::move(respond));
 }
 
 void ControlService::postChange(const http::Request& request, const std::string& /*name*/,
@@ -229,58 +360,51 @@
 void ControlService::postEvacuation(const http::Request& request, const std::string& name,
                                     Respond respond) {
   std::vector<Fault> faults;
-  const configuration::Change change = parseEvacuationOrder(request, name, faults);
-  if (!faults.empty()) {
-    respond(controlError(codeOf(faults), faults));
-    return;
-  }
-  submit(change, false, std::move(respond));
+  const std::string change_id = changeIdOf(request, faults);
+  submitOrder(configuration::evacuationChange(change_id, name, false), faults, std::move(respond));
 }
 
 void ControlService::deleteEvacuation(const http::Request& request, const std::string& name,
                                       Respond respond) {
   std::vector<Fault> faults;
-  const configuration::Change change = parseRestoreOrder(request, name, faults);
-  if (!faults.empty()) {
-    respond(controlError(codeOf(faults), faults));
-    return;
-  }
-  submit(change, false, std::move(respond));
+  const std::string change_id = changeIdOf(request, faults);
+  submitOrder(configuration::evacuationChange(change_id, name, true), faults, std::move(respond));
 }
 
 void ControlService::postKey(const http::Request& request, const std::string& /*name*/,
                              Respond respond) {
   std::vector<Fault> faults;
-  const configuration::Change change = parseKeyOrder(request, faults);
+  const configuration::KeyRequest key = configuration::parseKeyRequest(request.body, faults);
   if (!faults.empty()) {
     respond(controlError(codeOf(faults), faults));
     return;
   }
-  submit(change, false, std::move(respond));
+  const configuration::KeyIssue issue = configuration::issueKey(key, bearerOf(request));
+  dependencies_.coordinator.submit(
+      issue.change, false, [issue, respond = std::move(respond)](const ChangeAnswer& answer) {
+        respond(jsonResponse(base::describe(answer.code).http_status,
+                             configuration::renderKeyResult(issue, resultOf(answer, false))));
+      });
 }
 
 void ControlService::deleteKey(const http::Request& request, const std::string& name,
                                Respond respond) {
   std::vector<Fault> faults;
-  const configuration::Change change = parseRevocation(request, name, faults);
-  if (!faults.empty()) {
-    respond(controlError(codeOf(faults), faults));
-    return;
-  }
-  submit(change, false, std::move(respond));
+  const std::string change_id = changeIdOf(request, faults);
+  submitOrder(configuration::revokeKeyChange(change_id, name), faults, std::move(respond));
 }
 
 void ControlService::postReplacement(const http::Request& request, const std::string& /*name*/,
                                      Respond respond) {
   std::vector<Fault> faults;
-  const ReplacementOrder order = parseReplacement(request, faults);
+  const ReplacementOrder order = parseReplacement(request.body, faults);
   if (!faults.empty()) {
     respond(controlError(codeOf(faults), faults));
     return;
   }
   dependencies_.replace_core(
       order.old_member, order.new_member, [respond = std::move(respond)](ResultCode code) {
-        respond(code == ResultCode::Ok ? emptyResponse() : controlError(code));
+        respond(code == ResultCode::Ok ? jsonResponse(200, "{}") : controlError(code));
       });
 }
 
--- /dev/null
+++ b/libraries/core/source/status_json.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/journal/belief_view.h"
+#include "switchsaddle/wire/session_messages.h"
+
+/**
+ * @file
+ * Bodies of the control API about the answering node itself.
+ */
+
+namespace switchsaddle::core {
+
+/** The body of GET /v1/status: node, configuration version, storage, core set, leases, sessions. */
+std::string renderStatus(const NodeStatus& status,
+                         const std::vector<wire::SessionTableEntry>& sessions,
+                         std::uint64_t version, std::uint64_t digest);
+
+/** The body of GET /v1/beliefs. */
+std::string renderBeliefView(const base::NodeAddress& node, const journal::BeliefView& beliefs,
+                             base::TimePoint now);
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/test/control_service_test.cc
@@ -0,0 +1,221 @@
+#include "switchsaddle/core/control_service.h"
+
+#include <gtest/gtest.h>
+
+#include <optional>
+
+#include "fakes.h"
+#include "switchsaddle/configuration/json_value.h"
+#include "switchsaddle/core/register_change_coordinator.h"
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::core {
+namespace {
+
+using base::ResultCode;
+using std::chrono::seconds;
+
+constexpr const char* OperatorKey = "operator-secret";
+
+class FakeNode : public NodeInformation {
+ public:
+  explicit FakeNode(journal::Journal& journal) : beliefs_(journal) {}
+  NodeStatus status() const override {
+    NodeStatus status;
+    status.address = {"127.0.0.1", 7000};
+    status.leases.push_back({"platform-watcher", true, 4});
+    return status;
+  }
+  const journal::BeliefView& beliefs() const override { return beliefs_; }
+
+ private:
+  journal::BeliefView beliefs_;
+};
+
+class ControlServiceTest : public testing::Test {
+ protected:
+  ControlServiceTest() {
+    expect("POST", "/v1/configuration/changes",
+           R"({"change_id":"setup","base_version":0,"set":{
+               "shapes/plain":{"services":["completions"]},
+               "routes/chat":{"service":"completions","models":["m"],"pool":"p"}}})");
+  }
+
+  http::Response send(const std::string& method, const std::string& target,
+                      const std::string& body = {}, const std::string& key = OperatorKey) {
+    http::Request request;
+    request.method = method;
+    request.target = target;
+    request.body = body;
+    if (!key.empty()) {
+      request.headers.push_back({"Authorization", "Bearer " + key});
+    }
+    std::optional<http::Response> response;
+    service_.handle(request, [&](http::Response answer) {
+      EXPECT_FALSE(response.has_value()) << "answered twice";
+      response = std::move(answer);
+    });
+    EXPECT_TRUE(world_.runUntil([&] { return response.has_value(); }, seconds(5)));
+    return *response;
+  }
+
+  /** Sends, and parses the body. */
+  configuration::JsonValue expect(const std::string& method, const std::string& target,
+                                  const std::string& body = {}, ResultCode code = ResultCode::Ok) {
+    const http::Response response = send(method, target, body);
+    EXPECT_EQ(response.status, base::describe(code).http_status)
+        << method << ' ' << target << ": " << response.body;
+    std::vector<configuration::Fault> faults;
+    const auto parsed = configuration::parseJson(response.body, {}, "", faults);
+    EXPECT_TRUE(parsed.has_value()) << response.body;
+    return parsed.value_or(configuration::JsonValue{});
+  }
+
+  std::int64_t errorCode(const configuration::JsonValue& body) {
+    const configuration::JsonValue* error = body.find("error");
+    return error == nullptr ? 0 : error->integerOf("code");
+  }
+
+  simulation::World world_{5};
+  simulation::Network network_{world_};
+  simulation::Process process_{world_};
+  std::unique_ptr<transport::Transport> transport_ = network_.attach({"127.0.0.1", 7000}, process_);
+  transport::PeerCalls calls_{process_, *transport_};
+  journal::Journal journal_{process_};
+  dissemination::ConfigurationReplica replica_{journal_};
+  FakeProposer proposer_;
+  FakeDirectory directory_;
+  InForceTracker tracker_{process_, calls_, directory_, replica_};
+  RegisterChangeCoordinator coordinator_{process_, proposer_, replica_, tracker_, seconds(2)};
+  FakeNode node_{journal_};
+  std::vector<base::NodeAddress> replaced_;
+  ControlService service_{{process_,
+                           proposer_,
+                           coordinator_,
+                           directory_,
+                           replica_,
+                           node_,
+                           [this](const auto& old_member, const auto& new_member, auto callback) {
+                             replaced_ = {old_member, new_member};
+                             callback(ResultCode::Ok);
+                           },
+                           {configuration::sha256Hex(OperatorKey)}}};
+};
+
+TEST_F(ControlServiceTest, AnswersOnlyOperators) {
+  EXPECT_EQ(send("GET", "/v1/configuration", {}, "").status,
+            base::describe(ResultCode::MissingKey).http_status);
+  EXPECT_EQ(send("GET", "/v1/configuration", {}, "wrong").status,
+            base::describe(ResultCode::UnknownKey).http_status);
+  const std::string hash = configuration::sha256Hex("second");
+  const std::string body =
+      R"({"change_id":"op","base_version":1,"set":{"operators/second":{"sha256":")" + hash +
+      R"("}}})";
+  expect("POST", "/v1/configuration/changes", body);
+  EXPECT_EQ(send("GET", "/v1/configuration", {}, "second").status, 200);
+  expect("POST", "/v1/configuration/changes",
+         R"({"change_id":"op2","base_version":2,"remove":["operators/second"]})");
+  EXPECT_EQ(send("GET", "/v1/configuration", {}, "second").status,
+            base::describe(ResultCode::UnknownKey).http_status);
+}
+
+TEST_F(ControlServiceTest, UnknownPathsAndMethodsHaveTheirCodes) {
+  EXPECT_EQ(errorCode(expect("GET", "/v1/nothing", {}, ResultCode::UnknownPath)),
+            static_cast<int>(ResultCode::UnknownPath));
+  EXPECT_EQ(errorCode(expect("DELETE", "/v1/configuration", {}, ResultCode::MethodNotAllowed)),
+            static_cast<int>(ResultCode::MethodNotAllowed));
+  EXPECT_TRUE(ControlService::serves("/v1/zones/a/evacuation?x=1"));
+  EXPECT_FALSE(ControlService::serves("/v1/zones//evacuation"));
+}
+
+TEST_F(ControlServiceTest, ReadsBackConfigurationAndHistory) {
+  const configuration::JsonValue present = expect("GET", "/v1/configuration");
+  EXPECT_EQ(present.integerOf("version"), 1);
+  ASSERT_NE(present.find("document"), nullptr);
+  EXPECT_NE(present.find("document")->find("routes/chat"), nullptr);
+  const http::Response history = send("GET", "/v1/configuration/history");
+  EXPECT_NE(history.body.find("\"setup\""), std::string::npos);
+}
+
+TEST_F(ControlServiceTest, ADryRunIsOnlyChecked) {
+  const std::string body = R"({"change_id":"d","base_version":1,"set":{"evacuations/z1":{}}})";
+  expect("POST", "/v1/configuration/changes?dry_run", body);
+  EXPECT_EQ(replica_.version(), 1U);
+  expect("POST", "/v1/configuration/changes?dry_run=false", body);
+  EXPECT_EQ(replica_.version(), 2U);
+}
+
+TEST_F(ControlServiceTest, AConflictTellsTheVersionInForce) {
+  const configuration::JsonValue body =
+      expect("POST", "/v1/configuration/changes",
+             R"({"change_id":"late","base_version":0,"set":{"evacuations/z1":{}}})",
+             ResultCode::ConfigurationConflict);
+  EXPECT_EQ(errorCode(body), static_cast<int>(ResultCode::ConfigurationConflict));
+  EXPECT_EQ(body.integerOf("version"), 1);
+}
+
+TEST_F(ControlServiceTest, FaultyBodiesAreRefusedWithAllTheirFaults) {
+  EXPECT_EQ(errorCode(expect("POST", "/v1/configuration/changes", "{", ResultCode::MalformedJson)),
+            static_cast<int>(ResultCode::MalformedJson));
+  const http::Response response =
+      send("POST", "/v1/configuration/changes",
+           R"({"change_id":"f","base_version":1,"set":{"routes/a":5,"shapes/b":6}})");
+  EXPECT_EQ(response.status, base::describe(ResultCode::ConfigurationInvalid).http_status);
+  EXPECT_NE(response.body.find("routes/a"), std::string::npos);
+  EXPECT_NE(response.body.find("shapes/b"), std::string::npos);
+}
+
+TEST_F(ControlServiceTest, EmptiesAndRestoresAZoneWhateverTheVersion) {
+  expect("POST", "/v1/zones/z1/evacuation", R"({"change_id":"e1"})");
+  EXPECT_TRUE(replica_.view()->evacuated_zones.contains("z1"));
+  const std::uint64_t version = replica_.version();
+  EXPECT_EQ(expect("POST", "/v1/zones/z1/evacuation", R"({"change_id":"e1"})").integerOf("version"),
+            static_cast<std::int64_t>(version));
+  EXPECT_EQ(replica_.version(), version);
+  expect("DELETE", "/v1/zones/z1/evacuation?change_id=e2");
+  EXPECT_FALSE(replica_.view()->evacuated_zones.contains("z1"));
+  expect("DELETE", "/v1/zones/z1/evacuation?change_id=e2");
+}
+
+TEST_F(ControlServiceTest, AnOrderWithoutChangeIdIsRefused) {
+  expect("POST", "/v1/zones/z1/evacuation", "{}", ResultCode::ConfigurationInvalid);
+  EXPECT_EQ(replica_.version(), 1U);
+}
+
+TEST_F(ControlServiceTest, RevokingAKeyThatIsNotThereIsToldSo) {
+  expect("DELETE", "/v1/keys/none?change_id=k1", {}, ResultCode::ConfigurationInvalid);
+}
+
+TEST_F(ControlServiceTest, TellsWhatIsInForceWhere) {
+  directory_.setSession({"127.0.0.1", 7100}, 1);
+  const http::Response response = send("GET", "/v1/configuration/in-force");
+  EXPECT_NE(response.body.find("127.0.0.1:7100"), std::string::npos);
+  directory_.code = ResultCode::NoQuorum;
+  expect("GET", "/v1/configuration/in-force", {}, ResultCode::NoQuorum);
+}
+
+TEST_F(ControlServiceTest, WithoutAQuorumReadsAreRefused) {
+  proposer_.has_quorum = false;
+  expect("GET", "/v1/configuration", {}, ResultCode::NoQuorum);
+  EXPECT_EQ(send("GET", "/v1/status").status, 200);
+}
+
+TEST_F(ControlServiceTest, ReportsStatusAndBeliefs) {
+  const configuration::JsonValue status = expect("GET", "/v1/status");
+  EXPECT_EQ(status.integerOf("version"), 1);
+  ASSERT_NE(status.find("leases"), nullptr);
+  EXPECT_EQ(status.find("leases")->elements.front().textOf("name"), "platform-watcher");
+  const http::Response beliefs = send("GET", "/v1/beliefs");
+  EXPECT_NE(beliefs.body.find("routes/chat"), std::string::npos);
+}
+
+TEST_F(ControlServiceTest, ReplacesACore) {
+  expect("POST", "/v1/core/replacements", R"({"old":"127.0.0.1:1","new":"127.0.0.1:2"})");
+  ASSERT_EQ(replaced_.size(), 2U);
+  EXPECT_EQ(replaced_[1].port, 2);
+  expect("POST", "/v1/core/replacements", R"({"old":"127.0.0.1:1"})",
+         ResultCode::ConfigurationInvalid);
+}
+
+}  // namespace
+}  // namespace switchsaddle::core
--- a/libraries/journal/include/switchsaddle/journal/belief_view.h
+++ b/libraries/journal/include/switchsaddle/journal/belief_view.h
@@ -13,6 +13,8 @@
 struct Belief {
   std::string value;
   std::uint64_t version = 0;
+  /** Since when the node has held it. */
+  base::TimePoint at;
 };
 
 /**
--- a/libraries/journal/source/belief_view.cc
+++ b/libraries/journal/source/belief_view.cc
@@ -17,7 +17,7 @@
     beliefs_.erase(key);
     return;
   }
-  beliefs_[key] = {event.value, event.version};
+  beliefs_[key] = {event.value, event.version, event.at};
 }
 
 std::uint64_t BeliefView::digest(Subject subject) const {
