--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -46,14 +46,17 @@
   int header_timeout_s = 15;
 };
 
-/** An HTTP/1.1 server with keep-alive. Malformed input gets a numbered JSON error and never ends
- * the process. */
+/**
+ * An HTTP/1.1 server with keep-alive. Malformed input gets a numbered JSON error and never ends the
+ * process. Destroy it on its strand or while the io_context does not run; it closes its connections
+ * and calls nobody afterwards.
+ */
 class Server {
  public:
   virtual ~Server() = default;
   /** The bound address, with the real port where 0 was asked for. */
   virtual base::NodeAddress address() const = 0;
-  /** Stops accepting; open exchanges go on. */
+  /** Stops accepting; open exchanges go on, and each connection closes after its next answer. */
   virtual void stopAccepting() = 0;
   virtual std::size_t openConnections() const = 0;
 };
