--- a/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
+++ b/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
@@ -29,6 +29,8 @@
   bool count_from_receipt = false;
   /** Takes the version to be in force from the very first grant. */
   bool version_of_first_grant = false;
+  /** Serves without a core on refusals which began, or began again, after the lapse. */
+  bool grace_after_gap = false;
 };
 
 /**
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -190,7 +190,7 @@
   const base::TimePoint until = asked[majority - 1] + RefusalLifetime;
   const base::TimePoint now = dispatcher_.now();
   const bool unbroken = refusals_cover_until_ && now < *refusals_cover_until_;
-  const bool may_begin = sessionValid() && inForce();
+  const bool may_begin = (sessionValid() || faults_.grace_after_gap) && inForce();
   if (newest_seen_ > applied_version_) {
     endGrace();
   } else if (unbroken || may_begin) {
--- a/libraries/sessions/test/session_simulation_test.cc
+++ b/libraries/sessions/test/session_simulation_test.cc
@@ -106,6 +106,11 @@
   EXPECT_GT(seedsWithViolation(runSeed, faults), 0U);
 }
 
+TEST(SessionSimulationTest, GraceAfterAGapInTheRefusalsIsFound) {
+  const FleetFaults faults{.client = {.grace_after_gap = true}};
+  EXPECT_GT(seedsWithViolation(runSeed, faults), 0U);
+}
+
 TEST(SessionSimulationTest, CoreWithoutRecoveryPauseIsFound) {
   const FleetFaults faults{.table = {.skip_recovery = true}};
   EXPECT_GT(seedsWithViolation(runSeed, faults), 0U);
