Assemble the core node

The configuration follower reads, and so finishes, versions which the local acceptor holds but which nobody may have committed, since fronts whose sessions ask for them would wait for ever. The membership keeper passes announcements of empty cores on to the members, because a new core knows only its seeds.

--- /dev/null
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/claims/claim_service.h"
+#include "switchsaddle/configuration/settings.h"
+#include "switchsaddle/core/configuration_follower.h"
+#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/core_membership.h"
+#include "switchsaddle/core/in_force_tracker.h"
+#include "switchsaddle/core/ledger_host.h"
+#include "switchsaddle/core/membership_keeper.h"
+#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/register_change_coordinator.h"
+#include "switchsaddle/dissemination/gossip_agent.h"
+#include "switchsaddle/lease/lease_granter.h"
+#include "switchsaddle/lease/lease_holder.h"
+#include "switchsaddle/registers/acceptor.h"
+#include "switchsaddle/registers/acceptor_set_change.h"
+#include "switchsaddle/registers/bootstrap.h"
+#include "switchsaddle/registers/quorum_proposer.h"
+#include "switchsaddle/registers/scrubber.h"
+#include "switchsaddle/sessions/session_table.h"
+#include "switchsaddle/workers/platform_watcher.h"
+
+namespace switchsaddle::core {
+
+/** What a core node runs on; all of it outlives the node. */
+struct CoreEnvironment {
+  base::Dispatcher& dispatcher;
+  transport::PeerCalls& calls;
+  storage::RecordStore& store;
+  base::RandomSource& random;
+  journal::Journal& journal;
+  workers::PlatformSource& platform;
+  const configuration::Settings& settings;
+};
+
+/** Names of the singleton roles whose leases core nodes hold. */
+inline constexpr const char* PlatformWatcherLease = "platform-watcher";
+inline constexpr const char* CoreMembershipLease = "core-membership";
+
+/**
+ * One core node, assembled of its state machines: acceptor and proposer of the registers, session
+ * table, lease granter and holders, platform watcher, dissemination, claims, limit ledgers, and the
+ * control API. Takes part once its store is open. Has no sockets, threads or files of its own, so
+ * that it runs unchanged in the simulation. Runs on the control strand.
+ */
+class CoreNode : public NodeInformation {
+ public:
+  explicit CoreNode(const CoreEnvironment& environment);
+  ~CoreNode() override;
+  CoreNode(const CoreNode&) = delete;
+  CoreNode& operator=(const CoreNode&) = delete;
+
+  /** Opens the store, again after a pause where that fails, and then takes part. */
+  void start();
+  /** Gives the leases back and stops proposing; `stopped` runs soon after. */
+  void stop(std::function<void()> stopped);
+
+  ControlService& control() { return control_; }
+  const dissemination::ConfigurationReplica& replica() const { return replica_; }
+  const workers::WorkerDirectory& workers() const { return workers_; }
+  const registers::Acceptor& acceptor() const { return acceptor_; }
+  NodeStatus status() const override;
+  const journal::BeliefView& beliefs() const override { return beliefs_; }
+
+ private:
+  void openStore();
+  void onOpened(base::ResultCode code, const storage::OpenedStore& opened);
+  void takePart();
+  void connectParts();
+  void handleControlRequests();
+  void refreshPeers();
+  void onWatcherLease(bool gained);
+  void onMembershipLease(bool gained);
+  void publishWorkers(const wire::WorkerView& view);
+  std::vector<base::NodeAddress> frontsWithSessions() const;
+  ControlDependencies controlDependencies();
+
+  CoreEnvironment environment_;
+  /** Random, new for each life of the process. */
+  std::uint64_t life_;
+  std::string storage_fault_;
+  bool taking_part_ = false;
+  journal::BeliefView beliefs_;
+  registers::Acceptor acceptor_;
+  registers::QuorumProposer proposer_;
+  registers::Bootstrap bootstrap_;
+  registers::AcceptorSetChange set_change_;
+  registers::Scrubber scrubber_;
+  CoreMembership membership_;
+  sessions::SessionTable sessions_;
+  lease::LeaseGranter granter_;
+  dissemination::ConfigurationReplica replica_;
+  workers::WorkerDirectory workers_;
+  dissemination::GossipAgent gossip_;
+  InForceTracker tracker_;
+  ConfigurationFollower follower_;
+  RegisterChangeCoordinator coordinator_;
+  lease::LeaseHolder watcher_lease_;
+  lease::LeaseHolder membership_lease_;
+  workers::PlatformWatcher watcher_;
+  MembershipKeeper keeper_;
+  claims::ClaimService claims_;
+  LedgerHost ledgers_;
+  ControlService control_;
+  base::TimerPtr open_timer_;
+  base::TimerPtr peers_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/include/switchsaddle/core/membership_keeper.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/journal/journal.h"
+#include "switchsaddle/registers/acceptor.h"
+#include "switchsaddle/registers/acceptor_set_change.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::core {
+
+/** Times of the membership keeper. */
+struct MembershipOptions {
+  /** A member silent for this long may be replaced. */
+  base::Duration silence_bound = std::chrono::seconds(10);
+  base::Duration check_interval = std::chrono::milliseconds(500);
+  base::Duration call_timeout = std::chrono::milliseconds(400);
+  /** A candidate not heard of for this long is forgotten. */
+  base::Duration candidate_lifetime = std::chrono::seconds(3);
+  /** Pause before the announcement of one candidate is passed on again. */
+  base::Duration forward_pause = std::chrono::milliseconds(500);
+};
+
+/**
+ * Keeps the acceptor set whole. On every core it notes the empty cores that announce themselves and
+ * passes their announcements on to the members, since a new core knows only its seeds. While this
+ * node holds the core-membership lease it asks each member for a sign of life, and replaces one
+ * that has been silent for its bound, or at whose address another instance answers, by an announced
+ * core. An operator's replacement goes the same way without waiting for silence. Runs on the
+ * control strand.
+ */
+class MembershipKeeper {
+ public:
+  using Callback = std::function<void(base::ResultCode)>;
+
+  /** `holds_lease` is evaluated right before each replacement begins. */
+  MembershipKeeper(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                   journal::Journal& journal, const registers::Acceptor& acceptor,
+                   registers::AcceptorSetChange& change, std::function<bool()> holds_lease,
+                   MembershipOptions options);
+  MembershipKeeper(const MembershipKeeper&) = delete;
+  MembershipKeeper& operator=(const MembershipKeeper&) = delete;
+
+  /** The lease was gained: counts every member's silence from now. */
+  void start();
+  /** The lease was lost. */
+  void stop();
+  /** A core which is no member has announced itself. */
+  void onCandidate(const wire::CoreAnnounce& announce);
+  /**
+   * Replaces the member at one address by the core process at another. InvalidValue: no member has
+   * the old address; PeerUnreachable or PeerTimeout: no core answers at the new one; else the
+   * outcome of the change.
+   */
+  void replace(const base::NodeAddress& old_member, const base::NodeAddress& new_member,
+               Callback callback);
+
+ private:
+  struct Candidate {
+    wire::CoreAnnounce announce;
+    base::TimePoint heard_at;
+    std::optional<base::TimePoint> forwarded_at;
+  };
+
+  void check();
+  void askMembers();
+  void onSign(const wire::AcceptorMember& member, const transport::CallResult& result);
+  void replaceOneSilent();
+  /** The candidate for a member's place: the one at its own address, else any. */
+  std::optional<wire::AcceptorMember> candidateFor(const wire::AcceptorMember& member) const;
+  void forgetOldCandidates();
+  void journalReplacement(const wire::AcceptorMember& old_member,
+                          const wire::AcceptorMember& new_member, base::ResultCode code);
+
+  base::Dispatcher& dispatcher_;
+  transport::PeerCalls& calls_;
+  journal::Journal& journal_;
+  const registers::Acceptor& acceptor_;
+  registers::AcceptorSetChange& change_;
+  std::function<bool()> holds_lease_;
+  MembershipOptions options_;
+  base::TimerPtr timer_;
+  /** When each member was last heard of, or the lease gained. */
+  std::map<wire::AcceptorMember, base::TimePoint> heard_;
+  /** By instance. */
+  std::map<std::uint64_t, Candidate> candidates_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/source/configuration_follower.cc
@@ -0,0 +1,83 @@
+#include "switchsaddle/core/configuration_follower.h"
+
+#include <utility>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/configuration/register_value.h"
+
+namespace switchsaddle::core {
+
+ConfigurationFollower::ConfigurationFollower(base::Dispatcher& dispatcher,
+                                             registers::RegisterProposer& proposer,
+                                             CoreMembership& membership,
+                                             dissemination::ConfigurationReplica& replica,
+                                             InForceTracker& tracker, FollowerOptions options)
+    : proposer_(proposer),
+      membership_(membership),
+      replica_(replica),
+      tracker_(tracker),
+      options_(options),
+      timer_(dispatcher.createTimer([this] { read(); })) {}
+
+void ConfigurationFollower::start() {
+  running_ = true;
+  read();
+}
+
+void ConfigurationFollower::stop() {
+  running_ = false;
+  timer_->disable();
+}
+
+void ConfigurationFollower::onAccepted(const std::string& value) {
+  try {
+    const configuration::RegisterValue decoded = configuration::decodeRegisterValue(value);
+    membership_.noteAcceptedVersion(decoded.document.version);
+  } catch (const base::Error&) {
+    return;
+  }
+  if (running_ && !reading_ && isBehind()) {
+    timer_->enable(options_.first_pause);
+  }
+}
+
+bool ConfigurationFollower::isBehind() const {
+  return replica_.version() < membership_.acceptedVersion();
+}
+
+void ConfigurationFollower::read() {
+  timer_->disable();
+  if (reading_ || !running_) {
+    return;
+  }
+  if (membership_.coreAddresses().empty()) {
+    timer_->enable(options_.retry_pause);
+    return;
+  }
+  reading_ = true;
+  proposer_.read(registers::ConfigurationRegister,
+                 [this, alive = std::weak_ptr(alive_)](const registers::RegisterOutcome& outcome) {
+                   if (!alive.expired()) {
+                     onRead(outcome);
+                   }
+                 });
+}
+
+void ConfigurationFollower::onRead(const registers::RegisterOutcome& outcome) {
+  reading_ = false;
+  if (outcome.code == base::ResultCode::Ok) {
+    try {
+      const configuration::RegisterValue value = configuration::decodeRegisterValue(outcome.value);
+      replica_.apply(value.document.deltaSince(replica_.version()));
+    } catch (const base::Error&) {
+      // A corrupt value is found again by the next reading, and by the scrubber.
+    }
+    tracker_.pushToLocalSessions();
+  }
+  const bool retry = outcome.code != base::ResultCode::Ok || isBehind();
+  if (running_) {
+    timer_->enable(retry ? options_.retry_pause : options_.idle_pause);
+  }
+}
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/source/core_membership.cc
@@ -0,0 +1,41 @@
+#include "switchsaddle/core/core_membership.h"
+
+#include <algorithm>
+
+namespace switchsaddle::core {
+
+namespace {
+
+bool isMajority(const std::vector<wire::AcceptorMember>& members,
+                const std::set<base::NodeAddress>& answered) {
+  const auto count = std::count_if(
+      members.begin(), members.end(),
+      [&](const wire::AcceptorMember& member) { return answered.contains(member.address); });
+  return static_cast<std::size_t>(count) * 2 > members.size();
+}
+
+}  // namespace
+
+std::vector<base::NodeAddress> CoreMembership::coreAddresses() const {
+  const wire::AcceptorSet& set = acceptor_.acceptorSet();
+  std::set<base::NodeAddress> addresses;
+  for (const wire::AcceptorMember& member : set.members) {
+    addresses.insert(member.address);
+  }
+  for (const wire::AcceptorMember& member : set.previous) {
+    addresses.insert(member.address);
+  }
+  return {addresses.begin(), addresses.end()};
+}
+
+bool CoreMembership::quorum(const std::set<base::NodeAddress>& answered) const {
+  const wire::AcceptorSet& set = acceptor_.acceptorSet();
+  const bool previous_agrees = set.previous.empty() || isMajority(set.previous, answered);
+  return previous_agrees && isMajority(set.members, answered);
+}
+
+void CoreMembership::noteAcceptedVersion(std::uint64_t version) {
+  accepted_version_ = std::max(accepted_version_, version);
+}
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/source/core_node.cc
@@ -0,0 +1,249 @@
+#include "switchsaddle/core/core_node.h"
+
+#include <set>
+#include <utility>
+
+#include "core_options.h"
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::core {
+
+namespace {
+
+constexpr base::Duration ReopenPause = std::chrono::seconds(1);
+constexpr base::Duration PeersInterval = std::chrono::milliseconds(500);
+
+http::Request requestOf(const wire::ControlRequest& forwarded) {
+  http::Request request;
+  request.method = forwarded.method;
+  request.target = forwarded.target;
+  request.body = forwarded.body;
+  if (!forwarded.authorization.empty()) {
+    request.headers.push_back({"Authorization", forwarded.authorization});
+  }
+  return request;
+}
+
+}  // namespace
+
+CoreNode::CoreNode(const CoreEnvironment& environment)
+    : environment_(environment),
+      life_(environment.random.next()),
+      beliefs_(environment.journal),
+      acceptor_(environment.dispatcher, environment.calls, environment.store, environment.journal),
+      proposer_(environment.dispatcher, environment.calls, environment.random, acceptor_,
+                proposerOptionsOf(environment.settings.times)),
+      bootstrap_(environment.dispatcher, environment.calls, acceptor_,
+                 bootstrapOptionsOf(environment.settings)),
+      set_change_(environment.dispatcher, environment.calls, acceptor_, proposer_),
+      scrubber_(environment.dispatcher, environment.calls, environment.random, acceptor_, proposer_,
+                environment.store),
+      membership_(acceptor_),
+      sessions_(environment.dispatcher, environment.calls, environment.journal,
+                sessionTimesOf(environment.settings.times), membership_),
+      granter_(environment.dispatcher, environment.calls, environment.store, environment.journal,
+               leaseTimesOf(environment.settings.times)),
+      replica_(environment.journal),
+      gossip_(environment.dispatcher, environment.calls, environment.random, replica_, workers_,
+              gossipOptionsOf(environment.settings.times)),
+      tracker_(environment.dispatcher, environment.calls, sessions_, replica_),
+      follower_(environment.dispatcher, proposer_, membership_, replica_, tracker_),
+      coordinator_(environment.dispatcher, proposer_, replica_, tracker_,
+                   environment.settings.times.acknowledgement_deadline),
+      watcher_lease_(environment.dispatcher, environment.calls, environment.random,
+                     leaseTimesOf(environment.settings.times), PlatformWatcherLease, membership_,
+                     life_),
+      membership_lease_(environment.dispatcher, environment.calls, environment.random,
+                        leaseTimesOf(environment.settings.times), CoreMembershipLease, membership_,
+                        life_),
+      watcher_(environment.dispatcher, environment.platform, workers_, environment.journal,
+               watcherOptionsOf(environment.settings.times),
+               [this](const wire::WorkerView& view) { publishWorkers(view); }),
+      keeper_(
+          environment.dispatcher, environment.calls, environment.journal, acceptor_, set_change_,
+          [this] { return membership_lease_.held(); },
+          membershipOptionsOf(environment.settings.times)),
+      claims_(environment.calls, proposer_),
+      ledgers_(environment.dispatcher, environment.calls, environment.random, proposer_,
+               membership_, leaseTimesOf(environment.settings.times), life_),
+      control_(controlDependencies()),
+      open_timer_(environment.dispatcher.createTimer([this] { openStore(); })),
+      peers_timer_(environment.dispatcher.createTimer([this] { refreshPeers(); })) {
+  connectParts();
+  handleControlRequests();
+}
+
+CoreNode::~CoreNode() = default;
+
+ControlDependencies CoreNode::controlDependencies() {
+  ReplaceCore replace = [this](const base::NodeAddress& old_member,
+                               const base::NodeAddress& new_member,
+                               std::function<void(base::ResultCode)> callback) {
+    keeper_.replace(old_member, new_member, std::move(callback));
+  };
+  return {environment_.dispatcher,
+          proposer_,
+          coordinator_,
+          sessions_,
+          replica_,
+          *this,
+          std::move(replace),
+          environment_.settings.operator_hashes};
+}
+
+void CoreNode::connectParts() {
+  granter_.setMayVote([this] { return acceptor_.mayVote(); });
+  acceptor_.setAcceptedListener([this](const std::string& key, const std::string& value) {
+    if (key == registers::ConfigurationRegister) {
+      follower_.onAccepted(value);
+    }
+  });
+  bootstrap_.setCandidateListener(
+      [this](const wire::CoreAnnounce& candidate) { keeper_.onCandidate(candidate); });
+  watcher_lease_.setListener([this](bool gained) { onWatcherLease(gained); });
+  membership_lease_.setListener([this](bool gained) { onMembershipLease(gained); });
+  replica_.addListener(
+      [this](const dissemination::ViewPtr& view) { ledgers_.setConfiguration(*view); });
+}
+
+void CoreNode::handleControlRequests() {
+  environment_.calls.handle<wire::ControlRequest>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& /*from*/,
+                                            const wire::ControlRequest& forwarded,
+                                            const transport::ReplyFunction& reply) {
+        if (alive.expired()) {
+          return;
+        }
+        control_.handle(requestOf(forwarded), [reply](http::Response response) {
+          reply(wire::ControlReply{response.status, std::move(response.body)});
+        });
+      });
+}
+
+void CoreNode::start() {
+  openStore();
+}
+
+void CoreNode::openStore() {
+  environment_.store.open([this, alive = std::weak_ptr(alive_)](
+                              base::ResultCode code, const storage::OpenedStore& opened) {
+    if (!alive.expired()) {
+      onOpened(code, opened);
+    }
+  });
+}
+
+void CoreNode::onOpened(base::ResultCode code, const storage::OpenedStore& opened) {
+  if (code != base::ResultCode::Ok) {
+    storage_fault_ = base::describe(code).name;
+    open_timer_->enable(ReopenPause);
+    return;
+  }
+  storage_fault_ = opened.loss;
+  try {
+    acceptor_.load(opened);
+    granter_.load(opened);
+  } catch (const base::Error& error) {
+    storage_fault_ = error.what();
+    environment_.journal.append(journal::Subject::Storage, "load", error.what(), opened.instance);
+    open_timer_->enable(ReopenPause);
+    return;
+  }
+  environment_.journal.append(journal::Subject::Storage, "instance",
+                              std::to_string(opened.instance), opened.instance);
+  takePart();
+}
+
+void CoreNode::takePart() {
+  taking_part_ = true;
+  if (const std::string* value = acceptor_.acceptedValue(registers::ConfigurationRegister)) {
+    follower_.onAccepted(*value);
+  }
+  bootstrap_.start();
+  scrubber_.start();
+  follower_.start();
+  watcher_lease_.start();
+  membership_lease_.start();
+  ledgers_.start();
+  gossip_.start();
+  refreshPeers();
+}
+
+void CoreNode::stop(std::function<void()> stopped) {
+  open_timer_->disable();
+  peers_timer_->disable();
+  if (taking_part_) {
+    watcher_.stop();
+    keeper_.stop();
+    watcher_lease_.stop();
+    membership_lease_.stop();
+    ledgers_.stop();
+    follower_.stop();
+    gossip_.stop();
+  }
+  taking_part_ = false;
+  environment_.dispatcher.post(std::move(stopped));
+}
+
+void CoreNode::onWatcherLease(bool gained) {
+  if (gained) {
+    watcher_.start(watcher_lease_.term());
+  } else {
+    watcher_.stop();
+  }
+}
+
+void CoreNode::onMembershipLease(bool gained) {
+  if (gained) {
+    keeper_.start();
+  } else {
+    keeper_.stop();
+  }
+}
+
+void CoreNode::publishWorkers(const wire::WorkerView& view) {
+  // Judged by the clock at this moment, so that a node woken from a freeze publishes nothing.
+  if (!watcher_lease_.held() || watcher_lease_.term() != view.term) {
+    return;
+  }
+  std::vector<base::NodeAddress> first = frontsWithSessions();
+  for (const base::NodeAddress& core : membership_.coreAddresses()) {
+    first.push_back(core);
+  }
+  gossip_.publishView(view, first);
+}
+
+std::vector<base::NodeAddress> CoreNode::frontsWithSessions() const {
+  std::set<base::NodeAddress> fronts;
+  for (const wire::SessionTableEntry& session : sessions_.localSessions()) {
+    fronts.insert(session.record.front);
+  }
+  return {fronts.begin(), fronts.end()};
+}
+
+void CoreNode::refreshPeers() {
+  peers_timer_->enable(PeersInterval);
+  std::vector<base::NodeAddress> peers = frontsWithSessions();
+  for (const base::NodeAddress& core : membership_.coreAddresses()) {
+    peers.push_back(core);
+  }
+  gossip_.setPeers(std::move(peers));
+}
+
+NodeStatus CoreNode::status() const {
+  NodeStatus status;
+  status.address = environment_.calls.localAddress();
+  status.zone = environment_.settings.zone;
+  status.instance = acceptor_.instance();
+  status.may_vote = acceptor_.mayVote();
+  status.register_count = acceptor_.registerCount();
+  status.storage_fault = storage_fault_;
+  status.acceptor_set = acceptor_.acceptorSet();
+  status.leases.push_back({PlatformWatcherLease, watcher_lease_.held(), watcher_lease_.term()});
+  status.leases.push_back(
+      {CoreMembershipLease, membership_lease_.held(), membership_lease_.term()});
+  ledgers_.appendStatus(status.leases);
+  return status;
+}
+
+}  // namespace switchsaddle::core
--- /dev/null
+++ b/libraries/core/source/membership_keeper.cc
@@ -0,0 +1,197 @@
+#include "switchsaddle/core/membership_keeper.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace switchsaddle::core {
+
+namespace {
+
+bool contains(const std::vector<wire::AcceptorMember>& members, std::uint64_t instance) {
+  return std::any_of(members.begin(), members.end(),
+                     [&](const auto& member) { return member.instance == instance; });
+}
+
+}  // namespace
+
+MembershipKeeper::MembershipKeeper(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
+                                   journal::Journal& journal, const registers::Acceptor& acceptor,
+                                   registers::AcceptorSetChange& change,
+                                   std::function<bool()> holds_lease, MembershipOptions options)
+    : dispatcher_(dispatcher),
+      calls_(calls),
+      journal_(journal),
+      acceptor_(acceptor),
+      change_(change),
+      holds_lease_(std::move(holds_lease)),
+      options_(options),
+      timer_(dispatcher.createTimer([this] { check(); })) {}
+
+void MembershipKeeper::start() {
+  heard_.clear();
+  timer_->enable(options_.check_interval);
+  // A change which another driver left under way is finished first.
+  change_.resume([](base::ResultCode) {});
+}
+
+void MembershipKeeper::stop() {
+  timer_->disable();
+  heard_.clear();
+}
+
+void MembershipKeeper::onCandidate(const wire::CoreAnnounce& announce) {
+  const base::TimePoint now = dispatcher_.now();
+  Candidate& candidate = candidates_[announce.member.instance];
+  candidate.announce = announce;
+  candidate.heard_at = now;
+  forgetOldCandidates();
+  const bool just_forwarded =
+      candidate.forwarded_at && now - *candidate.forwarded_at < options_.forward_pause;
+  if (just_forwarded || holds_lease_()) {
+    return;
+  }
+  candidate.forwarded_at = now;
+  for (const wire::AcceptorMember& member : acceptor_.acceptorSet().members) {
+    if (member.address != calls_.localAddress()) {
+      calls_.notify(member.address, announce);
+    }
+  }
+}
+
+void MembershipKeeper::forgetOldCandidates() {
+  const base::TimePoint now = dispatcher_.now();
+  std::erase_if(candidates_, [&](const auto& item) {
+    return now - item.second.heard_at > options_.candidate_lifetime;
+  });
+}
+
+void MembershipKeeper::check() {
+  timer_->enable(options_.check_interval);
+  if (!holds_lease_()) {
+    return;
+  }
+  forgetOldCandidates();
+  askMembers();
+  replaceOneSilent();
+}
+
+void MembershipKeeper::askMembers() {
+  const base::TimePoint now = dispatcher_.now();
+  const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  std::erase_if(heard_, [&](const auto& item) { return !contains(members, item.first.instance); });
+  const wire::CoreAnnounce question{{calls_.localAddress(), acceptor_.instance()}, true, {}};
+  for (const wire::AcceptorMember& member : members) {
+    heard_.try_emplace(member, now);
+    calls_.call(member.address, question, options_.call_timeout,
+                [this, alive = std::weak_ptr(alive_), member](const transport::CallResult& result) {
+                  if (!alive.expired()) {
+                    onSign(member, result);
+                  }
+                });
+  }
+}
+
+void MembershipKeeper::onSign(const wire::AcceptorMember& member,
+                              const transport::CallResult& result) {
+  const auto* reply = result.as<wire::CoreAnnounceReply>();
+  const auto heard = heard_.find(member);
+  if (reply == nullptr || heard == heard_.end()) {
+    return;
+  }
+  const base::TimePoint now = dispatcher_.now();
+  if (reply->member.instance == member.instance) {
+    heard->second = now;
+  } else if (!contains(acceptor_.acceptorSet().members, reply->member.instance)) {
+    // Another instance has the member's address, so that the member is gone for good.
+    candidates_[reply->member.instance] = {{reply->member, reply->holds_state, {}}, now, {}};
+    heard->second = now - options_.silence_bound;
+  }
+}
+
+void MembershipKeeper::replaceOneSilent() {
+  if (change_.active()) {
+    return;
+  }
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [member, heard_at] : heard_) {
+    const std::optional<wire::AcceptorMember> candidate = candidateFor(member);
+    const bool same_address = candidate && candidate->address == member.address;
+    const bool silent = now - heard_at >= options_.silence_bound;
+    if (!candidate || !(silent || same_address)) {
+      continue;
+    }
+    change_.replace(
+        member, *candidate,
+        [this, alive = std::weak_ptr(alive_), member, candidate](base::ResultCode code) {
+          if (!alive.expired()) {
+            journalReplacement(member, *candidate, code);
+          }
+        });
+    return;
+  }
+}
+
+std::optional<wire::AcceptorMember> MembershipKeeper::candidateFor(
+    const wire::AcceptorMember& member) const {
+  const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  std::optional<wire::AcceptorMember> elsewhere;
+  for (const auto& [instance, candidate] : candidates_) {
+    const wire::AcceptorMember& announced = candidate.announce.member;
+    if (contains(members, instance)) {
+      continue;
+    }
+    if (announced.address == member.address) {
+      return announced;
+    }
+    const bool address_taken = std::any_of(members.begin(), members.end(), [&](const auto& other) {
+      return other.address == announced.address;
+    });
+    if (!address_taken) {
+      elsewhere = announced;
+    }
+  }
+  return elsewhere;
+}
+
+void MembershipKeeper::replace(const base::NodeAddress& old_member,
+                               const base::NodeAddress& new_member, Callback callback) {
+  const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  const auto found = std::find_if(members.begin(), members.end(),
+                                  [&](const auto& member) { return member.address == old_member; });
+  if (found == members.end()) {
+    callback(base::ResultCode::InvalidValue);
+    return;
+  }
+  const wire::CoreAnnounce question{{calls_.localAddress(), acceptor_.instance()}, true, {}};
+  calls_.call(new_member, question, options_.call_timeout,
+              [this, alive = std::weak_ptr(alive_), leaving = *found,
+               callback = std::move(callback)](const transport::CallResult& result) {
+                const auto* reply = result.as<wire::CoreAnnounceReply>();
+                if (alive.expired() || reply == nullptr) {
+                  callback(result.code == base::ResultCode::Ok ? base::ResultCode::InvalidValue
+                                                               : result.code);
+                  return;
+                }
+                const wire::AcceptorMember joining = reply->member;
+                change_.replace(leaving, joining,
+                                [this, alive, leaving, joining, callback](base::ResultCode code) {
+                                  if (!alive.expired()) {
+                                    journalReplacement(leaving, joining, code);
+                                  }
+                                  callback(code);
+                                });
+              });
+}
+
+void MembershipKeeper::journalReplacement(const wire::AcceptorMember& old_member,
+                                          const wire::AcceptorMember& new_member,
+                                          base::ResultCode code) {
+  const std::string outcome(base::describe(code).name);
+  journal_.append(
+      journal::Subject::AcceptorSet, "replacement",
+      old_member.address.toString() + " by " + new_member.address.toString() + ": " + outcome,
+      acceptor_.acceptorSet().epoch);
+}
+
+}  // namespace switchsaddle::core
