--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -39,6 +39,7 @@
   journal::Journal& journal;
   workers::PlatformSource& platform;
   const configuration::Settings& settings;
+  CoreFaults faults = {};
 };
 
 /** Names of the singleton roles whose leases core nodes hold. */
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -13,6 +13,12 @@
 
 namespace switchsaddle::core {
 
+/** Test-only deviations that show that a rule is needed; never set in a daemon. */
+struct CoreFaults {
+  /** Acknowledges a change as soon as it is committed. */
+  bool acknowledge_without_waiting = false;
+};
+
 /**
  * Commits changes in the configuration register, takes the result into this node's replica, and
  * waits until it is in force on every front with a live session. The decision is taken inside the
@@ -25,7 +31,7 @@
  public:
   RegisterChangeCoordinator(base::Dispatcher& dispatcher, registers::RegisterProposer& proposer,
                             dissemination::ConfigurationReplica& replica, InForceTracker& tracker,
-                            base::Duration acknowledgement_deadline);
+                            base::Duration acknowledgement_deadline, CoreFaults faults = {});
 
   void submit(const configuration::Change& change, bool dry_run,
               std::function<void(const ChangeAnswer&)> callback) override;
@@ -44,6 +50,7 @@
   dissemination::ConfigurationReplica& replica_;
   InForceTracker& tracker_;
   base::Duration acknowledgement_deadline_;
+  CoreFaults faults_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -49,7 +49,7 @@
       tracker_(environment.dispatcher, environment.calls, sessions_, replica_),
       follower_(environment.dispatcher, proposer_, membership_, replica_, tracker_),
       coordinator_(environment.dispatcher, proposer_, replica_, tracker_,
-                   environment.settings.times.acknowledgement_deadline),
+                   environment.settings.times.acknowledgement_deadline, environment.faults),
       watcher_lease_(environment.dispatcher, environment.calls, environment.random,
                      leaseTimesOf(environment.settings.times), PlatformWatcherLease, membership_,
                      life_),
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -43,12 +43,14 @@
                                                      registers::RegisterProposer& proposer,
                                                      dissemination::ConfigurationReplica& replica,
                                                      InForceTracker& tracker,
-                                                     base::Duration acknowledgement_deadline)
+                                                     base::Duration acknowledgement_deadline,
+                                                     CoreFaults faults)
     : dispatcher_(dispatcher),
       proposer_(proposer),
       replica_(replica),
       tracker_(tracker),
-      acknowledgement_deadline_(acknowledgement_deadline) {}
+      acknowledgement_deadline_(acknowledgement_deadline),
+      faults_(faults) {}
 
 void RegisterChangeCoordinator::submit(const configuration::Change& change, bool dry_run,
                                        Callback callback) {
@@ -109,7 +111,7 @@
     replica_.apply(value->document.deltaSince(replica_.version()));
   }
   const ChangeAnswer answer = answerOf(decision);
-  if (answer.code != ResultCode::Ok) {
+  if (answer.code != ResultCode::Ok || faults_.acknowledge_without_waiting) {
     callback(answer);
     return;
   }
--- /dev/null
+++ b/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/scenarios/front_stand_in.h"
+#include "switchsaddle/scenarios/operator_stand_in.h"
+#include "switchsaddle/scenarios/simulated_core.h"
+
+namespace switchsaddle::scenarios {
+
+/** What a run of the configuration scenario is made of. */
+struct ConfigurationScenarioOptions {
+  std::uint64_t seed = 1;
+  std::size_t cores = 5;
+  std::size_t fronts = 3;
+  std::size_t operators = 3;
+  /** Time under faults. */
+  base::Duration trouble = std::chrono::seconds(30);
+  /** Longest pause between two faults. */
+  base::Duration fault_pause = std::chrono::milliseconds(1'500);
+  /** Time after the last fault within which everything must work again. */
+  base::Duration recovery_limit = std::chrono::seconds(12);
+  double message_loss = 0.01;
+  double message_duplication = 0.01;
+  core::CoreFaults core_faults;
+  FrontFaults front_faults;
+};
+
+/** What a run showed. */
+struct ConfigurationScenarioResult {
+  /** Each broken promise, in plain words; empty where all were kept. */
+  std::vector<std::string> violations;
+  std::uint64_t acknowledged = 0;
+  std::uint64_t conflicts = 0;
+  std::uint64_t resends = 0;
+  std::uint64_t faults = 0;
+  /** Looks at a front that would have dispatched, and at one that would not. */
+  std::uint64_t dispatches = 0;
+  std::uint64_t refusals = 0;
+  /** Time from the last fault until every front served by the last version. */
+  base::Duration recovery{};
+  std::uint64_t events = 0;
+};
+
+/**
+ * Operators race to change the configuration while cores are killed, lose power, freeze and are cut
+ * off, and fronts are killed and frozen. The checker reads only the operators' answers and what the
+ * fronts would dispatch by:
+ *  - from the moment an operator is told that a version is in force, no front dispatches by an
+ * older one;
+ *  - no change gets two contradicting answers, and of the changes on one base version at most one
+ * is committed;
+ *  - after the trouble, within the recovery limit, every change has its final answer and every
+ * front serves, and the configuration is what the acknowledged changes, in order of their versions
+ * and no others, make of the empty one.
+ */
+class ConfigurationScenario {
+ public:
+  explicit ConfigurationScenario(ConfigurationScenarioOptions options);
+  ~ConfigurationScenario();
+
+  ConfigurationScenarioResult run();
+
+ private:
+  void build();
+  bool settle(const std::function<bool()>& condition, base::Duration limit);
+  void look();
+  void runUnderTrouble();
+  void injectFault();
+  void killCores();
+  void freezeSome();
+  void cutSome();
+  void killFront();
+  void healAll();
+  void recover();
+  bool allServe(std::uint64_t version) const;
+  std::uint64_t newestAcknowledged() const;
+  void checkChanges();
+  void checkFinalDocument();
+  void violate(std::string what);
+  void later(base::Duration delay, std::function<void()> action);
+
+  ConfigurationScenarioOptions options_;
+  simulation::World world_;
+  simulation::Network network_;
+  SimulatedPlatform platform_;
+  std::vector<std::unique_ptr<SimulatedCore>> cores_;
+  std::vector<std::unique_ptr<FrontStandIn>> fronts_;
+  std::vector<std::unique_ptr<OperatorStandIn>> operators_;
+  /** The newest version an operator was told is in force. */
+  std::uint64_t acknowledged_version_ = 0;
+  ConfigurationScenarioResult result_;
+  /** Set once the trouble is over, so that faults end that were to last longer. */
+  bool calm_ = false;
+};
+
+}  // namespace switchsaddle::scenarios
--- /dev/null
+++ b/libraries/scenarios/include/switchsaddle/scenarios/operator_stand_in.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/simulation/network.h"
+#include "switchsaddle/transport/peer_calls.h"
+
+namespace switchsaddle::scenarios {
+
+/** The key that simulated operators use. */
+inline constexpr const char* SimulatedOperatorKey = "simulated-operator";
+
+/** The last thing an operator was told of one of its changes. */
+enum class ChangeFate : std::uint8_t { Pending, Acknowledged, Conflict, Invalid };
+
+/** One change as its operator knows it. Each sets or removes one evacuation. */
+struct OperatorChange {
+  std::string change_id;
+  std::uint64_t base_version = 0;
+  std::string zone;
+  bool removes = false;
+  ChangeFate fate = ChangeFate::Pending;
+  /** The version it made; from Committed or Acknowledged answers. */
+  std::uint64_t version = 0;
+  /** Told once that it is committed. */
+  bool committed = false;
+  /** Answers that contradict an earlier answer. */
+  std::vector<std::string> contradictions;
+};
+
+/**
+ * An operator who makes one change after the other over the control API: sends each to a random
+ * core, and sends it again, to another, until it gets a final answer. Takes its base version from
+ * the newest version it has been told of, so that operators race.
+ */
+class OperatorStandIn {
+ public:
+  using AcknowledgedListener = std::function<void(const OperatorChange&)>;
+
+  OperatorStandIn(simulation::World& world, simulation::Network& network, base::NodeAddress address,
+                  std::string name, std::vector<base::NodeAddress> cores);
+
+  void setAcknowledgedListener(AcknowledgedListener listener) { listener_ = std::move(listener); }
+  void start();
+  /** Makes no further change; the present one is sent on until its final answer. */
+  void finish() { finishing_ = true; }
+  /** Whether every change has its final answer. */
+  bool idle() const { return !present_.has_value(); }
+  const std::vector<OperatorChange>& changes() const { return changes_; }
+  std::uint64_t resends() const { return resends_; }
+  /** Reads the configuration from a core; the body, or nothing where it was not answered 200. */
+  void readConfiguration(const base::NodeAddress& core,
+                         std::function<void(std::optional<std::string>)> callback);
+
+ private:
+  void beginChange();
+  void send();
+  void onReply(std::uint64_t attempt, const transport::CallResult& result);
+  void take(const wire::ControlReply& reply);
+  void takeCommitted(std::uint64_t version);
+  void end(ChangeFate fate);
+  std::string body() const;
+
+  simulation::World& world_;
+  base::NodeAddress address_;
+  std::string name_;
+  std::vector<base::NodeAddress> cores_;
+  base::RandomSource random_;
+  simulation::Process process_;
+  std::unique_ptr<transport::Transport> transport_;
+  transport::PeerCalls calls_;
+  AcknowledgedListener listener_;
+  base::TimerPtr timer_;
+  bool finishing_ = false;
+  std::uint64_t newest_version_ = 0;
+  std::uint64_t attempt_ = 0;
+  std::uint64_t resends_ = 0;
+  std::vector<OperatorChange> changes_;
+  /** Index of the change under way. */
+  std::optional<std::size_t> present_;
+  /** Zones this operator has evacuated, by its own acknowledged changes. */
+  std::vector<std::string> evacuated_;
+};
+
+}  // namespace switchsaddle::scenarios
--- /dev/null
+++ b/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/simulation/network.h"
+#include "switchsaddle/simulation/simulated_disk.h"
+#include "switchsaddle/simulation/simulated_storage_executor.h"
+#include "switchsaddle/storage/file_record_store.h"
+
+namespace switchsaddle::scenarios {
+
+/** The platform's worker list, one for the whole simulated fleet. Answers at once. */
+class SimulatedPlatform : public workers::PlatformSource {
+ public:
+  void read(std::function<void(workers::PlatformReading)> callback) override;
+
+  workers::PlatformReading reading;
+};
+
+/** How a simulated process ends. */
+enum class Death : std::uint8_t {
+  /** The process is killed; the machine lives, so that nothing written is lost. */
+  Kill,
+  /** The machine loses its power; what was not synced may be lost. */
+  PowerLoss,
+  /** The machine is lost with its disk. */
+  Wipe,
+};
+
+/** A simulated machine with a disk, on which a core node runs, is killed, and runs again. */
+class SimulatedCore {
+ public:
+  SimulatedCore(simulation::World& world, simulation::Network& network,
+                workers::PlatformSource& platform, configuration::Settings settings,
+                core::CoreFaults faults = {});
+
+  /** Starts the process, with whatever the disk holds. */
+  void start();
+  void kill(Death death);
+  bool running() const { return life_ != nullptr; }
+  simulation::Process& process() { return process_; }
+  simulation::SimulatedDisk& disk() { return disk_; }
+  const base::NodeAddress& address() const { return settings_.peer_address; }
+  /** The node of the present life; only while running. */
+  core::CoreNode& node() { return *life_->node; }
+
+ private:
+  /** All that dies with the process. */
+  struct Life {
+    std::unique_ptr<transport::Transport> transport;
+    std::unique_ptr<transport::PeerCalls> calls;
+    std::unique_ptr<base::RandomSource> random;
+    std::unique_ptr<journal::Journal> journal;
+    std::unique_ptr<simulation::SimulatedStorageExecutor> executor;
+    std::unique_ptr<storage::FileRecordStore> store;
+    std::unique_ptr<core::CoreNode> node;
+  };
+
+  simulation::World& world_;
+  simulation::Network& network_;
+  workers::PlatformSource& platform_;
+  configuration::Settings settings_;
+  core::CoreFaults faults_;
+  simulation::Process process_;
+  simulation::SimulatedDisk disk_;
+  std::unique_ptr<Life> life_;
+};
+
+}  // namespace switchsaddle::scenarios
