--- /dev/null
+++ b/libraries/front/include/switchsaddle/front/caller_service.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/configuration/view.h"
+#include "switchsaddle/front/control_forwarder.h"
+#include "switchsaddle/front/counters.h"
+#include "switchsaddle/front/fleet_beliefs.h"
+#include "switchsaddle/front/one_shot_flow.h"
+#include "switchsaddle/front/stage.h"
+#include "switchsaddle/front/stream_flow.h"
+#include "switchsaddle/http/server.h"
+#include "switchsaddle/routing/router.h"
+#include "switchsaddle/sessions/session_client.h"
+
+namespace switchsaddle::front {
+
+/** What the HTTP side works on; all outlive the service. */
+struct CallerDependencies {
+  base::Dispatcher& dispatcher;
+  const sessions::SessionClient& session;
+  FleetBeliefs& beliefs;
+  const routing::Router& router;
+  StreamFlow& streams;
+  OneShotFlow& one_shots;
+  ControlForwarder& control;
+  Counters& counters;
+  /** Hashes of the first operators' keys, from the settings. */
+  std::vector<std::string> operator_hashes;
+  /** The body of GET /v1/beliefs. */
+  std::function<std::string()> belief_report;
+};
+
+/**
+ * Answers HTTP requests: parses and authenticates them and hands them to the flows. Each writer is
+ * answered exactly once unless the service is destroyed before. Runs on the control strand, except
+ * enqueue().
+ *
+ * A one-shot that is refused before its claim was read is answered "unknown": it may be a resend of
+ * one that ran.
+ */
+class CallerService {
+ public:
+  /** Requests that may wait for the control strand. */
+  static constexpr std::size_t QueueBound = 1'024;
+
+  explicit CallerService(CallerDependencies dependencies);
+  CallerService(const CallerService&) = delete;
+  CallerService& operator=(const CallerService&) = delete;
+
+  /** Hands a request over from any thread; QueueFull at once where too many wait. */
+  void enqueue(http::Request request, http::ResponseWriterPtr writer);
+  void handle(const http::Request& request, const http::ResponseWriterPtr& writer);
+  /** From now on new work is refused with Stopping and the node reports itself as not ready. */
+  void stop() { stopping_ = true; }
+  bool ready() const { return !stopping_ && dependencies_.session.mayDispatch(); }
+
+ private:
+  void route(const http::Request& request, const http::ResponseWriterPtr& writer);
+  void handleCompletion(const http::Request& request, const http::ResponseWriterPtr& writer);
+  void handleOneShot(const http::Request& request, const http::ResponseWriterPtr& writer);
+  http::Response plainAnswer(const http::Request& request, std::string_view path) const;
+  http::Response routingTable(const http::Request& request) const;
+  http::Response beliefReport(const http::Request& request) const;
+  const configuration::Tenant& authenticate(const configuration::View& view,
+                                            const http::Request& request) const;
+  void checkServing() const;
+
+  CallerDependencies dependencies_;
+  bool stopping_ = false;
+  Stage one_shot_stage_{512, 256};
+  std::atomic<std::size_t> waiting_{0};
+  /** Expires with this object, so that posted requests do not outlive it. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/admission/slot_broker.h"
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/claims/peer_claim_client.h"
+#include "switchsaddle/configuration/settings.h"
+#include "switchsaddle/dissemination/configuration_replica.h"
+#include "switchsaddle/dissemination/gossip_agent.h"
+#include "switchsaddle/front/caller_service.h"
+#include "switchsaddle/front/control_forwarder.h"
+#include "switchsaddle/front/fleet_beliefs.h"
+#include "switchsaddle/front/one_shot_flow.h"
+#include "switchsaddle/front/stream_flow.h"
+#include "switchsaddle/journal/belief_view.h"
+#include "switchsaddle/journal/journal.h"
+#include "switchsaddle/routing/learned_router.h"
+#include "switchsaddle/sessions/quorum_session_client.h"
+#include "switchsaddle/transport/peer_calls.h"
+#include "switchsaddle/workers/worker_directory.h"
+
+namespace switchsaddle::front {
+
+/** What a front stands on; real in the daemon, simulated in tests. All outlive the node. */
+struct FrontEnvironment {
+  base::Dispatcher& dispatcher;
+  transport::PeerCalls& calls;
+  base::RandomSource& random;
+  journal::Journal& journal;
+  const configuration::Settings& settings;
+  WorkerPort& workers;
+  admission::SlotBroker& slots;
+  /** The random instance id of this process. */
+  std::uint64_t instance = 0;
+};
+
+/**
+ * One front: session, configuration, worker beliefs, routing and the flows of work. Knows nothing
+ * of sockets: requests come through service(). Runs on the control strand.
+ *
+ * A worker that refuses connections is kept out by the circuit and is not declared gone to the
+ * fleet: that can't be withdrawn within one instance, and a worker that restarts fast stays listed
+ * as the same instance.
+ */
+class FrontNode : private FleetBeliefs {
+ public:
+  explicit FrontNode(const FrontEnvironment& environment);
+  ~FrontNode() override;
+  FrontNode(const FrontNode&) = delete;
+  FrontNode& operator=(const FrontNode&) = delete;
+
+  void start();
+  /**
+   * Stops gracefully: not ready, no new work, open work runs to its end within the settings' stop
+   * deadline, then the session is closed and `stopped` runs.
+   */
+  void stop(std::function<void()> stopped);
+  bool ready() const { return service_.ready(); }
+  CallerService& service() { return service_; }
+  const Counters& counters() const { return counters_; }
+  const dissemination::ConfigurationReplica& replica() const { return replica_; }
+  const workers::WorkerDirectory& directory() const { return directory_; }
+  const sessions::QuorumSessionClient& session() const { return session_; }
+  routing::Router& router() { return router_; }
+
+ private:
+  std::shared_ptr<const configuration::View> configuration() const override;
+  workers::WorkerSnapshotPtr workers() const override;
+  void observeDraining(const workers::Worker& worker) override;
+  void observeRefused(const workers::Worker& worker) override;
+
+  void connectParts();
+  void onConfiguration(const dissemination::ViewPtr& view);
+  void refreshPeers();
+  void awaitEndOfWork();
+  std::string beliefReport() const;
+
+  FrontEnvironment environment_;
+  dissemination::ConfigurationReplica replica_;
+  workers::WorkerDirectory directory_;
+  journal::BeliefView belief_view_;
+  sessions::QuorumSessionClient session_;
+  dissemination::GossipAgent gossip_;
+  routing::LearnedRouter router_;
+  claims::PeerClaimClient claims_;
+  RetryBudget retries_;
+  WorkerCircuit circuit_;
+  Counters counters_;
+  StreamStages stages_;
+  StreamFlow streams_;
+  OneShotFlow one_shots_;
+  ControlForwarder control_;
+  CallerService service_;
+  base::TimerPtr peers_timer_;
+  base::TimerPtr stop_timer_;
+  base::TimePoint stop_deadline_;
+  std::function<void()> stopped_;
+};
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/caller_service.cc
@@ -0,0 +1,281 @@
+#include "switchsaddle/front/caller_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "caller_answers.h"
+#include "caller_sinks.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/configuration/json_writer.h"
+#include "switchsaddle/front/request_parser.h"
+
+namespace switchsaddle::front {
+
+using base::ResultCode;
+
+namespace {
+
+constexpr std::string_view CompletionsPath = "/v1/chat/completions";
+constexpr std::string_view OneShotsPath = "/v1/one-shots";
+constexpr std::string_view BearerPrefix = "Bearer ";
+constexpr std::size_t LongestIdempotencyKey = 255;
+constexpr std::uint32_t DefaultRetryAfterMs = 1'000;
+
+std::string secretHash(const http::Request& request) {
+  const std::string_view authorization = request.header("Authorization");
+  if (!authorization.starts_with(BearerPrefix)) {
+    throw base::Error(ResultCode::MissingKey, "");
+  }
+  return configuration::sha256Hex(std::string(authorization.substr(BearerPrefix.size())));
+}
+
+void checkAllowed(const configuration::Tenant& tenant, const std::string& service) {
+  const std::vector<std::string>& allowed = tenant.shape.services;
+  if (std::find(allowed.begin(), allowed.end(), service) == allowed.end()) {
+    throw base::Error(ResultCode::UnknownService, "the tenant's shape does not allow the service");
+  }
+}
+
+std::string idempotencyKey(const http::Request& request) {
+  const std::string_view key = request.header("Idempotency-Key");
+  if (key.empty()) {
+    throw base::Error(ResultCode::MissingIdempotencyKey, "");
+  }
+  if (key.size() > LongestIdempotencyKey) {
+    throw base::Error(ResultCode::InvalidValue, "the key is too long", "Idempotency-Key");
+  }
+  return std::string(key);
+}
+
+void writeRow(configuration::JsonWriter& writer, const routing::RoutingRow& row) {
+  writer.beginObject();
+  writer.name("model").string(row.model);
+  writer.name("arm").string(row.arm);
+  writer.name("tokens_per_second").number(row.tokens_per_second);
+  writer.name("coefficient").number(row.coefficient);
+  writer.name("expected_share").number(row.expected_share);
+  writer.name("samples").unsignedInteger(row.samples);
+  writer.name("mass").number(row.mass);
+  writer.name("status").string(row.status);
+  writer.name("epoch").unsignedInteger(row.epoch);
+  writer.name("first_token_estimate_ms").number(row.first_token_estimate_ms);
+  writer.name("in_flight").unsignedInteger(row.in_flight);
+  writer.name("seconds_per_prefill_token").number(row.seconds_per_prefill_token);
+  writer.name("seconds_per_output_token").number(row.seconds_per_output_token);
+  writer.endObject();
+}
+
+}  // namespace
+
+CallerService::CallerService(CallerDependencies dependencies)
+    : dependencies_(std::move(dependencies)) {}
+
+void CallerService::enqueue(http::Request request, http::ResponseWriterPtr writer) {
+  if (waiting_.fetch_add(1) >= QueueBound) {
+    waiting_.fetch_sub(1);
+    const bool one_shot = http::targetPath(request.target) == OneShotsPath;
+    const Outcome outcome = one_shot ? Outcome::Unknown : Outcome::NotRun;
+    writer->respond(errorAnswer(ResultCode::QueueFull, {outcome, DefaultRetryAfterMs, {}, {}}));
+    return;
+  }
+  dependencies_.dispatcher.post([this, alive = std::weak_ptr(alive_), request = std::move(request),
+                                 writer = std::move(writer)] {
+    if (!alive.expired()) {
+      waiting_.fetch_sub(1);
+      handle(request, writer);
+    }
+  });
+}
+
+void CallerService::handle(const http::Request& request, const http::ResponseWriterPtr& writer) {
+  try {
+    route(request, writer);
+  } catch (const base::Error& error) {
+    ++dependencies_.counters.refusals[error.code()];
+    ErrorDetails details;
+    details.message = error.what();
+    details.path = error.path();
+    const base::ResultCodeInfo& info = base::describe(error.code());
+    details.retry_after_ms = info.retry_is_safe ? DefaultRetryAfterMs : 0;
+    const std::string_view path = http::targetPath(request.target);
+    if (path == CompletionsPath) {
+      details.outcome = Outcome::NotRun;
+    } else if (path == OneShotsPath) {
+      details.outcome = Outcome::Unknown;
+    }
+    writer->respond(errorAnswer(error.code(), details));
+  }
+}
+
+void CallerService::route(const http::Request& request, const http::ResponseWriterPtr& writer) {
+  const std::string_view path = http::targetPath(request.target);
+  const bool work = path == CompletionsPath || path == OneShotsPath;
+  if (work && request.method != "POST") {
+    throw base::Error(ResultCode::MethodNotAllowed, "");
+  }
+  if (path == CompletionsPath) {
+    handleCompletion(request, writer);
+  } else if (path == OneShotsPath) {
+    handleOneShot(request, writer);
+  } else if (ControlForwarder::serves(path)) {
+    dependencies_.control.forward(
+        request, [writer](http::Response response) { writer->respond(std::move(response)); });
+  } else {
+    writer->respond(plainAnswer(request, path));
+  }
+}
+
+void CallerService::handleCompletion(const http::Request& request,
+                                     const http::ResponseWriterPtr& writer) {
+  const std::shared_ptr<const configuration::View> view = dependencies_.beliefs.configuration();
+  checkServing();
+  const configuration::Tenant& tenant = authenticate(*view, request);
+  CompletionBody body = parseCompletionBody(request.body);
+  if (view->routeOfModel(body.prompt.model) == nullptr) {
+    throw base::Error(ResultCode::UnknownModel, "", "model");
+  }
+  checkAllowed(tenant, configuration::CompletionsService);
+  if (body.prompt.maximum_tokens > tenant.shape.maximum_tokens) {
+    throw base::Error(ResultCode::InvalidValue, "more than the shape allows", "max_tokens");
+  }
+  StreamRequest stream;
+  stream.tenant = tenant.name;
+  stream.branch = tenant.stream_branch;
+  stream.shape = tenant.shape;
+  stream.prompt = std::move(body.prompt);
+  if (stream.prompt.maximum_tokens == 0) {
+    stream.prompt.maximum_tokens = tenant.shape.maximum_tokens;
+  }
+  stream.body = std::move(body.worker_body);
+  std::shared_ptr<StreamSink> sink;
+  if (body.stream) {
+    sink = std::make_shared<EventStreamSink>(dependencies_.dispatcher, writer);
+  } else {
+    sink = std::make_shared<CollectingSink>(stream.prompt.model, writer);
+  }
+  const std::shared_ptr<StreamHandle> handle =
+      dependencies_.streams.run(std::move(stream), std::move(sink));
+  writer->onClientGone([&dispatcher = dependencies_.dispatcher, weak = std::weak_ptr(handle)] {
+    dispatcher.post([weak] {
+      if (const auto running = weak.lock()) {
+        running->cancel();
+      }
+    });
+  });
+}
+
+void CallerService::handleOneShot(const http::Request& request,
+                                  const http::ResponseWriterPtr& writer) {
+  const std::shared_ptr<const configuration::View> view = dependencies_.beliefs.configuration();
+  checkServing();
+  const configuration::Tenant& tenant = authenticate(*view, request);
+  OneShotBody body = parseOneShotBody(request.body);
+  OneShotRequest one_shot;
+  one_shot.idempotency_key = idempotencyKey(request);
+  if (body.service == configuration::CompletionsService ||
+      view->routeOfService(body.service) == nullptr) {
+    throw base::Error(ResultCode::UnknownService, "", "service");
+  }
+  checkAllowed(tenant, body.service);
+  one_shot.tenant = tenant.name;
+  one_shot.branch = tenant.one_shot_branch;
+  one_shot.service = body.service;
+  one_shot.fingerprint = body.fingerprint;
+  one_shot.body = std::move(body.worker_body);
+  one_shot.deadline = std::chrono::milliseconds(tenant.shape.one_shot_deadline_ms);
+  const bool queued = one_shot_stage_.submit(
+      [this, alive = std::weak_ptr(alive_), one_shot, writer](const StageTicket& ticket) {
+        if (alive.expired()) {
+          return;
+        }
+        dependencies_.one_shots.run(one_shot, [writer, ticket](const OneShotAnswer& answer) {
+          writer->respond(oneShotAnswer(answer));
+        });
+      });
+  if (!queued) {
+    throw base::Error(ResultCode::QueueFull, "");
+  }
+}
+
+http::Response CallerService::plainAnswer(const http::Request& request,
+                                          std::string_view path) const {
+  if (request.method != "GET") {
+    throw base::Error(ResultCode::UnknownPath, "");
+  }
+  if (path == "/healthz") {
+    return jsonAnswer("{\"status\":\"ok\"}");
+  }
+  if (path == "/readyz") {
+    const ResultCode code = stopping_ ? ResultCode::Stopping : ResultCode::NotServing;
+    return ready() ? jsonAnswer("{\"status\":\"ready\"}") : errorAnswer(code, {});
+  }
+  if (path == "/metrics") {
+    http::Response response;
+    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+    response.body = dependencies_.counters.toPrometheusText();
+    return response;
+  }
+  if (path == "/v1/routing") {
+    return routingTable(request);
+  }
+  if (path == "/v1/beliefs") {
+    return beliefReport(request);
+  }
+  throw base::Error(ResultCode::UnknownPath, "");
+}
+
+http::Response CallerService::routingTable(const http::Request& request) const {
+  std::vector<std::string> models{http::queryParameter(request.target, "model")};
+  if (models.front().empty()) {
+    models.clear();
+    for (const auto& [name, route] : dependencies_.beliefs.configuration()->routes) {
+      models.insert(models.end(), route.models.begin(), route.models.end());
+    }
+  }
+  configuration::JsonWriter writer;
+  writer.beginObject().name("rows").beginArray();
+  for (const std::string& model : models) {
+    for (const routing::RoutingRow& row : dependencies_.router.table(model)) {
+      writeRow(writer, row);
+    }
+  }
+  writer.endArray().endObject();
+  return jsonAnswer(writer.text());
+}
+
+http::Response CallerService::beliefReport(const http::Request& request) const {
+  const std::string hash = secretHash(request);
+  const std::vector<std::string>& first = dependencies_.operator_hashes;
+  const std::shared_ptr<const configuration::View> view = dependencies_.beliefs.configuration();
+  const bool is_operator = std::find(first.begin(), first.end(), hash) != first.end() ||
+                           view->operator_hashes.contains(hash);
+  if (!is_operator) {
+    throw base::Error(
+        view->keys.contains(hash) ? ResultCode::NotAnOperator : ResultCode::UnknownKey, "");
+  }
+  return jsonAnswer(dependencies_.belief_report());
+}
+
+const configuration::Tenant& CallerService::authenticate(const configuration::View& view,
+                                                         const http::Request& request) const {
+  const auto key = view.keys.find(secretHash(request));
+  if (key == view.keys.end()) {
+    throw base::Error(ResultCode::UnknownKey, "");
+  }
+  const auto tenant = view.tenants.find(key->second.tenant);
+  if (tenant == view.tenants.end()) {
+    throw base::Error(ResultCode::UnknownKey, "the key's tenant is not known");
+  }
+  return tenant->second;
+}
+
+void CallerService::checkServing() const {
+  if (stopping_) {
+    throw base::Error(ResultCode::Stopping, "");
+  }
+  if (!dependencies_.session.mayDispatch()) {
+    throw base::Error(ResultCode::NotServing, "");
+  }
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/caller_sinks.cc
@@ -0,0 +1,107 @@
+#include "caller_sinks.h"
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "caller_answers.h"
+#include "switchsaddle/configuration/json_value.h"
+#include "switchsaddle/configuration/json_writer.h"
+
+namespace switchsaddle::front {
+
+namespace {
+
+/** Longest completion that is collected for one answer. */
+constexpr std::size_t MaximumCollectedBytes = 16U << 20U;
+constexpr std::string_view DataField = "data: ";
+
+http::Response refusalAnswer(const StreamRefusal& refusal) {
+  ErrorDetails details;
+  details.outcome = refusal.sent ? Outcome::Unknown : Outcome::NotRun;
+  details.retry_after_ms = refusal.retry_after_ms;
+  return errorAnswer(refusal.code, details);
+}
+
+/** The JSON of an event's data, or nothing for "[DONE]". */
+std::optional<configuration::JsonValue> eventData(const std::string& event) {
+  const std::size_t start = event.find(DataField);
+  if (start == std::string::npos) {
+    return std::nullopt;
+  }
+  const std::size_t from = start + DataField.size();
+  const std::string data = event.substr(from, event.find('\n', from) - from);
+  std::vector<configuration::Fault> faults;
+  return configuration::parseJson(data, configuration::JsonLimits{}, "", faults);
+}
+
+}  // namespace
+
+void EventStreamSink::refuse(const StreamRefusal& refusal) {
+  writer_->respond(refusalAnswer(refusal));
+}
+
+void EventStreamSink::sendEvent(std::string event, std::function<void(bool)> written) {
+  if (!started_) {
+    started_ = true;
+    http::Response head;
+    head.headers.push_back({"Content-Type", "text/event-stream"});
+    head.headers.push_back({"Cache-Control", "no-cache"});
+    writer_->startStream(std::move(head));
+  }
+  writer_->writeChunk(std::move(event),
+                      [&dispatcher = dispatcher_, written = std::move(written)](bool taken) {
+                        dispatcher.post([written, taken] { written(taken); });
+                      });
+}
+
+void EventStreamSink::end(base::ResultCode /*code*/) {
+  writer_->endStream();
+}
+
+void CollectingSink::refuse(const StreamRefusal& refusal) {
+  writer_->respond(refusalAnswer(refusal));
+}
+
+void CollectingSink::sendEvent(std::string event, std::function<void(bool)> written) {
+  const std::optional<configuration::JsonValue> data = eventData(event);
+  if (data && data->kind == configuration::JsonKind::Object) {
+    run_ = data->textOf("run");
+    text_ += data->textOf("text");
+    ++tokens_;
+  }
+  if (text_.size() <= MaximumCollectedBytes) {
+    written(true);
+    return;
+  }
+  writer_->respond(refusalAnswer({base::ResultCode::StreamBroken, true, 0}));
+  written(false);
+}
+
+void CollectingSink::end(base::ResultCode code) {
+  if (code != base::ResultCode::Ok) {
+    writer_->respond(refusalAnswer({code, true, 0}));
+    return;
+  }
+  configuration::JsonWriter writer;
+  writer.beginObject();
+  writer.name("id").string(run_);
+  writer.name("object").string("chat.completion");
+  writer.name("model").string(model_);
+  writer.name("run").string(run_);
+  writer.name("choices").beginArray().beginObject();
+  writer.name("index").integer(0);
+  writer.name("message").beginObject();
+  writer.name("role").string("assistant");
+  writer.name("content").string(text_);
+  writer.endObject();
+  writer.name("finish_reason").string("stop");
+  writer.endObject().endArray();
+  writer.name("usage").beginObject();
+  writer.name("completion_tokens").unsignedInteger(tokens_);
+  writer.endObject();
+  writer.endObject();
+  writer_->respond(jsonAnswer(writer.text()));
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/control_forwarder.cc
@@ -0,0 +1,66 @@
+#include "switchsaddle/front/control_forwarder.h"
+
+#include <array>
+#include <utility>
+
+#include "switchsaddle/http/error_response.h"
+
+namespace switchsaddle::front {
+
+namespace {
+
+constexpr std::array<std::string_view, 5> CorePaths{"/v1/configuration", "/v1/zones", "/v1/keys",
+                                                    "/v1/status", "/v1/core"};
+
+}  // namespace
+
+ControlForwarder::ControlForwarder(transport::PeerCalls& calls, CoreAddresses cores)
+    : calls_(calls), cores_(std::move(cores)) {}
+
+bool ControlForwarder::serves(std::string_view path) {
+  for (const std::string_view known : CorePaths) {
+    const bool below = path.size() > known.size() && path[known.size()] == '/';
+    if (path.starts_with(known) && (path.size() == known.size() || below)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void ControlForwarder::forward(const http::Request& request, Respond respond) {
+  wire::ControlRequest message;
+  message.method = request.method;
+  message.target = request.target;
+  message.authorization = request.header("Authorization");
+  message.body = request.body;
+  tryCore(std::move(message), 0, std::move(respond));
+}
+
+void ControlForwarder::tryCore(wire::ControlRequest request, std::size_t tries, Respond respond) {
+  const std::vector<base::NodeAddress> cores = cores_();
+  if (tries >= cores.size()) {
+    respond(http::errorResponse(base::ResultCode::NoQuorum, "no core node answered"));
+    return;
+  }
+  const std::size_t core = (preferred_ + tries) % cores.size();
+  calls_.call(cores[core], request, CoreTimeout,
+              [this, alive = std::weak_ptr(alive_), request, tries, core,
+               respond = std::move(respond)](const transport::CallResult& result) mutable {
+                if (alive.expired()) {
+                  return;
+                }
+                const auto* reply = result.as<wire::ControlReply>();
+                if (reply == nullptr) {
+                  tryCore(std::move(request), tries + 1, std::move(respond));
+                  return;
+                }
+                preferred_ = core;
+                http::Response response;
+                response.status = reply->status;
+                response.headers.push_back({"Content-Type", "application/json"});
+                response.body = reply->body;
+                respond(std::move(response));
+              });
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/front_node.cc
@@ -0,0 +1,157 @@
+#include "switchsaddle/front/front_node.h"
+
+#include <utility>
+
+#include "switchsaddle/configuration/beliefs.h"
+
+namespace switchsaddle::front {
+
+namespace {
+
+constexpr base::Duration PeersInterval = std::chrono::milliseconds(250);
+constexpr base::Duration StopPollInterval = std::chrono::milliseconds(50);
+
+sessions::SessionTimes sessionTimes(const configuration::TimeSettings& settings) {
+  sessions::SessionTimes times;
+  times.front_limit = settings.session_front_limit;
+  times.core_limit = settings.session_core_limit;
+  times.renewal = settings.session_renewal;
+  times.core_silence = settings.core_silence;
+  times.core_refused_grace = settings.core_refused_grace;
+  return times;
+}
+
+dissemination::GossipOptions gossipOptions(const configuration::TimeSettings& settings) {
+  dissemination::GossipOptions options;
+  options.interval = settings.gossip_interval;
+  return options;
+}
+
+claims::ClaimClientOptions claimOptions(const configuration::TimeSettings& settings) {
+  claims::ClaimClientOptions options;
+  options.core_silence = settings.core_silence;
+  options.deadline = settings.register_deadline;
+  return options;
+}
+
+}  // namespace
+
+FrontNode::FrontNode(const FrontEnvironment& environment)
+    : environment_(environment),
+      replica_(environment.journal),
+      belief_view_(environment.journal),
+      session_(environment.dispatcher, environment.calls, environment.random,
+               sessionTimes(environment.settings.times), environment.settings.seeds,
+               sessions::FrontIdentity{environment.calls.localAddress(), environment.instance,
+                                       environment.settings.zone}),
+      gossip_(environment.dispatcher, environment.calls, environment.random, replica_, directory_,
+              gossipOptions(environment.settings.times)),
+      router_(environment.dispatcher, environment.random, environment.calls.localAddress(),
+              routing::RouterOptions{}),
+      claims_(
+          environment.dispatcher, environment.calls, [this] { return session_.coreAddresses(); },
+          claimOptions(environment.settings.times)),
+      retries_(environment.dispatcher),
+      circuit_(environment.dispatcher),
+      streams_(StreamEnvironment{environment.dispatcher, environment.random, environment.slots,
+                                 session_, router_, environment.workers, *this, retries_, circuit_,
+                                 counters_, stages_}),
+      one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims_,
+                                    environment.slots, session_, environment.workers, *this,
+                                    retries_, circuit_, counters_}),
+      control_(environment.calls, [this] { return session_.coreAddresses(); }),
+      service_(CallerDependencies{
+          environment.dispatcher, session_, *this, router_, streams_, one_shots_, control_,
+          counters_, environment.settings.operator_hashes, [this] { return beliefReport(); }}) {
+  connectParts();
+}
+
+FrontNode::~FrontNode() = default;
+
+void FrontNode::connectParts() {
+  replica_.addListener([this](const dissemination::ViewPtr& view) { onConfiguration(view); });
+  directory_.addListener(
+      [this](const workers::WorkerSnapshotPtr& /*before*/,
+             const workers::WorkerSnapshotPtr& after) { router_.setWorkers(after); });
+  session_.setCommittedListener([this](std::uint64_t version, const base::NodeAddress& core) {
+    if (version > replica_.version()) {
+      gossip_.pullFrom(core);
+    }
+  });
+  gossip_.setScoreSource([this] { return router_.exportScores(); });
+  gossip_.setScoreSink(
+      [this](const std::vector<wire::RouteScore>& scores) { router_.importScores(scores); });
+  peers_timer_ = environment_.dispatcher.createTimer([this] { refreshPeers(); });
+  stop_timer_ = environment_.dispatcher.createTimer([this] { awaitEndOfWork(); });
+  router_.setConfiguration(replica_.view());
+  router_.setWorkers(directory_.snapshot());
+}
+
+void FrontNode::start() {
+  session_.start();
+  gossip_.start();
+  refreshPeers();
+}
+
+void FrontNode::onConfiguration(const dissemination::ViewPtr& view) {
+  router_.setConfiguration(view);
+  session_.noteNewerVersionSeen(replica_.version());
+  session_.setApplied(replica_.version(), replica_.digest());
+}
+
+void FrontNode::refreshPeers() {
+  const std::vector<base::NodeAddress>& fronts = session_.frontAddresses();
+  std::vector<base::NodeAddress> peers = session_.coreAddresses();
+  peers.insert(peers.end(), fronts.begin(), fronts.end());
+  gossip_.setPeers(std::move(peers));
+  router_.setFronts(fronts);
+  peers_timer_->enable(PeersInterval);
+}
+
+std::shared_ptr<const configuration::View> FrontNode::configuration() const {
+  return replica_.view();
+}
+
+workers::WorkerSnapshotPtr FrontNode::workers() const {
+  return directory_.snapshot();
+}
+
+void FrontNode::observeDraining(const workers::Worker& worker) {
+  wire::WorkerObservation observation;
+  observation.worker = worker.entry.id;
+  observation.instance = worker.entry.instance;
+  observation.draining = true;
+  gossip_.observe(observation);
+}
+
+void FrontNode::observeRefused(const workers::Worker& /*worker*/) {}
+
+void FrontNode::stop(std::function<void()> stopped) {
+  stopped_ = std::move(stopped);
+  service_.stop();
+  stop_deadline_ = environment_.dispatcher.now() + environment_.settings.times.stop_deadline;
+  awaitEndOfWork();
+}
+
+void FrontNode::awaitEndOfWork() {
+  const bool idle = streams_.active() == 0 && one_shots_.active() == 0;
+  if (!idle && environment_.dispatcher.now() < stop_deadline_) {
+    stop_timer_->enable(StopPollInterval);
+    return;
+  }
+  gossip_.stop();
+  session_.close(std::exchange(stopped_, nullptr));
+}
+
+std::string FrontNode::beliefReport() const {
+  configuration::BeliefReport report;
+  report.node = environment_.calls.localAddress().toString();
+  report.now_ms = base::toMilliseconds(environment_.dispatcher.now().time_since_epoch());
+  for (const auto& [key, belief] : belief_view_.beliefs()) {
+    report.beliefs.push_back(
+        {journal::subjectName(key.first), key.second, belief.value, belief.version, 0});
+  }
+  return configuration::renderBeliefs(report);
+}
+
+}  // namespace switchsaddle::front
--- a/libraries/streams/source/relay_machine.cc
+++ b/libraries/streams/source/relay_machine.cc
@@ -36,7 +36,7 @@
   } else {
     error["last_piece"] = nullptr;
   }
-  error["retry_is_safe"] = info.retry_is_safe;
+  error["retry_safe"] = info.retry_is_safe;
   return "event: error\n" + formatEvent(pieces, boost::json::serialize(error));
 }
 
--- a/libraries/streams/test/relay_machine_test.cc
+++ b/libraries/streams/test/relay_machine_test.cc
@@ -59,7 +59,7 @@
   EXPECT_TRUE(end.events[0].starts_with("event: error\n"));
   const std::string last = GetParam().pieces == 0 ? "null" : std::to_string(GetParam().pieces - 1);
   EXPECT_NE(end.events[0].find("\"last_piece\":" + last), std::string::npos);
-  EXPECT_NE(end.events[0].find("\"retry_is_safe\":true"), std::string::npos);
+  EXPECT_NE(end.events[0].find("\"retry_safe\":true"), std::string::npos);
   EXPECT_TRUE(machine.onBytes(done(GetParam().pieces)).events.empty());
   EXPECT_TRUE(machine.endWithError(code).events.empty());
 }
