Resend refused keys and lock the fleet's state

Cause: keys answered not-run were never sent again, so that claiming anew would not be exercised; two fleet commands at once could undo each other's changes of fleet.json. Change: a share of refused one-shots is resent under the same key; up, start and replace hold a lock. The lock has no test of its own.

--- a/libraries/laboratory/include/switchsaddle/laboratory/load_plan.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/load_plan.h
@@ -32,6 +32,8 @@
   std::uint32_t output_tokens = 60;
   /** Share of one-shots which are sent again under the same key without waiting for the answer. */
   double resend_share = 0.05;
+  /** Share of the one-shots refused as not-run which are sent again under the same key. */
+  double resend_refused_share = 0.3;
   base::Duration resend_delay = std::chrono::milliseconds(200);
 
   double requestsPerSecond() const;
--- a/libraries/laboratory/include/switchsaddle/laboratory/load_runner.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/load_runner.h
@@ -39,6 +39,8 @@
   void send(const Arrival& arrival, int attempt, const base::NodeAddress& avoided);
   void onEnded(const Arrival& arrival, int attempt, const base::NodeAddress& target,
                const CallEvent& answer);
+  /** Whether the caller of this one-shot sends its key again. */
+  bool asksAgain(const CallEvent& answer);
   void resendLater(const Arrival& arrival, int attempt, const base::NodeAddress& avoided);
   void finishIfIdle();
   std::vector<base::NodeAddress> candidates(const Arrival& arrival) const;
--- a/libraries/laboratory/source/load_plan.cc
+++ b/libraries/laboratory/source/load_plan.cc
@@ -67,6 +67,8 @@
   plan.prompt_tokens = positiveField(object, "prompt_tokens", plan.prompt_tokens);
   plan.output_tokens = positiveField(object, "output_tokens", plan.output_tokens);
   plan.resend_share = numberField(object, "resend_share", plan.resend_share);
+  plan.resend_refused_share =
+      numberField(object, "resend_refused_share", plan.resend_refused_share);
   plan.resend_delay = std::chrono::milliseconds(integerField(object, "resend_delay_ms", 200));
   if (plan.requestsPerSecond() <= 0) {
     throw base::Error(base::ResultCode::InvalidValue, "the load has no requests", "tenants");
--- a/libraries/laboratory/source/load_runner.cc
+++ b/libraries/laboratory/source/load_runner.cc
@@ -152,13 +152,20 @@
 void LoadRunner::onEnded(const Arrival& arrival, int attempt, const base::NodeAddress& target,
                          const CallEvent& answer) {
   --open_;
-  const bool resent = arrival.kind == CallKind::OneShot && attempt < MaximumResends;
-  if (resent && wentAstray(answer)) {
+  const bool may_resend = arrival.kind == CallKind::OneShot && attempt < MaximumResends;
+  if (may_resend && asksAgain(answer)) {
     resendLater(arrival, attempt + 1, target);
   }
   finishIfIdle();
 }
 
+bool LoadRunner::asksAgain(const CallEvent& answer) {
+  if (answer.outcome == "not-run") {
+    return random_.chance(plan_.resend_refused_share);
+  }
+  return wentAstray(answer);
+}
+
 void LoadRunner::resendLater(const Arrival& arrival, int attempt,
                              const base::NodeAddress& avoided) {
   ++open_;
--- a/libraries/laboratory/test/load_runner_test.cc
+++ b/libraries/laboratory/test/load_runner_test.cc
@@ -65,6 +65,7 @@
   }
   static LoadTargets twoFronts() { return {{{"127.0.0.1", 1}, {"127.0.0.2", 2}}, {}}; }
   void run(LoadPlan plan, ScriptedClient& client) {
+    sink_.events.clear();
     LoadRunner runner(std::move(plan), twoFronts(), 1, seconds(5), {process_, sink_}, client,
                       [this] { ++finished_; });
     runner.start();
@@ -110,6 +111,23 @@
   EXPECT_EQ(finished_, 1);
 }
 
+TEST_F(LoadRunnerTest, ResendsARefusedKeyByTheShare) {
+  ScriptedClient client(process_, [](http::ExchangeObserver& observer) {
+    http::Response refusal;
+    refusal.status = 429;
+    observer.onResponseHead(refusal);
+    observer.onBodyBytes(R"({"outcome":"not-run"})", [] {});
+    observer.onComplete();
+  });
+  LoadPlan plan = oneShots(0);
+  plan.resend_refused_share = 0;
+  run(plan, client);
+  const std::size_t without_resends = client.requests.size();
+  plan.resend_refused_share = 1;
+  run(plan, client);
+  EXPECT_EQ(client.requests.size() - without_resends, 3 * without_resends);
+}
+
 TEST_F(LoadRunnerTest, ResendsEarlyByTheShare) {
   ScriptedClient client(process_, [](http::ExchangeObserver& observer) {
     observer.onResponseHead({});
--- a/programs/lab/fleet.cc
+++ b/programs/lab/fleet.cc
@@ -1,5 +1,9 @@
 #include "fleet.h"
 
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -62,6 +66,17 @@
 
 }  // namespace
 
+FleetLock::FleetLock(const std::string& directory)
+    : file_(::open((directory + "/fleet.lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0644)) {
+  if (file_ < 0 || ::flock(file_, LOCK_EX) != 0) {
+    throw base::Error(base::ResultCode::StorageFailed, "cannot lock the fleet in " + directory);
+  }
+}
+
+FleetLock::~FleetLock() {
+  ::close(file_);
+}
+
 laboratory::ProcessIdentity Fleet::identityOf(const FleetProcess& process) {
   return {process.pid, process.start_ticks};
 }
--- a/programs/lab/fleet.h
+++ b/programs/lab/fleet.h
@@ -9,6 +9,19 @@
 
 namespace switchsaddle::lab {
 
+/** Held while a command changes a fleet's state, so that two commands don't undo each other. */
+class FleetLock {
+ public:
+  /** Waits for the lock of the fleet in this directory. Throws base::Error. */
+  explicit FleetLock(const std::string& directory);
+  ~FleetLock();
+  FleetLock(const FleetLock&) = delete;
+  FleetLock& operator=(const FleetLock&) = delete;
+
+ private:
+  int file_ = -1;
+};
+
 /**
  * A fleet of real processes in one directory. Its state is kept in fleet.json, rewritten aside and
  * renamed after each change, so that every command finds the processes by pid and start time.
--- a/programs/lab/fleet_command.cc
+++ b/programs/lab/fleet_command.cc
@@ -73,6 +73,7 @@
   const std::string daemon = arguments.switchsaddle.empty() ? beside : arguments.switchsaddle;
   const std::string directory = files::absolute(arguments.directory).lexically_normal().string();
   files::create_directories(directory);
+  const FleetLock lock(directory);
   refuseRunningFleet(directory);
   const auto layout = laboratory::parseFleetLayout(laboratory::readTextFile(arguments.layout));
   writeWorkersFile(layout, directory);
@@ -95,9 +96,11 @@
 }
 
 void start(const FleetArguments& arguments) {
+  auto lock = std::make_unique<FleetLock>(arguments.directory);
   Fleet fleet = Fleet::load(arguments.directory);
   const auto processes = fleet.named(arguments.names);
   startAll(fleet, processes);
+  lock.reset();
   if (arguments.wait_ready) {
     fleet.waitReady(processes, arguments.readyLimit());
   }
@@ -122,6 +125,7 @@
 }
 
 void replace(const FleetArguments& arguments) {
+  const FleetLock lock(arguments.directory);
   Fleet fleet = Fleet::load(arguments.directory);
   fleet.signalAll(fleet.named(arguments.names), SIGKILL, ProcessCondition::Gone, KillLimit);
   for (const std::string& name : arguments.names) {
