Run front and core as daemons

Change: subcommands front and core over the assembled nodes, with settings file and overriding flags, signals, HTTP server, platform reader. Not yet run as a fleet.

--- /dev/null
+++ b/programs/switchsaddle/core_command.cc
@@ -0,0 +1,101 @@
+#include <CLI/CLI.hpp>
+
+#include "daemon_process.h"
+#include "http_platform_source.h"
+#include "role_commands.h"
+#include "settings_options.h"
+#include "switchsaddle/base/log.h"
+#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/http/error_response.h"
+#include "switchsaddle/http/server.h"
+#include "switchsaddle/storage/file_record_store.h"
+#include "switchsaddle/storage/posix_file_system.h"
+#include "switchsaddle/storage/thread_storage_executor.h"
+
+namespace switchsaddle {
+
+namespace {
+
+http::Response plainText(std::uint16_t status, std::string body) {
+  http::Response response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", "text/plain"});
+  response.body = std::move(body);
+  return response;
+}
+
+/** One core daemon: the node with real sockets, disk and clock. */
+class CoreDaemon {
+ public:
+  explicit CoreDaemon(const configuration::Settings& settings)
+      : settings_(settings),
+        process_(settings_),
+        file_system_(settings_.data_folder),
+        executor_(process_.dispatcher()),
+        store_(process_.dispatcher(), file_system_, executor_, process_.random()),
+        client_(http::createClient(process_.context())),
+        platform_(process_.dispatcher(), *client_, settings_.platform_address),
+        node_(core::CoreEnvironment{process_.dispatcher(), process_.calls(), store_,
+                                    process_.random(), process_.journal(), platform_, settings_}),
+        server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
+                                  [this](http::Request request, http::ResponseWriterPtr writer) {
+                                    handle(std::move(request), std::move(writer));
+                                  })) {}
+
+  int run() {
+    process_.dispatcher().post([this] { node_.start(); });
+    base::logEvent(
+        base::Severity::Info, "core-started",
+        {{"peer", settings_.peer_address.toString()}, {"http", settings_.http_address.toString()}});
+    return process_.run([this](std::function<void()> stopped) {
+      server_->stopAccepting();
+      node_.stop(std::move(stopped));
+    });
+  }
+
+ private:
+  void handle(http::Request request, http::ResponseWriterPtr writer) {
+    process_.dispatcher().post([this, request = std::move(request), writer = std::move(writer)] {
+      answer(request, writer);
+    });
+  }
+
+  void answer(const http::Request& request, const http::ResponseWriterPtr& writer) {
+    const std::string_view path = http::targetPath(request.target);
+    if (path == "/healthz") {
+      writer->respond(plainText(200, "ok\n"));
+    } else if (path == "/readyz") {
+      const bool ready = node_.status().may_vote;
+      writer->respond(plainText(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+    } else if (core::ControlService::serves(request.target)) {
+      node_.control().handle(
+          request, [writer](http::Response response) { writer->respond(std::move(response)); });
+    } else {
+      writer->respond(http::errorResponse(base::ResultCode::UnknownPath, "no such resource"));
+    }
+  }
+
+  configuration::Settings settings_;
+  DaemonProcess process_;
+  storage::PosixFileSystem file_system_;
+  storage::ThreadStorageExecutor executor_;
+  storage::FileRecordStore store_;
+  std::unique_ptr<http::Client> client_;
+  HttpPlatformSource platform_;
+  core::CoreNode node_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace
+
+void addCoreCommand(CLI::App& app, int& exit_code) {
+  CLI::App* command = app.add_subcommand("core", "Run a control-plane node");
+  command->footer("Example: switchsaddle core --settings core.json --data-folder data");
+  const auto options = addSettingsOptions(*command);
+  command->callback([options, &exit_code] {
+    CoreDaemon daemon(loadSettings(*options, "core"));
+    exit_code = daemon.run();
+  });
+}
+
+}  // namespace switchsaddle
--- /dev/null
+++ b/programs/switchsaddle/daemon_process.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/configuration/settings.h"
+#include "switchsaddle/journal/journal.h"
+#include "switchsaddle/transport/asio_dispatcher.h"
+#include "switchsaddle/transport/peer_calls.h"
+#include "switchsaddle/transport/tcp_transport.h"
+
+namespace switchsaddle {
+
+/**
+ * What every daemon stands on: one io_context run by one thread, the control strand, the peers'
+ * transport, the journal and the signals. The journal's events go to the log ring.
+ */
+class DaemonProcess {
+ public:
+  explicit DaemonProcess(const configuration::Settings& settings);
+
+  boost::asio::io_context& context() { return context_; }
+  transport::AsioDispatcher& dispatcher() { return dispatcher_; }
+  transport::PeerCalls& calls() { return calls_; }
+  base::RandomSource& random() { return random_; }
+  journal::Journal& journal() { return journal_; }
+
+  /**
+   * Runs until `stop`, called on the first SIGTERM or SIGINT, has called its argument. A second
+   * signal ends the process at once. Returns the exit code.
+   */
+  int run(std::function<void(std::function<void()>)> stop);
+
+ private:
+  void awaitSignal();
+
+  boost::asio::io_context context_{1};
+  transport::AsioDispatcher dispatcher_;
+  transport::TcpTransport transport_;
+  transport::PeerCalls calls_;
+  base::RandomSource random_ = base::RandomSource::fromSystem();
+  journal::Journal journal_;
+  boost::asio::signal_set signals_;
+  std::function<void(std::function<void()>)> stop_;
+  bool stopping_ = false;
+};
+
+}  // namespace switchsaddle
--- /dev/null
+++ b/programs/switchsaddle/front_command.cc
@@ -0,0 +1,73 @@
+#include <CLI/CLI.hpp>
+
+#include "daemon_process.h"
+#include "role_commands.h"
+#include "settings_options.h"
+#include "switchsaddle/admission/ledger_slot_broker.h"
+#include "switchsaddle/base/log.h"
+#include "switchsaddle/front/front_node.h"
+#include "switchsaddle/front/http_worker_port.h"
+#include "switchsaddle/http/server.h"
+
+namespace switchsaddle {
+
+namespace {
+
+/** One front daemon: the node with real sockets and clock. */
+class FrontDaemon {
+ public:
+  explicit FrontDaemon(const configuration::Settings& settings)
+      : settings_(settings),
+        process_(settings_),
+        instance_(process_.random().next()),
+        client_(http::createClient(process_.context())),
+        worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
+        slots_(
+            process_.dispatcher(), process_.calls(), instance_, [this] { return coreAddresses(); },
+            admission::SlotBrokerOptions{}),
+        node_(front::FrontEnvironment{process_.dispatcher(), process_.calls(), process_.random(),
+                                      process_.journal(), settings_, worker_port_, slots_,
+                                      instance_}),
+        server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
+                                  [this](http::Request request, http::ResponseWriterPtr writer) {
+                                    node_.service().enqueue(std::move(request), std::move(writer));
+                                  })) {}
+
+  int run() {
+    process_.dispatcher().post([this] { node_.start(); });
+    base::logEvent(base::Severity::Info, "front-started",
+                   {{"peer", settings_.peer_address.toString()},
+                    {"http", settings_.http_address.toString()},
+                    {"instance", std::to_string(instance_)}});
+    return process_.run([this](std::function<void()> stopped) { node_.stop(std::move(stopped)); });
+  }
+
+ private:
+  std::vector<base::NodeAddress> coreAddresses() const {
+    const std::vector<base::NodeAddress>& learned = node_.session().coreAddresses();
+    return learned.empty() ? settings_.seeds : learned;
+  }
+
+  configuration::Settings settings_;
+  DaemonProcess process_;
+  std::uint64_t instance_;
+  std::unique_ptr<http::Client> client_;
+  front::HttpWorkerPort worker_port_;
+  admission::LedgerSlotBroker slots_;
+  front::FrontNode node_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace
+
+void addFrontCommand(CLI::App& app, int& exit_code) {
+  CLI::App* command = app.add_subcommand("front", "Run a data-plane node");
+  command->footer("Example: switchsaddle front --settings front.json");
+  const auto options = addSettingsOptions(*command);
+  command->callback([options, &exit_code] {
+    FrontDaemon daemon(loadSettings(*options, "front"));
+    exit_code = daemon.run();
+  });
+}
+
+}  // namespace switchsaddle
--- /dev/null
+++ b/programs/switchsaddle/http_platform_source.cc
@@ -0,0 +1,49 @@
+#include "http_platform_source.h"
+
+#include <utility>
+
+#include "switchsaddle/workers/platform_list.h"
+
+namespace switchsaddle {
+
+namespace {
+
+constexpr base::Duration ConnectTimeout = std::chrono::milliseconds(500);
+constexpr base::Duration ResponseTimeout = std::chrono::seconds(2);
+
+workers::PlatformReading readingOf(const http::Response* response) {
+  workers::PlatformReading reading;
+  if (response == nullptr) {
+    reading.fault = "the platform did not answer";
+    return reading;
+  }
+  if (response->status != 200) {
+    reading.code = base::ResultCode::InvalidValue;
+    reading.fault = "the platform answered status " + std::to_string(response->status);
+    return reading;
+  }
+  return workers::parsePlatformList(response->body);
+}
+
+}  // namespace
+
+HttpPlatformSource::HttpPlatformSource(base::Dispatcher& dispatcher, http::Client& client,
+                                       base::NodeAddress platform)
+    : dispatcher_(dispatcher), client_(client), platform_(std::move(platform)) {}
+
+void HttpPlatformSource::read(std::function<void(workers::PlatformReading)> callback) {
+  http::Request request;
+  request.method = "GET";
+  request.target = "/v1/workers";
+  http::ExchangeOptions options;
+  options.connect_timeout = ConnectTimeout;
+  options.response_timeout = ResponseTimeout;
+  client_.fetch(
+      platform_, std::move(request), options,
+      [this, callback = std::move(callback)](const http::Response* response,
+                                             http::ExchangeFailure /*failure*/) {
+        dispatcher_.post([callback, reading = readingOf(response)] { callback(reading); });
+      });
+}
+
+}  // namespace switchsaddle
--- /dev/null
+++ b/programs/switchsaddle/settings_options.cc
@@ -0,0 +1,94 @@
+#include "settings_options.h"
+
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle {
+
+namespace {
+
+std::string readFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    throw base::Error(base::ResultCode::SettingsInvalid, "cannot read settings file " + path);
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return std::move(text).str();
+}
+
+void overrideAddress(base::NodeAddress& address, const std::string& flag) {
+  if (!flag.empty()) {
+    address = base::NodeAddress::parse(flag);
+  }
+}
+
+void overrideText(std::string& text, const std::string& flag) {
+  if (!flag.empty()) {
+    text = flag;
+  }
+}
+
+void applyFlags(const SettingsOptions& options, configuration::Settings& settings) {
+  overrideAddress(settings.peer_address, options.peer_address);
+  overrideAddress(settings.http_address, options.http_address);
+  overrideAddress(settings.platform_address, options.platform_address);
+  overrideText(settings.zone, options.zone);
+  overrideText(settings.region, options.region);
+  overrideText(settings.data_folder, options.data_folder);
+  if (!options.seeds.empty()) {
+    settings.seeds.clear();
+  }
+  for (const std::string& seed : options.seeds) {
+    settings.seeds.push_back(base::NodeAddress::parse(seed));
+  }
+}
+
+std::string describeFaults(const std::vector<configuration::Fault>& faults) {
+  std::string text = "the settings have " + std::to_string(faults.size()) + " fault(s)";
+  for (const configuration::Fault& fault : faults) {
+    text += "\n  " + std::to_string(static_cast<int>(fault.code)) + " " + fault.path + ": " +
+            fault.message;
+  }
+  return text;
+}
+
+}  // namespace
+
+std::shared_ptr<SettingsOptions> addSettingsOptions(CLI::App& command) {
+  auto options = std::make_shared<SettingsOptions>();
+  command.add_option("--settings", options->file, "Settings file (JSON)");
+  command.add_option("--peer-address", options->peer_address,
+                     "Where peers reach this process, IP:PORT");
+  command.add_option("--http-address", options->http_address, "HTTP address, IP:PORT");
+  command.add_option("--zone", options->zone, "Zone of this machine");
+  command.add_option("--region", options->region, "Region of this machine");
+  command.add_option("--data-folder", options->data_folder,
+                     "Folder of all files this process keeps");
+  command.add_option("--seed", options->seeds,
+                     "Peer address of a core process; several may be given");
+  command.add_option("--platform-address", options->platform_address,
+                     "The platform's address, IP:PORT");
+  return options;
+}
+
+configuration::Settings loadSettings(const SettingsOptions& options, const std::string& role) {
+  std::vector<configuration::Fault> faults;
+  configuration::Settings settings;
+  if (!options.file.empty()) {
+    settings = configuration::parseSettings(readFile(options.file), faults);
+  }
+  applyFlags(options, settings);
+  if (faults.empty()) {
+    faults = configuration::checkSettings(settings, role);
+  }
+  if (!faults.empty()) {
+    throw base::Error(base::ResultCode::SettingsInvalid, describeFaults(faults), options.file);
+  }
+  return settings;
+}
+
+}  // namespace switchsaddle
