Count commits behind a failed one as failed, and read the scrub's findings

Cause: reading the store's code showed that a commit may succeed behind one that was dropped (full disk, slow disk). An acceptor could then answer from an acceptor set that its disk had lost. A commit now counts as failed where any failed since it was handed over. The scrubber left out the damaged keys, which come with RecordCorrupt. The test disk now loses unfinished writes in half of the kills, since a trial with answers sent before the commit was not found by the test that should have.

--- a/libraries/registers/include/switchsaddle/registers/acceptor.h
+++ b/libraries/registers/include/switchsaddle/registers/acceptor.h
@@ -123,6 +123,8 @@
   std::uint64_t instance_ = 0;
   bool loaded_ = false;
   bool storage_failed_ = false;
+  /** Counts failed commits; a commit handed over before a failure counts as failed too. */
+  std::uint64_t commit_failures_ = 0;
   wire::AcceptorSet acceptor_set_;
   std::map<std::string, RegisterState> registers_;
   std::set<std::string> damaged_;
--- a/libraries/registers/source/acceptor.cc
+++ b/libraries/registers/source/acceptor.cc
@@ -222,19 +222,22 @@
 }
 
 void Acceptor::commit(std::vector<storage::Record> records, InstallCallback callback) {
-  store_.commit(std::move(records), [this, alive = std::weak_ptr(alive_),
-                                     callback = std::move(callback)](base::ResultCode code) {
-    if (alive.expired()) {
-      return;
-    }
-    if (code != base::ResultCode::Ok) {
-      onCommitFailed(code);
-    }
-    callback(code == base::ResultCode::Ok);
-  });
+  store_.commit(std::move(records),
+                [this, alive = std::weak_ptr(alive_), failures = commit_failures_,
+                 callback = std::move(callback)](base::ResultCode code) {
+                  if (alive.expired()) {
+                    return;
+                  }
+                  if (code != base::ResultCode::Ok) {
+                    onCommitFailed(code);
+                  }
+                  // A commit behind a failed one may hold what was built on the lost one.
+                  callback(failures == commit_failures_);
+                });
 }
 
 void Acceptor::onCommitFailed(base::ResultCode code) {
+  ++commit_failures_;
   if (storage_failed_) {
     return;
   }
@@ -311,6 +314,10 @@
 
 void Acceptor::installRegisters(const std::vector<wire::RegisterScanEntry>& entries,
                                 InstallCallback callback) {
+  if (entries.empty()) {
+    callback(true);
+    return;
+  }
   bool all_held = true;
   std::vector<storage::Record> records;
   std::vector<std::string> taken;
--- a/libraries/registers/source/scrubber.cc
+++ b/libraries/registers/source/scrubber.cc
@@ -143,7 +143,8 @@
   file_timer_->enable(options_.file_interval);
   store_.scrub([this, alive = std::weak_ptr(alive_)](base::ResultCode code,
                                                      const std::vector<std::string>& damaged) {
-    if (alive.expired() || code != base::ResultCode::Ok) {
+    const bool was_read = code == base::ResultCode::Ok || code == base::ResultCode::RecordCorrupt;
+    if (alive.expired() || !was_read) {
       return;
     }
     for (const std::string& record_key : damaged) {
--- a/libraries/registers/test/acceptor_test.cc
+++ b/libraries/registers/test/acceptor_test.cc
@@ -94,6 +94,19 @@
   EXPECT_EQ(*acceptor().acceptedValue(Key), "one");
 }
 
+TEST_F(AcceptorTest, DoesNotAnswerForACommitBehindAFailedOne) {
+  wire::AcceptorSet newer = acceptor().acceptorSet();
+  newer.epoch = 2;
+  disk().full_for_one_commit = true;
+  std::optional<bool> installed;
+  acceptor().installSet(newer, [&](bool synced) { installed = synced; });
+  disk().extra_delay = milliseconds(20);
+  EXPECT_EQ(prepare(1, 2).verdict, wire::RegisterVerdict::Unavailable);
+  EXPECT_EQ(installed, false);
+  cluster_.world.runFor(seconds(2));
+  EXPECT_EQ(acceptor().acceptorSet().epoch, 1U);
+}
+
 TEST_F(AcceptorTest, AnswersUnavailableWhereTheDiskIsSlow) {
   disk().extra_delay = milliseconds(700);
   const base::TimePoint asked = cluster_.world.now();
--- a/libraries/registers/test/cluster.cc
+++ b/libraries/registers/test/cluster.cc
@@ -39,9 +39,15 @@
         wait, [callback = std::move(callback)] { callback(base::ResultCode::StorageFailed); });
     return;
   }
-  world_.schedule(wait, [&disk = disk_, wipes = disk_.wipes, records = std::move(records)] {
+  if (disk_.full_for_one_commit) {
+    disk_.full_for_one_commit = false;
+    process_.postAfter(
+        wait, [callback = std::move(callback)] { callback(base::ResultCode::StorageFull); });
+    return;
+  }
+  world_.schedule(wait, [&disk = disk_, losses = disk_.losses, records = std::move(records)] {
     for (const storage::Record& record : records) {
-      if (disk.wipes == wipes) {
+      if (disk.losses == losses) {
         disk.records[record.key] = record.bytes;
       }
     }
@@ -52,7 +58,8 @@
 void TestRecordStore::scrub(
     std::function<void(base::ResultCode, const std::vector<std::string>&)> callback) {
   process_.post([this, callback = std::move(callback)] {
-    callback(base::ResultCode::Ok, std::exchange(disk_.damaged, {}));
+    const std::vector<std::string> damaged = std::exchange(disk_.damaged, {});
+    callback(damaged.empty() ? base::ResultCode::Ok : base::ResultCode::RecordCorrupt, damaged);
   });
 }
 
@@ -134,6 +141,7 @@
 void TestCluster::kill(std::size_t index) {
   if (core(index).process.running()) {
     core(index).kill();
+    core(index).disk.losses += world.random().chance(0.5) ? 1 : 0;
   }
 }
 
@@ -146,9 +154,9 @@
 void TestCluster::wipe(std::size_t index) {
   kill(index);
   TestDisk& disk = core(index).disk;
-  const std::uint64_t wipes = disk.wipes + 1;
+  const std::uint64_t losses = disk.losses + 1;
   disk = TestDisk{};
-  disk.wipes = wipes;
+  disk.losses = losses;
   disk.instance = world.random().next() | 1U;
 }
 
--- a/libraries/registers/test/cluster.h
+++ b/libraries/registers/test/cluster.h
@@ -20,13 +20,15 @@
   std::uint64_t instance = 0;
   bool is_new = true;
   bool failing = false;
+  /** The next commit finds the disk full, those behind it do not. */
+  bool full_for_one_commit = false;
   /** Added to the delay of every commit. */
   base::Duration extra_delay{};
   std::map<std::string, std::string> records;
   /** Record keys that the next scrub reports as damaged. */
   std::vector<std::string> damaged;
-  /** Counts wipes; writes handed over before one are lost. */
-  std::uint64_t wipes = 0;
+  /** Counts wipes and losses of power; writes not completed by then are lost. */
+  std::uint64_t losses = 0;
 };
 
 /** A record store in memory with commit delays, for one life of a simulated process. */
@@ -89,6 +91,7 @@
 
   /** Adds an empty core node at a new address and starts it; its index. */
   std::size_t addCore();
+  /** Kills the process; in half of the cases the power goes too. */
   void kill(std::size_t index);
   void restart(std::size_t index);
   /** Kills the node and empties its disk. */
