--- /dev/null
+++ b/libraries/http/source/connection_writer.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <boost/asio/dispatch.hpp>
+#include <memory>
+#include <utility>
+
+#include "server_connection.h"
+#include "switchsaddle/http/error_response.h"
+
+namespace switchsaddle::http {
+
+/** The writer given to the handler: calls for an exchange that has ended do nothing. */
+class ConnectionWriter : public ResponseWriter {
+ public:
+  ConnectionWriter(std::shared_ptr<ServerConnection> connection, Strand strand,
+                   std::shared_ptr<ServerState> server, std::uint64_t exchange)
+      : connection_(std::move(connection)),
+        strand_(std::move(strand)),
+        server_(std::move(server)),
+        exchange_(exchange) {}
+
+  ~ConnectionWriter() override {
+    if (answered_ || server_->closed) {
+      return;
+    }
+    run([](ServerConnection& connection) {
+      if (connection.streaming()) {
+        connection.close();
+      } else {
+        connection.respond(
+            errorResponse(base::ResultCode::InternalError, "the request was not answered"));
+      }
+    });
+  }
+
+  void respond(Response response) override {
+    answered_ = true;
+    run([response = std::move(response)](ServerConnection& connection) mutable {
+      if (!connection.streaming()) {
+        connection.respond(std::move(response));
+      }
+    });
+  }
+  void startStream(Response head) override {
+    run([head = std::move(head)](ServerConnection& connection) mutable {
+      connection.startStream(std::move(head));
+    });
+  }
+  void writeChunk(std::string chunk, std::function<void(bool)> written) override {
+    boost::asio::dispatch(strand_,
+                          [connection = connection_, exchange = exchange_, chunk = std::move(chunk),
+                           written = std::move(written)]() mutable {
+                            if (connection->current(exchange) && connection->streaming()) {
+                              connection->writeChunk(chunk, std::move(written));
+                            } else if (written) {
+                              connection->postWritten(std::move(written), false);
+                            }
+                          });
+  }
+  void endStream() override {
+    answered_ = true;
+    run([](ServerConnection& connection) { connection.endStream(); });
+  }
+  void abort() override {
+    answered_ = true;
+    run([](ServerConnection& connection) { connection.close(); });
+  }
+  void onClientGone(std::function<void()> callback) override {
+    boost::asio::dispatch(strand_, [connection = connection_, exchange = exchange_,
+                                    callback = std::move(callback)]() mutable {
+      connection->onClientGone(exchange, std::move(callback));
+    });
+  }
+
+ private:
+  template <class Action>
+  void run(Action action) {
+    boost::asio::dispatch(strand_, [connection = connection_, exchange = exchange_,
+                                    action = std::move(action)]() mutable {
+      if (connection->current(exchange)) {
+        action(*connection);
+      }
+    });
+  }
+
+  std::shared_ptr<ServerConnection> connection_;
+  Strand strand_;
+  std::shared_ptr<ServerState> server_;
+  std::uint64_t exchange_;
+  bool answered_ = false;
+};
+
+}  // namespace switchsaddle::http
