--- a/libraries/lease/test/lease_fleet.cc
+++ b/libraries/lease/test/lease_fleet.cc
@@ -1,5 +1,7 @@
 #include "lease_fleet.h"
 
+#include <algorithm>
+
 namespace switchsaddle::lease {
 
 LeaseFleet::LeaseFleet(std::uint64_t seed, LeaseGranterFaults granter_faults,
