--- a/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
@@ -1,22 +1,18 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
+#include <functional>
 #include <string>
 #include <vector>
 
-#include "switchsaddle/scenarios/front_stand_in.h"
-#include "switchsaddle/scenarios/operator_stand_in.h"
-#include "switchsaddle/scenarios/simulated_core.h"
+#include "switchsaddle/scenarios/fleet.h"
 
 namespace switchsaddle::scenarios {
 
 /** What a run of the configuration scenario is made of. */
 struct ConfigurationScenarioOptions {
   std::uint64_t seed = 1;
-  std::size_t cores = 5;
-  std::size_t fronts = 3;
-  std::size_t operators = 3;
+  FleetSize size{.cores = 5, .fronts = 3, .operators = 3};
   /** Time under faults. */
   base::Duration trouble = std::chrono::seconds(30);
   /** Longest pause between two faults. */
@@ -65,7 +61,7 @@
   ConfigurationScenarioResult run();
 
  private:
-  void build();
+  void prepare();
   bool settle(const std::function<bool()>& condition, base::Duration limit);
   void look();
   void runUnderTrouble();
@@ -76,20 +72,13 @@
   void killFront();
   void healAll();
   void recover();
-  bool allServe(std::uint64_t version) const;
-  std::uint64_t newestAcknowledged() const;
   void checkChanges();
   void checkFinalDocument();
   void violate(std::string what);
   void later(base::Duration delay, std::function<void()> action);
 
   ConfigurationScenarioOptions options_;
-  simulation::World world_;
-  simulation::Network network_;
-  SimulatedPlatform platform_;
-  std::vector<std::unique_ptr<SimulatedCore>> cores_;
-  std::vector<std::unique_ptr<FrontStandIn>> fronts_;
-  std::vector<std::unique_ptr<OperatorStandIn>> operators_;
+  Fleet fleet_;
   /** The newest version an operator was told is in force. */
   std::uint64_t acknowledged_version_ = 0;
   ConfigurationScenarioResult result_;
--- /dev/null
+++ b/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "switchsaddle/scenarios/front_stand_in.h"
+#include "switchsaddle/scenarios/operator_stand_in.h"
+#include "switchsaddle/scenarios/simulated_core.h"
+
+namespace switchsaddle::scenarios {
+
+/** Sizes of a simulated fleet. */
+struct FleetSize {
+  std::size_t cores = 5;
+  std::size_t fronts = 3;
+  std::size_t operators = 1;
+};
+
+/**
+ * A simulated fleet in one world: cores, front stand-ins, operators and the platform, at fixed
+ * addresses, for scenarios that bring about one chain of events. Everything runs from the start but
+ * the operators.
+ */
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, FleetSize size, core::CoreFaults core_faults = {},
+        FrontFaults front_faults = {});
+
+  /** A further, empty core at a new address, with the same seeds and no initial cores. */
+  SimulatedCore& addCore();
+  /** Runs until every front would dispatch by this version or a newer one. */
+  bool runUntilAllServe(std::uint64_t version, base::Duration limit);
+  bool allServe(std::uint64_t version) const;
+  /** The first core which holds a lease, by its status; nullptr where none does. */
+  SimulatedCore* holderOf(const std::string& lease);
+
+  simulation::World world;
+  simulation::Network network{world};
+  SimulatedPlatform platform;
+  std::vector<std::unique_ptr<SimulatedCore>> cores;
+  std::vector<std::unique_ptr<FrontStandIn>> fronts;
+  std::vector<std::unique_ptr<OperatorStandIn>> operators;
+
+ private:
+  configuration::Settings settingsOf(const base::NodeAddress& address) const;
+
+  core::CoreFaults core_faults_;
+  std::vector<base::NodeAddress> initial_cores_;
+  std::vector<base::NodeAddress> seeds_;
+};
+
+}  // namespace switchsaddle::scenarios
--- a/libraries/scenarios/include/switchsaddle/scenarios/front_stand_in.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/front_stand_in.h
@@ -35,6 +35,8 @@
   const base::NodeAddress& address() const { return address_; }
   /** The version work would be dispatched by at this moment; nothing where none would be. */
   std::optional<std::uint64_t> dispatchVersion() const;
+  /** What it believes of the workers; nullptr while it does not run. */
+  workers::WorkerSnapshotPtr workers() const;
 
  private:
   /** All that dies with the process. */
--- a/libraries/scenarios/include/switchsaddle/scenarios/operator_stand_in.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/operator_stand_in.h
@@ -54,6 +54,8 @@
   bool idle() const { return !present_.has_value(); }
   const std::vector<OperatorChange>& changes() const { return changes_; }
   std::uint64_t resends() const { return resends_; }
+  /** The newest version this operator was told of. */
+  std::uint64_t newestVersion() const { return newest_version_; }
   /** Reads the configuration from a core; the body, or nothing where it was not answered 200. */
   void readConfiguration(const base::NodeAddress& core,
                          std::function<void(std::optional<std::string>)> callback);
--- a/libraries/scenarios/source/configuration_scenario.cc
+++ b/libraries/scenarios/source/configuration_scenario.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "switchsaddle/configuration/json_value.h"
-#include "switchsaddle/configuration/view.h"
 
 namespace switchsaddle::scenarios {
 
@@ -15,17 +14,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint16_t CorePort = 7000;
-constexpr std::uint16_t FrontPort = 7100;
-constexpr std::uint16_t OperatorPort = 7200;
 /** How often each front is looked at. */
 constexpr base::Duration LookInterval = milliseconds(5);
-constexpr std::size_t SeedCount = 3;
-
-base::NodeAddress addressOf(std::uint16_t first_port, std::size_t index) {
-  return {"127.0.0.1", static_cast<std::uint16_t>(first_port + index)};
-}
-
 base::Duration randomDuration(base::RandomSource& random, base::Duration shortest,
                               base::Duration longest) {
   const auto span = static_cast<std::uint64_t>((longest - shortest).count());
@@ -35,55 +25,30 @@
 }  // namespace
 
 ConfigurationScenario::ConfigurationScenario(ConfigurationScenarioOptions options)
-    : options_(options), world_(options.seed), network_(world_) {}
+    : options_(options),
+      fleet_(options.seed, options.size, options.core_faults, options.front_faults) {}
 
 ConfigurationScenario::~ConfigurationScenario() = default;
 
 void ConfigurationScenario::violate(std::string what) {
   result_.violations.push_back(
-      std::to_string(base::toMilliseconds(world_.now().time_since_epoch())) +
+      std::to_string(base::toMilliseconds(fleet_.world.now().time_since_epoch())) +
       " ms: " + std::move(what));
 }
 
 void ConfigurationScenario::later(base::Duration delay, std::function<void()> action) {
-  world_.schedule(delay, [this, action = std::move(action)] {
+  fleet_.world.schedule(delay, [this, action = std::move(action)] {
     if (!calm_) {
       action();
     }
   });
 }
 
-void ConfigurationScenario::build() {
-  network_.conditions.loss = options_.message_loss;
-  network_.conditions.duplication = options_.message_duplication;
-  platform_.reading.code = base::ResultCode::Ok;
-  std::vector<base::NodeAddress> core_addresses;
-  for (std::size_t index = 0; index < options_.cores; ++index) {
-    core_addresses.push_back(addressOf(CorePort, index));
-  }
-  const std::vector<base::NodeAddress> seeds(
-      core_addresses.begin(),
-      core_addresses.begin() + static_cast<std::ptrdiff_t>(std::min(SeedCount, options_.cores)));
-  for (const base::NodeAddress& address : core_addresses) {
-    configuration::Settings settings;
-    settings.peer_address = address;
-    settings.seeds = seeds;
-    settings.initial_cores = core_addresses;
-    settings.operator_hashes = {configuration::sha256Hex(SimulatedOperatorKey)};
-    cores_.push_back(std::make_unique<SimulatedCore>(world_, network_, platform_, settings,
-                                                     options_.core_faults));
-    cores_.back()->start();
-  }
-  for (std::size_t index = 0; index < options_.fronts; ++index) {
-    fronts_.push_back(std::make_unique<FrontStandIn>(world_, network_, addressOf(FrontPort, index),
-                                                     "zone", seeds, options_.front_faults));
-    fronts_.back()->start();
-  }
-  for (std::size_t index = 0; index < options_.operators; ++index) {
-    operators_.push_back(
-        std::make_unique<OperatorStandIn>(world_, network_, addressOf(OperatorPort, index),
-                                          "operator" + std::to_string(index), core_addresses));
-    operators_.back()->setAcknowledgedListener([this](const OperatorChange& change) {
+void ConfigurationScenario::prepare() {
+  fleet_.network.conditions.loss = options_.message_loss;
+  fleet_.network.conditions.duplication = options_.message_duplication;
+  for (const auto& one : fleet_.operators) {
+    one->setAcknowledgedListener([this](const OperatorChange& change) {
       acknowledged_version_ = std::max(acknowledged_version_, change.version);
       ++result_.acknowledged;
       look();
@@ -92,7 +57,7 @@
 }
 
 void ConfigurationScenario::look() {
-  for (const auto& front : fronts_) {
+  for (const auto& front : fleet_.fronts) {
     const std::optional<std::uint64_t> version = front->dispatchVersion();
     if (!version) {
       ++result_.refusals;
@@ -107,52 +72,52 @@
 }
 
 bool ConfigurationScenario::settle(const std::function<bool()>& condition, base::Duration limit) {
-  const base::TimePoint end = world_.now() + limit;
+  const base::TimePoint end = fleet_.world.now() + limit;
   while (!condition()) {
-    if (world_.now() >= end) {
+    if (fleet_.world.now() >= end) {
       return false;
     }
-    world_.runFor(LookInterval);
+    fleet_.world.runFor(LookInterval);
     look();
   }
   return true;
 }
 
 ConfigurationScenarioResult ConfigurationScenario::run() {
-  build();
-  if (!settle([this] { return allServe(0); }, seconds(12))) {
+  prepare();
+  if (!settle([this] { return fleet_.allServe(0); }, seconds(12))) {
     violate("the fleet did not begin to serve");
     return result_;
   }
-  for (const auto& one : operators_) {
+  for (const auto& one : fleet_.operators) {
     one->start();
   }
   runUnderTrouble();
   recover();
   checkChanges();
   checkFinalDocument();
-  result_.events = world_.eventsRun();
+  result_.events = fleet_.world.eventsRun();
   return result_;
 }
 
 void ConfigurationScenario::runUnderTrouble() {
-  const base::TimePoint end = world_.now() + options_.trouble;
-  base::TimePoint next_fault = world_.now();
+  const base::TimePoint end = fleet_.world.now() + options_.trouble;
+  base::TimePoint next_fault = fleet_.world.now();
   settle(
       [&] {
-        if (world_.now() >= next_fault) {
-          next_fault = world_.now() +
-                       randomDuration(world_.random(), milliseconds(50), options_.fault_pause);
+        if (fleet_.world.now() >= next_fault) {
+          next_fault = fleet_.world.now() + randomDuration(fleet_.world.random(), milliseconds(50),
+                                                           options_.fault_pause);
           injectFault();
         }
-        return world_.now() >= end;
+        return fleet_.world.now() >= end;
       },
       options_.trouble + seconds(1));
 }
 
 void ConfigurationScenario::injectFault() {
   ++result_.faults;
-  switch (world_.random().below(5)) {
+  switch (fleet_.world.random().below(5)) {
     case 0:
     case 1:
       killCores();
@@ -170,10 +135,10 @@
 }
 
 void ConfigurationScenario::killCores() {
-  base::RandomSource& random = world_.random();
+  base::RandomSource& random = fleet_.world.random();
   const bool many = random.chance(0.2);
-  const double share = many ? 0.8 : 1.0 / static_cast<double>(cores_.size());
-  for (const auto& core : cores_) {
+  const double share = many ? 0.8 : 1.0 / static_cast<double>(fleet_.cores.size());
+  for (const auto& core : fleet_.cores) {
     if (!core->running() || !random.chance(share)) {
       continue;
     }
@@ -187,10 +152,11 @@
 }
 
 void ConfigurationScenario::freezeSome() {
-  base::RandomSource& random = world_.random();
+  base::RandomSource& random = fleet_.world.random();
   const bool is_front = random.chance(0.5);
-  simulation::Process& process = is_front ? fronts_[random.below(fronts_.size())]->process()
-                                          : cores_[random.below(cores_.size())]->process();
+  simulation::Process& process = is_front
+                                     ? fleet_.fronts[random.below(fleet_.fronts.size())]->process()
+                                     : fleet_.cores[random.below(fleet_.cores.size())]->process();
   if (!process.running() || process.frozen()) {
     return;
   }
@@ -205,12 +171,12 @@
 }
 
 void ConfigurationScenario::cutSome() {
-  base::RandomSource& random = world_.random();
+  base::RandomSource& random = fleet_.world.random();
   std::vector<base::NodeAddress> others;
-  for (const auto& core : cores_) {
+  for (const auto& core : fleet_.cores) {
     others.push_back(core->address());
   }
-  for (const auto& front : fronts_) {
+  for (const auto& front : fleet_.fronts) {
     others.push_back(front->address());
   }
   std::vector<base::NodeAddress> one_side;
@@ -222,20 +188,21 @@
   for (const base::NodeAddress& inside : one_side) {
     for (const base::NodeAddress& outside : others) {
       if (std::find(one_side.begin(), one_side.end(), outside) == one_side.end()) {
-        network_.cut(inside, outside);
+        fleet_.network.cut(inside, outside);
       }
     }
   }
-  later(randomDuration(random, milliseconds(100), seconds(4)), [this] { network_.healAll(); });
+  later(randomDuration(random, milliseconds(100), seconds(4)),
+        [this] { fleet_.network.healAll(); });
 }
 
 void ConfigurationScenario::killFront() {
-  FrontStandIn& front = *fronts_[world_.random().below(fronts_.size())];
+  FrontStandIn& front = *fleet_.fronts[fleet_.world.random().below(fleet_.fronts.size())];
   if (!front.running()) {
     return;
   }
   front.kill();
-  later(randomDuration(world_.random(), milliseconds(50), seconds(2)), [&front] {
+  later(randomDuration(fleet_.world.random(), milliseconds(50), seconds(2)), [&front] {
     if (!front.running()) {
       front.start();
     }
@@ -244,16 +211,16 @@
 
 void ConfigurationScenario::healAll() {
   calm_ = true;
-  network_.healAll();
-  network_.conditions.loss = 0;
-  for (const auto& core : cores_) {
+  fleet_.network.healAll();
+  fleet_.network.conditions.loss = 0;
+  for (const auto& core : fleet_.cores) {
     if (!core->running()) {
       core->start();
     } else if (core->process().frozen()) {
       core->process().wake();
     }
   }
-  for (const auto& front : fronts_) {
+  for (const auto& front : fleet_.fronts) {
     if (!front->running()) {
       front->start();
     } else if (front->process().frozen()) {
@@ -262,28 +229,21 @@
   }
 }
 
-bool ConfigurationScenario::allServe(std::uint64_t version) const {
-  return std::all_of(fronts_.begin(), fronts_.end(), [&](const auto& front) {
-    const std::optional<std::uint64_t> dispatched = front->dispatchVersion();
-    return dispatched && *dispatched >= version;
-  });
-}
-
 void ConfigurationScenario::recover() {
   healAll();
-  const base::TimePoint healed = world_.now();
-  for (const auto& one : operators_) {
+  const base::TimePoint healed = fleet_.world.now();
+  for (const auto& one : fleet_.operators) {
     one->finish();
   }
   const bool served =
-      settle([this] { return allServe(acknowledged_version_); }, options_.recovery_limit);
-  result_.recovery = world_.now() - healed;
+      settle([this] { return fleet_.allServe(acknowledged_version_); }, options_.recovery_limit);
+  result_.recovery = fleet_.world.now() - healed;
   if (!served) {
     violate("not every front serves within the recovery limit");
   }
   const bool answered = settle(
       [this] {
-        return std::all_of(operators_.begin(), operators_.end(),
+        return std::all_of(fleet_.operators.begin(), fleet_.operators.end(),
                            [](const auto& one) { return one->idle(); });
       },
       options_.recovery_limit);
@@ -295,7 +255,7 @@
 void ConfigurationScenario::checkChanges() {
   std::map<std::uint64_t, std::string> by_base;
   std::map<std::uint64_t, std::string> by_version;
-  for (const auto& one : operators_) {
+  for (const auto& one : fleet_.operators) {
     result_.resends += one->resends();
     for (const OperatorChange& change : one->changes()) {
       for (const std::string& contradiction : change.contradictions) {
@@ -326,7 +286,7 @@
 
 void ConfigurationScenario::checkFinalDocument() {
   std::map<std::uint64_t, const OperatorChange*> committed;
-  for (const auto& one : operators_) {
+  for (const auto& one : fleet_.operators) {
     for (const OperatorChange& change : one->changes()) {
       if (change.committed) {
         committed[change.version] = &change;
@@ -345,10 +305,10 @@
   const bool read = settle(
       [&] {
         if (!body) {
-          operators_.front()->readConfiguration(
-              cores_[world_.random().below(cores_.size())]->address(),
+          fleet_.operators.front()->readConfiguration(
+              fleet_.cores[fleet_.world.random().below(fleet_.cores.size())]->address(),
               [&body](std::optional<std::string> answer) { body = std::move(answer); });
-          world_.runFor(seconds(1));
+          fleet_.world.runFor(seconds(1));
         }
         return body.has_value();
       },
--- /dev/null
+++ b/libraries/scenarios/source/fleet.cc
@@ -0,0 +1,91 @@
+#include "switchsaddle/scenarios/fleet.h"
+
+#include <algorithm>
+
+#include "switchsaddle/configuration/view.h"
+
+namespace switchsaddle::scenarios {
+
+namespace {
+
+constexpr std::uint16_t CorePort = 7000;
+constexpr std::uint16_t FrontPort = 7100;
+constexpr std::uint16_t OperatorPort = 7200;
+constexpr std::size_t SeedCount = 3;
+
+base::NodeAddress addressOf(std::uint16_t first_port, std::size_t index) {
+  return {"127.0.0.1", static_cast<std::uint16_t>(first_port + index)};
+}
+
+}  // namespace
+
+Fleet::Fleet(std::uint64_t seed, FleetSize size, core::CoreFaults core_faults,
+             FrontFaults front_faults)
+    : world(seed), core_faults_(core_faults) {
+  platform.reading.code = base::ResultCode::Ok;
+  for (std::size_t index = 0; index < size.cores; ++index) {
+    initial_cores_.push_back(addressOf(CorePort, index));
+  }
+  seeds_.assign(
+      initial_cores_.begin(),
+      initial_cores_.begin() + static_cast<std::ptrdiff_t>(std::min(SeedCount, size.cores)));
+  for (const base::NodeAddress& address : initial_cores_) {
+    configuration::Settings settings = settingsOf(address);
+    settings.initial_cores = initial_cores_;
+    cores.push_back(
+        std::make_unique<SimulatedCore>(world, network, platform, settings, core_faults_));
+    cores.back()->start();
+  }
+  for (std::size_t index = 0; index < size.fronts; ++index) {
+    fronts.push_back(std::make_unique<FrontStandIn>(world, network, addressOf(FrontPort, index),
+                                                    "zone", seeds_, front_faults));
+    fronts.back()->start();
+  }
+  for (std::size_t index = 0; index < size.operators; ++index) {
+    operators.push_back(
+        std::make_unique<OperatorStandIn>(world, network, addressOf(OperatorPort, index),
+                                          "operator" + std::to_string(index), initial_cores_));
+  }
+}
+
+configuration::Settings Fleet::settingsOf(const base::NodeAddress& address) const {
+  configuration::Settings settings;
+  settings.peer_address = address;
+  settings.seeds = seeds_;
+  settings.operator_hashes = {configuration::sha256Hex(SimulatedOperatorKey)};
+  return settings;
+}
+
+SimulatedCore& Fleet::addCore() {
+  cores.push_back(std::make_unique<SimulatedCore>(
+      world, network, platform, settingsOf(addressOf(CorePort, cores.size())), core_faults_));
+  cores.back()->start();
+  return *cores.back();
+}
+
+bool Fleet::allServe(std::uint64_t version) const {
+  return std::all_of(fronts.begin(), fronts.end(), [&](const auto& front) {
+    const std::optional<std::uint64_t> dispatched = front->dispatchVersion();
+    return dispatched && *dispatched >= version;
+  });
+}
+
+bool Fleet::runUntilAllServe(std::uint64_t version, base::Duration limit) {
+  return world.runUntil([&] { return allServe(version); }, limit);
+}
+
+SimulatedCore* Fleet::holderOf(const std::string& lease) {
+  for (const auto& core : cores) {
+    if (!core->running()) {
+      continue;
+    }
+    for (const core::LeaseStatus& status : core->node().status().leases) {
+      if (status.name == lease && status.held) {
+        return core.get();
+      }
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace switchsaddle::scenarios
--- a/libraries/scenarios/source/front_stand_in.cc
+++ b/libraries/scenarios/source/front_stand_in.cc
@@ -75,4 +75,8 @@
   return dispatches ? std::optional(life_->replica->version()) : std::nullopt;
 }
 
+workers::WorkerSnapshotPtr FrontStandIn::workers() const {
+  return life_ ? life_->workers->snapshot() : nullptr;
+}
+
 }  // namespace switchsaddle::scenarios
--- /dev/null
+++ b/libraries/scenarios/test/core_replacement_test.cc
@@ -0,0 +1,146 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "switchsaddle/scenarios/fleet.h"
+
+namespace switchsaddle::scenarios {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class CoreReplacementTest : public testing::TestWithParam<std::uint64_t> {
+ protected:
+  CoreReplacementTest() : fleet_(GetParam(), FleetSize{}) {
+    EXPECT_TRUE(fleet_.runUntilAllServe(0, seconds(12)));
+    fleet_.operators.front()->start();
+    runUntilAcknowledged(5, seconds(20));
+  }
+
+  std::uint64_t acknowledged() const {
+    const std::vector<OperatorChange>& changes = fleet_.operators.front()->changes();
+    return static_cast<std::uint64_t>(std::count_if(
+        changes.begin(), changes.end(),
+        [](const OperatorChange& change) { return change.fate == ChangeFate::Acknowledged; }));
+  }
+
+  void runUntilAcknowledged(std::uint64_t more, base::Duration limit) {
+    const std::uint64_t target = acknowledged() + more;
+    ASSERT_TRUE(fleet_.world.runUntil([&] { return acknowledged() >= target; }, limit));
+  }
+
+  /** Whether a core's instance is a member of the settled set that all running cores know. */
+  bool admitted(SimulatedCore& joined) {
+    const std::uint64_t instance = joined.node().acceptor().instance();
+    return std::all_of(fleet_.cores.begin(), fleet_.cores.end(), [&](const auto& core) {
+      if (!core->running()) {
+        return true;
+      }
+      const wire::AcceptorSet& set = core->node().acceptor().acceptorSet();
+      return set.previous.empty() &&
+             std::any_of(set.members.begin(), set.members.end(),
+                         [&](const auto& member) { return member.instance == instance; });
+    });
+  }
+
+  void expectEveryAcknowledgedChange() {
+    fleet_.operators.front()->finish();
+    ASSERT_TRUE(
+        fleet_.world.runUntil([&] { return fleet_.operators.front()->idle(); }, seconds(20)));
+    std::optional<std::string> body;
+    for (const auto& core : fleet_.cores) {
+      if (core->running() && !body) {
+        fleet_.operators.front()->readConfiguration(
+            core->address(), [&](std::optional<std::string> answer) { body = std::move(answer); });
+        fleet_.world.runFor(seconds(3));
+      }
+    }
+    ASSERT_TRUE(body.has_value());
+    std::set<std::string> removed;
+    const std::vector<OperatorChange>& changes = fleet_.operators.front()->changes();
+    for (const OperatorChange& change : changes) {
+      if (change.removes) {
+        removed.insert(change.zone);
+      }
+    }
+    for (const OperatorChange& change : changes) {
+      const bool kept = change.fate == ChangeFate::Acknowledged && !removed.contains(change.zone);
+      if (kept) {
+        EXPECT_NE(body->find("\"evacuations/" + change.zone + "\""), std::string::npos);
+      }
+    }
+  }
+
+  Fleet fleet_;
+};
+
+TEST_P(CoreReplacementTest, AnEmptyCoreAtANewAddressTakesASilentMembersPlace) {
+  fleet_.cores[4]->kill(Death::Wipe);
+  SimulatedCore& joined = fleet_.addCore();
+  EXPECT_TRUE(fleet_.world.runUntil([&] { return admitted(joined); }, seconds(20)));
+  // A second loss right after the replacement leaves three of five.
+  fleet_.cores[0]->kill(Death::Wipe);
+  fleet_.cores[1]->kill(Death::Wipe);
+  EXPECT_TRUE(fleet_.runUntilAllServe(fleet_.operators.front()->newestVersion(), seconds(12)));
+  runUntilAcknowledged(5, seconds(60));
+  expectEveryAcknowledgedChange();
+}
+
+TEST_P(CoreReplacementTest, AMemberWhoseDiskWasEmptiedIsAdmittedAnew) {
+  fleet_.cores[2]->kill(Death::Wipe);
+  fleet_.cores[2]->start();
+  EXPECT_TRUE(fleet_.world.runUntil([&] { return admitted(*fleet_.cores[2]); }, seconds(12)));
+  fleet_.cores[3]->kill(Death::Wipe);
+  fleet_.cores[4]->kill(Death::Wipe);
+  EXPECT_TRUE(fleet_.runUntilAllServe(fleet_.operators.front()->newestVersion(), seconds(12)));
+  runUntilAcknowledged(5, seconds(60));
+  expectEveryAcknowledgedChange();
+}
+
+TEST_P(CoreReplacementTest, AMemberThatOnlyRestartsKeepsItsPlace) {
+  SimulatedCore& joined = fleet_.addCore();
+  fleet_.cores[4]->kill(Death::PowerLoss);
+  fleet_.world.runFor(seconds(5));
+  fleet_.cores[4]->start();
+  fleet_.world.runFor(seconds(15));
+  EXPECT_FALSE(admitted(joined));
+  EXPECT_TRUE(admitted(*fleet_.cores[4]));
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, CoreReplacementTest, testing::Range<std::uint64_t>(1, 6));
+
+class PlatformWatcherScenarioTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(PlatformWatcherScenarioTest, AnotherCoreWatchesSoonAfterTheWatcherDies) {
+  Fleet fleet(GetParam(), FleetSize{});
+  wire::WorkerEntry worker;
+  worker.id = "first";
+  worker.address = {"127.0.0.1", 9000};
+  fleet.platform.reading.workers = {worker};
+  const auto all_know = [&](const std::string& id) {
+    return std::all_of(fleet.fronts.begin(), fleet.fronts.end(), [&](const auto& front) {
+      const auto& workers = front->workers()->workers;
+      const auto found = workers.find(id);
+      return found != workers.end() && found->second.usable();
+    });
+  };
+  ASSERT_TRUE(fleet.world.runUntil([&] { return all_know("first"); }, seconds(12)));
+  SimulatedCore* watcher = fleet.holderOf(core::PlatformWatcherLease);
+  ASSERT_NE(watcher, nullptr);
+  watcher->kill(Death::Kill);
+  worker.id = "second";
+  fleet.platform.reading.workers.push_back(worker);
+  EXPECT_TRUE(fleet.world.runUntil([&] { return all_know("second"); }, seconds(5)));
+  EXPECT_TRUE(all_know("first"));
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, PlatformWatcherScenarioTest,
+                         testing::Range<std::uint64_t>(1, 11));
+
+}  // namespace
+}  // namespace switchsaddle::scenarios
