--- /dev/null
+++ b/libraries/core/source/control_requests.cc
@@ -0,0 +1,97 @@
+#include "control_requests.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/configuration/change_json.h"
+#include "switchsaddle/configuration/json_value.h"
+
+namespace switchsaddle::core {
+
+namespace {
+
+using base::ResultCode;
+using configuration::Fault;
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+base::NodeAddress parseAddress(const std::string& name, const configuration::JsonValue& value,
+                               std::vector<Fault>& faults) {
+  if (value.kind != configuration::JsonKind::String) {
+    faults.push_back({name, ResultCode::InvalidValue, "must be a string"});
+    return {};
+  }
+  try {
+    return base::NodeAddress::parse(value.text);
+  } catch (const base::Error& error) {
+    faults.push_back({name, error.code(), error.what()});
+    return {};
+  }
+}
+
+}  // namespace
+
+bool queryFlag(std::string_view target, std::string_view name) {
+  const std::size_t start = target.find('?');
+  if (start == std::string_view::npos) {
+    return false;
+  }
+  std::string_view query = target.substr(start + 1);
+  while (!query.empty()) {
+    const std::size_t end = std::min(query.find('&'), query.size());
+    const std::string_view part = query.substr(0, end);
+    query.remove_prefix(std::min(end + 1, query.size()));
+    const std::size_t equals = std::min(part.find('='), part.size());
+    if (part.substr(0, equals) == name) {
+      return part.substr(equals) != "=false";
+    }
+  }
+  return false;
+}
+
+std::string bearerOf(const http::Request& request) {
+  const std::string_view authorization = request.header("Authorization");
+  if (!authorization.starts_with(BearerPrefix)) {
+    return {};
+  }
+  return std::string(authorization.substr(BearerPrefix.size()));
+}
+
+ReplacementOrder parseReplacement(const std::string& body, std::vector<Fault>& faults) {
+  ReplacementOrder order;
+  const std::optional<configuration::JsonValue> value =
+      configuration::parseJson(body, {}, "", faults);
+  if (!value) {
+    return order;
+  }
+  if (value->kind != configuration::JsonKind::Object) {
+    faults.push_back({"", ResultCode::InvalidValue, "must be an object"});
+    return order;
+  }
+  for (std::size_t index = 0; index < value->names.size(); ++index) {
+    const std::string& name = value->names[index];
+    if (name == "old") {
+      order.old_member = parseAddress(name, value->elements[index], faults);
+    } else if (name == "new") {
+      order.new_member = parseAddress(name, value->elements[index], faults);
+    } else {
+      faults.push_back({name, ResultCode::UnknownField, "is not known"});
+    }
+  }
+  if (faults.empty() && (order.old_member.empty() || order.new_member.empty())) {
+    faults.push_back(
+        {order.old_member.empty() ? "old" : "new", ResultCode::MissingField, "is missing"});
+  }
+  return order;
+}
+
+std::string changeIdOf(const http::Request& request, std::vector<Fault>& faults) {
+  const std::string from_query = http::queryParameter(request.target, "change_id");
+  if (request.body.empty() && !from_query.empty()) {
+    return from_query;
+  }
+  return configuration::parseEvacuationRequest(request.body, faults);
+}
+
+}  // namespace switchsaddle::core
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -5,10 +5,10 @@
 #include <string_view>
 #include <utility>
 
+#include "control_requests.h"
 #include "status_json.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/configuration/change_json.h"
-#include "switchsaddle/configuration/json_value.h"
 #include "switchsaddle/configuration/view.h"
 
 namespace switchsaddle::core {
@@ -18,7 +18,6 @@
 using base::ResultCode;
 using configuration::Fault;
 
-constexpr std::string_view BearerPrefix = "Bearer ";
 /** Stands in a pattern for one path segment, the name the operation is about. */
 constexpr std::string_view NameSegment = "{}";
 
@@ -50,25 +49,6 @@
   return name;
 }
 
-/** Whether the query has the flag, alone or with a value other than "false". */
-bool queryFlag(std::string_view target, std::string_view name) {
-  const std::size_t start = target.find('?');
-  if (start == std::string_view::npos) {
-    return false;
-  }
-  std::string_view query = target.substr(start + 1);
-  while (!query.empty()) {
-    const std::size_t end = std::min(query.find('&'), query.size());
-    const std::string_view part = query.substr(0, end);
-    query.remove_prefix(std::min(end + 1, query.size()));
-    const std::size_t equals = std::min(part.find('='), part.size());
-    if (part.substr(0, equals) == name) {
-      return part.substr(equals) != "=false";
-    }
-  }
-  return false;
-}
-
 http::Response jsonResponse(std::uint16_t status, std::string body) {
   http::Response response;
   response.status = status;
@@ -103,73 +83,6 @@
   return fronts;
 }
 
-/** The key the request carries; empty where it carries none. */
-std::string bearerOf(const http::Request& request) {
-  const std::string_view authorization = request.header("Authorization");
-  if (!authorization.starts_with(BearerPrefix)) {
-    return {};
-  }
-  return std::string(authorization.substr(BearerPrefix.size()));
-}
-
-/** A member of the acceptor set to be replaced by another process. */
-struct ReplacementOrder {
-  base::NodeAddress old_member;
-  base::NodeAddress new_member;
-};
-
-base::NodeAddress parseAddress(const std::string& name, const configuration::JsonValue& value,
-                               std::vector<Fault>& faults) {
-  if (value.kind != configuration::JsonKind::String) {
-    faults.push_back({name, ResultCode::InvalidValue, "must be a string"});
-    return {};
-  }
-  try {
-    return base::NodeAddress::parse(value.text);
-  } catch (const base::Error& error) {
-    faults.push_back({name, error.code(), error.what()});
-    return {};
-  }
-}
-
-/** The body of POST /v1/core/replacements: `{old, new}`, each "IP:PORT". */
-ReplacementOrder parseReplacement(const std::string& body, std::vector<Fault>& faults) {
-  ReplacementOrder order;
-  const std::optional<configuration::JsonValue> value =
-      configuration::parseJson(body, {}, "", faults);
-  if (!value) {
-    return order;
-  }
-  if (value->kind != configuration::JsonKind::Object) {
-    faults.push_back({"", ResultCode::InvalidValue, "must be an object"});
-    return order;
-  }
-  for (std::size_t index = 0; index < value->names.size(); ++index) {
-    const std::string& name = value->names[index];
-    if (name == "old") {
-      order.old_member = parseAddress(name, value->elements[index], faults);
-    } else if (name == "new") {
-      order.new_member = parseAddress(name, value->elements[index], faults);
-    } else {
-      faults.push_back({name, ResultCode::UnknownField, "is not known"});
-    }
-  }
-  if (faults.empty() && (order.old_member.empty() || order.new_member.empty())) {
-    faults.push_back(
-        {order.old_member.empty() ? "old" : "new", ResultCode::MissingField, "is missing"});
-  }
-  return order;
-}
-
-/** The change_id of an order which names nothing else: from the body or, without one, the query. */
-std::string changeIdOf(const http::Request& request, std::vector<Fault>& faults) {
-  const std::string from_query = http::queryParameter(request.target, "change_id");
-  if (request.body.empty() && !from_query.empty()) {
-    return from_query;
-  }
-  return configuration::parseEvacuationRequest(request.body, faults);
-}
-
 /** The code under which a faulty body is refused: that of its form, or of its content. */
 ResultCode codeOf(const std::vector<Fault>& faults) {
   const bool malformed = faults.front().code == ResultCode::MalformedJson;
