--- a/libraries/front/include/switchsaddle/front/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot_flow.h
@@ -28,6 +28,8 @@
   std::string branch;
   std::string service;
   std::string idempotency_key;
+  /** The caller's Request-Id; may be empty. */
+  std::string caller_request_id;
   /** Hash of what the caller asked for. */
   std::uint64_t fingerprint = 0;
   /** Body for the worker. */
--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -29,6 +29,8 @@
   std::string branch;
   configuration::SessionShape shape;
   routing::Prompt prompt;
+  /** The caller's Request-Id; may be empty. */
+  std::string caller_request_id;
   /** Body for the worker. */
   std::string body;
 };
@@ -47,6 +49,8 @@
   virtual ~StreamSink() = default;
   /** Nothing was sent to the caller and nothing will be. */
   virtual void refuse(const StreamRefusal& refusal) = 0;
+  /** Before the first event: the run it belongs to, and how much of its prompt was cached. */
+  virtual void setRun(const std::string& run, std::uint32_t cached_tokens) = 0;
   /** One event in the text of text/event-stream; `written` runs once the caller has taken it
    * (true) or is gone (false). */
   virtual void sendEvent(std::string event, std::function<void(bool)> written) = 0;
--- a/libraries/front/include/switchsaddle/front/worker_port.h
+++ b/libraries/front/include/switchsaddle/front/worker_port.h
@@ -18,6 +18,9 @@
   std::string target;
   /** Unique name of this attempt; the worker echoes it. */
   std::string request_id;
+  /** The caller's own Request-Id, for tracing; may be empty. */
+  std::string caller_request_id;
+  std::string tenant;
   /** Only for one-shots. */
   std::string idempotency_key;
   /** The decode worker where the placement is a pair. */
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -142,6 +142,7 @@
   stream.tenant = tenant.name;
   stream.branch = tenant.stream_branch;
   stream.shape = tenant.shape;
+  stream.caller_request_id = request.header("Request-Id");
   stream.prompt = std::move(body.prompt);
   if (stream.prompt.maximum_tokens == 0) {
     stream.prompt.maximum_tokens = tenant.shape.maximum_tokens;
@@ -180,6 +181,7 @@
   one_shot.tenant = tenant.name;
   one_shot.branch = tenant.one_shot_branch;
   one_shot.service = body.service;
+  one_shot.caller_request_id = request.header("Request-Id");
   one_shot.fingerprint = body.fingerprint;
   one_shot.body = std::move(body.worker_body);
   one_shot.deadline = std::chrono::milliseconds(tenant.shape.one_shot_deadline_ms);
--- a/libraries/front/source/caller_sinks.cc
+++ b/libraries/front/source/caller_sinks.cc
@@ -41,13 +41,17 @@
   writer_->respond(refusalAnswer(refusal));
 }
 
+void EventStreamSink::setRun(const std::string& run, std::uint32_t cached_tokens) {
+  head_.headers.push_back({"Run", run});
+  head_.headers.push_back({"Cached-Tokens", std::to_string(cached_tokens)});
+}
+
 void EventStreamSink::sendEvent(std::string event, std::function<void(bool)> written) {
   if (!started_) {
     started_ = true;
-    http::Response head;
-    head.headers.push_back({"Content-Type", "text/event-stream"});
-    head.headers.push_back({"Cache-Control", "no-cache"});
-    writer_->startStream(std::move(head));
+    head_.headers.push_back({"Content-Type", "text/event-stream"});
+    head_.headers.push_back({"Cache-Control", "no-cache"});
+    writer_->startStream(head_);
   }
   writer_->writeChunk(std::move(event),
                       [&dispatcher = dispatcher_, written = std::move(written)](bool taken) {
@@ -63,10 +67,13 @@
   writer_->respond(refusalAnswer(refusal));
 }
 
+void CollectingSink::setRun(const std::string& run, std::uint32_t /*cached_tokens*/) {
+  run_ = run;
+}
+
 void CollectingSink::sendEvent(std::string event, std::function<void(bool)> written) {
   const std::optional<configuration::JsonValue> data = eventData(event);
   if (data && data->kind == configuration::JsonKind::Object) {
-    run_ = data->textOf("run");
     text_ += data->textOf("text");
     ++tokens_;
   }
--- a/libraries/front/source/caller_sinks.h
+++ b/libraries/front/source/caller_sinks.h
@@ -16,6 +16,7 @@
   EventStreamSink(base::Dispatcher& dispatcher, http::ResponseWriterPtr writer)
       : dispatcher_(dispatcher), writer_(std::move(writer)) {}
   void refuse(const StreamRefusal& refusal) override;
+  void setRun(const std::string& run, std::uint32_t cached_tokens) override;
   void sendEvent(std::string event, std::function<void(bool)> written) override;
   void end(base::ResultCode code) override;
 
@@ -23,6 +24,7 @@
   base::Dispatcher& dispatcher_;
   http::ResponseWriterPtr writer_;
   bool started_ = false;
+  http::Response head_;
 };
 
 /** Collects a whole run and answers it as one JSON completion, or an error where it broke. */
@@ -31,6 +33,7 @@
   CollectingSink(std::string model, http::ResponseWriterPtr writer)
       : model_(std::move(model)), writer_(std::move(writer)) {}
   void refuse(const StreamRefusal& refusal) override;
+  void setRun(const std::string& run, std::uint32_t cached_tokens) override;
   void sendEvent(std::string event, std::function<void(bool)> written) override;
   void end(base::ResultCode code) override;
 
--- a/libraries/front/source/http_worker_port.cc
+++ b/libraries/front/source/http_worker_port.cc
@@ -101,6 +101,10 @@
   message.body = request.body;
   message.headers.push_back({"Content-Type", "application/json"});
   message.headers.push_back({"Request-Id", request.request_id});
+  message.headers.push_back({"Tenant", request.tenant});
+  if (!request.caller_request_id.empty()) {
+    message.headers.push_back({"Caller-Request-Id", request.caller_request_id});
+  }
   if (!request.idempotency_key.empty()) {
     message.headers.push_back({"Idempotency-Key", request.idempotency_key});
   }
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -195,6 +195,8 @@
   request.address = worker_.entry.address;
   request.target = "/v1/one-shots";
   request.request_id = run_;
+  request.caller_request_id = request_.caller_request_id;
+  request.tenant = request_.tenant;
   request.idempotency_key = request_.idempotency_key;
   request.body = request_.body;
   request.fresh_connection = true;
--- a/libraries/front/source/stream_run.cc
+++ b/libraries/front/source/stream_run.cc
@@ -187,6 +187,8 @@
   request.address = placement.prefill.entry.address;
   request.target = "/v1/chat/completions";
   request.request_id = attempt_;
+  request.caller_request_id = request_.caller_request_id;
+  request.tenant = request_.tenant;
   request.body = request_.body;
   request.response_timeout = ResponseTimeout;
   if (placement.decode) {
@@ -233,6 +235,7 @@
   const streams::RelayStep step = relay_.onBytes(bytes);
   if (first && relay_.pieces() > 0) {
     completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
+    sink_->setRun(relay_.run(), completion_.cached_tokens);
   }
   sendEvents(step.events);
   if (over_) {
--- a/libraries/front/test/stream_flow_test.cc
+++ b/libraries/front/test/stream_flow_test.cc
@@ -29,6 +29,10 @@
     EXPECT_FALSE(refusal || ended);
     refusal = value;
   }
+  void setRun(const std::string& value, std::uint32_t) override {
+    EXPECT_TRUE(run.empty() && events.empty());
+    run = value;
+  }
   void sendEvent(std::string event, std::function<void(bool)> written) override {
     EXPECT_FALSE(refusal || ended);
     events.push_back(std::move(event));
@@ -46,6 +50,7 @@
   std::optional<StreamRefusal> refusal;
   std::optional<ResultCode> ended;
   std::vector<std::string> events;
+  std::string run;
   bool slow = false;
   std::deque<std::function<void(bool)>> waiting;
 };
@@ -97,6 +102,7 @@
   workers.sent[0].bytes(done(2));
   EXPECT_EQ(sink->events, (std::vector<std::string>{piece(0), piece(1), done(2)}));
   EXPECT_EQ(sink->ended, ResultCode::Ok);
+  EXPECT_EQ(sink->run, "r1");
   expectReleased();
   EXPECT_FALSE(router.completions[0].failed);
   EXPECT_EQ(router.completions[0].output_tokens, 2U);
--- a/libraries/streams/source/relay_machine.cc
+++ b/libraries/streams/source/relay_machine.cc
@@ -30,6 +30,7 @@
   error["code"] = static_cast<std::uint16_t>(code);
   error["name"] = info.name;
   error["message"] = info.meaning;
+  error["outcome"] = "unknown";
   error["run"] = run;
   if (pieces > 0) {
     error["last_piece"] = pieces - 1;
