--- /dev/null
+++ b/libraries/front/test/one_shot_seeds_test.cc
@@ -0,0 +1,172 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+#include "fakes.h"
+#include "switchsaddle/front/one_shot_flow.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::front {
+namespace {
+
+constexpr int Seeds = 300;
+constexpr int Fronts = 2;
+constexpr int Keys = 12;
+constexpr int RequestsOfKey = 4;
+
+/** Workers that run, refuse, lose, cross, delay and double answers by chance; counts runs by key.
+ */
+class FaultyWorkers : public WorkerPort {
+ public:
+  FaultyWorkers(simulation::World& world, simulation::Process& process)
+      : world_(world), process_(process) {}
+
+  WorkerCallPtr send(const WorkerRequest& request,
+                     std::shared_ptr<WorkerObserver> observer) override {
+    auto call = std::make_shared<FakeWorkers::Call>();
+    const auto tell = [this, call, observer](base::Duration delay, auto action) {
+      process_.postAfter(delay, [call, observer, action] {
+        if (!call->cancelled) {
+          action(*observer);
+        }
+      });
+    };
+    const std::uint64_t fate = world_.random().below(10);
+    const base::Duration delay = std::chrono::milliseconds(world_.random().below(400));
+    if (fate < 3) {
+      tell(delay, [](WorkerObserver& to) { to.onFailure(WorkerFailure::NotSent, true); });
+      return call;
+    }
+    process_.postAfter(delay / 2, [this, key = request.idempotency_key] { ++runs[key]; });
+    if (fate == 3) {
+      tell(delay, [](WorkerObserver& to) { to.onFailure(WorkerFailure::Lost, false); });
+    }
+    const base::Duration late = fate == 4 ? std::chrono::seconds(9) : base::Duration::zero();
+    for (int copy = 0; fate > 3 && copy < (fate == 5 ? 2 : 1); ++copy) {
+      WorkerHead head;
+      head.status = 200;
+      head.request_id = fate == 6 ? "another" : request.request_id;
+      tell(delay + late, [head](WorkerObserver& to) { to.onHead(head); });
+      tell(delay + late, [](WorkerObserver& to) { to.onBytes("1", [] {}); });
+      tell(delay + late, [](WorkerObserver& to) { to.onComplete(); });
+    }
+    return call;
+  }
+
+  std::map<std::string, int> runs;
+
+ private:
+  simulation::World& world_;
+  simulation::Process& process_;
+};
+
+/** One front process with its own session; shares claims and workers with the others. */
+struct SeedFront {
+  SeedFront(simulation::World& world, FakeClaims& claims, FaultyWorkers& workers,
+            FakeBeliefs& beliefs)
+      : process(world),
+        flow(OneShotEnvironment{process, world.random(), claims, slots, session, workers, beliefs,
+                                retries, circuit, counters}) {
+    for (int count = 0; count < 1'000; ++count) {
+      retries.countFirstTry("orders");
+    }
+  }
+  simulation::Process process;
+  FakeSlots slots;
+  FakeSession session;
+  RetryBudget retries{process};
+  WorkerCircuit circuit{process};
+  Counters counters;
+  OneShotFlow flow;
+};
+
+/** What callers were told of one key. */
+struct KeyHistory {
+  int answers = 0;
+  int ran = 0;
+  int not_run = 0;
+  int runs_when_told_not_run = 0;
+};
+
+class OneShotSeeds : public testing::Test {
+ protected:
+  void runSeed(std::uint64_t seed) {
+    simulation::World world(seed);
+    simulation::Process worker_process(world);
+    FakeClaims claims;
+    FaultyWorkers workers(world, worker_process);
+    FakeBeliefs beliefs;
+    beliefs.view.routes["orders"] = configuration::Route{"orders", "orders", {}, "ordinary"};
+    beliefs.addWorker("w1", "ordinary");
+    beliefs.addWorker("w2", "ordinary");
+    std::vector<std::unique_ptr<SeedFront>> fronts;
+    for (int index = 0; index < Fronts; ++index) {
+      fronts.push_back(std::make_unique<SeedFront>(world, claims, workers, beliefs));
+    }
+    std::map<std::string, KeyHistory> history;
+    for (int index = 0; index < Keys * RequestsOfKey; ++index) {
+      const std::string key = "k" + std::to_string(index % Keys);
+      SeedFront& front = *fronts[world.random().below(Fronts)];
+      world.schedule(std::chrono::milliseconds(world.random().below(20'000)), [&, key] {
+        OneShotRequest request;
+        request.service = "orders";
+        request.idempotency_key = key;
+        request.deadline = std::chrono::seconds(3);
+        front.flow.run(request, [&history, &workers, key](const OneShotAnswer& answer) {
+          KeyHistory& seen = history[key];
+          ++seen.answers;
+          seen.ran += answer.outcome == Outcome::Ran ? 1 : 0;
+          seen.not_run += answer.outcome == Outcome::NotRun ? 1 : 0;
+          seen.runs_when_told_not_run += answer.outcome == Outcome::NotRun ? workers.runs[key] : 0;
+        });
+      });
+    }
+    disturb(world, claims, fronts);
+    world.runFor(std::chrono::seconds(60));
+    for (auto& [key, seen] : history) {
+      EXPECT_LE(workers.runs[key], 1) << key << " ran twice";
+      EXPECT_EQ(seen.answers, RequestsOfKey) << key;
+      EXPECT_EQ(seen.runs_when_told_not_run, 0) << key << " told not-run after it ran";
+      EXPECT_TRUE(seen.ran == 0 || workers.runs[key] == 1) << key << " told ran";
+      told_ran += seen.ran;
+      told_not_run += seen.not_run;
+      keys_run += workers.runs[key];
+    }
+  }
+
+  /** Sessions lapse and come back, the core's answers fail, all by chance. */
+  void disturb(simulation::World& world, FakeClaims& claims,
+               std::vector<std::unique_ptr<SeedFront>>& fronts) {
+    for (int second = 0; second < 25; ++second) {
+      world.schedule(std::chrono::seconds(second), [&] {
+        claims.begins_available = !world.random().chance(0.15);
+        claims.finishes_available = !world.random().chance(0.15);
+        for (const auto& front : fronts) {
+          front->session.now = world.random().chance(0.2) ? sessions::SessionState::Lapsed
+                                                          : sessions::SessionState::Serving;
+        }
+      });
+    }
+  }
+
+  int told_ran = 0;
+  int told_not_run = 0;
+  int keys_run = 0;
+};
+
+TEST_F(OneShotSeeds, NoKeyRunsTwiceAndNotRunIsTrue) {
+  for (std::uint64_t seed = 1; seed <= Seeds && !HasFailure(); ++seed) {
+    SCOPED_TRACE("seed " + std::to_string(seed));
+    runSeed(seed);
+  }
+  // The scenario has to bring about what it checks.
+  EXPECT_GT(told_ran, Seeds);
+  EXPECT_GT(told_not_run, Seeds);
+  EXPECT_GT(keys_run, Seeds);
+  RecordProperty("told_ran", told_ran);
+  RecordProperty("told_not_run", told_not_run);
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
