Recognise a caller's request in the workers' journals

Cause: a front gives each attempt a request id of its own and passes the caller's on in another header, so that the judge could never have found a refused request that ran. Ruled out: matching by key only, which streams don't have.

--- a/libraries/laboratory/include/switchsaddle/laboratory/judge.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/judge.h
@@ -16,7 +16,7 @@
   RanTwice,
   /** A key was answered not-run, and ran for no other request that may have run. */
   RanAfterNotRun,
-  /** A refused stream or one-shot ran under its own request id. */
+  /** A refused stream or one-shot ran under its caller's request id. */
   RanAfterRefusal,
   /** A one-shot was answered as ran, and no worker ran its key. */
   AnsweredWithoutRun,
--- a/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
@@ -21,7 +21,10 @@
   std::string tenant;
   std::string model;
   std::uint64_t cached_tokens = 0;
+  /** The id of the request to the worker; a router may give each of its attempts one of its own. */
   std::string request_id;
+  /** The caller's own id: of the Caller-Request-Id header, or request_id where there was none. */
+  std::string caller_request_id;
   /** Pieces sent so far; set on "end" and "cancelled" of a stream. */
   std::uint64_t pieces = 0;
 };
--- a/libraries/laboratory/source/decode_relay.cc
+++ b/libraries/laboratory/source/decode_relay.cc
@@ -59,6 +59,7 @@
   onward.body = original_.body;
   onward.headers = {{"Content-Type", "application/json"},
                     {"Request-Id", request_.identity.request_id},
+                    {"Caller-Request-Id", request_.identity.caller_request_id},
                     {"Tenant", request_.identity.tenant},
                     {PrefilledHeader, "1"}};
   http::ExchangeOptions options;
--- a/libraries/laboratory/source/judge.cc
+++ b/libraries/laboratory/source/judge.cc
@@ -108,7 +108,7 @@
       }
     }
     for (const auto& [id, run] : runs_) {
-      const auto found = refused.find(run.start.request_id);
+      const auto found = refused.find(run.start.caller_request_id);
       if (found != refused.end() && run.start.kind != "prefill") {
         violated(Rule::RanAfterRefusal, subjectOf(*found->second), "run " + id);
       }
--- a/libraries/laboratory/source/process_control.cc
+++ b/libraries/laboratory/source/process_control.cc
@@ -52,6 +52,7 @@
   ::dup2(log, STDOUT_FILENO);
   ::dup2(log, STDERR_FILENO);
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& argument : command) {
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
--- a/libraries/laboratory/source/stand_in_worker.cc
+++ b/libraries/laboratory/source/stand_in_worker.cc
@@ -45,11 +45,21 @@
   return static_cast<std::uint32_t>(std::clamp<std::int64_t>(tokens, 1, LongestOutput));
 }
 
+RequestIdentity parseIdentity(const http::Request& request) {
+  RequestIdentity identity;
+  identity.request_id = request.header("Request-Id");
+  identity.caller_request_id = request.header("Caller-Request-Id");
+  if (identity.caller_request_id.empty()) {
+    identity.caller_request_id = identity.request_id;
+  }
+  identity.tenant = request.header("Tenant");
+  return identity;
+}
+
 StreamRequest parseStream(const http::Request& request, WorkerState& worker) {
   const boost::json::object body = parseObject(request.body);
   StreamRequest stream;
-  stream.identity.request_id = request.header("Request-Id");
-  stream.identity.tenant = request.header("Tenant");
+  stream.identity = parseIdentity(request);
   stream.identity.model = textField(body, "model");
   stream.parts = prefixParts(body);
   stream.own_tokens = ownTokens(body);
@@ -158,9 +168,7 @@
     return;
   }
   const boost::json::object body = parseObject(request.body);
-  RequestIdentity identity;
-  identity.request_id = request.header("Request-Id");
-  identity.tenant = request.header("Tenant");
+  RequestIdentity identity = parseIdentity(request);
   identity.idempotency_key = request.header("Idempotency-Key");
   identity.model = textField(body, "model");
   if (identity.idempotency_key.empty()) {
--- a/libraries/laboratory/source/worker_event.cc
+++ b/libraries/laboratory/source/worker_event.cc
@@ -16,6 +16,7 @@
                                                     {"model", event.model},
                                                     {"cached_tokens", event.cached_tokens},
                                                     {"request_id", event.request_id},
+                                                    {"caller_request_id", event.caller_request_id},
                                                     {"pieces", event.pieces}});
 }
 
@@ -31,6 +32,7 @@
   event.model = textField(object, "model");
   event.cached_tokens = static_cast<std::uint64_t>(integerField(object, "cached_tokens"));
   event.request_id = textField(object, "request_id");
+  event.caller_request_id = textField(object, "caller_request_id", event.request_id);
   event.pieces = static_cast<std::uint64_t>(integerField(object, "pieces"));
   return event;
 }
--- a/libraries/laboratory/source/worker_state.cc
+++ b/libraries/laboratory/source/worker_state.cc
@@ -58,6 +58,7 @@
   line.model = identity.model;
   line.cached_tokens = cached_tokens;
   line.request_id = identity.request_id;
+  line.caller_request_id = identity.caller_request_id;
   line.pieces = pieces;
   events.append(line);
 }
--- a/libraries/laboratory/source/worker_state.h
+++ b/libraries/laboratory/source/worker_state.h
@@ -26,6 +26,7 @@
 /** What a caller's request says, apart from its kind. */
 struct RequestIdentity {
   std::string request_id;
+  std::string caller_request_id;
   std::string tenant;
   std::string model;
   std::string idempotency_key;
--- a/libraries/laboratory/test/judge_test.cc
+++ b/libraries/laboratory/test/judge_test.cc
@@ -48,7 +48,8 @@
     line.run = run;
     line.at_ms = at_ms;
     line.idempotency_key = key;
-    line.request_id = request_id;
+    line.request_id = request_id + "-attempt";
+    line.caller_request_id = request_id;
     line.pieces = pieces;
     line.tenant = "t1";
     journal_.push_back(line);
--- a/libraries/laboratory/test/stand_in_worker_test.cc
+++ b/libraries/laboratory/test/stand_in_worker_test.cc
@@ -74,7 +74,10 @@
     http::Request request;
     request.method = "POST";
     request.target = path;
-    request.headers = {{"Request-Id", request_id}, {"Tenant", "t1"}, {"Idempotency-Key", "k1"}};
+    request.headers = {{"Request-Id", request_id},
+                       {"Tenant", "t1"},
+                       {"Idempotency-Key", "k1"},
+                       {"Caller-Request-Id", "caller-1"}};
     request.body = body;
     auto writer = std::make_shared<RecordingWriter>();
     worker_.handle(request, writer);
@@ -187,6 +190,8 @@
   EXPECT_EQ(sink_.count("start"), 1U);
   EXPECT_EQ(sink_.count("end"), 1U);
   EXPECT_EQ(sink_.events.back().idempotency_key, "k1");
+  EXPECT_EQ(sink_.events.back().request_id, "r1");
+  EXPECT_EQ(sink_.events.back().caller_request_id, "caller-1");
 }
 
 TEST_F(StandInWorkerTest, OneShotAnswersCanBeCrossedLateOrLost) {
