--- a/programs/lab/fleet.cc
+++ b/programs/lab/fleet.cc
@@ -10,6 +10,8 @@
 #include <sstream>
 #include <thread>
 
+#include <boost/json/serialize.hpp>
+
 #include "http_probe.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/configuration/view.h"
@@ -184,14 +186,15 @@
 }
 
 void Fleet::applyConfiguration(const std::string& document, base::Duration limit) {
-  laboratory::parseObject(document);
+  // The file may have comments; the request has none.
+  const std::string plain = boost::json::serialize(laboratory::parseObject(document));
   http::Request request;
   request.method = "POST";
   request.target = "/v1/configuration/changes";
   request.headers = {{"Content-Type", "application/json"},
                      {"Authorization", "Bearer " + state_.operator_key}};
   request.body = std::string(R"({"change_id":")") + InitialChangeId +
-                 R"(","base_version":0,"document":)" + document + "}";
+                 R"(","base_version":0,"document":)" + plain + "}";
   const auto cores = ofRole(ProcessRole::Core);
   const auto deadline = std::chrono::steady_clock::now() + limit;
   std::string last_answer = "no answer";
