--- a/libraries/registers/test/acceptor_test.cc
+++ b/libraries/registers/test/acceptor_test.cc
@@ -97,10 +97,11 @@
 TEST_F(AcceptorTest, DoesNotAnswerForACommitBehindAFailedOne) {
   wire::AcceptorSet newer = acceptor().acceptorSet();
   newer.epoch = 2;
+  // Long enough for the request to arrive while the commit before it is under way.
+  disk().extra_delay = milliseconds(20);
   disk().full_for_one_commit = true;
   std::optional<bool> installed;
   acceptor().installSet(newer, [&](bool synced) { installed = synced; });
-  disk().extra_delay = milliseconds(20);
   EXPECT_EQ(prepare(1, 2).verdict, wire::RegisterVerdict::Unavailable);
   EXPECT_EQ(installed, false);
   cluster_.world.runFor(seconds(2));
