--- a/libraries/streams/source/relay_machine.cc
+++ b/libraries/streams/source/relay_machine.cc
@@ -30,13 +30,14 @@
   error["code"] = static_cast<std::uint16_t>(code);
   error["name"] = info.name;
   error["message"] = info.meaning;
+  error["outcome"] = "unknown";
   error["run"] = run;
   if (pieces > 0) {
     error["last_piece"] = pieces - 1;
   } else {
     error["last_piece"] = nullptr;
   }
-  error["retry_is_safe"] = info.retry_is_safe;
+  error["retry_safe"] = info.retry_is_safe;
   return "event: error\n" + formatEvent(pieces, boost::json::serialize(error));
 }
 
