--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "switchsaddle/admission/ledger_slot_broker.h"
 #include "switchsaddle/admission/slot_broker.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/random.h"
@@ -35,9 +36,10 @@
   journal::Journal& journal;
   const configuration::Settings& settings;
   WorkerPort& workers;
-  admission::SlotBroker& slots;
   /** The random instance id of this process. */
   std::uint64_t instance = 0;
+  /** In place of the broker of the ledgers at the core; for tests. */
+  admission::SlotBroker* slots = nullptr;
 };
 
 /**
@@ -75,6 +77,7 @@
   void observeDraining(const workers::Worker& worker) override;
   void observeRefused(const workers::Worker& worker) override;
 
+  admission::SlotBroker& slots();
   void connectParts();
   void onConfiguration(const dissemination::ViewPtr& view);
   void refreshPeers();
@@ -89,6 +92,7 @@
   dissemination::GossipAgent gossip_;
   routing::LearnedRouter router_;
   claims::PeerClaimClient claims_;
+  admission::LedgerSlotBroker ledger_slots_;
   RetryBudget retries_;
   WorkerCircuit circuit_;
   Counters counters_;
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -51,14 +51,17 @@
       claims_(
           environment.dispatcher, environment.calls, [this] { return session_.coreAddresses(); },
           claimOptions(environment.settings.times)),
+      ledger_slots_(
+          environment.dispatcher, environment.calls, environment.instance,
+          [this] { return session_.coreAddresses(); }, admission::SlotBrokerOptions{}),
       retries_(environment.dispatcher),
       circuit_(environment.dispatcher),
-      streams_(StreamEnvironment{environment.dispatcher, environment.random, environment.slots,
-                                 session_, router_, environment.workers, *this, retries_, circuit_,
-                                 counters_, stages_}),
-      one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims_,
-                                    environment.slots, session_, environment.workers, *this,
-                                    retries_, circuit_, counters_}),
+      streams_(StreamEnvironment{environment.dispatcher, environment.random, slots(), session_,
+                                 router_, environment.workers, *this, retries_, circuit_, counters_,
+                                 stages_}),
+      one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims_, slots(),
+                                    session_, environment.workers, *this, retries_, circuit_,
+                                    counters_}),
       control_(environment.calls, [this] { return session_.coreAddresses(); }),
       service_(CallerDependencies{
           environment.dispatcher, session_, *this, router_, streams_, one_shots_, control_,
@@ -68,6 +71,13 @@
 
 FrontNode::~FrontNode() = default;
 
+admission::SlotBroker& FrontNode::slots() {
+  if (environment_.slots != nullptr) {
+    return *environment_.slots;
+  }
+  return ledger_slots_;
+}
+
 void FrontNode::connectParts() {
   replica_.addListener([this](const dissemination::ViewPtr& view) { onConfiguration(view); });
   directory_.addListener(
--- a/libraries/front/test/front_node_test.cc
+++ b/libraries/front/test/front_node_test.cc
@@ -84,7 +84,7 @@
   FrontNodeTest() {
     settings.seeds = {CoreAddress};
     node = std::make_unique<FrontNode>(
-        FrontEnvironment{process, calls, world.random(), journal, settings, workers, slots, 7});
+        FrontEnvironment{process, calls, world.random(), journal, settings, workers, 7, &slots});
     node->start();
   }
   std::shared_ptr<QuietWriter> stream() {
