--- a/libraries/front/test/one_shot_seeds_test.cc
+++ b/libraries/front/test/one_shot_seeds_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "fakes.h"
+#include "faulty_workers.h"
 #include "switchsaddle/front/one_shot_flow.h"
 #include "switchsaddle/simulation/process.h"
 
@@ -15,52 +16,6 @@
 constexpr int Keys = 12;
 constexpr int RequestsOfKey = 4;
 
-/** Workers that run, refuse, lose, cross, delay and double answers by chance; counts runs by key.
- */
-class FaultyWorkers : public WorkerPort {
- public:
-  FaultyWorkers(simulation::World& world, simulation::Process& process)
-      : world_(world), process_(process) {}
-
-  WorkerCallPtr send(const WorkerRequest& request,
-                     std::shared_ptr<WorkerObserver> observer) override {
-    auto call = std::make_shared<FakeWorkers::Call>();
-    const auto tell = [this, call, observer](base::Duration delay, auto action) {
-      process_.postAfter(delay, [call, observer, action] {
-        if (!call->cancelled) {
-          action(*observer);
-        }
-      });
-    };
-    const std::uint64_t fate = world_.random().below(10);
-    const base::Duration delay = std::chrono::milliseconds(world_.random().below(400));
-    if (fate < 3) {
-      tell(delay, [](WorkerObserver& to) { to.onFailure(WorkerFailure::NotSent, true); });
-      return call;
-    }
-    process_.postAfter(delay / 2, [this, key = request.idempotency_key] { ++runs[key]; });
-    if (fate == 3) {
-      tell(delay, [](WorkerObserver& to) { to.onFailure(WorkerFailure::Lost, false); });
-    }
-    const base::Duration late = fate == 4 ? std::chrono::seconds(9) : base::Duration::zero();
-    for (int copy = 0; fate > 3 && copy < (fate == 5 ? 2 : 1); ++copy) {
-      WorkerHead head;
-      head.status = 200;
-      head.request_id = fate == 6 ? "another" : request.request_id;
-      tell(delay + late, [head](WorkerObserver& to) { to.onHead(head); });
-      tell(delay + late, [](WorkerObserver& to) { to.onBytes("1", [] {}); });
-      tell(delay + late, [](WorkerObserver& to) { to.onComplete(); });
-    }
-    return call;
-  }
-
-  std::map<std::string, int> runs;
-
- private:
-  simulation::World& world_;
-  simulation::Process& process_;
-};
-
 /** One front process with its own session; shares claims and workers with the others. */
 struct SeedFront {
   SeedFront(simulation::World& world, FakeClaims& claims, FaultyWorkers& workers,
@@ -95,7 +50,8 @@
     simulation::World world(seed);
     simulation::Process worker_process(world);
     FakeClaims claims;
-    FaultyWorkers workers(world, worker_process);
+    RunCounts runs;
+    FaultyWorkers workers(world, worker_process, worker_process, runs);
     FakeBeliefs beliefs;
     beliefs.view.routes["orders"] = configuration::Route{"orders", "orders", {}, "ordinary"};
     beliefs.addWorker("w1", "ordinary");
--- /dev/null
+++ b/libraries/front/test/simulated_fleet.h
@@ -0,0 +1,251 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fakes.h"
+#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/front/front_node.h"
+#include "switchsaddle/simulation/network.h"
+#include "switchsaddle/simulation/simulated_disk.h"
+#include "switchsaddle/simulation/simulated_storage_executor.h"
+#include "switchsaddle/storage/file_record_store.h"
+
+namespace switchsaddle::front {
+
+inline constexpr int Cores = 3;
+inline constexpr int Fronts = 2;
+
+inline base::NodeAddress coreAddress(int number) {
+  return {"127.0.1." + std::to_string(number + 1), 1};
+}
+
+inline base::NodeAddress frontAddress(int number) {
+  return {"127.0.2." + std::to_string(number + 1), 1};
+}
+
+/** A platform that always lists one model worker and one ordinary worker. */
+class FixedPlatform : public workers::PlatformSource {
+ public:
+  void read(std::function<void(workers::PlatformReading)> callback) override {
+    workers::PlatformReading reading;
+    reading.code = base::ResultCode::Ok;
+    reading.generation = 1;
+    for (const char* pool : {"models", "ordinary"}) {
+      wire::WorkerEntry worker;
+      worker.id = pool;
+      worker.address = {"127.0.3.1", static_cast<std::uint16_t>(reading.workers.size() + 1)};
+      worker.models = {"large"};
+      worker.service = pool;
+      worker.slots = 8;
+      reading.workers.push_back(worker);
+    }
+    callback(reading);
+  }
+};
+
+/** Answers every request at once, on the front's process. */
+class PromptWorkers : public WorkerPort {
+ public:
+  explicit PromptWorkers(simulation::Process& process) : process_(process) {}
+
+  WorkerCallPtr send(const WorkerRequest& request,
+                     std::shared_ptr<WorkerObserver> observer) override {
+    ++requests;
+    auto call = std::make_shared<FakeWorkers::Call>();
+    process_.post([request, observer, call] {
+      WorkerHead head;
+      head.status = 200;
+      head.request_id = request.request_id;
+      head.run = "r1";
+      observer->onHead(head);
+      const bool stream = request.idempotency_key.empty();
+      observer->onBytes(stream ? "id: 0\ndata: {\"text\":\"a\"}\n\nid: 1\ndata: [DONE]\n\n" : "1",
+                        [] {});
+      if (!call->cancelled) {
+        observer->onComplete();
+      }
+    });
+    return call;
+  }
+
+  int requests = 0;
+
+ private:
+  simulation::Process& process_;
+};
+
+/** Keeps what one caller was answered. */
+class CallerWriter : public http::ResponseWriter {
+ public:
+  void respond(http::Response value) override {
+    EXPECT_FALSE(response) << "answered twice";
+    response = std::move(value);
+    if (answered) {
+      answered(*response);
+    }
+  }
+  void startStream(http::Response value) override { response = std::move(value); }
+  void writeChunk(std::string chunk, std::function<void(bool)> written) override {
+    chunks += chunk;
+    written(true);
+  }
+  void endStream() override { ended = true; }
+  void abort() override {}
+  void onClientGone(std::function<void()>) override {}
+
+  std::optional<http::Response> response;
+  /** Runs with the answer, where set. */
+  std::function<void(const http::Response&)> answered;
+  std::string chunks;
+  bool ended = false;
+};
+
+struct CoreProcess {
+  CoreProcess(simulation::World& world, simulation::Network& network,
+              const configuration::Settings& common, int number)
+      : settings(common),
+        process(world),
+        transport(network.attach(coreAddress(number), process)),
+        calls(process, *transport),
+        journal(process),
+        disk(world.random().next()),
+        executor(world, process),
+        store(process, disk, executor, world.random()) {
+    settings.peer_address = coreAddress(number);
+    node = std::make_unique<core::CoreNode>(
+        core::CoreEnvironment{process, calls, store, world.random(), journal, platform, settings});
+    node->start();
+  }
+  configuration::Settings settings;
+  simulation::Process process;
+  std::unique_ptr<transport::Transport> transport;
+  transport::PeerCalls calls;
+  journal::Journal journal;
+  simulation::SimulatedDisk disk;
+  simulation::SimulatedStorageExecutor executor;
+  storage::FileRecordStore store;
+  FixedPlatform platform;
+  std::unique_ptr<core::CoreNode> node;
+};
+
+/** Makes the workers that one front reaches. */
+using WorkerPortFactory =
+    std::function<std::unique_ptr<WorkerPort>(simulation::World&, simulation::Process&)>;
+
+struct FrontProcess {
+  FrontProcess(simulation::World& world, simulation::Network& network,
+               const configuration::Settings& common, int number,
+               const WorkerPortFactory& make_workers)
+      : settings(common),
+        process(world),
+        transport(network.attach(frontAddress(number), process)),
+        calls(process, *transport),
+        journal(process),
+        workers(make_workers(world, process)) {
+    settings.peer_address = frontAddress(number);
+    node = std::make_unique<FrontNode>(FrontEnvironment{process, calls, world.random(), journal,
+                                                        settings, *workers, world.random().next()});
+    node->start();
+  }
+  configuration::Settings settings;
+  simulation::Process process;
+  std::unique_ptr<transport::Transport> transport;
+  transport::PeerCalls calls;
+  journal::Journal journal;
+  std::unique_ptr<WorkerPort> workers;
+  std::unique_ptr<FrontNode> node;
+};
+
+/** Three cores and two fronts, all real but for network, disks, platform and workers. */
+class Fleet {
+ public:
+  Fleet(std::uint64_t seed, const WorkerPortFactory& make_workers) : world(seed) {
+    configuration::Settings settings;
+    settings.zone = "north";
+    settings.operator_hashes = {configuration::sha256Hex("operator")};
+    for (int number = 0; number < Cores; ++number) {
+      settings.seeds.push_back(coreAddress(number));
+    }
+    settings.initial_cores = settings.seeds;
+    for (int number = 0; number < Cores; ++number) {
+      cores.push_back(std::make_unique<CoreProcess>(world, network, settings, number));
+    }
+    for (int number = 0; number < Fronts; ++number) {
+      fronts.push_back(
+          std::make_unique<FrontProcess>(world, network, settings, number, make_workers));
+    }
+  }
+
+  std::shared_ptr<CallerWriter> send(int front, http::Request request, const std::string& secret) {
+    auto writer = std::make_shared<CallerWriter>();
+    request.headers.push_back({"Authorization", "Bearer " + secret});
+    fronts[front]->node->service().enqueue(std::move(request), writer);
+    world.runUntil([&] { return writer->response.has_value(); }, std::chrono::seconds(15));
+    world.runFor(std::chrono::milliseconds(10));
+    EXPECT_TRUE(writer->response);
+    return writer;
+  }
+  /** Sends a change until it is acknowledged; the status of the last answer. */
+  int change(int front, const std::string& body) {
+    int status = 0;
+    for (int attempt = 0; attempt < 20 && status != 200; ++attempt) {
+      status = send(front, {"POST", "/v1/configuration/changes", {}, body}, "operator")
+                   ->response.value_or(http::Response{})
+                   .status;
+      world.runFor(std::chrono::milliseconds(500));
+    }
+    return status;
+  }
+  std::shared_ptr<CallerWriter> oneShot(int front, const std::string& key) {
+    return send(front,
+                {"POST",
+                 "/v1/one-shots",
+                 {{"Idempotency-Key", key}},
+                 R"({"service":"orders","payload":1})"},
+                "secret");
+  }
+  std::shared_ptr<CallerWriter> stream(int front) {
+    return send(front,
+                {"POST",
+                 "/v1/chat/completions",
+                 {},
+                 R"({"model":"large","stream":true,"messages":[{"role":"user","content":"hi"}]})"},
+                "secret");
+  }
+  bool allReady() {
+    return world.runUntil(
+        [this] {
+          bool ready = true;
+          for (const auto& front : fronts) {
+            ready = ready && front->node->ready() &&
+                    front->node->directory().snapshot()->workers.size() == 2;
+          }
+          return ready;
+        },
+        std::chrono::seconds(30));
+  }
+
+  simulation::World world;
+  simulation::Network network{world};
+  std::vector<std::unique_ptr<CoreProcess>> cores;
+  std::vector<std::unique_ptr<FrontProcess>> fronts;
+};
+
+inline std::string wholeConfiguration() {
+  return R"({"change_id":"c1","base_version":0,"document":{
+    "shapes/chat": {"services": ["completions", "orders"], "first_token_ms": 9000},
+    "tenants/editors": {"shape": "chat", "stream_branch": "root", "one_shot_branch": "root"},
+    "share/root": {"slots": 10},
+    "routes/large": {"service": "completions", "models": ["large"], "pool": "models"},
+    "routes/orders": {"service": "orders", "pool": "ordinary"},
+    "keys/k": {"sha256": ")" +
+         configuration::sha256Hex("secret") + R"(", "tenant": "editors"}}})";
+}
+
+}  // namespace switchsaddle::front
