--- a/libraries/laboratory/include/switchsaddle/laboratory/json_fields.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/json_fields.h
@@ -9,7 +9,9 @@
 
 namespace switchsaddle::laboratory {
 
-/** Parses a JSON object. Throws base::Error with MalformedJson. */
+/** Parses a JSON object, in which comments are passed over. Throws base::Error with MalformedJson.
+ */
+
 boost::json::object parseObject(std::string_view text);
 /** The field, or the fallback where it is absent. Throw base::Error with InvalidValue on a wrong
  * type. */
--- a/libraries/laboratory/source/fleet_layout.cc
+++ b/libraries/laboratory/source/fleet_layout.cc
@@ -68,7 +68,7 @@
     LayoutWorker worker;
     worker.listed.id = prefix + std::to_string(index + 1);
     worker.listed.address =
-        base::NodeAddress{layout.network + ".3." + std::to_string(number), 8'100};
+        base::NodeAddress{layout.network + ".3." + std::to_string(number), 8'000};
     worker.listed.zone = textField(group, "zone", zoneInTurn(zones, number - 1));
     worker.listed.models = textListField(group, "models");
     worker.listed.service = textField(group, "service");
--- a/libraries/laboratory/source/fleet_plan.cc
+++ b/libraries/laboratory/source/fleet_plan.cc
@@ -7,8 +7,8 @@
 namespace switchsaddle::laboratory {
 namespace {
 
-constexpr std::uint16_t PeerPort = 7'100;
-constexpr std::uint16_t HttpPort = 8'100;
+constexpr std::uint16_t PeerPort = 7'000;
+constexpr std::uint16_t HttpPort = 8'000;
 constexpr std::size_t SeedCount = 3;
 
 FleetProcess planPlatform(const FleetLayout& layout, const std::string& directory,
--- a/libraries/laboratory/source/json_fields.cc
+++ b/libraries/laboratory/source/json_fields.cc
@@ -17,7 +17,9 @@
 
 boost::json::object parseObject(std::string_view text) {
   boost::json::error_code failure;
-  boost::json::value value = boost::json::parse({text.data(), text.size()}, failure);
+  boost::json::parse_options options;
+  options.allow_comments = true;
+  boost::json::value value = boost::json::parse({text.data(), text.size()}, failure, {}, options);
   if (failure || !value.is_object()) {
     throw base::Error(base::ResultCode::MalformedJson, "not a JSON object");
   }
--- a/programs/lab/fleet.cc
+++ b/programs/lab/fleet.cc
@@ -4,6 +4,7 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include <boost/json/serialize.hpp>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -184,14 +185,15 @@
 }
 
 void Fleet::applyConfiguration(const std::string& document, base::Duration limit) {
-  laboratory::parseObject(document);
+  // The interface takes plain JSON; a file may hold comments.
+  const std::string plain = boost::json::serialize(laboratory::parseObject(document));
   http::Request request;
   request.method = "POST";
   request.target = "/v1/configuration/changes";
   request.headers = {{"Content-Type", "application/json"},
                      {"Authorization", "Bearer " + state_.operator_key}};
   request.body = std::string(R"({"change_id":")") + InitialChangeId +
-                 R"(","base_version":0,"document":)" + document + "}";
+                 R"(","base_version":0,"document":)" + plain + "}";
   const auto cores = ofRole(ProcessRole::Core);
   const auto deadline = std::chrono::steady_clock::now() + limit;
   std::string last_answer = "no answer";
