Check the lab's generated settings with the daemons' own reader

Cause: generated settings files were held against nothing. Change: a test parses and checks each core's and front's settings, a replaced core's among them. Conclusion: settings fit; the daemons themselves have not been started by the lab yet.

--- a/libraries/laboratory/test/fleet_layout_test.cc
+++ b/libraries/laboratory/test/fleet_layout_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/configuration/settings.h"
+#include "switchsaddle/configuration/view.h"
 #include "switchsaddle/laboratory/json_fields.h"
 
 namespace switchsaddle::laboratory {
@@ -77,6 +79,21 @@
   EXPECT_FALSE(front.contains("initial_cores"));
 }
 
+TEST_F(FleetPlanTest, TheDaemonsAcceptTheSettings) {
+  const std::string hash = configuration::sha256Hex("secret");
+  replaceCore(state_, "core-2");
+  for (const FleetProcess& process : state_.processes) {
+    if (process.data_folder.empty()) {
+      continue;
+    }
+    std::vector<configuration::Fault> faults;
+    const auto settings = configuration::parseSettings(settingsText(state_, process, hash), faults);
+    EXPECT_TRUE(faults.empty()) << process.name << ": " << faults[0].path;
+    const auto wrong = configuration::checkSettings(settings, roleName(process.role));
+    EXPECT_TRUE(wrong.empty()) << process.name << ": " << wrong[0].path << wrong[0].message;
+  }
+}
+
 TEST_F(FleetPlanTest, AReplacedCoreGetsANewAddressAndFolder) {
   const FleetProcess old = *state_.find("core-2");
   const FleetProcess fresh = replaceCore(state_, "core-2");
