--- a/programs/lab/fleet.cc
+++ b/programs/lab/fleet.cc
@@ -4,14 +4,13 @@
 #include <sys/file.h>
 #include <unistd.h>
 
+#include <boost/json/serialize.hpp>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <thread>
 
-#include <boost/json/serialize.hpp>
-
 #include "http_probe.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/configuration/view.h"
@@ -186,7 +185,7 @@
 }
 
 void Fleet::applyConfiguration(const std::string& document, base::Duration limit) {
-  // The file may have comments; the request has none.
+  // The interface takes plain JSON; a file may hold comments.
   const std::string plain = boost::json::serialize(laboratory::parseObject(document));
   http::Request request;
   request.method = "POST";
