--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -3,7 +3,6 @@
 #include "daemon_process.h"
 #include "role_commands.h"
 #include "settings_options.h"
-#include "switchsaddle/admission/ledger_slot_broker.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/front/front_node.h"
 #include "switchsaddle/front/http_worker_port.h"
@@ -43,17 +42,11 @@
   }
 
  private:
-  std::vector<base::NodeAddress> coreAddresses() const {
-    const std::vector<base::NodeAddress>& learned = node_.session().coreAddresses();
-    return learned.empty() ? settings_.seeds : learned;
-  }
-
   configuration::Settings settings_;
   DaemonProcess process_;
   std::uint64_t instance_;
   std::unique_ptr<http::Client> client_;
   front::HttpWorkerPort worker_port_;
-  admission::LedgerSlotBroker slots_;
   front::FrontNode node_;
   std::unique_ptr<http::Server> server_;
 };
