Survive an acceptor set register that cannot be understood

Decoding threw in a callback of the change's driver. It now ends with RecordCorrupt. The new path itself has no test.

--- a/libraries/registers/include/switchsaddle/registers/acceptor_set_change.h
+++ b/libraries/registers/include/switchsaddle/registers/acceptor_set_change.h
@@ -37,7 +37,8 @@
  public:
   /**
    * Ok; AcceptorSetChanged: another change is under way here, or the set no longer allows this one;
-   * InvalidValue: the new member's address belongs to another member; NoQuorum: no progress.
+   * InvalidValue: the new member's address belongs to another member; NoQuorum: no progress;
+   * RecordCorrupt: the register of the set cannot be understood.
    */
   using Callback = std::function<void(base::ResultCode)>;
 
--- a/libraries/registers/source/acceptor_set_change.cc
+++ b/libraries/registers/source/acceptor_set_change.cc
@@ -17,12 +17,21 @@
   return std::find(members.begin(), members.end(), member) != members.end();
 }
 
+/** The set in the register; nothing where its value cannot be understood. */
+std::optional<wire::AcceptorSet> readSet(const std::string& value) {
+  try {
+    return decodeAcceptorSet(value);
+  } catch (const base::Error&) {
+    return std::nullopt;
+  }
+}
+
 /** The compare-and-swap of the acceptor set from one epoch to the next. */
 ChangeFunction swapFrom(std::uint64_t base_epoch, const wire::AcceptorSet& next) {
   return [base_epoch, next](const std::string& present) -> std::optional<std::string> {
     // The first set is settled by Bootstrap and not written to the register.
-    const std::uint64_t epoch = present.empty() ? 1 : decodeAcceptorSet(present).epoch;
-    if (epoch != base_epoch) {
+    const auto set = present.empty() ? wire::AcceptorSet{1, {}, {}} : readSet(present);
+    if (!set || set->epoch != base_epoch) {
       return std::nullopt;
     }
     return encodeAcceptorSet(next);
@@ -98,10 +107,14 @@
     return;
   }
   if (!outcome.value.empty()) {
-    const wire::AcceptorSet chosen = decodeAcceptorSet(outcome.value);
-    if (chosen.epoch > acceptor_.acceptorSet().epoch) {
+    const std::optional<wire::AcceptorSet> chosen = readSet(outcome.value);
+    if (!chosen) {
+      finish(base::ResultCode::RecordCorrupt);
+      return;
+    }
+    if (chosen->epoch > acceptor_.acceptorSet().epoch) {
       progress();
-      acceptor_.installSet(chosen, [](bool) {});
+      acceptor_.installSet(*chosen, [](bool) {});
     }
   }
   evaluate();
