--- a/libraries/registers/include/switchsaddle/registers/bootstrap.h
+++ b/libraries/registers/include/switchsaddle/registers/bootstrap.h
@@ -45,7 +45,7 @@
   void setCandidateListener(CandidateListener listener) { listener_ = std::move(listener); }
 
  private:
-  void onAnnounce(const wire::CoreAnnounce& announce, transport::ReplyFunction reply);
+  void onAnnounce(const wire::CoreAnnounce& announce, const transport::ReplyFunction& reply);
   void announce();
   void onReply(std::uint64_t round, const wire::CoreAnnounceReply& reply);
   bool isFirstInitialCore() const;
--- a/libraries/registers/include/switchsaddle/registers/scrubber.h
+++ b/libraries/registers/include/switchsaddle/registers/scrubber.h
@@ -50,7 +50,7 @@
   void choosePeer();
   void onPeerPage(const transport::CallResult& result);
   void reconcile(const wire::RegisterScanReply& own, const wire::RegisterScanReply& peer);
-  void installHere(std::vector<wire::RegisterScanEntry> entries);
+  void installHere(const std::vector<wire::RegisterScanEntry>& entries);
   void installAtPeer(std::vector<wire::RegisterScanEntry> entries);
   void proposeAnew(const std::string& key);
   void readFiles();
--- a/libraries/registers/source/bootstrap.cc
+++ b/libraries/registers/source/bootstrap.cc
@@ -24,7 +24,7 @@
       options_(std::move(options)),
       timer_(dispatcher_.createTimer([this] { announce(); })) {
   calls_.handle<wire::CoreAnnounce>([this](const auto&, const wire::CoreAnnounce& announce,
-                                           auto reply) { onAnnounce(announce, std::move(reply)); });
+                                           const auto& reply) { onAnnounce(announce, reply); });
 }
 
 void Bootstrap::start() {
@@ -35,7 +35,8 @@
   return {calls_.localAddress(), acceptor_.instance()};
 }
 
-void Bootstrap::onAnnounce(const wire::CoreAnnounce& announce, transport::ReplyFunction reply) {
+void Bootstrap::onAnnounce(const wire::CoreAnnounce& announce,
+                           const transport::ReplyFunction& reply) {
   if (!acceptor_.loaded()) {
     return;
   }
--- a/libraries/registers/source/register_copy.cc
+++ b/libraries/registers/source/register_copy.cc
@@ -116,11 +116,9 @@
         }
         const auto* reply = result.as<wire::RegisterInstallReply>();
         const bool is_target = reply != nullptr && reply->instance == self->target_.instance;
-        if (!is_target) {
-          self->end(false);
-        } else if (reply->synced) {
+        if (is_target && reply->synced) {
           self->nextPage();
-        } else if (self->proposed_anew_) {
+        } else if (!is_target || self->proposed_anew_) {
           self->end(false);
         } else {
           self->proposeAnew(0);
--- a/libraries/registers/source/scrubber.cc
+++ b/libraries/registers/source/scrubber.cc
@@ -110,7 +110,7 @@
   cursor_ = frontier.value_or("");
 }
 
-void Scrubber::installHere(std::vector<wire::RegisterScanEntry> entries) {
+void Scrubber::installHere(const std::vector<wire::RegisterScanEntry>& entries) {
   if (entries.empty()) {
     return;
   }
--- a/libraries/registers/source/set_install_round.cc
+++ b/libraries/registers/source/set_install_round.cc
@@ -35,7 +35,7 @@
 
 void installAtMembers(transport::PeerCalls& calls, const wire::AcceptorSet& set,
                       const wire::AcceptorSet& counted, base::Duration timeout,
-                      std::function<void(const SetInstallResult&)> callback) {
+                      const std::function<void(const SetInstallResult&)>& callback) {
   const std::vector<base::NodeAddress> addresses = memberAddresses(counted);
   const auto round = std::make_shared<Round>(counted, addresses.size());
   for (const base::NodeAddress& address : addresses) {
--- a/libraries/registers/source/set_install_round.h
+++ b/libraries/registers/source/set_install_round.h
@@ -23,6 +23,6 @@
  */
 void installAtMembers(transport::PeerCalls& calls, const wire::AcceptorSet& set,
                       const wire::AcceptorSet& counted, base::Duration timeout,
-                      std::function<void(const SetInstallResult&)> callback);
+                      const std::function<void(const SetInstallResult&)>& callback);
 
 }  // namespace switchsaddle::registers
