--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,79 @@
+#!/usr/bin/env bash
+# Installs what is missing, builds, starts a fleet of real processes on loopback addresses and shows it at
+# work: a stream, a one-shot and its replay, a change in force everywhere, a worker killed under load. Stops
+# the fleet and ends with exit code 0 only if all of it held.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ "$(id -u)" = 0 ] && ./scripts/install-packages.sh
+build=${BUILD:-build}
+BUILD=$build ./scripts/build.sh switchsaddle switchsaddle-lab
+daemon=$build/programs/switchsaddle
+lab=$build/programs/switchsaddle-lab
+fleet=$(mktemp -d)
+finish() {
+  "$lab" fleet down --directory "$fleet" >/dev/null 2>&1 || true
+  rm -rf "$fleet"
+}
+trap finish EXIT
+
+say() { printf '\n== %s\n' "$*"; }
+expect() { # TEXT PATTERN MESSAGE
+  if ! grep -q -- "$2" <<<"$1"; then
+    echo "FAILED: $3"
+    echo "$1"
+    exit 1
+  fi
+}
+
+say "A fleet of five cores, three fronts in three zones, four model workers, two one-shot workers, a platform"
+"$lab" fleet up --layout examples/demo/layout.json --directory "$fleet" --switchsaddle "$daemon" \
+  --configuration examples/demo/configuration.json
+front_address() { "$lab" fleet status --directory "$fleet" | awk -v name="front-$1" '$1 == name {print $4}'; }
+front_one=$(front_address 1)
+front_two=$(front_address 2)
+tenant=$(python3 -c 'import json;print(json.load(open("examples/demo/load.json"))["tenants"][0]["key"])' 2>/dev/null ||
+  sed -n 's/.*"key": *"\([^"]*\)".*/\1/p' examples/demo/load.json | head -1)
+operator=$(sed -n 's/.*"operator_key": *"\([^"]*\)".*/\1/p' examples/demo/layout.json)
+ctl() { "$daemon" ctl --address "$front_one,$front_two" --key "$operator" "$@"; }
+
+say "A streamed completion, up to [DONE]"
+stream=$(curl -sN --max-time 20 "http://$front_one/v1/chat/completions" -H "Authorization: Bearer $tenant" \
+  -d '{"model":"small","messages":[{"role":"user","content":"hello"}],"stream":true,"max_tokens":5}')
+echo "$stream"
+expect "$stream" 'data: \[DONE\]' "the stream did not reach [DONE]"
+
+say "A one-shot, and its resend through another front: replayed, not run again"
+one_shot() {
+  curl -s --max-time 20 "http://$1/v1/one-shots" -H "Authorization: Bearer $tenant" \
+    -H 'Idempotency-Key: demo-order-1' -d '{"service":"confirmations","payload":{"order":1}}'
+}
+first=$(one_shot "$front_one")
+second=$(one_shot "$front_two")
+echo "$first"
+echo "$second"
+expect "$first" '"outcome":"ran","replayed":false' "the one-shot did not run"
+expect "$second" '"outcome":"ran","replayed":true' "the resend was not replayed"
+
+say "A change: applied, acknowledged, read back as in force on every front"
+ctl set tuning/route-explore-share 0.2
+in_force=$(ctl in-force)
+echo "$in_force"
+[ "$(grep -c 'true *$' <<<"$in_force")" = 3 ] || { echo "FAILED: not in force on all three fronts"; exit 1; }
+
+say "A worker is killed while callers go on"
+"$lab" load --fleet "$fleet/fleet.json" --load examples/demo/load.json --record "$fleet/record.jsonl" \
+  --seconds 12 --seed "$(date +%s)" &
+load=$!
+sleep 4
+"$lab" fleet kill --directory "$fleet" model-1 >/dev/null
+sleep 3
+"$lab" fleet start --directory "$fleet" model-1 >/dev/null
+wait "$load"
+
+say "The checker reads the callers' record and the workers' journals"
+"$lab" judge --record "$fleet/record.jsonl" --journals "$fleet/journals"
+
+say "Each front's routing table"
+ctl routing
+
+say "All of it held"
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -7,7 +7,7 @@
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libcli11-dev libgoogle-glog-dev librange-v3-dev libcereal-dev libxxhash-dev libssl-dev
   libgtest-dev libgmock-dev libbenchmark-dev
-  clang-format clang-tidy gnuplot-nox
+  clang-format clang-tidy gnuplot-nox curl
 )
 missing=()
 for package in "${packages[@]}"; do
