--- a/libraries/wire/include/switchsaddle/wire/admission_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/admission_messages.h
@@ -8,13 +8,15 @@
 
 /**
  * @file
- * Fleet-wide slots of the share tree, granted to fronts by a limit ledger and recalled when needed. A
- * front numbers everything it tells of a branch; a grant counts only while nothing later was told.
+ * Fleet-wide slots of the share tree, granted to fronts by a limit ledger and recalled when needed.
+ * A front numbers everything it tells of a branch; a grant counts only while nothing later was
+ * told.
  */
 
 namespace switchsaddle::wire {
 
-/** Front to ledger: what it holds of a branch now, and how many slots more it wants (0 to give back). */
+/** Front to ledger: what it holds of a branch now, and how many slots more it wants (0 to give
+ * back). */
 struct SlotRequest {
   std::string branch;
   std::uint64_t front_instance = 0;
@@ -48,7 +50,8 @@
   }
 };
 
-/** Ledger to front: give back idle slots and tell what is held; an empty branch means all of the shard. */
+/** Ledger to front: give back idle slots and tell what is held; an empty branch means all of the
+ * shard. */
 struct SlotRecall {
   std::uint64_t term = 0;
   std::uint32_t shard = 0;
