--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -79,6 +79,7 @@
   void handleControlRequests();
   void refreshPeers();
   void onWatcherLease(bool gained);
+  void startWatcher();
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
   std::vector<base::NodeAddress> frontsWithSessions() const;
@@ -113,6 +114,7 @@
   ControlService control_;
   base::TimerPtr open_timer_;
   base::TimerPtr peers_timer_;
+  base::TimerPtr watcher_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
