--- /dev/null
+++ b/scripts/control-run.py
@@ -0,0 +1,352 @@
+#!/usr/bin/env python3
+"""Measures the control plane on a fleet of real processes on this machine.
+
+  control-run.py latency  --layout FILE ...   change latency, and core CPU, while nothing fails
+  control-run.py recovery --layout FILE ...   300 changes, losses, and the time until fronts serve
+  control-run.py takeover --layout FILE ...   the platform watcher killed, and frozen past its term
+
+Each run brings up its own fleet in a fresh directory below --directory and takes it down. A line of
+JSON is printed for each figure; exit code 1 tells that something which must hold did not.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import subprocess
+import sys
+import time
+
+OPERATOR_KEY = "demo-operator-key"
+SERVING_GOAL_SECONDS = 12.0
+TAKEOVER_GOAL_SECONDS = 4.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Failure(Exception):
+    """Something that must hold does not."""
+
+
+def request(address, method, path, body=None, timeout=5.0):
+    """Status and decoded body; status 0 where no answer came."""
+    host, port = address.rsplit(":", 1)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        payload = None if body is None else json.dumps(body)
+        headers = {"Authorization": "Bearer " + OPERATOR_KEY, "Content-Type": "application/json"}
+        connection.request(method, path, payload, headers)
+        response = connection.getresponse()
+        text = response.read().decode()
+    except (OSError, http.client.HTTPException):
+        return 0, None
+    finally:
+        connection.close()
+    try:
+        return response.status, json.loads(text)
+    except ValueError:
+        return response.status, text
+
+
+class Fleet:
+    """One fleet, driven by switchsaddle-lab."""
+
+    def __init__(self, arguments, run):
+        self.lab = os.path.join(arguments.programs, "switchsaddle-lab")
+        self.directory = os.path.join(arguments.directory, f"{arguments.command}-{os.getpid()}-{run}")
+        try:
+            self.command("up", "--layout", arguments.layout,
+                         "--configuration", arguments.configuration,
+                         "--switchsaddle", os.path.join(arguments.programs, "switchsaddle"))
+        except subprocess.CalledProcessError:
+            self.down()
+            raise
+
+    def command(self, action, *rest):
+        subprocess.run([self.lab, "fleet", action, "--directory", self.directory, *rest],
+                       check=True, stdout=subprocess.DEVNULL)
+
+    def processes(self, role):
+        with open(os.path.join(self.directory, "fleet.json"), encoding="utf-8") as file:
+            listed = json.load(file)["processes"]
+        return [process for process in listed if process["role"] == role]
+
+    def addresses(self, role):
+        return {process["name"]: process["http_address"] for process in self.processes(role)}
+
+    def down(self):
+        self.command("down")
+
+
+class Operator:
+    """Sends changes, each again until it has its final answer."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.version = 0
+        self.sent = 0
+        self.zones = set()
+
+    def core_addresses(self):
+        return list(self.fleet.addresses("core").values())
+
+    def read(self, limit=10.0):
+        end = time.monotonic() + limit
+        while time.monotonic() < end:
+            for address in self.core_addresses():
+                status, body = request(address, "GET", "/v1/configuration", timeout=2.0)
+                if status == 200:
+                    self.version = body["version"]
+                    return body
+            time.sleep(0.02)
+        raise Failure("the configuration can't be read")
+
+    def change(self, setting=None, removing=None, limit=30.0, address=None):
+        """Sends one change until it is acknowledged; returns the seconds of its first try where
+        that was the acknowledgement, else of all tries."""
+        self.sent += 1
+        body = {"change_id": f"run-{os.getpid()}-{self.sent}", "base_version": self.version,
+                "set": setting or {}, "remove": removing or []}
+        begin = time.monotonic()
+        addresses = [address] if address else self.core_addresses()
+        tries = 0
+        while time.monotonic() < begin + limit:
+            target = addresses[tries % len(addresses)]
+            tries += 1
+            status, answer = request(target, "POST", "/v1/configuration/changes", body)
+            if status == 200:
+                self.version = answer["version"]
+                return time.monotonic() - begin
+            if status in (409, 422, 401):
+                raise Failure(f"a change was refused: {answer}")
+            time.sleep(0.02)
+        raise Failure("a change was not acknowledged within its limit")
+
+    def change_anything(self, number):
+        """A small change; every tenth empties a zone, every thirtieth serves one again."""
+        if number % 30 == 29 and self.zones:
+            zone = sorted(self.zones)[0]
+            seconds = self.change(removing=["evacuations/" + zone])
+            self.zones.discard(zone)
+            return seconds
+        if number % 10 == 0:
+            zone = f"zone-{number}"
+            seconds = self.change(setting={"evacuations/" + zone: {}})
+            self.zones.add(zone)
+            return seconds
+        digest = f"{number:064x}"
+        return self.change(setting={f"keys/run-{number}": {"sha256": digest, "tenant": "first"}})
+
+    def check(self):
+        """The newest acknowledged configuration and every evacuation are back."""
+        expected = self.version
+        zones = set(self.zones)
+        body = self.read()
+        kept = {path.split("/", 1)[1] for path in body["document"] if path.startswith("evacuations/")}
+        if body["version"] < expected:
+            raise Failure(f"version {body['version']} is back, {expected} was acknowledged")
+        if kept != zones:
+            raise Failure(f"evacuations {sorted(kept)} are back, not {sorted(zones)}")
+
+
+def percentile(values, part):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
+def report(name, **figures):
+    load = os.getloadavg()[0]
+    print(json.dumps({"figure": name, **figures, "load_average": round(load, 1)}), flush=True)
+
+
+def milliseconds(seconds):
+    return round(seconds * 1000, 1)
+
+
+def wait_serving(fleet, operator, limit=60.0):
+    """Seconds until every front is ready and holds the newest acknowledged version."""
+    begin = time.monotonic()
+    waiting = dict(fleet.addresses("front"))
+    while waiting:
+        if time.monotonic() > begin + limit:
+            raise Failure(f"{sorted(waiting)} do not serve after {limit} s")
+        for name, address in list(waiting.items()):
+            ready, _ = request(address, "GET", "/readyz", timeout=1.0)
+            status, body = request(address, "GET", "/v1/configuration", timeout=1.0)
+            if ready == 200 and status == 200 and body["version"] >= operator.version:
+                del waiting[name]
+        time.sleep(0.02)
+    return time.monotonic() - begin
+
+
+def cpu_seconds(pid):
+    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+        fields = file.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+
+def latency(arguments, run):
+    fleet = Fleet(arguments, run)
+    try:
+        operator = Operator(fleet)
+        operator.read()
+        cores = fleet.processes("core")
+        before = [cpu_seconds(core["pid"]) for core in cores]
+        time.sleep(arguments.idle_seconds)
+        idle = [cpu_seconds(core["pid"]) - start for core, start in zip(cores, before)]
+        times = [operator.change_anything(number) for number in range(arguments.changes)]
+        fronts = len(fleet.addresses("front"))
+        report("change latency ms", fronts=fronts, changes=len(times),
+               p50=milliseconds(percentile(times, 0.50)), p95=milliseconds(percentile(times, 0.95)),
+               p99=milliseconds(percentile(times, 0.99)), longest=milliseconds(max(times)))
+        report("idle core CPU, part of one processor", sessions=fronts,
+               cores=[round(seconds / arguments.idle_seconds, 4) for seconds in idle])
+    finally:
+        fleet.down()
+
+
+def recovery(arguments, run):
+    fleet = Fleet(arguments, run)
+    try:
+        operator = Operator(fleet)
+        operator.read()
+        for number in range(arguments.changes):
+            operator.change_anything(number)
+
+        def came_back(name):
+            seconds = wait_serving(fleet, operator)
+            operator.check()
+            operator.change_anything(arguments.changes + operator.sent)
+            report("seconds until every front serves, after " + name, run=run,
+                   seconds=round(seconds, 2), changes=operator.sent, version=operator.version)
+            if seconds > SERVING_GOAL_SECONDS:
+                raise Failure(f"{name}: {seconds:.1f} s")
+
+        fleet.command("kill", "cores")
+        fleet.command("start", "cores")
+        came_back("all cores killed and started")
+
+        fleet.command("kill", "cores", "fronts")
+        fleet.command("start", "cores", "fronts")
+        came_back("all cores and fronts killed and started")
+
+        fleet.command("kill", "cores")
+        fleet.command("wipe", "core-5")
+        replaced = fleet.addresses("core")["core-4"]
+        fleet.command("replace", "core-4")
+        fleet.command("start", "core-1", "core-2", "core-3", "core-5")
+        came_back("all cores killed, one wiped, one replaced")
+
+        wait_members(fleet, operator, without=replaced)
+        fleet.command("kill", "core-1", "core-2")
+        came_back("a second loss of two right after the replacement")
+    finally:
+        fleet.down()
+
+
+def core_set(operator):
+    for address in operator.core_addresses():
+        status, body = request(address, "GET", "/v1/status", timeout=1.0)
+        if status == 200:
+            return body
+    return None
+
+
+def wait_members(fleet, operator, without, limit=60.0):
+    """Waits until the replaced core has left the settled set, and each running core votes."""
+    begin = time.monotonic()
+    while time.monotonic() < begin + limit:
+        votes = 0
+        for name, address in fleet.addresses("core").items():
+            if address != without:
+                status, body = request(address, "GET", "/v1/status", timeout=1.0)
+                votes += 1 if status == 200 and may_vote(body) else 0
+        if votes == 5:
+            report("seconds until the wiped and the new core are members",
+                   seconds=round(time.monotonic() - begin, 2))
+            return
+        time.sleep(0.05)
+    raise Failure("the new cores were not admitted")
+
+
+def may_vote(status):
+    return status["storage"]["may_vote"]
+
+
+def leases(fleet):
+    held = {}
+    for name, address in fleet.addresses("core").items():
+        status, body = request(address, "GET", "/v1/status", timeout=0.3)
+        if status == 200:
+            for lease in body["leases"]:
+                if lease["held"]:
+                    held.setdefault(lease["name"], []).append((lease["term"], name))
+    return held
+
+
+def wait_watcher(fleet, not_by, limit=30.0):
+    begin = time.monotonic()
+    while time.monotonic() < begin + limit:
+        holders = [entry for entry in leases(fleet).get("platform-watcher", []) if entry[1] != not_by]
+        if holders:
+            return max(holders), time.monotonic() - begin
+        time.sleep(0.02)
+    raise Failure("nobody watches the platform")
+
+
+def takeover(arguments, run):
+    fleet = Fleet(arguments, run)
+    try:
+        (term, holder), _ = wait_watcher(fleet, None)
+        fleet.command("kill", holder)
+        (next_term, next_holder), seconds = wait_watcher(fleet, holder)
+        report("watcher takeover seconds after a kill", run=run, seconds=round(seconds, 2),
+               term=term, next_term=next_term)
+        check_takeover(term, next_term, seconds)
+        fleet.command("start", "--ready", holder)
+        fleet.command("freeze", next_holder)
+        (third_term, _), seconds = wait_watcher(fleet, next_holder)
+        report("watcher takeover seconds after a freeze", run=run, seconds=round(seconds, 2),
+               term=next_term, next_term=third_term)
+        check_takeover(next_term, third_term, seconds)
+        fleet.command("wake", next_holder)
+        for _ in range(50):
+            held = leases(fleet).get("platform-watcher", [])
+            if len(held) > 1:
+                raise Failure(f"two watchers after the wake: {held}")
+    finally:
+        fleet.down()
+
+
+def check_takeover(term, next_term, seconds):
+    if next_term <= term:
+        raise Failure(f"term {next_term} follows {term}")
+    if seconds > TAKEOVER_GOAL_SECONDS:
+        raise Failure(f"takeover took {seconds:.1f} s")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("command", choices=["latency", "recovery", "takeover"])
+    parser.add_argument("--programs", required=True, help="folder of the two programs")
+    parser.add_argument("--layout", required=True)
+    parser.add_argument("--configuration", required=True)
+    parser.add_argument("--directory", required=True)
+    parser.add_argument("--changes", type=int, default=300)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--idle-seconds", type=float, default=5.0)
+    arguments = parser.parse_args()
+    actions = {"latency": latency, "recovery": recovery, "takeover": takeover}
+    failed = 0
+    for run in range(1, arguments.runs + 1):
+        try:
+            actions[arguments.command](arguments, run)
+        except Failure as failure:
+            failed += 1
+            report("FAILED", run=run, what=str(failure))
+    report("runs", command=arguments.command, runs=arguments.runs, failed=failed)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
