Measure placement policies on a simulated fleet, and placement's cost

Cause: the router's choices were judged by unit tests alone; how many fronts act together was not measured.

Change: a library of experiments (parameters x seeds to a CSV and a plot) with the experiment "routing": fronts with their own LearnedRouter, workers with the laboratory's cache, slots and speeds, Poisson arrivals with Zipf prefix families, exchange of scores each second, a crash, a cold return and a join.

Nothing of the router is changed here.

--- /dev/null
+++ b/libraries/experiments/source/fleet_recorder.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <vector>
+
+#include "fleet_settings.h"
+#include "modelled_worker.h"
+#include "switchsaddle/experiments/experiment.h"
+
+namespace switchsaddle::experiments {
+
+/** Collects what happened in one run and works the measures out of it. */
+class FleetRecorder {
+ public:
+  explicit FleetRecorder(const FleetSettings& settings) : settings_(settings) {}
+
+  void onPlaced(std::size_t worker, base::TimePoint now);
+  void onFirstToken(base::Duration since_arrival, base::TimePoint now);
+  void onDone(const ModelledPrompt& prompt, const StreamResult& result, base::TimePoint now);
+  void onLost() { ++lost_; }
+  /** A worker returned or joined with an empty cache. */
+  void onColdStart(std::size_t worker, base::TimePoint now);
+  void onCrash(std::size_t worker) { crashed_.push_back(worker); }
+  void onScoresSent(std::size_t bytes) { score_bytes_ += bytes; }
+  std::vector<Measure> measures() const;
+
+ private:
+  struct ColdStart {
+    std::size_t worker = 0;
+    base::TimePoint at{};
+  };
+  struct Placed {
+    std::size_t worker = 0;
+    base::TimePoint at{};
+  };
+
+  bool measuring(base::TimePoint now) const;
+  double percentile(double share) const;
+  double fairShare(base::Duration window) const;
+  /** Prompts a cold worker got in the window after its start, over its fair share; the largest of
+   * all cold starts. */
+  double coldShare(base::Duration offset, base::Duration window) const;
+  double worstColdShareLater() const;
+  /** Longest time from a cold start until half the fair share arrives within two seconds. */
+  double secondsUntilWarm() const;
+  double spread() const;
+
+  const FleetSettings& settings_;
+  std::vector<double> first_tokens_s_;
+  std::vector<Placed> placed_;
+  std::vector<ColdStart> cold_starts_;
+  std::vector<std::size_t> crashed_;
+  std::uint64_t cached_tokens_ = 0;
+  std::uint64_t prefix_tokens_ = 0;
+  std::uint64_t output_tokens_ = 0;
+  std::uint64_t lost_ = 0;
+  std::uint64_t score_bytes_ = 0;
+};
+
+}  // namespace switchsaddle::experiments
--- /dev/null
+++ b/libraries/experiments/source/prompt_source.cc
@@ -0,0 +1,66 @@
+#include "prompt_source.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace switchsaddle::experiments {
+
+namespace {
+
+constexpr std::uint64_t Tenants = 5;
+constexpr std::uint64_t VariantsPerFamily = 4;
+constexpr std::uint32_t TenantPartTokens = 600;
+constexpr std::uint32_t FamilyPartTokens = 3'000;
+constexpr std::uint32_t VariantPartTokens = 800;
+constexpr std::uint32_t LeastOwnTokens = 50;
+constexpr std::uint32_t OwnTokensRange = 250;
+constexpr std::uint32_t LeastOutputTokens = 20;
+constexpr std::uint32_t OutputTokensRange = 160;
+
+}  // namespace
+
+PromptSource::PromptSource(const FleetSettings& settings, base::RandomSource& random)
+    : settings_(settings), random_(random) {
+  const std::size_t families =
+      std::max<std::size_t>(1, settings.families_per_worker * settings.workers);
+  double total = 0;
+  for (std::size_t rank = 1; rank <= families; ++rank) {
+    total += 1.0 / std::pow(static_cast<double>(rank), settings.zipf_exponent);
+    cumulated_.push_back(total);
+  }
+}
+
+std::size_t PromptSource::drawFamily() {
+  const double point = random_.uniform() * cumulated_.back();
+  const auto found = std::upper_bound(cumulated_.begin(), cumulated_.end(), point);
+  return static_cast<std::size_t>(found - cumulated_.begin());
+}
+
+ModelledPrompt PromptSource::next() {
+  const std::size_t family = drawFamily();
+  const std::string family_name = std::to_string(family);
+  const std::uint64_t variant = random_.below(VariantsPerFamily);
+  ModelledPrompt drawn;
+  drawn.prompt.model = "model-" + std::to_string(family % settings_.models);
+  drawn.prompt.prefix_parts = {
+      {"tenant-" + std::to_string(family % Tenants), TenantPartTokens},
+      {"family-" + family_name, FamilyPartTokens},
+      {"variant-" + family_name + "-" + std::to_string(variant), VariantPartTokens}};
+  for (const routing::PrefixPart& part : drawn.prompt.prefix_parts) {
+    drawn.prefix_tokens += part.tokens;
+    drawn.parts.push_back(laboratory::PrefixPart{part.id, part.tokens});
+  }
+  const auto own_tokens = static_cast<std::uint32_t>(random_.below(OwnTokensRange));
+  drawn.prompt.prompt_tokens = drawn.prefix_tokens + LeastOwnTokens + own_tokens;
+  drawn.output_tokens =
+      LeastOutputTokens + static_cast<std::uint32_t>(random_.below(OutputTokensRange));
+  drawn.prompt.maximum_tokens = drawn.output_tokens;
+  return drawn;
+}
+
+base::Duration PromptSource::nextGap() {
+  const double gap_s = -std::log(1.0 - random_.uniform()) / settings_.streams_per_s;
+  return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(gap_s));
+}
+
+}  // namespace switchsaddle::experiments
--- /dev/null
+++ b/libraries/experiments/source/routing_experiment.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "switchsaddle/experiments/experiment.h"
+
+namespace switchsaddle::experiments {
+
+/** Placement policies compared on one simulated fleet: `lab experiment routing`. */
+class RoutingExperiment : public Experiment {
+ public:
+  std::string name() const override { return "routing"; }
+  std::vector<Setting> defaults() const override;
+  std::string plottedMeasure() const override { return "first_token_p95_ms"; }
+  std::vector<Measure> run(const Settings& settings, std::uint64_t seed) const override;
+};
+
+}  // namespace switchsaddle::experiments
--- /dev/null
+++ b/programs/lab/experiment_command.cc
@@ -0,0 +1,116 @@
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "commands.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/experiments/sweep.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+/** The command line of `lab experiment`. */
+struct ExperimentArguments {
+  std::string name;
+  std::vector<std::string> parameters;
+  std::uint64_t seeds = 1;
+  std::uint64_t first_seed = 1;
+  std::string csv;
+  std::string plot;
+  std::string measure;
+};
+
+std::unique_ptr<experiments::Experiment> findExperiment(const std::string& name) {
+  std::string known;
+  for (auto& experiment : experiments::allExperiments()) {
+    if (experiment->name() == name) {
+      return std::move(experiment);
+    }
+    known += " " + experiment->name();
+  }
+  throw base::Error(base::ResultCode::InvalidValue,
+                    "no experiment is named " + name + "; known:" + known);
+}
+
+void printRow(const experiments::Row& row) {
+  for (const experiments::Setting& setting : row.varied) {
+    std::cout << setting.name << "=" << setting.value << " ";
+  }
+  std::cout << "seed=" << row.seed;
+  for (const experiments::Measure& measure : row.measures) {
+    std::cout << " " << measure.name << "=" << measure.value;
+  }
+  std::cout << std::endl;
+}
+
+void printMeans(const std::vector<experiments::Row>& rows) {
+  for (const experiments::Measure& measure : rows.front().measures) {
+    for (const experiments::Summary& summary : experiments::summarize(rows, measure.name)) {
+      std::cout << "mean " << measure.name << " [" << summary.label << "] " << summary.mean << " ("
+                << summary.least << " to " << summary.most << ")\n";
+    }
+  }
+}
+
+/** Feeds the script to gnuplot, which writes the PNG file the script names. */
+void drawPlot(const std::string& script) {
+  std::FILE* gnuplot = ::popen("gnuplot", "w");
+  if (gnuplot == nullptr) {
+    throw base::Error(base::ResultCode::InternalError, "cannot start gnuplot");
+  }
+  std::fwrite(script.data(), 1, script.size(), gnuplot);
+  if (::pclose(gnuplot) != 0) {
+    throw base::Error(base::ResultCode::InternalError, "gnuplot failed");
+  }
+}
+
+void runExperiment(const ExperimentArguments& arguments) {
+  const auto experiment = findExperiment(arguments.name);
+  experiments::Sweep sweep;
+  sweep.seeds = arguments.seeds;
+  sweep.first_seed = arguments.first_seed;
+  for (const std::string& parameter : arguments.parameters) {
+    sweep.ranges.push_back(experiments::parseRange(parameter));
+  }
+  const std::vector<experiments::Row> rows = experiments::runSweep(*experiment, sweep, printRow);
+  if (rows.empty()) {
+    return;
+  }
+  printMeans(rows);
+  if (!arguments.csv.empty()) {
+    std::ofstream file(arguments.csv, std::ios::trunc);
+    file << experiments::formatCsv(rows);
+    if (!file.flush()) {
+      throw base::Error(base::ResultCode::StorageFailed, "cannot write " + arguments.csv);
+    }
+  }
+  if (!arguments.plot.empty()) {
+    const std::string measure =
+        arguments.measure.empty() ? experiment->plottedMeasure() : arguments.measure;
+    drawPlot(
+        experiments::formatPlot(experiments::summarize(rows, measure), measure, arguments.plot));
+  }
+}
+
+}  // namespace
+
+void addExperimentCommand(CLI::App& app) {
+  auto arguments = std::make_shared<ExperimentArguments>();
+  CLI::App* command =
+      app.add_subcommand("experiment", "Run a simulated scenario over parameters and seeds");
+  command->add_option("name", arguments->name, "The experiment, such as routing")->required();
+  command->add_option("--parameter", arguments->parameters, "NAME=a,b,c; repeatable");
+  command->add_option("--seeds", arguments->seeds, "Seeds per combination");
+  command->add_option("--first-seed", arguments->first_seed, "The first of the seeds");
+  command->add_option("--csv", arguments->csv, "Write each run as a line to this file");
+  command->add_option("--plot", arguments->plot, "Draw the measure into this PNG file");
+  command->add_option("--measure", arguments->measure, "The measure to draw");
+  command->callback([arguments] { runExperiment(*arguments); });
+}
+
+}  // namespace switchsaddle::lab
