Send a prefix to its home worker, and find arms without scanning the pool

Cause: a front knew only the owners of chains it had placed itself, and the rendezvous on the chain's first part put all prompts of a tenant on two workers. Each placement also scanned every arm several times.

Change: consistent hashing of the chain up to its longest part names a home worker on which all fronts agree without a call, so it is believed to hold that chain. Arms are found by an index (signature, worker, ring); the list of arms to scout is looked up each 250 ms; chains and in-flight records no longer allocate per part. Worker numbers wrap around without giving one number to two workers; before, the 65,536th instance would have taken number 0 again.

--- /dev/null
+++ b/libraries/routing/include/switchsaddle/routing/arm.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "switchsaddle/routing/cold_guard.h"
+#include "switchsaddle/routing/prefix_index.h"
+#include "switchsaddle/routing/route_statistics.h"
+#include "switchsaddle/workers/worker_directory.h"
+
+namespace switchsaddle::routing {
+
+/** What this front knows of one worker instance; kept over list changes while the instance lives.
+ */
+struct WorkerRecord {
+  workers::Worker worker;
+  WorkerNumber number = NoWorker;
+  std::uint64_t hash = 0;
+  ColdState cold;
+  /** Last Worker-Load: running plus queued, less this front's own part at that moment. */
+  std::uint32_t others_load = 0;
+  std::uint32_t slots = 1;
+  base::TimePoint load_at{};
+  bool evacuated = false;
+
+  bool usable() const { return worker.usable() && !evacuated; }
+};
+
+using WorkerRecordPtr = std::shared_ptr<WorkerRecord>;
+
+/** One arm of the bandit: a model on a worker, or on a prefill-to-decode pair. */
+struct Arm : std::enable_shared_from_this<Arm> {
+  std::string signature;
+  WorkerRecordPtr prefill;
+  /** Null where one worker does both stages. */
+  WorkerRecordPtr decode;
+  std::uint64_t hash = 0;
+  RouteStatistics statistics;
+
+  bool usable() const { return prefill->usable() && (!decode || decode->usable()); }
+};
+
+using ArmPtr = std::shared_ptr<Arm>;
+
+}  // namespace switchsaddle::routing
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -11,6 +11,7 @@
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/routing/arm_selection.h"
 #include "switchsaddle/routing/model_pool.h"
+#include "switchsaddle/routing/prefix_chains.h"
 #include "switchsaddle/routing/router.h"
 
 namespace switchsaddle::routing {
@@ -63,8 +64,9 @@
   };
   struct InFlight {
     ArmPtr arm;
-    std::string model;
-    std::vector<std::uint64_t> chains;
+    /** Pools are never removed. */
+    ModelPool* pool = nullptr;
+    PrefixChains chains;
   };
 
   // Pools, in source/pool_builder.cc.
@@ -73,19 +75,22 @@
   void buildPool(ModelPool& pool);
   void addArm(ModelPool& pool, std::map<std::string, ArmPtr>& former,
               const WorkerRecordPtr& prefill, const WorkerRecordPtr& decode);
+  WorkerNumber freeNumber();
   std::string topologyOf(const ModelPool& pool) const;
   void bumpEpoch(ModelPool& pool);
   void pruneRetired(ModelPool& pool);
 
   // Candidates of one prompt, in source/candidates.cc.
-  void collectCandidates(const ModelPool& pool, const Prompt& prompt,
-                         const std::vector<std::uint64_t>& chains,
+  void collectCandidates(ModelPool& pool, const Prompt& prompt, const PrefixChains& chains,
                          const std::vector<std::string>& excluded);
-  void collectOwners(const ModelPool& pool, const Prompt& prompt,
-                     const std::vector<std::uint64_t>& chains);
-  void collectByRendezvous(const ModelPool& pool, std::uint64_t chain);
+  void collectOwners(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
+  /** The workers consistent hashing names for the prompt's longest part. All fronts send it there,
+   * so it is believed to be cached there. */
+  void collectHomes(const ModelPool& pool, const PrefixChains& chains);
   void collectAtRandom(const ModelPool& pool, std::size_t limit);
   void collectLeastMeasured(const ModelPool& pool);
+  void collectLeastMeasured(ModelPool& pool);
+  void refreshScouts(ModelPool& pool);
   void consider(Arm& arm, std::uint32_t cached_tokens);
   void rankCandidates(const Prompt& prompt, std::size_t limit);
   /** Drops arms the cold guard holds back, as long as others remain. */
@@ -104,6 +109,7 @@
   base::Dispatcher& dispatcher_;
   base::RandomSource& random_;
   base::NodeAddress self_;
+  std::uint64_t self_hash_;
   RouterOptions options_;
   std::shared_ptr<const configuration::View> view_;
   workers::WorkerSnapshotPtr snapshot_;
@@ -112,7 +118,8 @@
   ColdGuard cold_guard_;
   PrefixIndex prefix_index_;
   std::map<std::string, WorkerRecordPtr> workers_;
-  std::vector<WorkerRecordPtr> workers_by_number_;
+  WorkerNumber next_number_ = 0;
+  bool numbers_reused_ = false;
   std::unordered_map<std::string, ModelPool> pools_;
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::uint64_t next_ticket_ = 1;
--- a/libraries/routing/include/switchsaddle/routing/model_pool.h
+++ b/libraries/routing/include/switchsaddle/routing/model_pool.h
@@ -1,49 +1,13 @@
 #pragma once
 
 #include <cstdint>
-#include <memory>
 #include <string>
 #include <vector>
 
-#include "switchsaddle/routing/cold_guard.h"
-#include "switchsaddle/routing/prefix_index.h"
-#include "switchsaddle/routing/route_statistics.h"
-#include "switchsaddle/workers/worker_directory.h"
+#include "switchsaddle/routing/arm_index.h"
 
 namespace switchsaddle::routing {
 
-/** What this front knows of one worker instance; kept over list changes while the instance lives.
- */
-struct WorkerRecord {
-  workers::Worker worker;
-  WorkerNumber number = NoWorker;
-  std::uint64_t hash = 0;
-  ColdState cold;
-  /** Last Worker-Load: running plus queued, less this front's own part at that moment. */
-  std::uint32_t others_load = 0;
-  std::uint32_t slots = 1;
-  base::TimePoint load_at{};
-  bool evacuated = false;
-
-  bool usable() const { return worker.usable() && !evacuated; }
-};
-
-using WorkerRecordPtr = std::shared_ptr<WorkerRecord>;
-
-/** One arm of the bandit: a model on a worker, or on a prefill-to-decode pair. */
-struct Arm {
-  std::string signature;
-  WorkerRecordPtr prefill;
-  /** Null where one worker does both stages. */
-  WorkerRecordPtr decode;
-  std::uint64_t hash = 0;
-  RouteStatistics statistics;
-
-  bool usable() const { return prefill->usable() && (!decode || decode->usable()); }
-};
-
-using ArmPtr = std::shared_ptr<Arm>;
-
 /** The arms of one model, and the epoch its scores are counted in. */
 struct ModelPool {
   std::string model;
@@ -52,6 +16,11 @@
   /** When the present epoch began; older samples are stale. */
   base::TimePoint epoch_start{};
   std::vector<ArmPtr> arms;
+  ArmIndex index;
+  /** The arms to scout first, as of `scouts_at`; looked up anew now and then, not each time. */
+  std::vector<Arm*> scouts;
+  base::TimePoint scouts_at{};
+  std::uint64_t scouts_epoch = 0;
   /** Arms not in the present list, kept for their means until pruned. */
   std::vector<ArmPtr> retired;
 };
--- a/libraries/routing/include/switchsaddle/routing/route_statistics.h
+++ b/libraries/routing/include/switchsaddle/routing/route_statistics.h
@@ -34,8 +34,9 @@
  public:
   void add(const SpeedSample& sample, base::TimePoint now, double half_life_s);
   /**
-   * Merges another node's mean, last measured `age` ago: values are weighed by mass and the mass becomes
-   * the larger one, so that hearing one value twice does not count it twice. `mass` is decayed to now.
+   * Merges another node's mean, last measured `age` ago: values are weighed by mass and the mass
+   * becomes the larger one, so that hearing one value twice does not count it twice. `mass` is
+   * decayed to now.
    */
   void merge(const SpeedSample& mean, double mass, base::Duration age, base::TimePoint now,
              double half_life_s);
--- /dev/null
+++ b/libraries/routing/source/arm_index.cc
@@ -0,0 +1,56 @@
+#include "switchsaddle/routing/arm_index.h"
+
+#include <algorithm>
+
+#include "switchsaddle/base/hash.h"
+
+namespace switchsaddle::routing {
+
+void ArmIndex::rebuild(const std::vector<ArmPtr>& arms) {
+  arms_ = arms;
+  ranges_.clear();
+  by_signature_.clear();
+  ring_.clear();
+  for (std::uint32_t index = 0; index < arms.size(); ++index) {
+    const WorkerRecord& worker = *arms[index]->prefill;
+    by_signature_.emplace(arms[index]->signature, arms[index].get());
+    if (worker.number >= ranges_.size()) {
+      ranges_.resize(worker.number + 1U);
+    }
+    Range& range = ranges_[worker.number];
+    if (range.count == 0) {
+      range.first = index;
+      addPoints(worker);
+    }
+    ++range.count;
+  }
+  std::sort(ring_.begin(), ring_.end(),
+            [](const Point& first, const Point& second) { return first.hash < second.hash; });
+}
+
+void ArmIndex::addPoints(const WorkerRecord& worker) {
+  for (std::size_t point = 0; point < PointsPerWorker; ++point) {
+    ring_.push_back(Point{base::combineHashes(worker.hash, point), worker.number});
+  }
+}
+
+Arm* ArmIndex::findSignature(const std::string& signature) const {
+  const auto found = by_signature_.find(signature);
+  return found == by_signature_.end() ? nullptr : found->second;
+}
+
+ArmIndex::Arms ArmIndex::armsOf(WorkerNumber prefill) const {
+  if (prefill >= ranges_.size()) {
+    return {};
+  }
+  return arms_.subspan(ranges_[prefill].first, ranges_[prefill].count);
+}
+
+std::size_t ArmIndex::firstPointFrom(std::uint64_t hash) const {
+  const auto found =
+      std::lower_bound(ring_.begin(), ring_.end(), hash,
+                       [](const Point& point, std::uint64_t value) { return point.hash < value; });
+  return static_cast<std::size_t>(found - ring_.begin()) % ring_.size();
+}
+
+}  // namespace switchsaddle::routing
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -1,27 +1,22 @@
 #include <algorithm>
 #include <functional>
-#include <limits>
 
-#include "switchsaddle/base/hash.h"
 #include "switchsaddle/routing/learned_router.h"
 
 namespace switchsaddle::routing {
 
 namespace {
 
-/** Workers chosen by rendezvous hashing for a chain this front has no owner for. */
-constexpr std::size_t RendezvousChoices = 2;
+/** Workers considered by consistent hashing for a chain; the first is its home, the next ones take
+ * what it can't. */
+constexpr std::size_t HomeChoices = 2;
+/** Arms kept in the list of those to scout first, and how long it is used. */
+constexpr std::size_t ScoutChoices = 8;
+constexpr base::Duration ScoutListLifetime = std::chrono::milliseconds(250);
 /** Candidates this much slower to the first token than the best are not drawn from. */
 constexpr double FarFactor = 1.25;
 constexpr double FarSeconds = 0.010;
 
-/** A cheap mix of two hashes; ranks arms for a chain. */
-std::uint64_t rendezvousWeight(std::uint64_t chain, std::uint64_t arm) {
-  std::uint64_t mixed = (chain ^ arm) * 0x9e3779b97f4a7c15ULL;
-  mixed ^= mixed >> 32U;
-  return mixed * 0xd6e8feb86659fd93ULL;
-}
-
 }  // namespace
 
 bool LearnedRouter::isExcluded(const Arm& arm) const {
@@ -46,83 +41,87 @@
   }
 }
 
-void LearnedRouter::collectCandidates(const ModelPool& pool, const Prompt& prompt,
-                                      const std::vector<std::uint64_t>& chains,
+void LearnedRouter::collectCandidates(ModelPool& pool, const Prompt& prompt,
+                                      const PrefixChains& chains,
                                       const std::vector<std::string>& excluded) {
   candidates_.clear();
   excluded_ = &excluded;
   const std::size_t limit = std::max(1U, tuning_.route_candidates);
   if (options_.prefix_affinity && !chains.empty()) {
     collectOwners(pool, prompt, chains);
-    collectByRendezvous(pool, chains.front());
+    collectHomes(pool, chains);
+  }
+  if (pool.arms.size() > limit) {
+    collectLeastMeasured(pool);
   }
-  collectLeastMeasured(pool);
   collectAtRandom(pool, limit);
   rankCandidates(prompt, limit);
 }
 
 void LearnedRouter::collectOwners(const ModelPool& pool, const Prompt& prompt,
-                                  const std::vector<std::uint64_t>& chains) {
+                                  const PrefixChains& chains) {
   std::uint32_t cached_tokens = 0;
-  for (const PrefixPart& part : prompt.prefix_parts) {
-    cached_tokens += part.tokens;
+  for (std::size_t depth = 1; depth <= chains.depth(); ++depth) {
+    cached_tokens += prompt.prefix_parts[depth - 1].tokens;
   }
-  for (std::size_t depth = chains.size(); depth > 0; --depth) {
-    for (const WorkerNumber owner : prefix_index_.find(chains[depth - 1])) {
-      if (owner == NoWorker) {
-        continue;
-      }
-      for (const ArmPtr& arm : pool.arms) {
-        if (arm->prefill->number == owner) {
-          consider(*arm, cached_tokens);
-        }
+  for (std::size_t depth = chains.depth(); depth > 0; --depth) {
+    for (const WorkerNumber owner : prefix_index_.find(chains.at(depth))) {
+      for (const ArmPtr& arm : pool.index.armsOf(owner)) {
+        consider(*arm, cached_tokens);
       }
     }
     cached_tokens -= prompt.prefix_parts[depth - 1].tokens;
   }
 }
 
-void LearnedRouter::collectByRendezvous(const ModelPool& pool, std::uint64_t chain) {
-  std::array<Arm*, RendezvousChoices> best{};
-  std::array<std::uint64_t, RendezvousChoices> weights{};
-  for (const ArmPtr& arm : pool.arms) {
-    const std::uint64_t weight = rendezvousWeight(chain, arm->prefill->hash);
-    if (best[0] == nullptr || weight > weights[0]) {
-      best[1] = best[0];
-      weights[1] = weights[0];
-      best[0] = arm.get();
-      weights[0] = weight;
-    } else if (best[1] == nullptr || weight > weights[1]) {
-      best[1] = arm.get();
-      weights[1] = weight;
+void LearnedRouter::collectHomes(const ModelPool& pool, const PrefixChains& chains) {
+  const std::uint64_t chain = chains.at(chains.homeDepth());
+  pool.index.forEachHome(chain, HomeChoices, [&](std::size_t place, ArmIndex::Arms arms) {
+    for (const ArmPtr& arm : arms) {
+      consider(*arm, place == 0 ? chains.homeTokens() : 0);
     }
-  }
-  for (Arm* arm : best) {
-    if (arm != nullptr) {
+  });
+}
+
+void LearnedRouter::collectLeastMeasured(ModelPool& pool) {
+  refreshScouts(pool);
+  const base::TimePoint now = dispatcher_.now();
+  for (Arm* arm : pool.scouts) {
+    const ArmStatus status =
+        arm->statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
+    if (status != ArmStatus::Proven && mayScout(*arm) && !isExcluded(*arm)) {
       consider(*arm, 0);
+      return;
     }
   }
 }
 
-void LearnedRouter::collectLeastMeasured(const ModelPool& pool) {
+void LearnedRouter::refreshScouts(ModelPool& pool) {
   const base::TimePoint now = dispatcher_.now();
-  Arm* least = nullptr;
-  double least_mass = std::numeric_limits<double>::infinity();
+  if (pool.scouts_epoch == pool.epoch && now - pool.scouts_at < ScoutListLifetime) {
+    return;
+  }
+  pool.scouts_epoch = pool.epoch;
+  pool.scouts_at = now;
+  pool.scouts.clear();
+  const double half_life_s = tuning_.route_stats_half_life_s;
   for (const ArmPtr& arm : pool.arms) {
-    const ArmStatus status =
-        arm->statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
-    if (status == ArmStatus::Proven) {
-      continue;
+    const ArmStatus status = arm->statistics.status(now, pool.epoch_start, half_life_s);
+    if (status != ArmStatus::Proven && mayScout(*arm)) {
+      pool.scouts.push_back(arm.get());
     }
-    const double mass = arm->statistics.mass(now, tuning_.route_stats_half_life_s);
-    if (mass < least_mass && mayScout(*arm) && !isExcluded(*arm)) {
-      least = arm.get();
-      least_mass = mass;
-    }
-  }
-  if (least != nullptr) {
-    consider(*least, 0);
   }
+  const auto measured_less = [&](const Arm* first, const Arm* second) {
+    const double first_mass = first->statistics.mass(now, half_life_s);
+    const double second_mass = second->statistics.mass(now, half_life_s);
+    // Each front takes equally measured arms in its own order.
+    return first_mass != second_mass ? first_mass < second_mass
+                                     : (first->hash ^ self_hash_) < (second->hash ^ self_hash_);
+  };
+  const std::size_t kept = std::min(ScoutChoices, pool.scouts.size());
+  const auto end_of_kept = pool.scouts.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::partial_sort(pool.scouts.begin(), end_of_kept, pool.scouts.end(), measured_less);
+  pool.scouts.resize(kept);
 }
 
 void LearnedRouter::collectAtRandom(const ModelPool& pool, std::size_t limit) {
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -17,18 +17,6 @@
   return std::chrono::duration<double>(duration).count();
 }
 
-/** Hashes of the chain's leading parts: one for each depth. */
-std::vector<std::uint64_t> chainHashes(const Prompt& prompt) {
-  std::vector<std::uint64_t> chains;
-  chains.reserve(prompt.prefix_parts.size());
-  std::uint64_t chain = base::hashBytes(prompt.model);
-  for (const PrefixPart& part : prompt.prefix_parts) {
-    chain = base::combineHashes(chain, base::hashBytes(part.id));
-    chains.push_back(chain);
-  }
-  return chains;
-}
-
 SpeedSample sampleOf(const Completion& completion) {
   SpeedSample sample;
   const double total_s = toSeconds(completion.total);
@@ -59,6 +47,7 @@
     : dispatcher_(dispatcher),
       random_(random),
       self_(std::move(self)),
+      self_hash_(base::hashBytes(self_.toString())),
       options_(options),
       prefix_index_(options.prefix_chains) {}
 
@@ -84,7 +73,7 @@
   if (pool == nullptr || pool->pool != route.pool) {
     return std::nullopt;
   }
-  std::vector<std::uint64_t> chains = chainHashes(prompt);
+  const PrefixChains chains(prompt);
   collectCandidates(*pool, prompt, chains, excluded);
   if (candidates_.empty()) {
     return std::nullopt;
@@ -95,9 +84,6 @@
   }
   const Selection selection = select(*pool, prompt);
   const Candidate& chosen = candidates_[selection.index];
-  const auto owner = std::find_if(pool->arms.begin(), pool->arms.end(),
-                                  [&chosen](const ArmPtr& arm) { return arm.get() == chosen.arm; });
-
   Placement placement;
   placement.mode = selection.mode;
   placement.arm = chosen.arm->signature;
@@ -109,10 +95,10 @@
   placement.first_token_estimate = fromSeconds(chosen.first_token_s);
   placement.ticket = next_ticket_++;
   ++chosen.arm->prefill->cold.in_flight;
-  for (const std::uint64_t chain : chains) {
+  for (const std::uint64_t chain : chains.all()) {
     prefix_index_.add(chain, chosen.arm->prefill->number);
   }
-  in_flight_.emplace(placement.ticket, InFlight{*owner, prompt.model, std::move(chains)});
+  in_flight_.emplace(placement.ticket, InFlight{chosen.arm->shared_from_this(), pool, chains});
   return placement;
 }
 
@@ -128,13 +114,10 @@
   if (arm.decode) {
     --arm.decode->cold.in_flight;
   }
-  ModelPool* pool = findPool(in_flight.model);
-  if (pool == nullptr) {
-    return;
-  }
+  ModelPool* pool = in_flight.pool;
   recordLoad(*arm.prefill, completion);
   if (completion.failed) {
-    for (const std::uint64_t chain : in_flight.chains) {
+    for (const std::uint64_t chain : in_flight.chains.all()) {
       prefix_index_.forget(chain, arm.prefill->number);
     }
     recordFailure(*pool, arm);
@@ -254,21 +237,18 @@
     if (pool == nullptr) {
       continue;
     }
-    const auto found =
-        std::find_if(pool->arms.begin(), pool->arms.end(),
-                     [&score](const ArmPtr& arm) { return arm->signature == score.arm; });
+    Arm* arm = pool->index.findSignature(score.arm);
     const base::Duration age = std::chrono::milliseconds(score.age_ms);
     const bool of_this_epoch = now - age >= pool->epoch_start;
-    if (found == pool->arms.end() || !of_this_epoch) {
+    if (arm == nullptr || !of_this_epoch) {
       continue;
     }
-    Arm& arm = **found;
     SpeedSample mean;
     mean.tokens_per_second = score.tokens_per_second;
     mean.seconds_per_prefill_token = score.seconds_per_prefill_token;
     mean.seconds_per_output_token = score.seconds_per_output_token;
-    arm.statistics.merge(mean, score.mass, age, now, tuning_.route_stats_half_life_s);
-    arm.prefill->cold.samples = std::max(arm.prefill->cold.samples, score.mass);
+    arm->statistics.merge(mean, score.mass, age, now, tuning_.route_stats_half_life_s);
+    arm->prefill->cold.samples = std::max(arm->prefill->cold.samples, score.mass);
   }
 }
 
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -39,8 +39,7 @@
     const bool same_instance = record && record->worker.entry.instance == worker.entry.instance;
     if (!same_instance) {
       record = std::make_shared<WorkerRecord>();
-      record->number = static_cast<WorkerNumber>(workers_by_number_.size());
-      workers_by_number_.push_back(record);
+      record->number = freeNumber();
       record->hash = base::hashBytes(id);
       record->cold.instance = base::combineHashes(record->hash, worker.entry.instance);
       record->cold.first_seen = now;
@@ -54,6 +53,20 @@
   first_list_taken_ = first_list_taken_ || !snapshot_->workers.empty();
 }
 
+/** Numbers are used again only after all others, when no chain is remembered under them. */
+WorkerNumber LearnedRouter::freeNumber() {
+  const auto taken = [this](WorkerNumber number) {
+    return std::any_of(workers_.begin(), workers_.end(), [number](const auto& item) {
+      return item.second && item.second->number == number;
+    });
+  };
+  while (next_number_ == NoWorker || (numbers_reused_ && taken(next_number_))) {
+    numbers_reused_ = true;
+    ++next_number_;
+  }
+  return next_number_++;
+}
+
 void LearnedRouter::rebuildPools() {
   if (!view_ || !snapshot_) {
     return;
@@ -104,6 +117,9 @@
       addArm(pool, former, prefill, decode);
     }
   }
+  pool.index.rebuild(pool.arms);
+  pool.scouts.clear();
+  pool.scouts_epoch = 0;
   pool.retired.clear();
   for (auto& [signature, arm] : former) {
     pool.retired.push_back(std::move(arm));
