Believe the whole chain to be at its home worker

Cause: the home was credited with the chain up to its longest part only, so a worker that returned cold was not sent its own chains again while another held their last part.

Change: the credit covers all parts. All fronts send the chain there, so what is missing is filled by the first prompt.

--- a/libraries/routing/include/switchsaddle/routing/prefix_chains.h
+++ b/libraries/routing/include/switchsaddle/routing/prefix_chains.h
@@ -24,14 +24,14 @@
   std::span<const std::uint64_t> all() const { return {hashes_.data(), depth_}; }
   /** The depth that ends with the longest part, the one most worth finding in a cache. */
   std::size_t homeDepth() const { return home_depth_; }
-  /** Tokens of the first homeDepth() parts. */
-  std::uint32_t homeTokens() const { return home_tokens_; }
+  /** Tokens of all parts told apart. */
+  std::uint32_t tokens() const { return tokens_; }
 
  private:
   std::array<std::uint64_t, MaximumDepth> hashes_{};
   std::size_t depth_ = 0;
   std::size_t home_depth_ = 0;
-  std::uint32_t home_tokens_ = 0;
+  std::uint32_t tokens_ = 0;
 };
 
 }  // namespace switchsaddle::routing
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -78,7 +78,7 @@
   const std::uint64_t chain = chains.at(chains.homeDepth());
   pool.index.forEachHome(chain, HomeChoices, [&](std::size_t place, ArmIndex::Arms arms) {
     for (const ArmPtr& arm : arms) {
-      consider(*arm, place == 0 ? chains.homeTokens() : 0);
+      consider(*arm, place == 0 ? chains.tokens() : 0);
     }
   });
 }
--- a/libraries/routing/source/route_statistics.cc
+++ b/libraries/routing/source/route_statistics.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+/** Most weight the old mean has against a new sample, so that it follows a worker that changes; the
+ * mass itself has no such bound. */
+constexpr double MaximumWeight = 16.0;
+
 double secondsOf(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -61,7 +65,7 @@
 
 void RouteStatistics::add(const SpeedSample& sample, base::TimePoint now, double half_life_s) {
   decayTo(now, half_life_s);
-  mean_ = weightedMean(mean_, mass_, sample, 1.0);
+  mean_ = weightedMean(mean_, std::min(mass_, MaximumWeight), sample, 1.0);
   mass_ += 1.0;
   ++samples_;
   measured_ = true;
@@ -75,7 +79,7 @@
     return;
   }
   decayTo(now, half_life_s);
-  mean_ = weightedMean(mean_, mass_, mean, mass);
+  mean_ = weightedMean(mean_, std::min(mass_, MaximumWeight), mean, std::min(mass, MaximumWeight));
   mass_ = std::max(mass_, mass);
   const base::TimePoint measured_at = now - age;
   if (!measured_ || measured_at > measured_at_) {
