Believe a chain at each home it needs, and count what every source says of it

Cause: an arm found first as owner of a prompt's shallow part kept that part's tokens as its whole credit, so the home of the chain was taken for a worker without it. A trace of placements whose estimate was over 0.5 s showed it: of 536 such placements most had a home with an estimate below 0.15 s. A second fault: a chain with more prompts than one worker's slots take overflowed to whichever worker each front guessed.

Change: the best credit of an arm counts.

The test of repeated prefixes placed fifty prompts in no time at all, which now is a chain that needs several homes; it places one a second, with the same bound. A new test places ten a second and wants them spread.

--- a/libraries/routing/include/switchsaddle/routing/arm_index.h
+++ b/libraries/routing/include/switchsaddle/routing/arm_index.h
@@ -26,10 +26,9 @@
   /** Null where there is none. */
   Arm* findSignature(const std::string& signature) const;
   Arms armsOf(WorkerNumber prefill) const;
-  /** Calls `visit` with the arms of the chain's home worker, then of the next ones on the ring, up
-   * to `count` distinct workers. All fronts with one list agree on them. */
-  template <class Visitor>
-  void forEachHome(std::uint64_t chain, std::size_t count, Visitor visit) const;
+  /** The arms of the chain's home worker; `replica` counts a chain's homes from 0. All fronts with
+   * one list agree on them. */
+  Arms homeOf(std::uint64_t chain, std::size_t replica) const;
 
  private:
   struct Point {
@@ -42,7 +41,6 @@
   };
 
   void addPoints(const WorkerRecord& worker);
-  std::size_t firstPointFrom(std::uint64_t hash) const;
 
   Arms arms_;
   /** By worker number. */
@@ -52,22 +50,4 @@
   std::vector<Point> ring_;
 };
 
-template <class Visitor>
-void ArmIndex::forEachHome(std::uint64_t chain, std::size_t count, Visitor visit) const {
-  if (ring_.empty()) {
-    return;
-  }
-  const std::size_t start = firstPointFrom(chain);
-  WorkerNumber before = NoWorker;
-  std::size_t visited = 0;
-  for (std::size_t step = 0; step < ring_.size() && visited < count; ++step) {
-    const WorkerNumber worker = ring_[(start + step) % ring_.size()].worker;
-    if (worker != before) {
-      visit(visited, armsOf(worker));
-      before = worker;
-      ++visited;
-    }
-  }
-}
-
 }  // namespace switchsaddle::routing
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -10,6 +10,7 @@
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/routing/arm_selection.h"
+#include "switchsaddle/routing/chain_rate.h"
 #include "switchsaddle/routing/model_pool.h"
 #include "switchsaddle/routing/prefix_chains.h"
 #include "switchsaddle/routing/router.h"
@@ -86,7 +87,9 @@
   void collectOwners(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
   /** The workers consistent hashing names for the prompt's longest part. All fronts send it there,
    * so it is believed to be cached there. */
-  void collectHomes(const ModelPool& pool, const PrefixChains& chains);
+  void collectHomes(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
+  /** Home workers the chain's prompts of all fronts need. */
+  std::size_t homesNeeded(const ModelPool& pool, const Prompt& prompt, std::uint64_t chain) const;
   void collectAtRandom(const ModelPool& pool, std::size_t limit);
   void collectLeastMeasured(const ModelPool& pool);
   void collectLeastMeasured(ModelPool& pool);
@@ -117,6 +120,8 @@
   configuration::Tuning tuning_;
   ColdGuard cold_guard_;
   PrefixIndex prefix_index_;
+  ChainRate chain_rate_;
+  std::size_t fronts_ = 1;
   std::map<std::string, WorkerRecordPtr> workers_;
   WorkerNumber next_number_ = 0;
   bool numbers_reused_ = false;
--- a/libraries/routing/source/arm_index.cc
+++ b/libraries/routing/source/arm_index.cc
@@ -46,11 +46,15 @@
   return arms_.subspan(ranges_[prefill].first, ranges_[prefill].count);
 }
 
-std::size_t ArmIndex::firstPointFrom(std::uint64_t hash) const {
+ArmIndex::Arms ArmIndex::homeOf(std::uint64_t chain, std::size_t replica) const {
+  if (ring_.empty()) {
+    return {};
+  }
+  const std::uint64_t hash = replica == 0 ? chain : base::combineHashes(chain, replica);
   const auto found =
       std::lower_bound(ring_.begin(), ring_.end(), hash,
                        [](const Point& point, std::uint64_t value) { return point.hash < value; });
-  return static_cast<std::size_t>(found - ring_.begin()) % ring_.size();
+  return armsOf(found == ring_.end() ? ring_.front().worker : found->worker);
 }
 
 }  // namespace switchsaddle::routing
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <functional>
 
 #include "switchsaddle/routing/learned_router.h"
@@ -7,9 +8,10 @@
 
 namespace {
 
-/** Workers considered by consistent hashing for a chain; the first is its home, the next ones take
- * what it can't. */
-constexpr std::size_t HomeChoices = 2;
+/** Homes of a chain considered for one prompt. */
+constexpr std::size_t HomeChoices = 4;
+/** Share of a worker's slots that one chain may fill before it gets a further home. */
+constexpr double HomeSlotShare = 0.25;
 /** Arms kept in the list of those to scout first, and how long it is used. */
 constexpr std::size_t ScoutChoices = 8;
 constexpr base::Duration ScoutListLifetime = std::chrono::milliseconds(250);
@@ -31,8 +33,9 @@
 }
 
 void LearnedRouter::consider(Arm& arm, std::uint32_t cached_tokens) {
-  for (const Candidate& known : candidates_) {
+  for (Candidate& known : candidates_) {
     if (known.arm == &arm) {
+      known.cached_tokens = std::max(known.cached_tokens, cached_tokens);
       return;
     }
   }
@@ -49,7 +52,7 @@
   const std::size_t limit = std::max(1U, tuning_.route_candidates);
   if (options_.prefix_affinity && !chains.empty()) {
     collectOwners(pool, prompt, chains);
-    collectHomes(pool, chains);
+    collectHomes(pool, prompt, chains);
   }
   if (pool.arms.size() > limit) {
     collectLeastMeasured(pool);
@@ -74,13 +77,32 @@
   }
 }
 
-void LearnedRouter::collectHomes(const ModelPool& pool, const PrefixChains& chains) {
+std::size_t LearnedRouter::homesNeeded(const ModelPool& pool, const Prompt& prompt,
+                                       std::uint64_t chain) const {
+  const ArmIndex::Arms home = pool.index.homeOf(chain, 0);
+  if (home.empty()) {
+    return 0;
+  }
+  const double measured_s = home.front()->statistics.mean().seconds_per_output_token;
+  const double token_s = measured_s > 0 ? measured_s : options_.cold_prior.seconds_per_output_token;
+  const double streams_per_s =
+      chain_rate_.perSecond(chain, dispatcher_.now()) * static_cast<double>(fronts_);
+  const double busy_slots = streams_per_s * token_s * prompt.maximum_tokens;
+  const double homes = std::ceil(busy_slots / (HomeSlotShare * home.front()->prefill->slots));
+  return static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(pool.arms.size())));
+}
+
+void LearnedRouter::collectHomes(const ModelPool& pool, const Prompt& prompt,
+                                 const PrefixChains& chains) {
   const std::uint64_t chain = chains.at(chains.homeDepth());
-  pool.index.forEachHome(chain, HomeChoices, [&](std::size_t place, ArmIndex::Arms arms) {
-    for (const ArmPtr& arm : arms) {
-      consider(*arm, place == 0 ? chains.tokens() : 0);
+  const std::size_t needed = homesNeeded(pool, prompt, chain);
+  const std::size_t looked_at = std::min(needed, HomeChoices);
+  for (std::size_t choice = 0; choice < looked_at; ++choice) {
+    const std::size_t replica = needed <= HomeChoices ? choice : random_.below(needed);
+    for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
+      consider(*arm, chains.tokens());
     }
-  });
+  }
 }
 
 void LearnedRouter::collectLeastMeasured(ModelPool& pool) {
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -95,6 +95,9 @@
   placement.first_token_estimate = fromSeconds(chosen.first_token_s);
   placement.ticket = next_ticket_++;
   ++chosen.arm->prefill->cold.in_flight;
+  if (!chains.empty()) {
+    chain_rate_.add(chains.at(chains.homeDepth()), dispatcher_.now());
+  }
   for (const std::uint64_t chain : chains.all()) {
     prefix_index_.add(chain, chosen.arm->prefill->number);
   }
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -30,6 +30,7 @@
 
 void LearnedRouter::setFronts(const std::vector<base::NodeAddress>& fronts) {
   cold_guard_.setFronts(self_, fronts);
+  fronts_ = std::max<std::size_t>(1, fronts.size());
 }
 
 void LearnedRouter::updateWorkerRecords() {
--- a/libraries/routing/test/learned_router_test.cc
+++ b/libraries/routing/test/learned_router_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "switchsaddle/simulation/process.h"
@@ -171,6 +172,8 @@
   finish(*first, 50);
   int returned = 0;
   for (int index = 0; index < 50; ++index) {
+    // One prompt a second: a chain that comes faster is spread over further homes.
+    world_.runFor(seconds(1));
     const std::optional<Placement> next = router_.choose(prompt, route_, {});
     returned += next->arm == first->arm ? 1 : 0;
     finish(*next, 50);
@@ -178,6 +181,25 @@
   EXPECT_GE(returned, 45);
 }
 
+TEST_F(LearnedRouterTest, SpreadsAChainThatWouldFillItsHome) {
+  addWorkers(6);
+  for (int index = 0; index < 60; ++index) {
+    finish(*place(), 50);
+  }
+  const Prompt prompt{"m", {{"system", 4000}}, 4100, 100};
+  std::map<std::string, int> placed;
+  for (int index = 0; index < 200; ++index) {
+    world_.runFor(milliseconds(100));
+    const std::optional<Placement> placement = router_.choose(prompt, route_, {});
+    ++placed[placement->arm];
+    finish(*placement, 50);
+  }
+  // Ten prompts a second of two seconds each need more than one worker of eight slots.
+  const auto shared = std::count_if(placed.begin(), placed.end(),
+                                    [](const auto& item) { return item.second >= 20; });
+  EXPECT_GE(shared, 2);
+}
+
 TEST_F(LearnedRouterTest, TableGivesCoefficientsAndShares) {
   addWorkers(2);
   finish(*place({"w1"}), 60);
