Add hollow fronts, and commands that measure how cost grows with size

A fleet of the planned size does not fit on one machine as processes. Hollow fronts are the real front node without HTTP, slots and workers; many share one process and report bytes, versions, processor time and memory each second. The transport now counts its bytes. The tests of the hollow library have not been run yet.

--- /dev/null
+++ b/libraries/hollow/source/counting_transport.cc
@@ -0,0 +1,96 @@
+#include "switchsaddle/hollow/counting_transport.h"
+
+#include <utility>
+
+namespace switchsaddle::hollow {
+
+namespace {
+
+constexpr std::array<const char*, std::variant_size_v<wire::Message>> KindNames{
+    "Acknowledgement",
+    "PrepareRequest",
+    "AcceptRequest",
+    "RegisterReply",
+    "RegisterScanRequest",
+    "RegisterScanReply",
+    "RegisterInstallRequest",
+    "RegisterInstallReply",
+    "AcceptorSetInstallRequest",
+    "AcceptorSetInstallReply",
+    "LeaseRequest",
+    "LeaseReply",
+    "LeaseRelease",
+    "SessionOpenRequest",
+    "SessionOpenReply",
+    "SessionRecordBatch",
+    "SessionRecordBatchReply",
+    "SessionTableRequest",
+    "SessionTableReply",
+    "ConfigurationDelta",
+    "ConfigurationFetch",
+    "WorkerView",
+    "GossipDigest",
+    "GossipDelta",
+    "SlotRequest",
+    "SlotReply",
+    "SlotRecall",
+    "SlotReport",
+    "ClaimBegin",
+    "ClaimFinish",
+    "ClaimReply",
+    "ControlRequest",
+    "ControlReply",
+    "CoreAnnounce",
+    "CoreAnnounceReply"};
+
+}  // namespace
+
+const char* kindName(std::size_t kind) {
+  return kind < KindNames.size() ? KindNames.at(kind) : "unknown";
+}
+
+CountingTransport::CountingTransport(transport::Transport& inner, KindCounts& sent,
+                                     KindCounts& received, bool weigh)
+    : inner_(inner), sent_(sent), received_(received), weigh_(weigh) {
+  inner_.setReceiver(this);
+}
+
+CountingTransport::~CountingTransport() {
+  inner_.setReceiver(nullptr);
+}
+
+const base::NodeAddress& CountingTransport::localAddress() const {
+  return inner_.localAddress();
+}
+
+void CountingTransport::setReceiver(transport::Receiver* receiver) {
+  receiver_ = receiver;
+}
+
+void CountingTransport::send(const base::NodeAddress& to, const wire::Envelope& envelope) {
+  count(sent_, envelope);
+  inner_.send(to, envelope);
+}
+
+void CountingTransport::onEnvelope(wire::Envelope envelope) {
+  count(received_, envelope);
+  if (receiver_ != nullptr) {
+    receiver_->onEnvelope(std::move(envelope));
+  }
+}
+
+void CountingTransport::onRefused(const base::NodeAddress& peer) {
+  if (receiver_ != nullptr) {
+    receiver_->onRefused(peer);
+  }
+}
+
+void CountingTransport::count(KindCounts& counts, const wire::Envelope& envelope) const {
+  KindCount& kind = counts.at(envelope.message.index());
+  ++kind.frames;
+  if (weigh_) {
+    kind.bytes += wire::encode(envelope).size();
+  }
+}
+
+}  // namespace switchsaddle::hollow
--- /dev/null
+++ b/libraries/hollow/source/hollow_front.cc
@@ -0,0 +1,106 @@
+#include "switchsaddle/hollow/hollow_front.h"
+
+#include <string>
+#include <utility>
+
+namespace switchsaddle::hollow {
+
+namespace {
+
+/** What a made-up completion measures; the speeds differ from worker to worker and time to time. */
+constexpr std::uint32_t OutputTokens = 300;
+constexpr std::uint32_t PromptTokens = 1'000;
+constexpr base::Duration FirstToken = std::chrono::milliseconds(300);
+constexpr base::Duration ShortestRun = std::chrono::milliseconds(6'000);
+constexpr std::uint64_t RunSpread_ms = 6'000;
+
+class NoCall final : public front::WorkerCall {
+ public:
+  void cancel() override {}
+};
+
+/** No worker can be reached; a hollow front sends none a request. */
+class NoWorkers final : public front::WorkerPort {
+ public:
+  explicit NoWorkers(base::Dispatcher& dispatcher) : dispatcher_(dispatcher) {}
+  front::WorkerCallPtr send(const front::WorkerRequest& /*request*/,
+                            std::shared_ptr<front::WorkerObserver> observer) override {
+    dispatcher_.post([observer = std::move(observer)] {
+      observer->onFailure(front::WorkerFailure::NotSent, false);
+    });
+    return std::make_shared<NoCall>();
+  }
+
+ private:
+  base::Dispatcher& dispatcher_;
+};
+
+/** No slots are ever free. */
+class NoSlots final : public admission::SlotBroker {
+ public:
+  void acquire(const std::string& /*branch*/,
+               std::function<void(admission::SlotOutcome)> callback) override {
+    callback(admission::SlotOutcome{});
+  }
+};
+
+}  // namespace
+
+HollowFront::HollowFront(base::Dispatcher& dispatcher, transport::Transport& transport,
+                         std::uint64_t seed, configuration::Settings settings,
+                         AppliedListener applied)
+    : settings_(std::move(settings)),
+      calls_(dispatcher, transport),
+      random_(seed),
+      journal_(dispatcher),
+      workers_(std::make_unique<NoWorkers>(dispatcher)),
+      slots_(std::make_unique<NoSlots>()),
+      applied_(std::move(applied)),
+      node_(front::FrontEnvironment{dispatcher, calls_, random_, journal_, settings_, *workers_,
+                                    *slots_, random_.next()}) {
+  journal_.addListener([this](const journal::Event& event) { noteVersion(event); });
+}
+
+HollowFront::~HollowFront() = default;
+
+void HollowFront::noteVersion(const journal::Event& event) {
+  const bool applied = event.subject == journal::Subject::Configuration && event.key == "version";
+  if (applied) {
+    const std::uint64_t before = std::exchange(version_, event.version);
+    applied_(before, event.version);
+  }
+}
+
+void HollowFront::completeOpen() {
+  for (const std::uint64_t ticket : std::exchange(open_tickets_, {})) {
+    routing::Completion completion;
+    completion.ticket = ticket;
+    completion.output_tokens = OutputTokens;
+    completion.uncached_tokens = PromptTokens;
+    completion.time_to_first_token = FirstToken;
+    completion.total = ShortestRun + std::chrono::milliseconds(random_.below(RunSpread_ms));
+    node_.router().complete(completion);
+  }
+}
+
+void HollowFront::placePrompts(std::size_t count) {
+  completeOpen();
+  const dissemination::ViewPtr& view = node_.replica().view();
+  for (const auto& [name, route] : view->routes) {
+    if (route.service != configuration::CompletionsService || route.models.empty()) {
+      continue;
+    }
+    for (std::size_t index = 0; index < count; ++index) {
+      routing::Prompt prompt;
+      prompt.model = route.models[random_.below(route.models.size())];
+      prompt.prompt_tokens = PromptTokens;
+      prompt.maximum_tokens = OutputTokens;
+      if (const auto placement = node_.router().choose(prompt, route, {})) {
+        open_tickets_.push_back(placement->ticket);
+      }
+    }
+    return;
+  }
+}
+
+}  // namespace switchsaddle::hollow
--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -33,6 +33,9 @@
 struct TcpTransportCounters {
   std::uint64_t frames_sent = 0;
   std::uint64_t frames_received = 0;
+  /** Bytes of those frames, lengths included. */
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
   std::uint64_t frames_dropped = 0;
   std::uint64_t malformed_frames = 0;
   /** Envelopes whose receiver threw. */
--- a/libraries/transport/source/tcp_outgoing.h
+++ b/libraries/transport/source/tcp_outgoing.h
@@ -158,20 +158,21 @@
     }
     boost::asio::async_write(socket_, buffers,
                              [self = shared_from_this(), attempt = attempt_, frames](
-                                 const error_code& error, std::size_t) {
+                                 const error_code& error, std::size_t written) {
                                if (!self->outdated(attempt)) {
-                                 self->onWritten(error, frames->size());
+                                 self->onWritten(error, frames->size(), written);
                                }
                              });
   }
 
-  void onWritten(const error_code& error, std::size_t frames) {
+  void onWritten(const error_code& error, std::size_t frames, std::size_t bytes) {
     if (error) {
       shared_->counters.frames_dropped += frames;
       onLost();
       return;
     }
     shared_->counters.frames_sent += frames;
+    shared_->counters.bytes_sent += bytes;
     writing_ = false;
     write();
   }
--- /dev/null
+++ b/programs/lab/claims_command.cc
@@ -0,0 +1,156 @@
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "commands.h"
+#include "switchsaddle/claims/peer_claim_client.h"
+#include "switchsaddle/transport/asio_dispatcher.h"
+#include "switchsaddle/transport/tcp_transport.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+/** The command line of `lab claims`. */
+struct ClaimsArguments {
+  std::vector<std::string> cores;
+  std::string address;
+  std::string prefix = "claim";
+  int rate = 100;
+  int seconds = 10;
+  std::size_t answer_bytes = 300;
+};
+
+/** Begins and ends claims at a steady rate and measures how long each step takes. One thread. */
+class ClaimLoad {
+ public:
+  explicit ClaimLoad(const ClaimsArguments& arguments)
+      : arguments_(arguments),
+        dispatcher_(context_),
+        transport_(context_, dispatcher_, base::NodeAddress::parse(arguments.address)),
+        calls_(dispatcher_, transport_),
+        timer_(dispatcher_.createTimer([this] { tick(); })) {
+    for (const std::string& core : arguments.cores) {
+      const auto address = base::NodeAddress::parse(core);
+      clients_.push_back(std::make_unique<claims::PeerClaimClient>(
+          dispatcher_, calls_, [address] { return std::vector<base::NodeAddress>{address}; }));
+    }
+  }
+
+  void run() {
+    start_ = dispatcher_.now();
+    timer_->enable(base::Duration::zero());
+    context_.run();
+    report();
+  }
+
+ private:
+  static constexpr base::Duration TickInterval = std::chrono::milliseconds(5);
+  static constexpr base::Duration Tail = std::chrono::seconds(3);
+
+  void tick() {
+    const base::Duration elapsed = dispatcher_.now() - start_;
+    const base::Duration whole = std::chrono::seconds(arguments_.seconds);
+    if (elapsed > whole + Tail) {
+      context_.stop();
+      return;
+    }
+    const double seconds = std::chrono::duration<double>(std::min(elapsed, whole)).count();
+    while (begun_ < static_cast<std::uint64_t>(seconds * arguments_.rate)) {
+      begin(begun_++);
+    }
+    timer_->enable(TickInterval);
+  }
+
+  void begin(std::uint64_t number) {
+    wire::ClaimBegin request;
+    request.tenant = "tenant";
+    request.idempotency_key = arguments_.prefix + "-" + std::to_string(number);
+    request.fingerprint = number;
+    request.run = "run-" + std::to_string(number);
+    claims::ClaimClient& client = *clients_[number % clients_.size()];
+    const base::TimePoint asked = dispatcher_.now();
+    client.begin(request, [this, request, asked, &client](const wire::ClaimReply& reply) {
+      note(begin_ms_, asked, reply);
+      if (reply.won) {
+        finish(request, client);
+      }
+    });
+  }
+
+  void finish(const wire::ClaimBegin& begun, claims::ClaimClient& client) {
+    wire::ClaimFinish request;
+    request.tenant = begun.tenant;
+    request.idempotency_key = begun.idempotency_key;
+    request.run = begun.run;
+    request.state = wire::ClaimState::Ran;
+    request.http_status = 200;
+    request.answer.assign(arguments_.answer_bytes, 'x');
+    const base::TimePoint asked = dispatcher_.now();
+    client.finish(request,
+                  [this, asked](const wire::ClaimReply& reply) { note(finish_ms_, asked, reply); });
+  }
+
+  void note(std::vector<double>& times, base::TimePoint asked, const wire::ClaimReply& reply) {
+    if (reply.won) {
+      times.push_back(std::chrono::duration<double, std::milli>(dispatcher_.now() - asked).count());
+    } else {
+      ++failed_;
+    }
+  }
+
+  static double quantile(std::vector<double>& times, double share) {
+    if (times.empty()) {
+      return 0;
+    }
+    std::sort(times.begin(), times.end());
+    return times[static_cast<std::size_t>(share * static_cast<double>(times.size() - 1))];
+  }
+
+  void report() {
+    std::cout << "rate,begun,won,finished,failed,begin_p50_ms,begin_p95_ms,begin_p99_ms,"
+                 "finish_p50_ms,finish_p95_ms,finish_p99_ms\n"
+              << arguments_.rate << ',' << begun_ << ',' << begin_ms_.size() << ','
+              << finish_ms_.size() << ',' << failed_;
+    for (std::vector<double>* times : {&begin_ms_, &finish_ms_}) {
+      for (const double share : {0.5, 0.95, 0.99}) {
+        std::cout << ',' << quantile(*times, share);
+      }
+    }
+    std::cout << '\n';
+  }
+
+  ClaimsArguments arguments_;
+  boost::asio::io_context context_{1};
+  transport::AsioDispatcher dispatcher_;
+  transport::TcpTransport transport_;
+  transport::PeerCalls calls_;
+  std::vector<std::unique_ptr<claims::PeerClaimClient>> clients_;
+  base::TimerPtr timer_;
+  base::TimePoint start_;
+  std::uint64_t begun_ = 0;
+  std::uint64_t failed_ = 0;
+  std::vector<double> begin_ms_;
+  std::vector<double> finish_ms_;
+};
+
+}  // namespace
+
+void addClaimsCommand(CLI::App& app) {
+  auto arguments = std::make_shared<ClaimsArguments>();
+  CLI::App* command = app.add_subcommand("claims", "Begin and end claims at a steady rate");
+  command->add_option("--cores", arguments->cores, "IP:PORT of cores, asked in turn")
+      ->delimiter(',')
+      ->required();
+  command->add_option("--address", arguments->address, "IP:PORT to ask from")->required();
+  command->add_option("--prefix", arguments->prefix, "Begins each key; new for each run");
+  command->add_option("--rate", arguments->rate, "Claims a second");
+  command->add_option("--seconds", arguments->seconds, "How long claims begin");
+  command->add_option("--answer-bytes", arguments->answer_bytes, "Size of the recorded answer");
+  command->callback([arguments] { ClaimLoad(*arguments).run(); });
+}
+
+}  // namespace switchsaddle::lab
--- a/programs/lab/commands.h
+++ b/programs/lab/commands.h
@@ -13,5 +13,9 @@
 void addFleetCommand(CLI::App& app);
 void addLoadCommand(CLI::App& app);
 void addJudgeCommand(CLI::App& app);
+void addHollowCommand(CLI::App& app);
+void addChangesCommand(CLI::App& app);
+void addClaimsCommand(CLI::App& app);
+void addSlopesCommand(CLI::App& app);
 
 }  // namespace switchsaddle::lab
--- /dev/null
+++ b/programs/lab/hollow_command.cc
@@ -0,0 +1,208 @@
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <limits>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "commands.h"
+#include "hollow_shard.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+constexpr std::uint16_t PeerPort = 7'100;
+/** Hollow fronts listen on NETWORK.10.1 and on. */
+constexpr std::size_t FirstBlock = 10;
+constexpr std::size_t AddressesInBlock = 250;
+
+/** The command line of `lab hollow`. */
+struct HollowArguments {
+  std::vector<std::string> seeds;
+  std::size_t count = 25;
+  std::size_t threads = 1;
+  std::string network = "127.52";
+  std::vector<std::string> zones{"a"};
+  int seconds = 30;
+  std::uint64_t seed = 1;
+  std::string versions_file;
+  std::string kinds_file;
+  ShardOptions shard;
+};
+
+using Shards = std::vector<std::unique_ptr<HollowShard>>;
+
+configuration::Settings settingsOf(const HollowArguments& arguments, std::size_t index) {
+  configuration::Settings settings;
+  settings.peer_address.ip = arguments.network + "." +
+                             std::to_string(FirstBlock + index / AddressesInBlock) + "." +
+                             std::to_string(index % AddressesInBlock + 1);
+  settings.peer_address.port = PeerPort;
+  settings.zone = arguments.zones[index % arguments.zones.size()];
+  for (const std::string& seed : arguments.seeds) {
+    settings.seeds.push_back(base::NodeAddress::parse(seed));
+  }
+  return settings;
+}
+
+Shards makeShards(const HollowArguments& arguments) {
+  Shards shards;
+  for (std::size_t index = 0; index < arguments.threads; ++index) {
+    shards.push_back(std::make_unique<HollowShard>(arguments.shard));
+  }
+  for (std::size_t index = 0; index < arguments.count; ++index) {
+    shards[index % shards.size()]->addFront(settingsOf(arguments, index), arguments.seed + index);
+  }
+  return shards;
+}
+
+ShardSample sumOf(const Shards& shards) {
+  ShardSample sum;
+  sum.lowest_version = std::numeric_limits<std::uint64_t>::max();
+  for (const auto& shard : shards) {
+    const ShardSample sample = shard->sample();
+    sum.serving += sample.serving;
+    sum.lowest_version = std::min(sum.lowest_version, sample.lowest_version);
+    sum.highest_version = std::max(sum.highest_version, sample.highest_version);
+    sum.applications += sample.applications;
+    sum.bytes_sent += sample.bytes_sent;
+    sum.bytes_received += sample.bytes_received;
+    sum.frames_sent += sample.frames_sent;
+    sum.frames_received += sample.frames_received;
+  }
+  return sum;
+}
+
+double secondsOf(const timeval& time) {
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) * 1e-6;
+}
+
+double residentMegabytes() {
+  std::ifstream file("/proc/self/statm");
+  double whole = 0;
+  double resident = 0;
+  file >> whole >> resident;
+  return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+void printHeader() {
+  std::cout << "second,fronts,serving,lowest_version,highest_version,applications,bytes_sent,"
+               "bytes_received,frames_sent,frames_received,cpu_user_s,cpu_system_s,rss_mb,"
+               "load_average\n"
+            << std::flush;
+}
+
+void printLine(int second, const HollowArguments& arguments, const ShardSample& sample) {
+  rusage usage{};
+  ::getrusage(RUSAGE_SELF, &usage);
+  double load = 0;
+  ::getloadavg(&load, 1);
+  std::cout << second << ',' << arguments.count << ',' << sample.serving << ','
+            << sample.lowest_version << ',' << sample.highest_version << ',' << sample.applications
+            << ',' << sample.bytes_sent << ',' << sample.bytes_received << ',' << sample.frames_sent
+            << ',' << sample.frames_received << ',' << secondsOf(usage.ru_utime) << ','
+            << secondsOf(usage.ru_stime) << ',' << residentMegabytes() << ',' << load << '\n'
+            << std::flush;
+}
+
+/** Milliseconds on the boot clock, which the other commands of this machine share. */
+std::int64_t milliseconds(base::TimePoint time) {
+  return base::toMilliseconds(time.time_since_epoch());
+}
+
+void writeVersions(const std::string& path, const Shards& shards) {
+  std::map<std::uint64_t, hollow::VersionTimes> all;
+  for (const auto& shard : shards) {
+    for (const auto& [version, times] : shard->tally().versions()) {
+      hollow::VersionTimes& merged =
+          all.try_emplace(version, times.first, times.last).first->second;
+      merged.first = std::min(merged.first, times.first);
+      merged.last = std::max(merged.last, times.last);
+      merged.fronts += times.fronts;
+    }
+  }
+  std::ofstream file(path);
+  file << "version,first_ms,last_ms,fronts\n";
+  for (const auto& [version, times] : all) {
+    file << version << ',' << milliseconds(times.first) << ',' << milliseconds(times.last) << ','
+         << times.fronts << '\n';
+  }
+}
+
+void writeKinds(const std::string& path, const Shards& shards) {
+  hollow::KindCounts sent{};
+  hollow::KindCounts received{};
+  for (const auto& shard : shards) {
+    for (std::size_t kind = 0; kind < sent.size(); ++kind) {
+      sent[kind].frames += shard->sent()[kind].frames;
+      sent[kind].bytes += shard->sent()[kind].bytes;
+      received[kind].frames += shard->received()[kind].frames;
+      received[kind].bytes += shard->received()[kind].bytes;
+    }
+  }
+  std::ofstream file(path);
+  file << "kind,frames_sent,bytes_sent,frames_received,bytes_received\n";
+  for (std::size_t kind = 0; kind < sent.size(); ++kind) {
+    if (sent[kind].frames + received[kind].frames > 0) {
+      file << hollow::kindName(kind) << ',' << sent[kind].frames << ',' << sent[kind].bytes << ','
+           << received[kind].frames << ',' << received[kind].bytes << '\n';
+    }
+  }
+}
+
+void runHollow(const HollowArguments& arguments) {
+  Shards shards = makeShards(arguments);
+  for (const auto& shard : shards) {
+    shard->start();
+  }
+  printHeader();
+  for (int second = 1; second <= arguments.seconds; ++second) {
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    printLine(second, arguments, sumOf(shards));
+  }
+  for (const auto& shard : shards) {
+    shard->stop();
+  }
+  if (!arguments.versions_file.empty()) {
+    writeVersions(arguments.versions_file, shards);
+  }
+  if (!arguments.kinds_file.empty()) {
+    writeKinds(arguments.kinds_file, shards);
+  }
+}
+
+}  // namespace
+
+void addHollowCommand(CLI::App& app) {
+  auto arguments = std::make_shared<HollowArguments>();
+  CLI::App* command =
+      app.add_subcommand("hollow", "Run many fronts without callers in this process");
+  command->add_option("--seeds-cores", arguments->seeds, "IP:PORT of cores")
+      ->delimiter(',')
+      ->required();
+  command->add_option("--count", arguments->count, "Hollow fronts")->check(CLI::Range(1, 2'000));
+  command->add_option("--threads", arguments->threads, "Threads that share them")
+      ->check(CLI::Range(1, 8));
+  command->add_option("--network", arguments->network, "First two octets of their addresses");
+  command->add_option("--zones", arguments->zones, "Zones, taken in turn")->delimiter(',');
+  command->add_option("--seconds", arguments->seconds, "How long they run");
+  command->add_option("--seed", arguments->seed, "Seed of their choices");
+  command->add_option("--prompts", arguments->shard.prompts_per_second,
+                      "Made-up completions a second on each front");
+  command->add_option("--versions", arguments->versions_file,
+                      "CSV of when each version came into force");
+  command->add_option("--kinds", arguments->kinds_file, "CSV of messages by kind");
+  command->add_flag("--weigh", arguments->shard.weigh, "Weigh messages by kind; costs time");
+  command->callback([arguments] { runHollow(*arguments); });
+}
+
+}  // namespace switchsaddle::lab
--- /dev/null
+++ b/programs/lab/hollow_shard.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "switchsaddle/hollow/counting_transport.h"
+#include "switchsaddle/hollow/hollow_front.h"
+#include "switchsaddle/hollow/version_tally.h"
+#include "switchsaddle/transport/asio_dispatcher.h"
+#include "switchsaddle/transport/tcp_transport.h"
+
+namespace switchsaddle::lab {
+
+/** What the fronts of one shard have done up to now. */
+struct ShardSample {
+  std::size_t serving = 0;
+  std::uint64_t lowest_version = 0;
+  std::uint64_t highest_version = 0;
+  std::uint64_t applications = 0;
+  std::uint64_t bytes_sent = 0;
+  std::uint64_t bytes_received = 0;
+  std::uint64_t frames_sent = 0;
+  std::uint64_t frames_received = 0;
+};
+
+/** How the hollow fronts of a process behave. */
+struct ShardOptions {
+  /** Made-up completions a second on each front. */
+  std::size_t prompts_per_second = 0;
+  bool weigh = false;
+};
+
+/** Some of the process's hollow fronts, on one thread with one strand. */
+class HollowShard {
+ public:
+  explicit HollowShard(const ShardOptions& options);
+  ~HollowShard();
+  HollowShard(const HollowShard&) = delete;
+  HollowShard& operator=(const HollowShard&) = delete;
+
+  /** Before start() only. */
+  void addFront(const configuration::Settings& settings, std::uint64_t seed);
+  void start();
+  /** Ends the thread. The results below may be read from then on. */
+  void stop();
+  /** The sample of the last full second. Callable from any thread. */
+  ShardSample sample() const;
+
+  const hollow::VersionTally& tally() const { return tally_; }
+  const hollow::KindCounts& sent() const { return sent_; }
+  const hollow::KindCounts& received() const { return received_; }
+
+ private:
+  struct Member {
+    std::unique_ptr<transport::TcpTransport> tcp;
+    std::unique_ptr<hollow::CountingTransport> counting;
+    std::unique_ptr<hollow::HollowFront> front;
+  };
+
+  void onSecond();
+
+  ShardOptions options_;
+  boost::asio::io_context context_{1};
+  transport::AsioDispatcher dispatcher_;
+  hollow::KindCounts sent_{};
+  hollow::KindCounts received_{};
+  hollow::VersionTally tally_;
+  std::vector<Member> members_;
+  base::TimerPtr timer_;
+  mutable std::mutex mutex_;
+  ShardSample sample_;
+  std::thread thread_;
+};
+
+}  // namespace switchsaddle::lab
--- a/programs/lab/main.cc
+++ b/programs/lab/main.cc
@@ -13,6 +13,10 @@
   switchsaddle::lab::addFleetCommand(app);
   switchsaddle::lab::addLoadCommand(app);
   switchsaddle::lab::addJudgeCommand(app);
+  switchsaddle::lab::addHollowCommand(app);
+  switchsaddle::lab::addChangesCommand(app);
+  switchsaddle::lab::addClaimsCommand(app);
+  switchsaddle::lab::addSlopesCommand(app);
   try {
     CLI11_PARSE(app, argument_count, arguments);
   } catch (const std::exception& error) {
--- a/programs/lab/platform_command.cc
+++ b/programs/lab/platform_command.cc
@@ -24,6 +24,8 @@
   std::string workers_file;
   int lag_ms = 1'000;
   int crashed_listed_ms = 8'000;
+  bool hollow = false;
+  int churn_ms = 0;
 };
 
 /** Polls the workers and serves the lagging list until it is told to stop. One thread. */
@@ -40,7 +42,10 @@
                                     handle(request, *writer);
                                   })),
         signals_(context_, SIGTERM, SIGINT),
-        timer_(dispatcher_.createTimer([this] { poll(); })) {}
+        timer_(dispatcher_.createTimer([this] { poll(); })),
+        churn_timer_(dispatcher_.createTimer([this] { churn(); })),
+        churn_pause_(std::chrono::milliseconds(arguments.churn_ms)),
+        hollow_(arguments.hollow) {}
 
   void run() {
     signals_.async_wait([this](const boost::system::error_code& failure, int) {
@@ -48,11 +53,31 @@
         context_.stop();
       }
     });
-    poll();
+    if (hollow_) {
+      listAll();
+    } else {
+      poll();
+    }
     context_.run();
   }
 
  private:
+  /** Lists workers that do not exist as ready, for runs at the size of a whole fleet. */
+  void listAll() {
+    for (std::size_t index = 0; index < list_.workers().size(); ++index) {
+      list_.heard(index, "ready", dispatcher_.now());
+    }
+    if (churn_pause_ > base::Duration::zero()) {
+      churn_timer_->enable(churn_pause_);
+    }
+  }
+
+  /** One worker after the other begins to drain. */
+  void churn() {
+    list_.heard(churned_++ % list_.workers().size(), "draining", dispatcher_.now());
+    churn_timer_->enable(churn_pause_);
+  }
+
   void poll() {
     for (std::size_t index = 0; index < list_.workers().size(); ++index) {
       pollWorker(index);
@@ -118,6 +143,10 @@
   std::unique_ptr<http::Server> server_;
   boost::asio::signal_set signals_;
   base::TimerPtr timer_;
+  base::TimerPtr churn_timer_;
+  base::Duration churn_pause_;
+  std::size_t churned_ = 0;
+  bool hollow_;
 };
 
 }  // namespace
@@ -131,6 +160,9 @@
   command->add_option("--lag-ms", arguments->lag_ms, "How late the list is");
   command->add_option("--crashed-listed-ms", arguments->crashed_listed_ms,
                       "How long a worker that vanished stays listed");
+  command->add_flag("--hollow", arguments->hollow, "List all workers as ready without asking them");
+  command->add_option("--churn-ms", arguments->churn_ms,
+                      "With --hollow: how often one more worker begins to drain");
   command->callback([arguments] { PlatformProcess(*arguments).run(); });
 }
 
