Name the fronts to a renewal only where they changed

Every grant, four times a second, carried the addresses of all fronts. A request now names the digest of the lists the front has, and the reply leaves both out where they are the same. The core works its list out only where a session came, closed or lapsed, no longer for each grant. A sample of the fronts in place of the list was ruled out: the cold guard needs all of them.

--- a/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
+++ b/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
@@ -95,6 +95,8 @@
   CommittedListener listener_;
   std::vector<base::NodeAddress> cores_;
   std::vector<base::NodeAddress> fronts_;
+  /** Digest of the cores and fronts as last learnt. */
+  std::uint64_t members_digest_ = 0;
   std::size_t core_index_ = 0;
   std::size_t refused_in_a_row_ = 0;
   std::uint64_t sequence_ = 0;
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -57,11 +57,18 @@
   };
   struct PendingGrant {
     wire::SessionRecord record;
+    std::uint64_t members_digest = 0;
     transport::ReplyFunction reply;
     std::set<base::NodeAddress> recorded_at;
     std::uint64_t committed_version = 0;
     base::TimePoint expires_at;
   };
+  /** The fronts of all sessions on record that are not closed, and their digest. */
+  struct Members {
+    bool outdated = true;
+    std::vector<base::NodeAddress> fronts;
+    std::uint64_t digest = 0;
+  };
   using PendingGrantPtr = std::shared_ptr<PendingGrant>;
   struct Read;
   using ReadPtr = std::shared_ptr<Read>;
@@ -73,7 +80,9 @@
   void flush();
   void onBatchReply(const base::NodeAddress& peer, const std::vector<PendingGrantPtr>& grants,
                     const transport::CallResult& result);
-  void grant(PendingGrant& pending) const;
+  void grant(PendingGrant& pending);
+  /** The fronts on record, worked out anew only where they may have changed. */
+  const Members& members();
   void startRound(const ReadPtr& read);
   void onTable(const ReadPtr& read, std::uint64_t round, const base::NodeAddress& peer,
                const transport::CallResult& result);
@@ -91,6 +100,7 @@
   /** Since when this life of the node has been able to record; unset while it may not vote. */
   mutable std::optional<base::TimePoint> recording_since_;
   std::map<SessionKey, Entry> entries_;
+  Members members_;
   std::vector<PendingGrantPtr> unsent_;
   std::optional<base::TimePoint> last_flush_;
   base::TimerPtr flush_timer_;
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -78,7 +78,7 @@
   const base::TimePoint asked_at = dispatcher_.now();
   wire::SessionRecord record{identity_.address, identity_.instance, ++sequence_, applied_version_,
                              applied_digest_,   identity_.zone,     closing_};
-  calls_.call(core, wire::SessionOpenRequest{record}, times_.core_silence,
+  calls_.call(core, wire::SessionOpenRequest{record, members_digest_}, times_.core_silence,
               [this, alive = std::weak_ptr(alive_), core, asked_at](const auto& result) {
                 if (!alive.expired()) {
                   onReply(core, asked_at, result);
@@ -152,8 +152,12 @@
 }
 
 void QuorumSessionClient::learn(const wire::SessionOpenReply& reply) {
+  if (reply.core_addresses.empty()) {
+    return;
+  }
+  members_digest_ = reply.members_digest;
   fronts_ = reply.front_addresses;
-  if (reply.core_addresses.empty() || reply.core_addresses == cores_) {
+  if (reply.core_addresses == cores_) {
     return;
   }
   const base::NodeAddress present = cores_[core_index_ % cores_.size()];
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -3,8 +3,22 @@
 #include <algorithm>
 #include <utility>
 
+#include "switchsaddle/base/hash.h"
+
 namespace switchsaddle::sessions {
 
+namespace {
+
+std::uint64_t digestOf(const std::vector<base::NodeAddress>& addresses) {
+  std::uint64_t digest = base::hashBytes("");
+  for (const base::NodeAddress& address : addresses) {
+    digest = base::combineHashes(digest, base::hashBytes(address.toString()));
+  }
+  return digest;
+}
+
+}  // namespace
+
 /** One readLive() under way: rounds of questions until one of them finds a majority in time. */
 struct SessionTable::Read {
   LiveSessionsCallback callback;
@@ -84,6 +98,7 @@
 void SessionTable::onOpen(const wire::SessionOpenRequest& request, transport::ReplyFunction reply) {
   auto pending = std::make_shared<PendingGrant>();
   pending->record = request.record;
+  pending->members_digest = request.members_digest;
   pending->reply = std::move(reply);
   pending->expires_at = dispatcher_.now() + times_.front_limit;
   unsent_.push_back(std::move(pending));
@@ -141,6 +156,7 @@
   if (known == entries_.end() || record.closed) {
     journal_.append(journal::Subject::Session, record.front.toString(), record.closed ? "" : "live",
                     record.sequence);
+    members_.outdated = true;
   }
   entries_[key] = Entry{record, dispatcher_.now() + times_.core_limit};
 }
@@ -164,17 +180,32 @@
   }
 }
 
-void SessionTable::grant(PendingGrant& pending) const {
+const SessionTable::Members& SessionTable::members() {
+  if (members_.outdated) {
+    std::set<base::NodeAddress> fronts;
+    for (const auto& [key, entry] : entries_) {
+      if (!entry.record.closed) {
+        fronts.insert(entry.record.front);
+      }
+    }
+    members_.fronts.assign(fronts.begin(), fronts.end());
+    members_.digest = digestOf(members_.fronts);
+    members_.outdated = false;
+  }
+  return members_;
+}
+
+void SessionTable::grant(PendingGrant& pending) {
   wire::SessionOpenReply granted;
   granted.granted = true;
   granted.sequence = pending.record.sequence;
   granted.committed_version = pending.committed_version;
-  granted.core_addresses = view_.coreAddresses();
-  std::set<base::NodeAddress> fronts;
-  for (const wire::SessionTableEntry& entry : localSessions()) {
-    fronts.insert(entry.record.front);
+  const std::vector<base::NodeAddress> cores = view_.coreAddresses();
+  granted.members_digest = base::combineHashes(digestOf(cores), members().digest);
+  if (granted.members_digest != pending.members_digest) {
+    granted.core_addresses = cores;
+    granted.front_addresses = members().fronts;
   }
-  granted.front_addresses.assign(fronts.begin(), fronts.end());
   const transport::ReplyFunction reply = std::exchange(pending.reply, nullptr);
   reply(std::move(granted));
 }
@@ -273,6 +304,7 @@
       journal_.append(journal::Subject::Session, entry.record.front.toString(), "",
                       entry.record.sequence);
     }
+    members_.outdated = true;
     return true;
   });
   sweep_timer_->enable(times_.core_limit);
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -38,10 +38,12 @@
 /** Front to core: opens or renews the session. */
 struct SessionOpenRequest {
   SessionRecord record;
+  /** The digest of the addresses the front has from earlier replies; 0 where it has none. */
+  std::uint64_t members_digest = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(record);
+    archive(record, members_digest);
   }
 };
 
@@ -55,10 +57,12 @@
   std::vector<base::NodeAddress> core_addresses;
   /** Fronts with live sessions, as dissemination peers. */
   std::vector<base::NodeAddress> front_addresses;
+  /** Digest of both lists; where the request names the same one, both are left empty. */
+  std::uint64_t members_digest = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(granted, sequence, committed_version, core_addresses, front_addresses);
+    archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest);
   }
 };
 
