Push changes of the worker view, and scores in bounded batches

With 2,100 workers, one more beginning to drain each 2 s and 21 completions a second on each of 25 fronts, a front received 551,069 and sent 424,585 bytes a second: each change of one worker pushed the whole list (255,517 bytes) four times for each node, and each answer held all scores (162,805 bytes). A change now goes as what differs from the view before (WorkerViewChange); a node with another base asks the sender for the whole. An answer holds at most 16 scores, the 8 freshest and 8 at random. Ruled out: scores by delta since the last exchange, which needs a memory for each pair of nodes.

--- a/libraries/dissemination/include/switchsaddle/dissemination/gossip_agent.h
+++ b/libraries/dissemination/include/switchsaddle/dissemination/gossip_agent.h
@@ -20,6 +20,8 @@
   base::Duration call_timeout = std::chrono::milliseconds(500);
   /** How many random peers hear at once of something new. */
   std::size_t fanout = 3;
+  /** Most scores in one answer; half of them the freshest, the others at random. */
+  std::size_t score_batch = 16;
 };
 
 /**
@@ -27,7 +29,8 @@
  * takes in what the peer has beyond it, and is asked back where the peer lacks something. What is
  * new and urgent (observations, worker views) is besides pushed at once to `fanout` random peers by
  * each node on first hearing of it, and by no node twice. Owns the handlers of ConfigurationDelta,
- * ConfigurationFetch, WorkerView, GossipDigest and GossipDelta. Runs on the control strand.
+ * ConfigurationFetch, WorkerView, WorkerViewChange, GossipDigest and GossipDelta. Runs on the
+ * control strand.
  */
 class GossipAgent {
  public:
@@ -59,14 +62,17 @@
   void registerHandlers();
   void onInterval();
   wire::GossipDigest digest() const;
-  wire::GossipDelta deltaFor(const wire::GossipDigest& peer) const;
+  wire::GossipDelta deltaFor(const wire::GossipDigest& peer);
+  std::vector<wire::RouteScore> chooseScores();
   bool isAhead(const wire::GossipDigest& peer) const;
   void onDigest(const base::NodeAddress& from, const wire::GossipDigest& peer,
                 const transport::ReplyFunction& reply);
   void onDelta(const base::NodeAddress& from, const wire::GossipDelta& delta);
   void onConfiguration(const base::NodeAddress& from, const wire::ConfigurationDelta& delta);
   void fetchConfiguration(const base::NodeAddress& from);
-  void takeView(const wire::WorkerView& view);
+  /** Takes a view in; where it is new, what it changed is pushed to `first` and random peers. */
+  void takeView(const wire::WorkerView& view, const std::vector<base::NodeAddress>& first = {});
+  void takeViewChange(const base::NodeAddress& from, const wire::WorkerViewChange& change);
   void takeObservations(const std::vector<wire::WorkerObservation>& observations);
   void pushObservations(const std::vector<wire::WorkerObservation>& observations);
   std::vector<base::NodeAddress> randomPeers(std::size_t count);
--- a/libraries/dissemination/source/gossip_agent.cc
+++ b/libraries/dissemination/source/gossip_agent.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "switchsaddle/workers/worker_view_change.h"
+
 namespace switchsaddle::dissemination {
 
 namespace {
@@ -67,6 +69,14 @@
           takeView(view);
         }
       });
+  calls_.handle<wire::WorkerViewChange>(
+      [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& from,
+                                            const wire::WorkerViewChange& change,
+                                            const auto& /*reply*/) {
+        if (!alive.expired()) {
+          takeViewChange(from, change);
+        }
+      });
 }
 
 void GossipAgent::start() {
@@ -119,7 +129,7 @@
   return digest;
 }
 
-wire::GossipDelta GossipAgent::deltaFor(const wire::GossipDigest& peer) const {
+wire::GossipDelta GossipAgent::deltaFor(const wire::GossipDigest& peer) {
   wire::GossipDelta delta;
   if (replica_.version() > peer.configuration_version) {
     delta.configuration = replica_.document().deltaSince(peer.configuration_version);
@@ -132,11 +142,27 @@
     delta.observations = workers_.observations();
   }
   if (score_source_) {
-    delta.scores = score_source_();
+    delta.scores = chooseScores();
   }
   return delta;
 }
 
+std::vector<wire::RouteScore> GossipAgent::chooseScores() {
+  std::vector<wire::RouteScore> scores = score_source_();
+  if (scores.size() <= options_.score_batch) {
+    return scores;
+  }
+  const std::size_t fresh = options_.score_batch / 2;
+  std::partial_sort(
+      scores.begin(), scores.begin() + static_cast<std::ptrdiff_t>(fresh), scores.end(),
+      [](const auto& first, const auto& second) { return first.age_ms < second.age_ms; });
+  for (std::size_t index = fresh; index < options_.score_batch; ++index) {
+    std::swap(scores[index], scores[index + random_.below(scores.size() - index)]);
+  }
+  scores.resize(options_.score_batch);
+  return scores;
+}
+
 bool GossipAgent::isAhead(const wire::GossipDigest& peer) const {
   const wire::WorkerView& view = workers_.view();
   return peer.configuration_version > replica_.version() ||
@@ -210,23 +236,39 @@
   }
 }
 
-void GossipAgent::takeView(const wire::WorkerView& view) {
+void GossipAgent::takeView(const wire::WorkerView& view,
+                           const std::vector<base::NodeAddress>& first) {
+  const wire::WorkerView before = workers_.view();
   if (!workers_.applyView(view)) {
     return;
   }
+  const wire::WorkerViewChange change = workers::changeBetween(before, view);
+  for (const base::NodeAddress& peer : first) {
+    if (peer != calls_.localAddress()) {
+      calls_.notify(peer, change);
+    }
+  }
   for (const base::NodeAddress& peer : randomPeers(options_.fanout)) {
-    calls_.notify(peer, view);
+    calls_.notify(peer, change);
+  }
+}
+
+void GossipAgent::takeViewChange(const base::NodeAddress& from,
+                                 const wire::WorkerViewChange& change) {
+  const wire::WorkerView& held = workers_.view();
+  if (!viewIsOlder(held.term, held.sequence, change.term, change.sequence)) {
+    return;
+  }
+  if (const auto next = workers::applyChange(held, change)) {
+    takeView(*next);
+  } else {
+    pullFrom(from);
   }
 }
 
 void GossipAgent::publishView(const wire::WorkerView& view,
                               const std::vector<base::NodeAddress>& first) {
-  for (const base::NodeAddress& peer : first) {
-    if (peer != calls_.localAddress()) {
-      calls_.notify(peer, view);
-    }
-  }
-  takeView(view);
+  takeView(view, first);
 }
 
 std::vector<base::NodeAddress> GossipAgent::randomPeers(std::size_t count) {
--- a/libraries/dissemination/test/gossip_agent_test.cc
+++ b/libraries/dissemination/test/gossip_agent_test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "switchsaddle/simulation/network.h"
 
@@ -150,6 +152,72 @@
   EXPECT_EQ(heard.front().arm, "a");
 }
 
+TEST_F(GossipAgentTest, AnAnswerCarriesABoundedBatchOfScores) {
+  constexpr std::size_t Arms = 300;
+  addNodes(2);
+  nodes_[0]->agent.setScoreSource([] {
+    std::vector<wire::RouteScore> scores(Arms);
+    for (std::size_t index = 0; index < Arms; ++index) {
+      scores[index].arm = "arm-" + std::to_string(index);
+      scores[index].age_ms = static_cast<std::uint32_t>(index == 250 ? 0 : 1'000 + index);
+    }
+    return scores;
+  });
+  std::set<std::string> heard;
+  bool freshest_in_each = true;
+  nodes_[1]->agent.setScoreSink([&](const std::vector<wire::RouteScore>& scores) {
+    EXPECT_LE(scores.size(), GossipOptions{}.score_batch);
+    bool has_freshest = false;
+    for (const wire::RouteScore& score : scores) {
+      heard.insert(score.arm);
+      has_freshest = has_freshest || score.arm == "arm-250";
+    }
+    freshest_in_each = freshest_in_each && has_freshest;
+  });
+  world_.runFor(seconds(600));
+  EXPECT_TRUE(freshest_in_each);
+  // The others come at random: after 600 answers with 8 of them each, hardly one is missing.
+  EXPECT_GE(heard.size(), Arms - 5);
+}
+
+TEST_F(GossipAgentTest, AChangedWorkerDoesNotSendTheWholeViewAgain) {
+  addNodes(8);
+  wire::WorkerView view{1, 1, {}};
+  for (int index = 0; index < 500; ++index) {
+    wire::WorkerEntry worker;
+    worker.id = "worker-" + std::to_string(index);
+    view.workers.push_back(worker);
+  }
+  nodes_[0]->agent.publishView(view);
+  ASSERT_TRUE(untilAll([](Node& node) { return node.workers.view().sequence == 1; }, seconds(10)));
+  const std::uint64_t before = network_.bytesSent();
+  view.sequence = 2;
+  view.workers[77].state = wire::WorkerState::Draining;
+  nodes_[0]->agent.publishView(view);
+  world_.runFor(milliseconds(100));
+  const auto reached = std::count_if(nodes_.begin(), nodes_.end(), [](const auto& node) {
+    return node->workers.view().sequence == 2 && node->workers.view().workers.size() == 500;
+  });
+  EXPECT_GE(reached, 6);
+  EXPECT_LE(network_.bytesSent() - before, 10'000U);
+}
+
+TEST_F(GossipAgentTest, AViewChangeWithAGapIsFetchedFromItsSender) {
+  addNodes(2);
+  for (const auto& node : nodes_) {
+    node->agent.stop();
+  }
+  wire::WorkerView view{1, 1, {}};
+  view.workers.emplace_back().id = "a";
+  nodes_[0]->workers.applyView(view);
+  view.sequence = 2;
+  view.workers.emplace_back().id = "b";
+  nodes_[0]->agent.publishView(view);
+  world_.runFor(milliseconds(100));
+  EXPECT_EQ(nodes_[1]->workers.view().sequence, 2U);
+  EXPECT_EQ(nodes_[1]->workers.view().workers.size(), 2U);
+}
+
 TEST_F(GossipAgentTest, EqualNodesFallSilentButForTheirDigests) {
   addNodes(4);
   nodes_[0]->agent.observe({"a", 1, true, false});
--- a/libraries/hollow/source/counting_transport.cc
+++ b/libraries/hollow/source/counting_transport.cc
@@ -41,7 +41,8 @@
     "ControlRequest",
     "ControlReply",
     "CoreAnnounce",
-    "CoreAnnounceReply"};
+    "CoreAnnounceReply",
+    "WorkerViewChange"};
 
 }  // namespace
 
--- a/libraries/wire/include/switchsaddle/wire/dissemination_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/dissemination_messages.h
@@ -74,6 +74,8 @@
   /** Changes when the worker leaves and comes back, as the watcher saw it. */
   std::uint64_t instance = 0;
 
+  bool operator==(const WorkerEntry&) const = default;
+
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, address, zone, models, service, stage, state, weights_version, slots, instance);
@@ -92,6 +94,23 @@
   }
 };
 
+/** What leads from one worker list to a newer one. */
+struct WorkerViewChange {
+  std::uint64_t base_term = 0;
+  std::uint64_t base_sequence = 0;
+  std::uint64_t term = 0;
+  std::uint64_t sequence = 0;
+  /** Entries that are new or differ. */
+  std::vector<WorkerEntry> changed;
+  /** Ids that the newer list lacks. */
+  std::vector<std::string> removed;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(base_term, base_sequence, term, sequence, changed, removed);
+  }
+};
+
 /** What a front saw itself: the worker instance is draining or gone. Never withdrawn for an
  * instance. */
 struct WorkerObservation {
--- a/libraries/wire/include/switchsaddle/wire/message.h
+++ b/libraries/wire/include/switchsaddle/wire/message.h
@@ -24,15 +24,14 @@
  * Every message between nodes. The order is the wire format: new kinds are added at the end and
  * bump ProtocolVersion.
  */
-using Message =
-    std::variant<Acknowledgement, PrepareRequest, AcceptRequest, RegisterReply, RegisterScanRequest,
-                 RegisterScanReply, RegisterInstallRequest, RegisterInstallReply,
-                 AcceptorSetInstallRequest, AcceptorSetInstallReply, LeaseRequest, LeaseReply,
-                 LeaseRelease, SessionOpenRequest, SessionOpenReply, SessionRecordBatch,
-                 SessionRecordBatchReply, SessionTableRequest, SessionTableReply,
-                 ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest, GossipDelta,
-                 SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
-                 ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply>;
+using Message = std::variant<
+    Acknowledgement, PrepareRequest, AcceptRequest, RegisterReply, RegisterScanRequest,
+    RegisterScanReply, RegisterInstallRequest, RegisterInstallReply, AcceptorSetInstallRequest,
+    AcceptorSetInstallReply, LeaseRequest, LeaseReply, LeaseRelease, SessionOpenRequest,
+    SessionOpenReply, SessionRecordBatch, SessionRecordBatchReply, SessionTableRequest,
+    SessionTableReply, ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest,
+    GossipDelta, SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
+    ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply, WorkerViewChange>;
 
 inline constexpr std::uint16_t ProtocolVersion = 1;
 
