Close idle connections and read into small buffers

Gossip meets every peer in time, and each incoming connection held a read buffer of 64 KiB: 360 peers are 23 MB of the 32 MB a node may spend on control, and a process of 200 hollow fronts would need more file descriptors than it may have. A connection on which nothing was sent for 10 s is closed, and the buffer is 4 KiB until a read has filled it.

--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -27,6 +27,9 @@
   base::Duration connect_timeout = std::chrono::seconds(1);
   /** How long sent bytes may stay unacknowledged before the connection counts as dead. */
   base::Duration user_timeout = std::chrono::milliseconds(1500);
+  /** An outgoing connection on which nothing was sent for this long is closed; the next frame makes
+   * a new one. Gossip meets every peer in time, and each connection costs both ends memory. */
+  base::Duration idle_timeout = std::chrono::seconds(10);
 };
 
 /** What a TcpTransport has seen since it was made. */
--- a/libraries/transport/source/tcp_incoming.h
+++ b/libraries/transport/source/tcp_incoming.h
@@ -32,11 +32,12 @@
  private:
   void read() {
     const std::size_t filled = buffer_.size();
-    buffer_.resize(filled + ReadBytes);
+    buffer_.resize(filled + read_bytes_);
     socket_.async_read_some(
-        boost::asio::buffer(buffer_.data() + filled, ReadBytes),
+        boost::asio::buffer(buffer_.data() + filled, read_bytes_),
         [self = shared_from_this(), filled](const error_code& error, std::size_t bytes) {
           self->buffer_.resize(filled + bytes);
+          self->read_bytes_ = bytes == self->read_bytes_ ? LargeReadBytes : SmallReadBytes;
           self->onRead(error);
         });
   }
@@ -74,7 +75,7 @@
       offset += LengthBytes + length;
     }
     buffer_.erase(0, offset);
-    if (buffer_.empty() && buffer_.capacity() > 4 * ReadBytes) {
+    if (buffer_.empty() && buffer_.capacity() > 4 * SmallReadBytes) {
       buffer_.shrink_to_fit();
     }
     return true;
@@ -106,6 +107,7 @@
   tcp::socket socket_;
   std::function<void(const std::shared_ptr<IncomingConnection>&)> on_closed_;
   std::string buffer_;
+  std::size_t read_bytes_ = SmallReadBytes;
 };
 
 /** Accepts connections and keeps them. */
--- a/libraries/transport/source/tcp_outgoing.h
+++ b/libraries/transport/source/tcp_outgoing.h
@@ -21,7 +21,8 @@
       : shared_(std::move(shared)),
         peer_(std::move(peer)),
         socket_(shared_->strand),
-        connect_timer_(shared_->strand) {}
+        connect_timer_(shared_->strand),
+        idle_timer_(shared_->strand) {}
 
   void send(std::string frame) {
     queued_bytes_ += frame.size();
@@ -48,6 +49,7 @@
     ++attempt_;
     state_ = State::Closed;
     connect_timer_.cancel();
+    idle_timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
     writing_ = false;
@@ -119,6 +121,25 @@
     state_ = State::Connected;
     watch();
     write();
+    awaitIdleness();
+  }
+
+  /** Closes the connection once nothing was sent in a whole period. */
+  void awaitIdleness() {
+    used_ = false;
+    idle_timer_.expires_after(shared_->options.idle_timeout);
+    idle_timer_.async_wait(
+        [self = shared_from_this(), attempt = attempt_](const error_code& failure) {
+          if (failure || self->outdated(attempt)) {
+            return;
+          }
+          const bool in_use = self->used_ || self->writing_ || !self->queue_.empty();
+          if (in_use) {
+            self->awaitIdleness();
+          } else {
+            self->close();
+          }
+        });
   }
 
   /** Linux joins a socket to itself where the peer's port is free and happens to be chosen. */
@@ -152,6 +173,7 @@
     }
     queued_bytes_ -= bytes;
     writing_ = true;
+    used_ = true;
     std::vector<boost::asio::const_buffer> buffers;
     for (const std::string& frame : *frames) {
       buffers.push_back(boost::asio::buffer(frame));
@@ -195,11 +217,14 @@
   base::NodeAddress peer_;
   tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
+  boost::asio::steady_timer idle_timer_;
   State state_ = State::Closed;
   std::uint64_t attempt_ = 0;
   std::deque<std::string> queue_;
   std::size_t queued_bytes_ = 0;
   bool writing_ = false;
+  /** Something was sent since the idle timer was last set. */
+  bool used_ = false;
   char watched_byte_ = 0;
 };
 
--- a/libraries/transport/source/tcp_shared.h
+++ b/libraries/transport/source/tcp_shared.h
@@ -19,7 +19,9 @@
 /** Frames and bytes gathered into one write. */
 inline constexpr std::size_t GatheredFrames = 64;
 inline constexpr std::size_t GatheredBytes = 1U << 20U;
-inline constexpr std::size_t ReadBytes = 64U << 10U;
+/** Space for one read: small until a read has filled it. A node has hundreds of quiet peers. */
+inline constexpr std::size_t SmallReadBytes = 4U << 10U;
+inline constexpr std::size_t LargeReadBytes = 64U << 10U;
 inline constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
 inline constexpr int KeepAliveSeconds = 1;
 inline constexpr int KeepAliveProbes = 3;
--- a/libraries/transport/test/tcp_transport_test.cc
+++ b/libraries/transport/test/tcp_transport_test.cc
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 #include <stdexcept>
 
 #include "recording_receiver.h"
@@ -163,6 +165,32 @@
   EXPECT_EQ(seen, "127.0.2.77");
 }
 
+TEST_F(TcpTransportTest, ClosesAnIdleConnectionAndMakesANewOne) {
+  TcpTransportOptions options;
+  options.idle_timeout = std::chrono::milliseconds(20);
+  const auto sender = make("127.0.2.1", options);
+  tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.2.3"), 0});
+  const base::NodeAddress peer{"127.0.2.3", acceptor.local_endpoint().port()};
+  for (std::uint64_t number = 1; number <= 2; ++number) {
+    std::optional<tcp::socket> taken;
+    acceptor.async_accept([&](const boost::system::error_code&, tcp::socket socket) {
+      taken.emplace(std::move(socket));
+    });
+    const auto envelope = numbered(*sender, number);
+    sender->send(peer, envelope);
+    ASSERT_TRUE(runUntil([&] { return taken.has_value(); }));
+    std::string received(frame(wire::encode(envelope)).size(), '\0');
+    bool whole = false;
+    boost::asio::async_read(
+        *taken, boost::asio::buffer(received),
+        [&](const boost::system::error_code& error, std::size_t) { whole = !error; });
+    ASSERT_TRUE(runUntil([&] { return whole; }));
+    EXPECT_EQ(received, frame(wire::encode(envelope)));
+    EXPECT_TRUE(closedByPeer(*taken));
+  }
+  EXPECT_EQ(sender->counters().frames_dropped, 0U);
+}
+
 TEST_F(TcpTransportTest, TellsOfOneAttemptOnceForAllItsFrames) {
   const auto sender = make("127.0.2.1");
   sender->setReceiver(&receiver);
