--- a/libraries/base/include/switchsaddle/base/log.h
+++ b/libraries/base/include/switchsaddle/base/log.h
@@ -6,14 +6,18 @@
 #include <filesystem>
 #include <initializer_list>
 #include <mutex>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace switchsaddle::base {
 
-/** How serious a logged event is. Warnings and above also go to the process's log. */
-enum class Severity : std::uint8_t { Debug, Info, Warning, Error };
+/**
+ * How serious a logged event is. Notices, which an operator must see though nothing is wrong, and
+ * what is above them also go to the process's log.
+ */
+enum class Severity : std::uint8_t { Debug, Info, Notice, Warning, Error };
 
 /** One named value of an event. */
 struct LogField {
@@ -35,6 +39,11 @@
 
   void append(std::string line);
   std::vector<std::string> lines() const;
+  /**
+   * Writes the lines to an open file without allocating memory, for a signal's handler. Where
+   * another thread holds the ring, or this one was stopped within it, says so in place of them.
+   */
+  void writeFromSignal(int file) const;
   /** Lines appended since the ring was made, with those that have fallen out. */
   std::uint64_t appended() const;
 
@@ -58,13 +67,17 @@
 LogRing& processLogRing();
 
 /**
- * One line, `time=… severity=… event=NAME key=value …`, to the process's ring and, for warnings and
+ * One line, `time=… severity=… event=NAME key=value …`, to the process's ring and, for notices and
  * above, to glog. Values with spaces, quotes or control characters are quoted and escaped.
  */
 void logEvent(Severity severity, std::string_view event,
               std::initializer_list<LogField> fields = {});
+/** The same with fields put together at run time; those without a value are left out. */
+void logEvent(Severity severity, std::string_view event, const std::vector<LogField>& fields);
 
 /** The line without its time, for logEvent() and for tests. */
+std::string formatEvent(Severity severity, std::string_view event,
+                        std::span<const LogField> fields);
 std::string formatEvent(Severity severity, std::string_view event,
                         std::initializer_list<LogField> fields);
 
--- a/libraries/base/source/log.cc
+++ b/libraries/base/source/log.cc
@@ -1,6 +1,7 @@
 #include "switchsaddle/base/log.h"
 
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -17,7 +18,8 @@
 constexpr std::string_view HexDigits = "0123456789abcdef";
 
 std::string_view severityName(Severity severity) {
-  static constexpr std::array<std::string_view, 4> Names{"debug", "info", "warning", "error"};
+  static constexpr std::array<std::string_view, 5> Names{"debug", "info", "notice", "warning",
+                                                         "error"};
   return Names.at(static_cast<std::size_t>(severity));
 }
 
@@ -85,6 +87,17 @@
   return oldest;
 }
 
+/** Gives up at the first failure; nothing else can be done within a signal's handler. */
+void writeAll(int file, std::string_view bytes) {
+  while (!bytes.empty()) {
+    const ssize_t written = ::write(file, bytes.data(), bytes.size());
+    if (written <= 0) {
+      return;
+    }
+    bytes.remove_prefix(static_cast<std::size_t>(written));
+  }
+}
+
 }  // namespace
 
 void LogRing::append(std::string line) {
@@ -104,6 +117,20 @@
   return {lines_.begin(), lines_.end()};
 }
 
+void LogRing::writeFromSignal(int file) const {
+  constexpr std::string_view Busy = "the ring was in use\n";
+  constexpr std::string_view LineEnd = "\n";
+  const std::unique_lock lock(mutex_, std::try_to_lock);
+  if (!lock.owns_lock()) {
+    writeAll(file, Busy);
+    return;
+  }
+  for (const std::string& line : lines_) {
+    writeAll(file, line);
+    writeAll(file, LineEnd);
+  }
+}
+
 std::uint64_t LogRing::appended() const {
   const std::scoped_lock lock(mutex_);
   return appended_;
@@ -135,7 +162,7 @@
 }
 
 std::string formatEvent(Severity severity, std::string_view event,
-                        std::initializer_list<LogField> fields) {
+                        std::span<const LogField> fields) {
   std::string line = "severity=";
   line += severityName(severity);
   line += " event=";
@@ -149,14 +176,35 @@
   return line;
 }
 
-void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields) {
-  const std::string line = formatEvent(severity, event, fields);
+std::string formatEvent(Severity severity, std::string_view event,
+                        std::initializer_list<LogField> fields) {
+  return formatEvent(severity, event, std::span(fields.begin(), fields.size()));
+}
+
+namespace {
+
+void logLine(Severity severity, const std::string& line) {
   processLogRing().append("time=" + wallClockMilliseconds() + " " + line);
-  if (severity == Severity::Warning) {
+  if (severity == Severity::Notice) {
+    LOG(INFO) << line;
+  } else if (severity == Severity::Warning) {
     LOG(WARNING) << line;
   } else if (severity == Severity::Error) {
     LOG(ERROR) << line;
   }
 }
 
+}  // namespace
+
+void logEvent(Severity severity, std::string_view event, std::initializer_list<LogField> fields) {
+  logLine(severity, formatEvent(severity, event, fields));
+}
+
+void logEvent(Severity severity, std::string_view event, const std::vector<LogField>& fields) {
+  std::vector<LogField> present;
+  std::copy_if(fields.begin(), fields.end(), std::back_inserter(present),
+               [](const LogField& field) { return !field.value.empty(); });
+  logLine(severity, formatEvent(severity, event, present));
+}
+
 }  // namespace switchsaddle::base
--- /dev/null
+++ b/libraries/base/test/incident_log_test.cc
@@ -0,0 +1,142 @@
+#include "switchsaddle/base/incident_log.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <sstream>
+
+#include "switchsaddle/base/crash_dump.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::base {
+namespace {
+
+/** A folder of its own, removed at the end, and a clock that only the test moves. */
+class IncidentLogTest : public testing::Test {
+ protected:
+  IncidentLogTest() {
+    std::string pattern = testing::TempDir() + "incident_log_test_XXXXXX";
+    folder_ = mkdtemp(pattern.data());
+    ring_.append("earlier");
+  }
+  ~IncidentLogTest() override { std::filesystem::remove_all(folder_); }
+
+  std::size_t fileCount() const {
+    return static_cast<std::size_t>(
+        std::distance(std::filesystem::directory_iterator(folder_), {}));
+  }
+
+  static std::string readFile(const std::filesystem::path& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+
+  static Incident incident(std::string_view event) {
+    return {event, Severity::Error, ResultCode::NoQuorum, "r-1", {}, true};
+  }
+
+  simulation::World world_{1};
+  simulation::Process process_{world_};
+  LogRing ring_;
+  std::filesystem::path folder_;
+};
+
+TEST_F(IncidentLogTest, WritesCodeNameAndRequestAndLeavesOutWhatIsEmpty) {
+  IncidentLog log(process_, ring_, {});
+  log.report({"stream-broken",
+              Severity::Error,
+              ResultCode::StreamGap,
+              "r-7",
+              {{"worker", "w1"}, {"tenant", ""}}});
+  const std::string line = processLogRing().lines().back();
+  EXPECT_NE(line.find("severity=error event=stream-broken code=5002 name=StreamGap request_id=r-7 "
+                      "worker=w1"),
+            std::string::npos)
+      << line;
+  EXPECT_EQ(line.find("tenant"), std::string::npos);
+}
+
+TEST_F(IncidentLogTest, DumpsOnceInEachPauseForOneEvent) {
+  IncidentLog log(process_, ring_, folder_);
+  log.report(incident("session-lapsed"));
+  world_.runFor(std::chrono::seconds(59));
+  log.report(incident("session-lapsed"));
+  EXPECT_EQ(log.dumps(), 1U);
+  world_.runFor(std::chrono::seconds(1));
+  log.report(incident("session-lapsed"));
+  EXPECT_EQ(log.dumps(), 2U);
+}
+
+TEST_F(IncidentLogTest, EventsDoNotHoldEachOtherBack) {
+  IncidentLog log(process_, ring_, folder_);
+  log.report(incident("session-lapsed"));
+  log.report(incident("stream-broken"));
+  EXPECT_EQ(log.dumps(), 2U);
+  EXPECT_EQ(readFile(folder_ / "ring-0.log").substr(0, 5), "time=");
+  EXPECT_NE(readFile(folder_ / "ring-1.log").find("reason=stream-broken\nearlier\n"),
+            std::string::npos);
+}
+
+TEST_F(IncidentLogTest, KeepsABoundedNumberOfFiles) {
+  IncidentLog log(process_, ring_, folder_, {std::chrono::seconds(1), 3});
+  for (int round = 0; round < 10; ++round) {
+    log.report(incident("no-quorum"));
+    world_.runFor(std::chrono::seconds(1));
+  }
+  EXPECT_EQ(log.dumps(), 10U);
+  EXPECT_EQ(fileCount(), 3U);
+}
+
+TEST_F(IncidentLogTest, WithoutAFolderSaysSoOnce) {
+  IncidentLog log(process_, ring_, {});
+  const auto told = [] {
+    const std::vector<std::string> lines = processLogRing().lines();
+    return std::count_if(lines.begin(), lines.end(), [](const std::string& line) {
+      return line.find("event=log-ring-kept-in-memory") != std::string::npos;
+    });
+  };
+  const auto before = told();
+  log.report(incident("no-quorum"));
+  log.report(incident("session-lapsed"));
+  EXPECT_EQ(log.dumps(), 0U);
+  EXPECT_EQ(told() - before, 1);
+}
+
+TEST_F(IncidentLogTest, AFolderThatCannotBeWrittenIsNotFatal) {
+  std::ofstream(folder_ / "file") << "not a folder";
+  IncidentLog log(process_, ring_, folder_ / "file");
+  EXPECT_NO_THROW(log.report(incident("no-quorum")));
+  EXPECT_EQ(log.dumps(), 0U);
+}
+
+using CrashDumpDeathTest = IncidentLogTest;
+
+TEST_F(CrashDumpDeathTest, AFatalSignalWritesTheRingAndStillEndsTheProcess) {
+  EXPECT_EXIT(
+      {
+        installCrashDump(ring_, folder_);
+        raise(SIGSEGV);
+      },
+      testing::KilledBySignal(SIGSEGV), "");
+  EXPECT_EQ(readFile(folder_ / CrashFileName), "reason=SIGSEGV\nearlier\n");
+}
+
+TEST_F(CrashDumpDeathTest, AnUncaughtExceptionWritesItsReason) {
+  EXPECT_EXIT(
+      {
+        installCrashDump(processLogRing(), folder_);
+        []() noexcept { throw std::runtime_error("out of luck"); }();
+      },
+      testing::KilledBySignal(SIGABRT), "");
+  const std::string written = readFile(folder_ / CrashFileName);
+  EXPECT_NE(written.find("reason=SIGABRT\n"), std::string::npos);
+  EXPECT_NE(written.find("event=terminating reason=\"out of luck\""), std::string::npos);
+}
+
+}  // namespace
+}  // namespace switchsaddle::base
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -16,6 +16,7 @@
 #include "switchsaddle/core/ledger_host.h"
 #include "switchsaddle/core/membership_keeper.h"
 #include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/observed_proposer.h"
 #include "switchsaddle/core/register_change_coordinator.h"
 #include "switchsaddle/dissemination/gossip_agent.h"
 #include "switchsaddle/lease/lease_granter.h"
@@ -40,6 +41,8 @@
   workers::PlatformSource& platform;
   const configuration::Settings& settings;
   CoreFaults faults = {};
+  /** Where an operator is told what must be seen; nowhere if left out. */
+  base::IncidentSink* incidents = nullptr;
 };
 
 /** Names of the singleton roles whose leases core nodes hold. */
@@ -68,6 +71,9 @@
   const dissemination::ConfigurationReplica& replica() const { return replica_; }
   const workers::WorkerDirectory& workers() const { return workers_; }
   const registers::Acceptor& acceptor() const { return acceptor_; }
+  const registers::QuorumProposer& proposer() const { return proposer_; }
+  const RegisterCounters& registerCounters() const { return observed_proposer_.counters(); }
+  std::size_t sessionCount() const { return sessions_.localSessions().size(); }
   NodeStatus status() const override;
   const journal::BeliefView& beliefs() const override { return beliefs_; }
 
@@ -78,6 +84,8 @@
   void connectParts();
   void handleControlRequests();
   void refreshPeers();
+  base::IncidentSink& incidents() const;
+  void reportLease(const lease::LeaseHolder& holder, const char* name, bool gained);
   void onWatcherLease(bool gained);
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
@@ -92,6 +100,7 @@
   journal::BeliefView beliefs_;
   registers::Acceptor acceptor_;
   registers::QuorumProposer proposer_;
+  ObservedProposer observed_proposer_;
   registers::Bootstrap bootstrap_;
   registers::AcceptorSetChange set_change_;
   registers::Scrubber scrubber_;
--- /dev/null
+++ b/libraries/core/source/core_metrics.cc
@@ -0,0 +1,51 @@
+#include "switchsaddle/core/core_metrics.h"
+
+#include <algorithm>
+
+namespace switchsaddle::core {
+
+namespace {
+
+void appendRegisters(const CoreNode& node, metrics::Page& page) {
+  const RegisterCounters& counters = node.registerCounters();
+  page.counter("register_operations_total", "Register operations begun at this node that ended.",
+               static_cast<double>(counters.operations));
+  page.counter("register_operations_without_quorum_total",
+               "Register operations that ended without a quorum.",
+               static_cast<double>(counters.without_quorum));
+  page.histogram("register_operation_seconds", "Time of a register operation.", counters.latency);
+  const registers::ProposerCounters& proposer = node.proposer().counters();
+  page.counter("register_attempts_total", "Pairs of quorum rounds begun.",
+               static_cast<double>(proposer.attempts));
+  page.counter("register_attempts_failed_total", "Pairs of quorum rounds that failed.",
+               static_cast<double>(proposer.failed_attempts));
+}
+
+void appendStorage(const NodeStatus& status, metrics::Page& page) {
+  page.gauge("may_vote", "1 where this node's acceptor may vote.", status.may_vote ? 1 : 0);
+  page.gauge("storage_fault", "1 while the store is new, lost or cannot be opened.",
+             status.storage_fault.empty() ? 0 : 1);
+  page.gauge("registers", "Registers held.", static_cast<double>(status.register_count));
+}
+
+}  // namespace
+
+void appendMetrics(const CoreNode& node, metrics::Page& page) {
+  const NodeStatus status = node.status();
+  appendRegisters(node, page);
+  appendStorage(status, page);
+  page.gauge("acceptor_set_epoch", "Epoch of the acceptor set held here.",
+             static_cast<double>(status.acceptor_set.epoch));
+  page.gauge("acceptor_set_members", "Members of the acceptor set.",
+             static_cast<double>(status.acceptor_set.members.size()));
+  const auto held = std::count_if(status.leases.begin(), status.leases.end(),
+                                  [](const LeaseStatus& lease) { return lease.held; });
+  page.gauge("leases_held", "Leases of singleton roles held by this node.",
+             static_cast<double>(held));
+  page.gauge("sessions", "Sessions of fronts held by this node.",
+             static_cast<double>(node.sessionCount()));
+  page.gauge("configuration_version", "Version of the configuration known here.",
+             static_cast<double>(node.replica().version()));
+}
+
+}  // namespace switchsaddle::core
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -33,6 +33,7 @@
       acceptor_(environment.dispatcher, environment.calls, environment.store, environment.journal),
       proposer_(environment.dispatcher, environment.calls, environment.random, acceptor_,
                 proposerOptionsOf(environment.settings.times)),
+      observed_proposer_(environment.dispatcher, proposer_, incidents()),
       bootstrap_(environment.dispatcher, environment.calls, acceptor_,
                  bootstrapOptionsOf(environment.settings)),
       set_change_(environment.dispatcher, environment.calls, acceptor_, proposer_),
@@ -47,8 +48,8 @@
       gossip_(environment.dispatcher, environment.calls, environment.random, replica_, workers_,
               gossipOptionsOf(environment.settings.times)),
       tracker_(environment.dispatcher, environment.calls, sessions_, replica_),
-      follower_(environment.dispatcher, proposer_, membership_, replica_, tracker_),
-      coordinator_(environment.dispatcher, proposer_, replica_, tracker_,
+      follower_(environment.dispatcher, observed_proposer_, membership_, replica_, tracker_),
+      coordinator_(environment.dispatcher, observed_proposer_, replica_, tracker_,
                    environment.settings.times.acknowledgement_deadline, environment.faults),
       watcher_lease_(environment.dispatcher, environment.calls, environment.random,
                      leaseTimesOf(environment.settings.times), PlatformWatcherLease, membership_,
@@ -63,8 +64,8 @@
           environment.dispatcher, environment.calls, environment.journal, acceptor_, set_change_,
           [this] { return membership_lease_.held(); },
           membershipOptionsOf(environment.settings.times)),
-      claims_(environment.calls, proposer_),
-      ledgers_(environment.dispatcher, environment.calls, environment.random, proposer_,
+      claims_(environment.calls, observed_proposer_),
+      ledgers_(environment.dispatcher, environment.calls, environment.random, observed_proposer_,
                membership_, leaseTimesOf(environment.settings.times), life_),
       control_(controlDependencies()),
       open_timer_(environment.dispatcher.createTimer([this] { openStore(); })),
@@ -82,7 +83,7 @@
     keeper_.replace(old_member, new_member, std::move(callback));
   };
   return {environment_.dispatcher,
-          proposer_,
+          observed_proposer_,
           coordinator_,
           sessions_,
           replica_,
@@ -136,10 +137,24 @@
 void CoreNode::onOpened(base::ResultCode code, const storage::OpenedStore& opened) {
   if (code != base::ResultCode::Ok) {
     storage_fault_ = base::describe(code).name;
+    base::Incident incident;
+    incident.event = "storage-not-opened";
+    incident.severity = base::Severity::Error;
+    incident.code = code;
+    incident.dumps_ring = true;
+    incidents().report(incident);
     open_timer_->enable(ReopenPause);
     return;
   }
   storage_fault_ = opened.loss;
+  if (!opened.loss.empty()) {
+    base::Incident incident;
+    incident.event = "storage-lost";
+    incident.severity = base::Severity::Error;
+    incident.code = base::ResultCode::RecordCorrupt;
+    incident.fields = {{"reason", opened.loss}};
+    incidents().report(incident);
+  }
   try {
     acceptor_.load(opened);
     granter_.load(opened);
@@ -185,7 +200,19 @@
   environment_.dispatcher.post(std::move(stopped));
 }
 
+base::IncidentSink& CoreNode::incidents() const {
+  return environment_.incidents == nullptr ? base::ignoredIncidents() : *environment_.incidents;
+}
+
+void CoreNode::reportLease(const lease::LeaseHolder& holder, const char* name, bool gained) {
+  base::Incident incident;
+  incident.event = gained ? "lease-gained" : "lease-lost";
+  incident.fields = {{"lease", name}, {"term", gained ? std::to_string(holder.term()) : ""}};
+  incidents().report(incident);
+}
+
 void CoreNode::onWatcherLease(bool gained) {
+  reportLease(watcher_lease_, PlatformWatcherLease, gained);
   if (gained) {
     watcher_.start(watcher_lease_.term());
   } else {
@@ -194,6 +221,7 @@
 }
 
 void CoreNode::onMembershipLease(bool gained) {
+  reportLease(membership_lease_, CoreMembershipLease, gained);
   if (gained) {
     keeper_.start();
   } else {
--- /dev/null
+++ b/libraries/core/test/observed_proposer_test.cc
@@ -0,0 +1,55 @@
+#include "switchsaddle/core/observed_proposer.h"
+
+#include <gtest/gtest.h>
+
+#include <numeric>
+
+#include "fakes.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::core {
+namespace {
+
+class CollectingIncidents : public base::IncidentSink {
+ public:
+  void report(const base::Incident& incident) override { all.push_back(incident); }
+  std::vector<base::Incident> all;
+};
+
+class ObservedProposerTest : public testing::Test {
+ protected:
+  simulation::World world_{1};
+  simulation::Process process_{world_};
+  FakeProposer inner_;
+  CollectingIncidents incidents_;
+  ObservedProposer proposer_{process_, inner_, incidents_};
+};
+
+TEST_F(ObservedProposerTest, PassesOperationsOnAndMeasuresThem) {
+  registers::RegisterOutcome seen;
+  proposer_.change(
+      "configuration", [](const std::string&) { return std::optional<std::string>("new"); },
+      [&](const registers::RegisterOutcome& outcome) { seen = outcome; });
+  EXPECT_EQ(seen.value, "new");
+  EXPECT_TRUE(seen.changed);
+  proposer_.read("configuration", [&](const auto& outcome) { seen = outcome; });
+  EXPECT_FALSE(seen.changed);
+  EXPECT_EQ(proposer_.counters().operations, 2U);
+  const auto& counts = proposer_.counters().latency.counts();
+  EXPECT_EQ(std::accumulate(counts.begin(), counts.end(), std::uint64_t{0}), 2U);
+  EXPECT_TRUE(incidents_.all.empty());
+}
+
+TEST_F(ObservedProposerTest, TellsOfALostQuorumWithTheRegister) {
+  inner_.has_quorum = false;
+  proposer_.read("configuration", [](const auto&) {});
+  ASSERT_EQ(incidents_.all.size(), 1U);
+  EXPECT_EQ(incidents_.all[0].event, "no-quorum");
+  EXPECT_EQ(incidents_.all[0].code, base::ResultCode::NoQuorum);
+  EXPECT_EQ(incidents_.all[0].fields[0].value, "configuration");
+  EXPECT_TRUE(incidents_.all[0].dumps_ring);
+  EXPECT_EQ(proposer_.counters().without_quorum, 1U);
+}
+
+}  // namespace
+}  // namespace switchsaddle::core
--- a/libraries/front/include/switchsaddle/front/caller_service.h
+++ b/libraries/front/include/switchsaddle/front/caller_service.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/incident.h"
 #include "switchsaddle/configuration/view.h"
 #include "switchsaddle/front/control_forwarder.h"
 #include "switchsaddle/front/counters.h"
@@ -35,6 +36,12 @@
   std::vector<std::string> operator_hashes;
   /** The body of GET /v1/beliefs. */
   std::function<std::string()> belief_report;
+  /** The body of GET /metrics. */
+  std::function<std::string()> metrics;
+  /** What GET /v1/routing tells of this node, as a JSON object. */
+  std::function<std::string()> node_report;
+  /** Where one-shots of unknown outcome are told; nowhere if left out. */
+  base::IncidentSink* incidents = nullptr;
 };
 
 /**
@@ -59,6 +66,8 @@
   void handle(const http::Request& request, const http::ResponseWriterPtr& writer);
   /** From now on new work is refused with Stopping and the node reports itself as not ready. */
   void stop() { stopping_ = true; }
+  /** Requests refused since too many waited for the control strand. */
+  std::uint64_t queueRefusals() const { return queue_refusals_.load(); }
   bool ready() const { return !stopping_ && dependencies_.session.mayDispatch(); }
 
  private:
@@ -66,6 +75,7 @@
   void handleCompletion(const http::Request& request, const http::ResponseWriterPtr& writer);
   void handleOneShot(const http::Request& request, const http::ResponseWriterPtr& writer);
   http::Response plainAnswer(const http::Request& request, std::string_view path) const;
+  void countOneShot(const OneShotRequest& request, const OneShotAnswer& answer);
   http::Response routingTable(const http::Request& request) const;
   http::Response beliefReport(const http::Request& request) const;
   const configuration::Tenant& authenticate(const configuration::View& view,
@@ -76,6 +86,7 @@
   bool stopping_ = false;
   Stage one_shot_stage_{512, 256};
   std::atomic<std::size_t> waiting_{0};
+  std::atomic<std::uint64_t> queue_refusals_{0};
   /** Expires with this object, so that posted requests do not outlive it. */
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/libraries/front/include/switchsaddle/front/counters.h
+++ b/libraries/front/include/switchsaddle/front/counters.h
@@ -3,8 +3,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <tuple>
 
 #include "switchsaddle/base/result_code.h"
+#include "switchsaddle/metrics/histogram.h"
+#include "switchsaddle/metrics/page.h"
 
 namespace switchsaddle::front {
 
@@ -21,9 +25,17 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::map<base::ResultCode, std::uint64_t> refusals;
+  /** Ended requests by kind ("stream" or "one-shot"), outcome and result code. */
+  std::map<std::tuple<std::string_view, std::string_view, base::ResultCode>, std::uint64_t>
+      requests;
+  /** From the dispatch that brought it to the first token. */
+  metrics::Histogram first_token{metrics::callerWaitBounds()};
 
-  /** The counters in Prometheus' text format. */
-  std::string toPrometheusText() const;
+  /** The names must be constants: they are kept as they are. */
+  void countRequest(std::string_view kind, std::string_view outcome, base::ResultCode code) {
+    ++requests[{kind, outcome, code}];
+  }
+  void appendTo(metrics::Page& page) const;
 };
 
 }  // namespace switchsaddle::front
--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -18,6 +18,7 @@
 #include "switchsaddle/front/control_forwarder.h"
 #include "switchsaddle/front/fleet_beliefs.h"
 #include "switchsaddle/front/one_shot_flow.h"
+#include "switchsaddle/front/session_monitor.h"
 #include "switchsaddle/front/stream_flow.h"
 #include "switchsaddle/journal/belief_view.h"
 #include "switchsaddle/journal/journal.h"
@@ -40,6 +41,10 @@
   std::uint64_t instance = 0;
   /** In place of the broker of the ledgers at the core; for tests. */
   admission::SlotBroker* slots = nullptr;
+  /** Where an operator is told what must be seen; nowhere if left out. */
+  base::IncidentSink* incidents = nullptr;
+  /** Adds what only the process knows to the metrics, such as its traffic; may be left out. */
+  std::function<void(metrics::Page&)> process_metrics = {};
 };
 
 /**
@@ -83,6 +88,8 @@
   void refreshPeers();
   void awaitEndOfWork();
   std::string beliefReport() const;
+  std::string metricsText() const;
+  std::string nodeReport() const;
 
   FrontEnvironment environment_;
   dissemination::ConfigurationReplica replica_;
@@ -101,6 +108,7 @@
   OneShotFlow one_shots_;
   ControlForwarder control_;
   CallerService service_;
+  SessionMonitor monitor_;
   base::TimerPtr peers_timer_;
   base::TimerPtr stop_timer_;
   base::TimePoint stop_deadline_;
--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -8,6 +8,7 @@
 
 #include "switchsaddle/admission/slot_broker.h"
 #include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/incident.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/base/result_code.h"
 #include "switchsaddle/configuration/view.h"
@@ -77,6 +78,8 @@
   WorkerCircuit& circuit;
   Counters& counters;
   StreamStages& stages;
+  /** Where broken streams are told; nowhere if left out. */
+  base::IncidentSink* incidents = nullptr;
 };
 
 class StreamRun;
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -73,6 +73,7 @@
 void CallerService::enqueue(http::Request request, http::ResponseWriterPtr writer) {
   if (waiting_.fetch_add(1) >= QueueBound) {
     waiting_.fetch_sub(1);
+    queue_refusals_.fetch_add(1);
     const bool one_shot = http::targetPath(request.target) == OneShotsPath;
     const Outcome outcome = one_shot ? Outcome::Unknown : Outcome::NotRun;
     writer->respond(errorAnswer(ResultCode::QueueFull, {outcome, DefaultRetryAfterMs, {}, {}}));
@@ -100,8 +101,10 @@
     const std::string_view path = http::targetPath(request.target);
     if (path == CompletionsPath) {
       details.outcome = Outcome::NotRun;
+      dependencies_.counters.countRequest("stream", "not-run", error.code());
     } else if (path == OneShotsPath) {
       details.outcome = Outcome::Unknown;
+      dependencies_.counters.countRequest("one-shot", "unknown", error.code());
     }
     writer->respond(errorAnswer(error.code(), details));
   }
@@ -190,9 +193,13 @@
         if (alive.expired()) {
           return;
         }
-        dependencies_.one_shots.run(one_shot, [writer, ticket](const OneShotAnswer& answer) {
-          writer->respond(oneShotAnswer(answer));
-        });
+        dependencies_.one_shots.run(
+            one_shot, [this, alive, one_shot, writer, ticket](const OneShotAnswer& answer) {
+              if (!alive.expired()) {
+                countOneShot(one_shot, answer);
+              }
+              writer->respond(oneShotAnswer(answer));
+            });
       });
   if (!queued) {
     throw base::Error(ResultCode::QueueFull, "");
@@ -213,8 +220,8 @@
   }
   if (path == "/metrics") {
     http::Response response;
-    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-    response.body = dependencies_.counters.toPrometheusText();
+    response.headers.push_back({"Content-Type", metrics::ContentType});
+    response.body = dependencies_.metrics();
     return response;
   }
   if (path == "/v1/routing") {
@@ -226,6 +233,22 @@
   throw base::Error(ResultCode::UnknownPath, "");
 }
 
+void CallerService::countOneShot(const OneShotRequest& request, const OneShotAnswer& answer) {
+  dependencies_.counters.countRequest("one-shot", outcomeName(answer.outcome), answer.code);
+  if (answer.outcome != Outcome::Unknown || dependencies_.incidents == nullptr) {
+    return;
+  }
+  base::Incident incident;
+  incident.event = "one-shot-unknown";
+  incident.severity = base::Severity::Warning;
+  incident.code = answer.code;
+  incident.request_id = request.caller_request_id;
+  incident.fields = {{"tenant", request.tenant},
+                     {"service", request.service},
+                     {"idempotency_key", request.idempotency_key}};
+  dependencies_.incidents->report(incident);
+}
+
 http::Response CallerService::routingTable(const http::Request& request) const {
   std::vector<std::string> models{http::queryParameter(request.target, "model")};
   if (models.front().empty()) {
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "switchsaddle/configuration/beliefs.h"
+#include "switchsaddle/configuration/change_json.h"
+#include "switchsaddle/configuration/json_writer.h"
 
 namespace switchsaddle::front {
 
@@ -58,14 +60,19 @@
       circuit_(environment.dispatcher),
       streams_(StreamEnvironment{environment.dispatcher, environment.random, slots(), session_,
                                  router_, environment.workers, *this, retries_, circuit_, counters_,
-                                 stages_}),
+                                 stages_, environment.incidents}),
       one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims_, slots(),
                                     session_, environment.workers, *this, retries_, circuit_,
                                     counters_}),
       control_(environment.calls, [this] { return session_.coreAddresses(); }),
-      service_(CallerDependencies{
-          environment.dispatcher, session_, *this, router_, streams_, one_shots_, control_,
-          counters_, environment.settings.operator_hashes, [this] { return beliefReport(); }}) {
+      service_(
+          CallerDependencies{environment.dispatcher, session_, *this, router_, streams_, one_shots_,
+                             control_, counters_, environment.settings.operator_hashes,
+                             [this] { return beliefReport(); }, [this] { return metricsText(); },
+                             [this] { return nodeReport(); }, environment.incidents}),
+      monitor_(
+          environment.dispatcher, session_,
+          environment.incidents == nullptr ? base::ignoredIncidents() : *environment.incidents) {
   connectParts();
 }
 
@@ -100,6 +107,7 @@
 void FrontNode::start() {
   session_.start();
   gossip_.start();
+  monitor_.start();
   refreshPeers();
 }
 
@@ -150,9 +158,52 @@
     return;
   }
   gossip_.stop();
+  monitor_.stop();
   session_.close(std::exchange(stopped_, nullptr));
 }
 
+std::string FrontNode::metricsText() const {
+  metrics::Page page;
+  counters_.appendTo(page);
+  page.counter("queue_refusals_total", "Requests refused since too many waited for the strand.",
+               static_cast<double>(service_.queueRefusals()));
+  page.gauge("open_streams", "Streams not yet ended.", static_cast<double>(streams_.active()));
+  page.gauge("open_one_shots", "One-shots not yet ended.",
+             static_cast<double>(one_shots_.active()));
+  page.gauge("ready", "1 where this front takes new work.", service_.ready() ? 1 : 0);
+  const std::string state(sessionStateName(session_.state()));
+  page.gauge("session_state", "1 for the state the session is in.", 1, {{"state", state}});
+  page.gauge("configuration_version", "Version of the configuration in force here.",
+             static_cast<double>(replica_.version()));
+  page.gauge("workers", "Workers known here.",
+             static_cast<double>(directory_.snapshot()->workers.size()));
+  if (environment_.process_metrics) {
+    environment_.process_metrics(page);
+  }
+  return page.text();
+}
+
+std::string FrontNode::nodeReport() const {
+  const std::shared_ptr<const configuration::View> view = replica_.view();
+  configuration::JsonWriter writer;
+  writer.beginObject();
+  writer.name("address").string(environment_.calls.localAddress().toString());
+  writer.name("zone").string(environment_.settings.zone);
+  writer.name("ready").boolean(service_.ready());
+  writer.name("session").string(sessionStateName(session_.state()));
+  writer.name("version").unsignedInteger(replica_.version());
+  writer.name("digest").string(configuration::digestText(replica_.digest()));
+  writer.name("workers").unsignedInteger(directory_.snapshot()->workers.size());
+  writer.name("open_streams").unsignedInteger(streams_.active());
+  writer.name("open_one_shots").unsignedInteger(one_shots_.active());
+  writer.name("evacuated_zones").beginArray();
+  for (const std::string& zone : view->evacuated_zones) {
+    writer.string(zone);
+  }
+  writer.endArray().endObject();
+  return writer.text();
+}
+
 std::string FrontNode::beliefReport() const {
   configuration::BeliefReport report;
   report.node = environment_.calls.localAddress().toString();
--- /dev/null
+++ b/libraries/front/source/session_monitor.cc
@@ -0,0 +1,80 @@
+#include "switchsaddle/front/session_monitor.h"
+
+#include <utility>
+
+namespace switchsaddle::front {
+
+namespace {
+
+constexpr base::Duration LookInterval = std::chrono::milliseconds(100);
+
+using sessions::SessionState;
+
+base::Incident incidentOf(SessionState state) {
+  base::Incident incident;
+  switch (state) {
+    case SessionState::Lapsed:
+      incident.event = "session-lapsed";
+      incident.severity = base::Severity::Warning;
+      incident.code = base::ResultCode::SessionLapsed;
+      incident.dumps_ring = true;
+      break;
+    case SessionState::CatchingUp:
+      incident.event = "session-catching-up";
+      break;
+    case SessionState::Serving:
+      incident.event = "session-serving";
+      break;
+    case SessionState::ServingWithoutCore:
+      incident.event = "session-without-core";
+      incident.severity = base::Severity::Warning;
+      incident.code = base::ResultCode::PeerUnreachable;
+      break;
+  }
+  return incident;
+}
+
+}  // namespace
+
+std::string_view sessionStateName(SessionState state) {
+  switch (state) {
+    case SessionState::Lapsed:
+      return "lapsed";
+    case SessionState::CatchingUp:
+      return "catching-up";
+    case SessionState::Serving:
+      return "serving";
+    case SessionState::ServingWithoutCore:
+      return "serving-without-core";
+  }
+  return "unknown";
+}
+
+SessionMonitor::SessionMonitor(base::Dispatcher& dispatcher, const sessions::SessionClient& session,
+                               base::IncidentSink& incidents)
+    : dispatcher_(dispatcher),
+      session_(session),
+      incidents_(incidents),
+      timer_(dispatcher.createTimer([this] { look(); })) {}
+
+void SessionMonitor::start() {
+  told_at_ = dispatcher_.now();
+  look();
+}
+
+void SessionMonitor::look() {
+  timer_->enable(LookInterval);
+  const SessionState state = session_.state();
+  if (state == told_) {
+    return;
+  }
+  base::Incident incident = incidentOf(state);
+  const base::TimePoint now = dispatcher_.now();
+  incident.fields = {{"before", std::string(sessionStateName(told_))},
+                     {"for_ms", std::to_string(base::toMilliseconds(now - told_at_))}};
+  told_ = state;
+  told_at_ = now;
+  incidents_.report(incident);
+}
+
+}  // namespace switchsaddle::front
--- a/libraries/front/source/stream_run.cc
+++ b/libraries/front/source/stream_run.cc
@@ -181,6 +181,7 @@
   environment_.counters.streams_started += attempts_ == 1 ? 1 : 0;
   dispatched_at_ = environment_.dispatcher.now();
   attempt_ = std::to_string(environment_.random.next()) + '-' + std::to_string(attempts_);
+  sent_request_id_ = attempt_;
   resume_ = nullptr;
   environment_.circuit.onDispatch(placement.prefill);
   WorkerRequest request;
@@ -235,6 +236,7 @@
   const streams::RelayStep step = relay_.onBytes(bytes);
   if (first && relay_.pieces() > 0) {
     completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
+    environment_.counters.first_token.observe(completion_.time_to_first_token);
     sink_->setRun(relay_.run(), completion_.cached_tokens);
   }
   sendEvents(step.events);
@@ -326,14 +328,37 @@
 void StreamRun::finish(ResultCode code) {
   environment_.counters.streams_finished += code == ResultCode::Ok ? 1 : 0;
   environment_.counters.streams_broken += code == ResultCode::Ok ? 0 : 1;
+  environment_.counters.countRequest("stream", code == ResultCode::Ok ? "ran" : "broken", code);
+  if (code != ResultCode::Ok) {
+    reportBroken(code);
+  }
   completePlacement(code != ResultCode::Ok);
   const auto self = shared_from_this();
   release();
   sink_->end(code);
 }
 
+void StreamRun::reportBroken(ResultCode code) {
+  if (environment_.incidents == nullptr) {
+    return;
+  }
+  base::Incident incident;
+  incident.event = "stream-broken";
+  incident.severity = base::Severity::Warning;
+  incident.code = code;
+  incident.request_id = sent_request_id_;
+  incident.fields = {{"caller_request_id", request_.caller_request_id},
+                     {"tenant", request_.tenant},
+                     {"worker", placement_ ? placement_->prefill.entry.id : std::string()},
+                     {"run", relay_.run()},
+                     {"pieces", std::to_string(relay_.pieces())}};
+  incident.dumps_ring = true;
+  environment_.incidents->report(incident);
+}
+
 void StreamRun::refuse(ResultCode code, std::uint32_t retry_after_ms) {
   ++environment_.counters.refusals[code];
+  environment_.counters.countRequest("stream", sent_ ? "unknown" : "not-run", code);
   completePlacement(placement_sent_);
   const auto self = shared_from_this();
   release();
--- a/libraries/front/source/stream_run.h
+++ b/libraries/front/source/stream_run.h
@@ -37,6 +37,7 @@
   void sendEvents(const std::vector<std::string>& events);
   void onWritten(bool written);
   void finish(base::ResultCode code);
+  void reportBroken(base::ResultCode code);
   void refuse(base::ResultCode code, std::uint32_t retry_after_ms);
   void completePlacement(bool failed);
   void release();
@@ -60,6 +61,8 @@
   bool placement_sent_ = false;
   base::TimePoint dispatched_at_;
   std::string attempt_;
+  /** The request id of the last dispatch. */
+  std::string sent_request_id_;
   WorkerCallPtr call_;
   std::function<void()> resume_;
   base::TimerPtr deadline_timer_;
--- a/libraries/front/test/caller_service_test.cc
+++ b/libraries/front/test/caller_service_test.cc
@@ -106,7 +106,13 @@
                                            control,
                                            counters,
                                            {configuration::sha256Hex("operator")},
-                                           [] { return std::string("{\"beliefs\":[]}"); }}};
+                                           [] { return std::string("{\"beliefs\":[]}"); },
+                                           [this] {
+                                             metrics::Page page;
+                                             counters.appendTo(page);
+                                             return page.text();
+                                           },
+                                           [] { return std::string("{\"ready\":true}"); }}};
 };
 
 TEST_F(CallerServiceTest, StreamsARun) {
--- a/libraries/operator_client/include/switchsaddle/operator_client/operator_client.h
+++ b/libraries/operator_client/include/switchsaddle/operator_client/operator_client.h
@@ -6,24 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "switchsaddle/command_line/exit_code.h"
 #include "switchsaddle/configuration/beliefs.h"
 #include "switchsaddle/operator_client/control_endpoint.h"
 
 namespace switchsaddle::operator_client {
 
-/** Exit codes of `switchsaddle ctl`. */
-enum class ExitCode : int {
-  /** Done, and in force on every front where it was a change. */
-  Done = 0,
-  /** Refused; nothing was changed. For `compare`: the nodes differ. */
-  Refused = 1,
-  /** The command line is wrong. */
-  Usage = 2,
-  /** Committed, but not yet in force on every front. */
-  NotYetInForce = 3,
-  /** No node answered; a change may have been committed. Send it again with its change_id. */
-  Unknown = 4,
-};
+using command_line::ExitCode;
 
 /** What belongs to every change. */
 struct ChangeOptions {
--- a/libraries/operator_client/include/switchsaddle/operator_client/tables.h
+++ b/libraries/operator_client/include/switchsaddle/operator_client/tables.h
@@ -13,8 +13,8 @@
 std::string renderTable(const std::vector<TableRow>& rows);
 
 /**
- * A body of the control API for people: plain members as lines, lists of objects as tables with
- * one column for each member.
+ * A body of the control API for people: plain members as lines, those of nested objects by their
+ * path, and after them lists of objects as tables with one column for each member.
  */
 std::string renderBody(const configuration::JsonValue& body);
 
--- a/libraries/operator_client/source/tables.cc
+++ b/libraries/operator_client/source/tables.cc
@@ -51,6 +51,28 @@
   return rows;
 }
 
+/** Plain members come first, so that no line is taken for a row of a table. */
+struct Sections {
+  std::string lines;
+  std::string tables;
+};
+
+/** Members of nested objects are named by their path, such as core_set.epoch. */
+void appendObject(const JsonValue& object, const std::string& prefix, Sections& sections) {
+  for (std::size_t index = 0; index < object.names.size(); ++index) {
+    const JsonValue& member = object.elements[index];
+    const std::string name = prefix + object.names[index];
+    if (member.kind == JsonKind::Object) {
+      appendObject(member, name + ".", sections);
+    } else if (isTable(member)) {
+      sections.tables += "\n" + name + "\n" + renderTable(rowsOf(member));
+    } else {
+      const std::string text = plainText(member);
+      sections.lines += name + ": " + (text.empty() ? "-" : text) + "\n";
+    }
+  }
+}
+
 }  // namespace
 
 std::string renderTable(const std::vector<TableRow>& rows) {
@@ -79,17 +101,9 @@
   if (body.kind != JsonKind::Object) {
     return isTable(body) ? renderTable(rowsOf(body)) : plainText(body) + "\n";
   }
-  std::string lines;
-  std::string tables;
-  for (std::size_t index = 0; index < body.names.size(); ++index) {
-    const JsonValue& member = body.elements[index];
-    if (isTable(member)) {
-      tables += "\n" + body.names[index] + "\n" + renderTable(rowsOf(member));
-    } else {
-      lines += body.names[index] + ": " + plainText(member) + "\n";
-    }
-  }
-  return lines + tables;
+  Sections sections;
+  appendObject(body, "", sections);
+  return sections.lines + sections.tables;
 }
 
 }  // namespace switchsaddle::operator_client
--- a/libraries/operator_client/test/operator_client_test.cc
+++ b/libraries/operator_client/test/operator_client_test.cc
@@ -170,6 +170,23 @@
             "a      -     1 2\n");
 }
 
+TEST(TablesTest, NestedObjectsBecomeLinesAndTablesNamedByTheirPath) {
+  std::vector<configuration::Fault> faults;
+  const auto body = configuration::parseJson(
+      R"({"node": {"role": "core", "fault": ""}, "core_set": {"epoch": 2, "members": [{"id": 1}],
+          "previous": []}, "version": 3})",
+      {}, "", faults);
+  EXPECT_EQ(renderBody(*body),
+            "node.role: core\n"
+            "node.fault: -\n"
+            "core_set.epoch: 2\n"
+            "core_set.previous: -\n"
+            "version: 3\n"
+            "\ncore_set.members\n"
+            "id\n"
+            "1\n");
+}
+
 TEST(MakeChangeIdTest, IdsDiffer) {
   EXPECT_NE(makeChangeId(), makeChangeId());
 }
--- a/libraries/transport/source/tcp_incoming.h
+++ b/libraries/transport/source/tcp_incoming.h
@@ -89,6 +89,7 @@
       return false;
     }
     ++shared_->counters.frames_received;
+    shared_->counters.bytes_received += LengthBytes + bytes.size();
     if (shared_->receiver == nullptr) {
       return true;
     }
--- a/libraries/transport/source/tcp_outgoing.h
+++ b/libraries/transport/source/tcp_outgoing.h
@@ -158,7 +158,8 @@
     }
     boost::asio::async_write(socket_, buffers,
                              [self = shared_from_this(), attempt = attempt_, frames](
-                                 const error_code& error, std::size_t) {
+                                 const error_code& error, std::size_t written) {
+                               self->shared_->counters.bytes_sent += written;
                                if (!self->outdated(attempt)) {
                                  self->onWritten(error, frames->size());
                                }
--- a/programs/switchsaddle/check_command.cc
+++ b/programs/switchsaddle/check_command.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 
+#include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/configuration/check_report.h"
 
 namespace switchsaddle {
@@ -24,6 +25,9 @@
   command->add_option("--role", options->role, "Check settings for this role: front or core")
       ->check(CLI::IsMember({"front", "core"}));
   command->add_flag("--json", options->json, "Write the faults as JSON");
+  command_line::describeUse(*command,
+                            {"switchsaddle check configuration.json",
+                             "switchsaddle check front.json --kind settings --role front"});
   command->callback(
       [options, &exit_code] { exit_code = configuration::runCheck(*options, std::cout); });
 }
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -5,6 +5,8 @@
 #include "role_commands.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/command_line/command_line.h"
+#include "switchsaddle/core/core_metrics.h"
 #include "switchsaddle/core/core_node.h"
 #include "switchsaddle/http/error_response.h"
 #include "switchsaddle/http/server.h"
@@ -35,8 +37,15 @@
         store_(process_.dispatcher(), file_system_, executor_, process_.random()),
         client_(http::createClient(process_.context())),
         platform_(process_.dispatcher(), *client_, settings_.platform_address),
-        node_(core::CoreEnvironment{process_.dispatcher(), process_.calls(), store_,
-                                    process_.random(), process_.journal(), platform_, settings_}),
+        node_(core::CoreEnvironment{process_.dispatcher(),
+                                    process_.calls(),
+                                    store_,
+                                    process_.random(),
+                                    process_.journal(),
+                                    platform_,
+                                    settings_,
+                                    {},
+                                    &process_.incidents()}),
         server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
                                     handle(std::move(request), std::move(writer));
@@ -45,7 +54,7 @@
   int run() {
     process_.dispatcher().post([this] { node_.start(); });
     base::logEvent(
-        base::Severity::Info, "core-started",
+        base::Severity::Notice, "core-started",
         {{"peer", settings_.peer_address.toString()}, {"http", settings_.http_address.toString()}});
     return process_.run([this](std::function<void()> stopped) {
       server_->stopAccepting();
@@ -67,6 +76,8 @@
     } else if (path == "/readyz") {
       const bool ready = node_.status().may_vote;
       writer->respond(plainText(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
+    } else if (path == "/metrics") {
+      writer->respond(metricsPage());
     } else if (core::ControlService::serves(request.target)) {
       node_.control().handle(
           request, [writer](http::Response response) { writer->respond(std::move(response)); });
@@ -75,6 +86,16 @@
     }
   }
 
+  http::Response metricsPage() const {
+    metrics::Page page;
+    core::appendMetrics(node_, page);
+    process_.appendMetrics(page);
+    http::Response response;
+    response.headers.push_back({"Content-Type", metrics::ContentType});
+    response.body = page.text();
+    return response;
+  }
+
   configuration::Settings settings_;
   DaemonProcess process_;
   storage::PosixFileSystem file_system_;
@@ -90,7 +111,8 @@
 
 void addCoreCommand(CLI::App& app, int& exit_code) {
   CLI::App* command = app.add_subcommand("core", "Run a control-plane node");
-  command->footer("Example: switchsaddle core --settings core.json --data-folder data");
+  command_line::describeUse(*command,
+                            {"switchsaddle core --settings core.json --data-folder data"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
     CoreDaemon daemon(loadSettings(*options, "core"));
--- a/programs/switchsaddle/ctl_command.cc
+++ b/programs/switchsaddle/ctl_command.cc
@@ -1,5 +1,7 @@
 #include "ctl_command.h"
 
+#include <unistd.h>
+
 #include <CLI/CLI.hpp>
 #include <fstream>
 #include <functional>
@@ -10,6 +12,7 @@
 
 #include "ctl_transport.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/operator_client/operator_client.h"
 
 namespace switchsaddle {
@@ -22,10 +25,9 @@
 using operator_client::OperatorClient;
 
 constexpr auto WatchInterval = std::chrono::seconds(1);
-constexpr const char* ExitCodeHelp =
-    "Exit codes: 0 done and in force; 1 refused, or for compare the nodes differ; 2 wrong command "
-    "line; 3 committed but not yet in force on every front; 4 no answer, send it again with its "
-    "change id";
+/** Moves to the upper left corner and clears the screen of a terminal. */
+constexpr const char* ClearScreen = "\x1b[H\x1b[2J";
+const std::string ExampleStart = "switchsaddle ctl --address 10.0.0.1:8000 --key-file key ";
 
 /** Everything the command line gives; shared by the callbacks of all actions. */
 struct CtlOptions {
@@ -89,7 +91,8 @@
   CtlCommandBuilder(CLI::App& app, int& exit_code)
       : options_(std::make_shared<CtlOptions>()), exit_code_(exit_code) {
     command_ = app.add_subcommand("ctl", "Operate a fleet over its control API");
-    command_->footer(ExitCodeHelp);
+    command_line::describeUse(*command_, {ExampleStart + "status"});
+    command_->fallthrough();
     command_->require_subcommand(1);
     command_->add_option("--address", options_->addresses, "Control addresses, IP:PORT[,IP:PORT]")
         ->delimiter(',')
@@ -109,21 +112,27 @@
   }
 
  private:
-  CLI::App* add(CLI::App* parent, const std::string& name, const std::string& help, Action action) {
+  CLI::App* add(CLI::App* parent, const std::string& name, const std::string& help,
+                const std::string& example, Action action) {
     CLI::App* sub = parent->add_subcommand(name, help);
+    command_line::describeUse(*sub, {ExampleStart + example});
+    sub->fallthrough();
     sub->callback([options = options_, &exit_code = exit_code_, action = std::move(action)] {
       try {
         exit_code = static_cast<int>(runAction(*options, action));
       } catch (const base::Error& error) {
-        std::cerr << error.what() << "\n";
+        const base::ResultCodeInfo& info = base::describe(error.code());
+        std::cerr << "switchsaddle ctl: " << static_cast<int>(info.code) << " " << info.name << ": "
+                  << error.what() << "\n";
         exit_code = static_cast<int>(ExitCode::Usage);
       }
     });
     return sub;
   }
 
-  CLI::App* add(const std::string& name, const std::string& help, Action action) {
-    return add(command_, name, help, std::move(action));
+  CLI::App* add(const std::string& name, const std::string& help, const std::string& example,
+                Action action) {
+    return add(command_, name, help, example, std::move(action));
   }
 
   void addChangeId(CLI::App* sub) {
@@ -138,44 +147,48 @@
   }
 
   void addChanges() {
-    CLI::App* apply = add("apply", "Apply a configuration file", [](auto& client, auto& options) {
-      return client.apply(readFile(options.first), options.whole, options.changeOptions());
-    });
+    CLI::App* apply =
+        add("apply", "Apply a configuration file", "apply configuration.json --whole",
+            [](auto& client, auto& options) {
+              return client.apply(readFile(options.first), options.whole, options.changeOptions());
+            });
     apply->add_option("file", options_->first, "The file")->required();
     apply->add_flag("--whole", options_->whole, "Remove the entries that the file lacks");
     addChangeOptions(apply);
-    CLI::App* set = add("set", "Set one entry", [](auto& client, auto& options) {
-      return client.set(options.first, options.second, options.changeOptions());
-    });
+    CLI::App* set = add("set", "Set one entry", "set tuning/route-weight-alpha 1.5",
+                        [](auto& client, auto& options) {
+                          return client.set(options.first, options.second, options.changeOptions());
+                        });
     set->add_option("path", options_->first, "Such as tuning/retry-share")->required();
     set->add_option("json", options_->second, "The value as JSON")->required();
     addChangeOptions(set);
-    CLI::App* remove = add("remove", "Remove one entry", [](auto& client, auto& options) {
-      return client.remove(options.first, options.changeOptions());
-    });
+    CLI::App* remove = add("remove", "Remove one entry", "remove tuning/route-weight-alpha",
+                           [](auto& client, auto& options) {
+                             return client.remove(options.first, options.changeOptions());
+                           });
     remove->add_option("path", options_->first, "The entry's path")->required();
     addChangeOptions(remove);
   }
 
   void addReads() {
-    add("get", "Write the configuration in force as a file",
+    add("get", "Write the configuration in force as a file", "get > configuration.json",
         [](auto& client, auto&) { return client.get(); });
-    add("history", "List the changes made",
+    add("history", "List the changes made", "history --json",
         [](auto& client, auto&) { return client.show("/v1/configuration/history"); });
-    add("in-force", "List the version each front has applied",
+    add("in-force", "List the version each front has applied", "in-force",
         [](auto& client, auto&) { return client.show("/v1/configuration/in-force"); });
-    CLI::App* status =
-        add("status", "Show nodes, sessions, leases, core set and disks", showStatus);
+    CLI::App* status = add("status", "Show nodes, sessions, leases, core set and disks",
+                           "status --watch", showStatus);
     status->add_flag("--watch", options_->watch, "Show it again each second until interrupted");
     CLI::App* routing =
-        add("routing", "Show a node's routing table",
+        add("routing", "Show a node's routing table", "routing --model summary-1",
             [](auto& client, auto& options) { return client.showRouting(options.first); });
     routing->add_option("--model", options_->first, "One model's table alone");
-    CLI::App* compare =
-        add("compare", "List what two nodes do not agree on", [](auto& client, auto& options) {
-          return client.compare(base::NodeAddress::parse(options.first),
-                                base::NodeAddress::parse(options.second));
-        });
+    CLI::App* compare = add("compare", "List what two nodes do not agree on",
+                            "compare 10.0.0.1:8000 10.0.0.2:8000", [](auto& client, auto& options) {
+                              return client.compare(base::NodeAddress::parse(options.first),
+                                                    base::NodeAddress::parse(options.second));
+                            });
     compare->add_option("first", options_->first, "IP:PORT")->required();
     compare->add_option("second", options_->second, "IP:PORT")->required();
   }
@@ -184,7 +197,7 @@
     ExitCode code = client.show("/v1/status");
     while (options.watch) {
       std::this_thread::sleep_for(WatchInterval);
-      std::cout << "\n";
+      std::cout << (isatty(STDOUT_FILENO) != 0 ? ClearScreen : "\n");
       code = client.show("/v1/status");
       std::cout << std::flush;
     }
@@ -192,13 +205,14 @@
   }
 
   void addZones() {
-    CLI::App* evacuate = add("evacuate", "Empty a zone", [](auto& client, auto& options) {
-      return client.evacuate(options.first, options.change_id);
-    });
-    CLI::App* restore =
-        add("restore", "Let a zone take work again", [](auto& client, auto& options) {
-          return client.restore(options.first, options.change_id);
+    CLI::App* evacuate =
+        add("evacuate", "Empty a zone", "evacuate north", [](auto& client, auto& options) {
+          return client.evacuate(options.first, options.change_id);
         });
+    CLI::App* restore = add("restore", "Let a zone take work again", "restore north",
+                            [](auto& client, auto& options) {
+                              return client.restore(options.first, options.change_id);
+                            });
     for (CLI::App* sub : {evacuate, restore}) {
       sub->add_option("zone", options_->first, "The zone")->required();
       addChangeId(sub);
@@ -207,9 +221,11 @@
 
   void addKeys() {
     CLI::App* key = command_->add_subcommand("key", "Add and revoke tenants' keys");
+    key->fallthrough();
+    command_line::describeUse(*key, {ExampleStart + "key add editors"});
     key->require_subcommand(1);
     CLI::App* create = add(key, "add", "Add a key; its secret is shown now and never again",
-                           [](auto& client, auto& options) {
+                           "key add editors --id editors-2", [](auto& client, auto& options) {
                              KeyOptions key_options = options.key_options;
                              key_options.change_id = options.change_id;
                              return client.addKey(key_options);
@@ -219,21 +235,25 @@
     create->add_option("--sha256", options_->key_options.sha256,
                        "SHA-256 of a secret made elsewhere");
     addChangeId(create);
-    CLI::App* revoke = add(key, "revoke", "Revoke a key", [](auto& client, auto& options) {
-      return client.revokeKey(options.first, options.change_id);
-    });
+    CLI::App* revoke =
+        add(key, "revoke", "Revoke a key", "key revoke editors-1", [](auto& client, auto& options) {
+          return client.revokeKey(options.first, options.change_id);
+        });
     revoke->add_option("id", options_->first, "The key's id")->required();
     addChangeId(revoke);
   }
 
   void addCore() {
     CLI::App* core = command_->add_subcommand("core", "Change the core set");
+    core->fallthrough();
+    command_line::describeUse(*core, {ExampleStart + "core replace 10.0.0.5:7000 10.0.0.9:7000"});
     core->require_subcommand(1);
-    CLI::App* replace = add(core, "replace", "Put an empty core node in place of a lost one",
-                            [](auto& client, auto& options) {
-                              return client.replaceCore(base::NodeAddress::parse(options.first),
-                                                        base::NodeAddress::parse(options.second));
-                            });
+    CLI::App* replace =
+        add(core, "replace", "Put an empty core node in place of a lost one",
+            "core replace 10.0.0.5:7000 10.0.0.9:7000", [](auto& client, auto& options) {
+              return client.replaceCore(base::NodeAddress::parse(options.first),
+                                        base::NodeAddress::parse(options.second));
+            });
     replace->add_option("old", options_->first, "Peer address of the member that leaves")
         ->required();
     replace->add_option("new", options_->second, "Peer address of the empty node")->required();
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -3,14 +3,22 @@
 #include <csignal>
 #include <cstdlib>
 
+#include "switchsaddle/base/crash_dump.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/command_line/exit_code.h"
+#include "switchsaddle/journal/incident_of.h"
 
 namespace switchsaddle {
 
 namespace {
 
-/** Exit code after a second signal. */
-constexpr int EndedAtOnce = 130;
+/** The folder of the log ring's dumps; none where there is no data folder. */
+std::filesystem::path logFolder(const configuration::Settings& settings) {
+  if (settings.data_folder.empty()) {
+    return {};
+  }
+  return std::filesystem::path(settings.data_folder) / "log";
+}
 
 }  // namespace
 
@@ -19,13 +27,18 @@
       transport_(context_, dispatcher_, settings.peer_address),
       calls_(dispatcher_, transport_),
       journal_(dispatcher_),
+      incidents_(dispatcher_, base::processLogRing(), logFolder(settings)),
       signals_(context_, SIGTERM, SIGINT) {
-  journal_.addListener([](const journal::Event& event) {
+  base::installCrashDump(base::processLogRing(), logFolder(settings));
+  journal_.addListener([this](const journal::Event& event) {
     base::logEvent(base::Severity::Info, "belief",
                    {{"subject", journal::subjectName(event.subject)},
                     {"key", event.key},
                     {"value", event.value},
                     {"version", std::to_string(event.version)}});
+    if (const std::optional<base::Incident> incident = journal::incidentOf(event)) {
+      incidents_.report(*incident);
+    }
   });
 }
 
@@ -36,16 +49,33 @@
   return EXIT_SUCCESS;
 }
 
+void DaemonProcess::appendMetrics(metrics::Page& page) const {
+  const transport::TcpTransportCounters& traffic = transport_.counters();
+  const auto add = [&page](const char* name, const char* help, std::uint64_t value) {
+    page.counter(name, help, static_cast<double>(value));
+  };
+  add("peer_messages_sent_total", "Messages sent to other nodes.", traffic.frames_sent);
+  add("peer_messages_received_total", "Messages taken from other nodes.", traffic.frames_received);
+  add("peer_messages_dropped_total", "Messages given up before they were sent.",
+      traffic.frames_dropped);
+  add("peer_messages_malformed_total", "Frames that could not be decoded.",
+      traffic.malformed_frames);
+  add("peer_bytes_sent_total", "Bytes sent to other nodes.", traffic.bytes_sent);
+  add("peer_bytes_received_total", "Bytes of messages taken from other nodes.",
+      traffic.bytes_received);
+  page.process();
+}
+
 void DaemonProcess::awaitSignal() {
   signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
     if (error) {
       return;
     }
     if (stopping_) {
-      std::_Exit(EndedAtOnce);
+      std::_Exit(static_cast<int>(command_line::ExitCode::EndedAtOnce));
     }
     stopping_ = true;
-    base::logEvent(base::Severity::Info, "stopping", {});
+    base::logEvent(base::Severity::Notice, "stopping");
     stop_([this] { context_.stop(); });
     awaitSignal();
   });
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -6,9 +6,11 @@
 #include <memory>
 #include <string>
 
+#include "switchsaddle/base/incident_log.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/configuration/settings.h"
 #include "switchsaddle/journal/journal.h"
+#include "switchsaddle/metrics/page.h"
 #include "switchsaddle/transport/asio_dispatcher.h"
 #include "switchsaddle/transport/peer_calls.h"
 #include "switchsaddle/transport/tcp_transport.h"
@@ -17,7 +19,9 @@
 
 /**
  * What every daemon stands on: one io_context run by one thread, the control strand, the peers'
- * transport, the journal and the signals. The journal's events go to the log ring.
+ * transport, the journal and the signals. The journal's events go to the log ring, those that an
+ * operator must see to the log too; the ring is written to the data folder's `log` when something
+ * goes wrong.
  */
 class DaemonProcess {
  public:
@@ -28,6 +32,9 @@
   transport::PeerCalls& calls() { return calls_; }
   base::RandomSource& random() { return random_; }
   journal::Journal& journal() { return journal_; }
+  base::IncidentSink& incidents() { return incidents_; }
+  /** Adds processor time, memory and the traffic between nodes. */
+  void appendMetrics(metrics::Page& page) const;
 
   /**
    * Runs until `stop`, called on the first SIGTERM or SIGINT, has called its argument. A second
@@ -44,6 +51,7 @@
   transport::PeerCalls calls_;
   base::RandomSource random_ = base::RandomSource::fromSystem();
   journal::Journal journal_;
+  base::IncidentLog incidents_;
   boost::asio::signal_set signals_;
   std::function<void(std::function<void()>)> stop_;
   bool stopping_ = false;
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -5,6 +5,7 @@
 #include "settings_options.h"
 #include "switchsaddle/admission/ledger_slot_broker.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/front/front_node.h"
 #include "switchsaddle/front/http_worker_port.h"
 #include "switchsaddle/http/server.h"
@@ -35,7 +36,7 @@
 
   int run() {
     process_.dispatcher().post([this] { node_.start(); });
-    base::logEvent(base::Severity::Info, "front-started",
+    base::logEvent(base::Severity::Notice, "front-started",
                    {{"peer", settings_.peer_address.toString()},
                     {"http", settings_.http_address.toString()},
                     {"instance", std::to_string(instance_)}});
@@ -62,7 +63,7 @@
 
 void addFrontCommand(CLI::App& app, int& exit_code) {
   CLI::App* command = app.add_subcommand("front", "Run a data-plane node");
-  command->footer("Example: switchsaddle front --settings front.json");
+  command_line::describeUse(*command, {"switchsaddle front --settings front.json"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
     FrontDaemon daemon(loadSettings(*options, "front"));
--- /dev/null
+++ b/programs/switchsaddle/information_commands.cc
@@ -0,0 +1,42 @@
+#include "information_commands.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <memory>
+
+#include "switchsaddle/command_line/command_line.h"
+
+namespace switchsaddle {
+
+namespace {
+
+void addVersion(CLI::App& app) {
+  auto json = std::make_shared<bool>(false);
+  CLI::App* command = app.add_subcommand("version", "Print the version");
+  command->add_flag("--json", *json, "Write it as JSON");
+  command_line::describeUse(*command, {"switchsaddle version"});
+  command->callback([json] {
+    if (*json) {
+      std::cout << "{\"version\":\"" << SWITCHSADDLE_VERSION << "\"}\n";
+    } else {
+      std::cout << SWITCHSADDLE_VERSION << "\n";
+    }
+  });
+}
+
+void addCompletion(CLI::App& app) {
+  auto shell = std::make_shared<std::string>();
+  CLI::App* command = app.add_subcommand("completion", "Print a shell's completion script");
+  command->add_option("shell", *shell, "The shell")->required()->check(CLI::IsMember({"bash"}));
+  command_line::describeUse(*command, {"source <(switchsaddle completion bash)"});
+  command->callback([&app, shell] { std::cout << command_line::bashCompletion(app); });
+}
+
+}  // namespace
+
+void addInformationCommands(CLI::App& app) {
+  addVersion(app);
+  addCompletion(app);
+}
+
+}  // namespace switchsaddle
--- a/programs/switchsaddle/main.cc
+++ b/programs/switchsaddle/main.cc
@@ -5,19 +5,20 @@
 
 #include "check_command.h"
 #include "ctl_command.h"
+#include "information_commands.h"
 #include "role_commands.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/command_line/command_line.h"
 
 namespace {
 
-constexpr const char* Version = "0.1.0";
-constexpr int FaultExitCode = 1;
+using switchsaddle::command_line::ExitCode;
 
 int report(const switchsaddle::base::Error& error) {
   const switchsaddle::base::ResultCodeInfo& info = switchsaddle::base::describe(error.code());
   std::cerr << "switchsaddle: " << static_cast<int>(info.code) << " " << info.name << ": "
             << error.what() << "\n";
-  return FaultExitCode;
+  return static_cast<int>(ExitCode::Refused);
 }
 
 }  // namespace
@@ -26,23 +27,25 @@
 int main(int argument_count, char** arguments) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(arguments[0]);
-  CLI::App app{"switchsaddle: a router fleet for language model sessions"};
+  CLI::App app{"switchsaddle: a router fleet for language model sessions", "switchsaddle"};
   app.require_subcommand(1);
   int exit_code = 0;
   switchsaddle::addCoreCommand(app, exit_code);
   switchsaddle::addFrontCommand(app, exit_code);
   switchsaddle::addCtlCommand(app, exit_code);
   switchsaddle::addCheckCommand(app, exit_code);
-  app.add_subcommand("version", "Print the version")->callback([] {
-    std::cout << Version << "\n";
-  });
+  switchsaddle::addInformationCommands(app);
+  switchsaddle::command_line::describeUse(
+      app, {"switchsaddle front --settings front.json", "switchsaddle ctl --help",
+            "switchsaddle check configuration.json"});
   try {
-    CLI11_PARSE(app, argument_count, arguments);
+    const auto ended =
+        switchsaddle::command_line::parse(app, argument_count, arguments, std::cout, std::cerr);
+    return ended ? static_cast<int>(*ended) : exit_code;
   } catch (const switchsaddle::base::Error& error) {
     return report(error);
   } catch (const std::exception& exception) {
     return report(
         switchsaddle::base::Error(switchsaddle::base::ResultCode::InternalError, exception.what()));
   }
-  return exit_code;
 }
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,6 +6,7 @@
   g++ cmake ninja-build ccache mold
   libboost1.81-dev libboost-json1.81-dev libboost-url1.81-dev
   libcli11-dev libgoogle-glog-dev librange-v3-dev libcereal-dev libxxhash-dev libssl-dev
+  prometheus-cpp-dev libyaml-cpp-dev
   libgtest-dev libgmock-dev libbenchmark-dev
   clang-format clang-tidy gnuplot-nox
 )
