--- a/libraries/base/source/incident_log.cc
+++ b/libraries/base/source/incident_log.cc
@@ -1,5 +1,7 @@
 #include "switchsaddle/base/incident_log.h"
 
+#include <utility>
+
 #include "switchsaddle/base/error.h"
 
 namespace switchsaddle::base {
@@ -24,6 +26,14 @@
     : dispatcher_(dispatcher), ring_(ring), folder_(std::move(folder)), options_(options) {}
 
 void IncidentLog::report(const Incident& incident) {
+  Written& written = written_[std::string(incident.event)];
+  if (incident.dumps_ring) {
+    dump(incident.event, written);
+  }
+  if (!mayWrite(written)) {
+    ++written.left_out;
+    return;
+  }
   std::vector<LogField> fields;
   if (incident.code != ResultCode::Ok) {
     fields.push_back({"code", std::to_string(static_cast<int>(incident.code))});
@@ -31,23 +41,25 @@
   }
   fields.push_back({"request_id", incident.request_id});
   fields.insert(fields.end(), incident.fields.begin(), incident.fields.end());
+  const std::uint64_t left_out = std::exchange(written.left_out, 0);
+  fields.push_back({"left_out", left_out == 0 ? "" : std::to_string(left_out)});
   logEvent(incident.severity, incident.event, fields);
-  if (incident.dumps_ring) {
-    dump(incident.event);
-  }
 }
 
-bool IncidentLog::isDue(std::string_view event) {
+bool IncidentLog::mayWrite(Written& written) {
   const TimePoint now = dispatcher_.now();
-  const auto last = last_dumps_.find(event);
-  if (last != last_dumps_.end() && now - last->second < options_.dump_pause) {
+  if (written.lines == 0 || now - written.second_began >= std::chrono::seconds(1)) {
+    written.second_began = now;
+    written.lines = 0;
+  }
+  if (written.lines >= options_.lines_per_second) {
     return false;
   }
-  last_dumps_.insert_or_assign(std::string(event), now);
+  ++written.lines;
   return true;
 }
 
-void IncidentLog::dump(std::string_view event) {
+void IncidentLog::dump(std::string_view event, Written& written) {
   if (folder_.empty()) {
     if (!told_without_folder_) {
       logEvent(Severity::Warning, "log-ring-kept-in-memory", {{"reason", "no data folder is set"}});
@@ -55,9 +67,11 @@
     told_without_folder_ = true;
     return;
   }
-  if (!isDue(event)) {
+  const TimePoint now = dispatcher_.now();
+  if (written.dumped_at && now - *written.dumped_at < options_.dump_pause) {
     return;
   }
+  written.dumped_at = now;
   try {
     const std::filesystem::path file = ring_.dumpTo(folder_, event, options_.files);
     ++dumps_;
--- a/libraries/base/test/incident_log_test.cc
+++ b/libraries/base/test/incident_log_test.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <fstream>
 #include <sstream>
+#include <thread>
 
 #include "switchsaddle/base/crash_dump.h"
 #include "switchsaddle/simulation/process.h"
@@ -83,7 +84,7 @@
 }
 
 TEST_F(IncidentLogTest, KeepsABoundedNumberOfFiles) {
-  IncidentLog log(process_, ring_, folder_, {std::chrono::seconds(1), 3});
+  IncidentLog log(process_, ring_, folder_, {std::chrono::seconds(1), 20, 3});
   for (int round = 0; round < 10; ++round) {
     log.report(incident("no-quorum"));
     world_.runFor(std::chrono::seconds(1));
@@ -92,6 +93,21 @@
   EXPECT_EQ(fileCount(), 3U);
 }
 
+TEST_F(IncidentLogTest, WritesABoundedNumberOfLinesAndSaysHowManyItLeftOut) {
+  IncidentLog log(process_, ring_, {}, {std::chrono::minutes(1), 5, 1});
+  const Incident flood{"no-quorum", Severity::Warning, ResultCode::NoQuorum, {}, {}, false};
+  const std::uint64_t before = processLogRing().appended();
+  for (int number = 0; number < 100; ++number) {
+    log.report(flood);
+  }
+  EXPECT_EQ(processLogRing().appended() - before, 5U);
+  world_.runFor(std::chrono::seconds(1));
+  log.report(flood);
+  EXPECT_NE(processLogRing().lines().back().find("left_out=95"), std::string::npos);
+  log.report(flood);
+  EXPECT_EQ(processLogRing().lines().back().find("left_out"), std::string::npos);
+}
+
 TEST_F(IncidentLogTest, WithoutAFolderSaysSoOnce) {
   IncidentLog log(process_, ring_, {});
   const auto told = [] {
@@ -130,12 +146,12 @@
   EXPECT_EXIT(
       {
         installCrashDump(processLogRing(), folder_);
-        []() noexcept { static_cast<void>(std::stoi("none")); }();
+        std::thread([] { static_cast<void>(std::stoi("none")); }).join();
       },
       testing::KilledBySignal(SIGABRT), "");
   const std::string written = readFile(folder_ / CrashFileName);
   EXPECT_NE(written.find("reason=SIGABRT\n"), std::string::npos);
-  EXPECT_NE(written.find("event=terminating reason=stoi"), std::string::npos);
+  EXPECT_NE(written.find("event=terminating reason=stoi"), std::string::npos) << written;
 }
 
 }  // namespace
--- /dev/null
+++ b/libraries/core/source/core_http_service.cc
@@ -0,0 +1,73 @@
+#include "switchsaddle/core/core_http_service.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "switchsaddle/core/core_metrics.h"
+#include "switchsaddle/http/error_response.h"
+
+namespace switchsaddle::core {
+
+namespace {
+
+using base::ResultCode;
+
+/** What the node answers of itself, to anybody. */
+constexpr std::array<std::string_view, 3> OwnPaths{"/healthz", "/readyz", "/metrics"};
+
+http::Response statusAnswer(const char* status) {
+  http::Response response;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = std::string("{\"status\":\"") + status + "\"}";
+  return response;
+}
+
+}  // namespace
+
+CoreHttpService::CoreHttpService(CoreNode& node, ProcessMetrics process_metrics)
+    : node_(node), process_metrics_(std::move(process_metrics)) {}
+
+void CoreHttpService::handle(const http::Request& request, Respond respond) {
+  const std::string_view path = http::targetPath(request.target);
+  const bool is_own = std::find(OwnPaths.begin(), OwnPaths.end(), path) != OwnPaths.end();
+  if (is_own) {
+    respond(request.method == "GET" ? own(path)
+                                    : http::errorResponse(ResultCode::MethodNotAllowed));
+  } else if (ControlService::serves(request.target)) {
+    node_.control().handle(request, std::move(respond));
+  } else {
+    respond(http::errorResponse(ResultCode::UnknownPath));
+  }
+}
+
+http::Response CoreHttpService::own(std::string_view path) const {
+  if (path == "/healthz") {
+    return statusAnswer("ok");
+  }
+  return path == "/readyz" ? readiness() : metricsPage();
+}
+
+http::Response CoreHttpService::readiness() const {
+  if (node_.status().may_vote) {
+    return statusAnswer("ready");
+  }
+  http::Response response =
+      http::errorResponse(ResultCode::NotServing, "this node's acceptor may not vote");
+  response.headers.push_back({"Retry-After", "1"});
+  return response;
+}
+
+http::Response CoreHttpService::metricsPage() const {
+  metrics::Page page;
+  appendMetrics(node_, page);
+  if (process_metrics_) {
+    process_metrics_(page);
+  }
+  http::Response response;
+  response.headers.push_back({"Content-Type", metrics::ContentType});
+  response.body = page.text();
+  return response;
+}
+
+}  // namespace switchsaddle::core
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -1,6 +1,7 @@
 #include "switchsaddle/front/caller_service.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "caller_answers.h"
@@ -18,6 +19,9 @@
 
 constexpr std::string_view CompletionsPath = "/v1/chat/completions";
 constexpr std::string_view OneShotsPath = "/v1/one-shots";
+/** Resources that this front answers by itself, to GET alone. */
+constexpr std::array<std::string_view, 6> PlainPaths{"/",        "/healthz",    "/readyz",
+                                                     "/metrics", "/v1/routing", "/v1/beliefs"};
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::size_t LongestIdempotencyKey = 255;
 constexpr std::uint32_t DefaultRetryAfterMs = 1'000;
@@ -223,8 +227,9 @@
 
 http::Response CallerService::plainAnswer(const http::Request& request,
                                           std::string_view path) const {
-  if (request.method != "GET") {
-    throw base::Error(ResultCode::UnknownPath, "");
+  const bool known = std::find(PlainPaths.begin(), PlainPaths.end(), path) != PlainPaths.end();
+  if (known && request.method != "GET") {
+    throw base::Error(ResultCode::MethodNotAllowed, "");
   }
   if (path == "/") {
     http::Response response;
--- /dev/null
+++ b/libraries/front/test/contract/contract_test.cc
@@ -0,0 +1,349 @@
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "live_fleet.h"
+#include "schema_check.h"
+
+namespace switchsaddle::front::contract {
+namespace {
+
+constexpr const char* OpenApiFile = SWITCHSADDLE_SOURCE_DIR "/api/openapi.yaml";
+/** One byte above the servers' limit. */
+constexpr std::size_t TooLargeBody = (4U << 20U) + 1;
+
+/** One method on one path of the document. */
+struct Operation {
+  std::string id;
+  std::string method;
+  std::string path;
+  YAML::Node node;
+  bool is_secured = false;
+};
+
+/** A request that must be carried out, and the status it must get. */
+struct Example {
+  std::string target;
+  std::string body;
+  int status = 200;
+  bool has_idempotency_key = false;
+};
+
+const char* const Chat = R"({"model":"large","messages":[{"role":"user","content":"hi"}]})";
+const char* const Order = R"({"service":"orders","payload":{"n":1}})";
+
+/** Good requests by operationId, in the order in which they are sent. */
+const std::vector<std::pair<std::string, Example>> Examples{
+    {"createCompletion", {"/v1/chat/completions", Chat}},
+    {"createOneShot", {"/v1/one-shots", Order, 200, true}},
+    {"getHealth", {"/healthz", ""}},
+    {"getReadiness", {"/readyz", ""}},
+    {"getMetrics", {"/metrics", ""}},
+    {"getRoutingPage", {"/", ""}},
+    {"getRouting", {"/v1/routing", ""}},
+    {"getRouting", {"/v1/routing?model=large", ""}},
+    {"getConfiguration", {"/v1/configuration", ""}},
+    {"getHistory", {"/v1/configuration/history", ""}},
+    {"getInForce", {"/v1/configuration/in-force", ""}},
+    {"createChange",
+     {"/v1/configuration/changes?dry_run=true",
+      R"({"change_id":"d1","base_version":1,"set":{"tuning/route-weight-alpha":1.5}})"}},
+    {"createChange",
+     {"/v1/configuration/changes",
+      R"({"change_id":"d2","base_version":0,"set":{"tuning/route-weight-alpha":1.5}})", 409}},
+    {"createChange",
+     {"/v1/configuration/changes",
+      R"({"change_id":"d3","base_version":1,"set":{"tuning/route-weight-alpha":"x"}})", 422}},
+    {"evacuateZone", {"/v1/zones/south/evacuation", R"({"change_id":"z1"})"}},
+    {"restoreZone", {"/v1/zones/south/evacuation?change_id=z2", ""}},
+    {"addKey", {"/v1/keys", R"({"change_id":"k1","tenant":"editors","id":"extra"})"}},
+    {"revokeKey", {"/v1/keys/extra?change_id=k2", ""}},
+    {"getStatus", {"/v1/status", ""}},
+    {"getBeliefs", {"/v1/beliefs", ""}},
+    {"replaceCore", {"/v1/core/replacements", R"({"old":"127.0.9.9:1","new":"127.0.1.1:1"})"}},
+};
+
+std::string upper(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char character) {
+    return static_cast<char>(std::toupper(character));
+  });
+  return text;
+}
+
+/** Whether the node of this role serves the operation; callers' work goes to fronts alone. */
+bool serves(const std::string& role, const std::string& path) {
+  static const std::set<std::string> FrontOnly{"/v1/chat/completions", "/v1/one-shots", "/",
+                                               "/v1/routing"};
+  return role == "front" || !FrontOnly.contains(path);
+}
+
+bool isCallers(const Operation& operation) {
+  return operation.node["tags"][0].as<std::string>() == "callers";
+}
+
+/** The live servers of one role against every operation of the document. */
+class ContractTest : public testing::TestWithParam<std::string> {
+ protected:
+  void SetUp() override {
+    readOperations();
+    ASSERT_TRUE(fleet_.begin());
+  }
+
+  void readOperations() {
+    for (const auto& path : document_["paths"]) {
+      for (const auto& method : path.second) {
+        Operation operation;
+        operation.id = method.second["operationId"].as<std::string>();
+        operation.method = upper(method.first.as<std::string>());
+        operation.path = path.first.as<std::string>();
+        operation.node = method.second;
+        const YAML::Node security = method.second["security"];
+        operation.is_secured = !security.IsDefined() || security.size() > 0;
+        if (serves(GetParam(), operation.path)) {
+          operations_.push_back(operation);
+        }
+      }
+    }
+  }
+
+  const Operation* find(const std::string& id) const {
+    for (const Operation& operation : operations_) {
+      if (operation.id == id) {
+        return &operation;
+      }
+    }
+    return nullptr;
+  }
+
+  /** The first good example of the operation as a request, with its key. */
+  http::Request goodRequest(const Operation& operation) const {
+    for (const auto& [id, example] : Examples) {
+      if (id == operation.id) {
+        return requestOf(operation, example);
+      }
+    }
+    ADD_FAILURE() << "no example of " << operation.id;
+    return {};
+  }
+
+  static http::Request requestOf(const Operation& operation, const Example& example) {
+    http::Request request{operation.method, example.target, {}, example.body};
+    if (operation.is_secured) {
+      const char* key = isCallers(operation) ? "secret" : "operator";
+      request.headers.push_back({"Authorization", std::string("Bearer ") + key});
+    }
+    if (example.has_idempotency_key) {
+      request.headers.push_back({"Idempotency-Key", "contract"});
+    }
+    return request;
+  }
+
+  /** Sends a request and holds status, content type and body against the operation. */
+  int sendAndCheck(const Operation& operation, const http::Request& request) {
+    const std::optional<http::Response> response = fleet_.exchange(GetParam(), request);
+    if (!response) {
+      ADD_FAILURE() << operation.id << ": no answer";
+      return 0;
+    }
+    const std::string status = std::to_string(response->status);
+    const YAML::Node declared = operation.node["responses"][status];
+    EXPECT_TRUE(declared.IsDefined())
+        << operation.id << " answered the undeclared status " << status << ": " << response->body;
+    if (declared.IsDefined()) {
+      checkBody(operation, check_.resolve(declared), *response);
+    }
+    return response->status;
+  }
+
+  void checkBody(const Operation& operation, const YAML::Node& declared,
+                 const http::Response& response) {
+    const std::string_view type = response.header("Content-Type");
+    const std::string kind(type.substr(0, type.find(';')));
+    const YAML::Node content = declared["content"][kind];
+    ASSERT_TRUE(content.IsDefined()) << operation.id << " answered the undeclared type " << kind;
+    if (kind == "application/json") {
+      expectMatch(operation.id, content["schema"], response.body);
+    }
+  }
+
+  void expectMatch(const std::string& where, const YAML::Node& schema, const std::string& body) {
+    std::vector<configuration::Fault> faults;
+    const auto value = configuration::parseJson(body, {}, "", faults);
+    ASSERT_TRUE(value) << where << ": " << body;
+    for (const std::string& violation : check_.violations(schema, *value)) {
+      ADD_FAILURE() << where << ": " << violation << " in " << body;
+    }
+  }
+
+  /** An answer outside the operations: an error body of this status. */
+  void expectError(const http::Request& request, int status) {
+    const std::optional<http::Response> response = fleet_.exchange(GetParam(), request);
+    ASSERT_TRUE(response) << request.method << " " << request.target;
+    EXPECT_EQ(response->status, status) << request.method << " " << request.target;
+    const YAML::Node schema = document_["components"]["schemas"]["ErrorBody"];
+    expectMatch(request.method + " " + request.target, schema, response->body);
+  }
+
+  YAML::Node bodySchema(const Operation& operation) const {
+    const YAML::Node body = operation.node["requestBody"];
+    return body.IsDefined() ? check_.resolve(body["content"]["application/json"]["schema"])
+                            : YAML::Node();
+  }
+
+  /** Sends a bad body, which must be refused as the caller's fault. */
+  void expectRefused(const Operation& operation, const std::string& body) {
+    http::Request request = goodRequest(operation);
+    request.body = body;
+    const int status = sendAndCheck(operation, request);
+    EXPECT_GE(status, 400) << operation.id << " took " << body.substr(0, 200);
+    EXPECT_LT(status, 500) << operation.id << " took " << body.substr(0, 200);
+  }
+
+  YAML::Node document_ = YAML::LoadFile(OpenApiFile);
+  SchemaCheck check_{document_};
+  std::vector<Operation> operations_;
+  LiveFleet fleet_;
+};
+
+TEST_P(ContractTest, EveryOperationCarriesOutItsExamples) {
+  std::set<std::string> seen;
+  for (const auto& [id, example] : Examples) {
+    const Operation* operation = find(id);
+    if (operation == nullptr) {
+      continue;
+    }
+    seen.insert(id);
+    EXPECT_EQ(sendAndCheck(*operation, requestOf(*operation, example)), example.status)
+        << id << " " << example.target;
+  }
+  for (const Operation& operation : operations_) {
+    EXPECT_TRUE(seen.contains(operation.id)) << operation.id << " has no example";
+  }
+}
+
+TEST_P(ContractTest, SecuredOperationsRefuseAMissingAndAnUnknownKey) {
+  for (const Operation& operation : operations_) {
+    if (!operation.is_secured) {
+      continue;
+    }
+    http::Request request = goodRequest(operation);
+    std::erase_if(request.headers,
+                  [](const http::Header& header) { return header.name == "Authorization"; });
+    EXPECT_EQ(sendAndCheck(operation, request), 401) << operation.id;
+    request.headers.push_back({"Authorization", "Bearer nobody"});
+    EXPECT_EQ(sendAndCheck(operation, request), 401) << operation.id;
+  }
+}
+
+TEST_P(ContractTest, OperatorsOperationsRefuseATenantsKey) {
+  for (const Operation& operation : operations_) {
+    if (!operation.is_secured || isCallers(operation)) {
+      continue;
+    }
+    http::Request request = goodRequest(operation);
+    request.headers = {{"Authorization", "Bearer secret"}};
+    EXPECT_EQ(sendAndCheck(operation, request), 401) << operation.id;
+  }
+}
+
+TEST_P(ContractTest, BodiesThatAreNotJsonAreRefused) {
+  for (const Operation& operation : operations_) {
+    if (!bodySchema(operation).IsMap()) {
+      continue;
+    }
+    for (const char* body :
+         {"", "{", "[]", "nothing", "{\"change_id\":1,\"change_id\":2}", "\xff\xfe"}) {
+      expectRefused(operation, body);
+    }
+  }
+}
+
+TEST_P(ContractTest, BodiesThatAreTooLargeAreRefused) {
+  for (const Operation& operation : operations_) {
+    if (bodySchema(operation).IsMap()) {
+      http::Request request = goodRequest(operation);
+      request.body = std::string(TooLargeBody, ' ');
+      EXPECT_EQ(sendAndCheck(operation, request), 413) << operation.id;
+    }
+  }
+}
+
+TEST_P(ContractTest, UnknownFieldsAreRefused) {
+  for (const Operation& operation : operations_) {
+    if (!bodySchema(operation).IsMap()) {
+      continue;
+    }
+    EXPECT_FALSE(bodySchema(operation)["additionalProperties"].as<bool>(true)) << operation.id;
+    std::string body = goodRequest(operation).body;
+    body.pop_back();
+    expectRefused(operation, body + ",\"nonsense\":1}");
+  }
+}
+
+TEST_P(ContractTest, MissingAndMistypedFieldsAreRefused) {
+  for (const Operation& operation : operations_) {
+    const YAML::Node schema = bodySchema(operation);
+    if (!schema.IsMap()) {
+      continue;
+    }
+    std::vector<configuration::Fault> faults;
+    const auto good = configuration::parseJson(goodRequest(operation).body, {}, "", faults);
+    for (const YAML::Node& name : schema["required"]) {
+      const auto field = name.as<std::string>();
+      configuration::JsonValue lacking = *good;
+      const auto place = std::find(lacking.names.begin(), lacking.names.end(), field);
+      ASSERT_NE(place, lacking.names.end()) << operation.id << " " << field;
+      const auto index = place - lacking.names.begin();
+      configuration::JsonValue mistyped = lacking;
+      lacking.names.erase(place);
+      lacking.elements.erase(lacking.elements.begin() + index);
+      expectRefused(operation, lacking.canonical());
+      const YAML::Node property = check_.resolve(schema["properties"][field]);
+      if (property["type"]) {
+        mistyped.elements[static_cast<std::size_t>(index)] = configuration::JsonValue{};
+        expectRefused(operation, mistyped.canonical());
+      }
+    }
+  }
+}
+
+TEST_P(ContractTest, OtherMethodsAreRefused) {
+  for (const Operation& operation : operations_) {
+    for (const char* method : {"GET", "POST", "PUT", "PATCH", "DELETE"}) {
+      bool is_declared = false;
+      for (const Operation& other : operations_) {
+        is_declared = is_declared || (other.path == operation.path && other.method == method);
+      }
+      if (!is_declared) {
+        http::Request request = goodRequest(operation);
+        request.method = method;
+        expectError(request, 405);
+      }
+    }
+  }
+}
+
+TEST_P(ContractTest, UnknownPathsAreRefused) {
+  for (const char* path : {"/v1", "/v1/nothing", "/v1/configuration/nothing", "/v1/zones/south",
+                           "/v1/status/more", "/v1/keys/", "/v1/keys/a/b", "/metrics/more"}) {
+    expectError({"GET", path, {{"Authorization", "Bearer operator"}}, ""}, 404);
+  }
+}
+
+class CallerContractTest : public ContractTest {};
+
+TEST_P(CallerContractTest, AStreamIsTheDeclaredEventStream) {
+  http::Request request = goodRequest(*find("createCompletion"));
+  request.body = R"({"model":"large","stream":true,"messages":[{"role":"user","content":"a"}]})";
+  const std::optional<http::Response> response = fleet_.exchange(GetParam(), request);
+  ASSERT_TRUE(response);
+  EXPECT_EQ(response->header("Content-Type"), "text/event-stream");
+  EXPECT_TRUE(response->body.ends_with("data: [DONE]\n\n")) << response->body;
+}
+
+INSTANTIATE_TEST_SUITE_P(Fronts, CallerContractTest, testing::Values("front"));
+INSTANTIATE_TEST_SUITE_P(Roles, ContractTest, testing::Values("front", "core"),
+                         [](const auto& role) { return role.param; });
+
+}  // namespace
+}  // namespace switchsaddle::front::contract
--- a/libraries/fuzz/source/binary_targets.cc
+++ b/libraries/fuzz/source/binary_targets.cc
@@ -67,7 +67,7 @@
   configuration::RegisterValue value;
   configuration::Change change;
   change.change_id = "c1";
-  change.set["tuning/route-weight-alpha"] = "1.5";
+  change.set.push_back({"tuning/route-weight-alpha", "1.5"});
   const configuration::ChangeDecision decision = configuration::decideChange(value, change);
   return {configuration::encodeRegisterValue(value),
           configuration::encodeRegisterValue(decision.next)};
--- a/libraries/fuzz/test/fuzz_test.cc
+++ b/libraries/fuzz/test/fuzz_test.cc
@@ -57,8 +57,8 @@
                                          "worker-head", "platform-list", "message",
                                          "register-value", "reservations", "claim", "acceptor-set",
                                          "http-server"),
-                         [](const auto& info) {
-                           std::string name = info.param;
+                         [](const auto& reader) {
+                           std::string name = reader.param;
                            std::replace(name.begin(), name.end(), '-', '_');
                            return name;
                          });
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -6,9 +6,8 @@
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/command_line/command_line.h"
-#include "switchsaddle/core/core_metrics.h"
+#include "switchsaddle/core/core_http_service.h"
 #include "switchsaddle/core/core_node.h"
-#include "switchsaddle/http/error_response.h"
 #include "switchsaddle/http/server.h"
 #include "switchsaddle/storage/file_record_store.h"
 #include "switchsaddle/storage/posix_file_system.h"
@@ -18,14 +17,6 @@
 
 namespace {
 
-http::Response plainText(std::uint16_t status, std::string body) {
-  http::Response response;
-  response.status = status;
-  response.headers.push_back({"Content-Type", "text/plain"});
-  response.body = std::move(body);
-  return response;
-}
-
 /** One core daemon: the node with real sockets, disk and clock. */
 class CoreDaemon {
  public:
@@ -46,6 +37,7 @@
                                     settings_,
                                     {},
                                     &process_.incidents()}),
+        service_(node_, [this](metrics::Page& page) { process_.appendMetrics(page); }),
         server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
                                     handle(std::move(request), std::move(writer));
@@ -65,37 +57,11 @@
  private:
   void handle(http::Request request, http::ResponseWriterPtr writer) {
     process_.dispatcher().post([this, request = std::move(request), writer = std::move(writer)] {
-      answer(request, writer);
+      service_.handle(request,
+                      [writer](http::Response response) { writer->respond(std::move(response)); });
     });
   }
 
-  void answer(const http::Request& request, const http::ResponseWriterPtr& writer) {
-    const std::string_view path = http::targetPath(request.target);
-    if (path == "/healthz") {
-      writer->respond(plainText(200, "ok\n"));
-    } else if (path == "/readyz") {
-      const bool ready = node_.status().may_vote;
-      writer->respond(plainText(ready ? 200 : 503, ready ? "ready\n" : "not ready\n"));
-    } else if (path == "/metrics") {
-      writer->respond(metricsPage());
-    } else if (core::ControlService::serves(request.target)) {
-      node_.control().handle(
-          request, [writer](http::Response response) { writer->respond(std::move(response)); });
-    } else {
-      writer->respond(http::errorResponse(base::ResultCode::UnknownPath, "no such resource"));
-    }
-  }
-
-  http::Response metricsPage() const {
-    metrics::Page page;
-    core::appendMetrics(node_, page);
-    process_.appendMetrics(page);
-    http::Response response;
-    response.headers.push_back({"Content-Type", metrics::ContentType});
-    response.body = page.text();
-    return response;
-  }
-
   configuration::Settings settings_;
   DaemonProcess process_;
   storage::PosixFileSystem file_system_;
@@ -104,6 +70,7 @@
   std::unique_ptr<http::Client> client_;
   HttpPlatformSource platform_;
   core::CoreNode node_;
+  core::CoreHttpService service_;
   std::unique_ptr<http::Server> server_;
 };
 
