--- a/libraries/base/include/switchsaddle/base/incident_log.h
+++ b/libraries/base/include/switchsaddle/base/incident_log.h
@@ -17,7 +17,7 @@
   Duration dump_pause = std::chrono::minutes(1);
   /** Most lines of one event in one second; the next line after that says how many were left out.
    */
-  std::uint64_t lines_per_second = 20;
+  std::uint64_t lines_per_second = 5;
   /** Dump files kept; the oldest is replaced. */
   std::size_t files = LogRing::DefaultFiles;
 };
@@ -48,6 +48,7 @@
 
   /** Whether one more line may be written now. */
   bool mayWrite(Written& written);
+  static void writeLine(const Incident& incident, std::uint64_t left_out);
   void dump(std::string_view event, Written& written);
 
   Dispatcher& dispatcher_;
--- a/libraries/base/source/incident_log.cc
+++ b/libraries/base/source/incident_log.cc
@@ -27,13 +27,17 @@
 
 void IncidentLog::report(const Incident& incident) {
   Written& written = written_[std::string(incident.event)];
+  if (mayWrite(written)) {
+    writeLine(incident, std::exchange(written.left_out, 0));
+  } else {
+    ++written.left_out;
+  }
   if (incident.dumps_ring) {
     dump(incident.event, written);
   }
-  if (!mayWrite(written)) {
-    ++written.left_out;
-    return;
-  }
+}
+
+void IncidentLog::writeLine(const Incident& incident, std::uint64_t left_out) {
   std::vector<LogField> fields;
   if (incident.code != ResultCode::Ok) {
     fields.push_back({"code", std::to_string(static_cast<int>(incident.code))});
@@ -41,7 +45,6 @@
   }
   fields.push_back({"request_id", incident.request_id});
   fields.insert(fields.end(), incident.fields.begin(), incident.fields.end());
-  const std::uint64_t left_out = std::exchange(written.left_out, 0);
   fields.push_back({"left_out", left_out == 0 ? "" : std::to_string(left_out)});
   logEvent(incident.severity, incident.event, fields);
 }
--- a/libraries/base/test/incident_log_test.cc
+++ b/libraries/base/test/incident_log_test.cc
@@ -83,6 +83,14 @@
             std::string::npos);
 }
 
+TEST_F(IncidentLogTest, TheDumpHoldsTheLineThatCausedIt) {
+  IncidentLog log(process_, processLogRing(), folder_);
+  Incident lapsed = incident("session-lapsed");
+  lapsed.request_id = "the-cause";
+  log.report(lapsed);
+  EXPECT_NE(readFile(folder_ / "ring-0.log").find("request_id=the-cause"), std::string::npos);
+}
+
 TEST_F(IncidentLogTest, KeepsABoundedNumberOfFiles) {
   IncidentLog log(process_, ring_, folder_, {std::chrono::seconds(1), 20, 3});
   for (int round = 0; round < 10; ++round) {
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -317,7 +317,11 @@
   }
   dependencies_.replace_core(
       order.old_member, order.new_member, [respond = std::move(respond)](ResultCode code) {
-        respond(code == ResultCode::Ok ? jsonResponse(200, "{}") : controlError(code));
+        std::vector<Fault> causes;
+        if (code == ResultCode::InvalidValue) {
+          causes.push_back({"old", code, "is no member, or `new` is no core node without a place"});
+        }
+        respond(code == ResultCode::Ok ? jsonResponse(200, "{}") : controlError(code, causes));
       });
 }
 
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -28,7 +28,7 @@
 /** The page brings everything with it and asks this front alone. */
 constexpr const char* PagePolicy =
     "default-src 'none'; style-src 'unsafe-inline'; script-src 'unsafe-inline'; "
-    "connect-src 'self'";
+    "img-src data:; connect-src 'self'";
 
 std::string secretHash(const http::Request& request) {
   const std::string_view authorization = request.header("Authorization");
--- a/libraries/operator_client/include/switchsaddle/operator_client/tables.h
+++ b/libraries/operator_client/include/switchsaddle/operator_client/tables.h
@@ -14,7 +14,8 @@
 
 /**
  * A body of the control API for people: plain members as lines, those of nested objects by their
- * path, and after them lists of objects as tables with one column for each member.
+ * path, and after them lists of objects as tables with one column for each member. Long cells are
+ * cut short.
  */
 std::string renderBody(const configuration::JsonValue& body);
 
--- a/libraries/operator_client/source/tables.cc
+++ b/libraries/operator_client/source/tables.cc
@@ -30,6 +30,19 @@
          });
 }
 
+/** Longest text of one cell; the rest of it is left to --json. */
+constexpr std::size_t LongestCell = 72;
+
+std::string cellText(const JsonValue& value) {
+  constexpr std::string_view Ellipsis = "...";
+  std::string text = plainText(value);
+  if (text.size() > LongestCell) {
+    text.resize(LongestCell - Ellipsis.size());
+    text += Ellipsis;
+  }
+  return text;
+}
+
 std::vector<TableRow> rowsOf(const JsonValue& list) {
   TableRow titles;
   for (const JsonValue& element : list.elements) {
@@ -44,7 +57,7 @@
     TableRow row;
     for (const std::string& title : titles) {
       const JsonValue* cell = element.find(title);
-      row.push_back(cell == nullptr ? "-" : plainText(*cell));
+      row.push_back(cell == nullptr ? "-" : cellText(*cell));
     }
     rows.push_back(std::move(row));
   }
--- a/libraries/operator_client/test/operator_client_test.cc
+++ b/libraries/operator_client/test/operator_client_test.cc
@@ -187,6 +187,13 @@
             "1\n");
 }
 
+TEST(TablesTest, LongCellsAreCutShort) {
+  std::vector<configuration::Fault> faults;
+  const auto body =
+      configuration::parseJson(R"([{"set": ")" + std::string(200, 'x') + R"("}])", {}, "", faults);
+  EXPECT_EQ(renderBody(*body), "set\n" + std::string(69, 'x') + "...\n");
+}
+
 TEST(MakeChangeIdTest, IdsDiffer) {
   EXPECT_NE(makeChangeId(), makeChangeId());
 }
--- a/libraries/wire/include/switchsaddle/wire/stored_record.h
+++ b/libraries/wire/include/switchsaddle/wire/stored_record.h
@@ -8,12 +8,16 @@
 
 namespace switchsaddle::wire {
 
+/** The first byte of a record: the order of bytes in its numbers, which is always the same. */
+inline constexpr char LittleEndianMark = 1;
+
 /** The fields one after the other, in the portable form that stores and registers keep. */
 template <class... Fields>
 std::string writeRecord(const Fields&... fields) {
   std::ostringstream stream;
   {
-    cereal::PortableBinaryOutputArchive archive(stream);
+    cereal::PortableBinaryOutputArchive archive(
+        stream, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
     archive(fields...);
   }
   return std::move(stream).str();
@@ -21,10 +25,14 @@
 
 /**
  * Reverses writeRecord(). Throws base::Error with RecordCorrupt where the bytes end early, go on
- * after the last field, or hold what no field can; the fields are then unspecified.
+ * after the last field, claim another order of bytes, or hold what no field can; the fields are
+ * then unspecified.
  */
 template <class... Fields>
 void readRecord(const std::string& bytes, Fields&... fields) {
+  if (bytes.empty() || bytes.front() != LittleEndianMark) {
+    throw base::Error(base::ResultCode::RecordCorrupt, "the record has no order of bytes");
+  }
   std::istringstream stream(bytes);
   try {
     cereal::PortableBinaryInputArchive archive(stream);
--- a/programs/switchsaddle/check_command.cc
+++ b/programs/switchsaddle/check_command.cc
@@ -21,7 +21,8 @@
   CLI::App* command = app.add_subcommand("check", "Check a settings file or a configuration");
   command->add_option("file", options->file, "The file")->required();
   command->add_option("--kind", options->kind, "What the file is; told by its content if left out")
-      ->transform(CLI::CheckedTransformer(kinds));
+      ->transform(CLI::CheckedTransformer(kinds).description("{configuration,settings,detect}"))
+      ->type_name("KIND");
   command->add_option("--role", options->role, "Check settings for this role: front or core")
       ->check(CLI::IsMember({"front", "core"}));
   command->add_flag("--json", options->json, "Write the faults as JSON");
