--- a/programs/lab/commands.h
+++ b/programs/lab/commands.h
@@ -18,5 +18,6 @@
 void addChangesCommand(CLI::App& app);
 void addClaimsCommand(CLI::App& app);
 void addSlopesCommand(CLI::App& app);
+void addFuzzCommand(CLI::App& app);
 
 }  // namespace switchsaddle::lab
--- a/programs/lab/main.cc
+++ b/programs/lab/main.cc
@@ -18,6 +18,7 @@
   switchsaddle::lab::addChangesCommand(app);
   switchsaddle::lab::addClaimsCommand(app);
   switchsaddle::lab::addSlopesCommand(app);
+  switchsaddle::lab::addFuzzCommand(app);
   try {
     CLI11_PARSE(app, argument_count, arguments);
   } catch (const std::exception& error) {
