--- a/libraries/hollow/include/switchsaddle/hollow/hollow_front.h
+++ b/libraries/hollow/include/switchsaddle/hollow/hollow_front.h
@@ -10,10 +10,16 @@
 
 namespace switchsaddle::hollow {
 
+/** What a hollow front does beyond its control work. */
+struct HollowOptions {
+  /** Takes a slot of a random tenant for each made-up prompt from the real limit ledgers. */
+  bool take_slots = false;
+};
+
 /**
  * A front without callers: the real front node (session, configuration replica, gossip, worker
- * directory, router) on a transport of its own, with no HTTP side, no slots and no workers that
- * answer. Many of them share a process and a strand, for runs at the size of a whole fleet.
+ * directory, router) on a transport of its own, with no HTTP side and no workers that answer. Many
+ * of them share a process and a strand, for runs at the size of a whole fleet.
  */
 class HollowFront {
  public:
@@ -22,7 +28,8 @@
 
   /** The dispatcher and the transport outlive the front. */
   HollowFront(base::Dispatcher& dispatcher, transport::Transport& transport, std::uint64_t seed,
-              configuration::Settings settings, AppliedListener applied);
+              configuration::Settings settings, AppliedListener applied,
+              HollowOptions options = {});
   ~HollowFront();
   HollowFront(const HollowFront&) = delete;
   HollowFront& operator=(const HollowFront&) = delete;
@@ -38,7 +45,14 @@
    */
   void placePrompts(std::size_t count);
 
+  /** Slots asked for and got; zero where the options do not ask for any. */
+  std::uint64_t slotsGot() const { return slots_got_; }
+  std::uint64_t slotsRefused() const { return slots_refused_; }
+
  private:
+  std::unique_ptr<admission::SlotBroker> makeSlots(base::Dispatcher& dispatcher,
+                                                   const HollowOptions& options);
+  void takeSlot();
   void noteVersion(const journal::Event& event);
   void completeOpen();
 
@@ -47,10 +61,15 @@
   base::RandomSource random_;
   journal::Journal journal_;
   std::unique_ptr<front::WorkerPort> workers_;
+  std::uint64_t instance_;
   std::unique_ptr<admission::SlotBroker> slots_;
   AppliedListener applied_;
   std::uint64_t version_ = 0;
+  HollowOptions options_;
   std::vector<std::uint64_t> open_tickets_;
+  std::vector<admission::SlotHoldPtr> held_;
+  std::uint64_t slots_got_ = 0;
+  std::uint64_t slots_refused_ = 0;
   front::FrontNode node_;
 };
 
--- a/libraries/hollow/source/hollow_front.cc
+++ b/libraries/hollow/source/hollow_front.cc
@@ -1,8 +1,11 @@
 #include "switchsaddle/hollow/hollow_front.h"
 
+#include <iterator>
 #include <string>
 #include <utility>
 
+#include "switchsaddle/admission/ledger_slot_broker.h"
+
 namespace switchsaddle::hollow {
 
 namespace {
@@ -48,20 +51,56 @@
 
 HollowFront::HollowFront(base::Dispatcher& dispatcher, transport::Transport& transport,
                          std::uint64_t seed, configuration::Settings settings,
-                         AppliedListener applied)
+                         AppliedListener applied, HollowOptions options)
     : settings_(std::move(settings)),
       calls_(dispatcher, transport),
       random_(seed),
       journal_(dispatcher),
       workers_(std::make_unique<NoWorkers>(dispatcher)),
-      slots_(std::make_unique<NoSlots>()),
+      instance_(random_.next()),
+      slots_(makeSlots(dispatcher, options)),
       applied_(std::move(applied)),
+      options_(options),
       node_(front::FrontEnvironment{dispatcher, calls_, random_, journal_, settings_, *workers_,
-                                    *slots_, random_.next()}) {
+                                    *slots_, instance_}) {
   journal_.addListener([this](const journal::Event& event) { noteVersion(event); });
 }
 
-HollowFront::~HollowFront() = default;
+HollowFront::~HollowFront() {
+  // The holds give their slots back to the broker.
+  held_.clear();
+}
+
+std::unique_ptr<admission::SlotBroker> HollowFront::makeSlots(base::Dispatcher& dispatcher,
+                                                              const HollowOptions& options) {
+  if (!options.take_slots) {
+    return std::make_unique<NoSlots>();
+  }
+  return std::make_unique<admission::LedgerSlotBroker>(
+      dispatcher, calls_, instance_,
+      [this] {
+        const std::vector<base::NodeAddress>& learned = node_.session().coreAddresses();
+        return learned.empty() ? settings_.seeds : learned;
+      },
+      admission::SlotBrokerOptions{});
+}
+
+void HollowFront::takeSlot() {
+  const auto& tenants = node_.replica().view()->tenants;
+  if (tenants.empty()) {
+    return;
+  }
+  const auto chosen =
+      std::next(tenants.begin(), static_cast<std::ptrdiff_t>(random_.below(tenants.size())));
+  slots_->acquire(chosen->second.stream_branch, [this](admission::SlotOutcome outcome) {
+    if (outcome.hold) {
+      ++slots_got_;
+      held_.push_back(std::move(outcome.hold));
+    } else {
+      ++slots_refused_;
+    }
+  });
+}
 
 void HollowFront::noteVersion(const journal::Event& event) {
   const bool applied = event.subject == journal::Subject::Configuration && event.key == "version";
@@ -85,12 +124,16 @@
 
 void HollowFront::placePrompts(std::size_t count) {
   completeOpen();
+  held_.clear();
   const dissemination::ViewPtr& view = node_.replica().view();
   for (const auto& [name, route] : view->routes) {
     if (route.service != configuration::CompletionsService || route.models.empty()) {
       continue;
     }
     for (std::size_t index = 0; index < count; ++index) {
+      if (options_.take_slots) {
+        takeSlot();
+      }
       routing::Prompt prompt;
       prompt.model = route.models[random_.below(route.models.size())];
       prompt.prompt_tokens = PromptTokens;
--- a/programs/lab/hollow_command.cc
+++ b/programs/lab/hollow_command.cc
@@ -82,6 +82,8 @@
     sum.bytes_received += sample.bytes_received;
     sum.frames_sent += sample.frames_sent;
     sum.frames_received += sample.frames_received;
+    sum.slots_got += sample.slots_got;
+    sum.slots_refused += sample.slots_refused;
   }
   return sum;
 }
@@ -101,7 +103,7 @@
 void printHeader() {
   std::cout << "second,fronts,serving,lowest_version,highest_version,applications,bytes_sent,"
                "bytes_received,frames_sent,frames_received,cpu_user_s,cpu_system_s,rss_mb,"
-               "load_average\n"
+               "load_average,slots_got,slots_refused\n"
             << std::flush;
 }
 
@@ -114,7 +116,8 @@
             << sample.lowest_version << ',' << sample.highest_version << ',' << sample.applications
             << ',' << sample.bytes_sent << ',' << sample.bytes_received << ',' << sample.frames_sent
             << ',' << sample.frames_received << ',' << secondsOf(usage.ru_utime) << ','
-            << secondsOf(usage.ru_stime) << ',' << residentMegabytes() << ',' << load << '\n'
+            << secondsOf(usage.ru_stime) << ',' << residentMegabytes() << ',' << load << ','
+            << sample.slots_got << ',' << sample.slots_refused << '\n'
             << std::flush;
 }
 
@@ -206,6 +209,8 @@
   command->add_option("--versions", arguments->versions_file,
                       "CSV of when each version came into force");
   command->add_option("--kinds", arguments->kinds_file, "CSV of messages by kind");
+  command->add_flag("--slots", arguments->shard.take_slots,
+                    "Take a slot from the limit ledgers for each of them");
   command->add_flag("--weigh", arguments->shard.weigh, "Weigh messages by kind; costs time");
   command->callback([arguments] { runHollow(*arguments); });
 }
--- a/programs/lab/hollow_shard.cc
+++ b/programs/lab/hollow_shard.cc
@@ -26,11 +26,12 @@
       std::make_unique<transport::TcpTransport>(context_, dispatcher_, settings.peer_address);
   member.counting =
       std::make_unique<hollow::CountingTransport>(*member.tcp, sent_, received_, options_.weigh);
-  member.front =
-      std::make_unique<hollow::HollowFront>(dispatcher_, *member.counting, seed, settings,
-                                            [this](std::uint64_t before, std::uint64_t after) {
-                                              tally_.applied(before, after, dispatcher_.now());
-                                            });
+  member.front = std::make_unique<hollow::HollowFront>(
+      dispatcher_, *member.counting, seed, settings,
+      [this](std::uint64_t before, std::uint64_t after) {
+        tally_.applied(before, after, dispatcher_.now());
+      },
+      hollow::HollowOptions{options_.take_slots});
   members_.push_back(std::move(member));
 }
 
@@ -74,6 +75,8 @@
     sample.bytes_received += counters.bytes_received;
     sample.frames_sent += counters.frames_sent;
     sample.frames_received += counters.frames_received;
+    sample.slots_got += member.front->slotsGot();
+    sample.slots_refused += member.front->slotsRefused();
   }
   const std::lock_guard lock(mutex_);
   sample_ = sample;
--- a/programs/lab/hollow_shard.h
+++ b/programs/lab/hollow_shard.h
@@ -26,6 +26,8 @@
   std::uint64_t bytes_received = 0;
   std::uint64_t frames_sent = 0;
   std::uint64_t frames_received = 0;
+  std::uint64_t slots_got = 0;
+  std::uint64_t slots_refused = 0;
 };
 
 /** How the hollow fronts of a process behave. */
@@ -33,6 +35,8 @@
   /** Made-up completions a second on each front. */
   std::size_t prompts_per_second = 0;
   bool weigh = false;
+  /** Takes a slot from the limit ledgers for each completion. */
+  bool take_slots = false;
 };
 
 /** Some of the process's hollow fronts, on one thread with one strand. */
--- a/scripts/scale_run.py
+++ b/scripts/scale_run.py
@@ -141,6 +141,8 @@
                "--threads", str(arguments.threads), "--network", arguments.network, "--zones",
                "a,b,c", "--seconds", str(whole), "--prompts", str(arguments.prompts), "--versions",
                str(directory / "versions.csv"), "--kinds", str(directory / "kinds.csv")]
+    if arguments.slots:
+        command.append("--slots")
     if arguments.weigh:
         command.append("--weigh")
     with open(lines, "w") as output, open(directory / "hollow.log", "w") as log:
@@ -203,6 +205,8 @@
             (second.rate(third, "bytes_received") - first.rate(second, "bytes_received")) * busy
             / changed / count,
         "front_frames_sent_s": first.rate(second, "frames_sent") / count,
+        "slots_got_s": first.rate(second, "slots_got"),
+        "slots_refused_s": first.rate(second, "slots_refused"),
         "changes": len(answers),
         "acknowledged": sum(1 for answer in answers if answer["status"] == "200"),
         "committed_only": sum(1 for answer in answers if answer["status"] == "202"),
@@ -234,6 +238,7 @@
     parser.add_argument("--settle", type=int, default=5)
     parser.add_argument("--changes", type=int, default=20)
     parser.add_argument("--pause-ms", type=int, default=300)
+    parser.add_argument("--slots", action="store_true", help="a slot of the ledgers for each prompt")
     parser.add_argument("--weigh", action="store_true")
     arguments = parser.parse_args()
     arguments.directory = os.path.abspath(arguments.directory)
