--- a/libraries/hollow/include/switchsaddle/hollow/hollow_front.h
+++ b/libraries/hollow/include/switchsaddle/hollow/hollow_front.h
@@ -50,8 +50,7 @@
   std::uint64_t slotsRefused() const { return slots_refused_; }
 
  private:
-  std::unique_ptr<admission::SlotBroker> makeSlots(base::Dispatcher& dispatcher,
-                                                   const HollowOptions& options);
+  std::unique_ptr<admission::SlotBroker> makeSlots(base::Dispatcher& dispatcher);
   void takeSlot();
   void noteVersion(const journal::Event& event);
   void completeOpen();
@@ -62,15 +61,16 @@
   journal::Journal journal_;
   std::unique_ptr<front::WorkerPort> workers_;
   std::uint64_t instance_;
-  std::unique_ptr<admission::SlotBroker> slots_;
   AppliedListener applied_;
   std::uint64_t version_ = 0;
   HollowOptions options_;
   std::vector<std::uint64_t> open_tickets_;
-  std::vector<admission::SlotHoldPtr> held_;
   std::uint64_t slots_got_ = 0;
   std::uint64_t slots_refused_ = 0;
   front::FrontNode node_;
+  /** Takes the recalls in place of the node's own broker, which no caller uses here. */
+  std::unique_ptr<admission::SlotBroker> slots_;
+  std::vector<admission::SlotHoldPtr> held_;
 };
 
 }  // namespace switchsaddle::hollow
--- a/libraries/hollow/source/hollow_front.cc
+++ b/libraries/hollow/source/hollow_front.cc
@@ -38,15 +38,6 @@
   base::Dispatcher& dispatcher_;
 };
 
-/** No slots are ever free. */
-class NoSlots final : public admission::SlotBroker {
- public:
-  void acquire(const std::string& /*branch*/,
-               std::function<void(admission::SlotOutcome)> callback) override {
-    callback(admission::SlotOutcome{});
-  }
-};
-
 }  // namespace
 
 HollowFront::HollowFront(base::Dispatcher& dispatcher, transport::Transport& transport,
@@ -58,12 +49,14 @@
       journal_(dispatcher),
       workers_(std::make_unique<NoWorkers>(dispatcher)),
       instance_(random_.next()),
-      slots_(makeSlots(dispatcher, options)),
       applied_(std::move(applied)),
       options_(options),
       node_(front::FrontEnvironment{dispatcher, calls_, random_, journal_, settings_, *workers_,
-                                    *slots_, instance_}) {
+                                    instance_}) {
   journal_.addListener([this](const journal::Event& event) { noteVersion(event); });
+  if (options_.take_slots) {
+    slots_ = makeSlots(dispatcher);
+  }
 }
 
 HollowFront::~HollowFront() {
@@ -71,11 +64,7 @@
   held_.clear();
 }
 
-std::unique_ptr<admission::SlotBroker> HollowFront::makeSlots(base::Dispatcher& dispatcher,
-                                                              const HollowOptions& options) {
-  if (!options.take_slots) {
-    return std::make_unique<NoSlots>();
-  }
+std::unique_ptr<admission::SlotBroker> HollowFront::makeSlots(base::Dispatcher& dispatcher) {
   return std::make_unique<admission::LedgerSlotBroker>(
       dispatcher, calls_, instance_,
       [this] {
