--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -44,8 +44,6 @@
   /** Envelopes whose receiver threw. */
   std::uint64_t failed_deliveries = 0;
   std::uint64_t refused_connections = 0;
-  std::uint64_t bytes_sent = 0;
-  std::uint64_t bytes_received = 0;
 };
 
 /**
