--- a/libraries/hollow/include/switchsaddle/hollow/counting_transport.h
+++ b/libraries/hollow/include/switchsaddle/hollow/counting_transport.h
@@ -39,7 +39,8 @@
 
  private:
   void onEnvelope(wire::Envelope envelope) override;
-  void onRefused(const base::NodeAddress& peer) override;
+  void onRefused(const base::NodeAddress& peer,
+                 const transport::RefusedEnvelope& envelope) override;
   void count(KindCounts& counts, const wire::Envelope& envelope) const;
 
   transport::Transport& inner_;
--- a/libraries/hollow/source/counting_transport.cc
+++ b/libraries/hollow/source/counting_transport.cc
@@ -80,9 +80,10 @@
   }
 }
 
-void CountingTransport::onRefused(const base::NodeAddress& peer) {
+void CountingTransport::onRefused(const base::NodeAddress& peer,
+                                  const transport::RefusedEnvelope& envelope) {
   if (receiver_ != nullptr) {
-    receiver_->onRefused(peer);
+    receiver_->onRefused(peer, envelope);
   }
 }
 
