--- a/libraries/base/source/log.cc
+++ b/libraries/base/source/log.cc
@@ -140,7 +140,7 @@
                                       std::size_t files) const {
   std::error_code error;
   std::filesystem::create_directories(folder, error);
-  const std::filesystem::path path =
+  std::filesystem::path path =
       fileName(folder, nextNumber(folder, std::max<std::size_t>(files, 1)));
   std::ofstream file(path, std::ios::trunc);
   std::string head = "reason=";
--- a/libraries/command_line/include/switchsaddle/command_line/command_line.h
+++ b/libraries/command_line/include/switchsaddle/command_line/command_line.h
@@ -1,15 +1,13 @@
 #pragma once
 
+#include <CLI/CLI.hpp>
+#include <initializer_list>
 #include <iosfwd>
 #include <optional>
 #include <string>
 
 #include "switchsaddle/command_line/exit_code.h"
 
-namespace CLI {
-class App;
-}
-
 namespace switchsaddle::command_line {
 
 /**
--- a/libraries/command_line/source/bash_completion.cc
+++ b/libraries/command_line/source/bash_completion.cc
@@ -1,4 +1,3 @@
-#include <CLI/CLI.hpp>
 #include <map>
 #include <vector>
 
--- a/libraries/command_line/source/command_line.cc
+++ b/libraries/command_line/source/command_line.cc
@@ -1,6 +1,5 @@
 #include "switchsaddle/command_line/command_line.h"
 
-#include <CLI/CLI.hpp>
 #include <ostream>
 
 namespace switchsaddle::command_line {
--- /dev/null
+++ b/libraries/core/test/core_incidents_test.cc
@@ -0,0 +1,88 @@
+#include <gtest/gtest.h>
+
+#include "switchsaddle/core/core_http_service.h"
+#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/simulation/collecting_incidents.h"
+#include "switchsaddle/simulation/network.h"
+#include "switchsaddle/simulation/simulated_disk.h"
+#include "switchsaddle/simulation/simulated_storage_executor.h"
+#include "switchsaddle/storage/file_record_store.h"
+
+namespace switchsaddle::core {
+namespace {
+
+using std::chrono::seconds;
+
+/** A platform that never answers. */
+class SilentPlatform : public workers::PlatformSource {
+ public:
+  void read(std::function<void(workers::PlatformReading)> /*callback*/) override {}
+};
+
+/** A core of one node, which is a majority by itself. */
+class CoreIncidentsTest : public testing::Test {
+ protected:
+  CoreIncidentsTest() {
+    settings_.peer_address = {"127.0.0.1", 7000};
+    settings_.zone = "north";
+    settings_.seeds = {settings_.peer_address};
+    settings_.initial_cores = settings_.seeds;
+    node_ = std::make_unique<CoreNode>(CoreEnvironment{process_,
+                                                       calls_,
+                                                       store_,
+                                                       world_.random(),
+                                                       journal_,
+                                                       platform_,
+                                                       settings_,
+                                                       {},
+                                                       &incidents_});
+  }
+
+  http::Response get(const std::string& path) {
+    CoreHttpService service(*node_, nullptr);
+    http::Response answer;
+    service.handle({"GET", path, {}, ""},
+                   [&](http::Response response) { answer = std::move(response); });
+    return answer;
+  }
+
+  simulation::World world_{1};
+  simulation::Network network_{world_};
+  simulation::Process process_{world_};
+  std::unique_ptr<transport::Transport> transport_ = network_.attach({"127.0.0.1", 7000}, process_);
+  transport::PeerCalls calls_{process_, *transport_};
+  simulation::SimulatedDisk disk_{1};
+  simulation::SimulatedStorageExecutor executor_{world_, process_};
+  storage::FileRecordStore store_{process_, disk_, executor_, world_.random()};
+  journal::Journal journal_{process_};
+  SilentPlatform platform_;
+  configuration::Settings settings_;
+  simulation::CollectingIncidents incidents_;
+  std::unique_ptr<CoreNode> node_;
+};
+
+TEST_F(CoreIncidentsTest, TellsOfLeasesGained) {
+  node_->start();
+  world_.runFor(seconds(10));
+  const base::Incident* gained = incidents_.find("lease-gained");
+  ASSERT_NE(gained, nullptr);
+  EXPECT_EQ(gained->severity, base::Severity::Notice);
+  EXPECT_EQ(incidents_.find("storage-not-opened"), nullptr);
+  EXPECT_EQ(get("/readyz").status, 200);
+}
+
+TEST_F(CoreIncidentsTest, TellsOfAStoreThatCannotBeOpenedAndIsNotReady) {
+  disk_.setFull(true);
+  node_->start();
+  world_.runFor(seconds(5));
+  const base::Incident* refused = incidents_.find("storage-not-opened");
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(refused->severity, base::Severity::Error);
+  EXPECT_TRUE(refused->dumps_ring);
+  EXPECT_EQ(get("/readyz").status, 503);
+  EXPECT_EQ(get("/healthz").status, 200);
+  EXPECT_NE(get("/metrics").body.find("switchsaddle_storage_fault 1\n"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace switchsaddle::core
--- a/libraries/core/test/observed_proposer_test.cc
+++ b/libraries/core/test/observed_proposer_test.cc
@@ -5,23 +5,18 @@
 #include <numeric>
 
 #include "fakes.h"
+#include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/process.h"
 
 namespace switchsaddle::core {
 namespace {
 
-class CollectingIncidents : public base::IncidentSink {
- public:
-  void report(const base::Incident& incident) override { all.push_back(incident); }
-  std::vector<base::Incident> all;
-};
-
 class ObservedProposerTest : public testing::Test {
  protected:
   simulation::World world_{1};
   simulation::Process process_{world_};
   FakeProposer inner_;
-  CollectingIncidents incidents_;
+  simulation::CollectingIncidents incidents_;
   ObservedProposer proposer_{process_, inner_, incidents_};
 };
 
--- a/libraries/front/test/caller_service_test.cc
+++ b/libraries/front/test/caller_service_test.cc
@@ -7,6 +7,7 @@
 #include "switchsaddle/configuration/json_value.h"
 #include "switchsaddle/front/http_worker_port.h"
 #include "switchsaddle/front/request_parser.h"
+#include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/network.h"
 
 namespace switchsaddle::front {
@@ -88,6 +89,7 @@
   RetryBudget retries{process};
   WorkerCircuit circuit{process};
   Counters counters;
+  simulation::CollectingIncidents incidents;
   StreamStages stages;
   StreamFlow streams{StreamEnvironment{process, world.random(), slots, session, router, workers,
                                        beliefs, retries, circuit, counters, stages}};
@@ -112,7 +114,8 @@
                                              counters.appendTo(page);
                                              return page.text();
                                            },
-                                           [] { return std::string("{\"ready\":true}"); }}};
+                                           [] { return std::string("{\"ready\":true}"); },
+                                           &incidents}};
 };
 
 TEST_F(CallerServiceTest, StreamsARun) {
@@ -156,6 +159,30 @@
   EXPECT_EQ(workers.sent.size(), 1U);
 }
 
+TEST_F(CallerServiceTest, AOneShotOfUnknownOutcomeIsToldWithItsKeyAndCounted) {
+  send("POST", "/v1/one-shots", order);
+  workers.sent[0].observer->onFailure(WorkerFailure::Lost, false);
+  settle();
+  ASSERT_EQ(incidents.all.size(), 1U);
+  EXPECT_EQ(incidents.all[0].event, "one-shot-unknown");
+  EXPECT_EQ(incidents.all[0].code, ResultCode::OutcomeUnknown);
+  EXPECT_EQ(incidents.all[0].fields.back().value, "k1");
+  const auto metrics = send("GET", "/metrics");
+  const std::string line =
+      "requests_total{kind=\"one-shot\",outcome=\"unknown\",code=\"4001\"} 1\n";
+  EXPECT_NE(metrics->response->body.find(line), std::string::npos) << metrics->response->body;
+}
+
+TEST_F(CallerServiceTest, ServesThePageAndRefusesOtherMethodsOnIt) {
+  const auto page = send("GET", "/");
+  EXPECT_EQ(page->response->header("Content-Type"), "text/html; charset=utf-8");
+  EXPECT_NE(page->response->body.find("fetch(\"/v1/routing\""), std::string::npos);
+  EXPECT_TRUE(page->response->body.ends_with("</html>\n"));
+  // Nothing is fetched from elsewhere.
+  EXPECT_EQ(page->response->body.find("http"), std::string::npos);
+  EXPECT_EQ(send("POST", "/")->code(), 1007);
+}
+
 TEST_F(CallerServiceTest, ACallerWhoGoesCancelsTheStream) {
   const auto writer = send("POST", "/v1/chat/completions", chat + "\"stream\":true}");
   writer->gone();
--- a/libraries/front/test/session_monitor_test.cc
+++ b/libraries/front/test/session_monitor_test.cc
@@ -3,17 +3,12 @@
 #include <gtest/gtest.h>
 
 #include "fakes.h"
+#include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/process.h"
 
 namespace switchsaddle::front {
 namespace {
 
-class CollectingIncidents : public base::IncidentSink {
- public:
-  void report(const base::Incident& incident) override { all.push_back(incident); }
-  std::vector<base::Incident> all;
-};
-
 class SessionMonitorTest : public testing::Test {
  protected:
   void become(sessions::SessionState state) {
@@ -24,7 +19,7 @@
   simulation::World world_{1};
   simulation::Process process_{world_};
   FakeSession session_;
-  CollectingIncidents incidents_;
+  simulation::CollectingIncidents incidents_;
   SessionMonitor monitor_{process_, session_, incidents_};
 };
 
--- a/libraries/front/test/stream_flow_test.cc
+++ b/libraries/front/test/stream_flow_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "fakes.h"
+#include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/process.h"
 #include "switchsaddle/streams/relay_machine.h"
 
@@ -90,8 +91,9 @@
   WorkerCircuit circuit{process};
   Counters counters;
   StreamStages stages;
+  simulation::CollectingIncidents incidents;
   StreamFlow flow{StreamEnvironment{process, world.random(), slots, session, router, workers,
-                                    beliefs, retries, circuit, counters, stages}};
+                                    beliefs, retries, circuit, counters, stages, &incidents}};
   std::shared_ptr<StreamHandle> handle;
 };
 
@@ -123,6 +125,36 @@
   expectReleased();
 }
 
+TEST_F(StreamFlowTest, ABrokenStreamIsToldWithItsRequestIdAndAWholeOneIsNot) {
+  run();
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0) + done(1));
+  EXPECT_TRUE(incidents.all.empty());
+  run();
+  workers.sent[1].head();
+  workers.sent[1].bytes(piece(0) + piece(2));
+  ASSERT_EQ(incidents.all.size(), 1U);
+  EXPECT_EQ(incidents.all[0].event, "stream-broken");
+  EXPECT_EQ(incidents.all[0].code, ResultCode::StreamGap);
+  EXPECT_EQ(incidents.all[0].request_id, workers.sent[1].request.request_id);
+  EXPECT_TRUE(incidents.all[0].dumps_ring);
+}
+
+TEST_F(StreamFlowTest, EndsAreCountedByOutcomeAndCode) {
+  run();
+  workers.sent[0].head();
+  workers.sent[0].bytes(piece(0) + done(1));
+  run();
+  workers.sent[1].head();
+  workers.sent[1].bytes(piece(0) + piece(2));
+  slots.code = ResultCode::OverBranchLimit;
+  run();
+  EXPECT_EQ((counters.requests.at({"stream", "ran", ResultCode::Ok})), 1U);
+  EXPECT_EQ((counters.requests.at({"stream", "broken", ResultCode::StreamGap})), 1U);
+  EXPECT_EQ((counters.requests.at({"stream", "not-run", ResultCode::OverBranchLimit})), 1U);
+  EXPECT_EQ(counters.requests.size(), 3U);
+}
+
 TEST_F(StreamFlowTest, ACrashAfterTheFirstPieceEndsWithAnErrorEvent) {
   const auto sink = run();
   workers.sent[0].head();
--- a/libraries/operator_client/source/operator_client.cc
+++ b/libraries/operator_client/source/operator_client.cc
@@ -335,8 +335,8 @@
   writer.name("new").string(new_member.toString());
   writer.endObject();
   // Asking again for a replacement already made answers the same.
-  const ExitCode code = report(
-      endpoint_.call({"POST", "/v1/core/replacements", writer.text(), true}), "ask again");
+  const ExitCode code =
+      report(endpoint_.call({"POST", "/v1/core/replacements", writer.text(), true}), "ask again");
   if (code == ExitCode::Done && !json_) {
     out_ << old_member.toString() << " is replaced by " << new_member.toString() << "\n";
   }
