--- a/libraries/fuzz/source/http_target.cc
+++ b/libraries/fuzz/source/http_target.cc
@@ -25,12 +25,13 @@
     http::ServerLimits limits;
     limits.body_bytes = 4096;
     limits.header_bytes = 2048;
-    server_ = http::startServer(context_, {"127.0.0.1", 0}, limits,
-                                [](http::Request request, http::ResponseWriterPtr writer) {
-                                  http::Response response;
-                                  response.body = request.target;
-                                  writer->respond(std::move(response));
-                                });
+    server_ =
+        http::startServer(context_, {"127.0.0.1", 0}, limits,
+                          [](const http::Request& request, const http::ResponseWriterPtr& writer) {
+                            http::Response response;
+                            response.body = request.target;
+                            writer->respond(std::move(response));
+                          });
   }
 
   /** Sends the bytes, ends the sending side and gives back all that the server answers. */
--- a/programs/switchsaddle/check_command.cc
+++ b/programs/switchsaddle/check_command.cc
@@ -1,6 +1,5 @@
 #include "check_command.h"
 
-#include <CLI/CLI.hpp>
 #include <iostream>
 #include <map>
 #include <memory>
--- a/programs/switchsaddle/ctl_command.cc
+++ b/programs/switchsaddle/ctl_command.cc
@@ -2,7 +2,6 @@
 
 #include <unistd.h>
 
-#include <CLI/CLI.hpp>
 #include <fstream>
 #include <functional>
 #include <iostream>
--- a/programs/switchsaddle/information_commands.cc
+++ b/programs/switchsaddle/information_commands.cc
@@ -1,6 +1,5 @@
 #include "information_commands.h"
 
-#include <CLI/CLI.hpp>
 #include <iostream>
 #include <memory>
 
--- a/programs/switchsaddle/information_commands.h
+++ b/programs/switchsaddle/information_commands.h
@@ -1,8 +1,6 @@
 #pragma once
 
-namespace CLI {
-class App;
-}
+#include <CLI/CLI.hpp>
 
 namespace switchsaddle {
 
