Bound a cold worker's prompts over all fronts, and open the guard sooner

Cause: three faults of the cold guard. A worker that came back kept the mass of its former instance, so that after one sample the mass of old samples told every front that it was warm. A front admitted early could place short streams one after another without bound. And while one prompt at a time went out with each doubling, a worker warmed only after 11.5 s at worst. Besides, once the guard was open each front scouted the worker with 30 % of its prompts until it heard of it. Scores were exported without bound: at 2,100 workers far over 5 KB each second.

Change: another instance keeps its mean but loses its mass. A front places one prompt each 500 ms on a cold worker, one front in the first second and two in the next: at most 6 prompts from all fronts in 2 s, whatever number of samples is known. Afterwards as many fronts as the worker has slots, up to 8 s. A front scouts one arm again only after 250 ms times the number of fronts. At most 56 scores are exported, those of cold workers first.

--- a/libraries/routing/include/switchsaddle/routing/arm.h
+++ b/libraries/routing/include/switchsaddle/routing/arm.h
@@ -37,6 +37,9 @@
   WorkerRecordPtr decode;
   std::uint64_t hash = 0;
   RouteStatistics statistics;
+  /** This front's last scout of the arm; only meaningful where there was one. */
+  base::TimePoint scouted_at{};
+  bool scouted = false;
 
   bool usable() const { return prefill->usable() && (!decode || decode->usable()); }
 };
--- a/libraries/routing/include/switchsaddle/routing/arm_selection.h
+++ b/libraries/routing/include/switchsaddle/routing/arm_selection.h
@@ -19,6 +19,8 @@
   double tokens_per_second = 0;
   /** Whether the cold guard lets this node try the arm now; only looked at for arms not proven. */
   bool may_scout = true;
+  /** Whether this front's turn to scout the arm has come; without weight for the best prior. */
+  bool scout_due = true;
 };
 
 struct Selection {
--- a/libraries/routing/include/switchsaddle/routing/cold_guard.h
+++ b/libraries/routing/include/switchsaddle/routing/cold_guard.h
@@ -16,6 +16,9 @@
   double samples = 0;
   /** This front's placements on the worker under way. */
   std::uint32_t in_flight = 0;
+  /** This front's last placement on the instance; only meaningful where there was one. */
+  base::TimePoint last_placed{};
+  bool placed = false;
   /** Present from the first list this front ever got: the fleet, not the worker, is new. */
   bool present_at_start = false;
 };
@@ -23,21 +26,27 @@
 /**
  * Bounds how many prompts a worker which has just returned receives from all fronts together,
  * without a call between them: of all fronts only those ranked first by rendezvous hashing of the
- * worker instance may try it, one prompt at a time each. The number of fronts let in starts at one
- * and doubles each second, and with each doubling of the known samples; a worker counts as warm
- * from WarmSamples on.
+ * worker instance may try it, one prompt at a time each and one each PlacementInterval. One front
+ * is let in during the first second and two during the next, hence at most
+ * MostInFirstTwoSeconds prompts come from all fronts; afterwards as many fronts as the worker has
+ * slots, until WarmSamples are known or LongestGuard has passed.
  */
 class ColdGuard {
  public:
   static constexpr double WarmSamples = 8.0;
   static constexpr base::Duration DoublingTime = std::chrono::seconds(1);
+  static constexpr base::Duration PlacementInterval = std::chrono::milliseconds(500);
+  /** Before this time no number of samples makes a worker warm. */
+  static constexpr base::Duration ShortestGuard = std::chrono::seconds(2);
   /** After this time the guard no longer holds a worker back. */
-  static constexpr base::Duration LongestGuard = std::chrono::seconds(10);
+  static constexpr base::Duration LongestGuard = std::chrono::seconds(8);
+  /** Two a second from the first front for two seconds, and from the second for one. */
+  static constexpr int MostInFirstTwoSeconds = 6;
 
   void setFronts(const base::NodeAddress& self, const std::vector<base::NodeAddress>& fronts);
   bool isCold(const ColdState& state, base::TimePoint now) const;
   /** Whether this front may send the worker a prompt now. Always true for warm workers. */
-  bool mayPlace(const ColdState& state, base::TimePoint now) const;
+  bool mayPlace(const ColdState& state, std::uint32_t slots, base::TimePoint now) const;
 
  private:
   std::size_t rankOfSelf(std::uint64_t instance) const;
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -41,6 +41,9 @@
  */
 class LearnedRouter : public Router {
  public:
+  /** Keeps one exchange of scores below 5 KB. */
+  static constexpr std::size_t MaximumExportedScores = 56;
+
   LearnedRouter(base::Dispatcher& dispatcher, base::RandomSource& random, base::NodeAddress self,
                 RouterOptions options);
 
@@ -51,6 +54,7 @@
                                   const std::vector<std::string>& excluded) override;
   void complete(const Completion& completion) override;
   std::vector<RoutingRow> table(const std::string& model) const override;
+  /** At most MaximumExportedScores: arms of cold workers first, then the last measured. */
   std::vector<wire::RouteScore> exportScores() const override;
   void importScores(const std::vector<wire::RouteScore>& scores) override;
 
@@ -69,6 +73,13 @@
     ModelPool* pool = nullptr;
     PrefixChains chains;
   };
+  /** An arm whose score may be exported. */
+  struct FreshArm {
+    bool cold = false;
+    base::TimePoint measured_at{};
+    const ModelPool* pool = nullptr;
+    const Arm* arm = nullptr;
+  };
 
   // Pools, in source/pool_builder.cc.
   void rebuildPools();
@@ -103,7 +114,13 @@
   Selection select(const ModelPool& pool, const Prompt& prompt);
   double drawSpeed(const Candidate& candidate, const Prompt& prompt) const;
   bool mayScout(const Arm& arm) const;
+  /** Whether this front's last scout of the arm is long enough ago. Each front waits longer the
+   * more fronts there are, so that the fleet's scouts of one arm are bounded. */
+  bool scoutDue(const Arm& arm) const;
 
+  static bool tellsMore(const FreshArm& first, const FreshArm& second);
+  wire::RouteScore scoreOf(const ModelPool& pool, const Arm& arm) const;
+  void notePlacement(WorkerRecord& worker);
   void recordLoad(WorkerRecord& worker, const Completion& completion);
   void recordFailure(ModelPool& pool, Arm& arm);
   ModelPool* findPool(const std::string& model);
--- a/libraries/routing/include/switchsaddle/routing/route_statistics.h
+++ b/libraries/routing/include/switchsaddle/routing/route_statistics.h
@@ -45,6 +45,8 @@
   ArmStatus status(base::TimePoint now, base::TimePoint epoch_start, double half_life_s) const;
   /** Demotes the arm until it is measured again; its mean stays as a prior. */
   void markStale() { forced_stale_ = true; }
+  /** The worker behind the arm is another instance: the mean stays as a prior, without mass. */
+  void startInstance() { mass_ = 0; }
   const SpeedSample& mean() const { return mean_; }
   std::uint64_t samples() const { return samples_; }
   bool measured() const { return measured_; }
--- a/libraries/routing/source/arm_selection.cc
+++ b/libraries/routing/source/arm_selection.cc
@@ -18,7 +18,7 @@
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < candidates.size(); ++index) {
     const SelectionCandidate& candidate = candidates[index];
-    if (candidate.proven || !candidate.may_scout) {
+    if (candidate.proven || !candidate.may_scout || !candidate.scout_due) {
       continue;
     }
     if (!best || scoutsBefore(candidate, candidates[*best])) {
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -19,6 +19,9 @@
 constexpr double FarFactor = 1.25;
 constexpr double FarSeconds = 0.010;
 
+/** Scouts of one arm by all fronts together come no closer than this. */
+constexpr base::Duration ScoutSpacing = std::chrono::milliseconds(250);
+
 }  // namespace
 
 bool LearnedRouter::isExcluded(const Arm& arm) const {
@@ -202,8 +205,16 @@
     return true;
   }
   const base::TimePoint now = dispatcher_.now();
-  const bool decode_allows = !arm.decode || cold_guard_.mayPlace(arm.decode->cold, now);
-  return decode_allows && cold_guard_.mayPlace(arm.prefill->cold, now);
+  const auto allows = [this, now](const WorkerRecord& worker) {
+    return cold_guard_.mayPlace(worker.cold, worker.slots, now);
+  };
+  return allows(*arm.prefill) && (!arm.decode || allows(*arm.decode));
+}
+
+bool LearnedRouter::scoutDue(const Arm& arm) const {
+  const base::Duration interval = ScoutSpacing * static_cast<std::int64_t>(fronts_);
+  const bool spaced = options_.cold_guard && fronts_ > 1 && arm.scouted;
+  return !spaced || dispatcher_.now() - arm.scouted_at >= interval;
 }
 
 double LearnedRouter::drawSpeed(const Candidate& candidate, const Prompt& prompt) const {
@@ -228,6 +239,7 @@
     row.prior = -candidate.first_token_s;
     row.tokens_per_second = drawSpeed(candidate, prompt);
     row.may_scout = mayScout(*candidate.arm);
+    row.scout_due = scoutDue(*candidate.arm);
     selection_.push_back(row);
   }
   return selectArm(selection_, tuning_.route_explore_share, tuning_.route_weight_alpha, random_);
--- a/libraries/routing/source/cold_guard.cc
+++ b/libraries/routing/source/cold_guard.cc
@@ -1,7 +1,6 @@
 #include "switchsaddle/routing/cold_guard.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "switchsaddle/base/hash.h"
 
@@ -19,22 +18,25 @@
 }
 
 bool ColdGuard::isCold(const ColdState& state, base::TimePoint now) const {
-  const bool is_new = !state.present_at_start && now - state.first_seen < LongestGuard;
-  return is_new && state.samples < WarmSamples;
+  const base::Duration age = now - state.first_seen;
+  if (state.present_at_start || age >= LongestGuard) {
+    return false;
+  }
+  return age < ShortestGuard || state.samples < WarmSamples;
 }
 
-bool ColdGuard::mayPlace(const ColdState& state, base::TimePoint now) const {
+bool ColdGuard::mayPlace(const ColdState& state, std::uint32_t slots, base::TimePoint now) const {
   if (!isCold(state, now)) {
     return true;
   }
-  if (state.in_flight > 0) {
+  const bool too_soon = state.placed && now - state.last_placed < PlacementInterval;
+  if (state.in_flight > 0 || too_soon) {
     return false;
   }
-  const double age_s = std::chrono::duration<double>(now - state.first_seen).count();
-  const double doublings = std::floor(age_s / std::chrono::duration<double>(DoublingTime).count());
-  const double by_samples = std::max(1.0, state.samples);
-  const double admitted = std::max(std::exp2(doublings), by_samples);
-  return static_cast<double>(rankOfSelf(state.instance)) < admitted;
+  const base::Duration age = now - state.first_seen;
+  const std::size_t admitted =
+      age >= ShortestGuard ? std::max(1U, slots) : std::size_t{1} << (age / DoublingTime);
+  return rankOfSelf(state.instance) < admitted;
 }
 
 std::size_t ColdGuard::rankOfSelf(std::uint64_t instance) const {
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "switchsaddle/base/hash.h"
 
@@ -90,11 +91,15 @@
   placement.prefill = chosen.arm->prefill->worker;
   if (chosen.arm->decode) {
     placement.decode = chosen.arm->decode->worker;
-    ++chosen.arm->decode->cold.in_flight;
+    notePlacement(*chosen.arm->decode);
   }
   placement.first_token_estimate = fromSeconds(chosen.first_token_s);
   placement.ticket = next_ticket_++;
-  ++chosen.arm->prefill->cold.in_flight;
+  notePlacement(*chosen.arm->prefill);
+  if (selection.mode == Mode::Scout) {
+    chosen.arm->scouted = true;
+    chosen.arm->scouted_at = dispatcher_.now();
+  }
   if (!chains.empty()) {
     chain_rate_.add(chains.at(chains.homeDepth()), dispatcher_.now());
   }
@@ -105,6 +110,12 @@
   return placement;
 }
 
+void LearnedRouter::notePlacement(WorkerRecord& worker) {
+  ++worker.cold.in_flight;
+  worker.cold.placed = true;
+  worker.cold.last_placed = dispatcher_.now();
+}
+
 void LearnedRouter::complete(const Completion& completion) {
   const auto found = in_flight_.find(completion.ticket);
   if (found == in_flight_.end()) {
@@ -209,30 +220,49 @@
 }
 
 std::vector<wire::RouteScore> LearnedRouter::exportScores() const {
-  std::vector<wire::RouteScore> scores;
   const base::TimePoint now = dispatcher_.now();
+  std::vector<FreshArm> fresh;
   for (const auto& [model, pool] : pools_) {
     for (const ArmPtr& arm : pool.arms) {
       const RouteStatistics& statistics = arm->statistics;
-      if (!statistics.measured() || statistics.measuredAt() < pool.epoch_start) {
-        continue;
+      if (statistics.measured() && statistics.measuredAt() >= pool.epoch_start) {
+        const bool cold = cold_guard_.isCold(arm->prefill->cold, now);
+        fresh.push_back(FreshArm{cold, statistics.measuredAt(), &pool, arm.get()});
       }
-      wire::RouteScore score;
-      score.model = model;
-      score.arm = arm->signature;
-      score.epoch = pool.epoch;
-      score.tokens_per_second = statistics.mean().tokens_per_second;
-      score.seconds_per_prefill_token = statistics.mean().seconds_per_prefill_token;
-      score.seconds_per_output_token = statistics.mean().seconds_per_output_token;
-      score.mass = statistics.mass(now, tuning_.route_stats_half_life_s);
-      score.age_ms =
-          static_cast<std::uint32_t>(base::toMilliseconds(now - statistics.measuredAt()));
-      scores.push_back(std::move(score));
     }
   }
+  const std::size_t kept = std::min(fresh.size(), MaximumExportedScores);
+  const auto end_of_kept = fresh.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::partial_sort(fresh.begin(), end_of_kept, fresh.end(), tellsMore);
+  std::vector<wire::RouteScore> scores;
+  scores.reserve(kept);
+  std::transform(fresh.begin(), end_of_kept, std::back_inserter(scores),
+                 [this](const FreshArm& one) { return scoreOf(*one.pool, *one.arm); });
   return scores;
 }
 
+bool LearnedRouter::tellsMore(const FreshArm& first, const FreshArm& second) {
+  if (first.cold != second.cold) {
+    return first.cold;
+  }
+  return first.measured_at > second.measured_at;
+}
+
+wire::RouteScore LearnedRouter::scoreOf(const ModelPool& pool, const Arm& arm) const {
+  const base::TimePoint now = dispatcher_.now();
+  const RouteStatistics& statistics = arm.statistics;
+  wire::RouteScore score;
+  score.model = pool.model;
+  score.arm = arm.signature;
+  score.epoch = pool.epoch;
+  score.tokens_per_second = statistics.mean().tokens_per_second;
+  score.seconds_per_prefill_token = statistics.mean().seconds_per_prefill_token;
+  score.seconds_per_output_token = statistics.mean().seconds_per_output_token;
+  score.mass = statistics.mass(now, tuning_.route_stats_half_life_s);
+  score.age_ms = static_cast<std::uint32_t>(base::toMilliseconds(now - statistics.measuredAt()));
+  return score;
+}
+
 void LearnedRouter::importScores(const std::vector<wire::RouteScore>& scores) {
   const base::TimePoint now = dispatcher_.now();
   for (const wire::RouteScore& score : scores) {
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -147,6 +147,10 @@
     arm->signature = signature;
     arm->hash = base::hashBytes(signature);
   }
+  const bool other_instance = arm->prefill != prefill || arm->decode != decode;
+  if (arm->prefill != nullptr && other_instance) {
+    arm->statistics.startInstance();
+  }
   arm->prefill = prefill;
   arm->decode = decode;
   pool.arms.push_back(std::move(arm));
--- a/libraries/routing/test/learned_router_test.cc
+++ b/libraries/routing/test/learned_router_test.cc
@@ -225,6 +225,46 @@
   EXPECT_EQ(rowOf("w1")->status, "unsampled");
 }
 
+TEST_F(LearnedRouterTest, AReturnedInstanceKeepsItsMeanButNoMass) {
+  addWorkers(2);
+  for (int index = 0; index < 20; ++index) {
+    finish(*place({"w1"}), 50);
+  }
+  world_.runFor(seconds(1));
+  workers_["w0"].entry.instance = 2;
+  publish();
+  EXPECT_EQ(rowOf("w0")->status, "stale");
+  EXPECT_DOUBLE_EQ(rowOf("w0")->tokens_per_second, 50);
+  EXPECT_EQ(rowOf("w0")->mass, 0);
+  world_.runFor(seconds(3));
+  finish(*place({"w1"}), 30);
+  EXPECT_EQ(rowOf("w0")->status, "proven");
+  EXPECT_NEAR(rowOf("w0")->tokens_per_second, 30, 1e-6);
+}
+
+TEST_F(LearnedRouterTest, ExportsABoundedNumberOfScoresThoseOfColdWorkersFirst) {
+  constexpr int Many = 80;
+  addWorkers(Many);
+  std::vector<std::string> others;
+  for (int index = 0; index < Many; ++index) {
+    others.push_back("w" + std::to_string(index));
+  }
+  addWorkers(Many + 1);
+  const std::string cold = "w" + std::to_string(Many);
+  finish(*place(others), 50);
+  for (int index = 0; index < Many; ++index) {
+    std::vector<std::string> excluded = others;
+    excluded.erase(excluded.begin() + index);
+    excluded.push_back(cold);
+    world_.runFor(milliseconds(1));
+    finish(*place(excluded), 50);
+  }
+  const std::vector<wire::RouteScore> scores = router_.exportScores();
+  ASSERT_EQ(scores.size(), LearnedRouter::MaximumExportedScores);
+  EXPECT_EQ(scores[0].arm, cold);
+  EXPECT_EQ(scores[1].arm, "w" + std::to_string(Many - 1));
+}
+
 TEST_F(LearnedRouterTest, FailedStreamsMakeTheArmStale) {
   addWorkers(2);
   finish(*place({"w1"}), 50);
--- a/libraries/routing/test/route_statistics_test.cc
+++ b/libraries/routing/test/route_statistics_test.cc
@@ -55,6 +55,19 @@
   EXPECT_DOUBLE_EQ(statistics.mean().tokens_per_second, 80);
 }
 
+TEST(RouteStatisticsTest, MergingWeighsByMassAndKeepsTheLaterMeasurement) {
+  RouteStatistics statistics;
+  const base::TimePoint start{};
+  statistics.add(SpeedSample{30, 0, 0}, start, 600);
+  const base::TimePoint later = start + std::chrono::seconds(2);
+  statistics.merge(SpeedSample{60, 0, 0}, 2.0, std::chrono::seconds(1), later, 600);
+  EXPECT_NEAR(statistics.mean().tokens_per_second, 50, 0.1);
+  EXPECT_NEAR(statistics.mass(later, 600), 2.0, 1e-9);
+  EXPECT_EQ(statistics.measuredAt(), start + std::chrono::seconds(1));
+  statistics.merge(SpeedSample{60, 0, 0}, 2.0, std::chrono::seconds(5), later, 600);
+  EXPECT_EQ(statistics.measuredAt(), start + std::chrono::seconds(1));
+}
+
 TEST(RouteStatisticsTest, IgnoresMeaninglessValuesFromPeers) {
   RouteStatistics statistics;
   statistics.merge(speed(0), 3.0, {}, at(10), HalfLife);
