Weigh a prefill rate by the tokens it was measured over

Cause: the time to the first token of a prompt whose prefix was cached is mostly overhead and waiting; divided by its few uncached tokens it gave rates up to five times the worker's.

--- a/libraries/experiments/source/fleet_model.cc
+++ b/libraries/experiments/source/fleet_model.cc
@@ -28,11 +28,13 @@
       recorder_(settings_),
       prompts_(settings_, world_.random()) {
   const std::size_t joining = settings_.churn ? 1 : 0;
+  // Names go with the seed, else all seeds would share the luck of one hash ring.
+  const std::string prefix = "worker-" + std::to_string(seed) + "-";
   for (std::size_t index = 0; index < settings_.workers + joining; ++index) {
     const std::string model = "model-" + std::to_string(index % settings_.models);
     const double factor = 1.0 + settings_.speed_spread * (2.0 * world_.random().uniform() - 1.0);
     workers_.push_back(std::make_unique<ModelledWorker>(
-        world_, settings_, "worker-" + std::to_string(index), model, factor));
+        world_, settings_, prefix + std::to_string(index), model, factor));
   }
   std::vector<ListedWorker> list;
   for (std::size_t index = 0; index < settings_.workers; ++index) {
--- a/libraries/experiments/source/prompt_source.cc
+++ b/libraries/experiments/source/prompt_source.cc
@@ -22,7 +22,7 @@
 PromptSource::PromptSource(const FleetSettings& settings, base::RandomSource& random)
     : settings_(settings), random_(random) {
   const std::size_t families =
-      std::max<std::size_t>(1, settings.families_per_worker * settings.workers);
+      std::max<std::size_t>(1, settings.families_per_worker * settings.workers / settings.models);
   double total = 0;
   for (std::size_t rank = 1; rank <= families; ++rank) {
     total += 1.0 / std::pow(static_cast<double>(rank), settings.zipf_exponent);
@@ -37,11 +37,12 @@
 }
 
 ModelledPrompt PromptSource::next() {
+  const std::uint64_t model = settings_.models > 1 ? random_.below(settings_.models) : 0;
   const std::size_t family = drawFamily();
-  const std::string family_name = std::to_string(family);
+  const std::string family_name = std::to_string(model) + "-" + std::to_string(family);
   const std::uint64_t variant = random_.below(VariantsPerFamily);
   ModelledPrompt drawn;
-  drawn.prompt.model = "model-" + std::to_string(family % settings_.models);
+  drawn.prompt.model = "model-" + std::to_string(model);
   drawn.prompt.prefix_parts = {
       {"tenant-" + std::to_string(family % Tenants), TenantPartTokens},
       {"family-" + family_name, FamilyPartTokens},
--- a/libraries/experiments/source/prompt_source.h
+++ b/libraries/experiments/source/prompt_source.h
@@ -18,8 +18,9 @@
 };
 
 /**
- * Draws prompts: families of prefixes by a Zipf law, each prefix a chain of the tenant's part, the
- * family's and one of a few variants, followed by tokens of its own.
+ * Draws prompts: models equally often, families of prefixes within a model by a Zipf law; each
+ * prefix a chain of the tenant's part, the family's and one of a few variants, followed by tokens
+ * of its own.
  */
 class PromptSource {
  public:
--- a/libraries/routing/include/switchsaddle/routing/route_statistics.h
+++ b/libraries/routing/include/switchsaddle/routing/route_statistics.h
@@ -23,6 +23,8 @@
   double seconds_per_prefill_token = 0;
   /** Time for each output token after the first. */
   double seconds_per_output_token = 0;
+  /** How much the prefill rate counts against a full sample: a short prefill says little of it. */
+  double prefill_weight = 1;
 };
 
 /**
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -18,6 +18,9 @@
   return std::chrono::duration<double>(duration).count();
 }
 
+/** Uncached tokens from which on a sample tells the prefill rate fully. */
+constexpr double FullPrefill = 1'000.0;
+
 SpeedSample sampleOf(const Completion& completion) {
   SpeedSample sample;
   const double total_s = toSeconds(completion.total);
@@ -25,6 +28,7 @@
   sample.tokens_per_second = total_s > 0 ? completion.output_tokens / total_s : 0;
   if (completion.uncached_tokens > 0 && first_token_s > 0) {
     sample.seconds_per_prefill_token = first_token_s / completion.uncached_tokens;
+    sample.prefill_weight = std::min(1.0, completion.uncached_tokens / FullPrefill);
   }
   if (completion.output_tokens > 1 && total_s > first_token_s) {
     sample.seconds_per_output_token = (total_s - first_token_s) / (completion.output_tokens - 1);
--- a/libraries/routing/source/route_statistics.cc
+++ b/libraries/routing/source/route_statistics.cc
@@ -16,12 +16,12 @@
 }
 
 double weighted(double first, double first_weight, double second, double second_weight) {
+  if (second == 0 || second_weight == 0) {
+    return first;
+  }
   if (first == 0) {
     return second;
   }
-  if (second == 0) {
-    return first;
-  }
   return (first * first_weight + second * second_weight) / (first_weight + second_weight);
 }
 
@@ -30,8 +30,9 @@
   SpeedSample mean;
   mean.tokens_per_second =
       weighted(first.tokens_per_second, first_weight, second.tokens_per_second, second_weight);
-  mean.seconds_per_prefill_token = weighted(first.seconds_per_prefill_token, first_weight,
-                                            second.seconds_per_prefill_token, second_weight);
+  mean.seconds_per_prefill_token =
+      weighted(first.seconds_per_prefill_token, first_weight, second.seconds_per_prefill_token,
+               second_weight * second.prefill_weight);
   mean.seconds_per_output_token = weighted(first.seconds_per_output_token, first_weight,
                                            second.seconds_per_output_token, second_weight);
   return mean;
--- a/libraries/routing/test/route_statistics_test.cc
+++ b/libraries/routing/test/route_statistics_test.cc
@@ -58,16 +58,30 @@
 TEST(RouteStatisticsTest, MergingWeighsByMassAndKeepsTheLaterMeasurement) {
   RouteStatistics statistics;
   const base::TimePoint start{};
-  statistics.add(SpeedSample{30, 0, 0}, start, 600);
+  statistics.add(speed(30), start, 600);
   const base::TimePoint later = start + std::chrono::seconds(2);
-  statistics.merge(SpeedSample{60, 0, 0}, 2.0, std::chrono::seconds(1), later, 600);
+  statistics.merge(speed(60), 2.0, std::chrono::seconds(1), later, 600);
   EXPECT_NEAR(statistics.mean().tokens_per_second, 50, 0.1);
   EXPECT_NEAR(statistics.mass(later, 600), 2.0, 1e-9);
   EXPECT_EQ(statistics.measuredAt(), start + std::chrono::seconds(1));
-  statistics.merge(SpeedSample{60, 0, 0}, 2.0, std::chrono::seconds(5), later, 600);
+  statistics.merge(speed(60), 2.0, std::chrono::seconds(5), later, 600);
   EXPECT_EQ(statistics.measuredAt(), start + std::chrono::seconds(1));
 }
 
+TEST(RouteStatisticsTest, AShortPrefillSaysLittleOfThePrefillRate) {
+  RouteStatistics statistics;
+  SpeedSample sample = speed(50);
+  sample.seconds_per_prefill_token = 0.001;
+  statistics.add(sample, at(0), HalfLife);
+  sample.seconds_per_prefill_token = 0.011;
+  sample.prefill_weight = 0.25;
+  statistics.add(sample, at(0), HalfLife);
+  EXPECT_NEAR(statistics.mean().seconds_per_prefill_token, 0.003, 1e-9);
+  sample.prefill_weight = 0;
+  statistics.add(sample, at(0), HalfLife);
+  EXPECT_NEAR(statistics.mean().seconds_per_prefill_token, 0.003, 1e-9);
+}
+
 TEST(RouteStatisticsTest, IgnoresMeaninglessValuesFromPeers) {
   RouteStatistics statistics;
   statistics.merge(speed(0), 3.0, {}, at(10), HalfLife);
