--- a/libraries/experiments/test/routing_experiment_test.cc
+++ b/libraries/experiments/test/routing_experiment_test.cc
@@ -10,6 +10,8 @@
 
 constexpr std::uint64_t FirstSeed = 101;
 constexpr std::uint64_t Seeds = 16;
+/** The 95th percentile moves by a third of itself from seed to seed, with the luck of the ring. */
+constexpr std::uint64_t SeedsOfPercentiles = 96;
 
 /** A deployment's sizes, as parameters of the experiment. */
 struct Deployment {
@@ -21,10 +23,10 @@
 /** The goals of docs/ROUTING.md, on the seeds named here. */
 class RoutingGoalsTest : public testing::TestWithParam<Deployment> {
  protected:
-  std::vector<Row> run(const std::string& policy) {
+  std::vector<Row> run(const std::string& policy, std::uint64_t seeds = Seeds) {
     Sweep sweep;
     sweep.first_seed = FirstSeed;
-    sweep.seeds = Seeds;
+    sweep.seeds = seeds;
     sweep.ranges = {{"policy", {policy}},
                     {"fronts", {GetParam().fronts}},
                     {"workers", {GetParam().workers}},
@@ -38,9 +40,12 @@
 };
 
 TEST_P(RoutingGoalsTest, FirstTokensComeSoonerThanByEitherBaseline) {
-  const double ours = summary(run("ours"), "first_token_p95_ms").mean;
-  const double least_loaded = summary(run("least-loaded"), "first_token_p95_ms").mean;
-  const double round_robin = summary(run("round-robin"), "first_token_p95_ms").mean;
+  const auto percentile = [this](const std::string& policy) {
+    return summary(run(policy, SeedsOfPercentiles), "first_token_p95_ms").mean;
+  };
+  const double ours = percentile("ours");
+  const double least_loaded = percentile("least-loaded");
+  const double round_robin = percentile("round-robin");
   EXPECT_LE(ours, 0.6 * std::min(least_loaded, round_robin));
 }
 
--- a/libraries/routing/include/switchsaddle/routing/arm_index.h
+++ b/libraries/routing/include/switchsaddle/routing/arm_index.h
@@ -17,8 +17,12 @@
  */
 class ArmIndex {
  public:
-  /** Points of each prefill worker on the ring; more spread the chains more evenly. */
-  static constexpr std::size_t PointsPerWorker = 16;
+  /** Points of each prefill worker on the ring; more spread the chains more evenly, fewer make a
+   * large ring quicker to build. A power of two, so that few points come and go with the pool's
+   * size. */
+  static constexpr std::size_t FewestPoints = 16;
+  static constexpr std::size_t MostPoints = 128;
+  static constexpr std::size_t RingSize = 16'384;
   using Arms = std::span<const ArmPtr>;
 
   /** `arms` must outlive the index or be followed by another rebuild(). */
@@ -40,7 +44,8 @@
     std::uint32_t count = 0;
   };
 
-  void addPoints(const WorkerRecord& worker);
+  void addPoints(const WorkerRecord& worker, std::size_t count);
+  void buildRing();
 
   Arms arms_;
   /** By worker number. */
--- a/libraries/routing/source/arm_index.cc
+++ b/libraries/routing/source/arm_index.cc
@@ -1,6 +1,7 @@
 #include "switchsaddle/routing/arm_index.h"
 
 #include <algorithm>
+#include <bit>
 
 #include "switchsaddle/base/hash.h"
 
@@ -20,16 +21,32 @@
     Range& range = ranges_[worker.number];
     if (range.count == 0) {
       range.first = index;
-      addPoints(worker);
     }
     ++range.count;
   }
+  buildRing();
+}
+
+void ArmIndex::buildRing() {
+  const auto workers = static_cast<std::size_t>(std::count_if(
+      ranges_.begin(), ranges_.end(), [](const Range& one) { return one.count > 0; }));
+  if (workers == 0) {
+    return;
+  }
+  const std::size_t even = std::bit_floor(std::max<std::size_t>(1, RingSize / workers));
+  const std::size_t points = std::clamp(even, FewestPoints, MostPoints);
+  ring_.reserve(workers * points);
+  for (const Range& range : ranges_) {
+    if (range.count > 0) {
+      addPoints(*arms_[range.first]->prefill, points);
+    }
+  }
   std::sort(ring_.begin(), ring_.end(),
             [](const Point& first, const Point& second) { return first.hash < second.hash; });
 }
 
-void ArmIndex::addPoints(const WorkerRecord& worker) {
-  for (std::size_t point = 0; point < PointsPerWorker; ++point) {
+void ArmIndex::addPoints(const WorkerRecord& worker, std::size_t count) {
+  for (std::size_t point = 0; point < count; ++point) {
     ring_.push_back(Point{base::combineHashes(worker.hash, point), worker.number});
   }
 }
