--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <vector>
 
 #include "fakes.h"
 #include "switchsaddle/simulation/network.h"
@@ -84,6 +85,24 @@
   EXPECT_LT(taken_, milliseconds(50));
 }
 
+TEST_F(RegisterChangeCoordinatorTest, HandsOnWhatItCommittedAndNothingElse) {
+  std::vector<wire::ConfigurationDelta> handed;
+  coordinator_.setCommittedListener([&](const wire::ConfigurationDelta& delta) {
+    EXPECT_LT(replica_.version(), delta.to_version);
+    handed.push_back(delta);
+  });
+  submit(changeOf("1", 0));
+  submit(changeOf("2", 1));
+  EXPECT_EQ(submit(changeOf("3", 1)).code, ResultCode::ConfigurationConflict);
+  EXPECT_TRUE(submit(changeOf("2", 1)).repeated);
+  submit(changeOf("4", 2), true);
+  ASSERT_EQ(handed.size(), 2U);
+  EXPECT_EQ(handed[1].from_version, 1U);
+  EXPECT_EQ(handed[1].to_version, 2U);
+  EXPECT_EQ(handed[1].entries.size(), 1U);
+  EXPECT_EQ(handed[1].digest, replica_.digest());
+}
+
 TEST_F(RegisterChangeCoordinatorTest, DoesNotAcknowledgeWhileOneFrontIsBehind) {
   second_.confirms = false;
   const ChangeAnswer answer = submit(changeOf("1", 0));
--- a/libraries/hollow/test/hollow_front_test.cc
+++ b/libraries/hollow/test/hollow_front_test.cc
@@ -34,6 +34,21 @@
   EXPECT_EQ(first.fronts, Fronts);
 }
 
+TEST_P(HollowFrontTest, CoresHaveACommittedChangeWithoutReadingTheRegister) {
+  HollowFleet hollow(GetParam(), 5);
+  ASSERT_TRUE(hollow.runUntilAllServe(0, seconds(12)));
+  scenarios::OperatorStandIn& op = *hollow.fleet.operators.front();
+  op.start();
+  ASSERT_TRUE(hollow.fleet.world.runUntil([&] { return op.newestVersion() >= 3; }, seconds(60)));
+  op.finish();
+  ASSERT_TRUE(hollow.fleet.world.runUntil([&] { return op.idle(); }, seconds(20)));
+  // Less than the pause after which a core that was told nothing reads.
+  hollow.fleet.world.runFor(std::chrono::milliseconds(50));
+  for (const auto& core : hollow.fleet.cores) {
+    EXPECT_GE(core->node().replica().version(), op.newestVersion());
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(FixedSeeds, HollowFrontTest, testing::Range<std::uint64_t>(1, 6));
 
 }  // namespace
