--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -91,10 +91,11 @@
     EXPECT_LT(replica_.version(), delta.to_version);
     handed.push_back(delta);
   });
-  submit(changeOf("1", 0));
-  submit(changeOf("2", 1));
+  const std::string second_route = R"({"models":["n"],"pool":"p","service":"completions"})";
+  EXPECT_EQ(submit(changeOf("1", 0)).code, ResultCode::Ok);
+  EXPECT_EQ(submit(changeOf("2", 1, second_route)).code, ResultCode::Ok);
   EXPECT_EQ(submit(changeOf("3", 1)).code, ResultCode::ConfigurationConflict);
-  EXPECT_TRUE(submit(changeOf("2", 1)).repeated);
+  EXPECT_TRUE(submit(changeOf("2", 1, second_route)).repeated);
   submit(changeOf("4", 2), true);
   ASSERT_EQ(handed.size(), 2U);
   EXPECT_EQ(handed[1].from_version, 1U);
