--- a/libraries/core/include/switchsaddle/core/in_force_tracker.h
+++ b/libraries/core/include/switchsaddle/core/in_force_tracker.h
@@ -42,6 +42,9 @@
   void wait(std::uint64_t version, base::TimePoint deadline, Callback callback);
   /** Pushes the configuration held here to the fronts this node knows, where they lack it. */
   void pushToLocalSessions();
+  /** Pushes what was just committed, before it is in force at this node: working that out takes
+   * time that the fronts need not wait for. */
+  void pushCommitted(const wire::ConfigurationDelta& delta);
 
  private:
   struct Wait {
--- a/libraries/core/source/in_force_tracker.cc
+++ b/libraries/core/source/in_force_tracker.cc
@@ -35,6 +35,17 @@
   push(sessions_.localSessions());
 }
 
+void InForceTracker::pushCommitted(const wire::ConfigurationDelta& delta) {
+  const base::TimePoint now = dispatcher_.now();
+  for (const wire::SessionTableEntry& session : sessions_.localSessions()) {
+    const bool lacks = !session.record.closed && session.record.applied_version < delta.to_version;
+    if (lacks) {
+      pushes_[session.record.front] = {delta.to_version, now};
+      calls_.notify(session.record.front, delta);
+    }
+  }
+}
+
 void InForceTracker::startReading() {
   reading_timer_->disable();
   if (reading_ || waits_.empty()) {
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -108,6 +108,7 @@
   if (listener_) {
     listener_(delta);
   }
+  tracker_.pushCommitted(delta);
   replica_.apply(delta);
 }
 
