Let only members campaign for the cores' leases

Cause: a core that was not admitted yet could win core-membership; it drives no replacement, so nobody was admitted while it held the lease.

Change: leases are campaigned for while the own instance is in the set, and given back otherwise.

--- a/libraries/core/include/switchsaddle/core/core_membership.h
+++ b/libraries/core/include/switchsaddle/core/core_membership.h
@@ -26,6 +26,8 @@
   bool mayVote() const override { return acceptor_.mayVote(); }
   std::uint64_t setEpoch() const override { return acceptor_.acceptorSet().epoch; }
   bool joining() const override;
+  /** Whether the own instance is in the present set. */
+  bool isMember() const;
   /** Versions never go back. */
   void noteAcceptedVersion(std::uint64_t version);
 
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -78,6 +78,9 @@
   void connectParts();
   void handleControlRequests();
   void refreshPeers();
+  /** Members campaign for the leases; a core that has not joined yet, or has left, could not do the
+   * work they stand for. */
+  void followMembership();
   void onWatcherLease(bool gained);
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
@@ -89,6 +92,7 @@
   std::uint64_t life_;
   std::string storage_fault_;
   bool taking_part_ = false;
+  bool campaigning_ = false;
   journal::BeliefView beliefs_;
   registers::Acceptor acceptor_;
   registers::QuorumProposer proposer_;
--- a/libraries/core/source/core_membership.cc
+++ b/libraries/core/source/core_membership.cc
@@ -34,6 +34,13 @@
   return previous_agrees && isMajority(set.members, answered);
 }
 
+bool CoreMembership::isMember() const {
+  const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  return std::any_of(members.begin(), members.end(), [this](const auto& member) {
+    return member.instance == acceptor_.instance();
+  });
+}
+
 bool CoreMembership::joining() const {
   const std::vector<wire::AcceptorMember>& previous = acceptor_.acceptorSet().previous;
   return !previous.empty() &&
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -107,6 +107,7 @@
       follower_.onAccepted(value);
     }
   });
+  acceptor_.addSetListener([this](const wire::AcceptorSet&) { followMembership(); });
   bootstrap_.setCandidateListener(
       [this](const wire::CoreAnnounce& candidate) { keeper_.onCandidate(candidate); });
   watcher_lease_.setListener([this](bool gained) { onWatcherLease(gained); });
@@ -171,26 +172,39 @@
   bootstrap_.start();
   scrubber_.start();
   follower_.start();
-  watcher_lease_.start();
-  membership_lease_.start();
-  ledgers_.start();
+  followMembership();
   gossip_.start();
   refreshPeers();
 }
 
+void CoreNode::followMembership() {
+  const bool may_campaign = taking_part_ && membership_.isMember();
+  if (may_campaign == campaigning_) {
+    return;
+  }
+  campaigning_ = may_campaign;
+  if (may_campaign) {
+    watcher_lease_.start();
+    membership_lease_.start();
+    ledgers_.start();
+  } else {
+    watcher_lease_.stop();
+    membership_lease_.stop();
+    ledgers_.stop();
+  }
+}
+
 void CoreNode::stop(std::function<void()> stopped) {
   open_timer_->disable();
   peers_timer_->disable();
   if (taking_part_) {
     watcher_.stop();
     keeper_.stop();
-    watcher_lease_.stop();
-    membership_lease_.stop();
-    ledgers_.stop();
     follower_.stop();
     gossip_.stop();
   }
   taking_part_ = false;
+  followMembership();
   environment_.dispatcher.post(std::move(stopped));
 }
 
@@ -232,6 +246,7 @@
 
 void CoreNode::refreshPeers() {
   peers_timer_->enable(PeersInterval);
+  followMembership();
   std::vector<base::NodeAddress> peers = frontsWithSessions();
   for (const base::NodeAddress& core : membership_.coreAddresses()) {
     peers.push_back(core);
--- a/libraries/scenarios/test/core_replacement_test.cc
+++ b/libraries/scenarios/test/core_replacement_test.cc
@@ -102,6 +102,23 @@
   expectEveryAcknowledgedChange();
 }
 
+TEST_P(CoreReplacementTest, ACoreThatIsNoMemberHoldsNoLease) {
+  SimulatedCore& joined = fleet_.addCore();
+  const auto holds_any = [&joined] {
+    const std::vector<core::LeaseStatus> leases = joined.node().status().leases;
+    return std::any_of(leases.begin(), leases.end(), [](const auto& lease) { return lease.held; });
+  };
+  for (std::size_t round = 0; round < 10; ++round) {
+    // Each holder's death gives every candidate its chance.
+    SimulatedCore* holder = fleet_.holderOf(core::CoreMembershipLease);
+    ASSERT_NE(holder, nullptr);
+    holder->kill(Death::Kill);
+    ASSERT_FALSE(fleet_.world.runUntil(holds_any, seconds(2)));
+    holder->start();
+    ASSERT_FALSE(fleet_.world.runUntil(holds_any, seconds(4)));
+  }
+}
+
 TEST_P(CoreReplacementTest, AMemberThatOnlyRestartsKeepsItsPlace) {
   SimulatedCore& joined = fleet_.addCore();
   fleet_.cores[4]->kill(Death::PowerLoss);
--- a/scripts/control-run.py
+++ b/scripts/control-run.py
@@ -293,7 +293,12 @@
                    seconds=round(time.monotonic() - begin, 2))
             return
         time.sleep(0.05)
-    raise Failure("the new cores were not admitted")
+    seen = {}
+    for name, address in fleet.addresses("core").items():
+        status, body = request(address, "GET", "/v1/status", timeout=1.0)
+        if status == 200:
+            seen[name] = {part: body[part] for part in ("storage", "core_set", "leases")}
+    raise Failure(f"the new cores were not admitted: {seen}")
 
 
 def may_vote(status):
