--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -3,7 +3,6 @@
 #include "daemon_process.h"
 #include "role_commands.h"
 #include "settings_options.h"
-#include "switchsaddle/admission/ledger_slot_broker.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/front/front_node.h"
 #include "switchsaddle/front/http_worker_port.h"
@@ -22,12 +21,8 @@
         instance_(process_.random().next()),
         client_(http::createClient(process_.context())),
         worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
-        slots_(
-            process_.dispatcher(), process_.calls(), instance_, [this] { return coreAddresses(); },
-            admission::SlotBrokerOptions{}),
         node_(front::FrontEnvironment{process_.dispatcher(), process_.calls(), process_.random(),
-                                      process_.journal(), settings_, worker_port_, slots_,
-                                      instance_}),
+                                      process_.journal(), settings_, worker_port_, instance_}),
         server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
                                     node_.service().enqueue(std::move(request), std::move(writer));
@@ -43,17 +38,11 @@
   }
 
  private:
-  std::vector<base::NodeAddress> coreAddresses() const {
-    const std::vector<base::NodeAddress>& learned = node_.session().coreAddresses();
-    return learned.empty() ? settings_.seeds : learned;
-  }
-
   configuration::Settings settings_;
   DaemonProcess process_;
   std::uint64_t instance_;
   std::unique_ptr<http::Client> client_;
   front::HttpWorkerPort worker_port_;
-  admission::LedgerSlotBroker slots_;
   front::FrontNode node_;
   std::unique_ptr<http::Server> server_;
 };
