--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -86,6 +86,9 @@
   void refreshPeers();
   base::IncidentSink& incidents() const;
   void reportLease(const lease::LeaseHolder& holder, const char* name, bool gained);
+  /** Members campaign for the leases; a core that has not joined yet, or has left, could not do the
+   * work they stand for. */
+  void followMembership();
   void onWatcherLease(bool gained);
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
@@ -97,6 +100,7 @@
   std::uint64_t life_;
   std::string storage_fault_;
   bool taking_part_ = false;
+  bool campaigning_ = false;
   journal::BeliefView beliefs_;
   registers::Acceptor acceptor_;
   registers::QuorumProposer proposer_;
