Keep the ledger's count true against old messages, and its refusals against free slots

A recall must now confirm a reservation first. - A request of an earlier process at a front's address freed the slots of the living one. The ledger now asks who lives there. - A report which a front's first request had overtaken freed what that request was granted. - A front with a stream longer than the silence bound was dropped before it was asked. The bound now follows the longest deadline of the configuration, and only an unanswered recall ends a holding. - Grants counted as slots in use, also where they were void, lost or waiting for the register, so that others were refused with slots free. Only what fronts tell counts now, and callers are refused only on evidence from after they came. - Requests left without an answer when the lease was lost or a recall overtook them cost 400 ms. - With no core listening a front gave its idle slots away to nobody; it now keeps them.

--- a/libraries/admission/include/switchsaddle/admission/ledger_slot_broker.h
+++ b/libraries/admission/include/switchsaddle/admission/ledger_slot_broker.h
@@ -25,6 +25,11 @@
   std::size_t waiting_limit = 256;
   /** Pause before another node is asked after one did not know the ledger. */
   base::Duration retry_pause = std::chrono::milliseconds(50);
+  /** Idle slots asked for longer ago are not handed out: the front may have been frozen. */
+  base::Duration idle_validity = std::chrono::seconds(5);
+  /** Each of these is off only in tests which show what it is for. */
+  bool check_terms = true;
+  bool check_sequences = true;
 };
 
 /**
@@ -50,10 +55,16 @@
   struct Waiter {
     std::function<void(SlotOutcome)> callback;
     base::TimePoint deadline;
+    /** Sequence of the last message before it came: only a later one can have asked for it. */
+    std::uint64_t after_sequence = 0;
   };
   struct BranchPool {
     std::uint64_t sequence = 0;
+    /** When the latest message was sent. */
+    base::TimePoint told_at{};
     std::uint32_t held = 0;
+    /** Idle slots which the message under way gives back. */
+    std::uint32_t offered = 0;
     std::uint32_t in_use = 0;
     std::deque<Waiter> waiting;
     bool asking = false;
@@ -67,8 +78,10 @@
   SlotHoldPtr take(const std::string& branch, BranchPool& pool);
   void release(const std::string& branch);
   void serveWaiting(const std::string& branch);
-  void refuseWaiting(const std::string& branch, base::ResultCode code,
-                     std::uint32_t retry_after_ms);
+  void refuseAsked(const std::string& branch, std::uint64_t sequence);
+  /** The message under way reached no ledger, so its idle slots are still this front's. */
+  void keepOffered(const std::string& branch);
+  bool hasIdle(const BranchPool& pool) const;
   void expireWaiting(const std::string& branch);
   void ask(const std::string& branch);
   void onReply(const std::string& branch, std::uint64_t sequence,
--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -27,10 +27,17 @@
 struct SlotLedgerOptions {
   /** How long a front may take to answer a recall before it counts as silent. */
   base::Duration recall_timeout = std::chrono::milliseconds(200);
-  /** A front silent for this long holds nothing any more: longer than any stream may last. */
+  /** A front silent for this long, and for longer than any request may last, holds nothing. */
   base::Duration silence_bound = std::chrono::seconds(330);
   /** Reservations grow in steps of this, so that most grants need no register write. */
   std::uint32_t reservation_step = 8;
+  /** Each of these is off only in tests which show what it is for. */
+  bool reserve_before_granting = true;
+  bool order_by_sequence = true;
+  bool recall_before_refusing = true;
+  /** After a takeover a front's own request is not believed before a recall was answered. */
+  bool confirm_after_takeover = true;
+  bool fence_by_term = true;
 };
 
 /**
@@ -48,19 +55,23 @@
 
   /** The limits in force, by branch; those of other shards are ignored. */
   void setLimits(std::map<std::string, std::uint32_t> limits);
+  /** How long a request may keep its slot by the configuration; the longest one told counts. */
+  void setLongestUse(base::Duration longest_use);
   /** The lease was won: fences earlier ledgers, reads the reservations, and asks the fronts. */
   void onLeaseGained();
   void onLeaseLost();
   void onRequest(const wire::SlotRequest& request, transport::ReplyFunction reply);
   bool serving() const;
-  /** Slots counted as held, for status. */
+  /** Slots counted as held, for status; at least those in use. */
   std::uint32_t heldOf(const std::string& branch) const;
 
  private:
   /** What the ledger counts for one front in one branch. */
   struct Holding {
+    /** Of the latest message about it; 0 where this ledger knows it from the register only. */
     std::uint64_t sequence = 0;
     std::uint32_t held = 0;
+    /** As the front told; grants are not added, for they may never arrive. */
     std::uint32_t in_use = 0;
     /** False until the front has told this ledger itself; `held` is then the reservation. */
     bool confirmed = false;
@@ -69,6 +80,8 @@
   struct Waiting {
     wire::SlotRequest request;
     transport::ReplyFunction reply;
+    /** Whether it came before the recall under way, so that the recall's answers are newer. */
+    bool in_recall = false;
   };
   struct BranchState {
     std::map<FrontIdentity, Holding> holdings;
@@ -81,12 +94,18 @@
   void askFront(const FrontIdentity& front);
   void noteReport(const FrontIdentity& front, const wire::SlotReport& report,
                   const std::string& branch);
-  void dropOtherInstances(const FrontIdentity& front);
+  void askOtherInstances(const FrontIdentity& front);
+  bool isStale(const Holding& holding, std::uint64_t sequence) const;
+  void answerVoidRequests(const FrontIdentity& front, BranchState& state, std::uint64_t sequence);
+  std::vector<FrontIdentity> frontsToRecall(const std::string& branch) const;
+  void recall(const std::string& branch, const FrontIdentity& front);
+  bool grantPending(const std::string& branch) const;
+  void refuseNotServing();
   void dropFront(const FrontIdentity& front);
   void serveWaiting(const std::string& branch);
   std::uint32_t freeSlots(const std::string& branch) const;
   void grant(const std::string& branch, Waiting waiting, std::uint32_t slots);
-  void answer(const Waiting& waiting, std::uint32_t granted, bool exhausted);
+  void answer(const Waiting& waiting, std::uint32_t granted, bool exhausted) const;
   void startRecall(const std::string& branch);
   void finishRecall(const std::string& branch);
   bool allKnownInUse(const std::string& branch) const;
@@ -96,7 +115,7 @@
   void onReservationsWritten(const registers::RegisterOutcome& outcome,
                              const ReservationTable& written);
   ReservationTable tableToWrite();
-  void dropSilent();
+  void noteRecallUnanswered(const FrontIdentity& front, BranchState& state);
   std::string registerKey() const;
 
   base::Dispatcher& dispatcher_;
@@ -107,6 +126,7 @@
   SlotLedgerOptions options_;
   std::map<std::string, std::uint32_t> limits_;
   std::map<std::string, BranchState> branches_;
+  base::Duration longest_use_{};
   /** The reservations known to be in the register. */
   ReservationTable durable_;
   /** What is to be in it; differs while a write is wanted or under way. */
--- a/libraries/admission/source/ledger_slot_broker.cc
+++ b/libraries/admission/source/ledger_slot_broker.cc
@@ -71,6 +71,10 @@
   return found == pools_.end() ? 0 : found->second.in_use;
 }
 
+bool LedgerSlotBroker::hasIdle(const BranchPool& pool) const {
+  return pool.held > pool.in_use && dispatcher_.now() - pool.told_at <= options_.idle_validity;
+}
+
 SlotHoldPtr LedgerSlotBroker::take(const std::string& branch, BranchPool& pool) {
   ++pool.in_use;
   return std::make_unique<Hold>(*this, branch);
@@ -79,7 +83,7 @@
 void LedgerSlotBroker::acquire(const std::string& branch,
                                std::function<void(SlotOutcome)> callback) {
   BranchPool& slots = pool(branch);
-  if (slots.held > slots.in_use && slots.waiting.empty()) {
+  if (hasIdle(slots) && slots.waiting.empty()) {
     callback(SlotOutcome{base::ResultCode::Ok, take(branch, slots), 0});
     return;
   }
@@ -88,7 +92,7 @@
     return;
   }
   slots.waiting.push_back(
-      Waiter{std::move(callback), dispatcher_.now() + options_.acquire_deadline});
+      Waiter{std::move(callback), dispatcher_.now() + options_.acquire_deadline, slots.sequence});
   if (!slots.deadline_timer->enabled()) {
     slots.deadline_timer->enable(options_.acquire_deadline);
   }
@@ -107,19 +111,22 @@
 
 void LedgerSlotBroker::serveWaiting(const std::string& branch) {
   BranchPool& slots = pool(branch);
-  while (slots.held > slots.in_use && !slots.waiting.empty()) {
+  while (hasIdle(slots) && !slots.waiting.empty()) {
     const Waiter waiter = std::move(slots.waiting.front());
     slots.waiting.pop_front();
     waiter.callback(SlotOutcome{base::ResultCode::Ok, take(branch, slots), 0});
   }
 }
 
-void LedgerSlotBroker::refuseWaiting(const std::string& branch, base::ResultCode code,
-                                     std::uint32_t retry_after_ms) {
-  std::deque<Waiter> refused;
-  refused.swap(pool(branch).waiting);
+void LedgerSlotBroker::refuseAsked(const std::string& branch, std::uint64_t sequence) {
+  std::deque<Waiter>& waiting = pool(branch).waiting;
+  std::vector<Waiter> refused;
+  while (!waiting.empty() && waiting.front().after_sequence < sequence) {
+    refused.push_back(std::move(waiting.front()));
+    waiting.pop_front();
+  }
   for (const Waiter& waiter : refused) {
-    waiter.callback(SlotOutcome{code, nullptr, retry_after_ms});
+    waiter.callback(SlotOutcome{base::ResultCode::OverBranchLimit, nullptr, ExhaustedRetryMs});
   }
 }
 
@@ -167,7 +174,9 @@
     slots.retry_timer->enable(options_.retry_pause);
     return;
   }
+  slots.offered = slots.held - slots.in_use;
   slots.held = slots.in_use;
+  slots.told_at = dispatcher_.now();
   slots.asking = true;
   wire::SlotRequest request;
   request.branch = branch;
@@ -194,6 +203,10 @@
   ShardState& state = shards_[shard];
   const auto* reply = result.as<wire::SlotReply>();
   if (reply == nullptr || !reply->is_ledger) {
+    const bool not_heard = reply != nullptr || result.code == base::ResultCode::PeerUnreachable;
+    if (not_heard && sequence == slots.sequence) {
+      keepOffered(branch);
+    }
     tryNextCore(shard);
     if (reply != nullptr && !reply->ledger.empty()) {
       state.ledger = reply->ledger;
@@ -201,27 +214,36 @@
     slots.retry_timer->enable(options_.retry_pause);
     return;
   }
-  const bool current_term = reply->term >= state.term;
+  const bool current_term = reply->term >= state.term || !options_.check_terms;
   state.term = std::max(state.term, reply->term);
-  const bool counts = current_term && sequence == slots.sequence;
-  if (counts) {
+  const bool is_void = !current_term || (sequence != slots.sequence && options_.check_sequences);
+  if (!is_void) {
     slots.held += reply->granted;
     serveWaiting(branch);
   }
-  if (counts && reply->exhausted && !slots.waiting.empty()) {
-    refuseWaiting(branch, base::ResultCode::OverBranchLimit, ExhaustedRetryMs);
+  if (!is_void && reply->exhausted) {
+    refuseAsked(branch, sequence);
   }
   if (!slots.waiting.empty()) {
-    slots.retry_timer->enable(counts && reply->granted > 0 ? base::Duration::zero()
-                                                           : options_.retry_pause);
+    const bool at_once = is_void || reply->granted > 0 || reply->exhausted;
+    slots.retry_timer->enable(at_once ? base::Duration::zero() : options_.retry_pause);
   } else if (slots.held > slots.in_use) {
     slots.idle_timer->enable(options_.idle_time);
   }
 }
 
+void LedgerSlotBroker::keepOffered(const std::string& branch) {
+  BranchPool& slots = pool(branch);
+  slots.held += slots.offered;
+  slots.offered = 0;
+  slots.told_at = dispatcher_.now();
+  serveWaiting(branch);
+}
+
 wire::SlotHolding LedgerSlotBroker::recallBranch(const std::string& branch, BranchPool& pool) {
   // A reply still under way is made void by the new sequence.
   pool.held = pool.in_use;
+  pool.told_at = dispatcher_.now();
   return wire::SlotHolding{branch, ++pool.sequence, pool.held, pool.in_use};
 }
 
@@ -230,9 +252,9 @@
   wire::SlotReport report;
   report.front_instance = front_instance_;
   ShardState& state = shards_[recall.shard];
-  report.term_accepted = recall.term >= state.term;
+  report.term_accepted = recall.term >= state.term || !options_.check_terms;
   if (report.term_accepted) {
-    state.term = recall.term;
+    state.term = std::max(state.term, recall.term);
     for (auto& [branch, slots] : pools_) {
       const bool asked =
           recall.branch.empty() ? ledgerShardOf(branch) == recall.shard : recall.branch == branch;
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/** Beyond the longest request, for clocks and timers that run late. */
+constexpr base::Duration SilenceMargin = std::chrono::seconds(30);
+
 FrontIdentity identityOf(const wire::SlotRequest& request) {
   return FrontIdentity{request.front, request.front_instance};
 }
@@ -74,12 +77,25 @@
 
 void SlotLedger::onLeaseLost() {
   serving_ = false;
+  refuseNotServing();
   term_ = 0;
   writing_ = false;
   pending_grants_.clear();
   branches_.clear();
 }
 
+void SlotLedger::refuseNotServing() {
+  // The fronts then look for the successor at once.
+  for (const PendingGrant& pending : pending_grants_) {
+    pending.waiting.reply(wire::SlotReply{});
+  }
+  for (const auto& [branch, state] : branches_) {
+    for (const Waiting& waiting : state.waiting) {
+      waiting.reply(wire::SlotReply{});
+    }
+  }
+}
+
 void SlotLedger::takeOver(const ReservationTable& table) {
   durable_ = table;
   wanted_ = table;
@@ -132,12 +148,33 @@
         report.holdings.begin(), report.holdings.end(),
         [&path = path](const wire::SlotHolding& holding) { return holding.branch == path; });
     if (listed == report.holdings.end()) {
-      state.holdings.erase(found);
-    } else if (listed->sequence > found->second.sequence) {
+      // A request which the report was overtaken by is later than it.
+      if (found->second.sequence == 0) {
+        state.holdings.erase(found);
+      }
+    } else if (!isStale(found->second, listed->sequence)) {
       found->second =
           Holding{listed->sequence, listed->held, listed->in_use, true, dispatcher_.now()};
+      answerVoidRequests(front, state, listed->sequence);
+    }
+  }
+}
+
+bool SlotLedger::isStale(const Holding& holding, std::uint64_t sequence) const {
+  return options_.order_by_sequence && sequence <= holding.sequence;
+}
+
+void SlotLedger::answerVoidRequests(const FrontIdentity& front, BranchState& state,
+                                    std::uint64_t sequence) {
+  // The front ignores grants for what it told before its report; it asks again.
+  for (const Waiting& waiting : state.waiting) {
+    if (identityOf(waiting.request) == front && waiting.request.sequence < sequence) {
+      answer(waiting, 0, false);
     }
   }
+  std::erase_if(state.waiting, [&](const Waiting& waiting) {
+    return identityOf(waiting.request) == front && waiting.request.sequence < sequence;
+  });
 }
 
 void SlotLedger::dropFront(const FrontIdentity& front) {
@@ -147,24 +184,34 @@
   wanted_.reserved.erase(front);
 }
 
-void SlotLedger::dropOtherInstances(const FrontIdentity& front) {
-  std::vector<FrontIdentity> former;
+void SlotLedger::askOtherInstances(const FrontIdentity& front) {
+  // Which instance is the later one can't be told from a message, which may be an old one. The
+  // process that answers a call now is the living one.
+  std::vector<FrontIdentity> others;
   for (const auto& [known, reservations] : wanted_.reserved) {
     if (known.address == front.address && known.instance != front.instance) {
-      former.push_back(known);
+      others.push_back(known);
     }
   }
-  for (const FrontIdentity& known : former) {
-    dropFront(known);
+  for (const FrontIdentity& other : others) {
+    askFront(other);
   }
 }
 
-void SlotLedger::dropSilent() {
-  const base::TimePoint now = dispatcher_.now();
-  for (auto& [branch, state] : branches_) {
-    std::erase_if(state.holdings, [this, now](const auto& item) {
-      return now - item.second.heard_at > options_.silence_bound;
-    });
+void SlotLedger::setLongestUse(base::Duration longest_use) {
+  // Requests which began under an earlier configuration keep the time they were given.
+  longest_use_ = std::max(longest_use_, longest_use);
+}
+
+void SlotLedger::noteRecallUnanswered(const FrontIdentity& front, BranchState& state) {
+  const auto found = state.holdings.find(front);
+  if (found == state.holdings.end()) {
+    return;
+  }
+  const base::Duration bound = std::max(options_.silence_bound, longest_use_ + SilenceMargin);
+  found->second.confirmed = false;
+  if (dispatcher_.now() - found->second.heard_at > bound) {
+    state.holdings.erase(found);
   }
 }
 
@@ -174,22 +221,32 @@
     return;
   }
   const FrontIdentity front = identityOf(request);
-  dropOtherInstances(front);
+  askOtherInstances(front);
   BranchState& state = branches_[request.branch];
   Holding& holding = state.holdings[front];
-  if (request.sequence <= holding.sequence) {
-    return;  // Overtaken by a later message of the same front.
+  const Waiting waiting{request, std::move(reply)};
+  const bool unconfirmed = holding.sequence == 0 && holding.held > 0;
+  if (unconfirmed && options_.confirm_after_takeover) {
+    // The request may have been under way since before the predecessor's last grants.
+    askFront(front);
+    answer(waiting, 0, false);
+    return;
+  }
+  if (isStale(holding, request.sequence)) {
+    if (request.sequence < holding.sequence) {
+      answer(waiting, 0, false);
+    }
+    return;
   }
   holding = Holding{request.sequence, request.held, request.in_use, true, dispatcher_.now()};
-  std::erase_if(state.waiting,
-                [&front](const Waiting& waiting) { return identityOf(waiting.request) == front; });
+  answerVoidRequests(front, state, request.sequence);
   if (request.held == 0 && request.wanted == 0) {
     state.holdings.erase(front);
   }
   if (request.wanted == 0) {
-    answer(Waiting{request, std::move(reply)}, 0, false);
+    answer(waiting, 0, false);
   } else {
-    state.waiting.push_back(Waiting{request, std::move(reply)});
+    state.waiting.push_back(waiting);
   }
   serveWaiting(request.branch);
 }
@@ -237,7 +294,6 @@
   const FrontIdentity front = identityOf(waiting.request);
   Holding& holding = branches_[branch].holdings[front];
   holding.held += slots;
-  holding.in_use += slots;
   reserve(front, branch, holding.held);
   if (reservedFor(waiting, slots)) {
     answer(waiting, slots, false);
@@ -247,7 +303,7 @@
   writeReservations();
 }
 
-void SlotLedger::answer(const Waiting& waiting, std::uint32_t granted, bool exhausted) {
+void SlotLedger::answer(const Waiting& waiting, std::uint32_t granted, bool exhausted) const {
   wire::SlotReply reply;
   reply.is_ledger = true;
   reply.ledger = calls_.localAddress();
@@ -258,20 +314,36 @@
   waiting.reply(std::move(reply));
 }
 
+std::vector<FrontIdentity> SlotLedger::frontsToRecall(const std::string& branch) const {
+  std::vector<FrontIdentity> fronts;
+  if (!options_.recall_before_refusing) {
+    return fronts;
+  }
+  const BranchState& state = branches_.at(branch);
+  const auto is_of = [&branch](const FrontIdentity& front, const Waiting& waiting) {
+    return waiting.request.branch == branch && identityOf(waiting.request) == front;
+  };
+  for (const auto& [front, holding] : state.holdings) {
+    // A front that waits has no idle slot; a recall would make void what it is to be granted.
+    const bool waits = std::ranges::any_of(
+        state.waiting, [&](const Waiting& waiting) { return is_of(front, waiting); });
+    const bool pending = std::ranges::any_of(
+        pending_grants_, [&](const PendingGrant& grant) { return is_of(front, grant.waiting); });
+    if (!waits && !pending && holding.held > 0) {
+      fronts.push_back(front);
+    }
+  }
+  return fronts;
+}
+
 void SlotLedger::startRecall(const std::string& branch) {
   BranchState& state = branches_[branch];
   if (state.recalling) {
     return;
   }
-  dropSilent();
-  std::vector<FrontIdentity> asked;
-  for (const auto& [front, holding] : state.holdings) {
-    const bool is_waiting = std::any_of(
-        state.waiting.begin(), state.waiting.end(),
-        [&front = front](const Waiting& waiting) { return identityOf(waiting.request) == front; });
-    if (!is_waiting && holding.held > 0) {
-      asked.push_back(front);
-    }
+  const std::vector<FrontIdentity> asked = frontsToRecall(branch);
+  for (Waiting& waiting : state.waiting) {
+    waiting.in_recall = true;
   }
   state.recalling = true;
   state.recalls_open = static_cast<std::uint32_t>(asked.size());
@@ -279,29 +351,39 @@
     finishRecall(branch);
     return;
   }
-  const std::uint64_t term = term_;
   for (const FrontIdentity& front : asked) {
-    calls_.call(front.address, wire::SlotRecall{term, shard_, branch}, options_.recall_timeout,
-                [this, alive = std::weak_ptr(alive_), front, branch,
-                 term](const transport::CallResult& result) {
-                  if (alive.expired() || term != term_) {
-                    return;
-                  }
-                  Holding& holding = branches_[branch].holdings[front];
-                  if (result.code == base::ResultCode::PeerUnreachable) {
-                    dropFront(front);
-                  } else if (const auto* report = result.as<wire::SlotReport>()) {
-                    noteReport(front, *report, branch);
-                  } else {
-                    holding.confirmed = false;
-                  }
-                  if (--branches_[branch].recalls_open == 0) {
-                    finishRecall(branch);
-                  }
-                });
+    recall(branch, front);
   }
 }
 
+void SlotLedger::recall(const std::string& branch, const FrontIdentity& front) {
+  const std::uint64_t term = term_;
+  calls_.call(front.address, wire::SlotRecall{term, shard_, branch}, options_.recall_timeout,
+              [this, alive = std::weak_ptr(alive_), front, branch,
+               term](const transport::CallResult& result) {
+                if (alive.expired() || term != term_) {
+                  return;
+                }
+                BranchState& state = branches_[branch];
+                if (result.code == base::ResultCode::PeerUnreachable) {
+                  dropFront(front);
+                } else if (const auto* report = result.as<wire::SlotReport>()) {
+                  noteReport(front, *report, branch);
+                } else {
+                  noteRecallUnanswered(front, state);
+                }
+                if (--state.recalls_open == 0) {
+                  finishRecall(branch);
+                }
+              });
+}
+
+bool SlotLedger::grantPending(const std::string& branch) const {
+  return std::ranges::any_of(pending_grants_, [&branch](const PendingGrant& pending) {
+    return pending.waiting.request.branch == branch;
+  });
+}
+
 bool SlotLedger::allKnownInUse(const std::string& branch) const {
   const auto state = branches_.find(branch);
   if (state == branches_.end()) {
@@ -324,12 +406,20 @@
     const std::uint32_t slots = std::min(freeSlots(branch), waiting.request.wanted);
     grant(branch, std::move(waiting), slots);
   }
-  const bool exhausted = allKnownInUse(branch);
+  // A grant that waits for its reservation may come to nothing.
+  const bool exhausted = allKnownInUse(branch) && !grantPending(branch);
+  std::deque<Waiting> later;
   std::deque<Waiting> refused;
-  refused.swap(state.waiting);
+  for (Waiting& waiting : state.waiting) {
+    (waiting.in_recall ? refused : later).push_back(std::move(waiting));
+  }
+  state.waiting = std::move(later);
   for (const Waiting& waiting : refused) {
     answer(waiting, 0, exhausted);
   }
+  if (!state.waiting.empty()) {
+    startRecall(branch);
+  }
 }
 
 void SlotLedger::reserve(const FrontIdentity& front, const std::string& branch,
@@ -342,6 +432,9 @@
 }
 
 bool SlotLedger::reservedFor(const Waiting& waiting, std::uint32_t granted) const {
+  if (!options_.reserve_before_granting) {
+    return true;
+  }
   const auto front = durable_.reserved.find(identityOf(waiting.request));
   if (front == durable_.reserved.end()) {
     return false;
@@ -378,8 +471,9 @@
   }
   const std::string bytes = encodeReservations(table);
   const std::uint64_t term = term_;
-  const auto change = [term, bytes](const std::string& present) -> std::optional<std::string> {
-    if (decodeReservations(present).term > term) {
+  const auto change = [term, bytes, fenced = options_.fence_by_term](
+                          const std::string& present) -> std::optional<std::string> {
+    if (fenced && decodeReservations(present).term > term) {
       return std::nullopt;
     }
     return bytes;
--- a/libraries/admission/test/slot_fleet.h
+++ b/libraries/admission/test/slot_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,6 +19,13 @@
  public:
   explicit SharedRegister(simulation::World& world) : world_(world) {}
   bool available = true;
+  /** Rounds take up to this long, so that changes may overtake each other. */
+  base::Duration longest_delay = std::chrono::milliseconds(2);
+
+  base::Duration delay() {
+    const auto longest = static_cast<std::uint64_t>(longest_delay.count());
+    return base::Duration(static_cast<std::int64_t>(world_.random().below(longest + 1)));
+  }
 
   class Proposer : public registers::RegisterProposer {
    public:
@@ -25,7 +33,7 @@
         : shared_(shared), process_(process) {}
     void change(const std::string& key, registers::ChangeFunction function,
                 registers::RegisterCallback callback) override {
-      process_.postAfter(std::chrono::milliseconds(2), [this, key, function, callback] {
+      process_.postAfter(shared_.delay(), [this, key, function, callback] {
         registers::RegisterOutcome outcome;
         if (shared_.available) {
           outcome.code = base::ResultCode::Ok;
@@ -36,8 +44,7 @@
           }
           outcome.value = shared_.values_[key];
         }
-        process_.postAfter(std::chrono::milliseconds(2),
-                           [outcome, callback] { callback(outcome); });
+        process_.postAfter(shared_.delay(), [outcome, callback] { callback(outcome); });
       });
     }
     void read(const std::string& key, registers::RegisterCallback callback) override {
@@ -58,10 +65,11 @@
 /** A core process with one ledger, whose lease the test grants and takes. */
 struct LedgerNode : LedgerLease {
   LedgerNode(simulation::World& world, simulation::Network& network, SharedRegister& shared,
-             base::NodeAddress node_address)
+             base::NodeAddress node_address, SlotLedgerOptions ledger_options = {})
       : address(std::move(node_address)),
         process(world),
         proposer(shared, process),
+        options(ledger_options),
         network_(network) {
     start();
   }
@@ -69,7 +77,7 @@
   void start() {
     transport = network_.attach(address, process);
     calls = std::make_unique<transport::PeerCalls>(process, *transport);
-    ledger = std::make_unique<SlotLedger>(process, *calls, proposer, *this, 0, SlotLedgerOptions{});
+    ledger = std::make_unique<SlotLedger>(process, *calls, proposer, *this, 0, options);
     calls->handle<wire::SlotRequest>(
         [this](const base::NodeAddress&, const wire::SlotRequest& request,
                const transport::ReplyFunction& reply) { ledger->onRequest(request, reply); });
@@ -81,6 +89,7 @@
   base::NodeAddress address;
   simulation::Process process;
   SharedRegister::Proposer proposer;
+  SlotLedgerOptions options;
   std::unique_ptr<transport::Transport> transport;
   std::unique_ptr<transport::PeerCalls> calls;
   std::unique_ptr<SlotLedger> ledger;
@@ -91,12 +100,62 @@
   simulation::Network& network_;
 };
 
+/** What the workers and callers of one branch see, at every instant. */
+class BranchObserver {
+ public:
+  BranchObserver(simulation::World& world, std::uint32_t limit) : world_(world), limit_(limit) {}
+
+  void onUse(int change) {
+    noteFull();
+    used += change;
+    over_limit = over_limit || used > static_cast<int>(limit_);
+    noteFull();
+  }
+  /** A caller that came at `arrival` is refused as over its branch now. */
+  void onRefusal(base::TimePoint arrival) {
+    noteFull();
+    ++refusals;
+    longest_refusal = std::max(longest_refusal, world_.now() - arrival);
+    if (!full_at || *full_at < arrival) {
+      ++refusals_inside;
+      worst_inside = std::max(worst_inside, arrival - full_at.value_or(base::TimePoint{}));
+    }
+  }
+
+  int used = 0;
+  bool over_limit = false;
+  int refusals = 0;
+  /** Refusals while a slot was free from the caller's arrival on. */
+  int refusals_inside = 0;
+  /** How long before a wrongly refused caller's arrival the branch was last full. */
+  base::Duration worst_inside{};
+  base::Duration longest_refusal{};
+
+ private:
+  void noteFull() {
+    if (used >= static_cast<int>(limit_)) {
+      full_at = world_.now();
+    }
+  }
+
+  simulation::World& world_;
+  std::uint32_t limit_;
+  /** The latest instant at which every slot was in use. */
+  std::optional<base::TimePoint> full_at;
+};
+
 /** A front process with a broker and the requests it serves. */
 class FrontNode {
  public:
   FrontNode(simulation::World& world, simulation::Network& network, base::NodeAddress address,
-            std::vector<base::NodeAddress> cores)
-      : process(world), network_(network), address_(std::move(address)), cores_(std::move(cores)) {
+            std::vector<base::NodeAddress> cores, SlotBrokerOptions options = {},
+            BranchObserver* observer = nullptr)
+      : process(world),
+        network_(network),
+        address_(std::move(address)),
+        cores_(std::move(cores)),
+        options_(options),
+        observer_(observer) {
     start();
   }
 
@@ -104,12 +163,13 @@
     transport_ = network_.attach(address_, process);
     calls_ = std::make_unique<transport::PeerCalls>(process, *transport_);
     broker = std::make_unique<LedgerSlotBroker>(
-        process, *calls_, ++instance_, [this] { return cores_; }, SlotBrokerOptions{});
+        process, *calls_, ++instance_, [this] { return cores_; }, options_);
   }
 
   void kill() {
     process.kill();
     broker.reset();
+    noteUse(-static_cast<int>(holds.size()));
     holds.clear();
     calls_.reset();
     transport_.reset();
@@ -120,15 +180,20 @@
   /** Asks for a slot and keeps it for `duration`. */
   void request(const std::string& branch, base::Duration duration) {
     ++asked;
-    broker->acquire(branch, [this, duration](SlotOutcome outcome) {
+    broker->acquire(branch, [this, duration, arrival = process.now()](SlotOutcome outcome) {
       ++answers[outcome.code];
       if (outcome.hold == nullptr) {
+        if (outcome.code == base::ResultCode::OverBranchLimit && observer_ != nullptr) {
+          observer_->onRefusal(arrival);
+        }
         return;
       }
       auto hold = std::make_shared<SlotHoldPtr>(std::move(outcome.hold));
       holds.push_back(hold);
+      noteUse(1);
       process.postAfter(duration, [this, hold] {
         std::erase(holds, hold);
+        noteUse(-1);
         // Giving the slot back may serve a waiting request, which adds to `holds`.
         hold->reset();
       });
@@ -142,9 +207,17 @@
   int asked = 0;
 
  private:
+  void noteUse(int change) {
+    if (observer_ != nullptr) {
+      observer_->onUse(change);
+    }
+  }
+
   simulation::Network& network_;
   base::NodeAddress address_;
   std::vector<base::NodeAddress> cores_;
+  SlotBrokerOptions options_;
+  BranchObserver* observer_;
   std::unique_ptr<transport::Transport> transport_;
   std::unique_ptr<transport::PeerCalls> calls_;
   std::uint64_t instance_ = 100;
--- a/libraries/core/source/ledger_host.cc
+++ b/libraries/core/source/ledger_host.cc
@@ -1,5 +1,6 @@
 #include "switchsaddle/core/ledger_host.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace switchsaddle::core {
@@ -53,7 +54,13 @@
   for (const auto& [path, branch] : view.branches) {
     limits[path] = branch.slots;
   }
+  std::uint32_t longest_ms = 0;
+  for (const auto& [name, tenant] : view.tenants) {
+    longest_ms =
+        std::max({longest_ms, tenant.shape.stream_deadline_ms, tenant.shape.one_shot_deadline_ms});
+  }
   for (const Shard& shard : shards_) {
+    shard.ledger->setLongestUse(std::chrono::milliseconds(longest_ms));
     shard.ledger->setLimits(limits);
   }
 }
