--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -27,6 +27,8 @@
 struct SlotLedgerOptions {
   /** How long a front may take to answer a recall before it counts as silent. */
   base::Duration recall_timeout = std::chrono::milliseconds(200);
+  /** What a front told longer ago does not prove that its slots are in use. */
+  base::Duration evidence_age = std::chrono::milliseconds(100);
   /** A front silent for this long, and for longer than any request may last, holds nothing. */
   base::Duration silence_bound = std::chrono::seconds(330);
   /** Reservations grow in steps of this, so that most grants need no register write. */
@@ -96,7 +98,8 @@
                   const std::string& branch);
   void askOtherInstances(const FrontIdentity& front);
   bool isStale(const Holding& holding, std::uint64_t sequence) const;
-  void answerVoidRequests(const FrontIdentity& front, BranchState& state, std::uint64_t sequence);
+  void answerEarlierRequests(const FrontIdentity& front, BranchState& state);
+  void renewWaiting(const FrontIdentity& front, BranchState& state, const wire::SlotHolding& told);
   std::vector<FrontIdentity> frontsToRecall(const std::string& branch) const;
   void recall(const std::string& branch, const FrontIdentity& front);
   bool grantPending(const std::string& branch) const;
--- a/libraries/admission/source/ledger_slot_broker.cc
+++ b/libraries/admission/source/ledger_slot_broker.cc
@@ -216,7 +216,8 @@
   }
   const bool current_term = reply->term >= state.term || !options_.check_terms;
   state.term = std::max(state.term, reply->term);
-  const bool is_void = !current_term || (sequence != slots.sequence && options_.check_sequences);
+  const bool is_void =
+      !current_term || (reply->sequence != slots.sequence && options_.check_sequences);
   if (!is_void) {
     slots.held += reply->granted;
     serveWaiting(branch);
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -155,7 +155,19 @@
     } else if (!isStale(found->second, listed->sequence)) {
       found->second =
           Holding{listed->sequence, listed->held, listed->in_use, true, dispatcher_.now()};
-      answerVoidRequests(front, state, listed->sequence);
+      renewWaiting(front, state, *listed);
+    }
+  }
+}
+
+void SlotLedger::renewWaiting(const FrontIdentity& front, BranchState& state,
+                              const wire::SlotHolding& told) {
+  // What the front waits for is still wanted; a grant must stand on what it told last.
+  for (Waiting& waiting : state.waiting) {
+    if (identityOf(waiting.request) == front) {
+      waiting.request.sequence = told.sequence;
+      waiting.request.held = told.held;
+      waiting.request.in_use = told.in_use;
     }
   }
 }
@@ -164,17 +176,16 @@
   return options_.order_by_sequence && sequence <= holding.sequence;
 }
 
-void SlotLedger::answerVoidRequests(const FrontIdentity& front, BranchState& state,
-                                    std::uint64_t sequence) {
-  // The front ignores grants for what it told before its report; it asks again.
+void SlotLedger::answerEarlierRequests(const FrontIdentity& front, BranchState& state) {
+  const auto is_earlier = [&front](const Waiting& waiting) {
+    return identityOf(waiting.request) == front;
+  };
   for (const Waiting& waiting : state.waiting) {
-    if (identityOf(waiting.request) == front && waiting.request.sequence < sequence) {
+    if (is_earlier(waiting)) {
       answer(waiting, 0, false);
     }
   }
-  std::erase_if(state.waiting, [&](const Waiting& waiting) {
-    return identityOf(waiting.request) == front && waiting.request.sequence < sequence;
-  });
+  std::erase_if(state.waiting, is_earlier);
 }
 
 void SlotLedger::dropFront(const FrontIdentity& front) {
@@ -239,7 +250,7 @@
     return;
   }
   holding = Holding{request.sequence, request.held, request.in_use, true, dispatcher_.now()};
-  answerVoidRequests(front, state, request.sequence);
+  answerEarlierRequests(front, state);
   if (request.held == 0 && request.wanted == 0) {
     state.holdings.erase(front);
   }
@@ -319,17 +330,14 @@
   if (!options_.recall_before_refusing) {
     return fronts;
   }
-  const BranchState& state = branches_.at(branch);
-  const auto is_of = [&branch](const FrontIdentity& front, const Waiting& waiting) {
-    return waiting.request.branch == branch && identityOf(waiting.request) == front;
-  };
-  for (const auto& [front, holding] : state.holdings) {
-    // A front that waits has no idle slot; a recall would make void what it is to be granted.
-    const bool waits = std::ranges::any_of(
-        state.waiting, [&](const Waiting& waiting) { return is_of(front, waiting); });
-    const bool pending = std::ranges::any_of(
-        pending_grants_, [&](const PendingGrant& grant) { return is_of(front, grant.waiting); });
-    if (!waits && !pending && holding.held > 0) {
+  for (const auto& [front, holding] : branches_.at(branch).holdings) {
+    // A recall would make void what a pending grant stands on.
+    const bool pending =
+        std::ranges::any_of(pending_grants_, [&, &front = front](const PendingGrant& grant) {
+          const wire::SlotRequest& request = grant.waiting.request;
+          return request.branch == branch && identityOf(request) == front;
+        });
+    if (!pending && holding.held > 0) {
       fronts.push_back(front);
     }
   }
@@ -391,7 +399,8 @@
   }
   std::uint32_t in_use = 0;
   for (const auto& [front, holding] : state->second.holdings) {
-    in_use += holding.confirmed ? holding.in_use : 0;
+    const bool recent = dispatcher_.now() - holding.heard_at <= options_.evidence_age;
+    in_use += holding.confirmed && recent ? holding.in_use : 0;
   }
   const auto limit = limits_.find(branch);
   return limit != limits_.end() && in_use >= limit->second;
