--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,11 @@
   base::Duration recall_timeout = std::chrono::milliseconds(200);
   /** What a front told longer ago does not prove that its slots are in use. */
   base::Duration evidence_age = std::chrono::milliseconds(100);
+  /**
+   * Slots of a front whose process has ended count as held for this long: its one-shots run to
+   * their end, and workers notice closed streams with their next piece.
+   */
+  base::Duration orphan_time = std::chrono::seconds(1);
   /** A front silent for this long, and for longer than any request may last, holds nothing. */
   base::Duration silence_bound = std::chrono::seconds(330);
   /** Reservations grow in steps of this, so that most grants need no register write. */
@@ -78,6 +84,8 @@
     /** False until the front has told this ledger itself; `held` is then the reservation. */
     bool confirmed = false;
     base::TimePoint heard_at{};
+    /** When the front's process was found to have ended. */
+    std::optional<base::TimePoint> orphaned_at;
   };
   struct Waiting {
     wire::SlotRequest request;
@@ -105,6 +113,7 @@
   bool grantPending(const std::string& branch) const;
   void refuseNotServing();
   void dropFront(const FrontIdentity& front);
+  void dropOrphans(BranchState& state);
   void serveWaiting(const std::string& branch);
   std::uint32_t freeSlots(const std::string& branch) const;
   void grant(const std::string& branch, Waiting waiting, std::uint32_t slots);
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -1,6 +1,7 @@
 #include "switchsaddle/admission/slot_ledger.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "switchsaddle/admission/ledger_shard.h"
@@ -190,11 +191,25 @@
 
 void SlotLedger::dropFront(const FrontIdentity& front) {
   for (auto& [branch, state] : branches_) {
-    state.holdings.erase(front);
+    const auto found = state.holdings.find(front);
+    if (found == state.holdings.end() || found->second.orphaned_at) {
+      continue;
+    }
+    // Nothing it sent is believed any more, however late it comes.
+    found->second.sequence = std::numeric_limits<std::uint64_t>::max();
+    found->second.confirmed = false;
+    found->second.orphaned_at = dispatcher_.now();
   }
   wanted_.reserved.erase(front);
 }
 
+void SlotLedger::dropOrphans(BranchState& state) {
+  std::erase_if(state.holdings, [this](const auto& item) {
+    const std::optional<base::TimePoint>& since = item.second.orphaned_at;
+    return since && dispatcher_.now() - *since >= options_.orphan_time;
+  });
+}
+
 void SlotLedger::askOtherInstances(const FrontIdentity& front) {
   // Which instance is the later one can't be told from a message, which may be an old one. The
   // process that answers a call now is the living one.
@@ -288,6 +303,7 @@
     return;
   }
   BranchState& state = branches_[branch];
+  dropOrphans(state);
   while (!state.waiting.empty()) {
     const std::uint32_t available = freeSlots(branch);
     if (available == 0) {
@@ -337,7 +353,7 @@
           const wire::SlotRequest& request = grant.waiting.request;
           return request.branch == branch && identityOf(request) == front;
         });
-    if (!pending && holding.held > 0) {
+    if (!pending && holding.held > 0 && !holding.orphaned_at) {
       fronts.push_back(front);
     }
   }
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -279,6 +279,8 @@
 
 void OneShotRun::endRan() {
   leaveWorker();
+  // The worker has finished: its slot is free for others while the end is being recorded.
+  const admission::SlotHoldPtr used_slot = std::move(slot_);
   state_ = State::Recording;
   ran_ = true;
   wire::ClaimFinish finish = finishOf(ClaimState::Ran);
--- a/libraries/laboratory/include/switchsaddle/laboratory/load_plan.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/load_plan.h
@@ -20,6 +20,18 @@
   std::vector<std::string> models;
 };
 
+/** A time in which a tenant sends many times its usual. */
+struct Crowd {
+  /** Empty for all tenants. */
+  std::string tenant;
+  double factor = 1;
+  double from_s = 0;
+  double to_s = 0;
+};
+
+/** Reads "TENANT:FACTOR:FROM:TO", times in seconds, or "all:…"; throws InvalidValue. */
+Crowd parseCrowd(const std::string& text);
+
 /** What callers send, as read from a load file. */
 struct LoadPlan {
   std::vector<LoadTenant> tenants;
@@ -36,7 +48,13 @@
   double resend_refused_share = 0.3;
   base::Duration resend_delay = std::chrono::milliseconds(200);
 
+  std::vector<Crowd> crowds;
+
   double requestsPerSecond() const;
+  /** By how much a tenant's rates are multiplied at a time. */
+  double crowdFactor(const std::string& tenant, double at_s) const;
+  /** The next time after `at_s` at which a crowd begins or ends; infinity where none does. */
+  double nextCrowdChange(double at_s) const;
 };
 
 /** Throws base::Error with MalformedJson, MissingField or InvalidValue. */
@@ -79,6 +97,7 @@
     double cumulated_rate = 0;
   };
   double exponential(double mean);
+  void setRates();
   const Flow& drawFlow();
   std::uint32_t drawFamily();
   void fillStream(Arrival& arrival);
@@ -90,6 +109,8 @@
   std::vector<Flow> flows_;
   std::vector<double> cumulated_popularity_;
   double elapsed_s_ = 0;
+  /** Until then the flows' rates stay as they are. */
+  double rates_until_s_ = 0;
   std::uint64_t arrivals_ = 0;
 };
 
--- /dev/null
+++ b/libraries/laboratory/source/branch_judge.cc
@@ -0,0 +1,266 @@
+#include "switchsaddle/laboratory/branch_judge.h"
+
+#include <algorithm>
+#include <deque>
+#include <optional>
+#include <set>
+
+#include "call_history.h"
+#include "switchsaddle/base/result_code.h"
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr const char* OneShot = "one-shot";
+constexpr const char* Stream = "stream";
+constexpr std::int64_t MillisecondsPerSecond = 1'000;
+
+AnswerTimes quantiles(std::vector<std::int64_t> times) {
+  AnswerTimes result;
+  result.samples = times.size();
+  if (!times.empty()) {
+    std::ranges::sort(times);
+    result.p50_ms = times[(times.size() - 1) * 50 / 100];
+    result.p95_ms = times[(times.size() - 1) * 95 / 100];
+    result.longest_ms = times.back();
+  }
+  return result;
+}
+
+/** How many runs there are at each time, as steps in order of time. */
+class Occupancy {
+ public:
+  /** `margin_ms` widens each run at both ends. */
+  void add(const RunHistory& run, std::int64_t margin_ms) {
+    changes_.insert({run.start.at_ms - margin_ms, 1});
+    changes_.insert({run.end_ms + margin_ms, -1});
+  }
+  void finish() {
+    std::int64_t running = 0;
+    for (const auto& [at_ms, change] : changes_) {
+      running += change;
+      steps_[at_ms] = running;
+    }
+  }
+  std::int64_t highestWithin(std::int64_t from_ms, std::int64_t to_ms) const {
+    auto step = steps_.upper_bound(from_ms);
+    std::int64_t highest = step == steps_.begin() ? 0 : std::prev(step)->second;
+    for (; step != steps_.end() && step->first <= to_ms; ++step) {
+      highest = std::max(highest, step->second);
+    }
+    return highest;
+  }
+  const std::map<std::int64_t, std::int64_t>& steps() const { return steps_; }
+
+ private:
+  /** At one time ends come before starts. */
+  std::multiset<std::pair<std::int64_t, int>> changes_;
+  std::map<std::int64_t, std::int64_t> steps_;
+};
+
+class BranchJudge {
+ public:
+  BranchJudge(const Evidence& evidence, const BranchLimits& limits,
+              const BranchTolerances& tolerances)
+      : evidence_(evidence),
+        limits_(limits),
+        tolerances_(tolerances),
+        calls_(foldCalls(evidence.calls)) {
+    for (const WorkerJournal& journal : evidence.journals) {
+      foldRuns(journal, runs_);
+    }
+  }
+
+  BranchJudgement result(const CrowdTime& crowd) {
+    judgeExcesses();
+    judgeRefusals();
+    judgeRetries();
+    measureService(crowd);
+    return std::move(judgement_);
+  }
+
+ private:
+  const std::string* branchOf(const std::string& tenant, const std::string& kind) const {
+    const auto found = limits_.branches.find({tenant, kind});
+    return found == limits_.branches.end() ? nullptr : &found->second;
+  }
+
+  std::map<std::string, Occupancy> occupancies(std::int64_t margin_ms) const {
+    std::map<std::string, Occupancy> result;
+    for (const auto& [id, run] : runs_) {
+      if (const std::string* branch = branchOf(run.start.tenant, run.start.kind)) {
+        result[*branch].add(run, margin_ms);
+      }
+    }
+    for (auto& [branch, occupancy] : result) {
+      occupancy.finish();
+    }
+    return result;
+  }
+
+  void judgeExcesses() {
+    for (const auto& [branch, occupancy] : occupancies(0)) {
+      BranchFindings& findings = judgement_.branches[branch];
+      findings.slots = limits_.slots.at(branch);
+      std::optional<std::int64_t> over_since;
+      for (const auto& [at_ms, running] : occupancy.steps()) {
+        findings.peak = std::max(findings.peak, static_cast<std::uint32_t>(running));
+        const bool over = running > static_cast<std::int64_t>(findings.slots);
+        if (over && !over_since) {
+          over_since = at_ms;
+          ++findings.excesses;
+        } else if (!over && over_since) {
+          findings.longest_excess_ms = std::max(findings.longest_excess_ms, at_ms - *over_since);
+          over_since.reset();
+        }
+      }
+      if (findings.longest_excess_ms > tolerances_.excess_ms) {
+        judgement_.violations.push_back({Rule::OverLimit, branch,
+                                         std::to_string(findings.peak) + " at once, slots " +
+                                             std::to_string(findings.slots) + ", for " +
+                                             std::to_string(findings.longest_excess_ms) + " ms"});
+      }
+    }
+  }
+
+  void judgeRefusals() {
+    const std::map<std::string, Occupancy> occupied = occupancies(tolerances_.occupancy_ms);
+    std::map<int, std::vector<std::int64_t>> times;
+    for (const auto& [number, call] : calls_) {
+      if (!call.answered || call.answer.code == 0 || !call.pieces.empty()) {
+        continue;
+      }
+      times[call.answer.code].push_back(call.answer.at_ms - call.sent.at_ms);
+      const std::string* branch = branchOf(call.sent.tenant, call.sent.kind);
+      const bool over = call.answer.code == static_cast<int>(base::ResultCode::OverBranchLimit);
+      if (over && branch != nullptr) {
+        const auto found = occupied.find(*branch);
+        judgeRefusal(call, *branch, found == occupied.end() ? Occupancy{} : found->second);
+      }
+    }
+    for (auto& [code, of_code] : times) {
+      judgement_.refusals[code] = quantiles(std::move(of_code));
+    }
+  }
+
+  void judgeRefusal(const CallHistory& call, const std::string& branch,
+                    const Occupancy& occupancy) {
+    BranchFindings& findings = judgement_.branches[branch];
+    findings.slots = limits_.slots.at(branch);
+    ++findings.refused;
+    const std::int64_t highest = occupancy.highestWithin(call.sent.at_ms, call.answer.at_ms);
+    if (highest < static_cast<std::int64_t>(findings.slots)) {
+      ++findings.refused_inside;
+      judgement_.violations.push_back({Rule::RefusedInside, branch,
+                                       "call " + std::to_string(call.sent.call) + ": at most " +
+                                           std::to_string(highest) + " of " +
+                                           std::to_string(findings.slots) + " slots were in use"});
+    }
+  }
+
+  void judgeRetries() {
+    // The attempts of one caller's request, by time; a caller's resend has a request id of its own.
+    std::map<std::string, std::map<std::string, std::multiset<std::int64_t>>> attempts;
+    for (const WorkerJournal& journal : evidence_.journals) {
+      for (const WorkerEvent& event : journal) {
+        const bool attempt = event.event == "start" || event.event == "refused";
+        if (attempt && (event.kind == Stream || event.kind == OneShot)) {
+          attempts[event.kind][event.caller_request_id].insert(event.at_ms);
+        }
+      }
+    }
+    for (const auto& [kind, by_request] : attempts) {
+      std::multiset<std::pair<std::int64_t, bool>> tries;
+      for (const auto& [request, times] : by_request) {
+        bool retry = false;
+        for (const std::int64_t at_ms : times) {
+          tries.insert({at_ms, retry});
+          retry = true;
+        }
+      }
+      judgeRetryShare(kind, tries);
+    }
+  }
+
+  void judgeRetryShare(const std::string& kind,
+                       const std::multiset<std::pair<std::int64_t, bool>>& tries) {
+    RetryFindings& findings = judgement_.retries[kind];
+    std::deque<std::pair<std::int64_t, bool>> window;
+    std::uint64_t retries = 0;
+    for (const auto& attempt : tries) {
+      window.push_back(attempt);
+      retries += attempt.second ? 1 : 0;
+      while (window.front().first <= attempt.first - tolerances_.retry_window_ms) {
+        retries -= window.front().second ? 1 : 0;
+        window.pop_front();
+      }
+      const std::uint64_t first_tries = window.size() - retries;
+      const double share =
+          first_tries == 0 ? retries : static_cast<double>(retries) / double(first_tries);
+      if (attempt.second && share > findings.worst_share) {
+        findings.worst_share = share;
+        findings.worst_retries = retries;
+        findings.worst_first_tries = first_tries;
+      }
+      (attempt.second ? findings.retries : findings.first_tries) += 1;
+    }
+    if (findings.worst_share > tolerances_.retry_share) {
+      judgement_.violations.push_back({Rule::TooManyRetries, kind,
+                                       std::to_string(findings.worst_retries) + " retries of " +
+                                           std::to_string(findings.worst_first_tries) +
+                                           " first tries within the window"});
+    }
+  }
+
+  void measureService(const CrowdTime& crowd) {
+    std::map<std::string, std::map<std::string, std::vector<std::int64_t>>> first_tokens;
+    const std::int64_t begin_ms = calls_.empty() ? 0 : calls_.begin()->second.sent.at_ms;
+    for (const auto& [number, call] : calls_) {
+      const std::int64_t second = (call.sent.at_ms - begin_ms) / MillisecondsPerSecond;
+      const char* part = second < crowd.from_s ? "1 before" : "2 during";
+      part = second >= crowd.to_s ? "3 after" : part;
+      const std::string name = call.sent.tenant + " " + call.sent.kind;
+      TenantService& service = judgement_.service[part][name];
+      ++service.calls;
+      const bool served = call.answered && call.answer.end == call_end::Done &&
+                          (call.sent.kind == Stream || call.answer.outcome == "ran");
+      service.served += served ? 1 : 0;
+      if (!call.pieces.empty()) {
+        first_tokens[part][name].push_back(call.pieces.front().at_ms - call.sent.at_ms);
+      }
+    }
+    for (auto& [part, by_name] : first_tokens) {
+      for (auto& [name, times] : by_name) {
+        judgement_.service[part][name].first_token = quantiles(std::move(times));
+      }
+    }
+  }
+
+  const Evidence& evidence_;
+  const BranchLimits& limits_;
+  const BranchTolerances& tolerances_;
+  std::map<std::uint64_t, CallHistory> calls_;
+  std::map<std::string, RunHistory> runs_;
+  BranchJudgement judgement_;
+};
+
+}  // namespace
+
+BranchLimits BranchLimits::fromView(const configuration::View& view) {
+  BranchLimits limits;
+  for (const auto& [name, tenant] : view.tenants) {
+    for (const auto& [kind, branch] :
+         {std::pair{Stream, tenant.stream_branch}, std::pair{OneShot, tenant.one_shot_branch}}) {
+      limits.branches[{name, kind}] = branch;
+      limits.slots[branch] = view.branches.at(branch).slots;
+    }
+  }
+  return limits;
+}
+
+BranchJudgement judgeBranches(const Evidence& evidence, const BranchLimits& limits,
+                              const BranchTolerances& tolerances, const CrowdTime& crowd) {
+  return BranchJudge(evidence, limits, tolerances).result(crowd);
+}
+
+}  // namespace switchsaddle::laboratory
--- a/libraries/laboratory/source/judge.cc
+++ b/libraries/laboratory/source/judge.cc
@@ -246,6 +246,10 @@
       return "silent-end";
     case Rule::OverLimit:
       return "over-limit";
+    case Rule::RefusedInside:
+      return "refused-inside";
+    case Rule::TooManyRetries:
+      return "too-many-retries";
   }
   return "unknown";
 }
--- a/libraries/laboratory/source/load_plan.cc
+++ b/libraries/laboratory/source/load_plan.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <sstream>
 
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/laboratory/json_fields.h"
@@ -53,6 +55,42 @@
   return rate;
 }
 
+double LoadPlan::crowdFactor(const std::string& tenant, double at_s) const {
+  double factor = 1;
+  for (const Crowd& crowd : crowds) {
+    const bool meant = crowd.tenant.empty() || crowd.tenant == tenant;
+    factor *= meant && at_s >= crowd.from_s && at_s < crowd.to_s ? crowd.factor : 1;
+  }
+  return factor;
+}
+
+double LoadPlan::nextCrowdChange(double at_s) const {
+  double next = std::numeric_limits<double>::infinity();
+  for (const Crowd& crowd : crowds) {
+    for (const double change : {crowd.from_s, crowd.to_s}) {
+      next = change > at_s ? std::min(next, change) : next;
+    }
+  }
+  return next;
+}
+
+Crowd parseCrowd(const std::string& text) {
+  std::istringstream stream(text);
+  Crowd crowd;
+  char first = 0;
+  char second = 0;
+  std::getline(stream, crowd.tenant, ':');
+  stream >> crowd.factor >> first >> crowd.from_s >> second >> crowd.to_s;
+  const bool whole = stream && stream.peek() == std::istringstream::traits_type::eof();
+  const bool valid = whole && first == ':' && second == ':' && crowd.factor > 0 &&
+                     crowd.from_s >= 0 && crowd.to_s > crowd.from_s;
+  if (!valid) {
+    throw base::Error(base::ResultCode::InvalidValue, "not TENANT:FACTOR:FROM:TO: " + text);
+  }
+  crowd.tenant = crowd.tenant == "all" ? "" : crowd.tenant;
+  return crowd;
+}
+
 LoadPlan parseLoadPlan(const std::string& text) {
   const boost::json::object object = parseObject(text);
   LoadPlan plan;
@@ -78,13 +116,7 @@
 
 ArrivalGenerator::ArrivalGenerator(LoadPlan plan, std::uint64_t seed)
     : plan_(std::move(plan)), seed_(seed), random_(seed) {
-  double rate = 0;
-  for (std::size_t index = 0; index < plan_.tenants.size(); ++index) {
-    rate += plan_.tenants[index].streams_per_s;
-    flows_.push_back(Flow{index, CallKind::Stream, rate});
-    rate += plan_.tenants[index].one_shots_per_s;
-    flows_.push_back(Flow{index, CallKind::OneShot, rate});
-  }
+  setRates();
   double popularity = 0;
   for (std::uint32_t family = 0; family < plan_.prefix_families; ++family) {
     popularity += 1.0 / std::pow(family + 1.0, plan_.prefix_zipf);
@@ -92,6 +124,20 @@
   }
 }
 
+void ArrivalGenerator::setRates() {
+  flows_.clear();
+  double rate = 0;
+  for (std::size_t index = 0; index < plan_.tenants.size(); ++index) {
+    const LoadTenant& tenant = plan_.tenants[index];
+    const double factor = plan_.crowdFactor(tenant.name, elapsed_s_);
+    rate += factor * tenant.streams_per_s;
+    flows_.push_back(Flow{index, CallKind::Stream, rate});
+    rate += factor * tenant.one_shots_per_s;
+    flows_.push_back(Flow{index, CallKind::OneShot, rate});
+  }
+  rates_until_s_ = plan_.nextCrowdChange(elapsed_s_);
+}
+
 double ArrivalGenerator::exponential(double mean) {
   return -mean * std::log(1.0 - random_.uniform());
 }
@@ -113,7 +159,14 @@
 }
 
 Arrival ArrivalGenerator::next() {
-  elapsed_s_ += exponential(1.0 / plan_.requestsPerSecond());
+  double at_s = elapsed_s_ + exponential(1.0 / flows_.back().cumulated_rate);
+  while (at_s >= rates_until_s_) {
+    // Arrivals have no memory: the wait begins anew under the new rates.
+    elapsed_s_ = rates_until_s_;
+    setRates();
+    at_s = elapsed_s_ + exponential(1.0 / flows_.back().cumulated_rate);
+  }
+  elapsed_s_ = at_s;
   const Flow& flow = drawFlow();
   Arrival arrival;
   arrival.at =
--- a/libraries/laboratory/source/one_shot_run.cc
+++ b/libraries/laboratory/source/one_shot_run.cc
@@ -21,6 +21,7 @@
     }
   });
   if (ticket_ == SlotQueue::Refused) {
+    worker_.note("refused", Kind, "", identity_, 0, 0);
     writer_->respond(worker_.refusal(503, identity_.request_id, "queue full"));
     worker_.forget(shared_from_this());
   }
--- a/libraries/laboratory/source/stand_in_worker.cc
+++ b/libraries/laboratory/source/stand_in_worker.cc
@@ -132,19 +132,20 @@
   writer->respond(std::move(response));
 }
 
-bool StandInWorker::struckAtOnce(const http::Request& request,
+bool StandInWorker::struckAtOnce(const http::Request& request, const char* kind,
                                  const http::ResponseWriterPtr& writer) {
   if (!state_->fault.take(FaultMode::Refuse)) {
     return false;
   }
-  const std::string request_id(request.header("Request-Id"));
-  writer->respond(state_->refusal(503, request_id, "refused"));
+  const RequestIdentity identity = parseIdentity(request);
+  state_->note("refused", kind, "", identity, 0, 0);
+  writer->respond(state_->refusal(503, identity.request_id, "refused"));
   return true;
 }
 
 void StandInWorker::handleStream(const http::Request& request,
                                  const http::ResponseWriterPtr& writer) {
-  if (struckAtOnce(request, writer)) {
+  if (struckAtOnce(request, "stream", writer)) {
     return;
   }
   StreamRequest stream = parseStream(request, *state_);
@@ -164,7 +165,7 @@
 
 void StandInWorker::handleOneShot(const http::Request& request,
                                   const http::ResponseWriterPtr& writer) {
-  if (struckAtOnce(request, writer)) {
+  if (struckAtOnce(request, "one-shot", writer)) {
     return;
   }
   const boost::json::object body = parseObject(request.body);
--- a/libraries/laboratory/source/stream_run.cc
+++ b/libraries/laboratory/source/stream_run.cc
@@ -36,6 +36,7 @@
   });
   if (ticket_ == SlotQueue::Refused) {
     closed_ = true;
+    worker_.note("refused", Kind, "", request_.identity, 0, 0);
     writer_->respond(worker_.refusal(503, request_.identity.request_id, "queue full"));
     worker_.forget(shared_from_this());
   }
--- a/libraries/laboratory/test/load_plan_test.cc
+++ b/libraries/laboratory/test/load_plan_test.cc
@@ -74,5 +74,31 @@
   }
 }
 
+TEST(LoadPlan, ACrowdMultipliesOneTenantsArrivalsForATime) {
+  LoadPlan plan;
+  plan.tenants = {LoadTenant{"calm", "", 10, 0, "", {"m"}},
+                  LoadTenant{"loud", "", 10, 0, "", {"m"}}};
+  plan.crowds = {parseCrowd("loud:10:20:40")};
+  ArrivalGenerator generator(plan, 1);
+  std::map<std::pair<std::size_t, int>, int> counts;
+  for (Arrival arrival = generator.next(); arrival.at < std::chrono::seconds(60);
+       arrival = generator.next()) {
+    const auto part = static_cast<int>(arrival.at / std::chrono::seconds(20));
+    ++counts[{arrival.tenant, part}];
+  }
+  for (int part = 0; part < 3; ++part) {
+    const int expected = part == 1 ? 2'000 : 200;
+    EXPECT_NEAR((counts[{0, part}]), 200, 70);
+    EXPECT_NEAR((counts[{1, part}]), expected, expected / 3);
+  }
+}
+
+TEST(LoadPlan, RefusesAMalformedCrowd) {
+  for (const char* text : {"", "t", "t:10", "t:10:5:5", "t:0:1:2", "t:2:1:2x"}) {
+    EXPECT_THROW(parseCrowd(text), base::Error) << text;
+  }
+  EXPECT_EQ(parseCrowd("all:2:1:3").tenant, "");
+}
+
 }  // namespace
 }  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/scenarios/include/switchsaddle/scenarios/simulated_front.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <memory>
+
+#include "switchsaddle/front/front_node.h"
+#include "switchsaddle/scenarios/simulated_workers.h"
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::scenarios {
+
+/** A simulated machine on which a front runs, is killed, and runs again as a new process. */
+class SimulatedFront {
+ public:
+  SimulatedFront(simulation::World& world, simulation::Network& network, SimulatedWorkers& workers,
+                 configuration::Settings settings);
+
+  void start();
+  /** The connections to its workers are closed with it. */
+  void kill();
+  bool running() const { return life_ != nullptr; }
+  simulation::Process& process() { return process_; }
+  const base::NodeAddress& address() const { return settings_.peer_address; }
+  /** The node of the present life; only while running. */
+  front::FrontNode& node() { return *life_->node; }
+
+ private:
+  /** All that dies with the process. */
+  struct Life {
+    std::unique_ptr<transport::Transport> transport;
+    std::unique_ptr<transport::PeerCalls> calls;
+    std::unique_ptr<base::RandomSource> random;
+    std::unique_ptr<journal::Journal> journal;
+    std::unique_ptr<front::WorkerPort> workers;
+    std::unique_ptr<front::FrontNode> node;
+  };
+
+  simulation::World& world_;
+  simulation::Network& network_;
+  SimulatedWorkers& workers_;
+  configuration::Settings settings_;
+  simulation::Process process_;
+  std::unique_ptr<Life> life_;
+};
+
+}  // namespace switchsaddle::scenarios
--- a/programs/lab/load_command.cc
+++ b/programs/lab/load_command.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "commands.h"
 #include "switchsaddle/base/error.h"
@@ -27,6 +28,7 @@
   int seconds = 30;
   std::uint64_t seed = 1;
   bool direct = false;
+  std::vector<std::string> crowds;
 };
 
 laboratory::LoadTargets readTargets(const LoadArguments& arguments) {
@@ -49,6 +51,9 @@
 
 void runLoad(const LoadArguments& arguments) {
   auto plan = laboratory::parseLoadPlan(laboratory::readTextFile(arguments.load));
+  for (const std::string& crowd : arguments.crowds) {
+    plan.crowds.push_back(laboratory::parseCrowd(crowd));
+  }
   if (std::filesystem::exists(arguments.record)) {
     throw base::Error(base::ResultCode::InvalidValue, arguments.record + " exists already");
   }
@@ -81,6 +86,8 @@
   command->add_option("--seconds", arguments->seconds, "How long requests arrive");
   command->add_option("--seed", arguments->seed, "Seed of the arrivals; keys hold it");
   command->add_flag("--direct", arguments->direct, "Straight to the workers, without the fronts");
+  command->add_option("--crowd", arguments->crowds,
+                      "TENANT:FACTOR:FROM:TO: a tenant, or all, many times as often for a time");
   command->callback([arguments] { runLoad(*arguments); });
 }
 
