--- a/libraries/front/source/one_shot_flow.cc
+++ b/libraries/front/source/one_shot_flow.cc
@@ -22,7 +22,11 @@
 
 OneShotFlow::OneShotFlow(const OneShotEnvironment& environment) : environment_(environment) {}
 
-OneShotFlow::~OneShotFlow() = default;
+OneShotFlow::~OneShotFlow() {
+  for (const std::shared_ptr<OneShotRun>& run : runs_) {
+    run->abandon();
+  }
+}
 
 void OneShotFlow::run(OneShotRequest request, OneShotCallback callback) {
   const auto run = std::make_shared<OneShotRun>(*this, std::move(request), std::move(callback));
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -109,10 +109,6 @@
 }
 
 void OneShotRun::acquireSlot() {
-  if (slot_) {
-    dispatch();
-    return;
-  }
   state_ = State::AwaitingSlot;
   environment_.slots.acquire(request_.branch,
                              [weak = weak_from_this()](admission::SlotOutcome outcome) {
@@ -229,6 +225,7 @@
 
 void OneShotRun::retryOrWithhold() {
   state_ = State::Recording;
+  const admission::SlotHoldPtr unused_slot = std::move(slot_);
   flow_.record(
       finishOf(ClaimState::NotRun),
       [weak = weak_from_this()](const wire::ClaimReply& reply) {
@@ -265,6 +262,8 @@
 
 void OneShotRun::withhold(ResultCode code, std::uint32_t retry_after_ms) {
   state_ = State::Recording;
+  // Nothing runs and nothing will: the slot is not kept while the core can't be reached.
+  const admission::SlotHoldPtr unused_slot = std::move(slot_);
   flow_.record(
       finishOf(ClaimState::NotRun),
       [weak = weak_from_this(), code, retry_after_ms](const wire::ClaimReply& reply) {
@@ -311,6 +310,12 @@
       RecordTries);
 }
 
+void OneShotRun::abandon() {
+  state_ = State::Over;
+  deadline_timer_->disable();
+  poll_timer_->disable();
+}
+
 void OneShotRun::leaveWorker() {
   const auto found = flow_.in_flight_.find(worker_.entry.id);
   if (found != flow_.in_flight_.end() && --found->second == 0) {
--- a/libraries/front/test/one_shot_flow_test.cc
+++ b/libraries/front/test/one_shot_flow_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <deque>
+
 #include <algorithm>
 
 #include "fakes.h"
@@ -282,5 +284,73 @@
   EXPECT_EQ(beliefs.draining.size(), 1U);
 }
 
+TEST_F(OneShotFlowTest, KeepsNoSlotWhileAnEndIsBeingRecorded) {
+  run();
+  workers.sent[0].head();
+  workers.sent[0].bytes("1");
+  claims.held = true;
+  workers.sent[0].observer->onComplete();
+  EXPECT_EQ(*slots.in_use, 0);
+  claims.release();
+  claims.records.clear();
+  session.now = sessions::SessionState::Lapsed;
+  claims.before_begin_answer = [this] { claims.held = true; };
+  run();
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_EQ(*slots.in_use, 0);
+  EXPECT_EQ(claims.held_answers.size(), 1U);
+}
+
+/** One slot, which goes to the next in line in the instant it is given back. */
+class HandedOverSlot : public admission::SlotBroker {
+ public:
+  void acquire(const std::string& /*branch*/,
+               std::function<void(admission::SlotOutcome)> callback) override {
+    waiting_.push_back(std::move(callback));
+    if (!taken_) {
+      giveNext();
+    }
+  }
+
+ private:
+  class Hold : public admission::SlotHold {
+   public:
+    explicit Hold(HandedOverSlot& slot) : slot_(slot) {}
+    ~Hold() override {
+      slot_.taken_ = false;
+      slot_.giveNext();
+    }
+
+   private:
+    HandedOverSlot& slot_;
+  };
+
+  void giveNext() {
+    if (waiting_.empty()) {
+      return;
+    }
+    const auto next = std::move(waiting_.front());
+    waiting_.pop_front();
+    taken_ = true;
+    next({base::ResultCode::Ok, std::make_unique<Hold>(*this), 0});
+  }
+
+  std::deque<std::function<void(admission::SlotOutcome)>> waiting_;
+  bool taken_ = false;
+};
+
+TEST_F(OneShotFlowTest, DispatchesNothingWhileItEnds) {
+  HandedOverSlot slot;
+  flow = std::make_unique<OneShotFlow>(OneShotEnvironment{process, world.random(), claims, slot,
+                                                          session, workers, beliefs, retries,
+                                                          circuit, counters});
+  run();
+  claims.records.clear();
+  run();
+  ASSERT_EQ(workers.sent.size(), 1U);
+  flow.reset();
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
 }  // namespace
 }  // namespace switchsaddle::front
