Spread retries in time and allow for the chance in a front's load

Each front spends at the height of its own load. A front now relies on its first tries less their root, and may within one second retry a tenth of that second's first tries and one more, so that a crowd's earnings are no burst after it.

--- a/libraries/front/include/switchsaddle/front/retry_budget.h
+++ b/libraries/front/include/switchsaddle/front/retry_budget.h
@@ -23,12 +23,13 @@
   static constexpr base::Duration Slice = std::chrono::milliseconds(100);
   /** By how much first tries leave the window early, as each front's load goes up and down. */
   static constexpr base::Duration Headroom = std::chrono::milliseconds(500);
+  /** Within this time retries may be one more than their share, so that none pile up. */
+  static constexpr base::Duration ShortWindow = std::chrono::seconds(1);
 
   explicit RetryBudget(base::Dispatcher& dispatcher) : dispatcher_(dispatcher) {}
 
   void countFirstTry(const std::string& service);
-  /** Counts a retry and returns true where retries + 1 <= share * first tries; else counts nothing.
-   */
+  /** Counts a retry and returns true where it stays within the share; else counts nothing. */
   bool trySpend(const std::string& service, double share);
 
  private:
@@ -45,6 +46,9 @@
     Counts retries;
   };
 
+  /** First tries that may be relied on while the load goes up and down by chance. */
+  static double dependable(std::uint64_t first_tries);
+  std::uint64_t countWithin(const Counts& counts, base::Duration age) const;
   void count(Counts& counts);
   void expire(Counts& counts, base::Duration age);
 
--- a/libraries/front/source/retry_budget.cc
+++ b/libraries/front/source/retry_budget.cc
@@ -1,5 +1,7 @@
 #include "switchsaddle/front/retry_budget.h"
 
+#include <cmath>
+
 namespace switchsaddle::front {
 
 void RetryBudget::countFirstTry(const std::string& service) {
@@ -12,14 +14,36 @@
   ServiceCounts& counts = services_[service];
   expire(counts.first_tries, Window - Headroom);
   expire(counts.retries, Window + Slice);
-  const double allowed = share * static_cast<double>(counts.first_tries.total);
-  if (static_cast<double>(counts.retries.total + 1) > allowed) {
+  const double allowed = share * dependable(counts.first_tries.total);
+  const double allowed_now =
+      share * static_cast<double>(countWithin(counts.first_tries, ShortWindow));
+  const bool within = static_cast<double>(counts.retries.total + 1) <= allowed;
+  const bool spread = static_cast<double>(countWithin(counts.retries, ShortWindow)) <= allowed_now;
+  if (!within || !spread) {
     return false;
   }
   count(counts.retries);
   return true;
 }
 
+double RetryBudget::dependable(std::uint64_t first_tries) {
+  // Independent arrivals vary by the root of their number. Small counts lose enough by rounding.
+  constexpr std::uint64_t SmallCount = 40;
+  const auto counted = static_cast<double>(first_tries);
+  return first_tries <= SmallCount ? counted : counted - std::sqrt(counted);
+}
+
+std::uint64_t RetryBudget::countWithin(const Counts& counts, base::Duration age) const {
+  std::uint64_t within = 0;
+  for (auto slice = counts.slices.rbegin(); slice != counts.slices.rend(); ++slice) {
+    if (dispatcher_.now() - slice->start >= age) {
+      break;
+    }
+    within += slice->count;
+  }
+  return within;
+}
+
 void RetryBudget::count(Counts& counts) {
   const base::TimePoint now = dispatcher_.now();
   if (counts.slices.empty() || now - counts.slices.back().start >= Slice) {
--- a/libraries/front/test/limits_test.cc
+++ b/libraries/front/test/limits_test.cc
@@ -45,6 +45,24 @@
   EXPECT_FALSE(budget.trySpend("orders", 0.1));
 }
 
+TEST_F(LimitsTest, WhatACrowdEarnedIsNotSpentAsABurst) {
+  RetryBudget budget(process);
+  for (int second = 0; second < 9; ++second) {
+    for (int count = 0; count < 100; ++count) {
+      budget.countFirstTry("orders");
+    }
+    world.runFor(std::chrono::seconds(1));
+  }
+  for (int count = 0; count < 20; ++count) {
+    budget.countFirstTry("orders");
+  }
+  int spent = 0;
+  while (budget.trySpend("orders", 0.1)) {
+    ++spent;
+  }
+  EXPECT_EQ(spent, 3) << "a tenth of the last second's, and one";
+}
+
 TEST_F(LimitsTest, TheCircuitLetsOneProbeThrough) {
   WorkerCircuit circuit(process);
   workers::Worker worker;
