Count wipes and disk faults together, and wait for a settled set

Both now keep one bound of two impaired cores, one of them without its state, as the troubles did before.

The recovery run took a core that votes for one whose admission is done; it votes from the joint set on. Two more cores killed then are, with the lost one, three of the five former members, which the joint set's quorum rightly does without. It now waits for the settled set.

--- a/libraries/scenarios/include/switchsaddle/scenarios/disk_troubles.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/disk_troubles.h
@@ -24,6 +24,8 @@
 
   /** Brings about the next fault; a fault for which no core is fit is left out. */
   void injectNext();
+  /** Whether one more core may lose its state without a majority being impaired. */
+  bool oneMoreMayLoseState() { return chooseCore(true, true) != nullptr; }
   /** Takes back what is injected and still due. */
   void end();
   std::size_t injected() const { return injected_; }
--- a/libraries/scenarios/source/configuration_scenario.cc
+++ b/libraries/scenarios/source/configuration_scenario.cc
@@ -215,6 +215,9 @@
   if (wiped_ != nullptr && !fleet_.admitted(*wiped_)) {
     return;
   }
+  if (disk_troubles_ && !disk_troubles_->oneMoreMayLoseState()) {
+    return;
+  }
   SimulatedCore& core = *fleet_.cores[fleet_.world.random().below(fleet_.cores.size())];
   if (!fleet_.admitted(core)) {
     return;
--- a/scripts/control-run.py
+++ b/scripts/control-run.py
@@ -183,7 +183,7 @@
     return time.monotonic() - begin
 
 
-def wait_serving(fleet, operator, limit=25.0):
+def wait_serving(fleet, operator, limit=60.0):
     """Seconds until every front is ready, holds the newest acknowledged version and has run a
     one-shot."""
     begin = time.monotonic()
@@ -286,7 +286,7 @@
     return seen
 
 
-def wait_members(fleet, operator, without, limit=25.0):
+def wait_members(fleet, operator, without, limit=60.0):
     """Waits until the replaced core has left the settled set, and each running core votes."""
     begin = time.monotonic()
     while time.monotonic() < begin + limit:
@@ -294,7 +294,7 @@
         for name, address in fleet.addresses("core").items():
             if address != without:
                 status, body = request(address, "GET", "/v1/status", timeout=1.0)
-                votes += 1 if status == 200 and may_vote(body) else 0
+                votes += 1 if status == 200 and votes_in_settled_set(body) else 0
         if votes == 5:
             report("seconds until the wiped and the new core are members",
                    seconds=round(time.monotonic() - begin, 2))
@@ -303,8 +303,9 @@
     raise Failure(f"the new cores were not admitted: {core_statuses(fleet)}")
 
 
-def may_vote(status):
-    return status["storage"]["may_vote"]
+def votes_in_settled_set(status):
+    """While the set is joint its former members, the lost one among them, still count."""
+    return status["storage"]["may_vote"] and not status["core_set"]["previous"]
 
 
 def leases(fleet):
