--- a/libraries/scenarios/source/configuration_scenario.cc
+++ b/libraries/scenarios/source/configuration_scenario.cc
@@ -16,6 +16,9 @@
 
 /** How often each front is looked at. */
 constexpr base::Duration LookInterval = milliseconds(5);
+/** Part of the faults that befall disks, where these are asked for. */
+constexpr double DiskFaultShare = 0.7;
+
 base::Duration randomDuration(base::RandomSource& random, base::Duration shortest,
                               base::Duration longest) {
   const auto span = static_cast<std::uint64_t>((longest - shortest).count());
@@ -92,6 +95,10 @@
   for (const auto& one : fleet_.operators) {
     one->start();
   }
+  if (options_.disk_faults) {
+    disk_troubles_ = std::make_unique<DiskTroubles>(
+        fleet_, [this](auto delay, auto action) { later(delay, std::move(action)); });
+  }
   runUnderTrouble();
   recover();
   checkChanges();
@@ -117,7 +124,13 @@
 
 void ConfigurationScenario::injectFault() {
   ++result_.faults;
-  switch (fleet_.world.random().below(6)) {
+  if (disk_troubles_ && fleet_.world.random().chance(DiskFaultShare)) {
+    disk_troubles_->injectNext();
+    return;
+  }
+  // The disk troubles keep count of the disks they empty themselves.
+  const std::uint64_t kinds = disk_troubles_ ? 5 : 6;
+  switch (fleet_.world.random().below(kinds)) {
     case 0:
     case 1:
       killCores();
@@ -129,10 +142,10 @@
       cutSome();
       break;
     case 4:
-      wipeOne();
+      killFront();
       break;
     default:
-      killFront();
+      wipeOne();
       break;
   }
 }
@@ -232,6 +245,10 @@
 
 void ConfigurationScenario::healAll() {
   calm_ = true;
+  if (disk_troubles_) {
+    result_.disk_faults = disk_troubles_->injected();
+    disk_troubles_->end();
+  }
   fleet_.network.healAll();
   fleet_.network.conditions.loss = 0;
   for (const auto& core : fleet_.cores) {
--- a/programs/lab/commands.h
+++ b/programs/lab/commands.h
@@ -14,5 +14,10 @@
 void addLoadCommand(CLI::App& app);
 void addJudgeCommand(CLI::App& app);
 void addExperimentCommand(CLI::App& app);
+void addHollowCommand(CLI::App& app);
+void addChangesCommand(CLI::App& app);
+void addClaimsCommand(CLI::App& app);
+void addSlopesCommand(CLI::App& app);
+void addFuzzCommand(CLI::App& app);
 
 }  // namespace switchsaddle::lab
