--- a/libraries/configuration/source/register_value.cc
+++ b/libraries/configuration/source/register_value.cc
@@ -1,13 +1,10 @@
 #include "switchsaddle/configuration/register_value.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
-#include <sstream>
 
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/base/hash.h"
+#include "switchsaddle/wire/stored_record.h"
 
 namespace switchsaddle::configuration {
 
@@ -109,6 +106,15 @@
   return decision;
 }
 
+/** Throws base::Error with RecordCorrupt. */
+void verifyChecksum(const std::string& bytes) {
+  const std::string_view all(bytes);
+  if (all.size() < ChecksumSize ||
+      checksumOf(all.substr(ChecksumSize)) != all.substr(0, ChecksumSize)) {
+    throw base::Error(ResultCode::RecordCorrupt, "the configuration fails its checksum");
+  }
+}
+
 }  // namespace
 
 template <class Archive>
@@ -127,13 +133,9 @@
 }
 
 std::string encodeRegisterValue(const RegisterValue& value) {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(RegisterFormat, value.document.version, entriesOf(value.document), value.recorded,
-            value.history);
-  }
-  const std::string body = std::move(stream).str();
+  const std::string body =
+      wire::writeRecord(RegisterFormat, value.document.version, entriesOf(value.document),
+                        value.recorded, value.history);
   return checksumOf(body) + body;
 }
 
@@ -142,20 +144,11 @@
   if (bytes.empty()) {
     return value;
   }
-  const std::string_view all(bytes);
-  if (all.size() < ChecksumSize ||
-      checksumOf(all.substr(ChecksumSize)) != all.substr(0, ChecksumSize)) {
-    throw base::Error(ResultCode::RecordCorrupt, "the configuration fails its checksum");
-  }
+  verifyChecksum(bytes);
   std::uint16_t format = 0;
   std::vector<wire::ConfigurationEntry> entries;
-  try {
-    std::istringstream stream(bytes.substr(ChecksumSize));
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(format, value.document.version, entries, value.recorded, value.history);
-  } catch (const std::exception& exception) {
-    throw base::Error(ResultCode::RecordCorrupt, exception.what());
-  }
+  wire::readRecord(bytes.substr(ChecksumSize), format, value.document.version, entries,
+                   value.recorded, value.history);
   if (format != RegisterFormat) {
     throw base::Error(ResultCode::RecordCorrupt, "the configuration is of another format");
   }
@@ -166,6 +159,28 @@
   return value;
 }
 
+std::uint64_t decodeRegisterVersion(const std::string& bytes) {
+  if (bytes.empty()) {
+    return 0;
+  }
+  verifyChecksum(bytes);
+  // The archive's mark of its byte order, the format and the version.
+  constexpr std::size_t HeadBytes = 1 + sizeof(std::uint16_t) + sizeof(std::uint64_t);
+  std::uint16_t format = 0;
+  std::uint64_t version = 0;
+  try {
+    std::istringstream stream(bytes.substr(ChecksumSize, HeadBytes));
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(format, version);
+  } catch (const std::exception& exception) {
+    throw base::Error(ResultCode::RecordCorrupt, exception.what());
+  }
+  if (format != RegisterFormat) {
+    throw base::Error(ResultCode::RecordCorrupt, "the configuration is of another format");
+  }
+  return version;
+}
+
 ChangeDecision decideChange(const RegisterValue& present, const Change& change) {
   if (const RecordedChange* recorded = present.findRecorded(change.change_id)) {
     return repeatRecorded(present, change, *recorded);
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -1,10 +1,12 @@
 #include "switchsaddle/front/caller_service.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "caller_answers.h"
 #include "caller_sinks.h"
+#include "routing_page.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/configuration/json_writer.h"
 #include "switchsaddle/front/request_parser.h"
@@ -17,9 +19,16 @@
 
 constexpr std::string_view CompletionsPath = "/v1/chat/completions";
 constexpr std::string_view OneShotsPath = "/v1/one-shots";
+/** Resources that this front answers by itself, to GET alone. */
+constexpr std::array<std::string_view, 6> PlainPaths{"/",        "/healthz",    "/readyz",
+                                                     "/metrics", "/v1/routing", "/v1/beliefs"};
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr std::size_t LongestIdempotencyKey = 255;
 constexpr std::uint32_t DefaultRetryAfterMs = 1'000;
+/** The page brings everything with it and asks this front alone. */
+constexpr const char* PagePolicy =
+    "default-src 'none'; style-src 'unsafe-inline'; script-src 'unsafe-inline'; "
+    "img-src data:; connect-src 'self'";
 
 std::string secretHash(const http::Request& request) {
   const std::string_view authorization = request.header("Authorization");
@@ -65,6 +74,16 @@
   writer.endObject();
 }
 
+/** The settings of ADR-0021 in force, under the names it gives them. */
+void writeTuning(configuration::JsonWriter& writer, const configuration::Tuning& tuning) {
+  writer.name("tuning").beginObject();
+  writer.name("route-explore-share").number(tuning.route_explore_share);
+  writer.name("route-weight-alpha").number(tuning.route_weight_alpha);
+  writer.name("route-stats-half-life").number(tuning.route_stats_half_life_s);
+  writer.name("route-min-sample-tokens").unsignedInteger(tuning.route_min_sample_tokens);
+  writer.endObject();
+}
+
 }  // namespace
 
 CallerService::CallerService(CallerDependencies dependencies)
@@ -73,6 +92,7 @@
 void CallerService::enqueue(http::Request request, http::ResponseWriterPtr writer) {
   if (waiting_.fetch_add(1) >= QueueBound) {
     waiting_.fetch_sub(1);
+    queue_refusals_.fetch_add(1);
     const bool one_shot = http::targetPath(request.target) == OneShotsPath;
     const Outcome outcome = one_shot ? Outcome::Unknown : Outcome::NotRun;
     writer->respond(errorAnswer(ResultCode::QueueFull, {outcome, DefaultRetryAfterMs, {}, {}}));
@@ -100,8 +120,10 @@
     const std::string_view path = http::targetPath(request.target);
     if (path == CompletionsPath) {
       details.outcome = Outcome::NotRun;
+      dependencies_.counters.countRequest("stream", "not-run", error.code());
     } else if (path == OneShotsPath) {
       details.outcome = Outcome::Unknown;
+      dependencies_.counters.countRequest("one-shot", "unknown", error.code());
     }
     writer->respond(errorAnswer(error.code(), details));
   }
@@ -190,9 +212,13 @@
         if (alive.expired()) {
           return;
         }
-        dependencies_.one_shots.run(one_shot, [writer, ticket](const OneShotAnswer& answer) {
-          writer->respond(oneShotAnswer(answer));
-        });
+        dependencies_.one_shots.run(
+            one_shot, [this, alive, one_shot, writer, ticket](const OneShotAnswer& answer) {
+              if (!alive.expired()) {
+                countOneShot(one_shot, answer);
+              }
+              writer->respond(oneShotAnswer(answer));
+            });
       });
   if (!queued) {
     throw base::Error(ResultCode::QueueFull, "");
@@ -201,8 +227,16 @@
 
 http::Response CallerService::plainAnswer(const http::Request& request,
                                           std::string_view path) const {
-  if (request.method != "GET") {
-    throw base::Error(ResultCode::UnknownPath, "");
+  const bool known = std::find(PlainPaths.begin(), PlainPaths.end(), path) != PlainPaths.end();
+  if (known && request.method != "GET") {
+    throw base::Error(ResultCode::MethodNotAllowed, "");
+  }
+  if (path == "/") {
+    http::Response response;
+    response.headers.push_back({"Content-Type", "text/html; charset=utf-8"});
+    response.headers.push_back({"Content-Security-Policy", PagePolicy});
+    response.body = routingPage();
+    return response;
   }
   if (path == "/healthz") {
     return jsonAnswer("{\"status\":\"ok\"}");
@@ -213,8 +247,8 @@
   }
   if (path == "/metrics") {
     http::Response response;
-    response.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-    response.body = dependencies_.counters.toPrometheusText();
+    response.headers.push_back({"Content-Type", metrics::ContentType});
+    response.body = dependencies_.metrics();
     return response;
   }
   if (path == "/v1/routing") {
@@ -226,6 +260,22 @@
   throw base::Error(ResultCode::UnknownPath, "");
 }
 
+void CallerService::countOneShot(const OneShotRequest& request, const OneShotAnswer& answer) {
+  dependencies_.counters.countRequest("one-shot", outcomeName(answer.outcome), answer.code);
+  if (answer.outcome != Outcome::Unknown || dependencies_.incidents == nullptr) {
+    return;
+  }
+  base::Incident incident;
+  incident.event = "one-shot-unknown";
+  incident.severity = base::Severity::Warning;
+  incident.code = answer.code;
+  incident.request_id = request.caller_request_id;
+  incident.fields = {{"tenant", request.tenant},
+                     {"service", request.service},
+                     {"idempotency_key", request.idempotency_key}};
+  dependencies_.incidents->report(incident);
+}
+
 http::Response CallerService::routingTable(const http::Request& request) const {
   std::vector<std::string> models{http::queryParameter(request.target, "model")};
   if (models.front().empty()) {
@@ -235,7 +285,10 @@
     }
   }
   configuration::JsonWriter writer;
-  writer.beginObject().name("rows").beginArray();
+  writer.beginObject();
+  writer.name("node").raw(dependencies_.node_report());
+  writeTuning(writer, dependencies_.beliefs.configuration()->tuning);
+  writer.name("rows").beginArray();
   for (const std::string& model : models) {
     for (const routing::RoutingRow& row : dependencies_.router.table(model)) {
       writeRow(writer, row);
--- a/libraries/routing/include/switchsaddle/routing/route_statistics.h
+++ b/libraries/routing/include/switchsaddle/routing/route_statistics.h
@@ -23,6 +23,8 @@
   double seconds_per_prefill_token = 0;
   /** Time for each output token after the first. */
   double seconds_per_output_token = 0;
+  /** How much the prefill rate counts against a full sample: a short prefill says little of it. */
+  double prefill_weight = 1;
 };
 
 /**
@@ -45,6 +47,8 @@
   ArmStatus status(base::TimePoint now, base::TimePoint epoch_start, double half_life_s) const;
   /** Demotes the arm until it is measured again; its mean stays as a prior. */
   void markStale() { forced_stale_ = true; }
+  /** The worker behind the arm is another instance: the mean stays as a prior, without mass. */
+  void startInstance() { mass_ = 0; }
   const SpeedSample& mean() const { return mean_; }
   std::uint64_t samples() const { return samples_; }
   bool measured() const { return measured_; }
--- a/libraries/routing/source/route_statistics.cc
+++ b/libraries/routing/source/route_statistics.cc
@@ -7,17 +7,21 @@
 
 namespace {
 
+/** Most weight the old mean has against a new sample, so that it follows a worker that changes; the
+ * mass itself has no such bound. */
+constexpr double MaximumWeight = 16.0;
+
 double secondsOf(base::Duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
 
 double weighted(double first, double first_weight, double second, double second_weight) {
+  if (second == 0 || second_weight == 0) {
+    return first;
+  }
   if (first == 0) {
     return second;
   }
-  if (second == 0) {
-    return first;
-  }
   return (first * first_weight + second * second_weight) / (first_weight + second_weight);
 }
 
@@ -26,8 +30,9 @@
   SpeedSample mean;
   mean.tokens_per_second =
       weighted(first.tokens_per_second, first_weight, second.tokens_per_second, second_weight);
-  mean.seconds_per_prefill_token = weighted(first.seconds_per_prefill_token, first_weight,
-                                            second.seconds_per_prefill_token, second_weight);
+  mean.seconds_per_prefill_token =
+      weighted(first.seconds_per_prefill_token, first_weight, second.seconds_per_prefill_token,
+               second_weight * second.prefill_weight);
   mean.seconds_per_output_token = weighted(first.seconds_per_output_token, first_weight,
                                            second.seconds_per_output_token, second_weight);
   return mean;
@@ -61,7 +66,7 @@
 
 void RouteStatistics::add(const SpeedSample& sample, base::TimePoint now, double half_life_s) {
   decayTo(now, half_life_s);
-  mean_ = weightedMean(mean_, mass_, sample, 1.0);
+  mean_ = weightedMean(mean_, std::min(mass_, MaximumWeight), sample, 1.0);
   mass_ += 1.0;
   ++samples_;
   measured_ = true;
@@ -75,7 +80,7 @@
     return;
   }
   decayTo(now, half_life_s);
-  mean_ = weightedMean(mean_, mass_, mean, mass);
+  mean_ = weightedMean(mean_, std::min(mass_, MaximumWeight), mean, std::min(mass, MaximumWeight));
   mass_ = std::max(mass_, mass);
   const base::TimePoint measured_at = now - age;
   if (!measured_ || measured_at > measured_at_) {
--- a/libraries/routing/test/learned_router_test.cc
+++ b/libraries/routing/test/learned_router_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 #include "switchsaddle/simulation/process.h"
@@ -171,6 +172,8 @@
   finish(*first, 50);
   int returned = 0;
   for (int index = 0; index < 50; ++index) {
+    // One prompt a second: a chain that comes faster is spread over further homes.
+    world_.runFor(seconds(1));
     const std::optional<Placement> next = router_.choose(prompt, route_, {});
     returned += next->arm == first->arm ? 1 : 0;
     finish(*next, 50);
@@ -178,6 +181,25 @@
   EXPECT_GE(returned, 45);
 }
 
+TEST_F(LearnedRouterTest, SpreadsAChainThatWouldFillItsHome) {
+  addWorkers(6);
+  for (int index = 0; index < 60; ++index) {
+    finish(*place(), 50);
+  }
+  const Prompt prompt{"m", {{"system", 4000}}, 4100, 100};
+  std::map<std::string, int> placed;
+  for (int index = 0; index < 200; ++index) {
+    world_.runFor(milliseconds(100));
+    const std::optional<Placement> placement = router_.choose(prompt, route_, {});
+    ++placed[placement->arm];
+    finish(*placement, 50);
+  }
+  // Ten prompts a second of two seconds each need more than one worker of eight slots.
+  const auto shared = std::count_if(placed.begin(), placed.end(),
+                                    [](const auto& item) { return item.second >= 20; });
+  EXPECT_GE(shared, 2);
+}
+
 TEST_F(LearnedRouterTest, TableGivesCoefficientsAndShares) {
   addWorkers(2);
   finish(*place({"w1"}), 60);
@@ -203,6 +225,46 @@
   EXPECT_EQ(rowOf("w1")->status, "unsampled");
 }
 
+TEST_F(LearnedRouterTest, AReturnedInstanceKeepsItsMeanButNoMass) {
+  addWorkers(2);
+  for (int index = 0; index < 20; ++index) {
+    finish(*place({"w1"}), 50);
+  }
+  world_.runFor(seconds(1));
+  workers_["w0"].entry.instance = 2;
+  publish();
+  EXPECT_EQ(rowOf("w0")->status, "stale");
+  EXPECT_DOUBLE_EQ(rowOf("w0")->tokens_per_second, 50);
+  EXPECT_EQ(rowOf("w0")->mass, 0);
+  world_.runFor(seconds(3));
+  finish(*place({"w1"}), 30);
+  EXPECT_EQ(rowOf("w0")->status, "proven");
+  EXPECT_NEAR(rowOf("w0")->tokens_per_second, 30, 1e-6);
+}
+
+TEST_F(LearnedRouterTest, ExportsABoundedNumberOfScoresThoseOfColdWorkersFirst) {
+  constexpr int Many = 80;
+  addWorkers(Many);
+  std::vector<std::string> others;
+  for (int index = 0; index < Many; ++index) {
+    others.push_back("w" + std::to_string(index));
+  }
+  addWorkers(Many + 1);
+  const std::string cold = "w" + std::to_string(Many);
+  finish(*place(others), 50);
+  for (int index = 0; index < Many; ++index) {
+    std::vector<std::string> excluded = others;
+    excluded.erase(excluded.begin() + index);
+    excluded.push_back(cold);
+    world_.runFor(milliseconds(1));
+    finish(*place(excluded), 50);
+  }
+  const std::vector<wire::RouteScore> scores = router_.exportScores();
+  ASSERT_EQ(scores.size(), LearnedRouter::MaximumExportedScores);
+  EXPECT_EQ(scores[0].arm, cold);
+  EXPECT_EQ(scores[1].arm, "w" + std::to_string(Many - 1));
+}
+
 TEST_F(LearnedRouterTest, FailedStreamsMakeTheArmStale) {
   addWorkers(2);
   finish(*place({"w1"}), 50);
--- a/libraries/transport/source/tcp_outgoing.h
+++ b/libraries/transport/source/tcp_outgoing.h
@@ -11,6 +11,12 @@
 
 namespace switchsaddle::transport {
 
+/** A frame that waits for its connection, and what to call it should the peer refuse. */
+struct QueuedFrame {
+  std::string bytes;
+  RefusedEnvelope envelope;
+};
+
 /**
  * The connection to one peer with its queue. Each attempt has its own number, so that the handlers
  * of an earlier one find themselves outdated.
@@ -21,13 +27,14 @@
       : shared_(std::move(shared)),
         peer_(std::move(peer)),
         socket_(shared_->strand),
-        connect_timer_(shared_->strand) {}
+        connect_timer_(shared_->strand),
+        idle_timer_(shared_->strand) {}
 
-  void send(std::string frame) {
-    queued_bytes_ += frame.size();
+  void send(QueuedFrame frame) {
+    queued_bytes_ += frame.bytes.size();
     queue_.push_back(std::move(frame));
     while (queued_bytes_ > shared_->options.queue_bytes && !queue_.empty()) {
-      queued_bytes_ -= queue_.front().size();
+      queued_bytes_ -= queue_.front().bytes.size();
       queue_.pop_front();
       ++shared_->counters.frames_dropped;
     }
@@ -48,6 +55,7 @@
     ++attempt_;
     state_ = State::Closed;
     connect_timer_.cancel();
+    idle_timer_.cancel();
     error_code ignored;
     socket_.close(ignored);
     writing_ = false;
@@ -103,11 +111,8 @@
     connect_timer_.cancel();
     if (error == boost::asio::error::connection_refused || (!error && connectedToItself())) {
       close();
-      dropQueue();
       ++shared_->counters.refused_connections;
-      if (shared_->receiver != nullptr) {
-        shared_->receiver->onRefused(peer_);
-      }
+      refuseQueue();
       return;
     }
     if (error) {
@@ -119,6 +124,25 @@
     state_ = State::Connected;
     watch();
     write();
+    awaitIdleness();
+  }
+
+  /** Closes the connection once nothing was sent in a whole period. */
+  void awaitIdleness() {
+    used_ = false;
+    idle_timer_.expires_after(shared_->options.idle_timeout);
+    idle_timer_.async_wait(
+        [self = shared_from_this(), attempt = attempt_](const error_code& failure) {
+          if (failure || self->outdated(attempt)) {
+            return;
+          }
+          const bool in_use = self->used_ || self->writing_ || !self->queue_.empty();
+          if (in_use) {
+            self->awaitIdleness();
+          } else {
+            self->close();
+          }
+        });
   }
 
   /** Linux joins a socket to itself where the peer's port is free and happens to be chosen. */
@@ -146,32 +170,34 @@
     std::size_t bytes = 0;
     auto frames = std::make_shared<std::vector<std::string>>();
     while (!queue_.empty() && frames->size() < GatheredFrames && bytes < GatheredBytes) {
-      bytes += queue_.front().size();
-      frames->push_back(std::move(queue_.front()));
+      bytes += queue_.front().bytes.size();
+      frames->push_back(std::move(queue_.front().bytes));
       queue_.pop_front();
     }
     queued_bytes_ -= bytes;
     writing_ = true;
+    used_ = true;
     std::vector<boost::asio::const_buffer> buffers;
     for (const std::string& frame : *frames) {
       buffers.push_back(boost::asio::buffer(frame));
     }
     boost::asio::async_write(socket_, buffers,
                              [self = shared_from_this(), attempt = attempt_, frames](
-                                 const error_code& error, std::size_t) {
+                                 const error_code& error, std::size_t written) {
                                if (!self->outdated(attempt)) {
-                                 self->onWritten(error, frames->size());
+                                 self->onWritten(error, frames->size(), written);
                                }
                              });
   }
 
-  void onWritten(const error_code& error, std::size_t frames) {
+  void onWritten(const error_code& error, std::size_t frames, std::size_t bytes) {
     if (error) {
       shared_->counters.frames_dropped += frames;
       onLost();
       return;
     }
     shared_->counters.frames_sent += frames;
+    shared_->counters.bytes_sent += bytes;
     writing_ = false;
     write();
   }
@@ -184,21 +210,35 @@
     }
   }
 
-  void dropQueue() {
+  std::deque<QueuedFrame> dropQueue() {
     shared_->counters.frames_dropped += queue_.size();
-    queue_.clear();
     queued_bytes_ = 0;
+    return std::exchange(queue_, {});
+  }
+
+  /** What the receiver sends anew while it is told goes on another attempt. */
+  void refuseQueue() {
+    const auto kept = shared_from_this();
+    for (const QueuedFrame& frame : dropQueue()) {
+      if (shared_->receiver == nullptr) {
+        return;
+      }
+      shared_->receiver->onRefused(peer_, frame.envelope);
+    }
   }
 
   std::shared_ptr<Shared> shared_;
   base::NodeAddress peer_;
   tcp::socket socket_;
   boost::asio::steady_timer connect_timer_;
+  boost::asio::steady_timer idle_timer_;
   State state_ = State::Closed;
   std::uint64_t attempt_ = 0;
-  std::deque<std::string> queue_;
+  std::deque<QueuedFrame> queue_;
   std::size_t queued_bytes_ = 0;
   bool writing_ = false;
+  /** Something was sent since the idle timer was last set. */
+  bool used_ = false;
   char watched_byte_ = 0;
 };
 
