--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -40,6 +40,12 @@
   std::uint64_t instance = 0;
   /** In place of the broker of the ledgers at the core; for tests. */
   admission::SlotBroker* slots = nullptr;
+  /** In place of the claims at the core; for tests that show what these prevent. */
+  claims::ClaimClient* claims = nullptr;
+  /** In place of this front's session where work is let in and dispatched; likewise. */
+  const sessions::SessionClient* serving_session = nullptr;
+  /** Whether streams are checked for gaps, repeats and joined runs; likewise. */
+  bool check_sequence = true;
 };
 
 /**
@@ -78,6 +84,8 @@
   void observeRefused(const workers::Worker& worker) override;
 
   admission::SlotBroker& slots();
+  claims::ClaimClient& claims();
+  const sessions::SessionClient& servingSession() const;
   void connectParts();
   void onConfiguration(const dissemination::ViewPtr& view);
   void refreshPeers();
--- a/libraries/front/include/switchsaddle/front/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot_flow.h
@@ -78,8 +78,9 @@
  * slot → check the session → dispatch on a fresh connection → record the end in the claim → answer.
  *
  * Invariants: a byte goes to a worker only while this run holds the claim in flight, and only once
- * for each run; NotRun is recorded and told only where no byte was sent; whatever may have been
- * sent and has no matching answer is Unknown for good. The slot is taken after the claim, so that a
+ * for each run; NotRun is recorded and told only where no byte was sent or the
+ * worker refused this very attempt with Not-Run; whatever else may have been sent and has no
+ * matching answer is Unknown for good. The slot is taken after the claim, so that a
  * refusal for want of slots can promise that the key has not run. Runs on the control strand; the
  * callback runs exactly once unless the flow is destroyed before.
  */
--- a/libraries/front/include/switchsaddle/front/request_parser.h
+++ b/libraries/front/include/switchsaddle/front/request_parser.h
@@ -9,10 +9,9 @@
 
 /** The body of POST /v1/chat/completions. */
 struct CompletionBody {
-  /** maximum_tokens is 0 where the caller set no max_tokens. */
   routing::Prompt prompt;
   bool stream = false;
-  /** The body for the worker, always asking for a stream. */
+  /** The body for the worker, always asking for a stream and holding max_tokens. */
   std::string worker_body;
 };
 
@@ -27,9 +26,10 @@
   std::uint64_t fingerprint = 0;
 };
 
-/** Parses the body; throws base::Error with MalformedJson, UnknownField, MissingField or
- * InvalidValue and the path of the first fault. */
-CompletionBody parseCompletionBody(const std::string& body);
+/** Parses the body, in which `default_maximum_tokens` stands in for an absent max_tokens; throws
+ * base::Error with MalformedJson, UnknownField, MissingField or InvalidValue and the path of the
+ * first fault. */
+CompletionBody parseCompletionBody(const std::string& body, std::uint32_t default_maximum_tokens);
 
 /** As parseCompletionBody(), for one-shots. */
 OneShotBody parseOneShotBody(const std::string& body);
--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -77,6 +77,8 @@
   WorkerCircuit& circuit;
   Counters& counters;
   StreamStages& stages;
+  /** False only in tests that show what the check prevents. */
+  bool check_sequence = true;
 };
 
 class StreamRun;
--- a/libraries/front/include/switchsaddle/front/worker_port.h
+++ b/libraries/front/include/switchsaddle/front/worker_port.h
@@ -48,6 +48,8 @@
   std::optional<WorkerLoad> load;
   std::uint32_t cached_tokens = 0;
   bool draining = false;
+  /** The worker says that it refused the request before anything ran. */
+  bool not_run = false;
 };
 
 /** How far a request had come when it failed. */
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -130,7 +130,7 @@
   const std::shared_ptr<const configuration::View> view = dependencies_.beliefs.configuration();
   checkServing();
   const configuration::Tenant& tenant = authenticate(*view, request);
-  CompletionBody body = parseCompletionBody(request.body);
+  CompletionBody body = parseCompletionBody(request.body, tenant.shape.maximum_tokens);
   if (view->routeOfModel(body.prompt.model) == nullptr) {
     throw base::Error(ResultCode::UnknownModel, "", "model");
   }
@@ -144,9 +144,6 @@
   stream.shape = tenant.shape;
   stream.caller_request_id = request.header("Request-Id");
   stream.prompt = std::move(body.prompt);
-  if (stream.prompt.maximum_tokens == 0) {
-    stream.prompt.maximum_tokens = tenant.shape.maximum_tokens;
-  }
   stream.body = std::move(body.worker_body);
   std::shared_ptr<StreamSink> sink;
   if (body.stream) {
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -56,15 +56,15 @@
           [this] { return session_.coreAddresses(); }, admission::SlotBrokerOptions{}),
       retries_(environment.dispatcher),
       circuit_(environment.dispatcher),
-      streams_(StreamEnvironment{environment.dispatcher, environment.random, slots(), session_,
-                                 router_, environment.workers, *this, retries_, circuit_, counters_,
-                                 stages_}),
-      one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims_, slots(),
-                                    session_, environment.workers, *this, retries_, circuit_,
-                                    counters_}),
+      streams_(StreamEnvironment{environment.dispatcher, environment.random, slots(),
+                                 servingSession(), router_, environment.workers, *this, retries_,
+                                 circuit_, counters_, stages_, environment.check_sequence}),
+      one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims(), slots(),
+                                    servingSession(), environment.workers, *this, retries_,
+                                    circuit_, counters_}),
       control_(environment.calls, [this] { return session_.coreAddresses(); }),
       service_(CallerDependencies{
-          environment.dispatcher, session_, *this, router_, streams_, one_shots_, control_,
+          environment.dispatcher, servingSession(), *this, router_, streams_, one_shots_, control_,
           counters_, environment.settings.operator_hashes, [this] { return beliefReport(); }}) {
   connectParts();
 }
@@ -78,6 +78,20 @@
   return ledger_slots_;
 }
 
+claims::ClaimClient& FrontNode::claims() {
+  if (environment_.claims != nullptr) {
+    return *environment_.claims;
+  }
+  return claims_;
+}
+
+const sessions::SessionClient& FrontNode::servingSession() const {
+  if (environment_.serving_session != nullptr) {
+    return *environment_.serving_session;
+  }
+  return session_;
+}
+
 void FrontNode::connectParts() {
   replica_.addListener([this](const dissemination::ViewPtr& view) { onConfiguration(view); });
   directory_.addListener(
--- a/libraries/front/source/http_worker_port.cc
+++ b/libraries/front/source/http_worker_port.cc
@@ -125,6 +125,7 @@
   parsed.load = parseLoad(head.header("Worker-Load"));
   parsed.cached_tokens = parseCount(head.header("Cached-Tokens"));
   parsed.draining = head.header("Worker-State") == "draining";
+  parsed.not_run = head.header("Not-Run") == "true";
   return parsed;
 }
 
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -182,8 +182,11 @@
   if (head.draining) {
     environment_.beliefs.observeDraining(worker_);
   }
-  head_matches_ = head.request_id == run_ && head.status == StatusOk;
-  if (!head_matches_) {
+  const bool ours = head.request_id == run_;
+  head_matches_ = ours && head.status == StatusOk;
+  if (ours && head.not_run && head.status != StatusOk) {
+    endNotRun();
+  } else if (!head_matches_) {
     endUnknown();
   }
 }
@@ -222,6 +225,10 @@
     endUnknown();
     return;
   }
+  endNotRun();
+}
+
+void OneShotRun::endNotRun() {
   excluded_.insert(worker_.entry.id);
   leaveWorker();
   retryOrWithhold();
--- a/libraries/front/source/request_parser.cc
+++ b/libraries/front/source/request_parser.cc
@@ -150,7 +150,7 @@
 
 }  // namespace
 
-CompletionBody parseCompletionBody(const std::string& body) {
+CompletionBody parseCompletionBody(const std::string& body, std::uint32_t default_maximum_tokens) {
   JsonValue object = parseObject(body);
   refuseUnknown(object, CompletionFields, "");
   CompletionBody parsed;
@@ -162,9 +162,9 @@
   if (const JsonValue* stream = object.find("stream")) {
     parsed.stream = stream->boolean;
   }
-  if (const JsonValue* maximum = object.find("max_tokens")) {
-    parsed.prompt.maximum_tokens = requireCount(*maximum, 1, "max_tokens");
-  }
+  const JsonValue* maximum = object.find("max_tokens");
+  parsed.prompt.maximum_tokens =
+      maximum == nullptr ? default_maximum_tokens : requireCount(*maximum, 1, "max_tokens");
   parsed.prompt.prefix_parts = readPrefixParts(object.find("prefix_parts"));
   std::uint64_t tokens = bytes / BytesPerToken;
   for (const routing::PrefixPart& part : parsed.prompt.prefix_parts) {
@@ -176,6 +176,10 @@
   streaming.kind = JsonKind::Boolean;
   streaming.boolean = true;
   setMember(object, "stream", std::move(streaming));
+  JsonValue token_limit;
+  token_limit.kind = JsonKind::Integer;
+  token_limit.integer = parsed.prompt.maximum_tokens;
+  setMember(object, "max_tokens", std::move(token_limit));
   parsed.worker_body = object.canonical();
   return parsed;
 }
--- a/libraries/front/source/stream_run.cc
+++ b/libraries/front/source/stream_run.cc
@@ -68,7 +68,8 @@
     : flow_(flow),
       environment_(flow.environment_),
       request_(std::move(request)),
-      sink_(std::move(sink)) {}
+      sink_(std::move(sink)),
+      relay_(streams::RelayMachine::DefaultMaximumOutstanding, environment_.check_sequence) {}
 
 void StreamRun::start() {
   deadline_timer_ = environment_.dispatcher.createTimer([this] {
--- a/libraries/front/test/caller_service_test.cc
+++ b/libraries/front/test/caller_service_test.cc
@@ -122,6 +122,15 @@
   EXPECT_TRUE(writer->ended);
 }
 
+TEST_F(CallerServiceTest, TheWorkerIsToldTheShapesLimitWhereTheCallerSetsNone) {
+  beliefs.view.tenants["editors"].shape.maximum_tokens = 321;
+  send("POST", "/v1/chat/completions", chat + "\"stream\":true}");
+  send("POST", "/v1/chat/completions", chat + "\"stream\":true,\"max_tokens\":12}");
+  ASSERT_EQ(workers.sent.size(), 2U);
+  EXPECT_NE(workers.sent[0].request.body.find("\"max_tokens\":321"), std::string::npos);
+  EXPECT_NE(workers.sent[1].request.body.find("\"max_tokens\":12"), std::string::npos);
+}
+
 TEST_F(CallerServiceTest, CollectsAWholeRunAndNothingLess) {
   const auto whole = send("POST", "/v1/chat/completions", chat + "\"stream\":false}");
   workers.sent[0].head();
@@ -238,7 +247,7 @@
 TEST(RequestParser, NamesThePathOfTheFault) {
   try {
     parseCompletionBody(
-        R"({"model":"m","messages":[{"role":"u","content":""}],"prefix_parts":[{"id":"a"}]})");
+        R"({"model":"m","messages":[{"role":"u","content":""}],"prefix_parts":[{"id":"a"}]})", 100);
     FAIL();
   } catch (const base::Error& error) {
     EXPECT_EQ(error.code(), ResultCode::MissingField);
@@ -250,7 +259,8 @@
   http::Response head;
   head.headers = {{"Request-Id", "q"},     {"Run", "r"},
                   {"Cached-Tokens", "12"}, {"Worker-Load", "running=3,queued=1,slots=8"},
-                  {"Versions", "v2"},      {"Worker-State", "draining"}};
+                  {"Versions", "v2"},      {"Worker-State", "draining"},
+                  {"Not-Run", "true"}};
   const WorkerHead parsed = parseWorkerHead(head);
   EXPECT_EQ(parsed.request_id, "q");
   EXPECT_EQ(parsed.run, "r");
@@ -259,6 +269,7 @@
   EXPECT_EQ(parsed.load->queued, 1U);
   EXPECT_EQ(parsed.load->slots, 8U);
   EXPECT_TRUE(parsed.draining);
+  EXPECT_TRUE(parsed.not_run);
   EXPECT_FALSE(parseWorkerHead(http::Response{}).load);
 }
 
--- /dev/null
+++ b/libraries/front/test/chaos_workers.cc
@@ -0,0 +1,161 @@
+#include "chaos_workers.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::Duration VeryLate = std::chrono::seconds(9);
+
+/** What goes wrong with one request; the first for one-shots, the second for streams. */
+enum class Fault : std::uint8_t {
+  Lost,
+  Late,
+  CrossedOrRepeat,
+  DoubledOrGap,
+  LostUnrunOrChangedRun,
+  CutOrSilentClose,
+  StallOrCut,
+  None,
+};
+
+Fault drawFault(base::RandomSource& random, double each) {
+  for (int fault = 0; fault < static_cast<int>(Fault::None); ++fault) {
+    if (random.chance(each)) {
+      return static_cast<Fault>(fault);
+    }
+  }
+  return Fault::None;
+}
+
+std::string pieceEvent(std::uint64_t id, const std::string& run, std::uint64_t text) {
+  const std::string number = std::to_string(id);
+  return "id: " + number + "\ndata: {\"run\":\"" + run + "\",\"index\":" + number + ",\"text\":\"" +
+         std::to_string(text) + "\"}\n\n";
+}
+
+std::string doneEvent(std::uint64_t count) {
+  return "id: " + std::to_string(count) + "\ndata: [DONE]\n\n";
+}
+
+WorkerHead headOf(const std::string& request_id, const std::string& run) {
+  WorkerHead head;
+  head.status = 200;
+  head.request_id = request_id;
+  head.run = run;
+  return head;
+}
+
+}  // namespace
+
+void ChaosWorkers::tell(const Call& call, const std::shared_ptr<WorkerObserver>& observer,
+                        base::Duration delay, std::function<void(WorkerObserver&)> action) {
+  front_.postAfter(delay, [call, observer, action = std::move(action)] {
+    if (!call->cancelled) {
+      action(*observer);
+    }
+  });
+}
+
+WorkerCallPtr ChaosWorkers::send(const WorkerRequest& request,
+                                 std::shared_ptr<WorkerObserver> observer) {
+  auto call = std::make_shared<FakeWorkers::Call>();
+  const bool stream = request.idempotency_key.empty();
+  const base::Duration delay = milliseconds(world_.random().below(60));
+  if (world_.random().chance(rates_.refused)) {
+    tell(call, observer, delay,
+         [](WorkerObserver& to) { to.onFailure(WorkerFailure::NotSent, true); });
+    return call;
+  }
+  ledger_.attempts.push_back({world_.now(), stream, request.caller_request_id});
+  if (world_.random().chance(rates_.not_run)) {
+    WorkerHead head = headOf(request.request_id, "");
+    head.status = 503;
+    head.not_run = true;
+    tell(call, observer, delay, [head](WorkerObserver& to) { to.onHead(head); });
+  } else if (stream) {
+    runStream(request, call, observer);
+  } else {
+    runOneShot(request, call, observer);
+  }
+  return call;
+}
+
+void ChaosWorkers::runOneShot(const WorkerRequest& request, const Call& call,
+                              const std::shared_ptr<WorkerObserver>& observer) {
+  const Fault fault = drawFault(world_.random(), rates_.each_fault);
+  const base::Duration delay = milliseconds(world_.random().below(400));
+  if (fault != Fault::LostUnrunOrChangedRun) {
+    worker_.postAfter(delay / 2, [this, key = request.idempotency_key] {
+      ledger_.key_runs[key].push_back(world_.now());
+    });
+  }
+  if (fault == Fault::Lost || fault == Fault::LostUnrunOrChangedRun) {
+    tell(call, observer, delay,
+         [](WorkerObserver& to) { to.onFailure(WorkerFailure::Lost, false); });
+    return;
+  }
+  if (fault == Fault::StallOrCut) {
+    return;
+  }
+  const base::Duration late = fault == Fault::Late ? VeryLate : base::Duration::zero();
+  const bool crossed = fault == Fault::CrossedOrRepeat;
+  const WorkerHead head = headOf(crossed ? "another" : request.request_id, "");
+  for (int copy = 0; copy < (fault == Fault::DoubledOrGap ? 2 : 1); ++copy) {
+    tell(call, observer, delay + late, [head](WorkerObserver& to) { to.onHead(head); });
+    if (fault == Fault::CutOrSilentClose) {
+      tell(call, observer, delay, [](WorkerObserver& to) { to.onComplete(); });
+      return;
+    }
+    tell(call, observer, delay + late, [](WorkerObserver& to) { to.onBytes("1", [] {}); });
+    tell(call, observer, delay + late, [](WorkerObserver& to) { to.onComplete(); });
+  }
+}
+
+void ChaosWorkers::runStream(const WorkerRequest& request, const Call& call,
+                             const std::shared_ptr<WorkerObserver>& observer) {
+  const Fault fault = drawFault(world_.random(), rates_.each_fault);
+  const std::string run = "run" + std::to_string(ledger_.streams.size());
+  WorkerRun& record = ledger_.streams[run];
+  ++ledger_.stream_runs_by_request[request.caller_request_id];
+  base::Duration at = milliseconds(world_.random().below(200));
+  if (fault == Fault::Lost) {
+    tell(call, observer, at, [](WorkerObserver& to) { to.onFailure(WorkerFailure::Lost, false); });
+    return;
+  }
+  at += fault == Fault::Late ? VeryLate : base::Duration::zero();
+  const WorkerHead head = headOf(request.request_id, run);
+  tell(call, observer, at, [head](WorkerObserver& to) { to.onHead(head); });
+  const std::uint64_t pieces = 1 + world_.random().below(20);
+  const std::uint64_t struck = world_.random().below(pieces);
+  std::uint64_t id = 0;
+  for (std::uint64_t piece = 0; piece < pieces; ++piece) {
+    at += milliseconds(10 + world_.random().below(30));
+    const bool now = piece == struck;
+    if (now && (fault == Fault::StallOrCut || fault == Fault::CutOrSilentClose)) {
+      const bool silent = fault == Fault::CutOrSilentClose;
+      tell(call, observer, at, [silent](WorkerObserver& to) {
+        silent ? to.onComplete() : to.onFailure(WorkerFailure::Lost, false);
+      });
+      return;
+    }
+    id += now && fault == Fault::DoubledOrGap ? 1 : 0;
+    std::string events = pieceEvent(id, run, piece);
+    events += now && fault == Fault::CrossedOrRepeat ? events : "";
+    if (now && fault == Fault::LostUnrunOrChangedRun) {
+      events = pieceEvent(id, "other-" + run, piece);
+    }
+    if (now && fault == Fault::DoubledOrGap) {
+      // The piece before the gap is lost as well, so that the text shows it.
+      events = pieceEvent(id, run, piece + 1);
+    }
+    tell(call, observer, at, [events](WorkerObserver& to) { to.onBytes(events, [] {}); });
+    ++id;
+  }
+  record.pieces = pieces;
+  record.ended = fault == Fault::None || fault == Fault::Late;
+  tell(call, observer, at, [id](WorkerObserver& to) { to.onBytes(doneEvent(id), [] {}); });
+  tell(call, observer, at, [](WorkerObserver& to) { to.onComplete(); });
+}
+
+}  // namespace switchsaddle::front
--- a/libraries/front/test/fakes.h
+++ b/libraries/front/test/fakes.h
@@ -148,6 +148,14 @@
       head.run = run;
       observer->onHead(head);
     }
+    /** A refusal that says whether something ran. */
+    void refuse(bool not_run, const std::string& request_id) const {
+      WorkerHead head;
+      head.status = 503;
+      head.request_id = request_id;
+      head.not_run = not_run;
+      observer->onHead(head);
+    }
     void bytes(const std::string& text) const {
       observer->onBytes(text, [] {});
     }
--- a/libraries/front/test/fleet_chaos_test.cc
+++ b/libraries/front/test/fleet_chaos_test.cc
@@ -30,7 +30,7 @@
       told_not_run += not_run ? 1 : 0;
       told_ran += response.body.find("\"ran\"") != std::string::npos ? 1 : 0;
     };
-    fleet.fronts[front]->node->service().enqueue(
+    fleet.fronts[front]->node().service().enqueue(
         {"POST",
          "/v1/one-shots",
          {{"Idempotency-Key", key}, {"Authorization", "Bearer secret"}},
--- a/libraries/front/test/fleet_test.cc
+++ b/libraries/front/test/fleet_test.cc
@@ -22,8 +22,7 @@
   const auto again = fleet.oneShot(1, "order-1");
   EXPECT_EQ(again->response->body, R"({"outcome":"ran","replayed":true,"answer":1})");
 
-  fleet.cores[0]->process.kill();
-  fleet.cores[0]->node.reset();
+  fleet.cores[0]->kill();
   fleet.world.runFor(std::chrono::seconds(6));
   ASSERT_TRUE(fleet.allReady());
   EXPECT_EQ(fleet.stream(0)->response->status, 200);
--- a/libraries/front/test/one_shot_flow_test.cc
+++ b/libraries/front/test/one_shot_flow_test.cc
@@ -100,6 +100,7 @@
       sent.observer->onHead(crossed);
     },
     [](const auto& sent) { sent.head(503); },
+    [](const auto& sent) { sent.refuse(true, "another"); },
     [](const auto& sent) { sent.observer->onComplete(); },
     [](const auto& sent) { sent.bytes(std::string((1U << 20U) + 1, 'x')); },
 };
@@ -164,6 +165,31 @@
   EXPECT_EQ(*slots.in_use, 0);
 }
 
+TEST_F(OneShotFlowTest, AWorkerThatRefusesBeforeRunningIsReplacedUnderANewClaim) {
+  fillBudget();
+  const auto result = run();
+  const std::string first_run = claims.records[Key].run;
+  workers.sent[0].refuse(true, workers.sent[0].request.request_id);
+  ASSERT_EQ(workers.sent.size(), 2U);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  EXPECT_NE(workers.sent[1].request.address, workers.sent[0].request.address);
+  EXPECT_NE(claims.records[Key].run, first_run);
+  EXPECT_TRUE(beliefs.refused.empty());
+  workers.sent[1].refuse(true, workers.sent[1].request.request_id);
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, ARefusalBeforeRunningIsToldOnlyOnceRecorded) {
+  fillBudget();
+  const auto result = run();
+  claims.finishes_available = false;
+  workers.sent[0].refuse(true, workers.sent[0].request.request_id);
+  EXPECT_EQ((*result)->outcome, Outcome::Unknown);
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
 TEST_F(OneShotFlowTest, WithoutBudgetARefusedWorkerIsNotReplaced) {
   const auto result = run();
   workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
--- a/libraries/front/test/simulated_fleet.h
+++ b/libraries/front/test/simulated_fleet.h
@@ -29,16 +29,19 @@
   return {"127.0.2." + std::to_string(number + 1), 1};
 }
 
-/** A platform that always lists one model worker and one ordinary worker. */
+/** A platform that always lists the same workers: so many of models, and of ordinary work. */
 class FixedPlatform : public workers::PlatformSource {
  public:
+  explicit FixedPlatform(int workers_per_pool) : workers_per_pool_(workers_per_pool) {}
+
   void read(std::function<void(workers::PlatformReading)> callback) override {
     workers::PlatformReading reading;
     reading.code = base::ResultCode::Ok;
     reading.generation = 1;
-    for (const char* pool : {"models", "ordinary"}) {
+    for (int index = 0; index < 2 * workers_per_pool_; ++index) {
+      const std::string pool = index % 2 == 0 ? "models" : "ordinary";
       wire::WorkerEntry worker;
-      worker.id = pool;
+      worker.id = pool + (index < 2 ? "" : "-" + std::to_string(index / 2 + 1));
       worker.address = {"127.0.3.1", static_cast<std::uint16_t>(reading.workers.size() + 1)};
       worker.models = {"large"};
       worker.service = pool;
@@ -47,6 +50,9 @@
     }
     callback(reading);
   }
+
+ private:
+  int workers_per_pool_;
 };
 
 /** Answers every request at once, on the front's process. */
@@ -96,7 +102,7 @@
     written(true);
   }
   void endStream() override { ended = true; }
-  void abort() override {}
+  void abort() override { aborted = true; }
   void onClientGone(std::function<void()>) override {}
 
   std::optional<http::Response> response;
@@ -104,68 +110,124 @@
   std::function<void(const http::Response&)> answered;
   std::string chunks;
   bool ended = false;
+  bool aborted = false;
 };
 
+/** A core machine, whose process may be killed and started again on its disk. */
 struct CoreProcess {
-  CoreProcess(simulation::World& world, simulation::Network& network,
-              const configuration::Settings& common, int number)
+  CoreProcess(simulation::World& core_world, simulation::Network& core_network,
+              const configuration::Settings& common, int number, int workers_per_pool)
       : settings(common),
+        world(core_world),
+        network(core_network),
         process(world),
-        transport(network.attach(coreAddress(number), process)),
-        calls(process, *transport),
-        journal(process),
         disk(world.random().next()),
-        executor(world, process),
-        store(process, disk, executor, world.random()) {
+        platform(workers_per_pool) {
     settings.peer_address = coreAddress(number);
-    node = std::make_unique<core::CoreNode>(
-        core::CoreEnvironment{process, calls, store, world.random(), journal, platform, settings});
-    node->start();
+    start();
+  }
+  void start() {
+    process.start();
+    life = std::make_unique<Life>(*this);
+    life->node.start();
+  }
+  void kill() {
+    process.kill();
+    life.reset();
+    disk.resume();
   }
+  /** What dies with the process. */
+  struct Life {
+    explicit Life(CoreProcess& core)
+        : transport(core.network.attach(core.settings.peer_address, core.process)),
+          calls(core.process, *transport),
+          journal(core.process),
+          executor(core.world, core.process),
+          store(core.process, core.disk, executor, core.world.random()),
+          node(core::CoreEnvironment{core.process, calls, store, core.world.random(), journal,
+                                     core.platform, core.settings}) {}
+    std::unique_ptr<transport::Transport> transport;
+    transport::PeerCalls calls;
+    journal::Journal journal;
+    simulation::SimulatedStorageExecutor executor;
+    storage::FileRecordStore store;
+    core::CoreNode node;
+  };
   configuration::Settings settings;
+  simulation::World& world;
+  simulation::Network& network;
   simulation::Process process;
-  std::unique_ptr<transport::Transport> transport;
-  transport::PeerCalls calls;
-  journal::Journal journal;
   simulation::SimulatedDisk disk;
-  simulation::SimulatedStorageExecutor executor;
-  storage::FileRecordStore store;
   FixedPlatform platform;
-  std::unique_ptr<core::CoreNode> node;
+  std::unique_ptr<Life> life;
 };
 
 /** Makes the workers that one front reaches. */
 using WorkerPortFactory =
     std::function<std::unique_ptr<WorkerPort>(simulation::World&, simulation::Process&)>;
 
+/** Puts test doubles into a front's environment. */
+using FrontAdjustment = std::function<void(FrontEnvironment&)>;
+
+/** A front machine, whose process may be killed and started again. */
 struct FrontProcess {
-  FrontProcess(simulation::World& world, simulation::Network& network,
+  FrontProcess(simulation::World& front_world, simulation::Network& front_network,
                const configuration::Settings& common, int number,
-               const WorkerPortFactory& make_workers)
+               const WorkerPortFactory& make_workers, FrontAdjustment front_adjustment = {})
       : settings(common),
+        world(front_world),
+        network(front_network),
         process(world),
-        transport(network.attach(frontAddress(number), process)),
-        calls(process, *transport),
-        journal(process),
-        workers(make_workers(world, process)) {
+        workers(make_workers(world, process)),
+        adjustment(std::move(front_adjustment)) {
     settings.peer_address = frontAddress(number);
-    node = std::make_unique<FrontNode>(FrontEnvironment{process, calls, world.random(), journal,
-                                                        settings, *workers, world.random().next()});
-    node->start();
+    start();
+  }
+  void start() {
+    process.start();
+    life = std::make_unique<Life>(*this);
+    life->node->start();
+  }
+  void kill() {
+    process.kill();
+    life.reset();
   }
+  bool running() const { return life != nullptr; }
+  FrontNode& node() { return *life->node; }
+  /** What dies with the process. */
+  struct Life {
+    explicit Life(FrontProcess& front)
+        : transport(front.network.attach(front.settings.peer_address, front.process)),
+          calls(front.process, *transport),
+          journal(front.process) {
+      FrontEnvironment environment{
+          front.process,  calls,          front.world.random(),       journal,
+          front.settings, *front.workers, front.world.random().next()};
+      if (front.adjustment) {
+        front.adjustment(environment);
+      }
+      node = std::make_unique<FrontNode>(environment);
+    }
+    std::unique_ptr<transport::Transport> transport;
+    transport::PeerCalls calls;
+    journal::Journal journal;
+    std::unique_ptr<FrontNode> node;
+  };
   configuration::Settings settings;
+  simulation::World& world;
+  simulation::Network& network;
   simulation::Process process;
-  std::unique_ptr<transport::Transport> transport;
-  transport::PeerCalls calls;
-  journal::Journal journal;
   std::unique_ptr<WorkerPort> workers;
-  std::unique_ptr<FrontNode> node;
+  FrontAdjustment adjustment;
+  std::unique_ptr<Life> life;
 };
 
 /** Three cores and two fronts, all real but for network, disks, platform and workers. */
 class Fleet {
  public:
-  Fleet(std::uint64_t seed, const WorkerPortFactory& make_workers) : world(seed) {
+  Fleet(std::uint64_t seed, const WorkerPortFactory& make_workers, int pool_size = 1,
+        const FrontAdjustment& adjustment = {})
+      : world(seed), workers_per_pool(pool_size) {
     configuration::Settings settings;
     settings.zone = "north";
     settings.operator_hashes = {configuration::sha256Hex("operator")};
@@ -174,18 +236,18 @@
     }
     settings.initial_cores = settings.seeds;
     for (int number = 0; number < Cores; ++number) {
-      cores.push_back(std::make_unique<CoreProcess>(world, network, settings, number));
+      cores.push_back(std::make_unique<CoreProcess>(world, network, settings, number, pool_size));
     }
     for (int number = 0; number < Fronts; ++number) {
-      fronts.push_back(
-          std::make_unique<FrontProcess>(world, network, settings, number, make_workers));
+      fronts.push_back(std::make_unique<FrontProcess>(world, network, settings, number,
+                                                      make_workers, adjustment));
     }
   }
 
   std::shared_ptr<CallerWriter> send(int front, http::Request request, const std::string& secret) {
     auto writer = std::make_shared<CallerWriter>();
     request.headers.push_back({"Authorization", "Bearer " + secret});
-    fronts[front]->node->service().enqueue(std::move(request), writer);
+    fronts[front]->node().service().enqueue(std::move(request), writer);
     world.runUntil([&] { return writer->response.has_value(); }, std::chrono::seconds(15));
     world.runFor(std::chrono::milliseconds(10));
     EXPECT_TRUE(writer->response);
@@ -223,8 +285,9 @@
         [this] {
           bool ready = true;
           for (const auto& front : fronts) {
-            ready = ready && front->node->ready() &&
-                    front->node->directory().snapshot()->workers.size() == 2;
+            ready = ready && front->running() && front->node().ready() &&
+                    static_cast<int>(front->node().directory().snapshot()->workers.size()) ==
+                        2 * workers_per_pool;
           }
           return ready;
         },
@@ -232,6 +295,7 @@
   }
 
   simulation::World world;
+  int workers_per_pool;
   simulation::Network network{world};
   std::vector<std::unique_ptr<CoreProcess>> cores;
   std::vector<std::unique_ptr<FrontProcess>> fronts;
--- /dev/null
+++ b/libraries/front/test/slow_caller_test.cc
@@ -0,0 +1,186 @@
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include "fakes.h"
+#include "switchsaddle/front/caller_service.h"
+#include "switchsaddle/front/http_worker_port.h"
+#include "switchsaddle/http/server.h"
+#include "switchsaddle/simulation/network.h"
+#include "switchsaddle/transport/asio_dispatcher.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::size_t PieceBytes = 32U << 10U;
+constexpr std::uint64_t Pieces = 2'000;
+/** Far above the kernel's socket buffers and the relay's own, far below the whole stream. */
+constexpr std::uint64_t MostUnread = 32U << 20U;
+constexpr int SmallReceiveBuffer = 64 << 10;
+
+/** A worker that writes pieces as fast as they are taken, one at a time. */
+class EagerWorker : public std::enable_shared_from_this<EagerWorker> {
+ public:
+  EagerWorker(http::ResponseWriterPtr writer, std::uint64_t& written)
+      : writer_(std::move(writer)), written_(written) {}
+  void start(const std::string& request_id) {
+    http::Response head;
+    head.headers = {
+        {"Request-Id", request_id}, {"Run", "r1"}, {"Content-Type", "text/event-stream"}};
+    writer_->startStream(std::move(head));
+    writeNext();
+  }
+
+ private:
+  void writeNext() {
+    const std::string number = std::to_string(next_);
+    if (next_ == Pieces) {
+      writer_->writeChunk("id: " + number + "\ndata: [DONE]\n\n", [](bool) {});
+      writer_->endStream();
+      return;
+    }
+    ++next_;
+    std::string event = "id: " + number + "\ndata: {\"run\":\"r1\",\"index\":" + number +
+                        ",\"text\":\"" + std::string(PieceBytes, 'x') + "\"}\n\n";
+    const std::size_t size = event.size();
+    writer_->writeChunk(std::move(event), [self = shared_from_this(), size](bool taken) {
+      self->written_ += size;
+      if (taken) {
+        self->writeNext();
+      }
+    });
+  }
+
+  http::ResponseWriterPtr writer_;
+  std::uint64_t& written_;
+  std::uint64_t next_ = 0;
+};
+
+/** A front's caller side and a worker on real sockets, in one thread. */
+class SlowCallerTest : public testing::Test {
+ protected:
+  SlowCallerTest() {
+    worker_server = http::startServer(
+        context, {"127.0.0.1", 0}, {},
+        [this](const http::Request& request, const http::ResponseWriterPtr& writer) {
+          std::make_shared<EagerWorker>(writer, written)
+              ->start(std::string(request.header("Request-Id")));
+        });
+    configuration::Tenant tenant;
+    tenant.name = "editors";
+    tenant.shape.services = {"completions"};
+    beliefs.view.tenants["editors"] = tenant;
+    const std::string hash = configuration::sha256Hex("secret");
+    beliefs.view.keys[hash] = configuration::Key{"k", hash, "editors"};
+    beliefs.view.routes["large"] =
+        configuration::Route{"large", "completions", {"large"}, "models"};
+    workers::Worker& worker = beliefs.addWorker("w1", "models");
+    worker.entry.address = worker_server->address();
+    router.workers = {worker};
+    front_server = http::startServer(context, {"127.0.0.1", 0}, {},
+                                     [this](http::Request request, http::ResponseWriterPtr writer) {
+                                       service.enqueue(std::move(request), std::move(writer));
+                                     });
+  }
+  void connect() {
+    const base::NodeAddress front = front_server->address();
+    caller.open(tcp::v4());
+    caller.set_option(boost::asio::socket_base::receive_buffer_size(SmallReceiveBuffer));
+    caller.connect({boost::asio::ip::make_address(front.ip), front.port});
+    const std::string body =
+        R"({"model":"large","stream":true,"messages":[{"role":"user","content":"hi"}]})";
+    boost::asio::write(caller,
+                       boost::asio::buffer("POST /v1/chat/completions HTTP/1.1\r\nHost: front\r\n"
+                                           "Authorization: Bearer secret\r\nContent-Length: " +
+                                           std::to_string(body.size()) + "\r\n\r\n" + body));
+  }
+  /** Runs until nothing more happens for a while; a machine that is slow only ends it early. */
+  void runUntilStill() {
+    std::uint64_t before = 0;
+    do {
+      before = written;
+      context.restart();
+      context.run_for(std::chrono::milliseconds(200));
+    } while (written != before && written < Pieces * PieceBytes);
+  }
+  /** Reads until the final chunk, serving meanwhile. */
+  std::string readAll() {
+    std::string text;
+    std::array<char, 64U << 10U> buffer{};
+    bool open = true;
+    std::function<void()> read = [&] {
+      caller.async_read_some(boost::asio::buffer(buffer),
+                             [&](const boost::system::error_code& error, std::size_t size) {
+                               text.append(buffer.data(), size);
+                               most_unread = std::max(most_unread, written - taken(text.size()));
+                               open = !error && !text.ends_with("0\r\n\r\n");
+                               if (open) {
+                                 read();
+                               }
+                             });
+    };
+    read();
+    context.restart();
+    while (open && context.run_one() > 0) {
+    }
+    return text;
+  }
+  std::uint64_t taken(std::uint64_t read) const { return std::min(read, written); }
+
+  boost::asio::io_context context{1};
+  transport::AsioDispatcher dispatcher{context};
+  std::unique_ptr<http::Client> client = http::createClient(context);
+  HttpWorkerPort port{dispatcher, *client};
+  simulation::World world{1};
+  simulation::Process idle_process{world};
+  simulation::Network network{world};
+  std::unique_ptr<transport::Transport> transport = network.attach({"127.0.0.9", 1}, idle_process);
+  transport::PeerCalls calls{idle_process, *transport};
+  FakeClaims claims;
+  FakeSlots slots;
+  FakeSession session;
+  FakeRouter router;
+  FakeBeliefs beliefs;
+  RetryBudget retries{dispatcher};
+  WorkerCircuit circuit{dispatcher};
+  Counters counters;
+  StreamStages stages;
+  StreamFlow streams{StreamEnvironment{dispatcher, world.random(), slots, session, router, port,
+                                       beliefs, retries, circuit, counters, stages}};
+  OneShotFlow one_shots{OneShotEnvironment{dispatcher, world.random(), claims, slots, session, port,
+                                           beliefs, retries, circuit, counters}};
+  ControlForwarder control{calls, [] { return std::vector<base::NodeAddress>{}; }};
+  CallerService service{CallerDependencies{
+      dispatcher, session, beliefs, router, streams, one_shots, control, counters, {}, [] {
+        return std::string("{}");
+      }}};
+  std::uint64_t written = 0;
+  std::uint64_t most_unread = 0;
+  std::unique_ptr<http::Server> worker_server;
+  std::unique_ptr<http::Server> front_server;
+  tcp::socket caller{context};
+};
+
+TEST_F(SlowCallerTest, SlowsItsWorkerAndLosesNothing) {
+  connect();
+  runUntilStill();
+  // The caller has read nothing: what the worker could write stands in bounded buffers.
+  EXPECT_LT(written, MostUnread);
+  const std::string text = readAll();
+  EXPECT_LT(most_unread, MostUnread);
+  EXPECT_GT(written, Pieces * PieceBytes);
+  EXPECT_NE(text.find("data: [DONE]"), std::string::npos);
+  std::size_t at = 0;
+  for (std::uint64_t index = 0; index < Pieces; ++index) {
+    at = text.find("id: " + std::to_string(index) + "\n", at);
+    ASSERT_NE(at, std::string::npos) << "piece " << index << " is missing";
+  }
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/traffic_scenario.cc
@@ -0,0 +1,477 @@
+#include "traffic_scenario.h"
+
+#include <algorithm>
+
+namespace switchsaddle::front {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int Keys = 60;
+constexpr int RequestsOfKey = 4;
+constexpr int Streams = 300;
+constexpr int WorkersPerPool = 4;
+constexpr int LoadMs = 20'000;
+constexpr int Disturbances = 40;
+/** Of one-shots whose front is killed or frozen while they are claimed or run. */
+constexpr double StrikeChance = 0.06;
+constexpr base::Duration RevocationLimit = seconds(2);
+constexpr base::Duration RetryWindow = seconds(10);
+constexpr double RetryShare = 0.1;
+/** Rounding of the budgets' slices of time. */
+constexpr base::Duration RetrySlack = milliseconds(300);
+
+/** A worker's lost requests told as not sent: the mechanism off. */
+class LossForgetter : public WorkerPort {
+ public:
+  explicit LossForgetter(std::unique_ptr<WorkerPort> inner) : inner_(std::move(inner)) {}
+  WorkerCallPtr send(const WorkerRequest& request,
+                     std::shared_ptr<WorkerObserver> observer) override {
+    return inner_->send(request, std::make_shared<Forgetful>(std::move(observer)));
+  }
+
+ private:
+  class Forgetful : public WorkerObserver {
+   public:
+    explicit Forgetful(std::shared_ptr<WorkerObserver> inner) : inner_(std::move(inner)) {}
+    void onHead(const WorkerHead& head) override { inner_->onHead(head); }
+    void onBytes(std::string bytes, std::function<void()> resume) override {
+      inner_->onBytes(std::move(bytes), std::move(resume));
+    }
+    void onComplete() override { inner_->onComplete(); }
+    void onFailure(WorkerFailure /*failure*/, bool refused) override {
+      inner_->onFailure(WorkerFailure::NotSent, refused);
+    }
+
+   private:
+    std::shared_ptr<WorkerObserver> inner_;
+  };
+  std::unique_ptr<WorkerPort> inner_;
+};
+
+/** Claims that every attempt wins: the mechanism off. */
+class NoClaims : public claims::ClaimClient {
+ public:
+  void begin(const wire::ClaimBegin& /*request*/, claims::ClaimCallback callback) override {
+    callback(won());
+  }
+  void finish(const wire::ClaimFinish& /*request*/, claims::ClaimCallback callback) override {
+    callback(won());
+  }
+
+ private:
+  static wire::ClaimReply won() {
+    wire::ClaimReply reply;
+    reply.available = true;
+    reply.won = true;
+    return reply;
+  }
+};
+
+std::string trafficConfiguration(double retry_share) {
+  const auto key = [](const std::string& secret) {
+    return R"({"sha256": ")" + configuration::sha256Hex(secret) + R"(", "tenant": "editors"})";
+  };
+  return R"({"change_id":"c0","base_version":0,"document":{
+    "shapes/chat": {"services": ["completions", "orders"], "first_token_ms": 30000,
+                    "stream_deadline_ms": 15000},
+    "tenants/editors": {"shape": "chat", "stream_branch": "root", "one_shot_branch": "root"},
+    "share/root": {"slots": 500},
+    "routes/large": {"service": "completions", "models": ["large"], "pool": "models"},
+    "routes/orders": {"service": "orders", "pool": "ordinary"},
+    "tuning/retry-share": )" +
+         std::to_string(retry_share) + R"(,
+    "keys/lasting": )" +
+         key("lasting") + R"(,
+    "keys/revoked": )" +
+         key("revoked") + "}}";
+}
+
+bool tells(const CallerWriter& writer, const std::string& outcome) {
+  return writer.response &&
+         writer.response->body.find("\"outcome\":\"" + outcome + "\"") != std::string::npos;
+}
+
+/** The value of each `name":"` in a text, in order. */
+std::vector<std::string> valuesOf(const std::string& text, const std::string& name) {
+  std::vector<std::string> values;
+  const std::string mark = "\"" + name + "\":\"";
+  for (std::size_t at = text.find(mark); at != std::string::npos; at = text.find(mark, at)) {
+    at += mark.size();
+    values.push_back(text.substr(at, text.find('"', at) - at));
+  }
+  return values;
+}
+
+}  // namespace
+
+bool TrafficResult::found(const std::string& rule) const {
+  return std::any_of(violations.begin(), violations.end(),
+                     [&rule](const std::string& text) { return text.starts_with(rule + ":"); });
+}
+
+TrafficScenario::TrafficScenario(std::uint64_t seed, const TrafficOptions& options)
+    : options_(options) {
+  static NoClaims no_claims;
+  fleet_ = std::make_unique<Fleet>(
+      seed,
+      [this](simulation::World& world, simulation::Process& front) -> std::unique_ptr<WorkerPort> {
+        if (!worker_) {
+          worker_ = std::make_unique<simulation::Process>(world);
+        }
+        auto workers =
+            std::make_unique<ChaosWorkers>(world, *worker_, front, ledger_, options_.faults);
+        if (options_.lost_is_unknown) {
+          return workers;
+        }
+        return std::make_unique<LossForgetter>(std::move(workers));
+      },
+      WorkersPerPool,
+      [this](FrontEnvironment& environment) {
+        environment.claims = options_.claims ? nullptr : &no_claims;
+        environment.serving_session = options_.session_check ? nullptr : &always_serving_;
+        environment.check_sequence = options_.sequence_check;
+      });
+}
+
+TrafficResult TrafficScenario::run() {
+  EXPECT_TRUE(fleet_->allReady());
+  EXPECT_EQ(fleet_->change(0, trafficConfiguration(options_.retry_share)), 200);
+  schedule();
+  fleet_->world.runFor(milliseconds(LoadMs + 1'000));
+  healAll();
+  fleet_->world.runFor(seconds(40));
+  judge();
+  return result_;
+}
+
+void TrafficScenario::schedule() {
+  simulation::World& world = fleet_->world;
+  for (int index = 0; index < Keys * RequestsOfKey; ++index) {
+    // The requests of one key are near each other, so that they meet each other in flight.
+    const auto base_ms = static_cast<int>((index % Keys) * (LoadMs - 4'000) / Keys);
+    const auto at = milliseconds(base_ms + static_cast<int>(world.random().below(4'000)));
+    world.schedule(at, [this, index] { sendOneShot(index); });
+  }
+  for (int index = 0; index < Streams; ++index) {
+    world.schedule(milliseconds(world.random().below(LoadMs)),
+                   [this, index] { sendStream(index); });
+  }
+  for (int round = 0; round < Disturbances; ++round) {
+    world.schedule(milliseconds(world.random().below(LoadMs)), [this] { disturb(); });
+  }
+  world.schedule(milliseconds(2'000 + world.random().below(6'000)), [this] { revoke(); });
+}
+
+std::shared_ptr<CallerWriter> TrafficScenario::send(int front, http::Request request,
+                                                    const std::string& caller_request_id,
+                                                    const std::string& secret) {
+  auto writer = std::make_shared<CallerWriter>();
+  request.headers.push_back({"Authorization", "Bearer " + secret});
+  request.headers.push_back({"Request-Id", caller_request_id});
+  fleet_->fronts[front]->node().service().enqueue(std::move(request), writer);
+  return writer;
+}
+
+void TrafficScenario::sendOneShot(int index) {
+  const auto front = static_cast<int>(fleet_->world.random().below(Fronts));
+  if (!fleet_->fronts[front]->running()) {
+    return;
+  }
+  const std::string key = "k" + std::to_string(index % Keys);
+  const std::string secret = index % 2 == 0 ? "lasting" : "revoked";
+  const std::string id = secret + "-o" + std::to_string(index);
+  const auto writer = send(
+      front,
+      {"POST", "/v1/one-shots", {{"Idempotency-Key", key}}, R"({"service":"orders","payload":1})"},
+      id, secret);
+  one_shots_.push_back({key, fleet_->world.now(), writer, front, lives_[front], id});
+  strikeWithinOneShot(front);
+}
+
+void TrafficScenario::strikeWithinOneShot(int number) {
+  simulation::World& world = fleet_->world;
+  if (!world.random().chance(StrikeChance)) {
+    return;
+  }
+  // Claiming takes some milliseconds, the worker some hundred.
+  const std::uint64_t longest_ms = world.random().chance(0.5) ? 15 : 300;
+  const bool kill = world.random().chance(0.5);
+  const auto pause = milliseconds(500 + world.random().below(8'000));
+  world.schedule(milliseconds(world.random().below(longest_ms)), [this, number, kill, pause] {
+    FrontProcess& front = *fleet_->fronts[number];
+    if (!front.running() || front.process.frozen()) {
+      return;
+    }
+    if (kill) {
+      killFront(number);
+      return;
+    }
+    front.process.freeze();
+    fleet_->world.schedule(pause, [&front] { front.process.wake(); });
+  });
+}
+
+void TrafficScenario::sendStream(int index) {
+  const auto front = static_cast<int>(fleet_->world.random().below(Fronts));
+  if (!fleet_->fronts[front]->running()) {
+    return;
+  }
+  const std::string secret = index % 2 == 0 ? "lasting" : "revoked";
+  const std::string id = secret + "-s" + std::to_string(index);
+  const auto writer =
+      send(front,
+           {"POST",
+            "/v1/chat/completions",
+            {},
+            R"({"model":"large","stream":true,"messages":[{"role":"user","content":"hi"}]})"},
+           id, secret);
+  streams_.push_back({writer, front, lives_[front], id});
+}
+
+void TrafficScenario::disturb() {
+  base::RandomSource& random = fleet_->world.random();
+  switch (random.below(6)) {
+    case 0:
+      fleet_->network.cut(frontAddress(static_cast<int>(random.below(Fronts))),
+                          coreAddress(static_cast<int>(random.below(Cores))));
+      break;
+    case 1:
+      fleet_->network.conditions.loss = 0.1 * random.uniform();
+      break;
+    case 2:
+      fleet_->network.healAll();
+      break;
+    case 3:
+      disturbCore();
+      break;
+    default:
+      disturbFront();
+      break;
+  }
+}
+
+void TrafficScenario::disturbFront() {
+  simulation::World& world = fleet_->world;
+  const auto number = static_cast<int>(world.random().below(Fronts));
+  FrontProcess& front = *fleet_->fronts[number];
+  if (!front.running() || front.process.frozen()) {
+    return;
+  }
+  if (world.random().chance(0.5)) {
+    front.process.freeze();
+    world.schedule(milliseconds(200 + world.random().below(8'000)),
+                   [&front] { front.process.wake(); });
+    return;
+  }
+  killFront(number);
+}
+
+void TrafficScenario::killFront(int number) {
+  ++lives_[number];
+  FrontProcess& front = *fleet_->fronts[number];
+  front.kill();
+  fleet_->world.schedule(milliseconds(100 + fleet_->world.random().below(2'000)), [&front] {
+    if (!front.running()) {
+      front.start();
+    }
+  });
+}
+
+void TrafficScenario::disturbCore() {
+  simulation::World& world = fleet_->world;
+  const bool all = world.random().chance(0.2);
+  const auto chosen = static_cast<int>(world.random().below(Cores));
+  for (int number = 0; number < Cores; ++number) {
+    CoreProcess& core = *fleet_->cores[number];
+    if ((!all && number != chosen) || !core.life || core.process.frozen()) {
+      continue;
+    }
+    const auto pause = milliseconds(100 + world.random().below(4'000));
+    if (!all && world.random().chance(0.5)) {
+      core.process.freeze();
+      world.schedule(pause, [&core] { core.process.wake(); });
+      continue;
+    }
+    core.kill();
+    world.schedule(pause, [&core] {
+      if (!core.life) {
+        core.start();
+      }
+    });
+  }
+}
+
+void TrafficScenario::healAll() {
+  fleet_->network.healAll();
+  fleet_->network.conditions.loss = 0;
+  for (const auto& core : fleet_->cores) {
+    core->process.wake();
+    if (!core->life) {
+      core->start();
+    }
+  }
+  for (const auto& front : fleet_->fronts) {
+    front->process.wake();
+    if (!front->running()) {
+      front->start();
+    }
+  }
+}
+
+void TrafficScenario::order(const std::string& body, int attempts_left,
+                            std::function<void()> acknowledged) {
+  simulation::World& world = fleet_->world;
+  const auto front = static_cast<int>(world.random().below(Fronts));
+  if (fleet_->fronts[front]->running()) {
+    auto writer = std::make_shared<CallerWriter>();
+    operator_writers_.push_back(writer);
+    http::Request request{"POST", "/v1/configuration/changes", {}, body};
+    request.headers.push_back({"Authorization", "Bearer operator"});
+    writer->answered = [acknowledged,
+                        done = std::make_shared<bool>(false)](const http::Response& response) {
+      if (response.status == 200 && !*done) {
+        *done = true;
+        acknowledged();
+      }
+    };
+    fleet_->fronts[front]->node().service().enqueue(std::move(request), writer);
+  }
+  if (attempts_left > 0) {
+    // Asked again whether or not an answer comes, as an operator who has lost patience does.
+    world.schedule(milliseconds(700), [this, body, attempts_left, acknowledged] {
+      order(body, attempts_left - 1, acknowledged);
+    });
+  }
+}
+
+void TrafficScenario::revoke() {
+  const std::string id = "order" + std::to_string(++orders_);
+  order(R"({"change_id":")" + id + R"(","base_version":1,"remove":["keys/revoked"]})", 25, [this] {
+    if (!revoked_) {
+      revoked_ = fleet_->world.now();
+    }
+  });
+}
+
+bool TrafficScenario::excused(int front, int life) const {
+  return lives_[front] != life;
+}
+
+void TrafficScenario::violated(const std::string& rule, const std::string& detail) {
+  result_.violations.push_back(rule + ": " + detail);
+}
+
+void TrafficScenario::judge() {
+  judgeKeys();
+  for (const StreamCall& call : streams_) {
+    judgeStream(call);
+  }
+  judgeRetries();
+  judgeRevocation();
+}
+
+void TrafficScenario::judgeKeys() {
+  for (const auto& [key, runs] : ledger_.key_runs) {
+    if (runs.size() > 1) {
+      violated("ran-twice", key);
+    }
+    for (const base::TimePoint run : runs) {
+      const bool explained =
+          std::any_of(one_shots_.begin(), one_shots_.end(), [&](const OneShotCall& call) {
+            return call.key == key && call.sent <= run && !tells(*call.writer, "not-run");
+          });
+      if (!explained) {
+        violated("ran-after-not-run", key);
+      }
+    }
+  }
+  for (const OneShotCall& call : one_shots_) {
+    const bool ran = tells(*call.writer, "ran");
+    result_.one_shots_ran += ran ? 1 : 0;
+    result_.one_shots_not_run += tells(*call.writer, "not-run") ? 1 : 0;
+    if (ran && !ledger_.key_runs.contains(call.key)) {
+      violated("answered-without-run", call.key);
+    }
+    if (!call.writer->response && !excused(call.front, call.life)) {
+      violated("never-answered", call.caller_request_id);
+    }
+  }
+}
+
+void TrafficScenario::judgeStream(const StreamCall& call) {
+  const CallerWriter& writer = *call.writer;
+  if (tells(writer, "not-run") && ledger_.stream_runs_by_request.contains(call.caller_request_id)) {
+    violated("ran-after-refusal", call.caller_request_id);
+  }
+  const std::vector<std::string> texts = valuesOf(writer.chunks, "text");
+  const std::vector<std::string> runs = valuesOf(writer.chunks, "run");
+  for (std::size_t index = 0; index < texts.size(); ++index) {
+    if (texts[index] != std::to_string(index)) {
+      violated("piece-order", call.caller_request_id + " " + texts[index] + " in place of " +
+                                  std::to_string(index));
+      break;
+    }
+  }
+  if (std::any_of(runs.begin(), runs.end(), [&](const auto& run) { return run != runs.front(); })) {
+    violated("run-changed", call.caller_request_id);
+  }
+  const bool done = writer.chunks.ends_with("data: [DONE]\n\n");
+  const bool broken = writer.chunks.find("event: error\n") != std::string::npos;
+  result_.streams_done += done ? 1 : 0;
+  result_.streams_broken += broken ? 1 : 0;
+  if (done) {
+    const WorkerRun run = runs.empty() ? WorkerRun{} : ledger_.streams[runs.front()];
+    if (!run.ended || run.pieces != texts.size()) {
+      violated("early-end", call.caller_request_id);
+    }
+  }
+  const bool whole_refusal = writer.response && writer.response->status != 200;
+  if (!done && !broken && !whole_refusal && !writer.aborted) {
+    if (writer.ended) {
+      violated("silent-end", call.caller_request_id);
+    } else if (!excused(call.front, call.life)) {
+      violated("never-answered", call.caller_request_id);
+    }
+  }
+}
+
+void TrafficScenario::judgeRetries() {
+  for (const bool stream : {true, false}) {
+    std::set<std::string> seen;
+    std::vector<base::TimePoint> firsts;
+    std::vector<base::TimePoint> retries;
+    for (const WorkerAttempt& attempt : ledger_.attempts) {
+      if (attempt.stream == stream) {
+        const bool first = seen.insert(attempt.caller_request_id).second;
+        (first ? firsts : retries).push_back(attempt.at);
+      }
+    }
+    result_.retries += retries.size();
+    for (const base::TimePoint at : retries) {
+      const auto within = [at](base::Duration window) {
+        return [at, window](base::TimePoint time) { return time > at - window && time <= at; };
+      };
+      const auto retried = std::count_if(retries.begin(), retries.end(), within(RetryWindow));
+      const auto tried =
+          std::count_if(firsts.begin(), firsts.end(), within(RetryWindow + RetrySlack));
+      if (static_cast<double>(retried) > RetryShare * static_cast<double>(tried)) {
+        violated("too-many-retries", std::to_string(retried) + " of " + std::to_string(tried));
+        break;
+      }
+    }
+  }
+}
+
+void TrafficScenario::judgeRevocation() {
+  result_.revocation_acknowledged = revoked_.has_value();
+  for (const WorkerAttempt& attempt : ledger_.attempts) {
+    const bool late = revoked_ && attempt.at > *revoked_ + RevocationLimit;
+    if (late && attempt.caller_request_id.starts_with("revoked-")) {
+      violated("ran-for-revoked-key", attempt.caller_request_id);
+    }
+  }
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/traffic_scenario.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chaos_workers.h"
+#include "simulated_fleet.h"
+
+namespace switchsaddle::front {
+
+/** Which mechanisms work; all but in tests that show what each prevents. */
+struct TrafficOptions {
+  bool claims = true;
+  bool session_check = true;
+  /** A request that may have been sent is never treated as not sent. */
+  bool lost_is_unknown = true;
+  bool sequence_check = true;
+  double retry_share = 0.1;
+  WorkerFaultRates faults;
+};
+
+/** What one seed came to. */
+struct TrafficResult {
+  std::vector<std::string> violations;
+  int one_shots_ran = 0;
+  int one_shots_not_run = 0;
+  int streams_done = 0;
+  int streams_broken = 0;
+  std::size_t retries = 0;
+  bool revocation_acknowledged = false;
+
+  bool found(const std::string& rule) const;
+};
+
+/**
+ * A whole simulated fleet under one-shots (each key sent several times, through any front) and
+ * streams, while fronts and cores are killed, frozen, started and cut off, workers fail in every
+ * way, and one of two keys is revoked. Judged only by what callers and workers saw.
+ */
+class TrafficScenario {
+ public:
+  TrafficScenario(std::uint64_t seed, const TrafficOptions& options);
+  TrafficResult run();
+
+ private:
+  struct OneShotCall {
+    std::string key;
+    base::TimePoint sent;
+    std::shared_ptr<CallerWriter> writer;
+    /** Numbered lives of the front; the call is excused where its front was killed. */
+    int front = 0;
+    int life = 0;
+    std::string caller_request_id;
+  };
+  struct StreamCall {
+    std::shared_ptr<CallerWriter> writer;
+    int front = 0;
+    int life = 0;
+    std::string caller_request_id;
+  };
+
+  void schedule();
+  void sendOneShot(int index);
+  /** By chance, kills or freezes the front while its latest one-shot is claimed or runs. */
+  void strikeWithinOneShot(int front);
+  void sendStream(int index);
+  std::shared_ptr<CallerWriter> send(int front, http::Request request,
+                                     const std::string& caller_request_id,
+                                     const std::string& secret);
+  void disturb();
+  void disturbFront();
+  void disturbCore();
+  void killFront(int front);
+  void healAll();
+  void revoke();
+  void order(const std::string& body, int attempts_left, std::function<void()> acknowledged);
+
+  void judge();
+  void judgeKeys();
+  void judgeStream(const StreamCall& call);
+  void judgeRetries();
+  void judgeRevocation();
+  bool excused(int front, int life) const;
+  void violated(const std::string& rule, const std::string& detail);
+
+  TrafficOptions options_;
+  WorkerLedger ledger_;
+  std::unique_ptr<simulation::Process> worker_;
+  FakeSession always_serving_;
+  std::unique_ptr<Fleet> fleet_;
+  std::deque<OneShotCall> one_shots_;
+  std::deque<StreamCall> streams_;
+  std::vector<int> lives_ = std::vector<int>(Fronts, 0);
+  /** When the revocation was first acknowledged. */
+  std::optional<base::TimePoint> revoked_;
+  int orders_ = 0;
+  std::vector<std::shared_ptr<CallerWriter>> operator_writers_;
+  TrafficResult result_;
+};
+
+}  // namespace switchsaddle::front
--- a/libraries/laboratory/include/switchsaddle/laboratory/judge.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/judge.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/laboratory/call_event.h"
+#include "switchsaddle/laboratory/order_event.h"
 #include "switchsaddle/laboratory/worker_event.h"
 
 namespace switchsaddle::laboratory {
@@ -30,8 +31,29 @@
   SilentEnd,
   /** A tenant ran more at once than its limit. */
   OverLimit,
+  /** A run started on a worker of an evacuated zone later than EvacuationLimitMs after the
+   * acknowledgement. */
+  RanInEvacuatedZone,
+  /** A run started for a revoked key's tenant later than RevocationLimitMs after the
+   * acknowledgement. */
+  RanForRevokedKey,
+  /** A worker got a request later than LeavingLimitMs after it was known to be leaving. */
+  SentToLeavingWorker,
+  /** Repeated attempts beyond RetryShare of a kind's calls within RetryWindowMs. */
+  TooManyRetries,
 };
 
+/** From the acknowledgement of an evacuation to the last start in the zone, milliseconds. */
+inline constexpr std::int64_t EvacuationLimitMs = 5'000;
+/** From the acknowledgement of a revocation to the last start for the key, milliseconds. */
+inline constexpr std::int64_t RevocationLimitMs = 2'000;
+/** From the moment at which a worker announced its leaving, or was killed, milliseconds. */
+inline constexpr std::int64_t LeavingLimitMs = 3'000;
+/** Length of the sliding window in which retries are counted, milliseconds. */
+inline constexpr std::int64_t RetryWindowMs = 10'000;
+/** Greatest share of a window's calls that may be repeated attempts. */
+inline constexpr double RetryShare = 0.1;
+
 std::string ruleName(Rule rule);
 
 /** One finding against a rule. */
@@ -42,13 +64,20 @@
   std::string detail;
 };
 
-/** The journals of one worker, in order of writing. */
-using WorkerJournal = std::vector<WorkerEvent>;
+/** The journal of one worker, in order of writing. */
+struct WorkerJournal {
+  std::string worker;
+  /** Empty where it isn't known; the rule on evacuated zones then passes over this worker. */
+  std::string zone;
+  std::vector<WorkerEvent> events;
+};
 
-/** What is judged: only what callers saw and what workers did. */
+/** What is judged: only what callers and operators saw and what workers did. */
 struct Evidence {
   std::vector<CallEvent> calls;
   std::vector<WorkerJournal> journals;
+  /** What operators ordered and what was done to workers; may be empty. */
+  std::vector<OrderEvent> orders;
   /** Greatest number of runs at once, by tenant; tenants not named are not limited. */
   std::map<std::string, std::uint32_t> limits;
 };
@@ -69,6 +98,11 @@
   std::size_t open_calls = 0;
   FirstTokenTimes first_token;
   std::map<std::string, std::uint32_t> peak_by_tenant;
+  /** Orders that were judged, by event, and the latest start after one of them, milliseconds. */
+  std::map<std::string, std::size_t> orders;
+  std::map<std::string, std::int64_t> latest_start_ms;
+  /** Attempts that workers saw beyond the first for a call, by kind. */
+  std::map<std::string, std::size_t> retries;
 };
 
 Judgement judge(const Evidence& evidence);
--- a/libraries/laboratory/include/switchsaddle/laboratory/stand_in_worker.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/stand_in_worker.h
@@ -60,7 +60,8 @@
   void handleStream(const http::Request& request, const http::ResponseWriterPtr& writer);
   void handleOneShot(const http::Request& request, const http::ResponseWriterPtr& writer);
   /** Whether a fault took the request before any work. */
-  bool struckAtOnce(const http::Request& request, const http::ResponseWriterPtr& writer);
+  bool struckAtOnce(const std::string& kind, const http::Request& request,
+                    const http::ResponseWriterPtr& writer);
 
   std::unique_ptr<WorkerState> state_;
 };
--- a/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
@@ -8,11 +8,25 @@
 
 namespace switchsaddle::laboratory {
 
+/** What a worker's event tells of. */
+namespace worker_event {
+/** The process starts. */
+inline constexpr const char* Up = "up";
+/** A run starts. */
+inline constexpr const char* Start = "start";
+/** The worker finished a run. */
+inline constexpr const char* End = "end";
+/** A run was given up because its caller had gone or by a fault. */
+inline constexpr const char* Cancelled = "cancelled";
+/** A request was refused before it ran. */
+inline constexpr const char* Refused = "refused";
+}  // namespace worker_event
+
 /** One line of a worker's journal: what it ran, whoever was told. */
 struct WorkerEvent {
   /** Boot clock, milliseconds. */
   std::int64_t at_ms = 0;
-  /** "up" when the process starts, else "start", "end" or "cancelled" of a run. */
+  /** One of worker_event. */
   std::string event;
   /** "stream", "one-shot", "prefill" or, for "up", "process". */
   std::string kind;
--- a/libraries/laboratory/source/call_history.cc
+++ b/libraries/laboratory/source/call_history.cc
@@ -40,7 +40,7 @@
   return calls;
 }
 
-void foldRuns(const std::vector<WorkerEvent>& journal, std::map<std::string, RunHistory>& runs) {
+void foldRuns(const WorkerJournal& journal, std::map<std::string, RunHistory>& runs) {
   std::set<std::string> open;
   std::int64_t last_ms = 0;
   const auto closeOpen = [&] {
@@ -49,17 +49,20 @@
     }
     open.clear();
   };
-  for (const WorkerEvent& event : journal) {
-    if (event.event == "up") {
+  for (const WorkerEvent& event : journal.events) {
+    if (event.event == worker_event::Up) {
       closeOpen();
-    } else if (event.event == "start") {
-      runs[event.run].start = event;
+    } else if (event.event == worker_event::Start) {
+      RunHistory& run = runs[event.run];
+      run.start = event;
+      run.worker = journal.worker;
+      run.zone = journal.zone;
       open.insert(event.run);
-    } else {
+    } else if (event.event != worker_event::Refused) {
       RunHistory& run = runs[event.run];
       run.end_ms = event.at_ms;
       run.pieces = event.pieces;
-      run.finished = event.event == "end";
+      run.finished = event.event == worker_event::End;
       open.erase(event.run);
     }
     last_ms = event.at_ms;
--- a/libraries/laboratory/source/call_history.h
+++ b/libraries/laboratory/source/call_history.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/laboratory/call_event.h"
+#include "switchsaddle/laboratory/judge.h"
 #include "switchsaddle/laboratory/worker_event.h"
 
 namespace switchsaddle::laboratory {
@@ -33,6 +34,8 @@
 /** One run of a worker. */
 struct RunHistory {
   WorkerEvent start;
+  std::string worker;
+  std::string zone;
   std::int64_t end_ms = 0;
   std::uint64_t pieces = 0;
   /** Whether the worker itself finished it. */
@@ -46,6 +49,6 @@
  * Adds a worker's runs, by run id. A run without an end ended at the latest with the last line that
  * its process wrote.
  */
-void foldRuns(const std::vector<WorkerEvent>& journal, std::map<std::string, RunHistory>& runs);
+void foldRuns(const WorkerJournal& journal, std::map<std::string, RunHistory>& runs);
 
 }  // namespace switchsaddle::laboratory
--- a/libraries/laboratory/source/decode_relay.cc
+++ b/libraries/laboratory/source/decode_relay.cc
@@ -29,7 +29,7 @@
     }
   });
   if (ticket_ == SlotQueue::Refused) {
-    writer_->respond(worker_.refusal(503, request_.identity.request_id, "queue full"));
+    writer_->respond(worker_.refuseBeforeRun(Kind, request_.identity, "queue full"));
     close();
   }
 }
--- a/libraries/laboratory/source/judge.cc
+++ b/libraries/laboratory/source/judge.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "call_history.h"
+#include "order_rules.h"
 
 namespace switchsaddle::laboratory {
 namespace {
@@ -16,7 +17,7 @@
 class Judge {
  public:
   explicit Judge(const Evidence& evidence)
-      : limits_(evidence.limits), calls_(foldCalls(evidence.calls)) {
+      : evidence_(evidence), limits_(evidence.limits), calls_(foldCalls(evidence.calls)) {
     for (const WorkerJournal& journal : evidence.journals) {
       foldRuns(journal, runs_);
     }
@@ -42,6 +43,8 @@
       }
     }
     judgeLimits();
+    judgeOrders(evidence_, judgement_);
+    judgeRetries(evidence_, judgement_);
     measureFirstTokens();
     return std::move(judgement_);
   }
@@ -216,6 +219,7 @@
     }
   }
 
+  const Evidence& evidence_;
   const std::map<std::string, std::uint32_t>& limits_;
   std::map<std::uint64_t, CallHistory> calls_;
   std::map<std::string, RunHistory> runs_;
@@ -246,6 +250,14 @@
       return "silent-end";
     case Rule::OverLimit:
       return "over-limit";
+    case Rule::RanInEvacuatedZone:
+      return "ran-in-evacuated-zone";
+    case Rule::RanForRevokedKey:
+      return "ran-for-revoked-key";
+    case Rule::SentToLeavingWorker:
+      return "sent-to-leaving-worker";
+    case Rule::TooManyRetries:
+      return "too-many-retries";
   }
   return "unknown";
 }
@@ -265,6 +277,17 @@
   for (const auto& [tenant, peak] : judgement.peak_by_tenant) {
     text << "peak at once: " << tenant << ": " << peak << "\n";
   }
+  for (const auto& [event, count] : judgement.orders) {
+    text << "orders: " << event << ": " << count;
+    const auto latest = judgement.latest_start_ms.find(event);
+    if (latest != judgement.latest_start_ms.end()) {
+      text << ", latest start after " << latest->second << " ms";
+    }
+    text << "\n";
+  }
+  for (const auto& [kind, count] : judgement.retries) {
+    text << "attempts beyond the first: " << kind << ": " << count << "\n";
+  }
   for (const Violation& violation : judgement.violations) {
     text << "VIOLATION " << ruleName(violation.rule) << ": " << violation.subject << ": "
          << violation.detail << "\n";
--- a/libraries/laboratory/source/one_shot_run.cc
+++ b/libraries/laboratory/source/one_shot_run.cc
@@ -21,7 +21,7 @@
     }
   });
   if (ticket_ == SlotQueue::Refused) {
-    writer_->respond(worker_.refusal(503, identity_.request_id, "queue full"));
+    writer_->respond(worker_.refuseBeforeRun(Kind, identity_, "queue full"));
     worker_.forget(shared_from_this());
   }
 }
--- /dev/null
+++ b/libraries/laboratory/source/order_rules.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "switchsaddle/laboratory/judge.h"
+
+namespace switchsaddle::laboratory {
+
+/** Applies the rules on evacuated zones, revoked keys and leaving workers. */
+void judgeOrders(const Evidence& evidence, Judgement& judgement);
+
+/** Applies the rule on repeated attempts. */
+void judgeRetries(const Evidence& evidence, Judgement& judgement);
+
+}  // namespace switchsaddle::laboratory
--- a/libraries/laboratory/source/stand_in_worker.cc
+++ b/libraries/laboratory/source/stand_in_worker.cc
@@ -132,19 +132,18 @@
   writer->respond(std::move(response));
 }
 
-bool StandInWorker::struckAtOnce(const http::Request& request,
+bool StandInWorker::struckAtOnce(const std::string& kind, const http::Request& request,
                                  const http::ResponseWriterPtr& writer) {
   if (!state_->fault.take(FaultMode::Refuse)) {
     return false;
   }
-  const std::string request_id(request.header("Request-Id"));
-  writer->respond(state_->refusal(503, request_id, "refused"));
+  writer->respond(state_->refuseBeforeRun(kind, parseIdentity(request), "refused"));
   return true;
 }
 
 void StandInWorker::handleStream(const http::Request& request,
                                  const http::ResponseWriterPtr& writer) {
-  if (struckAtOnce(request, writer)) {
+  if (struckAtOnce("stream", request, writer)) {
     return;
   }
   StreamRequest stream = parseStream(request, *state_);
@@ -164,7 +163,7 @@
 
 void StandInWorker::handleOneShot(const http::Request& request,
                                   const http::ResponseWriterPtr& writer) {
-  if (struckAtOnce(request, writer)) {
+  if (struckAtOnce("one-shot", request, writer)) {
     return;
   }
   const boost::json::object body = parseObject(request.body);
--- a/libraries/laboratory/source/stream_run.cc
+++ b/libraries/laboratory/source/stream_run.cc
@@ -36,7 +36,7 @@
   });
   if (ticket_ == SlotQueue::Refused) {
     closed_ = true;
-    writer_->respond(worker_.refusal(503, request_.identity.request_id, "queue full"));
+    writer_->respond(worker_.refuseBeforeRun(Kind, request_.identity, "queue full"));
     worker_.forget(shared_from_this());
   }
 }
--- a/libraries/laboratory/source/worker_state.cc
+++ b/libraries/laboratory/source/worker_state.cc
@@ -3,6 +3,11 @@
 #include <boost/json.hpp>
 
 namespace switchsaddle::laboratory {
+namespace {
+
+constexpr std::uint16_t StatusUnavailable = 503;
+
+}  // namespace
 
 WorkerState::WorkerState(WorkerOptions worker_options, base::Dispatcher& strand,
                          http::Client& http_client, EventSink& sink,
@@ -45,6 +50,15 @@
   return response;
 }
 
+http::Response WorkerState::refuseBeforeRun(const std::string& kind,
+                                            const RequestIdentity& identity,
+                                            const std::string& reason) {
+  note(worker_event::Refused, kind, "", identity, 0, 0);
+  http::Response response = refusal(StatusUnavailable, identity.request_id, reason);
+  response.headers.push_back({"Not-Run", "true"});
+  return response;
+}
+
 void WorkerState::note(const std::string& event, const std::string& kind, const std::string& run,
                        const RequestIdentity& identity, std::uint64_t cached_tokens,
                        std::uint64_t pieces) {
--- a/libraries/laboratory/source/worker_state.h
+++ b/libraries/laboratory/source/worker_state.h
@@ -43,6 +43,9 @@
   std::vector<http::Header> answerHeaders(const std::string& request_id) const;
   http::Response refusal(std::uint16_t status, const std::string& request_id,
                          const std::string& reason) const;
+  /** The answer to a request that is refused before it runs; notes it and says so in Not-Run. */
+  http::Response refuseBeforeRun(const std::string& kind, const RequestIdentity& identity,
+                                 const std::string& reason);
   void note(const std::string& event, const std::string& kind, const std::string& run,
             const RequestIdentity& identity, std::uint64_t cached_tokens, std::uint64_t pieces);
   bool draining() const { return drained || fault.active(FaultMode::Drain); }
--- a/libraries/laboratory/test/judge_test.cc
+++ b/libraries/laboratory/test/judge_test.cc
@@ -52,7 +52,7 @@
     line.caller_request_id = request_id;
     line.pieces = pieces;
     line.tenant = "t1";
-    journal_.push_back(line);
+    journal_.events.push_back(line);
   }
   /** A finished stream of two pieces under this call. */
   void stream(std::uint64_t call, const std::string& end = call_end::Done) {
@@ -64,6 +64,9 @@
     worker("end", "stream", run, 41, "", "r" + std::to_string(call), 2);
     answered(call, end);
   }
+  void ordered(const std::string& event, const std::string& subject, std::int64_t at_ms) {
+    evidence_.orders.push_back({at_ms, event, subject, ""});
+  }
   std::vector<Rule> rules() {
     Evidence evidence = evidence_;
     evidence.journals.push_back(journal_);
@@ -203,6 +206,70 @@
   EXPECT_EQ(rules(), Rules{});
 }
 
+TEST_F(JudgeTest, FindsALateStartInAnEvacuatedZone) {
+  journal_.zone = "a";
+  ordered(order_event::Evacuated, "a", 1'000);
+  ordered(order_event::Evacuated, "b", 1'000);
+  worker("start", "stream", "s1", 900);
+  worker("start", "stream", "s2", 6'000);
+  EXPECT_EQ(rules(), Rules{});
+  worker("start", "stream", "s3", 6'001);
+  EXPECT_EQ(rules(), Rules{Rule::RanInEvacuatedZone});
+  ordered(order_event::Restored, "a", 6'001);
+  EXPECT_EQ(rules(), Rules{});
+}
+
+TEST_F(JudgeTest, FindsALateStartForARevokedKey) {
+  ordered(order_event::Revoked, "t1", 1'000);
+  ordered(order_event::Revoked, "t2", 1'000);
+  worker("start", "stream", "s1", 3'000);
+  EXPECT_EQ(rules(), Rules{});
+  worker("start", "one-shot", "o1", 3'001, "k");
+  EXPECT_EQ(rules(), Rules{Rule::RanForRevokedKey});
+  ordered(order_event::Added, "t1", 2'500);
+  EXPECT_EQ(rules(), Rules{});
+}
+
+TEST_F(JudgeTest, FindsWorkForALeavingWorkerAlsoWhereItRefusesIt) {
+  journal_.worker = "w1";
+  for (const char* event : {order_event::Draining, order_event::Vanished}) {
+    for (const char* attempt : {"start", "refused"}) {
+      evidence_.orders.clear();
+      journal_.events.clear();
+      ordered(event, "w1", 1'000);
+      ordered(event, "w2", 1'000);
+      worker("start", "stream", "s1", 4'000);
+      EXPECT_EQ(rules(), Rules{});
+      worker(attempt, "stream", "s2", 4'001);
+      EXPECT_EQ(rules(), Rules{Rule::SentToLeavingWorker});
+      ordered(order_event::Returned, "w1", 4'001);
+      EXPECT_EQ(rules(), Rules{});
+    }
+  }
+}
+
+TEST_F(JudgeTest, FindsMoreRetriesThanTheShareOfAWindow) {
+  for (std::uint64_t call = 1; call <= 20; ++call) {
+    sent(call, "stream", 1'000);
+    worker("refused", "stream", "", 1'000, "", "r" + std::to_string(call));
+  }
+  worker("start", "stream", "s1", 1'100, "", "r1");
+  worker("start", "stream", "s2", 1'100, "", "r2");
+  EXPECT_EQ(rules(), Rules{});
+  worker("refused", "stream", "", 9'000, "", "r3");
+  EXPECT_EQ(rules(), Rules{Rule::TooManyRetries});
+}
+
+TEST_F(JudgeTest, RetriesOfAnEarlierWindowDoNotCount) {
+  for (std::uint64_t call = 1; call <= 20; ++call) {
+    sent(call, "stream", call <= 10 ? 1'000 : 12'000);
+    worker("start", "stream", "s" + std::to_string(call), 1'000, "", "r" + std::to_string(call));
+  }
+  worker("start", "stream", "again1", 1'100, "", "r1");
+  worker("start", "stream", "again2", 12'100, "", "r2");
+  EXPECT_EQ(rules(), Rules{});
+}
+
 TEST_F(JudgeTest, CountsAnswersAndFirstTokens) {
   stream(1);
   stream(2);
--- a/libraries/laboratory/test/stand_in_worker_test.cc
+++ b/libraries/laboratory/test/stand_in_worker_test.cc
@@ -126,6 +126,9 @@
   const auto second = stream("r2");
   const auto third = stream("r3");
   EXPECT_EQ(third->head.status, 503);
+  EXPECT_EQ(third->head.header("Not-Run"), "true");
+  EXPECT_EQ(third->head.header("Request-Id"), "r3");
+  EXPECT_EQ(sink_.count("refused"), 1U);
   world_.runFor(seconds(10));
   EXPECT_TRUE(first->ended);
   EXPECT_TRUE(second->ended);
--- a/libraries/streams/include/switchsaddle/streams/relay_machine.h
+++ b/libraries/streams/include/switchsaddle/streams/relay_machine.h
@@ -44,8 +44,10 @@
  public:
   static constexpr std::size_t DefaultMaximumOutstanding = 16;
 
-  explicit RelayMachine(std::size_t maximum_outstanding = DefaultMaximumOutstanding)
-      : maximum_outstanding_(maximum_outstanding) {}
+  /** `check_sequence` is false only in tests that show what the check prevents. */
+  explicit RelayMachine(std::size_t maximum_outstanding = DefaultMaximumOutstanding,
+                        bool check_sequence = true)
+      : maximum_outstanding_(maximum_outstanding), check_sequence_(check_sequence) {}
 
   /** Starts over with another worker. Only while mayRetryElsewhere(); throws base::Error with
    * InternalError else. */
@@ -79,6 +81,7 @@
   void handOut(const WorkerEvent& event, RelayStep& step);
 
   std::size_t maximum_outstanding_;
+  bool check_sequence_;
   RelayState state_ = RelayState::BeforeFirstPiece;
   EventStreamParser parser_;
   SequenceChecker checker_;
--- a/libraries/streams/source/relay_machine.cc
+++ b/libraries/streams/source/relay_machine.cc
@@ -69,7 +69,7 @@
   std::vector<WorkerEvent> events;
   const ResultCode parsed = parser_.feed(bytes, events);
   for (const WorkerEvent& event : events) {
-    fault_ = checker_.accept(event);
+    fault_ = check_sequence_ ? checker_.accept(event) : ResultCode::Ok;
     if (fault_ != ResultCode::Ok) {
       break;
     }
--- /dev/null
+++ b/programs/lab/evidence_files.cc
@@ -0,0 +1,62 @@
+#include "evidence_files.h"
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/laboratory/fleet_layout.h"
+#include "switchsaddle/laboratory/json_fields.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+/** Numbers the calls of each further record after those of the ones before. */
+void addRecord(const std::string& path, laboratory::Evidence& evidence) {
+  std::uint64_t base_number = 0;
+  for (const laboratory::CallEvent& event : evidence.calls) {
+    base_number = std::max(base_number, event.call);
+  }
+  for (laboratory::CallEvent& event : laboratory::readCallEvents(path)) {
+    event.call += base_number;
+    evidence.calls.push_back(std::move(event));
+  }
+}
+
+std::map<std::string, std::string> readZones(const std::string& fleet_path) {
+  std::map<std::string, std::string> zones;
+  if (fleet_path.empty()) {
+    return zones;
+  }
+  const auto state = laboratory::parseFleetState(laboratory::readTextFile(fleet_path));
+  for (const laboratory::FleetProcess& process : state.processes) {
+    zones[process.name] = process.zone;
+  }
+  return zones;
+}
+
+}  // namespace
+
+laboratory::Evidence readEvidence(const EvidenceFiles& files) {
+  laboratory::Evidence evidence;
+  for (const std::string& path : files.records) {
+    addRecord(path, evidence);
+  }
+  std::map<std::string, std::string> zones = readZones(files.fleet);
+  for (const auto& file : std::filesystem::directory_iterator(files.journals)) {
+    if (file.path().extension() == ".jsonl") {
+      const std::string worker = file.path().stem().string();
+      evidence.journals.push_back(
+          {worker, zones[worker], laboratory::readWorkerEvents(file.path().string())});
+    }
+  }
+  if (!files.orders.empty()) {
+    evidence.orders = laboratory::readOrderEvents(files.orders);
+  }
+  if (evidence.calls.empty() || evidence.journals.empty()) {
+    throw base::Error(base::ResultCode::InvalidValue, "nothing to judge: no calls or no journals");
+  }
+  return evidence;
+}
+
+}  // namespace switchsaddle::lab
--- a/programs/lab/fleet_command.cc
+++ b/programs/lab/fleet_command.cc
@@ -1,7 +1,5 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
-#include <filesystem>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -10,8 +8,7 @@
 
 #include "commands.h"
 #include "fleet.h"
-#include "switchsaddle/base/error.h"
-#include "switchsaddle/laboratory/json_fields.h"
+#include "fleet_up.h"
 
 namespace switchsaddle::lab {
 namespace {
@@ -30,6 +27,7 @@
   std::string layout;
   std::string configuration;
   std::string switchsaddle;
+  std::string network;
   int ready_seconds = 30;
   bool wait_ready = false;
   std::vector<std::string> names;
@@ -39,27 +37,6 @@
 
 using Arguments = std::shared_ptr<FleetArguments>;
 
-void writeWorkersFile(const laboratory::FleetLayout& layout, const std::string& directory) {
-  std::vector<laboratory::ListedWorker> listed;
-  for (const laboratory::LayoutWorker& worker : layout.workers) {
-    listed.push_back(worker.listed);
-  }
-  std::ofstream(directory + "/workers.json") << laboratory::formatWorkersFile(listed) << "\n";
-}
-
-void refuseRunningFleet(const std::string& directory) {
-  if (!std::filesystem::exists(directory + "/fleet.json")) {
-    return;
-  }
-  Fleet earlier = Fleet::load(directory);
-  for (const FleetProcess* process : earlier.named({"all"})) {
-    if (laboratory::conditionOf(Fleet::identityOf(*process)) != ProcessCondition::Gone) {
-      throw base::Error(base::ResultCode::InvalidValue,
-                        process->name + " of an earlier fleet is running; use fleet down first");
-    }
-  }
-}
-
 void startAll(Fleet& fleet, const std::vector<FleetProcess*>& processes) {
   for (FleetProcess* process : processes) {
     fleet.start(*process);
@@ -67,32 +44,14 @@
 }
 
 void up(const FleetArguments& arguments) {
-  namespace files = std::filesystem;
-  const std::string lab = files::read_symlink("/proc/self/exe").string();
-  const std::string beside = (files::path(lab).parent_path() / "switchsaddle").string();
-  const std::string daemon = arguments.switchsaddle.empty() ? beside : arguments.switchsaddle;
-  const std::string directory = files::absolute(arguments.directory).lexically_normal().string();
-  files::create_directories(directory);
-  const FleetLock lock(directory);
-  refuseRunningFleet(directory);
-  const auto layout = laboratory::parseFleetLayout(laboratory::readTextFile(arguments.layout));
-  writeWorkersFile(layout, directory);
-  Fleet fleet(laboratory::planFleet(layout, directory, {lab, files::absolute(daemon).string()}));
-  fleet.prepare();
-  fleet.save();
-  for (const ProcessRole role : {ProcessRole::Platform, ProcessRole::Worker, ProcessRole::Core}) {
-    startAll(fleet, fleet.ofRole(role));
-  }
-  for (const ProcessRole role : {ProcessRole::Platform, ProcessRole::Worker, ProcessRole::Core}) {
-    fleet.waitReady(fleet.ofRole(role), arguments.readyLimit());
-  }
-  if (!arguments.configuration.empty()) {
-    fleet.applyConfiguration(laboratory::readTextFile(arguments.configuration),
-                             arguments.readyLimit());
-  }
-  startAll(fleet, fleet.ofRole(ProcessRole::Front));
-  fleet.waitReady(fleet.ofRole(ProcessRole::Front), arguments.readyLimit());
-  std::cout << fleet.status();
+  FleetUp order;
+  order.directory = arguments.directory;
+  order.layout = arguments.layout;
+  order.configuration = arguments.configuration;
+  order.switchsaddle = arguments.switchsaddle;
+  order.network = arguments.network;
+  order.ready_limit = arguments.readyLimit();
+  std::cout << bringUp(order).status();
 }
 
 void start(const FleetArguments& arguments) {
@@ -165,6 +124,8 @@
                       "Configuration applied once the cores are ready");
   command->add_option("--switchsaddle", arguments->switchsaddle,
                       "The daemon's program; the one beside this by default");
+  command->add_option("--network", arguments->network,
+                      "First two octets of every address, in place of the layout's");
   command->add_option("--ready-seconds", arguments->ready_seconds, "Limit of each wait");
 }
 
--- /dev/null
+++ b/programs/lab/fleet_up.cc
@@ -0,0 +1,85 @@
+#include "fleet_up.h"
+
+#include <boost/json.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/laboratory/json_fields.h"
+
+namespace switchsaddle::lab {
+namespace {
+
+namespace files = std::filesystem;
+using laboratory::FleetProcess;
+using laboratory::ProcessCondition;
+using laboratory::ProcessRole;
+
+void writeWorkersFile(const laboratory::FleetLayout& layout, const std::string& directory) {
+  std::vector<laboratory::ListedWorker> listed;
+  for (const laboratory::LayoutWorker& worker : layout.workers) {
+    listed.push_back(worker.listed);
+  }
+  std::ofstream(directory + "/workers.json") << laboratory::formatWorkersFile(listed) << "\n";
+}
+
+void refuseRunningFleet(const std::string& directory) {
+  if (!std::filesystem::exists(directory + "/fleet.json")) {
+    return;
+  }
+  Fleet earlier = Fleet::load(directory);
+  for (const FleetProcess* process : earlier.named({"all"})) {
+    if (laboratory::conditionOf(Fleet::identityOf(*process)) != ProcessCondition::Gone) {
+      throw base::Error(base::ResultCode::InvalidValue,
+                        process->name + " of an earlier fleet is running; use fleet down first");
+    }
+  }
+}
+
+void startAll(Fleet& fleet, ProcessRole role) {
+  for (FleetProcess* process : fleet.ofRole(role)) {
+    fleet.start(*process);
+  }
+}
+
+/** The layout, with its addresses in the order's network. */
+laboratory::FleetLayout readLayout(const FleetUp& order) {
+  const std::string text = laboratory::readTextFile(order.layout);
+  if (order.network.empty()) {
+    return laboratory::parseFleetLayout(text);
+  }
+  boost::json::object layout = laboratory::parseObject(text);
+  layout["network"] = order.network;
+  return laboratory::parseFleetLayout(boost::json::serialize(layout));
+}
+
+}  // namespace
+
+Fleet bringUp(const FleetUp& order) {
+  const std::string lab = files::read_symlink("/proc/self/exe").string();
+  const std::string beside = (files::path(lab).parent_path() / "switchsaddle").string();
+  const std::string daemon = order.switchsaddle.empty() ? beside : order.switchsaddle;
+  const std::string directory = files::absolute(order.directory).lexically_normal().string();
+  files::create_directories(directory);
+  const FleetLock lock(directory);
+  refuseRunningFleet(directory);
+  const laboratory::FleetLayout layout = readLayout(order);
+  writeWorkersFile(layout, directory);
+  Fleet fleet(laboratory::planFleet(layout, directory, {lab, files::absolute(daemon).string()}));
+  fleet.prepare();
+  fleet.save();
+  for (const ProcessRole role : {ProcessRole::Platform, ProcessRole::Worker, ProcessRole::Core}) {
+    startAll(fleet, role);
+  }
+  for (const ProcessRole role : {ProcessRole::Platform, ProcessRole::Worker, ProcessRole::Core}) {
+    fleet.waitReady(fleet.ofRole(role), order.ready_limit);
+  }
+  if (!order.configuration.empty()) {
+    fleet.applyConfiguration(laboratory::readTextFile(order.configuration), order.ready_limit);
+  }
+  startAll(fleet, ProcessRole::Front);
+  fleet.waitReady(fleet.ofRole(ProcessRole::Front), order.ready_limit);
+  return fleet;
+}
+
+}  // namespace switchsaddle::lab
--- a/programs/lab/judge_command.cc
+++ b/programs/lab/judge_command.cc
@@ -1,14 +1,12 @@
 #include <CLI/CLI.hpp>
-#include <algorithm>
-#include <filesystem>
 #include <iostream>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "commands.h"
+#include "evidence_files.h"
 #include "switchsaddle/base/error.h"
-#include "switchsaddle/laboratory/call_event.h"
 #include "switchsaddle/laboratory/judge.h"
 
 namespace switchsaddle::lab {
@@ -18,8 +16,7 @@
 
 /** The command line of `lab judge`. */
 struct JudgeArguments {
-  std::vector<std::string> records;
-  std::string journals;
+  EvidenceFiles files;
   std::vector<std::string> limits;
 };
 
@@ -33,34 +30,11 @@
       static_cast<std::uint32_t>(std::stoul(text.substr(equals + 1)));
 }
 
-/** Numbers the calls of each further record after those of the ones before. */
-void addRecord(const std::string& path, laboratory::Evidence& evidence) {
-  std::uint64_t base_number = 0;
-  for (const laboratory::CallEvent& event : evidence.calls) {
-    base_number = std::max(base_number, event.call);
-  }
-  for (laboratory::CallEvent& event : laboratory::readCallEvents(path)) {
-    event.call += base_number;
-    evidence.calls.push_back(std::move(event));
-  }
-}
-
 void runJudge(const JudgeArguments& arguments) {
-  laboratory::Evidence evidence;
-  for (const std::string& path : arguments.records) {
-    addRecord(path, evidence);
-  }
-  for (const auto& file : std::filesystem::directory_iterator(arguments.journals)) {
-    if (file.path().extension() == ".jsonl") {
-      evidence.journals.push_back(laboratory::readWorkerEvents(file.path().string()));
-    }
-  }
+  laboratory::Evidence evidence = readEvidence(arguments.files);
   for (const std::string& limit : arguments.limits) {
     addLimit(limit, evidence);
   }
-  if (evidence.calls.empty() || evidence.journals.empty()) {
-    throw base::Error(base::ResultCode::InvalidValue, "nothing to judge: no calls or no journals");
-  }
   const laboratory::Judgement judgement = laboratory::judge(evidence);
   std::cout << laboratory::formatJudgement(judgement);
   if (!judgement.violations.empty()) {
@@ -74,10 +48,14 @@
   auto arguments = std::make_shared<JudgeArguments>();
   CLI::App* command =
       app.add_subcommand("judge", "Check load records against the workers' journals");
-  command->add_option("--record", arguments->records, "Record of a load; may be repeated")
+  command->add_option("--record", arguments->files.records, "Record of a load; may be repeated")
       ->required();
-  command->add_option("--journals", arguments->journals, "Folder of the workers' journals")
+  command->add_option("--journals", arguments->files.journals, "Folder of the workers' journals")
       ->required();
+  command->add_option("--orders", arguments->files.orders,
+                      "Record of orders, as `failures` writes it");
+  command->add_option("--fleet", arguments->files.fleet,
+                      "fleet.json, for the zones of the workers");
   command->add_option("--limit", arguments->limits, "TENANT=N: most runs at once");
   command->callback([arguments] { runJudge(*arguments); });
 }
