Let nothing start while a front is destroyed

Cause: a one-shot flow that is destroyed drops its runs one by one; each gives its slot back, which the broker hands to a run that waits, and that run dispatched from the dying front and changed the set under destruction. Both flows now end all runs before any goes, and the front ends both flows before any part goes.

--- a/libraries/front/include/switchsaddle/front/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot_flow.h
@@ -92,6 +92,8 @@
   OneShotFlow& operator=(const OneShotFlow&) = delete;
 
   void run(OneShotRequest request, OneShotCallback callback);
+  /** Lets go of all one-shots at once: nothing is sent, recorded or answered for them any more. */
+  void abandon();
   /** One-shots not yet answered. */
   std::size_t active() const { return runs_.size(); }
 
--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -106,6 +106,8 @@
 
   /** The sink may hear of a refusal before this returns. */
   std::shared_ptr<StreamHandle> run(StreamRequest request, std::shared_ptr<StreamSink> sink);
+  /** Lets go of all streams at once: nothing is sent to workers or callers for them any more. */
+  void abandon();
   /** Streams not yet ended. */
   std::size_t active() const { return runs_.size(); }
 
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -69,7 +69,11 @@
   connectParts();
 }
 
-FrontNode::~FrontNode() = default;
+FrontNode::~FrontNode() {
+  // Before any part goes: what one flow gives back must not set off work in another.
+  streams_.abandon();
+  one_shots_.abandon();
+}
 
 admission::SlotBroker& FrontNode::slots() {
   if (environment_.slots != nullptr) {
--- a/libraries/front/source/one_shot_flow.cc
+++ b/libraries/front/source/one_shot_flow.cc
@@ -22,7 +22,18 @@
 
 OneShotFlow::OneShotFlow(const OneShotEnvironment& environment) : environment_(environment) {}
 
-OneShotFlow::~OneShotFlow() = default;
+OneShotFlow::~OneShotFlow() {
+  abandon();
+}
+
+void OneShotFlow::abandon() {
+  alive_ = std::make_shared<bool>(true);
+  // A run that goes gives its slot to one that waits, so all end before any goes.
+  const std::set<std::shared_ptr<OneShotRun>> runs = std::exchange(runs_, {});
+  for (const std::shared_ptr<OneShotRun>& run : runs) {
+    run->abandon();
+  }
+}
 
 void OneShotFlow::run(OneShotRequest request, OneShotCallback callback) {
   const auto run = std::make_shared<OneShotRun>(*this, std::move(request), std::move(callback));
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -51,6 +51,15 @@
   claim();
 }
 
+void OneShotRun::abandon() {
+  state_ = State::Over;
+  deadline_timer_->disable();
+  poll_timer_->disable();
+  if (call_) {
+    std::exchange(call_, nullptr)->cancel();
+  }
+}
+
 void OneShotRun::claim() {
   state_ = State::Claiming;
   run_ = flow_.newRunName();
--- a/libraries/front/source/one_shot_run.h
+++ b/libraries/front/source/one_shot_run.h
@@ -16,6 +16,8 @@
  public:
   OneShotRun(OneShotFlow& flow, OneShotRequest request, OneShotCallback callback);
   void start();
+  /** Ends without an answer. */
+  void abandon();
 
   /** Ends of the dispatched attempt; ignored where another attempt or state has come since. */
   void onHead(const std::string& attempt, const WorkerHead& head);
--- a/libraries/front/source/stream_flow.cc
+++ b/libraries/front/source/stream_flow.cc
@@ -9,7 +9,13 @@
 StreamFlow::StreamFlow(const StreamEnvironment& environment) : environment_(environment) {}
 
 StreamFlow::~StreamFlow() {
-  for (const std::shared_ptr<StreamRun>& run : runs_) {
+  abandon();
+}
+
+void StreamFlow::abandon() {
+  // A run that goes gives its slot and its place to one that waits, so all end before any goes.
+  const std::set<std::shared_ptr<StreamRun>> runs = std::exchange(runs_, {});
+  for (const std::shared_ptr<StreamRun>& run : runs) {
     run->abandon();
   }
 }
--- a/libraries/front/test/fakes.h
+++ b/libraries/front/test/fakes.h
@@ -93,23 +93,36 @@
     admission::SlotOutcome outcome;
     outcome.code = code;
     if (code == base::ResultCode::Ok) {
-      outcome.hold = std::make_unique<Hold>(in_use);
+      outcome.hold = std::make_unique<Hold>(*this);
     }
     callback(std::move(outcome));
   }
 
   base::ResultCode code = base::ResultCode::Ok;
   bool silent = false;
+  /** A slot given back goes to a waiting request at once. */
+  bool passes_on = false;
   std::vector<std::function<void(admission::SlotOutcome)>> waiting;
   std::shared_ptr<int> in_use = std::make_shared<int>(0);
 
  private:
   class Hold : public admission::SlotHold {
    public:
-    explicit Hold(std::shared_ptr<int> in_use) : in_use_(std::move(in_use)) { ++*in_use_; }
-    ~Hold() override { --*in_use_; }
+    explicit Hold(FakeSlots& slots) : slots_(slots), in_use_(slots.in_use) { ++*in_use_; }
+    ~Hold() override {
+      --*in_use_;
+      if (slots_.passes_on && !slots_.waiting.empty()) {
+        const auto next = std::move(slots_.waiting.back());
+        slots_.waiting.pop_back();
+        admission::SlotOutcome outcome;
+        outcome.code = base::ResultCode::Ok;
+        outcome.hold = std::make_unique<Hold>(slots_);
+        next(std::move(outcome));
+      }
+    }
 
    private:
+    FakeSlots& slots_;
     std::shared_ptr<int> in_use_;
   };
 };
--- a/libraries/front/test/one_shot_flow_test.cc
+++ b/libraries/front/test/one_shot_flow_test.cc
@@ -190,6 +190,23 @@
   EXPECT_EQ(workers.sent.size(), 1U);
 }
 
+TEST_F(OneShotFlowTest, ADestroyedFlowStartsNoWaitingWork) {
+  run();
+  slots.silent = true;
+  slots.passes_on = true;
+  for (int count = 0; count < 5; ++count) {
+    OneShotRequest request;
+    request.tenant = "editors";
+    request.service = "orders";
+    request.idempotency_key = "waiting" + std::to_string(count);
+    flow->run(request, [](const OneShotAnswer&) { ADD_FAILURE() << "answered"; });
+  }
+  flow.reset();
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  EXPECT_EQ(*slots.in_use, 0);
+}
+
 TEST_F(OneShotFlowTest, WithoutBudgetARefusedWorkerIsNotReplaced) {
   const auto result = run();
   workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
--- a/programs/lab/failure_run.cc
+++ b/programs/lab/failure_run.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <atomic>
 #include <csignal>
+#include <memory>
 
 #include "http_probe.h"
 #include "operator_orders.h"
