--- a/libraries/laboratory/include/switchsaddle/laboratory/stand_in_worker.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/stand_in_worker.h
@@ -48,7 +48,7 @@
   StandInWorker(WorkerOptions options, base::Dispatcher& dispatcher, http::Client& client,
                 EventSink& events, std::function<void()> crash);
   ~StandInWorker();
-  void handle(http::Request request, http::ResponseWriterPtr writer);
+  void handle(const http::Request& request, const http::ResponseWriterPtr& writer);
   /** Shows the worker as draining from now on; it still serves what comes. */
   void drain();
   /** Whether nothing runs or waits. */
--- a/libraries/laboratory/source/call_history.cc
+++ b/libraries/laboratory/source/call_history.cc
@@ -43,7 +43,7 @@
 void foldRuns(const WorkerJournal& journal, std::map<std::string, RunHistory>& runs) {
   std::set<std::string> open;
   std::int64_t last_ms = 0;
-  const auto closeOpen = [&] {
+  const auto close_open = [&] {
     for (const std::string& run : open) {
       runs[run].end_ms = last_ms;
     }
@@ -51,7 +51,7 @@
   };
   for (const WorkerEvent& event : journal.events) {
     if (event.event == worker_event::Up) {
-      closeOpen();
+      close_open();
     } else if (event.event == worker_event::Start) {
       RunHistory& run = runs[event.run];
       run.start = event;
@@ -67,7 +67,7 @@
     }
     last_ms = event.at_ms;
   }
-  closeOpen();
+  close_open();
 }
 
 }  // namespace switchsaddle::laboratory
--- a/libraries/laboratory/source/stand_in_worker.cc
+++ b/libraries/laboratory/source/stand_in_worker.cc
@@ -87,7 +87,7 @@
   return state_->held.empty();
 }
 
-void StandInWorker::handle(http::Request request, http::ResponseWriterPtr writer) {
+void StandInWorker::handle(const http::Request& request, const http::ResponseWriterPtr& writer) {
   const std::string_view path = http::targetPath(request.target);
   try {
     if (path == "/lab/faults" && request.method == "POST") {
