--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -45,6 +45,12 @@
   base::IncidentSink* incidents = nullptr;
   /** Adds what only the process knows to the metrics, such as its traffic; may be left out. */
   std::function<void(metrics::Page&)> process_metrics = {};
+  /** In place of the claims at the core; for tests that show what these prevent. */
+  claims::ClaimClient* claims = nullptr;
+  /** In place of this front's session where work is let in and dispatched; likewise. */
+  const sessions::SessionClient* serving_session = nullptr;
+  /** Whether streams are checked for gaps, repeats and joined runs; likewise. */
+  bool check_sequence = true;
 };
 
 /**
@@ -83,6 +89,8 @@
   void observeRefused(const workers::Worker& worker) override;
 
   admission::SlotBroker& slots();
+  claims::ClaimClient& claims();
+  const sessions::SessionClient& servingSession() const;
   void connectParts();
   void onConfiguration(const dissemination::ViewPtr& view);
   void refreshPeers();
--- a/libraries/front/include/switchsaddle/front/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot_flow.h
@@ -24,6 +24,8 @@
 /** A one-shot as parsed and authenticated. */
 struct OneShotRequest {
   std::string tenant;
+  /** Hash of the caller's key, which has to be in force still right before each dispatch. */
+  std::string key_hash;
   /** Share branch it counts against. */
   std::string branch;
   std::string service;
@@ -78,8 +80,9 @@
  * slot → check the session → dispatch on a fresh connection → record the end in the claim → answer.
  *
  * Invariants: a byte goes to a worker only while this run holds the claim in flight, and only once
- * for each run; NotRun is recorded and told only where no byte was sent; whatever may have been
- * sent and has no matching answer is Unknown for good. The slot is taken after the claim, so that a
+ * for each run; NotRun is recorded and told only where no byte was sent or the
+ * worker refused this very attempt with Not-Run; whatever else may have been sent and has no
+ * matching answer is Unknown for good. The slot is taken after the claim, so that a
  * refusal for want of slots can promise that the key has not run. Runs on the control strand; the
  * callback runs exactly once unless the flow is destroyed before.
  */
@@ -91,6 +94,8 @@
   OneShotFlow& operator=(const OneShotFlow&) = delete;
 
   void run(OneShotRequest request, OneShotCallback callback);
+  /** Lets go of all one-shots at once: nothing is sent, recorded or answered for them any more. */
+  void abandon();
   /** One-shots not yet answered. */
   std::size_t active() const { return runs_.size(); }
 
--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -26,6 +26,8 @@
 /** A stream as parsed and authenticated. */
 struct StreamRequest {
   std::string tenant;
+  /** Hash of the caller's key, which has to be in force still right before each dispatch. */
+  std::string key_hash;
   /** Share branch it counts against. */
   std::string branch;
   configuration::SessionShape shape;
@@ -80,6 +82,8 @@
   StreamStages& stages;
   /** Where broken streams are told; nowhere if left out. */
   base::IncidentSink* incidents = nullptr;
+  /** False only in tests that show what the check prevents. */
+  bool check_sequence = true;
 };
 
 class StreamRun;
@@ -107,6 +111,8 @@
 
   /** The sink may hear of a refusal before this returns. */
   std::shared_ptr<StreamHandle> run(StreamRequest request, std::shared_ptr<StreamSink> sink);
+  /** Lets go of all streams at once: nothing is sent to workers or callers for them any more. */
+  void abandon();
   /** Streams not yet ended. */
   std::size_t active() const { return runs_.size(); }
 
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -152,7 +152,7 @@
   const std::shared_ptr<const configuration::View> view = dependencies_.beliefs.configuration();
   checkServing();
   const configuration::Tenant& tenant = authenticate(*view, request);
-  CompletionBody body = parseCompletionBody(request.body);
+  CompletionBody body = parseCompletionBody(request.body, tenant.shape.maximum_tokens);
   if (view->routeOfModel(body.prompt.model) == nullptr) {
     throw base::Error(ResultCode::UnknownModel, "", "model");
   }
@@ -162,13 +162,11 @@
   }
   StreamRequest stream;
   stream.tenant = tenant.name;
+  stream.key_hash = secretHash(request);
   stream.branch = tenant.stream_branch;
   stream.shape = tenant.shape;
   stream.caller_request_id = request.header("Request-Id");
   stream.prompt = std::move(body.prompt);
-  if (stream.prompt.maximum_tokens == 0) {
-    stream.prompt.maximum_tokens = tenant.shape.maximum_tokens;
-  }
   stream.body = std::move(body.worker_body);
   std::shared_ptr<StreamSink> sink;
   if (body.stream) {
@@ -201,6 +199,7 @@
   }
   checkAllowed(tenant, body.service);
   one_shot.tenant = tenant.name;
+  one_shot.key_hash = secretHash(request);
   one_shot.branch = tenant.one_shot_branch;
   one_shot.service = body.service;
   one_shot.caller_request_id = request.header("Request-Id");
--- a/libraries/front/source/one_shot_flow.cc
+++ b/libraries/front/source/one_shot_flow.cc
@@ -23,7 +23,14 @@
 OneShotFlow::OneShotFlow(const OneShotEnvironment& environment) : environment_(environment) {}
 
 OneShotFlow::~OneShotFlow() {
-  for (const std::shared_ptr<OneShotRun>& run : runs_) {
+  abandon();
+}
+
+void OneShotFlow::abandon() {
+  alive_ = std::make_shared<bool>(true);
+  // A run that goes gives its slot to one that waits, so all end before any goes.
+  const std::set<std::shared_ptr<OneShotRun>> runs = std::exchange(runs_, {});
+  for (const std::shared_ptr<OneShotRun>& run : runs) {
     run->abandon();
   }
 }
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -51,6 +51,15 @@
   claim();
 }
 
+void OneShotRun::abandon() {
+  state_ = State::Over;
+  deadline_timer_->disable();
+  poll_timer_->disable();
+  if (call_) {
+    std::exchange(call_, nullptr)->cancel();
+  }
+}
+
 void OneShotRun::claim() {
   state_ = State::Claiming;
   run_ = flow_.newRunName();
@@ -137,18 +146,35 @@
     withhold(ResultCode::NoWorkerAvailable, OneShotAnswer{}.retry_after_ms);
     return;
   }
-  if (!first_try_counted_) {
-    first_try_counted_ = true;
-    environment_.retries.countFirstTry(request_.service);
-  }
   if (!environment_.session.mayDispatch()) {
     withhold(ResultCode::NotServing, OneShotAnswer{}.retry_after_ms);
     return;
   }
+  if (!environment_.beliefs.configuration()->keys.contains(request_.key_hash)) {
+    // Revoked since the request came in.
+    withhold(ResultCode::UnknownKey, 0);
+    return;
+  }
+  if (first_try_counted_ && !spendRetry()) {
+    withhold(ResultCode::RetryBudgetSpent, OneShotAnswer{}.retry_after_ms);
+    return;
+  }
   send(*worker);
 }
 
+bool OneShotRun::spendRetry() {
+  // Claiming anew may have taken long, so what was allowed then need not be now.
+  const double share = environment_.beliefs.configuration()->tuning.retry_share;
+  const bool spent = environment_.retries.trySpend(request_.service, share);
+  environment_.counters.retries += spent ? 1 : 0;
+  return spent;
+}
+
 void OneShotRun::send(const workers::Worker& worker) {
+  if (!first_try_counted_) {
+    first_try_counted_ = true;
+    environment_.retries.countFirstTry(request_.service);
+  }
   state_ = State::Dispatched;
   worker_ = worker;
   head_matches_ = false;
@@ -180,7 +206,9 @@
   }
   const bool answers_this = head.request_id == run_;
   head_matches_ = answers_this && head.status == StatusOk;
-  if (!head_matches_) {
+  if (answers_this && head.not_run && head.status != StatusOk) {
+    endNotRun();
+  } else if (!head_matches_) {
     // A worker that has refused runs nothing; after another's answer it may still be running.
     const admission::SlotHoldPtr used_slot = answers_this ? std::move(slot_) : nullptr;
     endUnknown();
@@ -221,6 +249,10 @@
     endUnknown();
     return;
   }
+  endNotRun();
+}
+
+void OneShotRun::endNotRun() {
   excluded_.insert(worker_.entry.id);
   leaveWorker();
   retryOrWithhold();
@@ -242,7 +274,6 @@
         }
         const ResultCode code = run->mayRetry();
         if (code == ResultCode::Ok) {
-          ++run->environment_.counters.retries;
           run->claim();
           return;
         }
@@ -259,8 +290,8 @@
     return ResultCode::NotRun;
   }
   const double share = environment_.beliefs.configuration()->tuning.retry_share;
-  const bool spent = environment_.retries.trySpend(request_.service, share);
-  return spent ? ResultCode::Ok : ResultCode::RetryBudgetSpent;
+  const bool allowed = environment_.retries.maySpend(request_.service, share);
+  return allowed ? ResultCode::Ok : ResultCode::RetryBudgetSpent;
 }
 
 void OneShotRun::withhold(ResultCode code, std::uint32_t retry_after_ms) {
@@ -313,12 +344,6 @@
       RecordTries);
 }
 
-void OneShotRun::abandon() {
-  state_ = State::Over;
-  deadline_timer_->disable();
-  poll_timer_->disable();
-}
-
 void OneShotRun::leaveWorker() {
   const auto found = flow_.in_flight_.find(worker_.entry.id);
   if (found != flow_.in_flight_.end() && --found->second == 0) {
--- a/libraries/front/source/retry_budget.cc
+++ b/libraries/front/source/retry_budget.cc
@@ -10,7 +10,7 @@
   count(counts.first_tries);
 }
 
-bool RetryBudget::trySpend(const std::string& service, double share) {
+bool RetryBudget::maySpend(const std::string& service, double share) {
   ServiceCounts& counts = services_[service];
   expire(counts.first_tries, Window - Headroom);
   expire(counts.retries, Window + Slice);
@@ -19,10 +19,14 @@
       share * static_cast<double>(countWithin(counts.first_tries, ShortWindow));
   const bool within = static_cast<double>(counts.retries.total + 1) <= allowed;
   const bool spread = static_cast<double>(countWithin(counts.retries, ShortWindow)) <= allowed_now;
-  if (!within || !spread) {
+  return within && spread;
+}
+
+bool RetryBudget::trySpend(const std::string& service, double share) {
+  if (!maySpend(service, share)) {
     return false;
   }
-  count(counts.retries);
+  count(services_[service].retries);
   return true;
 }
 
--- a/libraries/front/source/stream_run.cc
+++ b/libraries/front/source/stream_run.cc
@@ -68,7 +68,8 @@
     : flow_(flow),
       environment_(flow.environment_),
       request_(std::move(request)),
-      sink_(std::move(sink)) {}
+      sink_(std::move(sink)),
+      relay_(streams::RelayMachine::DefaultMaximumOutstanding, environment_.check_sequence) {}
 
 void StreamRun::start() {
   deadline_timer_ = environment_.dispatcher.createTimer([this] {
@@ -155,7 +156,6 @@
   PlacementVerdict verdict;
   verdict.retry_after_ms = DefaultRetryAfterMs;
   if (attempts_ == 0) {
-    environment_.retries.countFirstTry(CompletionsService);
     const PlacementVerdict judged = judgePlacement(placement, request_.shape);
     verdict = judged.code == ResultCode::Ok ? verdict : judged;
   } else {
@@ -167,6 +167,10 @@
   if (verdict.code == ResultCode::Ok && !environment_.session.mayDispatch()) {
     verdict.code = ResultCode::NotServing;
   }
+  if (!environment_.beliefs.configuration()->keys.contains(request_.key_hash)) {
+    // Revoked since the request came in.
+    verdict.code = ResultCode::UnknownKey;
+  }
   if (verdict.code != ResultCode::Ok) {
     refuse(verdict.code, verdict.retry_after_ms);
     return false;
@@ -175,6 +179,9 @@
 }
 
 void StreamRun::send(const routing::Placement& placement) {
+  if (attempts_ == 0) {
+    environment_.retries.countFirstTry(CompletionsService);
+  }
   ++attempts_;
   placement_sent_ = true;
   ++environment_.counters.dispatches;
--- a/libraries/front/test/contract/live_fleet.h
+++ b/libraries/front/test/contract/live_fleet.h
@@ -22,11 +22,11 @@
                [](simulation::World&, simulation::Process& process) {
                  return std::make_unique<PromptWorkers>(process);
                }),
-        core_service_(*fleet_.cores[0]->node, nullptr),
+        core_service_(fleet_.cores[0]->life->node, nullptr),
         front_server_(http::startServer(
             context_, {"127.0.0.1", 0}, {},
             [this](http::Request request, http::ResponseWriterPtr writer) {
-              fleet_.fronts[0]->node->service().enqueue(std::move(request), std::move(writer));
+              fleet_.fronts[0]->node().service().enqueue(std::move(request), std::move(writer));
             })),
         core_server_(http::startServer(
             context_, {"127.0.0.1", 0}, {},
--- a/libraries/front/test/fakes.h
+++ b/libraries/front/test/fakes.h
@@ -45,11 +45,15 @@
   void release() {
     held = false;
     while (!held_answers.empty()) {
-      const auto answer = std::move(held_answers.front());
-      held_answers.pop_front();
-      answer();
+      answerNext();
     }
   }
+  /** Hands the first held answer out. */
+  void answerNext() {
+    const auto answer = std::move(held_answers.front());
+    held_answers.pop_front();
+    answer();
+  }
   wire::ClaimState state(const std::string& key) { return records[key].state; }
 
   bool begins_available = true;
@@ -93,23 +97,41 @@
     admission::SlotOutcome outcome;
     outcome.code = code;
     if (code == base::ResultCode::Ok) {
-      outcome.hold = std::make_unique<Hold>(in_use);
+      outcome.hold = std::make_unique<Hold>(*this);
     }
     callback(std::move(outcome));
   }
 
+  /** Gives a slot to the request that came last. */
+  void grantWaiting() {
+    const auto next = std::move(waiting.back());
+    waiting.pop_back();
+    admission::SlotOutcome outcome;
+    outcome.code = base::ResultCode::Ok;
+    outcome.hold = std::make_unique<Hold>(*this);
+    next(std::move(outcome));
+  }
+
   base::ResultCode code = base::ResultCode::Ok;
   bool silent = false;
+  /** A slot given back goes to a waiting request at once. */
+  bool passes_on = false;
   std::vector<std::function<void(admission::SlotOutcome)>> waiting;
   std::shared_ptr<int> in_use = std::make_shared<int>(0);
 
  private:
   class Hold : public admission::SlotHold {
    public:
-    explicit Hold(std::shared_ptr<int> in_use) : in_use_(std::move(in_use)) { ++*in_use_; }
-    ~Hold() override { --*in_use_; }
+    explicit Hold(FakeSlots& slots) : slots_(slots), in_use_(slots.in_use) { ++*in_use_; }
+    ~Hold() override {
+      --*in_use_;
+      if (slots_.passes_on && !slots_.waiting.empty()) {
+        slots_.grantWaiting();
+      }
+    }
 
    private:
+    FakeSlots& slots_;
     std::shared_ptr<int> in_use_;
   };
 };
@@ -148,6 +170,14 @@
       head.run = run;
       observer->onHead(head);
     }
+    /** A refusal that says whether something ran. */
+    void refuse(bool not_run, const std::string& request_id) const {
+      WorkerHead head;
+      head.status = 503;
+      head.request_id = request_id;
+      head.not_run = not_run;
+      observer->onHead(head);
+    }
     void bytes(const std::string& text) const {
       observer->onBytes(text, [] {});
     }
@@ -166,6 +196,10 @@
 /** Beliefs the test sets; collects observations. */
 class FakeBeliefs : public FleetBeliefs {
  public:
+  /** A key which is in force until the test removes it. */
+  static constexpr const char* KeyHash = "key-hash";
+
+  FakeBeliefs() { view.keys[KeyHash] = configuration::Key{"caller", KeyHash, "editors"}; }
   std::shared_ptr<const configuration::View> configuration() const override {
     return std::make_shared<configuration::View>(view);
   }
--- a/libraries/front/test/one_shot_flow_test.cc
+++ b/libraries/front/test/one_shot_flow_test.cc
@@ -27,6 +27,7 @@
   std::shared_ptr<std::optional<OneShotAnswer>> run(std::uint64_t fingerprint = 7) {
     auto result = std::make_shared<std::optional<OneShotAnswer>>();
     OneShotRequest request;
+    request.key_hash = FakeBeliefs::KeyHash;
     request.tenant = "editors";
     request.service = "orders";
     request.idempotency_key = Key;
@@ -102,6 +103,7 @@
       sent.observer->onHead(crossed);
     },
     [](const auto& sent) { sent.head(503); },
+    [](const auto& sent) { sent.refuse(true, "another"); },
     [](const auto& sent) { sent.observer->onComplete(); },
     [](const auto& sent) { sent.bytes(std::string((1U << 20U) + 1, 'x')); },
 };
@@ -166,6 +168,85 @@
   EXPECT_EQ(*slots.in_use, 0);
 }
 
+TEST_F(OneShotFlowTest, AWorkerThatRefusesBeforeRunningIsReplacedUnderANewClaim) {
+  fillBudget();
+  const auto result = run();
+  const std::string first_run = claims.records[Key].run;
+  workers.sent[0].refuse(true, workers.sent[0].request.request_id);
+  ASSERT_EQ(workers.sent.size(), 2U);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  EXPECT_NE(workers.sent[1].request.address, workers.sent[0].request.address);
+  EXPECT_NE(claims.records[Key].run, first_run);
+  EXPECT_TRUE(beliefs.refused.empty());
+  workers.sent[1].refuse(true, workers.sent[1].request.request_id);
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, ARefusalBeforeRunningIsToldOnlyOnceRecorded) {
+  fillBudget();
+  const auto result = run();
+  claims.finishes_available = false;
+  workers.sent[0].refuse(true, workers.sent[0].request.request_id);
+  EXPECT_EQ((*result)->outcome, Outcome::Unknown);
+  EXPECT_EQ(workers.sent.size(), 1U);
+}
+
+TEST_F(OneShotFlowTest, WhatWasNeverSentEarnsNoRetries) {
+  session.now = sessions::SessionState::Lapsed;
+  for (int count = 0; count < 20; ++count) {
+    run();
+  }
+  EXPECT_FALSE(retries.trySpend("orders", 0.1));
+}
+
+TEST_F(OneShotFlowTest, ARetryIsMeasuredWhenItIsSent) {
+  fillBudget();
+  world.runFor(std::chrono::seconds(8));
+  const auto result = run();
+  claims.held = true;
+  workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
+  claims.answerNext();
+  // Claiming anew takes so long that the first tries that allowed the retry leave the window.
+  world.runFor(std::chrono::seconds(3));
+  claims.release();
+  EXPECT_EQ(workers.sent.size(), 1U);
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ((*result)->code, ResultCode::RetryBudgetSpent);
+}
+
+TEST_F(OneShotFlowTest, AKeyRevokedBeforeTheDispatchIsRecordedNotRun) {
+  slots.silent = true;
+  const auto result = run();
+  beliefs.view.keys.clear();
+  slots.grantWaiting();
+  EXPECT_TRUE(workers.sent.empty());
+  ASSERT_TRUE(result->has_value());
+  EXPECT_EQ((*result)->outcome, Outcome::NotRun);
+  EXPECT_EQ((*result)->code, ResultCode::UnknownKey);
+  EXPECT_EQ(claims.state(Key), ClaimState::NotRun);
+}
+
+TEST_F(OneShotFlowTest, ADestroyedFlowStartsNoWaitingWork) {
+  run();
+  slots.silent = true;
+  slots.passes_on = true;
+  for (int count = 0; count < 5; ++count) {
+    OneShotRequest request;
+    request.key_hash = FakeBeliefs::KeyHash;
+    request.tenant = "editors";
+    request.service = "orders";
+    request.idempotency_key = "waiting" + std::to_string(count);
+    flow->run(request, [](const OneShotAnswer&) { ADD_FAILURE() << "answered"; });
+  }
+  flow.reset();
+  EXPECT_EQ(workers.sent.size(), 1U);
+  EXPECT_TRUE(workers.sent[0].call->cancelled);
+  EXPECT_EQ(*slots.in_use, 0);
+}
+
 TEST_F(OneShotFlowTest, WithoutBudgetARefusedWorkerIsNotReplaced) {
   const auto result = run();
   workers.sent[0].observer->onFailure(WorkerFailure::NotSent, true);
--- /dev/null
+++ b/libraries/front/test/traffic_scenario_test.cc
@@ -0,0 +1,118 @@
+#include "traffic_scenario.h"
+
+#include <iostream>
+
+namespace switchsaddle::front {
+namespace {
+
+constexpr std::uint64_t Seeds = 100;
+/** Seeds within which a mechanism that is off has to be found out. */
+constexpr std::uint64_t RedSeeds = 20;
+
+class TrafficSeeds : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(TrafficSeeds, BreaksNoRuleUnderFailures) {
+  const TrafficResult result = TrafficScenario(GetParam(), {}).run();
+  for (const std::string& violation : result.violations) {
+    ADD_FAILURE() << violation;
+  }
+  EXPECT_GT(result.one_shots_ran, 0);
+  EXPECT_GT(result.streams_done, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, TrafficSeeds, testing::Range<std::uint64_t>(1, Seeds + 1));
+
+TEST(TrafficCoverage, TheSeedsBringAboutWhatTheyCheck) {
+  TrafficResult sum;
+  int revocations = 0;
+  int evacuations = 0;
+  for (std::uint64_t seed = 1; seed <= RedSeeds; ++seed) {
+    const TrafficResult result = TrafficScenario(seed, {}).run();
+    sum.one_shots_ran += result.one_shots_ran;
+    sum.one_shots_not_run += result.one_shots_not_run;
+    sum.one_shots_unknown += result.one_shots_unknown;
+    sum.streams_done += result.streams_done;
+    sum.streams_broken += result.streams_broken;
+    sum.retries += result.retries;
+    revocations += result.revocation_acknowledged ? 1 : 0;
+    evacuations += result.evacuation_acknowledged ? 1 : 0;
+  }
+  std::cout << "one-shots ran " << sum.one_shots_ran << ", not run " << sum.one_shots_not_run
+            << ", unknown " << sum.one_shots_unknown << "; streams done " << sum.streams_done
+            << ", broken " << sum.streams_broken << "; retries " << sum.retries
+            << "; acknowledged revocations " << revocations << ", evacuations " << evacuations
+            << " of " << RedSeeds << "\n";
+  // At least one for each seed, on average.
+  EXPECT_GT(sum.one_shots_not_run, static_cast<int>(RedSeeds));
+  EXPECT_GT(sum.one_shots_unknown, static_cast<int>(RedSeeds));
+  EXPECT_GT(sum.streams_broken, static_cast<int>(RedSeeds));
+  EXPECT_GT(sum.retries, RedSeeds);
+  EXPECT_GT(revocations, static_cast<int>(RedSeeds / 2));
+  EXPECT_GT(evacuations, static_cast<int>(RedSeeds / 2));
+}
+
+/** A mechanism switched off, and the rule which is then broken. */
+struct RedRun {
+  const char* name;
+  TrafficOptions options;
+  const char* rule;
+};
+
+std::ostream& operator<<(std::ostream& out, const RedRun& run) {
+  return out << run.name;
+}
+
+std::vector<RedRun> redRuns() {
+  RedRun claims{"ClaimsOff", {}, "ran-twice"};
+  claims.options.claims = false;
+  RedRun session{"SessionCheckOff", {}, "ran-for-revoked-key"};
+  session.options.session_check = false;
+  RedRun session_zone{"SessionCheckOffZone", {}, "sent-to-evacuated-zone"};
+  session_zone.options.session_check = false;
+  RedRun lost{"LostTreatedAsNotSent", {}, "ran-twice"};
+  lost.options.lost_is_unknown = false;
+  RedRun gap{"SequenceCheckOffGap", {}, "piece-order"};
+  gap.options.sequence_check = false;
+  RedRun joined{"SequenceCheckOffJoinedRuns", {}, "run-changed"};
+  joined.options.sequence_check = false;
+  RedRun early{"SequenceCheckOffEarlyEnd", {}, "early-end"};
+  early.options.sequence_check = false;
+  RedRun retries{"RetryBudgetWide", {}, "too-many-retries"};
+  retries.options.retry_share = 0.5;
+  retries.options.faults.not_run = 0.4;
+  return {claims, session, session_zone, lost, gap, joined, early, retries};
+}
+
+class TrafficRedRuns : public testing::TestWithParam<RedRun> {};
+
+TEST_P(TrafficRedRuns, AMechanismSwitchedOffIsFoundOut) {
+  std::uint64_t found_at = 0;
+  for (std::uint64_t seed = 1; seed <= RedSeeds && found_at == 0; ++seed) {
+    const TrafficResult result = TrafficScenario(seed, GetParam().options).run();
+    found_at = result.found(GetParam().rule) ? seed : 0;
+  }
+  EXPECT_GT(found_at, 0U) << "no seed broke " << GetParam().rule;
+  std::cout << GetParam().rule << " found at seed " << found_at << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(Mechanisms, TrafficRedRuns, testing::ValuesIn(redRuns()),
+                         [](const testing::TestParamInfo<RedRun>& run) {
+                           return std::string(run.param.name);
+                         });
+
+TEST(TrafficStorm, RetriesStayWithinTheBudgetWhereMostWorkersRefuse) {
+  TrafficOptions options;
+  options.faults.not_run = 0.4;
+  std::size_t retries = 0;
+  for (std::uint64_t seed = 1; seed <= RedSeeds; ++seed) {
+    const TrafficResult result = TrafficScenario(seed, options).run();
+    for (const std::string& violation : result.violations) {
+      ADD_FAILURE() << "seed " << seed << ": " << violation;
+    }
+    retries += result.retries;
+  }
+  EXPECT_GT(retries, RedSeeds);
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- a/libraries/laboratory/include/switchsaddle/laboratory/branch_judge.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/branch_judge.h
@@ -33,8 +33,8 @@
    */
   std::int64_t occupancy_ms = 50;
   /** Window of the retry share. */
-  std::int64_t retry_window_ms = 10'000;
-  double retry_share = 0.1;
+  std::int64_t retry_window_ms = RetryWindowMs;
+  double retry_share = RetryShare;
 };
 
 /** What was seen of one branch. */
@@ -49,16 +49,6 @@
   std::uint32_t refused_inside = 0;
 };
 
-/** Attempts at the workers of one kind, beyond the first for each caller's request. */
-struct RetryFindings {
-  std::uint64_t first_tries = 0;
-  std::uint64_t retries = 0;
-  /** Greatest share of retries in first tries over a window, and its counts. */
-  double worst_share = 0;
-  std::uint64_t worst_retries = 0;
-  std::uint64_t worst_first_tries = 0;
-};
-
 /** How long callers waited for an answer with one result code, milliseconds. */
 struct AnswerTimes {
   std::size_t samples = 0;
--- a/libraries/laboratory/include/switchsaddle/laboratory/judge.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/judge.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/laboratory/call_event.h"
+#include "switchsaddle/laboratory/order_event.h"
 #include "switchsaddle/laboratory/worker_event.h"
 
 namespace switchsaddle::laboratory {
@@ -32,10 +33,29 @@
   OverLimit,
   /** A call was refused as over its branch while a slot was free. */
   RefusedInside,
+  /** A run started on a worker of an evacuated zone later than EvacuationLimitMs after the
+   * acknowledgement. */
+  RanInEvacuatedZone,
+  /** A run started for a revoked key's tenant later than RevocationLimitMs after the
+   * acknowledgement. */
+  RanForRevokedKey,
+  /** A worker got a request later than LeavingLimitMs after it was known to be leaving. */
+  SentToLeavingWorker,
   /** Retries at the workers are too large a share of the first tries. */
   TooManyRetries,
 };
 
+/** From the acknowledgement of an evacuation to the last start in the zone, milliseconds. */
+inline constexpr std::int64_t EvacuationLimitMs = 5'000;
+/** From the acknowledgement of a revocation to the last start for the key, milliseconds. */
+inline constexpr std::int64_t RevocationLimitMs = 2'000;
+/** From the moment at which a worker announced its leaving, or was killed, milliseconds. */
+inline constexpr std::int64_t LeavingLimitMs = 3'000;
+/** Length of the sliding window in which retries are counted, milliseconds. */
+inline constexpr std::int64_t RetryWindowMs = 10'000;
+/** Greatest share of retries in a window's first tries. */
+inline constexpr double RetryShare = 0.1;
+
 std::string ruleName(Rule rule);
 
 /** One finding against a rule. */
@@ -46,13 +66,20 @@
   std::string detail;
 };
 
-/** The journals of one worker, in order of writing. */
-using WorkerJournal = std::vector<WorkerEvent>;
+/** The journal of one worker, in order of writing. */
+struct WorkerJournal {
+  std::string worker;
+  /** Empty where it isn't known; the rule on evacuated zones then passes over this worker. */
+  std::string zone;
+  std::vector<WorkerEvent> events;
+};
 
-/** What is judged: only what callers saw and what workers did. */
+/** What is judged: only what callers and operators saw and what workers did. */
 struct Evidence {
   std::vector<CallEvent> calls;
   std::vector<WorkerJournal> journals;
+  /** What operators ordered and what was done to workers; may be empty. */
+  std::vector<OrderEvent> orders;
   /** Greatest number of runs at once, by tenant; tenants not named are not limited. */
   std::map<std::string, std::uint32_t> limits;
 };
@@ -64,6 +91,16 @@
   std::int64_t p95_ms = 0;
 };
 
+/** Attempts at the workers of one kind, beyond the first for each caller's request. */
+struct RetryFindings {
+  std::uint64_t first_tries = 0;
+  std::uint64_t retries = 0;
+  /** Greatest share of retries in first tries over a window, and its counts. */
+  double worst_share = 0;
+  std::uint64_t worst_retries = 0;
+  std::uint64_t worst_first_tries = 0;
+};
+
 /** The judgement on a record. */
 struct Judgement {
   std::vector<Violation> violations;
@@ -73,6 +110,11 @@
   std::size_t open_calls = 0;
   FirstTokenTimes first_token;
   std::map<std::string, std::uint32_t> peak_by_tenant;
+  /** Orders that were judged, by event, and the latest start after one of them, milliseconds. */
+  std::map<std::string, std::size_t> orders;
+  std::map<std::string, std::int64_t> latest_start_ms;
+  /** By kind of work. */
+  std::map<std::string, RetryFindings> retries;
 };
 
 Judgement judge(const Evidence& evidence);
--- a/libraries/laboratory/include/switchsaddle/laboratory/stand_in_worker.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/stand_in_worker.h
@@ -48,7 +48,7 @@
   StandInWorker(WorkerOptions options, base::Dispatcher& dispatcher, http::Client& client,
                 EventSink& events, std::function<void()> crash);
   ~StandInWorker();
-  void handle(http::Request request, http::ResponseWriterPtr writer);
+  void handle(const http::Request& request, const http::ResponseWriterPtr& writer);
   /** Shows the worker as draining from now on; it still serves what comes. */
   void drain();
   /** Whether nothing runs or waits. */
@@ -60,7 +60,7 @@
   void handleStream(const http::Request& request, const http::ResponseWriterPtr& writer);
   void handleOneShot(const http::Request& request, const http::ResponseWriterPtr& writer);
   /** Whether a fault took the request before any work. */
-  bool struckAtOnce(const http::Request& request, const char* kind,
+  bool struckAtOnce(const std::string& kind, const http::Request& request,
                     const http::ResponseWriterPtr& writer);
 
   std::unique_ptr<WorkerState> state_;
--- a/libraries/laboratory/source/branch_judge.cc
+++ b/libraries/laboratory/source/branch_judge.cc
@@ -1,11 +1,11 @@
 #include "switchsaddle/laboratory/branch_judge.h"
 
 #include <algorithm>
-#include <deque>
 #include <optional>
 #include <set>
 
 #include "call_history.h"
+#include "retry_rules.h"
 #include "switchsaddle/base/result_code.h"
 
 namespace switchsaddle::laboratory {
@@ -67,10 +67,10 @@
         calls_(foldCalls(evidence.calls)) {
     for (const WorkerJournal& journal : evidence.journals) {
       foldRuns(journal, runs_);
-      for (const WorkerEvent& event : journal) {
-        if (event.event == "queued") {
+      for (const WorkerEvent& event : journal.events) {
+        if (event.event == worker_event::Queued) {
           queued_ms_[event.request_id] = event.at_ms;
-        } else if (event.event == "refused") {
+        } else if (event.event == worker_event::Refused) {
           refused_.push_back(event);
         }
       }
@@ -80,7 +80,8 @@
   BranchJudgement result(const CrowdTime& crowd) {
     judgeExcesses();
     judgeRefusals();
-    judgeRetries();
+    judgement_.retries = judgeRetries(evidence_, tolerances_.retry_window_ms,
+                                      tolerances_.retry_share, judgement_.violations);
     measureService(crowd);
     return std::move(judgement_);
   }
@@ -177,60 +178,6 @@
     }
   }
 
-  void judgeRetries() {
-    // The attempts of one caller's request, by time; a caller's resend has a request id of its own.
-    std::map<std::string, std::map<std::string, std::multiset<std::int64_t>>> attempts;
-    for (const WorkerJournal& journal : evidence_.journals) {
-      for (const WorkerEvent& event : journal) {
-        const bool attempt = event.event == "start" || event.event == "refused";
-        if (attempt && (event.kind == Stream || event.kind == OneShot)) {
-          attempts[event.kind][event.caller_request_id].insert(event.at_ms);
-        }
-      }
-    }
-    for (const auto& [kind, by_request] : attempts) {
-      std::multiset<std::pair<std::int64_t, bool>> tries;
-      for (const auto& [request, times] : by_request) {
-        bool retry = false;
-        for (const std::int64_t at_ms : times) {
-          tries.insert({at_ms, retry});
-          retry = true;
-        }
-      }
-      judgeRetryShare(kind, tries);
-    }
-  }
-
-  void judgeRetryShare(const std::string& kind,
-                       const std::multiset<std::pair<std::int64_t, bool>>& tries) {
-    RetryFindings& findings = judgement_.retries[kind];
-    std::deque<std::pair<std::int64_t, bool>> window;
-    std::uint64_t retries = 0;
-    for (const auto& attempt : tries) {
-      window.push_back(attempt);
-      retries += attempt.second ? 1 : 0;
-      while (window.front().first <= attempt.first - tolerances_.retry_window_ms) {
-        retries -= window.front().second ? 1 : 0;
-        window.pop_front();
-      }
-      const std::uint64_t first_tries = window.size() - retries;
-      const double share =
-          first_tries == 0 ? retries : static_cast<double>(retries) / double(first_tries);
-      if (attempt.second && share > findings.worst_share) {
-        findings.worst_share = share;
-        findings.worst_retries = retries;
-        findings.worst_first_tries = first_tries;
-      }
-      (attempt.second ? findings.retries : findings.first_tries) += 1;
-    }
-    if (findings.worst_share > tolerances_.retry_share) {
-      judgement_.violations.push_back({Rule::TooManyRetries, kind,
-                                       std::to_string(findings.worst_retries) + " retries of " +
-                                           std::to_string(findings.worst_first_tries) +
-                                           " first tries within the window"});
-    }
-  }
-
   void measureService(const CrowdTime& crowd) {
     std::map<std::string, std::map<std::string, std::vector<std::int64_t>>> first_tokens;
     const std::int64_t begin_ms = calls_.empty() ? 0 : calls_.begin()->second.sent.at_ms;
--- a/libraries/laboratory/source/judge.cc
+++ b/libraries/laboratory/source/judge.cc
@@ -5,6 +5,8 @@
 #include <sstream>
 
 #include "call_history.h"
+#include "order_rules.h"
+#include "retry_rules.h"
 
 namespace switchsaddle::laboratory {
 namespace {
@@ -16,7 +18,7 @@
 class Judge {
  public:
   explicit Judge(const Evidence& evidence)
-      : limits_(evidence.limits), calls_(foldCalls(evidence.calls)) {
+      : evidence_(evidence), limits_(evidence.limits), calls_(foldCalls(evidence.calls)) {
     for (const WorkerJournal& journal : evidence.journals) {
       foldRuns(journal, runs_);
     }
@@ -42,6 +44,8 @@
       }
     }
     judgeLimits();
+    judgeOrders(evidence_, judgement_);
+    judgement_.retries = judgeRetries(evidence_, RetryWindowMs, RetryShare, judgement_.violations);
     measureFirstTokens();
     return std::move(judgement_);
   }
@@ -216,6 +220,7 @@
     }
   }
 
+  const Evidence& evidence_;
   const std::map<std::string, std::uint32_t>& limits_;
   std::map<std::uint64_t, CallHistory> calls_;
   std::map<std::string, RunHistory> runs_;
@@ -248,6 +253,12 @@
       return "over-limit";
     case Rule::RefusedInside:
       return "refused-inside";
+    case Rule::RanInEvacuatedZone:
+      return "ran-in-evacuated-zone";
+    case Rule::RanForRevokedKey:
+      return "ran-for-revoked-key";
+    case Rule::SentToLeavingWorker:
+      return "sent-to-leaving-worker";
     case Rule::TooManyRetries:
       return "too-many-retries";
   }
@@ -269,6 +280,19 @@
   for (const auto& [tenant, peak] : judgement.peak_by_tenant) {
     text << "peak at once: " << tenant << ": " << peak << "\n";
   }
+  for (const auto& [event, count] : judgement.orders) {
+    text << "orders: " << event << ": " << count;
+    const auto latest = judgement.latest_start_ms.find(event);
+    if (latest != judgement.latest_start_ms.end()) {
+      text << ", latest start after " << latest->second << " ms";
+    }
+    text << "\n";
+  }
+  for (const auto& [kind, findings] : judgement.retries) {
+    text << "attempts beyond the first: " << kind << ": " << findings.retries << " of "
+         << findings.first_tries << " first tries; worst window " << findings.worst_retries
+         << " of " << findings.worst_first_tries << "\n";
+  }
   for (const Violation& violation : judgement.violations) {
     text << "VIOLATION " << ruleName(violation.rule) << ": " << violation.subject << ": "
          << violation.detail << "\n";
--- /dev/null
+++ b/libraries/laboratory/source/order_rules.cc
@@ -0,0 +1,101 @@
+#include "order_rules.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace switchsaddle::laboratory {
+namespace {
+
+/** What of a worker's event an order's subject is compared with. */
+enum class SubjectKind : std::uint8_t { Zone, Tenant, Worker };
+
+/** A kind of order that forbids work until another allows it again. */
+struct OrderRule {
+  const char* forbids;
+  const char* allows;
+  SubjectKind subject;
+  std::int64_t limit_ms;
+  Rule rule;
+};
+
+constexpr std::array OrderRules{
+    OrderRule{order_event::Evacuated, order_event::Restored, SubjectKind::Zone, EvacuationLimitMs,
+              Rule::RanInEvacuatedZone},
+    OrderRule{order_event::Revoked, order_event::Added, SubjectKind::Tenant, RevocationLimitMs,
+              Rule::RanForRevokedKey},
+    OrderRule{order_event::Draining, order_event::Returned, SubjectKind::Worker, LeavingLimitMs,
+              Rule::SentToLeavingWorker},
+    OrderRule{order_event::Vanished, order_event::Returned, SubjectKind::Worker, LeavingLimitMs,
+              Rule::SentToLeavingWorker},
+};
+
+const std::string& subjectOf(const WorkerJournal& journal, const WorkerEvent& event,
+                             SubjectKind kind) {
+  switch (kind) {
+    case SubjectKind::Zone:
+      return journal.zone;
+    case SubjectKind::Tenant:
+      return event.tenant;
+    case SubjectKind::Worker:
+      break;
+  }
+  return journal.worker;
+}
+
+/** When work for the subject was allowed again. */
+std::int64_t endOfOrder(const std::vector<OrderEvent>& orders, const OrderEvent& order,
+                        const OrderRule& rule) {
+  std::int64_t end = std::numeric_limits<std::int64_t>::max();
+  for (const OrderEvent& other : orders) {
+    const bool allows = other.event == rule.allows && other.subject == order.subject;
+    if (allows && other.at_ms >= order.at_ms) {
+      end = std::min(end, other.at_ms);
+    }
+  }
+  return end;
+}
+
+/** Whether the rule forbids this event. A refused request did no work in a zone or for a key, but
+ * it was sent to a leaving worker. */
+bool concerns(const OrderRule& rule, const WorkerEvent& event) {
+  return event.event == worker_event::Start ||
+         (rule.subject == SubjectKind::Worker && event.event == worker_event::Refused);
+}
+
+void judgeOrder(const Evidence& evidence, const OrderEvent& order, const OrderRule& rule,
+                Judgement& judgement) {
+  const std::int64_t end = endOfOrder(evidence.orders, order, rule);
+  for (const WorkerJournal& journal : evidence.journals) {
+    for (const WorkerEvent& event : journal.events) {
+      const bool within = event.at_ms >= order.at_ms && event.at_ms < end;
+      if (!within || !concerns(rule, event) ||
+          subjectOf(journal, event, rule.subject) != order.subject) {
+        continue;
+      }
+      const std::int64_t after_ms = event.at_ms - order.at_ms;
+      std::int64_t& latest = judgement.latest_start_ms[order.event];
+      latest = std::max(latest, after_ms);
+      if (after_ms > rule.limit_ms) {
+        judgement.violations.push_back({rule.rule, order.subject,
+                                        event.event + " " + event.run + " at " + journal.worker +
+                                            ", " + std::to_string(after_ms) + " ms after"});
+      }
+    }
+  }
+}
+
+}  // namespace
+
+void judgeOrders(const Evidence& evidence, Judgement& judgement) {
+  for (const OrderEvent& order : evidence.orders) {
+    for (const OrderRule& rule : OrderRules) {
+      if (order.event == rule.forbids) {
+        ++judgement.orders[order.event];
+        judgeOrder(evidence, order, rule, judgement);
+      }
+    }
+  }
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/retry_rules.cc
@@ -0,0 +1,91 @@
+#include "retry_rules.h"
+
+#include <deque>
+#include <set>
+#include <utility>
+
+namespace switchsaddle::laboratory {
+namespace {
+
+constexpr const char* OneShot = "one-shot";
+constexpr const char* Stream = "stream";
+
+/** Attempts in order of time, each with whether it is a retry. */
+using Tries = std::multiset<std::pair<std::int64_t, bool>>;
+
+/** The times of the attempts of one kind, by the caller's request. */
+using AttemptTimes = std::map<std::string, std::multiset<std::int64_t>>;
+
+/** By kind of work; a caller's resend has a request id of its own. */
+std::map<std::string, AttemptTimes> attemptTimes(const Evidence& evidence) {
+  std::map<std::string, AttemptTimes> attempts;
+  for (const WorkerJournal& journal : evidence.journals) {
+    for (const WorkerEvent& event : journal.events) {
+      const bool attempt =
+          event.event == worker_event::Start || event.event == worker_event::Refused;
+      const bool judged = event.kind == Stream || event.kind == OneShot;
+      if (attempt && judged && !event.caller_request_id.empty()) {
+        attempts[event.kind][event.caller_request_id].insert(event.at_ms);
+      }
+    }
+  }
+  return attempts;
+}
+
+Tries triesOf(const AttemptTimes& by_request) {
+  Tries tries;
+  for (const auto& [request, times] : by_request) {
+    bool retry = false;
+    for (const std::int64_t at_ms : times) {
+      tries.insert({at_ms, retry});
+      retry = true;
+    }
+  }
+  return tries;
+}
+
+RetryFindings findRetries(const Tries& tries, std::int64_t window_ms) {
+  RetryFindings findings;
+  std::deque<std::pair<std::int64_t, bool>> window;
+  std::uint64_t retries = 0;
+  for (const auto& attempt : tries) {
+    window.push_back(attempt);
+    retries += attempt.second ? 1 : 0;
+    while (window.front().first <= attempt.first - window_ms) {
+      retries -= window.front().second ? 1 : 0;
+      window.pop_front();
+    }
+    const std::uint64_t first_tries = window.size() - retries;
+    const double share = first_tries == 0
+                             ? static_cast<double>(retries)
+                             : static_cast<double>(retries) / static_cast<double>(first_tries);
+    if (attempt.second && share > findings.worst_share) {
+      findings.worst_share = share;
+      findings.worst_retries = retries;
+      findings.worst_first_tries = first_tries;
+    }
+    (attempt.second ? findings.retries : findings.first_tries) += 1;
+  }
+  return findings;
+}
+
+}  // namespace
+
+std::map<std::string, RetryFindings> judgeRetries(const Evidence& evidence, std::int64_t window_ms,
+                                                  double share,
+                                                  std::vector<Violation>& violations) {
+  std::map<std::string, RetryFindings> by_kind;
+  for (const auto& [kind, by_request] : attemptTimes(evidence)) {
+    const RetryFindings findings = findRetries(triesOf(by_request), window_ms);
+    by_kind[kind] = findings;
+    if (findings.worst_share > share) {
+      violations.push_back({Rule::TooManyRetries, kind,
+                            std::to_string(findings.worst_retries) + " retries of " +
+                                std::to_string(findings.worst_first_tries) +
+                                " first tries within the window"});
+    }
+  }
+  return by_kind;
+}
+
+}  // namespace switchsaddle::laboratory
--- /dev/null
+++ b/libraries/laboratory/source/retry_rules.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/laboratory/judge.h"
+
+namespace switchsaddle::laboratory {
+
+/**
+ * Applies the rule on retries: within each window that ends with a retry, the attempts at the
+ * workers beyond the first for a caller's request may be at most this share of the first ones.
+ * Attempts without a caller's request id are passed over. Returns what was found, by kind of work.
+ */
+std::map<std::string, RetryFindings> judgeRetries(const Evidence& evidence, std::int64_t window_ms,
+                                                  double share, std::vector<Violation>& violations);
+
+}  // namespace switchsaddle::laboratory
--- a/libraries/laboratory/source/stand_in_worker.cc
+++ b/libraries/laboratory/source/stand_in_worker.cc
@@ -87,7 +87,7 @@
   return state_->held.empty();
 }
 
-void StandInWorker::handle(http::Request request, http::ResponseWriterPtr writer) {
+void StandInWorker::handle(const http::Request& request, const http::ResponseWriterPtr& writer) {
   const std::string_view path = http::targetPath(request.target);
   try {
     if (path == "/lab/faults" && request.method == "POST") {
@@ -132,20 +132,18 @@
   writer->respond(std::move(response));
 }
 
-bool StandInWorker::struckAtOnce(const http::Request& request, const char* kind,
+bool StandInWorker::struckAtOnce(const std::string& kind, const http::Request& request,
                                  const http::ResponseWriterPtr& writer) {
   if (!state_->fault.take(FaultMode::Refuse)) {
     return false;
   }
-  const RequestIdentity identity = parseIdentity(request);
-  state_->note("refused", kind, "", identity, 0, 0);
-  writer->respond(state_->refusal(503, identity.request_id, "refused"));
+  writer->respond(state_->refuseBeforeRun(kind, parseIdentity(request), "refused"));
   return true;
 }
 
 void StandInWorker::handleStream(const http::Request& request,
                                  const http::ResponseWriterPtr& writer) {
-  if (struckAtOnce(request, "stream", writer)) {
+  if (struckAtOnce("stream", request, writer)) {
     return;
   }
   StreamRequest stream = parseStream(request, *state_);
@@ -165,7 +163,7 @@
 
 void StandInWorker::handleOneShot(const http::Request& request,
                                   const http::ResponseWriterPtr& writer) {
-  if (struckAtOnce(request, "one-shot", writer)) {
+  if (struckAtOnce("one-shot", request, writer)) {
     return;
   }
   const boost::json::object body = parseObject(request.body);
--- a/libraries/laboratory/source/stream_run.cc
+++ b/libraries/laboratory/source/stream_run.cc
@@ -36,11 +36,10 @@
   });
   if (ticket_ == SlotQueue::Refused) {
     closed_ = true;
-    worker_.note("refused", Kind, "", request_.identity, 0, 0);
-    writer_->respond(worker_.refusal(503, request_.identity.request_id, "queue full"));
+    writer_->respond(worker_.refuseBeforeRun(Kind, request_.identity, "queue full"));
     worker_.forget(shared_from_this());
   } else if (!running_) {
-    worker_.note("queued", Kind, "", request_.identity, 0, 0);
+    worker_.note(worker_event::Queued, Kind, "", request_.identity, 0, 0);
   }
 }
 
--- a/libraries/laboratory/test/branch_judge_test.cc
+++ b/libraries/laboratory/test/branch_judge_test.cc
@@ -28,7 +28,7 @@
     line.request_id = request + "-attempt";
     line.caller_request_id = request;
     line.at_ms = at_ms;
-    journal_.push_back(line);
+    journal_.events.push_back(line);
   }
   void refused(std::int64_t sent_ms, std::int64_t answer_ms) {
     CallEvent event;
--- a/programs/lab/commands.h
+++ b/programs/lab/commands.h
@@ -19,5 +19,6 @@
 void addClaimsCommand(CLI::App& app);
 void addSlopesCommand(CLI::App& app);
 void addFuzzCommand(CLI::App& app);
+void addFailuresCommand(CLI::App& app);
 
 }  // namespace switchsaddle::lab
--- a/programs/lab/main.cc
+++ b/programs/lab/main.cc
@@ -19,6 +19,7 @@
   switchsaddle::lab::addClaimsCommand(app);
   switchsaddle::lab::addSlopesCommand(app);
   switchsaddle::lab::addFuzzCommand(app);
+  switchsaddle::lab::addFailuresCommand(app);
   try {
     CLI11_PARSE(app, argument_count, arguments);
   } catch (const std::exception& error) {
