Adapt the limits scenario and the fuzz target to the merged interfaces

The fuzz target reads the worker's body again with another limit, which a body that holds max_tokens must not take on, so it checks more than before.

--- a/libraries/fuzz/source/text_targets.cc
+++ b/libraries/fuzz/source/text_targets.cc
@@ -22,12 +22,19 @@
   }
 }
 
+/** A tenant's limit on tokens, and another that a body which names its own must not take on. */
+constexpr std::uint32_t MaximumTokens = 1'024;
+constexpr std::uint32_t OtherMaximumTokens = 7;
+
 /** What a worker is sent must mean to it what the caller's body meant here. */
 void readCompletion(const std::string& input) {
-  const front::CompletionBody body = front::parseCompletionBody(input);
-  const front::CompletionBody again = front::parseCompletionBody(body.worker_body);
+  const front::CompletionBody body = front::parseCompletionBody(input, MaximumTokens);
+  const front::CompletionBody again =
+      front::parseCompletionBody(body.worker_body, OtherMaximumTokens);
   require(again.worker_body == body.worker_body, "the worker's body changes when read again");
   require(again.prompt.model == body.prompt.model, "the model changes when read again");
+  require(again.prompt.maximum_tokens == body.prompt.maximum_tokens,
+          "the limit on tokens changes when read again");
 }
 
 void readOneShot(const std::string& input) {
--- a/libraries/scenarios/source/limits_scenario.cc
+++ b/libraries/scenarios/source/limits_scenario.cc
@@ -218,7 +218,7 @@
   line.run = request.request_id;
   line.tenant = request.tenant;
   line.caller_request_id = request.caller_request_id;
-  journal_.push_back(std::move(line));
+  journal_.events.push_back(std::move(line));
 }
 
 void LimitsScenario::onAttempt(const front::WorkerRequest& request) {
@@ -229,7 +229,7 @@
 void LimitsScenario::onStart(const front::WorkerRequest& request) {
   // The attempt was noted as refused right before; it is a run instead.
   if (!over_) {
-    journal_.pop_back();
+    journal_.events.pop_back();
   }
   note("start", request);
 }
