Suspend fronts in the traffic scenario, so that a session check that is off is found out

The scenario is harsher: half of the frozen fronts also lose what is sent to them, as a suspended machine does, and reach one core when they wake and the others within 3 s.

--- a/libraries/front/test/traffic_scenario.cc
+++ b/libraries/front/test/traffic_scenario.cc
@@ -18,6 +18,10 @@
 constexpr double StrikeChance = 0.06;
 /** Long enough to sleep through an evacuation and its limit. */
 constexpr std::uint64_t LongestFreezeMs = 12'000;
+/** From the wake of a suspended front until it reaches everybody again. */
+constexpr std::uint64_t LongestReturnMs = 3'000;
+/** Of frozen fronts that also lose what is sent to them, as a suspended machine does. */
+constexpr double SuspensionChance = 0.5;
 constexpr base::Duration RevocationLimit = seconds(2);
 constexpr base::Duration EvacuationLimit = seconds(5);
 constexpr const char* EvacuatedZone = "a";
@@ -255,6 +259,9 @@
       break;
     case 2:
       fleet_->network.healAll();
+      for (const int front : suspended_) {
+        setReachable(front, false);
+      }
       break;
     case 3:
       disturbCore();
@@ -273,14 +280,56 @@
     return;
   }
   if (world.random().chance(0.5)) {
+    const bool suspended = world.random().chance(SuspensionChance);
+    if (suspended) {
+      suspended_.insert(number);
+      setReachable(number, false);
+    }
     front.process.freeze();
     world.schedule(milliseconds(200 + world.random().below(LongestFreezeMs)),
-                   [&front] { front.process.wake(); });
+                   [this, &front, number, suspended] {
+                     if (suspended) {
+                       endSuspension(number);
+                     }
+                     front.process.wake();
+                   });
     return;
   }
   killFront(number);
 }
 
+void TrafficScenario::endSuspension(int number) {
+  simulation::World& world = fleet_->world;
+  suspended_.erase(number);
+  // The machine finds one core at once and the others later.
+  const auto core = static_cast<int>(world.random().below(Cores));
+  fleet_->network.heal(frontAddress(number), coreAddress(core));
+  world.schedule(milliseconds(world.random().below(LongestReturnMs)), [this, number] {
+    if (!suspended_.contains(number)) {
+      setReachable(number, true);
+    }
+  });
+}
+
+void TrafficScenario::setReachable(int number, bool reachable) {
+  std::vector<base::NodeAddress> peers;
+  for (int core = 0; core < Cores; ++core) {
+    peers.push_back(coreAddress(core));
+  }
+  for (int front = 0; front < Fronts; ++front) {
+    if (front != number) {
+      peers.push_back(frontAddress(front));
+    }
+  }
+  for (const base::NodeAddress& peer : peers) {
+    if (reachable) {
+      fleet_->network.heal(frontAddress(number), peer);
+    } else {
+      fleet_->network.cut(frontAddress(number), peer);
+    }
+  }
+}
+
 void TrafficScenario::killFront(int number) {
   ++lives_[number];
   FrontProcess& front = *fleet_->fronts[number];
@@ -317,6 +366,7 @@
 }
 
 void TrafficScenario::healAll() {
+  suspended_.clear();
   fleet_->network.healAll();
   fleet_->network.conditions.loss = 0;
   for (const auto& core : fleet_->cores) {
--- a/libraries/front/test/traffic_scenario.h
+++ b/libraries/front/test/traffic_scenario.h
@@ -77,6 +77,9 @@
                                      const std::string& secret);
   void disturb();
   void disturbFront();
+  void endSuspension(int number);
+  /** Cuts a front from all cores and other fronts, or heals that. */
+  void setReachable(int number, bool reachable);
   void disturbCore();
   void killFront(int front);
   void healAll();
@@ -111,6 +114,8 @@
   std::deque<StreamCall> streams_;
   int fronts_made_ = 0;
   std::vector<int> lives_ = std::vector<int>(Fronts, 0);
+  /** Frozen fronts that nothing reaches until they wake. */
+  std::set<int> suspended_;
   /** When the revocation was first acknowledged. */
   std::optional<base::TimePoint> revoked_;
   /** When the evacuation was first acknowledged. */
