Begin request numbers anew in each process, so that answers to an earlier one are not taken

Cause: PeerCalls counted requests from 1 in every process. An answer that a slow peer sent to a front or core which had been killed and started again at its address was taken for the answer to the new process's request of the same number. A promise, a claim or a slot could have been crossed in the same way.

Ruled out: the register (each version made once, the final document right), the operator's own numbering of attempts.

Change: numbers begin at the clock's nanoseconds, which rise faster than any process makes calls. PeerCallsTest.AnAnswerToAnEarlierProcessAtTheAddressIsNotTaken brings it about directly.

--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -26,7 +26,7 @@
 struct StreamRequest {
   std::string tenant;
   /** Hash of the caller's key, which must be in force at each dispatch; empty: not checked. */
-  std::string key_sha256;
+  std::string key_hash;
   /** Share branch it counts against. */
   std::string branch;
   configuration::SessionShape shape;
--- a/libraries/front/source/belief_keeper.cc
+++ b/libraries/front/source/belief_keeper.cc
@@ -45,8 +45,8 @@
                         std::uint64_t version) {
   const auto held = view_.beliefs().find({subject, key});
   const bool known = held != view_.beliefs().end();
-  const bool same = known ? held->second.value == value && held->second.version == version
-                          : value.empty();
+  const bool same =
+      known ? held->second.value == value && held->second.version == version : value.empty();
   if (!same) {
     journal_.append(subject, key, value, version);
   }
@@ -67,8 +67,7 @@
 
 void BeliefKeeper::lookAtSlots() {
   for (const auto& [branch, held, in_use] : slots_.holdings()) {
-    const std::string value =
-        std::to_string(held) + " held, " + std::to_string(in_use) + " in use";
+    const std::string value = std::to_string(held) + " held, " + std::to_string(in_use) + " in use";
     journal::Belief& belief = slot_beliefs_[branch];
     if (belief.value != value) {
       belief = {value, 0, dispatcher_.now()};
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -140,7 +140,7 @@
   }
   StreamRequest stream;
   stream.tenant = tenant.name;
-  stream.key_sha256 = secretHash(request);
+  stream.key_hash = secretHash(request);
   stream.branch = tenant.stream_branch;
   stream.shape = tenant.shape;
   stream.caller_request_id = request.header("Request-Id");
@@ -180,7 +180,7 @@
   }
   checkAllowed(tenant, body.service);
   one_shot.tenant = tenant.name;
-  one_shot.key_sha256 = secretHash(request);
+  one_shot.key_hash = secretHash(request);
   one_shot.branch = tenant.one_shot_branch;
   one_shot.service = body.service;
   one_shot.caller_request_id = request.header("Request-Id");
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -136,7 +136,7 @@
 
 void OneShotRun::dispatch() {
   // The key may have been removed while the request waited.
-  const std::string& key = request_.key_sha256;
+  const std::string& key = request_.key_hash;
   if (!key.empty() && !environment_.beliefs.configuration()->keys.contains(key)) {
     withhold(ResultCode::UnknownKey, 0);
     return;
--- a/libraries/front/source/stream_run.cc
+++ b/libraries/front/source/stream_run.cc
@@ -137,7 +137,7 @@
 std::optional<routing::Placement> StreamRun::choose() {
   const std::shared_ptr<const configuration::View> view = environment_.beliefs.configuration();
   // The key may have been removed while the request waited.
-  if (!request_.key_sha256.empty() && !view->keys.contains(request_.key_sha256)) {
+  if (!request_.key_hash.empty() && !view->keys.contains(request_.key_hash)) {
     refuse(ResultCode::UnknownKey, 0);
     return std::nullopt;
   }
--- a/libraries/front/test/one_shot_flow_test.cc
+++ b/libraries/front/test/one_shot_flow_test.cc
@@ -23,10 +23,10 @@
     beliefs.addWorker("w2", "ordinary");
   }
   std::shared_ptr<std::optional<OneShotAnswer>> run(std::uint64_t fingerprint = 7,
-                                                    const std::string& key_sha256 = {}) {
+                                                    const std::string& key_hash = {}) {
     auto result = std::make_shared<std::optional<OneShotAnswer>>();
     OneShotRequest request;
-    request.key_sha256 = key_sha256;
+    request.key_hash = key_hash;
     request.tenant = "editors";
     request.service = "orders";
     request.idempotency_key = Key;
--- a/libraries/front/test/stream_flow_test.cc
+++ b/libraries/front/test/stream_flow_test.cc
@@ -65,10 +65,10 @@
       retries.countFirstTry("completions");
     }
   }
-  std::shared_ptr<FakeSink> run(const std::string& key_sha256 = {}) {
+  std::shared_ptr<FakeSink> run(const std::string& key_hash = {}) {
     auto sink = std::make_shared<FakeSink>();
     StreamRequest request;
-    request.key_sha256 = key_sha256;
+    request.key_hash = key_hash;
     request.prompt.model = "large";
     handle = flow.run(request, sink);
     return sink;
--- a/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
@@ -6,7 +6,7 @@
 
 #include "switchsaddle/scenarios/operator_stand_in.h"
 #include "switchsaddle/scenarios/simulated_core.h"
-#include "switchsaddle/scenarios/simulated_front.h"
+#include "switchsaddle/scenarios/watched_front.h"
 
 namespace switchsaddle::scenarios {
 
@@ -51,7 +51,7 @@
   simulation::Network network{world};
   SimulatedPlatform platform;
   std::vector<std::unique_ptr<SimulatedCore>> cores;
-  std::vector<std::unique_ptr<SimulatedFront>> fronts;
+  std::vector<std::unique_ptr<WatchedFront>> fronts;
   std::vector<std::unique_ptr<OperatorStandIn>> operators;
 
  private:
--- a/libraries/scenarios/include/switchsaddle/scenarios/simulated_front.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/watched_front.h
@@ -31,14 +31,14 @@
  * workers that answer each stream at once and slots that may take a while to come. Operators reach
  * its control API by ControlRequest messages, in place of HTTP.
  */
-class SimulatedFront {
+class WatchedFront {
  public:
   using DispatchListener = std::function<void(const Dispatch&)>;
   using AnswerListener = std::function<void(const CallerAnswer&)>;
 
-  SimulatedFront(simulation::World& world, simulation::Network& network,
-                 configuration::Settings settings, sessions::SessionClientFaults faults = {});
-  ~SimulatedFront();
+  WatchedFront(simulation::World& world, simulation::Network& network,
+               configuration::Settings settings, sessions::SessionClientFaults faults = {});
+  ~WatchedFront();
 
   /** Both outlive the lives of the process. */
   void setDispatchListener(DispatchListener listener) { on_dispatch_ = std::move(listener); }
--- a/libraries/scenarios/source/fleet.cc
+++ b/libraries/scenarios/source/fleet.cc
@@ -48,7 +48,7 @@
     cores.back()->start();
   }
   for (std::size_t index = 0; index < size.fronts; ++index) {
-    fronts.push_back(std::make_unique<SimulatedFront>(
+    fronts.push_back(std::make_unique<WatchedFront>(
         world, network, settingsOf(addressOf(FrontPort, index)), front_faults));
     fronts.back()->start();
   }
--- a/libraries/scenarios/source/operator_stand_in.cc
+++ b/libraries/scenarios/source/operator_stand_in.cc
@@ -168,7 +168,9 @@
     return;
   }
   if (change.committed && change.version != version) {
-    change.contradictions.push_back("committed as two versions");
+    change.contradictions.push_back("committed as version " + std::to_string(change.version) +
+                                    ", then as " + std::to_string(version) + ", on base version " +
+                                    std::to_string(change.base_version));
   }
   change.committed = true;
   change.version = version;
--- a/libraries/scenarios/source/simulated_front.cc
+++ b/libraries/scenarios/source/watched_front.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/scenarios/simulated_front.h"
+#include "switchsaddle/scenarios/watched_front.h"
 
 #include <utility>
 
@@ -20,7 +20,7 @@
 }  // namespace
 
 /** All that dies with the process. */
-struct SimulatedFront::Life {
+struct WatchedFront::Life {
   std::unique_ptr<transport::Transport> transport;
   std::unique_ptr<transport::PeerCalls> calls;
   std::unique_ptr<base::RandomSource> random;
@@ -30,18 +30,17 @@
   std::unique_ptr<front::FrontNode> node;
 };
 
-SimulatedFront::SimulatedFront(simulation::World& world, simulation::Network& network,
-                               configuration::Settings settings,
-                               sessions::SessionClientFaults faults)
+WatchedFront::WatchedFront(simulation::World& world, simulation::Network& network,
+                           configuration::Settings settings, sessions::SessionClientFaults faults)
     : world_(world),
       network_(network),
       settings_(std::move(settings)),
       faults_(faults),
       process_(world) {}
 
-SimulatedFront::~SimulatedFront() = default;
+WatchedFront::~WatchedFront() = default;
 
-void SimulatedFront::start() {
+void WatchedFront::start() {
   process_.start();
   life_ = std::make_unique<Life>();
   Life& life = *life_;
@@ -66,7 +65,7 @@
   life.node->start();
 }
 
-void SimulatedFront::handleControlRequests() {
+void WatchedFront::handleControlRequests() {
   life_->calls->handle<wire::ControlRequest>([this](const base::NodeAddress& /*from*/,
                                                     const wire::ControlRequest& request,
                                                     const transport::ReplyFunction& reply) {
@@ -77,20 +76,20 @@
   });
 }
 
-void SimulatedFront::kill() {
+void WatchedFront::kill() {
   process_.kill();
   life_.reset();
 }
 
-front::FrontNode& SimulatedFront::node() {
+front::FrontNode& WatchedFront::node() {
   return *life_->node;
 }
 
-const journal::Journal& SimulatedFront::journal() const {
+const journal::Journal& WatchedFront::journal() const {
   return *life_->journal;
 }
 
-void SimulatedFront::openStream(const std::string& key) {
+void WatchedFront::openStream(const std::string& key) {
   if (!life_) {
     return;
   }
@@ -102,7 +101,7 @@
   life_->node->service().enqueue(streamRequest(key), std::move(writer));
 }
 
-std::optional<std::uint64_t> SimulatedFront::dispatchVersion() const {
+std::optional<std::uint64_t> WatchedFront::dispatchVersion() const {
   if (!life_ || process_.frozen()) {
     return std::nullopt;
   }
@@ -110,7 +109,7 @@
   return dispatches ? std::optional(life_->node->replica().version()) : std::nullopt;
 }
 
-workers::WorkerSnapshotPtr SimulatedFront::workers() const {
+workers::WorkerSnapshotPtr WatchedFront::workers() const {
   return life_ ? life_->node->directory().snapshot() : nullptr;
 }
 
--- a/libraries/scenarios/test/core_refused_test.cc
+++ b/libraries/scenarios/test/core_refused_test.cc
@@ -50,7 +50,7 @@
   }
 
   /** How long after the death of the cores a front still dispatched. */
-  base::Duration servedAfter(const SimulatedFront& front) {
+  base::Duration servedAfter(const WatchedFront& front) {
     return last_dispatch_[front.address()] - killed_at_;
   }
 
--- a/libraries/scenarios/test/dissemination_scenario_test.cc
+++ b/libraries/scenarios/test/dissemination_scenario_test.cc
@@ -91,7 +91,7 @@
 }
 
 TEST_P(DisseminationScenarioTest, AFrontCutOffForAMinuteCatchesUpByDeltas) {
-  SimulatedFront& front = *fleet_.fronts[0];
+  WatchedFront& front = *fleet_.fronts[0];
   for (const auto& core : fleet_.cores) {
     fleet_.network.cut(front.address(), core->address());
   }
--- a/libraries/transport/source/peer_calls.cc
+++ b/libraries/transport/source/peer_calls.cc
@@ -5,8 +5,22 @@
 
 namespace switchsaddle::transport {
 
+namespace {
+
+/**
+ * Request numbers begin at the clock's nanoseconds and rise far slower than it does. So a process
+ * never takes an answer to an earlier one at its address for an answer to a request of its own.
+ */
+std::uint64_t firstRequestId(base::TimePoint now) {
+  return static_cast<std::uint64_t>(now.time_since_epoch() / std::chrono::nanoseconds(1)) + 1;
+}
+
+}  // namespace
+
 PeerCalls::PeerCalls(base::Dispatcher& dispatcher, Transport& transport)
-    : dispatcher_(dispatcher), transport_(transport) {
+    : dispatcher_(dispatcher),
+      transport_(transport),
+      next_request_id_(firstRequestId(dispatcher.now())) {
   transport_.setReceiver(this);
 }
 
--- a/libraries/transport/test/peer_calls_test.cc
+++ b/libraries/transport/test/peer_calls_test.cc
@@ -173,5 +173,22 @@
   EXPECT_TRUE(results.empty());
 }
 
+TEST_F(PeerCallsTest, AnAnswerToAnEarlierProcessAtTheAddressIsNotTaken) {
+  std::vector<ReplyFunction> held;
+  calls[2]->handle<wire::PrepareRequest>(
+      [&held](const base::NodeAddress&, const wire::PrepareRequest& /*message*/,
+              const ReplyFunction& answer) { held.push_back(answer); });
+  call(1, calls[2]->localAddress(), "first");
+  ASSERT_TRUE(harness.runUntil([&held] { return held.size() == 1; }));
+  calls[1] = nullptr;
+  calls[1] = std::make_unique<PeerCalls>(harness.dispatcher(1), *transports[1]);
+  call(1, calls[2]->localAddress(), "second");
+  ASSERT_TRUE(harness.runUntil([&held] { return held.size() == 2; }));
+  held[0](reply("first"));
+  held[1](reply("second"));
+  ASSERT_TRUE(runUntilResults(1));
+  EXPECT_EQ(results[0].as<wire::RegisterReply>()->value, "second");
+}
+
 }  // namespace
 }  // namespace switchsaddle::transport
