--- a/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
@@ -103,6 +103,8 @@
   void onAnswer(const CallerAnswer& answer);
   void noteAcknowledged(const OperatorChange& change);
   void noteBegun(OperatorChange& change);
+  /** The changes that lost on a base version, and what they were told. */
+  std::string refusedOn(std::uint64_t base_version) const;
   void checkConflict(const OperatorChange& change, std::uint64_t newest);
   void checkVersionAtFront(const base::NodeAddress& front, std::uint64_t version);
   void restart(SimulatedCore& core, base::Duration longest);
--- a/libraries/scenarios/source/configuration_scenario.cc
+++ b/libraries/scenarios/source/configuration_scenario.cc
@@ -280,12 +280,26 @@
   std::uint64_t expected = 1;
   for (const auto& [version, change_id] : by_version) {
     if (version != expected++) {
-      violate("no operator was told of version " + std::to_string(expected - 1));
+      violate("no operator was told of version " + std::to_string(expected - 1) + ";" +
+              refusedOn(expected - 2));
       break;
     }
   }
 }
 
+std::string ConfigurationScenario::refusedOn(std::uint64_t base_version) const {
+  std::string refused;
+  for (const auto& one : fleet_.operators) {
+    for (const OperatorChange& change : one->changes()) {
+      if (change.base_version == base_version && change.fate != ChangeFate::Acknowledged) {
+        refused += " " + change.change_id + " was told that " + std::to_string(change.version) +
+                   " is in force";
+      }
+    }
+  }
+  return refused;
+}
+
 void ConfigurationScenario::checkConflict(const OperatorChange& change, std::uint64_t newest) {
   if (change.fate != ChangeFate::Conflict) {
     return;
--- a/programs/lab/control_command.cc
+++ b/programs/lab/control_command.cc
@@ -1,4 +1,5 @@
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <iostream>
 #include <memory>
 #include <string>
@@ -10,6 +11,9 @@
 
 namespace {
 
+/** Violations printed of one seed. */
+constexpr std::size_t ViolationsShown = 5;
+
 /** The command line of `switchsaddle-lab control`. */
 struct ControlArguments {
   std::uint64_t seeds = 100;
@@ -54,8 +58,9 @@
             << result.dispatches << ',' << result.unknown_keys << ',' << result.refusals << ','
             << base::toMilliseconds(result.trouble) << ',' << base::toMilliseconds(result.recovery)
             << ',' << result.violations.size() << '\n';
-  if (!result.violations.empty()) {
-    std::cout << "# seed " << seed << ", first violation: " << result.violations.front() << '\n';
+  const std::size_t shown = std::min(result.violations.size(), ViolationsShown);
+  for (std::size_t index = 0; index < shown; ++index) {
+    std::cout << "# seed " << seed << ": " << result.violations[index] << '\n';
   }
 }
 
