Answer a change by the result the value in force has recorded

Cause: the coordinator answered by the decision of its change function's last run. A proposer that ran the function again on a rival's uncommitted value, and then found its earlier proposal among the ancestors of the committed one, takes the earlier outcome; the decision was still that of the later run.

Change: the answer is read from the change's record in the outcome's value; the last run's decision counts only for changes that are not recorded.

--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -27,9 +27,10 @@
  * Commits changes in the configuration register, takes the result into this node's replica, and
  * waits until it is in force on every front with a live session. The decision is taken inside the
  * register's change function, so that of two changes on one base version exactly one wins and a
- * change sent again finds its recorded result. Refusals are answered at once; only a committed
- * change waits, at most until the acknowledgement deadline, counted from its arrival. Runs on the
- * control strand.
+ * change sent again finds its recorded result. What is answered is the result that the value in
+ * force has recorded, not that of the function's last run. Refusals are answered at once; only a
+ * committed change waits, at most until the acknowledgement deadline, counted from its arrival.
+ * Runs on the control strand.
  */
 class RegisterChangeCoordinator : public ChangeCoordinator {
  public:
@@ -46,8 +47,8 @@
   void commit(const configuration::Change& change, Callback callback);
   void check(const configuration::Change& change, Callback callback);
   void onCommitted(const registers::RegisterOutcome& outcome,
-                   const configuration::ChangeDecision& decision, base::TimePoint deadline,
-                   Callback callback);
+                   const configuration::ChangeDecision& decision, const std::string& change_id,
+                   base::TimePoint deadline, Callback callback);
 
   base::Dispatcher& dispatcher_;
   registers::RegisterProposer& proposer_;
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -11,6 +11,7 @@
 
 using base::ResultCode;
 using configuration::ChangeDecision;
+using configuration::RecordedChange;
 using configuration::RegisterValue;
 
 ChangeAnswer answerOf(const ChangeDecision& decision) {
@@ -22,6 +23,20 @@
   return answer;
 }
 
+/** The answer that the value in force holds for a change; `otherwise` where it holds none. */
+ChangeAnswer recordedAnswer(const std::optional<RegisterValue>& value, const std::string& change_id,
+                            const ChangeAnswer& otherwise, bool changed) {
+  const RecordedChange* recorded = value ? value->findRecorded(change_id) : nullptr;
+  if (recorded == nullptr || otherwise.code == ResultCode::ChangeIdReused) {
+    return otherwise;
+  }
+  ChangeAnswer answer;
+  answer.code = recorded->code;
+  answer.version = recorded->version;
+  answer.repeated = !changed;
+  return answer;
+}
+
 ChangeAnswer refusal(ResultCode code) {
   ChangeAnswer answer;
   answer.code = code;
@@ -76,9 +91,11 @@
 
 void RegisterChangeCoordinator::commit(const configuration::Change& change, Callback callback) {
   const base::TimePoint deadline = dispatcher_.now() + acknowledgement_deadline_;
-  // The decision of the change function's last run is the one the outcome stands for.
+  // Only of use for changes that were not written: the function's last run need not be the one that
+  // took effect, since an earlier proposal can be found to have done so after all.
   auto decision = std::make_shared<ChangeDecision>();
-  auto function = [change, decision, faults = faults_](const std::string& bytes) -> std::optional<std::string> {
+  auto function = [change, decision,
+                   faults = faults_](const std::string& bytes) -> std::optional<std::string> {
     const std::optional<RegisterValue> present = decode(bytes);
     if (!present) {
       *decision = {};
@@ -94,26 +111,29 @@
     }
     return configuration::encodeRegisterValue(decision->next);
   };
-  proposer_.change(registers::ConfigurationRegister, std::move(function),
-                   [this, alive = std::weak_ptr(alive_), decision, deadline,
-                    callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
-                     if (!alive.expired()) {
-                       onCommitted(outcome, *decision, deadline, callback);
-                     }
-                   });
+  proposer_.change(
+      registers::ConfigurationRegister, std::move(function),
+      [this, alive = std::weak_ptr(alive_), decision, change_id = change.change_id, deadline,
+       callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
+        if (!alive.expired()) {
+          onCommitted(outcome, *decision, change_id, deadline, callback);
+        }
+      });
 }
 
 void RegisterChangeCoordinator::onCommitted(const registers::RegisterOutcome& outcome,
                                             const ChangeDecision& decision,
-                                            base::TimePoint deadline, Callback callback) {
+                                            const std::string& change_id, base::TimePoint deadline,
+                                            Callback callback) {
   if (outcome.code != ResultCode::Ok) {
     callback(refusal(outcome.code));
     return;
   }
-  if (const std::optional<RegisterValue> value = decode(outcome.value)) {
+  const std::optional<RegisterValue> value = decode(outcome.value);
+  if (value) {
     replica_.apply(value->document.deltaSince(replica_.version()));
   }
-  const ChangeAnswer answer = answerOf(decision);
+  const ChangeAnswer answer = recordedAnswer(value, change_id, answerOf(decision), outcome.changed);
   if (answer.code != ResultCode::Ok || faults_.acknowledge_without_waiting) {
     callback(answer);
     return;
--- a/libraries/scenarios/test/configuration_scenario_test.cc
+++ b/libraries/scenarios/test/configuration_scenario_test.cc
@@ -45,6 +45,14 @@
   EXPECT_GT(sums.unknown_keys, SeedCount * 100);
 }
 
+/** Fresh seeds that once found a fault. */
+TEST(ConfigurationScenarioTest, KeepsEveryPromiseUnderSeedsThatFoundFaults) {
+  for (const std::uint64_t seed : {391U, 715U}) {
+    ConfigurationScenario scenario(optionsForSeed(seed));
+    expectKept(scenario.run(), seed);
+  }
+}
+
 TEST(ThousandChangesTest, KeepsEveryPromiseOverAThousandChanges) {
   constexpr std::uint64_t Seed = 101;
   ConfigurationScenarioOptions options = optionsForSeed(Seed);
