--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -7,10 +7,10 @@
 
 #include "control_requests.h"
 #include "status_json.h"
-#include "switchsaddle/dissemination/belief_report.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/configuration/change_json.h"
 #include "switchsaddle/configuration/view.h"
+#include "switchsaddle/dissemination/belief_report.h"
 
 namespace switchsaddle::core {
 
@@ -239,9 +239,9 @@
 void ControlService::getBeliefs(const http::Request& /*request*/, const std::string& /*name*/,
                                 Respond respond) {
   const NodeInformation& node = dependencies_.node;
-  respond(jsonResponse(200, configuration::renderBeliefs(dissemination::reportBeliefs(
-                                node.status().address, node.beliefs(),
-                                dependencies_.dispatcher.now()))));
+  respond(jsonResponse(
+      200, configuration::renderBeliefs(dissemination::reportBeliefs(
+               node.status().address, node.beliefs(), dependencies_.dispatcher.now()))));
 }
 
 void ControlService::submit(const configuration::Change& change, bool dry_run, Respond respond) {
@@ -319,7 +319,11 @@
   }
   dependencies_.replace_core(
       order.old_member, order.new_member, [respond = std::move(respond)](ResultCode code) {
-        respond(code == ResultCode::Ok ? jsonResponse(200, "{}") : controlError(code));
+        std::vector<Fault> causes;
+        if (code == ResultCode::InvalidValue) {
+          causes.push_back({"old", code, "is no member, or `new` is no core node without a place"});
+        }
+        respond(code == ResultCode::Ok ? jsonResponse(200, "{}") : controlError(code, causes));
       });
 }
 
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -14,6 +14,12 @@
 constexpr base::Duration ReopenPause = std::chrono::seconds(1);
 constexpr base::Duration PeersInterval = std::chrono::milliseconds(500);
 
+registers::AcceptorOptions acceptorOptionsOf(const CoreFaults& faults) {
+  registers::AcceptorOptions options;
+  options.test_answer_before_sync = faults.answer_before_sync;
+  return options;
+}
+
 http::Request requestOf(const wire::ControlRequest& forwarded) {
   http::Request request;
   request.method = forwarded.method;
@@ -31,9 +37,11 @@
     : environment_(environment),
       life_(environment.random.next()),
       beliefs_(environment.journal),
-      acceptor_(environment.dispatcher, environment.calls, environment.store, environment.journal),
+      acceptor_(environment.dispatcher, environment.calls, environment.store, environment.journal,
+                acceptorOptionsOf(environment.faults)),
       proposer_(environment.dispatcher, environment.calls, environment.random, acceptor_,
                 proposerOptionsOf(environment.settings.times)),
+      observed_proposer_(environment.dispatcher, proposer_, incidents()),
       bootstrap_(environment.dispatcher, environment.calls, acceptor_,
                  bootstrapOptionsOf(environment.settings)),
       set_change_(environment.dispatcher, environment.calls, acceptor_, proposer_),
@@ -41,15 +49,16 @@
                 environment.store),
       membership_(acceptor_),
       sessions_(environment.dispatcher, environment.calls, environment.journal,
-                sessionTimesOf(environment.settings.times), membership_, environment.faults.sessions),
+                sessionTimesOf(environment.settings.times), membership_,
+                environment.faults.sessions),
       granter_(environment.dispatcher, environment.calls, environment.store, environment.journal,
                leaseTimesOf(environment.settings.times)),
       replica_(environment.journal),
       gossip_(environment.dispatcher, environment.calls, environment.random, replica_, workers_,
               gossipOptionsOf(environment.settings.times)),
       tracker_(environment.dispatcher, environment.calls, sessions_, replica_),
-      follower_(environment.dispatcher, proposer_, membership_, replica_, tracker_),
-      coordinator_(environment.dispatcher, proposer_, replica_, tracker_,
+      follower_(environment.dispatcher, observed_proposer_, membership_, replica_, tracker_),
+      coordinator_(environment.dispatcher, observed_proposer_, replica_, tracker_,
                    environment.settings.times.acknowledgement_deadline, environment.faults),
       watcher_lease_(environment.dispatcher, environment.calls, environment.random,
                      leaseTimesOf(environment.settings.times), PlatformWatcherLease, membership_,
@@ -64,8 +73,8 @@
           environment.dispatcher, environment.calls, environment.journal, acceptor_, set_change_,
           [this] { return membership_lease_.held(); },
           membershipOptionsOf(environment.settings.times)),
-      claims_(environment.calls, proposer_),
-      ledgers_(environment.dispatcher, environment.calls, environment.random, proposer_,
+      claims_(environment.calls, observed_proposer_),
+      ledgers_(environment.dispatcher, environment.calls, environment.random, observed_proposer_,
                membership_, leaseTimesOf(environment.settings.times), life_),
       control_(controlDependencies()),
       open_timer_(environment.dispatcher.createTimer([this] { openStore(); })),
@@ -83,7 +92,7 @@
     keeper_.replace(old_member, new_member, std::move(callback));
   };
   return {environment_.dispatcher,
-          proposer_,
+          observed_proposer_,
           coordinator_,
           sessions_,
           replica_,
@@ -94,14 +103,24 @@
 
 void CoreNode::connectParts() {
   workers::journalChanges(workers_, environment_.journal);
-  granter_.setMayVote([this] { return acceptor_.mayVote(); });
+  granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
+  scrubber_.setOtherRecords([this] { return granter_.records(); });
+  granter_.setEpochSource([this] { return membership_.setEpoch(); });
   acceptor_.setAcceptedListener([this](const std::string& key, const std::string& value) {
     if (key == registers::ConfigurationRegister) {
       follower_.onAccepted(value);
     }
   });
+  acceptor_.addSetListener([this](const wire::AcceptorSet&) { followMembership(); });
   bootstrap_.setCandidateListener(
       [this](const wire::CoreAnnounce& candidate) { keeper_.onCandidate(candidate); });
+  coordinator_.setCommittedListener([this](const wire::ConfigurationDelta& delta) {
+    for (const base::NodeAddress& core : membership_.coreAddresses()) {
+      if (core != environment_.calls.localAddress()) {
+        environment_.calls.notify(core, delta);
+      }
+    }
+  });
   watcher_lease_.setListener([this](bool gained) { onWatcherLease(gained); });
   membership_lease_.setListener([this](bool gained) { onMembershipLease(gained); });
   replica_.addListener(
@@ -138,10 +157,24 @@
 void CoreNode::onOpened(base::ResultCode code, const storage::OpenedStore& opened) {
   if (code != base::ResultCode::Ok) {
     storage_fault_ = base::describe(code).name;
+    base::Incident incident;
+    incident.event = "storage-not-opened";
+    incident.severity = base::Severity::Error;
+    incident.code = code;
+    incident.dumps_ring = true;
+    incidents().report(incident);
     open_timer_->enable(ReopenPause);
     return;
   }
   storage_fault_ = opened.loss;
+  if (!opened.loss.empty()) {
+    base::Incident incident;
+    incident.event = "storage-lost";
+    incident.severity = base::Severity::Error;
+    incident.code = base::ResultCode::RecordCorrupt;
+    incident.fields = {{"reason", opened.loss}};
+    incidents().report(incident);
+  }
   try {
     acceptor_.load(opened);
     granter_.load(opened);
@@ -164,30 +197,55 @@
   bootstrap_.start();
   scrubber_.start();
   follower_.start();
-  watcher_lease_.start();
-  membership_lease_.start();
-  ledgers_.start();
+  followMembership();
   gossip_.start();
   refreshPeers();
 }
 
+void CoreNode::followMembership() {
+  const bool may_campaign = taking_part_ && membership_.isMember();
+  if (may_campaign == campaigning_) {
+    return;
+  }
+  campaigning_ = may_campaign;
+  if (may_campaign) {
+    watcher_lease_.start();
+    membership_lease_.start();
+    ledgers_.start();
+  } else {
+    watcher_lease_.stop();
+    membership_lease_.stop();
+    ledgers_.stop();
+  }
+}
+
 void CoreNode::stop(std::function<void()> stopped) {
   open_timer_->disable();
   peers_timer_->disable();
   if (taking_part_) {
     watcher_.stop();
     keeper_.stop();
-    watcher_lease_.stop();
-    membership_lease_.stop();
-    ledgers_.stop();
     follower_.stop();
     gossip_.stop();
   }
   taking_part_ = false;
+  followMembership();
   environment_.dispatcher.post(std::move(stopped));
 }
 
+base::IncidentSink& CoreNode::incidents() const {
+  return environment_.incidents == nullptr ? base::ignoredIncidents() : *environment_.incidents;
+}
+
+void CoreNode::reportLease(const lease::LeaseHolder& holder, const char* name, bool gained) {
+  base::Incident incident;
+  incident.event = gained ? "lease-gained" : "lease-lost";
+  incident.fields = {{"lease", name}, {"term", gained ? std::to_string(holder.term()) : ""}};
+  incidents().report(incident);
+}
+
 void CoreNode::onWatcherLease(bool gained) {
+  reportLease(watcher_lease_, PlatformWatcherLease, gained);
   if (gained) {
     watcher_.start(watcher_lease_.term());
   } else {
@@ -196,6 +254,7 @@
 }
 
 void CoreNode::onMembershipLease(bool gained) {
+  reportLease(membership_lease_, CoreMembershipLease, gained);
   if (gained) {
     keeper_.start();
   } else {
@@ -225,6 +284,7 @@
 
 void CoreNode::refreshPeers() {
   peers_timer_->enable(PeersInterval);
+  followMembership();
   std::vector<base::NodeAddress> peers = frontsWithSessions();
   for (const base::NodeAddress& core : membership_.coreAddresses()) {
     peers.push_back(core);
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -121,6 +121,18 @@
       });
 }
 
+void RegisterChangeCoordinator::takeCommitted(const configuration::Document& document) {
+  if (document.version <= replica_.version()) {
+    return;
+  }
+  const wire::ConfigurationDelta delta = document.deltaSince(replica_.version());
+  if (listener_) {
+    listener_(delta);
+  }
+  tracker_.pushCommitted(delta);
+  replica_.apply(delta);
+}
+
 void RegisterChangeCoordinator::onCommitted(const registers::RegisterOutcome& outcome,
                                             const ChangeDecision& decision,
                                             const std::string& change_id, base::TimePoint deadline,
@@ -131,7 +143,7 @@
   }
   const std::optional<RegisterValue> value = decode(outcome.value);
   if (value) {
-    replica_.apply(value->document.deltaSince(replica_.version()));
+    takeCommitted(value->document);
   }
   const ChangeAnswer answer = recordedAnswer(value, change_id, answerOf(decision), outcome.changed);
   if (answer.code != ResultCode::Ok || faults_.acknowledge_without_waiting) {
--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -18,6 +18,7 @@
 #include "switchsaddle/front/control_forwarder.h"
 #include "switchsaddle/front/fleet_beliefs.h"
 #include "switchsaddle/front/one_shot_flow.h"
+#include "switchsaddle/front/session_monitor.h"
 #include "switchsaddle/front/stream_flow.h"
 #include "switchsaddle/journal/journal.h"
 #include "switchsaddle/routing/learned_router.h"
@@ -43,6 +44,10 @@
   admission::SlotBroker* slots = nullptr;
   /** Test-only deviations of the session. */
   sessions::SessionClientFaults session_faults = {};
+  /** Where an operator is told what must be seen; nowhere if left out. */
+  base::IncidentSink* incidents = nullptr;
+  /** Adds what only the process knows to the metrics, such as its traffic; may be left out. */
+  std::function<void(metrics::Page&)> process_metrics = {};
 };
 
 /**
@@ -85,6 +90,8 @@
   void onConfiguration(const dissemination::ViewPtr& view);
   void refreshPeers();
   void awaitEndOfWork();
+  std::string metricsText() const;
+  std::string nodeReport() const;
 
   FrontEnvironment environment_;
   dissemination::ConfigurationReplica replica_;
@@ -103,6 +110,7 @@
   OneShotFlow one_shots_;
   ControlForwarder control_;
   CallerService service_;
+  SessionMonitor monitor_;
   base::TimerPtr peers_timer_;
   base::TimerPtr stop_timer_;
   base::TimePoint stop_deadline_;
--- a/libraries/front/source/one_shot_run.cc
+++ b/libraries/front/source/one_shot_run.cc
@@ -109,10 +109,6 @@
 }
 
 void OneShotRun::acquireSlot() {
-  if (slot_) {
-    dispatch();
-    return;
-  }
   state_ = State::AwaitingSlot;
   environment_.slots.acquire(request_.branch,
                              [weak = weak_from_this()](admission::SlotOutcome outcome) {
@@ -188,8 +184,11 @@
   if (head.draining) {
     environment_.beliefs.observeDraining(worker_);
   }
-  head_matches_ = head.request_id == run_ && head.status == StatusOk;
+  const bool answers_this = head.request_id == run_;
+  head_matches_ = answers_this && head.status == StatusOk;
   if (!head_matches_) {
+    // A worker that has refused runs nothing; after another's answer it may still be running.
+    const admission::SlotHoldPtr used_slot = answers_this ? std::move(slot_) : nullptr;
     endUnknown();
   }
 }
@@ -235,6 +234,7 @@
 
 void OneShotRun::retryOrWithhold() {
   state_ = State::Recording;
+  const admission::SlotHoldPtr unused_slot = std::move(slot_);
   flow_.record(
       finishOf(ClaimState::NotRun),
       [weak = weak_from_this()](const wire::ClaimReply& reply) {
@@ -271,6 +271,8 @@
 
 void OneShotRun::withhold(ResultCode code, std::uint32_t retry_after_ms) {
   state_ = State::Recording;
+  // Nothing runs and nothing will: the slot is not kept while the core can't be reached.
+  const admission::SlotHoldPtr unused_slot = std::move(slot_);
   flow_.record(
       finishOf(ClaimState::NotRun),
       [weak = weak_from_this(), code, retry_after_ms](const wire::ClaimReply& reply) {
@@ -285,6 +287,8 @@
 
 void OneShotRun::endRan() {
   leaveWorker();
+  // The worker has finished: its slot is free for others while the end is being recorded.
+  const admission::SlotHoldPtr used_slot = std::move(slot_);
   state_ = State::Recording;
   ran_ = true;
   wire::ClaimFinish finish = finishOf(ClaimState::Ran);
@@ -315,6 +319,12 @@
       RecordTries);
 }
 
+void OneShotRun::abandon() {
+  state_ = State::Over;
+  deadline_timer_->disable();
+  poll_timer_->disable();
+}
+
 void OneShotRun::leaveWorker() {
   const auto found = flow_.in_flight_.find(worker_.entry.id);
   if (found != flow_.in_flight_.end() && --found->second == 0) {
--- a/libraries/operator_client/source/tables.cc
+++ b/libraries/operator_client/source/tables.cc
@@ -30,6 +30,19 @@
          });
 }
 
+/** Longest text of one cell; the rest of it is left to --json. */
+constexpr std::size_t LongestCell = 72;
+
+std::string cellText(const JsonValue& value) {
+  constexpr std::string_view Ellipsis = "...";
+  std::string text = plainText(value);
+  if (text.size() > LongestCell) {
+    text.resize(LongestCell - Ellipsis.size());
+    text += Ellipsis;
+  }
+  return text;
+}
+
 std::vector<TableRow> rowsOf(const JsonValue& list) {
   TableRow titles;
   for (const JsonValue& element : list.elements) {
@@ -44,13 +57,35 @@
     TableRow row;
     for (const std::string& title : titles) {
       const JsonValue* cell = element.find(title);
-      row.push_back(cell == nullptr ? "-" : plainText(*cell));
+      row.push_back(cell == nullptr ? "-" : cellText(*cell));
     }
     rows.push_back(std::move(row));
   }
   return rows;
 }
 
+/** Plain members come first, so that no line is taken for a row of a table. */
+struct Sections {
+  std::string lines;
+  std::string tables;
+};
+
+/** Members of nested objects are named by their path, such as core_set.epoch. */
+void appendObject(const JsonValue& object, const std::string& prefix, Sections& sections) {
+  for (std::size_t index = 0; index < object.names.size(); ++index) {
+    const JsonValue& member = object.elements[index];
+    const std::string name = prefix + object.names[index];
+    if (member.kind == JsonKind::Object) {
+      appendObject(member, name + ".", sections);
+    } else if (isTable(member)) {
+      sections.tables += "\n" + name + "\n" + renderTable(rowsOf(member));
+    } else {
+      const std::string text = plainText(member);
+      sections.lines += name + ": " + (text.empty() ? "-" : text) + "\n";
+    }
+  }
+}
+
 }  // namespace
 
 std::string renderTable(const std::vector<TableRow>& rows) {
@@ -79,17 +114,9 @@
   if (body.kind != JsonKind::Object) {
     return isTable(body) ? renderTable(rowsOf(body)) : plainText(body) + "\n";
   }
-  std::string lines;
-  std::string tables;
-  for (std::size_t index = 0; index < body.names.size(); ++index) {
-    const JsonValue& member = body.elements[index];
-    if (isTable(member)) {
-      tables += "\n" + body.names[index] + "\n" + renderTable(rowsOf(member));
-    } else {
-      lines += body.names[index] + ": " + plainText(member) + "\n";
-    }
-  }
-  return lines + tables;
+  Sections sections;
+  appendObject(body, "", sections);
+  return sections.lines + sections.tables;
 }
 
 }  // namespace switchsaddle::operator_client
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -10,7 +10,9 @@
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/routing/arm_selection.h"
+#include "switchsaddle/routing/chain_rate.h"
 #include "switchsaddle/routing/model_pool.h"
+#include "switchsaddle/routing/prefix_chains.h"
 #include "switchsaddle/routing/router.h"
 
 namespace switchsaddle::routing {
@@ -39,6 +41,9 @@
  */
 class LearnedRouter : public Router {
  public:
+  /** Keeps one exchange of scores below 5 KB. */
+  static constexpr std::size_t MaximumExportedScores = 56;
+
   LearnedRouter(base::Dispatcher& dispatcher, base::RandomSource& random, base::NodeAddress self,
                 RouterOptions options);
 
@@ -49,6 +54,7 @@
                                   const std::vector<std::string>& excluded) override;
   void complete(const Completion& completion) override;
   std::vector<RoutingRow> table(const std::string& model) const override;
+  /** At most MaximumExportedScores: arms of cold workers first, then the last measured. */
   std::vector<wire::RouteScore> exportScores() const override;
   void importScores(const std::vector<wire::RouteScore>& scores) override;
 
@@ -63,8 +69,16 @@
   };
   struct InFlight {
     ArmPtr arm;
-    std::string model;
-    std::vector<std::uint64_t> chains;
+    /** Pools are never removed. */
+    ModelPool* pool = nullptr;
+    PrefixChains chains;
+  };
+  /** An arm whose score may be exported. */
+  struct FreshArm {
+    bool cold = false;
+    base::TimePoint measured_at{};
+    const ModelPool* pool = nullptr;
+    const Arm* arm = nullptr;
   };
 
   // Pools, in source/pool_builder.cc.
@@ -73,19 +87,24 @@
   void buildPool(ModelPool& pool);
   void addArm(ModelPool& pool, std::map<std::string, ArmPtr>& former,
               const WorkerRecordPtr& prefill, const WorkerRecordPtr& decode);
+  WorkerNumber freeNumber();
   std::string topologyOf(const ModelPool& pool) const;
   void bumpEpoch(ModelPool& pool);
   void pruneRetired(ModelPool& pool);
 
   // Candidates of one prompt, in source/candidates.cc.
-  void collectCandidates(const ModelPool& pool, const Prompt& prompt,
-                         const std::vector<std::uint64_t>& chains,
+  void collectCandidates(ModelPool& pool, const Prompt& prompt, const PrefixChains& chains,
                          const std::vector<std::string>& excluded);
-  void collectOwners(const ModelPool& pool, const Prompt& prompt,
-                     const std::vector<std::uint64_t>& chains);
-  void collectByRendezvous(const ModelPool& pool, std::uint64_t chain);
+  void collectOwners(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
+  /** The workers consistent hashing names for the prompt's longest part. All fronts send it there,
+   * so it is believed to be cached there. */
+  void collectHomes(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
+  /** Home workers the chain's prompts of all fronts need. */
+  std::size_t homesNeeded(const ModelPool& pool, const Prompt& prompt, std::uint64_t chain) const;
   void collectAtRandom(const ModelPool& pool, std::size_t limit);
   void collectLeastMeasured(const ModelPool& pool);
+  void collectLeastMeasured(ModelPool& pool);
+  void refreshScouts(ModelPool& pool);
   void consider(Arm& arm, std::uint32_t cached_tokens);
   void rankCandidates(const Prompt& prompt, std::size_t limit);
   /** Drops arms the cold guard holds back, as long as others remain. */
@@ -95,7 +114,13 @@
   Selection select(const ModelPool& pool, const Prompt& prompt);
   double drawSpeed(const Candidate& candidate, const Prompt& prompt) const;
   bool mayScout(const Arm& arm) const;
+  /** Whether this front's last scout of the arm is long enough ago. Each front waits longer the
+   * more fronts there are, so that the fleet's scouts of one arm are bounded. */
+  bool scoutDue(const Arm& arm) const;
 
+  static bool tellsMore(const FreshArm& first, const FreshArm& second);
+  wire::RouteScore scoreOf(const ModelPool& pool, const Arm& arm) const;
+  void notePlacement(WorkerRecord& worker);
   void recordLoad(WorkerRecord& worker, const Completion& completion);
   void recordFailure(ModelPool& pool, Arm& arm);
   ModelPool* findPool(const std::string& model);
@@ -104,6 +129,7 @@
   base::Dispatcher& dispatcher_;
   base::RandomSource& random_;
   base::NodeAddress self_;
+  std::uint64_t self_hash_;
   RouterOptions options_;
   std::shared_ptr<const configuration::View> view_;
   workers::WorkerSnapshotPtr snapshot_;
@@ -111,8 +137,11 @@
   configuration::Tuning tuning_;
   ColdGuard cold_guard_;
   PrefixIndex prefix_index_;
+  ChainRate chain_rate_;
+  std::size_t fronts_ = 1;
   std::map<std::string, WorkerRecordPtr> workers_;
-  std::vector<WorkerRecordPtr> workers_by_number_;
+  WorkerNumber next_number_ = 0;
+  bool numbers_reused_ = false;
   std::unordered_map<std::string, ModelPool> pools_;
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::uint64_t next_ticket_ = 1;
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -1,26 +1,26 @@
 #include <algorithm>
+#include <cmath>
 #include <functional>
-#include <limits>
 
-#include "switchsaddle/base/hash.h"
 #include "switchsaddle/routing/learned_router.h"
 
 namespace switchsaddle::routing {
 
 namespace {
 
-/** Workers chosen by rendezvous hashing for a chain this front has no owner for. */
-constexpr std::size_t RendezvousChoices = 2;
+/** Homes of a chain considered for one prompt. */
+constexpr std::size_t HomeChoices = 4;
+/** Share of a worker's slots that one chain may fill before it gets a further home. */
+constexpr double HomeSlotShare = 0.25;
+/** Arms kept in the list of those to scout first, and how long it is used. */
+constexpr std::size_t ScoutChoices = 8;
+constexpr base::Duration ScoutListLifetime = std::chrono::milliseconds(250);
 /** Candidates this much slower to the first token than the best are not drawn from. */
 constexpr double FarFactor = 1.25;
 constexpr double FarSeconds = 0.010;
 
-/** A cheap mix of two hashes; ranks arms for a chain. */
-std::uint64_t rendezvousWeight(std::uint64_t chain, std::uint64_t arm) {
-  std::uint64_t mixed = (chain ^ arm) * 0x9e3779b97f4a7c15ULL;
-  mixed ^= mixed >> 32U;
-  return mixed * 0xd6e8feb86659fd93ULL;
-}
+/** Scouts of one arm by all fronts together come no closer than this. */
+constexpr base::Duration ScoutSpacing = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -36,8 +36,9 @@
 }
 
 void LearnedRouter::consider(Arm& arm, std::uint32_t cached_tokens) {
-  for (const Candidate& known : candidates_) {
+  for (Candidate& known : candidates_) {
     if (known.arm == &arm) {
+      known.cached_tokens = std::max(known.cached_tokens, cached_tokens);
       return;
     }
   }
@@ -46,83 +47,106 @@
   }
 }
 
-void LearnedRouter::collectCandidates(const ModelPool& pool, const Prompt& prompt,
-                                      const std::vector<std::uint64_t>& chains,
+void LearnedRouter::collectCandidates(ModelPool& pool, const Prompt& prompt,
+                                      const PrefixChains& chains,
                                       const std::vector<std::string>& excluded) {
   candidates_.clear();
   excluded_ = &excluded;
   const std::size_t limit = std::max(1U, tuning_.route_candidates);
   if (options_.prefix_affinity && !chains.empty()) {
     collectOwners(pool, prompt, chains);
-    collectByRendezvous(pool, chains.front());
+    collectHomes(pool, prompt, chains);
+  }
+  if (pool.arms.size() > limit) {
+    collectLeastMeasured(pool);
   }
-  collectLeastMeasured(pool);
   collectAtRandom(pool, limit);
   rankCandidates(prompt, limit);
 }
 
 void LearnedRouter::collectOwners(const ModelPool& pool, const Prompt& prompt,
-                                  const std::vector<std::uint64_t>& chains) {
+                                  const PrefixChains& chains) {
   std::uint32_t cached_tokens = 0;
-  for (const PrefixPart& part : prompt.prefix_parts) {
-    cached_tokens += part.tokens;
+  for (std::size_t depth = 1; depth <= chains.depth(); ++depth) {
+    cached_tokens += prompt.prefix_parts[depth - 1].tokens;
   }
-  for (std::size_t depth = chains.size(); depth > 0; --depth) {
-    for (const WorkerNumber owner : prefix_index_.find(chains[depth - 1])) {
-      if (owner == NoWorker) {
-        continue;
-      }
-      for (const ArmPtr& arm : pool.arms) {
-        if (arm->prefill->number == owner) {
-          consider(*arm, cached_tokens);
-        }
+  for (std::size_t depth = chains.depth(); depth > 0; --depth) {
+    for (const WorkerNumber owner : prefix_index_.find(chains.at(depth))) {
+      for (const ArmPtr& arm : pool.index.armsOf(owner)) {
+        consider(*arm, cached_tokens);
       }
     }
     cached_tokens -= prompt.prefix_parts[depth - 1].tokens;
   }
 }
 
-void LearnedRouter::collectByRendezvous(const ModelPool& pool, std::uint64_t chain) {
-  std::array<Arm*, RendezvousChoices> best{};
-  std::array<std::uint64_t, RendezvousChoices> weights{};
-  for (const ArmPtr& arm : pool.arms) {
-    const std::uint64_t weight = rendezvousWeight(chain, arm->prefill->hash);
-    if (best[0] == nullptr || weight > weights[0]) {
-      best[1] = best[0];
-      weights[1] = weights[0];
-      best[0] = arm.get();
-      weights[0] = weight;
-    } else if (best[1] == nullptr || weight > weights[1]) {
-      best[1] = arm.get();
-      weights[1] = weight;
+std::size_t LearnedRouter::homesNeeded(const ModelPool& pool, const Prompt& prompt,
+                                       std::uint64_t chain) const {
+  const ArmIndex::Arms home = pool.index.homeOf(chain, 0);
+  if (home.empty()) {
+    return 0;
+  }
+  const double measured_s = home.front()->statistics.mean().seconds_per_output_token;
+  const double token_s = measured_s > 0 ? measured_s : options_.cold_prior.seconds_per_output_token;
+  const double streams_per_s =
+      chain_rate_.perSecond(chain, dispatcher_.now()) * static_cast<double>(fronts_);
+  const double busy_slots = streams_per_s * token_s * prompt.maximum_tokens;
+  const double homes = std::ceil(busy_slots / (HomeSlotShare * home.front()->prefill->slots));
+  return static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(pool.arms.size())));
+}
+
+void LearnedRouter::collectHomes(const ModelPool& pool, const Prompt& prompt,
+                                 const PrefixChains& chains) {
+  const std::uint64_t chain = chains.at(chains.homeDepth());
+  const std::size_t needed = homesNeeded(pool, prompt, chain);
+  const std::size_t looked_at = std::min(needed, HomeChoices);
+  for (std::size_t choice = 0; choice < looked_at; ++choice) {
+    const std::size_t replica = needed <= HomeChoices ? choice : random_.below(needed);
+    for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
+      consider(*arm, chains.tokens());
     }
   }
-  for (Arm* arm : best) {
-    if (arm != nullptr) {
+}
+
+void LearnedRouter::collectLeastMeasured(ModelPool& pool) {
+  refreshScouts(pool);
+  const base::TimePoint now = dispatcher_.now();
+  for (Arm* arm : pool.scouts) {
+    const ArmStatus status =
+        arm->statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
+    if (status != ArmStatus::Proven && mayScout(*arm) && !isExcluded(*arm)) {
       consider(*arm, 0);
+      return;
     }
   }
 }
 
-void LearnedRouter::collectLeastMeasured(const ModelPool& pool) {
+void LearnedRouter::refreshScouts(ModelPool& pool) {
   const base::TimePoint now = dispatcher_.now();
-  Arm* least = nullptr;
-  double least_mass = std::numeric_limits<double>::infinity();
+  if (pool.scouts_epoch == pool.epoch && now - pool.scouts_at < ScoutListLifetime) {
+    return;
+  }
+  pool.scouts_epoch = pool.epoch;
+  pool.scouts_at = now;
+  pool.scouts.clear();
+  const double half_life_s = tuning_.route_stats_half_life_s;
   for (const ArmPtr& arm : pool.arms) {
-    const ArmStatus status =
-        arm->statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
-    if (status == ArmStatus::Proven) {
-      continue;
-    }
-    const double mass = arm->statistics.mass(now, tuning_.route_stats_half_life_s);
-    if (mass < least_mass && mayScout(*arm) && !isExcluded(*arm)) {
-      least = arm.get();
-      least_mass = mass;
+    const ArmStatus status = arm->statistics.status(now, pool.epoch_start, half_life_s);
+    if (status != ArmStatus::Proven && mayScout(*arm)) {
+      pool.scouts.push_back(arm.get());
     }
   }
-  if (least != nullptr) {
-    consider(*least, 0);
-  }
+  const auto measured_less = [&](const Arm* first, const Arm* second) {
+    const double first_mass = first->statistics.mass(now, half_life_s);
+    const double second_mass = second->statistics.mass(now, half_life_s);
+    // Each front takes equally measured arms in its own order.
+    return first_mass != second_mass ? first_mass < second_mass
+                                     : (first->hash ^ self_hash_) < (second->hash ^ self_hash_);
+  };
+  const std::size_t kept = std::min(ScoutChoices, pool.scouts.size());
+  const auto end_of_kept = pool.scouts.begin() + static_cast<std::ptrdiff_t>(kept);
+  std::partial_sort(pool.scouts.begin(), end_of_kept, pool.scouts.end(), measured_less);
+  pool.scouts.resize(kept);
 }
 
 void LearnedRouter::collectAtRandom(const ModelPool& pool, std::size_t limit) {
@@ -181,8 +205,16 @@
     return true;
   }
   const base::TimePoint now = dispatcher_.now();
-  const bool decode_allows = !arm.decode || cold_guard_.mayPlace(arm.decode->cold, now);
-  return decode_allows && cold_guard_.mayPlace(arm.prefill->cold, now);
+  const auto allows = [this, now](const WorkerRecord& worker) {
+    return cold_guard_.mayPlace(worker.cold, worker.slots, now);
+  };
+  return allows(*arm.prefill) && (!arm.decode || allows(*arm.decode));
+}
+
+bool LearnedRouter::scoutDue(const Arm& arm) const {
+  const base::Duration interval = ScoutSpacing * static_cast<std::int64_t>(fronts_);
+  const bool spaced = options_.cold_guard && fronts_ > 1 && arm.scouted;
+  return !spaced || dispatcher_.now() - arm.scouted_at >= interval;
 }
 
 double LearnedRouter::drawSpeed(const Candidate& candidate, const Prompt& prompt) const {
@@ -207,6 +239,7 @@
     row.prior = -candidate.first_token_s;
     row.tokens_per_second = drawSpeed(candidate, prompt);
     row.may_scout = mayScout(*candidate.arm);
+    row.scout_due = scoutDue(*candidate.arm);
     selection_.push_back(row);
   }
   return selectArm(selection_, tuning_.route_explore_share, tuning_.route_weight_alpha, random_);
--- a/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/configuration_scenario.h
@@ -2,10 +2,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "switchsaddle/scenarios/disk_troubles.h"
 #include "switchsaddle/scenarios/fleet.h"
 
 namespace switchsaddle::scenarios {
@@ -26,6 +28,8 @@
   double message_duplication = 0.01;
   /** Longest delay of a message; messages overtake each other within it. */
   base::Duration message_delay = std::chrono::milliseconds(2);
+  /** Disk faults come about as well, and are most of all faults. */
+  bool disk_faults = false;
   core::CoreFaults core_faults;
   sessions::SessionClientFaults front_faults;
 };
@@ -40,6 +44,7 @@
   /** Changes sent again long after their final answer. */
   std::uint64_t repetitions = 0;
   std::uint64_t faults = 0;
+  std::uint64_t disk_faults = 0;
   /** Requests that reached workers. */
   std::uint64_t dispatches = 0;
   /** Callers' answers: streams begun, and refusals for want of a key and of a session. */
@@ -113,6 +118,7 @@
 
   ConfigurationScenarioOptions options_;
   Fleet fleet_;
+  std::unique_ptr<DiskTroubles> disk_troubles_;
   /** The newest version an operator was told is in force. */
   std::uint64_t acknowledged_version_ = 0;
   /** Keys by what operators were told of them: in force, and removed. */
--- a/libraries/scenarios/source/configuration_faults.cc
+++ b/libraries/scenarios/source/configuration_faults.cc
@@ -11,8 +11,19 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/** Part of the faults that befall disks, where these are asked for. */
+constexpr double DiskFaultShare = 0.7;
+
+}  // namespace
+
 void ConfigurationScenario::injectFault() {
   ++result_.faults;
+  if (disk_troubles_ && fleet_.world.random().chance(DiskFaultShare)) {
+    disk_troubles_->injectNext();
+    return;
+  }
   switch (fleet_.world.random().below(13)) {
     case 0:
     case 1:
@@ -29,7 +40,10 @@
       cutCores();
       break;
     case 6:
-      wipeOne();
+      // The disk troubles keep count of the disks they empty themselves.
+      if (!disk_troubles_) {
+        wipeOne();
+      }
       break;
     case 7:
       killFronts();
--- a/libraries/scenarios/source/configuration_scenario.cc
+++ b/libraries/scenarios/source/configuration_scenario.cc
@@ -180,6 +180,10 @@
   for (const auto& one : fleet_.operators) {
     one->start();
   }
+  if (options_.disk_faults) {
+    disk_troubles_ = std::make_unique<DiskTroubles>(
+        fleet_, [this](auto delay, auto action) { later(delay, std::move(action)); });
+  }
   runUnderTrouble();
   recover();
   checkChanges();
@@ -208,6 +212,10 @@
 
 void ConfigurationScenario::healAll() {
   calm_ = true;
+  if (disk_troubles_) {
+    result_.disk_faults = disk_troubles_->injected();
+    disk_troubles_->end();
+  }
   fleet_.network.healAll();
   fleet_.network.conditions.loss = 0;
   for (const auto& core : fleet_.cores) {
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -3,14 +3,29 @@
 #include <algorithm>
 #include <utility>
 
+#include "switchsaddle/base/hash.h"
+
 namespace switchsaddle::sessions {
 
+namespace {
+
+std::uint64_t digestOf(const std::vector<base::NodeAddress>& addresses) {
+  std::uint64_t digest = base::hashBytes("");
+  for (const base::NodeAddress& address : addresses) {
+    digest = base::combineHashes(digest, base::hashBytes(address.toString()));
+  }
+  return digest;
+}
+
+}  // namespace
+
 /** One readLive() under way: rounds of questions until one of them finds a majority in time. */
 struct SessionTable::Read {
   LiveSessionsCallback callback;
   base::TimePoint deadline;
   base::TimePoint round_started;
   std::uint64_t round = 0;
+  std::uint64_t set_epoch = 0;
   std::set<base::NodeAddress> answered;
   std::map<SessionKey, wire::SessionTableEntry> live;
   base::TimerPtr timer;
@@ -44,23 +59,28 @@
       onBatch(batch, reply);
     }
   });
-  calls_.handle<wire::SessionTableRequest>(
-      [this, alive](const base::NodeAddress& /*from*/, const wire::SessionTableRequest& /*request*/,
-                    const transport::ReplyFunction& reply) {
-        if (!alive.expired()) {
-          reply(wire::SessionTableReply{recovering(), localSessions()});
-        }
-      });
+  calls_.handle<wire::SessionTableRequest>([this, alive](const base::NodeAddress& /*from*/,
+                                                         const wire::SessionTableRequest& request,
+                                                         const transport::ReplyFunction& reply) {
+    if (!alive.expired()) {
+      const bool unusable = recovering() || !sameEpoch(request.set_epoch);
+      reply(wire::SessionTableReply{unusable, localSessions()});
+    }
+  });
 }
 
 void SessionTable::observeVote() const {
-  if (!view_.mayVote()) {
+  if (!view_.mayVote() || (view_.joining() && !faults_.ignore_epoch)) {
     recording_since_.reset();
   } else if (!recording_since_) {
     recording_since_ = dispatcher_.now();
   }
 }
 
+bool SessionTable::sameEpoch(std::uint64_t set_epoch) const {
+  return faults_.ignore_epoch || set_epoch == view_.setEpoch();
+}
+
 bool SessionTable::recovering() const {
   observeVote();
   if (!recording_since_) {
@@ -84,21 +104,27 @@
 void SessionTable::onOpen(const wire::SessionOpenRequest& request, transport::ReplyFunction reply) {
   auto pending = std::make_shared<PendingGrant>();
   pending->record = request.record;
+  pending->members_digest = request.members_digest;
   pending->reply = std::move(reply);
   pending->expires_at = dispatcher_.now() + times_.front_limit;
+  const bool urgent = tellsNewVersion(pending->record);
   unsent_.push_back(std::move(pending));
-  scheduleFlush();
+  scheduleFlush(urgent ? times_.applied_batch_interval : times_.batch_interval);
 }
 
-void SessionTable::scheduleFlush() {
-  if (flush_timer_->enabled()) {
+bool SessionTable::tellsNewVersion(const wire::SessionRecord& record) const {
+  const auto known = entries_.find(SessionKey{record.front, record.instance});
+  return known != entries_.end() && record.applied_version > known->second.record.applied_version;
+}
+
+void SessionTable::scheduleFlush(base::Duration interval) {
+  const base::TimePoint now = dispatcher_.now();
+  const base::TimePoint due = last_flush_ ? std::max(now, *last_flush_ + interval) : now;
+  if (flush_timer_->enabled() && flush_due_ <= due) {
     return;
   }
-  base::Duration delay = base::Duration::zero();
-  if (last_flush_) {
-    delay = std::max(delay, *last_flush_ + times_.batch_interval - dispatcher_.now());
-  }
-  flush_timer_->enable(delay);
+  flush_due_ = due;
+  flush_timer_->enable(due - now);
 }
 
 void SessionTable::flush() {
@@ -109,11 +135,13 @@
   for (const PendingGrantPtr& pending : grants) {
     batch.records.push_back(pending->record);
   }
+  batch.set_epoch = view_.setEpoch();
   for (const base::NodeAddress& peer : view_.coreAddresses()) {
     calls_.call(peer, batch, times_.front_limit,
-                [this, alive = std::weak_ptr(alive_), peer, grants](const auto& result) {
+                [this, alive = std::weak_ptr(alive_), peer, grants,
+                 set_epoch = batch.set_epoch](const auto& result) {
                   if (!alive.expired()) {
-                    onBatchReply(peer, grants, result);
+                    onBatchReply(peer, grants, set_epoch, result);
                   }
                 });
   }
@@ -122,7 +150,7 @@
 void SessionTable::onBatch(const wire::SessionRecordBatch& batch,
                            const transport::ReplyFunction& reply) {
   observeVote();
-  if (!view_.mayVote()) {
+  if (!view_.mayVote() || !sameEpoch(batch.set_epoch)) {
     reply(wire::SessionRecordBatchReply{});
     return;
   }
@@ -139,6 +167,9 @@
     return;
   }
   const bool changed = known == entries_.end() || record.closed;
+  if (changed) {
+    members_.outdated = true;
+  }
   entries_[key] = Entry{record, dispatcher_.now() + times_.core_limit};
   if (changed) {
     journalSession(record);
@@ -157,10 +188,10 @@
 }
 
 void SessionTable::onBatchReply(const base::NodeAddress& peer,
-                                const std::vector<PendingGrantPtr>& grants,
+                                const std::vector<PendingGrantPtr>& grants, std::uint64_t set_epoch,
                                 const transport::CallResult& result) {
   const auto* answer = result.as<wire::SessionRecordBatchReply>();
-  if (answer == nullptr || !answer->recorded) {
+  if (answer == nullptr || !answer->recorded || !sameEpoch(set_epoch)) {
     return;
   }
   for (const PendingGrantPtr& pending : grants) {
@@ -175,17 +206,32 @@
   }
 }
 
-void SessionTable::grant(PendingGrant& pending) const {
+const SessionTable::Members& SessionTable::members() {
+  if (members_.outdated) {
+    std::set<base::NodeAddress> fronts;
+    for (const auto& [key, entry] : entries_) {
+      if (!entry.record.closed) {
+        fronts.insert(entry.record.front);
+      }
+    }
+    members_.fronts.assign(fronts.begin(), fronts.end());
+    members_.digest = digestOf(members_.fronts);
+    members_.outdated = false;
+  }
+  return members_;
+}
+
+void SessionTable::grant(PendingGrant& pending) {
   wire::SessionOpenReply granted;
   granted.granted = true;
   granted.sequence = pending.record.sequence;
   granted.committed_version = pending.committed_version;
-  granted.core_addresses = view_.coreAddresses();
-  std::set<base::NodeAddress> fronts;
-  for (const wire::SessionTableEntry& entry : localSessions()) {
-    fronts.insert(entry.record.front);
+  const std::vector<base::NodeAddress> cores = view_.coreAddresses();
+  granted.members_digest = base::combineHashes(digestOf(cores), members().digest);
+  if (granted.members_digest != pending.members_digest) {
+    granted.core_addresses = cores;
+    granted.front_addresses = members().fronts;
   }
-  granted.front_addresses.assign(fronts.begin(), fronts.end());
   const transport::ReplyFunction reply = std::exchange(pending.reply, nullptr);
   reply(std::move(granted));
 }
@@ -218,12 +264,13 @@
     return;
   }
   read->round_started = now;
+  read->set_epoch = view_.setEpoch();
   const std::uint64_t round = ++read->round;
   read->answered.clear();
   read->live.clear();
   read->timer->enable(std::min(roundLimit(), read->deadline - now));
   for (const base::NodeAddress& peer : view_.coreAddresses()) {
-    calls_.call(peer, wire::SessionTableRequest{}, times_.read_deadline,
+    calls_.call(peer, wire::SessionTableRequest{read->set_epoch}, times_.read_deadline,
                 [this, alive = std::weak_ptr(alive_), read, round, peer](const auto& result) {
                   if (!alive.expired()) {
                     onTable(read, round, peer, result);
@@ -239,7 +286,7 @@
       now < read->deadline && round == read->round && now < read->round_started + roundLimit();
   const auto* table = result.as<wire::SessionTableReply>();
   const bool usable = table != nullptr && !table->recovering && read->callback;
-  if (!usable || !in_time) {
+  if (!usable || !in_time || !sameEpoch(read->set_epoch)) {
     return;
   }
   read->answered.insert(peer);
@@ -276,7 +323,7 @@
   observeVote();
   const base::TimePoint now = dispatcher_.now();
   std::vector<wire::SessionRecord> lapsed;
-  std::erase_if(entries_, [&lapsed, now](const auto& item) {
+  std::erase_if(entries_, [this, &lapsed, now](const auto& item) {
     const Entry& entry = item.second;
     if (now < entry.expires_at) {
       return false;
@@ -284,6 +331,7 @@
     if (!entry.record.closed) {
       lapsed.push_back(entry.record);
     }
+    members_.outdated = true;
     return true;
   });
   for (const wire::SessionRecord& record : lapsed) {
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -38,10 +38,12 @@
 /** Front to core: opens or renews the session. */
 struct SessionOpenRequest {
   SessionRecord record;
+  /** The digest of the addresses the front has from earlier replies; 0 where it has none. */
+  std::uint64_t members_digest = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(record);
+    archive(record, members_digest);
   }
 };
 
@@ -55,26 +57,31 @@
   std::vector<base::NodeAddress> core_addresses;
   /** Fronts with live sessions, as dissemination peers. */
   std::vector<base::NodeAddress> front_addresses;
+  /** Digest of both lists; where the request names the same one, both are left empty. */
+  std::uint64_t members_digest = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(granted, sequence, committed_version, core_addresses, front_addresses);
+    archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest);
   }
 };
 
 /** Core to core: records to be kept. */
 struct SessionRecordBatch {
   std::vector<SessionRecord> records;
+  /** Epoch of the acceptor set whose majority the sender counts. */
+  std::uint64_t set_epoch = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(records);
+    archive(records, set_epoch);
   }
 };
 
 /** Acknowledges a batch with the accepted configuration version of the answering acceptor. */
 struct SessionRecordBatchReply {
-  /** False while the node may not vote. A recovering node does record. */
+  /** False while the node may not vote or holds a set of another epoch. A recovering node does
+   * record. */
   bool recorded = false;
   std::uint64_t accepted_version = 0;
 
@@ -86,8 +93,13 @@
 
 /** Asks a core node for the live sessions it knows. */
 struct SessionTableRequest {
+  /** Epoch of the acceptor set whose majority the reader counts. */
+  std::uint64_t set_epoch = 0;
+
   template <class Archive>
-  void serialize(Archive& /*archive*/) {}
+  void serialize(Archive& archive) {
+    archive(set_epoch);
+  }
 };
 
 /** A live session and the time it has left at the answering node. */
--- a/programs/lab/main.cc
+++ b/programs/lab/main.cc
@@ -14,6 +14,12 @@
   switchsaddle::lab::addLoadCommand(app);
   switchsaddle::lab::addJudgeCommand(app);
   switchsaddle::lab::addControlCommand(app);
+  switchsaddle::lab::addExperimentCommand(app);
+  switchsaddle::lab::addHollowCommand(app);
+  switchsaddle::lab::addChangesCommand(app);
+  switchsaddle::lab::addClaimsCommand(app);
+  switchsaddle::lab::addSlopesCommand(app);
+  switchsaddle::lab::addFuzzCommand(app);
   try {
     CLI11_PARSE(app, argument_count, arguments);
   } catch (const std::exception& error) {
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -4,6 +4,7 @@
 #include "role_commands.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/front/front_node.h"
 #include "switchsaddle/front/http_worker_port.h"
 #include "switchsaddle/http/server.h"
@@ -21,8 +22,10 @@
         instance_(process_.random().next()),
         client_(http::createClient(process_.context())),
         worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
-        node_(front::FrontEnvironment{process_.dispatcher(), process_.calls(), process_.random(),
-                                      process_.journal(), settings_, worker_port_, instance_}),
+        node_(front::FrontEnvironment{
+            process_.dispatcher(), process_.calls(), process_.random(), process_.journal(),
+            settings_, worker_port_, instance_, nullptr, &process_.incidents(),
+            [this](metrics::Page& page) { process_.appendMetrics(page); }}),
         server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
                                     node_.service().enqueue(std::move(request), std::move(writer));
@@ -30,7 +33,7 @@
 
   int run() {
     process_.dispatcher().post([this] { node_.start(); });
-    base::logEvent(base::Severity::Info, "front-started",
+    base::logEvent(base::Severity::Notice, "front-started",
                    {{"peer", settings_.peer_address.toString()},
                     {"http", settings_.http_address.toString()},
                     {"instance", std::to_string(instance_)}});
@@ -51,7 +54,7 @@
 
 void addFrontCommand(CLI::App& app, int& exit_code) {
   CLI::App* command = app.add_subcommand("front", "Run a data-plane node");
-  command->footer("Example: switchsaddle front --settings front.json");
+  command_line::describeUse(*command, {"switchsaddle front --settings front.json"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
     FrontDaemon daemon(loadSettings(*options, "front"));
