--- a/libraries/core/include/switchsaddle/core/core_membership.h
+++ b/libraries/core/include/switchsaddle/core/core_membership.h
@@ -28,7 +28,11 @@
   bool joining() const override;
   /** Whether the own instance is in the present set. */
   bool isMember() const;
-  /** Versions never go back. */
+  /**
+   * The acceptor holds this version, synced. It may be below the one noted before: a value that a
+   * higher ballot has overwritten with an older version was never committed, and a session that was
+   * told to wait for it would wait for ever.
+   */
   void noteAcceptedVersion(std::uint64_t version);
 
  private:
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -11,6 +11,7 @@
 #include "switchsaddle/core/in_force_tracker.h"
 #include "switchsaddle/dissemination/configuration_replica.h"
 #include "switchsaddle/registers/proposer.h"
+#include "switchsaddle/sessions/session_table.h"
 
 namespace switchsaddle::core {
 
@@ -18,6 +19,9 @@
 struct CoreFaults {
   /** Acknowledges a change as soon as it is committed. */
   bool acknowledge_without_waiting = false;
+  /** Records no change_ids, so that a change sent again is decided anew. */
+  bool forget_change_ids = false;
+  sessions::SessionTableFaults sessions;
   /** Acceptors answer before what they answer is synced. */
   bool answer_before_sync = false;
 };
@@ -26,9 +30,10 @@
  * Commits changes in the configuration register, takes the result into this node's replica, and
  * waits until it is in force on every front with a live session. The decision is taken inside the
  * register's change function, so that of two changes on one base version exactly one wins and a
- * change sent again finds its recorded result. Refusals are answered at once; only a committed
- * change waits, at most until the acknowledgement deadline, counted from its arrival. Runs on the
- * control strand.
+ * change sent again finds its recorded result. What is answered is the result that the value in
+ * force has recorded, not that of the function's last run. Refusals are answered at once; only a
+ * committed change waits, at most until the acknowledgement deadline, counted from its arrival.
+ * Runs on the control strand.
  */
 class RegisterChangeCoordinator : public ChangeCoordinator {
  public:
@@ -51,8 +56,8 @@
   void check(const configuration::Change& change, Callback callback);
   void takeCommitted(const configuration::Document& document);
   void onCommitted(const registers::RegisterOutcome& outcome,
-                   const configuration::ChangeDecision& decision, base::TimePoint deadline,
-                   Callback callback);
+                   const configuration::ChangeDecision& decision, const std::string& change_id,
+                   base::TimePoint deadline, Callback callback);
 
   base::Dispatcher& dispatcher_;
   registers::RegisterProposer& proposer_;
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -2,9 +2,10 @@
 
 #include <utility>
 
-#include "switchsaddle/configuration/beliefs.h"
+#include "belief_keeper.h"
 #include "switchsaddle/configuration/change_json.h"
 #include "switchsaddle/configuration/json_writer.h"
+#include "switchsaddle/workers/worker_journal.h"
 
 namespace switchsaddle::front {
 
@@ -41,11 +42,11 @@
 FrontNode::FrontNode(const FrontEnvironment& environment)
     : environment_(environment),
       replica_(environment.journal),
-      belief_view_(environment.journal),
       session_(environment.dispatcher, environment.calls, environment.random,
                sessionTimes(environment.settings.times), environment.settings.seeds,
                sessions::FrontIdentity{environment.calls.localAddress(), environment.instance,
-                                       environment.settings.zone}),
+                                       environment.settings.zone},
+               environment.session_faults),
       gossip_(environment.dispatcher, environment.calls, environment.random, replica_, directory_,
               gossipOptions(environment.settings.times)),
       router_(environment.dispatcher, environment.random, environment.calls.localAddress(),
@@ -56,6 +57,10 @@
       ledger_slots_(
           environment.dispatcher, environment.calls, environment.instance,
           [this] { return session_.coreAddresses(); }, admission::SlotBrokerOptions{}),
+      beliefs_(std::make_unique<BeliefKeeper>(
+          environment.dispatcher, environment.journal,
+          BeliefOwner{environment.calls.localAddress(), environment.instance}, session_,
+          ledger_slots_)),
       retries_(environment.dispatcher),
       circuit_(environment.dispatcher),
       streams_(StreamEnvironment{environment.dispatcher, environment.random, slots(), session_,
@@ -65,11 +70,11 @@
                                     session_, environment.workers, *this, retries_, circuit_,
                                     counters_}),
       control_(environment.calls, [this] { return session_.coreAddresses(); }),
-      service_(
-          CallerDependencies{environment.dispatcher, session_, *this, router_, streams_, one_shots_,
-                             control_, counters_, environment.settings.operator_hashes,
-                             [this] { return beliefReport(); }, [this] { return metricsText(); },
-                             [this] { return nodeReport(); }, environment.incidents}),
+      service_(CallerDependencies{
+          environment.dispatcher, session_, *this, router_, streams_, one_shots_, control_,
+          counters_, environment.settings.operator_hashes, [this] { return beliefs_->report(); },
+          [this] { return metricsText(); }, [this] { return nodeReport(); },
+          environment.incidents}),
       monitor_(
           environment.dispatcher, session_,
           environment.incidents == nullptr ? base::ignoredIncidents() : *environment.incidents) {
@@ -86,6 +91,7 @@
 }
 
 void FrontNode::connectParts() {
+  workers::journalChanges(directory_, environment_.journal);
   replica_.addListener([this](const dissemination::ViewPtr& view) { onConfiguration(view); });
   directory_.addListener(
       [this](const workers::WorkerSnapshotPtr& /*before*/,
@@ -118,6 +124,7 @@
 }
 
 void FrontNode::refreshPeers() {
+  beliefs_->look();
   const std::vector<base::NodeAddress>& fronts = session_.frontAddresses();
   std::vector<base::NodeAddress> peers = session_.coreAddresses();
   peers.insert(peers.end(), fronts.begin(), fronts.end());
@@ -204,15 +211,4 @@
   return writer.text();
 }
 
-std::string FrontNode::beliefReport() const {
-  configuration::BeliefReport report;
-  report.node = environment_.calls.localAddress().toString();
-  report.now_ms = base::toMilliseconds(environment_.dispatcher.now().time_since_epoch());
-  for (const auto& [key, belief] : belief_view_.beliefs()) {
-    report.beliefs.push_back(
-        {journal::subjectName(key.first), key.second, belief.value, belief.version, 0});
-  }
-  return configuration::renderBeliefs(report);
-}
-
 }  // namespace switchsaddle::front
--- a/libraries/scenarios/test/forgotten_state_test.cc
+++ b/libraries/scenarios/test/forgotten_state_test.cc
@@ -12,6 +12,11 @@
 namespace switchsaddle::scenarios {
 namespace {
 
+/** The zone that an operator's change evacuates, or no longer. */
+std::string zoneOf(const OperatorChange& change) {
+  return change.path.substr(std::string("evacuations/").size());
+}
+
 using std::chrono::seconds;
 
 /** What happened to the disk of the core that took part in every change. */
@@ -100,9 +105,9 @@
     std::vector<std::string> zones;
     for (const OperatorChange& change : fleet_.operators.front()->changes()) {
       if (!change.removes && change.fate == ChangeFate::Acknowledged) {
-        zones.push_back(change.zone);
+        zones.push_back(zoneOf(change));
       } else if (change.removes) {
-        std::erase(zones, change.zone);
+        std::erase(zones, zoneOf(change));
       }
     }
     return zones;
--- a/programs/lab/commands.h
+++ b/programs/lab/commands.h
@@ -13,6 +13,7 @@
 void addFleetCommand(CLI::App& app);
 void addLoadCommand(CLI::App& app);
 void addJudgeCommand(CLI::App& app);
+void addControlCommand(CLI::App& app);
 void addExperimentCommand(CLI::App& app);
 void addHollowCommand(CLI::App& app);
 void addChangesCommand(CLI::App& app);
--- a/programs/lab/main.cc
+++ b/programs/lab/main.cc
@@ -13,6 +13,7 @@
   switchsaddle::lab::addFleetCommand(app);
   switchsaddle::lab::addLoadCommand(app);
   switchsaddle::lab::addJudgeCommand(app);
+  switchsaddle::lab::addControlCommand(app);
   switchsaddle::lab::addExperimentCommand(app);
   switchsaddle::lab::addHollowCommand(app);
   switchsaddle::lab::addChangesCommand(app);
