Pause between a ledger's tries to fence its register

Cause: a ledger that gained its lease asked the register again at once after each failure. Where a majority of cores refuses connections the answer is there at once, so that it asked without pause until the lease ended. Change: 100 ms between tries.

--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -31,6 +31,8 @@
   base::Duration silence_bound = std::chrono::seconds(330);
   /** Reservations grow in steps of this, so that most grants need no register write. */
   std::uint32_t reservation_step = 8;
+  /** Pause before a ledger that could not fence its register tries again. */
+  base::Duration fence_pause = std::chrono::milliseconds(100);
 };
 
 /**
@@ -77,6 +79,9 @@
     std::uint32_t recalls_open = 0;
   };
 
+  /** Writes the term into the register, so that no earlier ledger writes any more. */
+  void fence();
+  void onFenced(const registers::RegisterOutcome& outcome);
   void takeOver(const ReservationTable& table);
   void askFront(const FrontIdentity& front);
   void noteReport(const FrontIdentity& front, const wire::SlotReport& report,
@@ -121,6 +126,7 @@
   bool serving_ = false;
   /** The term this ledger serves under; 0 where it does not. */
   std::uint64_t term_ = 0;
+  base::TimerPtr fence_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -23,7 +23,8 @@
       proposer_(proposer),
       lease_(lease),
       shard_(shard),
-      options_(options) {}
+      options_(options),
+      fence_timer_(dispatcher.createTimer([this] { fence(); })) {}
 
 std::string SlotLedger::registerKey() const {
   return "ledger/" + std::to_string(shard_);
@@ -44,8 +45,15 @@
 void SlotLedger::onLeaseGained() {
   onLeaseLost();
   term_ = lease_.term();
+  fence();
+}
+
+void SlotLedger::fence() {
+  if (!lease_.held() || lease_.term() != term_) {
+    return;
+  }
   const std::uint64_t term = term_;
-  const auto fence = [term](const std::string& present) -> std::optional<std::string> {
+  const auto raise_term = [term](const std::string& present) -> std::optional<std::string> {
     ReservationTable table = decodeReservations(present);
     if (table.term >= term) {
       return std::nullopt;
@@ -54,25 +62,28 @@
     return encodeReservations(table);
   };
   proposer_.change(
-      registerKey(), fence,
+      registerKey(), raise_term,
       [this, alive = std::weak_ptr(alive_), term](const registers::RegisterOutcome& outcome) {
-        if (alive.expired() || term != term_) {
-          return;
-        }
-        if (outcome.code != base::ResultCode::Ok) {
-          if (lease_.held() && lease_.term() == term) {
-            onLeaseGained();
-          }
-          return;
-        }
-        const ReservationTable table = decodeReservations(outcome.value);
-        if (table.term == term) {
-          takeOver(table);
+        if (!alive.expired() && term == term_) {
+          onFenced(outcome);
         }
       });
 }
 
+void SlotLedger::onFenced(const registers::RegisterOutcome& outcome) {
+  if (outcome.code != base::ResultCode::Ok) {
+    // Where cores refuse connections the register answers at once, so asking again takes a pause.
+    fence_timer_->enable(options_.fence_pause);
+    return;
+  }
+  const ReservationTable table = decodeReservations(outcome.value);
+  if (table.term == term_) {
+    takeOver(table);
+  }
+}
+
 void SlotLedger::onLeaseLost() {
+  fence_timer_->disable();
   serving_ = false;
   term_ = 0;
   writing_ = false;
--- a/libraries/admission/test/slot_fleet.h
+++ b/libraries/admission/test/slot_fleet.h
@@ -18,6 +18,8 @@
  public:
   explicit SharedRegister(simulation::World& world) : world_(world) {}
   bool available = true;
+  /** Operations begun, since the test's start. */
+  std::uint64_t operations = 0;
 
   class Proposer : public registers::RegisterProposer {
    public:
@@ -25,6 +27,7 @@
         : shared_(shared), process_(process) {}
     void change(const std::string& key, registers::ChangeFunction function,
                 registers::RegisterCallback callback) override {
+      ++shared_.operations;
       process_.postAfter(std::chrono::milliseconds(2), [this, key, function, callback] {
         registers::RegisterOutcome outcome;
         if (shared_.available) {
--- a/libraries/admission/test/slot_ledger_test.cc
+++ b/libraries/admission/test/slot_ledger_test.cc
@@ -147,6 +147,19 @@
   EXPECT_EQ(inUse(), 0U);
 }
 
+TEST_F(SlotLedgerTest, PausesBetweenFencesWhileTheRegisterIsUnavailable) {
+  build(9, 1);
+  shared->available = false;
+  giveLease(0);
+  world->runFor(seconds(1));
+  EXPECT_GE(shared->operations, 2U);
+  EXPECT_LE(shared->operations, 12U);
+  EXPECT_FALSE(cores[0]->ledger->serving());
+  shared->available = true;
+  world->runFor(milliseconds(200));
+  EXPECT_TRUE(cores[0]->ledger->serving());
+}
+
 class SlotFleetTest : public SlotLedgerTest, public ::testing::WithParamInterface<int> {
  protected:
   void healAll() {
