Pause before a change of the acceptor set asks again where its swap was refused

Cause: a swap refused although no newer set was known was tried again at once, without end. Change: it takes the retry pause and so ends by the idle limit, with NoQuorum.

--- a/libraries/registers/include/switchsaddle/registers/acceptor_set_change.h
+++ b/libraries/registers/include/switchsaddle/registers/acceptor_set_change.h
@@ -70,7 +70,8 @@
   base::ResultCode checkGoal(const wire::AcceptorSet& set) const;
   void proposeJoint(const wire::AcceptorSet& base);
   void proposeNext(std::uint64_t base_epoch, const wire::AcceptorSet& next);
-  void onChosen(const RegisterOutcome& outcome);
+  /** Goes on from the chosen set; pauses first where none above `base_epoch` is known. */
+  void onChosen(const RegisterOutcome& outcome, std::uint64_t base_epoch);
   void installJoint();
   void onJointInstalled(const SetInstallResult& result);
   void copyNext();
--- a/libraries/registers/source/acceptor_set_change.cc
+++ b/libraries/registers/source/acceptor_set_change.cc
@@ -96,12 +96,12 @@
   proposer_.read(AcceptorSetRegister,
                  [this, alive = std::weak_ptr(alive_)](const RegisterOutcome& outcome) {
                    if (!alive.expired()) {
-                     onChosen(outcome);
+                     onChosen(outcome, 0);
                    }
                  });
 }
 
-void AcceptorSetChange::onChosen(const RegisterOutcome& outcome) {
+void AcceptorSetChange::onChosen(const RegisterOutcome& outcome, std::uint64_t base_epoch) {
   if (outcome.code != base::ResultCode::Ok) {
     retryLater();
     return;
@@ -117,6 +117,12 @@
       acceptor_.installSet(*chosen, [](bool) {});
     }
   }
+  if (acceptor_.acceptorSet().epoch <= base_epoch) {
+    // The swap was refused although nothing newer is known here: asking again at once would find
+    // the same, round after round.
+    retryLater();
+    return;
+  }
   evaluate();
 }
 
@@ -176,9 +182,9 @@
 
 void AcceptorSetChange::proposeNext(std::uint64_t base_epoch, const wire::AcceptorSet& next) {
   proposer_.change(AcceptorSetRegister, swapFrom(base_epoch, next),
-                   [this, alive = std::weak_ptr(alive_)](const RegisterOutcome& outcome) {
+                   [this, alive = std::weak_ptr(alive_), base_epoch](const auto& outcome) {
                      if (!alive.expired()) {
-                       onChosen(outcome);
+                       onChosen(outcome, base_epoch);
                      }
                    });
 }
--- a/libraries/registers/test/acceptor_set_change_test.cc
+++ b/libraries/registers/test/acceptor_set_change_test.cc
@@ -185,6 +185,27 @@
   EXPECT_TRUE(cluster.core(2).acceptor->mayVote());
 }
 
+/** The members hold a set which the register does not know, so that every swap is refused. */
+TEST(AcceptorSetChangeTest, PausesAndGivesUpWhereTheRegisterIsBehindTheMembers) {
+  TestCluster cluster(12, 5);
+  cluster.world.runFor(milliseconds(20));
+  wire::AcceptorSet ahead = cluster.core(0).acceptor->acceptorSet();
+  ahead.epoch += 4;
+  for (std::size_t index = 0; index < cluster.size(); ++index) {
+    cluster.core(index).acceptor->installSet(ahead, [](bool) {});
+  }
+  const std::size_t joining = cluster.addCore();
+  cluster.world.runFor(seconds(1));
+  SetOutcome outcome;
+  cluster.core(0).change->replace(cluster.member(4), cluster.member(joining), outcome.callback());
+  const std::uint64_t attempts_before = cluster.core(0).proposer->counters().attempts;
+  cluster.world.runFor(seconds(1));
+  // Two for each retry pause at the most.
+  EXPECT_LE(cluster.core(0).proposer->counters().attempts - attempts_before, 42U);
+  cluster.world.runFor(seconds(9));
+  EXPECT_EQ(outcome.code, base::ResultCode::NoQuorum);
+}
+
 /** Members are wiped and replaced one after the other while faults go on. */
 TEST(AcceptorSetChangeTest, HistoriesAreLinearizableAcrossReplacementsUnderFaults) {
   std::size_t replaced = 0;
