End a lost campaign at once and keep cores without a place from campaigning

Besides, a core that joins with an empty disk could win the core-membership lease, and then nobody admitted it. Change: a campaign which all have answered ends; where no rival holds a quorum only the back-off is waited for; a core that may not vote asks for no lease.

--- a/libraries/core/include/switchsaddle/core/core_membership.h
+++ b/libraries/core/include/switchsaddle/core/core_membership.h
@@ -22,6 +22,7 @@
 
   std::vector<base::NodeAddress> coreAddresses() const override;
   bool quorum(const std::set<base::NodeAddress>& answered) const override;
+  bool mayCampaign() const override { return acceptor_.mayVote(); }
   std::uint64_t acceptedVersion() const override { return accepted_version_; }
   bool mayVote() const override { return acceptor_.mayVote(); }
   std::uint64_t setEpoch() const override { return acceptor_.acceptorSet().epoch; }
--- a/libraries/lease/include/switchsaddle/lease/granter_set.h
+++ b/libraries/lease/include/switchsaddle/lease/granter_set.h
@@ -25,6 +25,9 @@
   /** Whether these are a majority of the set, and of the previous one while a change is under way.
    */
   virtual bool quorum(const std::set<base::NodeAddress>& answered) const = 0;
+  /** Whether this node may campaign for leases; a node without a place in the set must not, since
+   * it could not do a holder's work. */
+  virtual bool mayCampaign() const { return true; }
   /** Epoch of the present set; terms of a later one are all higher. */
   virtual std::uint64_t setEpoch() const { return 0; }
 };
--- a/libraries/lease/include/switchsaddle/lease/lease_holder.h
+++ b/libraries/lease/include/switchsaddle/lease/lease_holder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -54,16 +55,26 @@
     std::uint64_t term = 0;
     base::TimePoint asked_at;
     std::set<base::NodeAddress> granted_by;
+    /** Granters that refused for each rival's sake. */
+    std::map<base::NodeAddress, std::set<base::NodeAddress>> held_by;
     /** Longest time left of another's lease, as granters told. */
     base::Duration held_elsewhere{};
+    /** Granters asked that have neither answered nor failed. */
+    std::size_t outstanding = 0;
+    std::set<base::NodeAddress> answered_by;
     bool settled = false;
   };
   using RoundPtr = std::shared_ptr<Round>;
 
   void act();
   void startRound(std::uint64_t term);
+  void onAnswer(const RoundPtr& round, const base::NodeAddress& granter,
+                const transport::CallResult& result);
   void onReply(const RoundPtr& round, const base::NodeAddress& granter,
-               const transport::CallResult& result);
+               const wire::LeaseReply& reply);
+  void noteRefusal(Round& round, const base::NodeAddress& granter, const wire::LeaseReply& reply);
+  /** How long to leave a rival alone that holds the lease; zero where rivals only split it. */
+  base::Duration waitFor(const Round& round) const;
   /** Whether this granter will never grant the round's term, a rival having used it or a higher
    * one. */
   bool isContested(const Round& round, const wire::LeaseReply& reply) const;
--- a/libraries/lease/source/lease_holder.cc
+++ b/libraries/lease/source/lease_holder.cc
@@ -55,6 +55,10 @@
 
 void LeaseHolder::act() {
   const bool renewal = held() && !std::exchange(contested_, false) && ofPresentEpoch(term_);
+  if (!renewal && !granters_.mayCampaign()) {
+    action_timer_->enable(times_.call_timeout + backOff());
+    return;
+  }
   startRound(renewal ? term_ : nextTerm());
 }
 
@@ -80,30 +84,43 @@
   request.holder_instance = instance_;
   request.term = term;
   request.duration_ms = static_cast<std::uint32_t>(base::toMilliseconds(times_.duration));
-  for (const base::NodeAddress& granter : granters_.coreAddresses()) {
+  const std::vector<base::NodeAddress> asked = granters_.coreAddresses();
+  round_->outstanding = asked.size();
+  for (const base::NodeAddress& granter : asked) {
     calls_.call(granter, request, times_.call_timeout,
                 [this, alive = std::weak_ptr(alive_), round = round_, granter](const auto& result) {
                   if (!alive.expired()) {
-                    onReply(round, granter, result);
+                    onAnswer(round, granter, result);
                   }
                 });
   }
 }
 
-void LeaseHolder::onReply(const RoundPtr& round, const base::NodeAddress& granter,
-                          const transport::CallResult& result) {
-  const auto* reply = result.as<wire::LeaseReply>();
-  if (reply == nullptr) {
-    return;
+void LeaseHolder::onAnswer(const RoundPtr& round, const base::NodeAddress& granter,
+                           const transport::CallResult& result) {
+  --round->outstanding;
+  if (const auto* reply = result.as<wire::LeaseReply>()) {
+    round->answered_by.insert(granter);
+    onReply(round, granter, *reply);
+  }
+  // A campaign that all have answered is lost for sure. Where no majority answered the round takes
+  // its whole time, so that refused connections do not make for a tight loop.
+  const bool is_over = round == round_ && !round->settled && round->outstanding == 0;
+  const bool is_lost = is_over && granters_.quorum(round->answered_by);
+  if (is_lost && !held()) {
+    round_timer_->disable();
+    onRoundEnded();
   }
-  highest_heard_ = std::max(highest_heard_, reply->term);
-  if (round != round_ || (round->settled && reply->granted)) {
+}
+
+void LeaseHolder::onReply(const RoundPtr& round, const base::NodeAddress& granter,
+                          const wire::LeaseReply& reply) {
+  highest_heard_ = std::max(highest_heard_, reply.term);
+  if (round != round_ || (round->settled && reply.granted)) {
     return;
   }
-  if (!reply->granted) {
-    const base::Duration left = std::chrono::milliseconds(reply->remaining_ms);
-    round->held_elsewhere = std::max(round->held_elsewhere, left);
-    contested_ = contested_ || isContested(*round, *reply);
+  if (!reply.granted) {
+    noteRefusal(*round, granter, reply);
     return;
   }
   round->granted_by.insert(granter);
@@ -112,6 +129,26 @@
   }
 }
 
+void LeaseHolder::noteRefusal(Round& round, const base::NodeAddress& granter,
+                              const wire::LeaseReply& reply) {
+  const base::Duration left = std::chrono::milliseconds(reply.remaining_ms);
+  if (left > base::Duration::zero()) {
+    round.held_by[reply.holder].insert(granter);
+  }
+  round.held_elsewhere = std::max(round.held_elsewhere, left);
+  contested_ = contested_ || isContested(round, reply);
+}
+
+base::Duration LeaseHolder::waitFor(const Round& round) const {
+  const bool is_held =
+      std::any_of(round.held_by.begin(), round.held_by.end(),
+                  [this](const auto& item) { return granters_.quorum(item.second); });
+  // Rivals whose campaigns split the granters give back what they got, so that the time left of
+  // their grants means nothing.
+  const bool is_split = !is_held && granters_.quorum(round.answered_by);
+  return is_split ? base::Duration::zero() : round.held_elsewhere;
+}
+
 bool LeaseHolder::isContested(const Round& round, const wire::LeaseReply& reply) const {
   const bool of_another = !reply.holder.empty() && reply.holder != calls_.localAddress();
   const bool never_grants = reply.term > round.term || (reply.term == round.term && of_another);
@@ -154,7 +191,7 @@
   }
   // What was granted is given back, so that a rival need not wait for it to end.
   release(round->term);
-  action_timer_->enable(round->held_elsewhere + backOff());
+  action_timer_->enable(waitFor(*round) + backOff());
 }
 
 void LeaseHolder::onExpired() {
