Let a new platform watcher learn the last view before its first

A watcher that gained the lease right after a restart of all cores could hold no view, and then gave every worker a new instance, which dropped what fronts had seen of it: a draining worker got prompts again while the list still lagged. It now asks all cores and the fronts with sessions, and waits 400 ms.

--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -87,6 +87,7 @@
   base::IncidentSink& incidents() const;
   void reportLease(const lease::LeaseHolder& holder, const char* name, bool gained);
   void onWatcherLease(bool gained);
+  void startWatcher();
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
   std::vector<base::NodeAddress> frontsWithSessions() const;
@@ -122,6 +123,7 @@
   ControlService control_;
   base::TimerPtr open_timer_;
   base::TimerPtr peers_timer_;
+  base::TimerPtr watcher_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr base::Duration ReopenPause = std::chrono::seconds(1);
+/** For peers to tell a new watcher the last view, so that workers keep their instances. */
+constexpr base::Duration WatcherPause = std::chrono::milliseconds(400);
 constexpr base::Duration PeersInterval = std::chrono::milliseconds(500);
 
 registers::AcceptorOptions acceptorOptionsOf(const CoreFaults& faults) {
@@ -76,7 +78,8 @@
                membership_, leaseTimesOf(environment.settings.times), life_),
       control_(controlDependencies()),
       open_timer_(environment.dispatcher.createTimer([this] { openStore(); })),
-      peers_timer_(environment.dispatcher.createTimer([this] { refreshPeers(); })) {
+      peers_timer_(environment.dispatcher.createTimer([this] { refreshPeers(); })),
+      watcher_timer_(environment.dispatcher.createTimer([this] { startWatcher(); })) {
   connectParts();
   handleControlRequests();
 }
@@ -204,6 +207,7 @@
   open_timer_->disable();
   peers_timer_->disable();
   if (taking_part_) {
+    watcher_timer_->disable();
     watcher_.stop();
     keeper_.stop();
     watcher_lease_.stop();
@@ -229,10 +233,25 @@
 
 void CoreNode::onWatcherLease(bool gained) {
   reportLease(watcher_lease_, PlatformWatcherLease, gained);
-  if (gained) {
-    watcher_.start(watcher_lease_.term());
-  } else {
+  if (!gained) {
+    watcher_timer_->disable();
     watcher_.stop();
+    return;
+  }
+  for (const base::NodeAddress& front : frontsWithSessions()) {
+    gossip_.pullFrom(front);
+  }
+  for (const base::NodeAddress& core : membership_.coreAddresses()) {
+    if (core != environment_.calls.localAddress()) {
+      gossip_.pullFrom(core);
+    }
+  }
+  watcher_timer_->enable(WatcherPause);
+}
+
+void CoreNode::startWatcher() {
+  if (watcher_lease_.held()) {
+    watcher_.start(watcher_lease_.term());
   }
 }
 
--- a/libraries/scenarios/include/switchsaddle/scenarios/front_stand_in.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/front_stand_in.h
@@ -35,6 +35,8 @@
   const base::NodeAddress& address() const { return address_; }
   /** The version work would be dispatched by at this moment; nothing where none would be. */
   std::optional<std::uint64_t> dispatchVersion() const;
+  /** It saw this itself; only while it runs. */
+  void observe(const wire::WorkerObservation& observation);
   /** What it believes of the workers; nullptr while it does not run. */
   workers::WorkerSnapshotPtr workers() const;
 
--- a/libraries/scenarios/source/front_stand_in.cc
+++ b/libraries/scenarios/source/front_stand_in.cc
@@ -75,6 +75,10 @@
   return dispatches ? std::optional(life_->replica->version()) : std::nullopt;
 }
 
+void FrontStandIn::observe(const wire::WorkerObservation& observation) {
+  life_->gossip->observe(observation);
+}
+
 workers::WorkerSnapshotPtr FrontStandIn::workers() const {
   return life_ ? life_->workers->snapshot() : nullptr;
 }
--- a/libraries/scenarios/test/core_replacement_test.cc
+++ b/libraries/scenarios/test/core_replacement_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 
+#include "switchsaddle/admission/ledger_shard.h"
 #include "switchsaddle/scenarios/fleet.h"
 
 namespace switchsaddle::scenarios {
@@ -119,6 +120,32 @@
 
 INSTANTIATE_TEST_SUITE_P(FixedSeeds, CoreReplacementTest, testing::Range<std::uint64_t>(1, 6));
 
+class LostMajorityTest : public testing::TestWithParam<std::uint64_t> {};
+
+/** Where connections are refused every answer is there at once, so only pauses bound the retries.
+ */
+TEST_P(LostMajorityTest, TheCoresLeftSendABoundedNumberOfEnvelopes) {
+  constexpr std::uint64_t MostEnvelopesPerSecond = 1'000;
+  Fleet fleet(GetParam(), FleetSize{});
+  const auto holder = [&fleet] { return fleet.holderOf(admission::ledgerLeaseName(0)); };
+  ASSERT_TRUE(fleet.world.runUntil([&] { return holder() != nullptr; }, seconds(12)));
+  // At the very moment of the gain, so that the ledger cannot fence its register.
+  const SimulatedCore* ledger = holder();
+  std::size_t lost = 0;
+  for (const auto& core : fleet.cores) {
+    if (core.get() != ledger && lost < 3) {
+      core->kill(lost++ == 0 ? Death::Kill : Death::Wipe);
+    }
+  }
+  for (int second = 0; second < 6; ++second) {
+    const std::uint64_t before = fleet.network.envelopesSent();
+    fleet.world.runFor(seconds(1));
+    EXPECT_LE(fleet.network.envelopesSent() - before, MostEnvelopesPerSecond) << second;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, LostMajorityTest, testing::Range<std::uint64_t>(1, 6));
+
 class PlatformWatcherScenarioTest : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(PlatformWatcherScenarioTest, AnotherCoreWatchesSoonAfterTheWatcherDies) {
@@ -144,8 +171,60 @@
   EXPECT_TRUE(all_know("first"));
 }
 
+TEST_P(PlatformWatcherScenarioTest, ADrainingWorkerStaysUnusedOverARestartOfAllCores) {
+  Fleet fleet(GetParam(), FleetSize{});
+  wire::WorkerEntry worker;
+  worker.id = "leaving";
+  worker.address = {"127.0.0.1", 9000};
+  fleet.platform.reading.workers = {worker};
+  const auto instance = [&fleet] {
+    const auto& workers = fleet.fronts.front()->workers()->workers;
+    return workers.contains("leaving") ? workers.at("leaving").entry.instance : 0;
+  };
+  ASSERT_TRUE(fleet.world.runUntil([&] { return instance() != 0; }, seconds(12)));
+  fleet.fronts.front()->observe({"leaving", instance(), true, false});
+  fleet.world.runFor(seconds(3));
+  for (const auto& core : fleet.cores) {
+    core->kill(Death::PowerLoss);
+    core->start();
+  }
+  for (int step = 0; step < 2'000; ++step) {
+    fleet.world.runFor(milliseconds(10));
+    for (const auto& front : fleet.fronts) {
+      const auto& workers = front->workers()->workers;
+      ASSERT_FALSE(workers.contains("leaving") && workers.at("leaving").usable()) << step;
+    }
+  }
+  EXPECT_NE(fleet.holderOf(core::PlatformWatcherLease), nullptr);
+}
+
 INSTANTIATE_TEST_SUITE_P(FixedSeeds, PlatformWatcherScenarioTest,
                          testing::Range<std::uint64_t>(1, 11));
 
+/** Seeds 64 and 183 are those under which rivals for the lease split the granters. */
+class WatcherTakeoverTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(WatcherTakeoverTest, AnotherCoreHoldsTheLeaseWithinFourSeconds) {
+  Fleet fleet(GetParam(), FleetSize{});
+  const auto holder = [&fleet] { return fleet.holderOf(core::PlatformWatcherLease); };
+  wire::WorkerEntry worker;
+  worker.id = "first";
+  worker.address = {"127.0.0.1", 9000};
+  fleet.platform.reading.workers = {worker};
+  const auto all_know = [&fleet] {
+    return std::all_of(fleet.fronts.begin(), fleet.fronts.end(), [](const auto& front) {
+      return front->workers()->workers.contains("first");
+    });
+  };
+  ASSERT_TRUE(fleet.world.runUntil(all_know, seconds(12)));
+  SimulatedCore* watcher = holder();
+  ASSERT_NE(watcher, nullptr);
+  watcher->kill(Death::Kill);
+  EXPECT_TRUE(fleet.world.runUntil([&] { return holder() != nullptr; }, seconds(4)));
+}
+
+INSTANTIATE_TEST_SUITE_P(FixedSeeds, WatcherTakeoverTest,
+                         testing::Values<std::uint64_t>(17, 64, 183, 314));
+
 }  // namespace
 }  // namespace switchsaddle::scenarios
