--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -46,6 +46,8 @@
   /** After a takeover a front's own request is not believed before a recall was answered. */
   bool confirm_after_takeover = true;
   bool fence_by_term = true;
+  /** Pause before a ledger that could not fence its register tries again. */
+  base::Duration fence_pause = std::chrono::milliseconds(100);
 };
 
 /**
@@ -100,6 +102,9 @@
     std::uint32_t recalls_open = 0;
   };
 
+  /** Writes the term into the register, so that no earlier ledger writes any more. */
+  void fence();
+  void onFenced(const registers::RegisterOutcome& outcome);
   void takeOver(const ReservationTable& table);
   void askFront(const FrontIdentity& front);
   void noteReport(const FrontIdentity& front, const wire::SlotReport& report,
@@ -153,6 +158,7 @@
   bool serving_ = false;
   /** The term this ledger serves under; 0 where it does not. */
   std::uint64_t term_ = 0;
+  base::TimerPtr fence_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libraries/admission/test/slot_fleet.h
+++ b/libraries/admission/test/slot_fleet.h
@@ -30,6 +30,8 @@
     return extra_delay +
            base::Duration(static_cast<std::int64_t>(world_.random().below(longest + 1)));
   }
+  /** Operations begun, since the test's start. */
+  std::uint64_t operations = 0;
 
   class Proposer : public registers::RegisterProposer {
    public:
@@ -37,6 +39,7 @@
         : shared_(shared), process_(process) {}
     void change(const std::string& key, registers::ChangeFunction function,
                 registers::RegisterCallback callback) override {
+      ++shared_.operations;
       process_.postAfter(shared_.delay(), [this, key, function, callback] {
         registers::RegisterOutcome outcome;
         if (shared_.available) {
