--- a/libraries/core/include/switchsaddle/core/core_membership.h
+++ b/libraries/core/include/switchsaddle/core/core_membership.h
@@ -22,13 +22,18 @@
 
   std::vector<base::NodeAddress> coreAddresses() const override;
   bool quorum(const std::set<base::NodeAddress>& answered) const override;
+  bool mayCampaign() const override { return acceptor_.mayVote(); }
   std::uint64_t acceptedVersion() const override { return accepted_version_; }
   bool mayVote() const override { return acceptor_.mayVote(); }
   std::uint64_t setEpoch() const override { return acceptor_.acceptorSet().epoch; }
   bool joining() const override;
   /** Whether the own instance is in the present set. */
   bool isMember() const;
-  /** Versions never go back. */
+  /**
+   * The acceptor holds this version, synced. It may be below the one noted before: a value that a
+   * higher ballot has overwritten with an older version was never committed, and a session that was
+   * told to wait for it would wait for ever.
+   */
   void noteAcceptedVersion(std::uint64_t version);
 
  private:
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -90,6 +90,7 @@
    * work they stand for. */
   void followMembership();
   void onWatcherLease(bool gained);
+  void startWatcher();
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
   std::vector<base::NodeAddress> frontsWithSessions() const;
@@ -126,6 +127,7 @@
   ControlService control_;
   base::TimerPtr open_timer_;
   base::TimerPtr peers_timer_;
+  base::TimerPtr watcher_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libraries/core/source/core_membership.cc
+++ b/libraries/core/source/core_membership.cc
@@ -50,7 +50,7 @@
 }
 
 void CoreMembership::noteAcceptedVersion(std::uint64_t version) {
-  accepted_version_ = std::max(accepted_version_, version);
+  accepted_version_ = version;
 }
 
 }  // namespace switchsaddle::core
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -5,12 +5,15 @@
 
 #include "core_options.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/workers/worker_journal.h"
 
 namespace switchsaddle::core {
 
 namespace {
 
 constexpr base::Duration ReopenPause = std::chrono::seconds(1);
+/** For peers to tell a new watcher the last view, so that workers keep their instances. */
+constexpr base::Duration WatcherPause = std::chrono::milliseconds(400);
 constexpr base::Duration PeersInterval = std::chrono::milliseconds(500);
 
 registers::AcceptorOptions acceptorOptionsOf(const CoreFaults& faults) {
@@ -48,7 +51,8 @@
                 environment.store),
       membership_(acceptor_),
       sessions_(environment.dispatcher, environment.calls, environment.journal,
-                sessionTimesOf(environment.settings.times), membership_),
+                sessionTimesOf(environment.settings.times), membership_,
+                environment.faults.sessions),
       granter_(environment.dispatcher, environment.calls, environment.store, environment.journal,
                leaseTimesOf(environment.settings.times)),
       replica_(environment.journal),
@@ -76,7 +80,8 @@
                membership_, leaseTimesOf(environment.settings.times), life_),
       control_(controlDependencies()),
       open_timer_(environment.dispatcher.createTimer([this] { openStore(); })),
-      peers_timer_(environment.dispatcher.createTimer([this] { refreshPeers(); })) {
+      peers_timer_(environment.dispatcher.createTimer([this] { refreshPeers(); })),
+      watcher_timer_(environment.dispatcher.createTimer([this] { startWatcher(); })) {
   connectParts();
   handleControlRequests();
 }
@@ -100,6 +105,7 @@
 }
 
 void CoreNode::connectParts() {
+  workers::journalChanges(workers_, environment_.journal);
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
   granter_.setEpochSource([this] { return membership_.setEpoch(); });
@@ -177,12 +183,12 @@
     granter_.load(opened);
   } catch (const base::Error& error) {
     storage_fault_ = error.what();
-    environment_.journal.append(journal::Subject::Storage, "load", error.what(), opened.instance);
+    environment_.journal.append(journal::Subject::Storage, "load", error.what(), 0);
     open_timer_->enable(ReopenPause);
     return;
   }
   environment_.journal.append(journal::Subject::Storage, "instance",
-                              std::to_string(opened.instance), opened.instance);
+                              std::to_string(opened.instance), 0);
   takePart();
 }
 
@@ -220,6 +226,7 @@
   open_timer_->disable();
   peers_timer_->disable();
   if (taking_part_) {
+    watcher_timer_->disable();
     watcher_.stop();
     keeper_.stop();
     follower_.stop();
@@ -243,10 +250,25 @@
 
 void CoreNode::onWatcherLease(bool gained) {
   reportLease(watcher_lease_, PlatformWatcherLease, gained);
-  if (gained) {
-    watcher_.start(watcher_lease_.term());
-  } else {
+  if (!gained) {
+    watcher_timer_->disable();
     watcher_.stop();
+    return;
+  }
+  for (const base::NodeAddress& front : frontsWithSessions()) {
+    gossip_.pullFrom(front);
+  }
+  for (const base::NodeAddress& core : membership_.coreAddresses()) {
+    if (core != environment_.calls.localAddress()) {
+      gossip_.pullFrom(core);
+    }
+  }
+  watcher_timer_->enable(WatcherPause);
+}
+
+void CoreNode::startWatcher() {
+  if (watcher_lease_.held()) {
+    watcher_.start(watcher_lease_.term());
   }
 }
 
--- a/libraries/front/include/switchsaddle/front/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot_flow.h
@@ -94,8 +94,11 @@
   OneShotFlow& operator=(const OneShotFlow&) = delete;
 
   void run(OneShotRequest request, OneShotCallback callback);
-  /** Lets go of all one-shots at once: nothing is sent, recorded or answered for them any more. */
-  void abandon();
+  /**
+   * Ends all one-shots at once: nothing more is done or told for them. Their slots come free as the
+   * returned runs go.
+   */
+  std::set<std::shared_ptr<OneShotRun>> abandon();
   /** One-shots not yet answered. */
   std::size_t active() const { return runs_.size(); }
 
--- a/libraries/front/include/switchsaddle/front/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream_flow.h
@@ -111,8 +111,11 @@
 
   /** The sink may hear of a refusal before this returns. */
   std::shared_ptr<StreamHandle> run(StreamRequest request, std::shared_ptr<StreamSink> sink);
-  /** Lets go of all streams at once: nothing is sent to workers or callers for them any more. */
-  void abandon();
+  /**
+   * Ends all streams at once: nothing more is done or told for them. Their slots come free as the
+   * returned runs go.
+   */
+  std::set<std::shared_ptr<StreamRun>> abandon();
   /** Streams not yet ended. */
   std::size_t active() const { return runs_.size(); }
 
--- a/libraries/front/source/one_shot_flow.cc
+++ b/libraries/front/source/one_shot_flow.cc
@@ -26,13 +26,14 @@
   abandon();
 }
 
-void OneShotFlow::abandon() {
+std::set<std::shared_ptr<OneShotRun>> OneShotFlow::abandon() {
   alive_ = std::make_shared<bool>(true);
   // A run that goes gives its slot to one that waits, so all end before any goes.
-  const std::set<std::shared_ptr<OneShotRun>> runs = std::exchange(runs_, {});
+  std::set<std::shared_ptr<OneShotRun>> runs = std::exchange(runs_, {});
   for (const std::shared_ptr<OneShotRun>& run : runs) {
     run->abandon();
   }
+  return runs;
 }
 
 void OneShotFlow::run(OneShotRequest request, OneShotCallback callback) {
--- a/libraries/front/source/stream_flow.cc
+++ b/libraries/front/source/stream_flow.cc
@@ -12,12 +12,13 @@
   abandon();
 }
 
-void StreamFlow::abandon() {
+std::set<std::shared_ptr<StreamRun>> StreamFlow::abandon() {
   // A run that goes gives its slot and its place to one that waits, so all end before any goes.
-  const std::set<std::shared_ptr<StreamRun>> runs = std::exchange(runs_, {});
+  std::set<std::shared_ptr<StreamRun>> runs = std::exchange(runs_, {});
   for (const std::shared_ptr<StreamRun>& run : runs) {
     run->abandon();
   }
+  return runs;
 }
 
 std::shared_ptr<StreamHandle> StreamFlow::run(StreamRequest request,
--- a/libraries/front/source/stream_run.cc
+++ b/libraries/front/source/stream_run.cc
@@ -153,6 +153,11 @@
 }
 
 bool StreamRun::mayDispatch(const routing::Placement& placement) {
+  if (!environment_.beliefs.configuration()->keys.contains(request_.key_hash)) {
+    // Revoked since the request came in.
+    refuse(ResultCode::UnknownKey, 0);
+    return false;
+  }
   PlacementVerdict verdict;
   verdict.retry_after_ms = DefaultRetryAfterMs;
   if (attempts_ == 0) {
@@ -167,10 +172,6 @@
   if (verdict.code == ResultCode::Ok && !environment_.session.mayDispatch()) {
     verdict.code = ResultCode::NotServing;
   }
-  if (!environment_.beliefs.configuration()->keys.contains(request_.key_hash)) {
-    // Revoked since the request came in.
-    verdict.code = ResultCode::UnknownKey;
-  }
   if (verdict.code != ResultCode::Ok) {
     refuse(verdict.code, verdict.retry_after_ms);
     return false;
--- a/libraries/front/test/stream_flow_test.cc
+++ b/libraries/front/test/stream_flow_test.cc
@@ -66,11 +66,11 @@
       retries.countFirstTry("completions");
     }
   }
-  std::shared_ptr<FakeSink> run() {
+  std::shared_ptr<FakeSink> run(const std::string& key_hash = FakeBeliefs::KeyHash) {
     auto sink = std::make_shared<FakeSink>();
     StreamRequest request;
+    request.key_hash = key_hash;
     request.prompt.model = "large";
-    request.key_hash = FakeBeliefs::KeyHash;
     handle = flow.run(request, sink);
     return sink;
   }
@@ -153,6 +153,31 @@
   expectReleased();
 }
 
+TEST_F(StreamFlowTest, AKeyRemovedWhileTheRequestWaitsIsNotServed) {
+  slots.silent = true;
+  beliefs.view.keys["hash"] = configuration::Key{"k", "hash", "editors"};
+  const auto sink = run("hash");
+  beliefs.view.keys.clear();
+  slots.serveWaiting();
+  EXPECT_TRUE(workers.sent.empty());
+  ASSERT_TRUE(sink->refusal);
+  EXPECT_EQ(sink->refusal->code, ResultCode::UnknownKey);
+  EXPECT_FALSE(sink->refusal->sent);
+  expectReleased();
+}
+
+TEST_F(StreamFlowTest, AKeyRemovedBeforeARetryIsNotServed) {
+  beliefs.view.keys["hash"] = configuration::Key{"k", "hash", "editors"};
+  const auto sink = run("hash");
+  ASSERT_EQ(workers.sent.size(), 1U);
+  beliefs.view.keys.clear();
+  workers.sent[0].observer->onFailure(WorkerFailure::Lost, false);
+  EXPECT_EQ(workers.sent.size(), 1U);
+  ASSERT_TRUE(sink->refusal);
+  EXPECT_EQ(sink->refusal->code, ResultCode::UnknownKey);
+  expectReleased();
+}
+
 TEST_F(StreamFlowTest, ABrokenStreamIsToldWithItsRequestIdAndAWholeOneIsNot) {
   run();
   workers.sent[0].head();
--- a/libraries/scenarios/source/configuration_scenario.cc
+++ b/libraries/scenarios/source/configuration_scenario.cc
@@ -5,25 +5,21 @@
 #include <set>
 #include <utility>
 
+#include "random_duration.h"
 #include "switchsaddle/configuration/json_value.h"
 
 namespace switchsaddle::scenarios {
 
 namespace {
 
+using base::ResultCode;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /** How often each front is looked at. */
 constexpr base::Duration LookInterval = milliseconds(5);
-/** Part of the faults that befall disks, where these are asked for. */
-constexpr double DiskFaultShare = 0.7;
-
-base::Duration randomDuration(base::RandomSource& random, base::Duration shortest,
-                              base::Duration longest) {
-  const auto span = static_cast<std::uint64_t>((longest - shortest).count());
-  return shortest + base::Duration(random.below(span + 1));
-}
+/** How often a stream is opened at each front. */
+constexpr base::Duration StreamInterval = milliseconds(20);
 
 }  // namespace
 
@@ -50,26 +46,107 @@
 void ConfigurationScenario::prepare() {
   fleet_.network.conditions.loss = options_.message_loss;
   fleet_.network.conditions.duplication = options_.message_duplication;
+  fleet_.network.conditions.maximum_delay = options_.message_delay;
+  fleet_.addModelWorker();
+  for (const auto& front : fleet_.fronts) {
+    front->setDispatchListener([this](const Dispatch& dispatch) { onDispatch(dispatch); });
+    front->setAnswerListener([this](const CallerAnswer& answer) { onAnswer(answer); });
+  }
+  prepareOperators();
+}
+
+void ConfigurationScenario::prepareOperators() {
+  std::vector<base::NodeAddress> front_addresses;
+  for (const auto& front : fleet_.fronts) {
+    front_addresses.push_back(front->address());
+  }
   for (const auto& one : fleet_.operators) {
+    one->addNodes(front_addresses);
+    one->setChangedEntries(ChangedEntries::EvacuationsAndKeys);
+    one->setBegunListener([this](OperatorChange& change) { noteBegun(change); });
     one->setAcknowledgedListener([this](const OperatorChange& change) {
-      acknowledged_version_ = std::max(acknowledged_version_, change.version);
-      ++result_.acknowledged;
+      noteAcknowledged(change);
       look();
     });
+    one->setSentListener([this](const base::NodeAddress& node) { harmProposer(node); });
   }
 }
 
-void ConfigurationScenario::look() {
+void ConfigurationScenario::noteBegun(OperatorChange& change) {
+  change.in_force_before = acknowledged_version_;
+  if (change.removes && change.path.starts_with("keys/")) {
+    keys_in_doubt_.insert(secretOfKey(change.path));
+  }
+}
+
+void ConfigurationScenario::noteAcknowledged(const OperatorChange& change) {
+  acknowledged_version_ = std::max(acknowledged_version_, change.version);
+  ++result_.acknowledged;
+  if (!change.path.starts_with("keys/")) {
+    return;
+  }
+  const std::string secret = secretOfKey(change.path);
+  if (change.removes) {
+    std::erase(keys_in_force_, secret);
+    revoked_keys_.push_back(secret);
+  } else {
+    keys_in_force_.push_back(secret);
+  }
+}
+
+void ConfigurationScenario::openStreams() {
+  base::RandomSource& random = fleet_.world.random();
   for (const auto& front : fleet_.fronts) {
-    const std::optional<std::uint64_t> version = front->dispatchVersion();
-    if (!version) {
-      ++result_.refusals;
-      continue;
+    std::string key;
+    const bool revoked = !revoked_keys_.empty() && random.chance(0.5);
+    if (revoked) {
+      // Mostly the newest, which a front that is behind may still hold.
+      const std::size_t recent = std::min<std::size_t>(revoked_keys_.size(), 3);
+      key = revoked_keys_[revoked_keys_.size() - 1 - random.below(recent)];
+    } else if (!keys_in_force_.empty()) {
+      key = keys_in_force_[random.below(keys_in_force_.size())];
     }
-    ++result_.dispatches;
-    if (*version < acknowledged_version_) {
-      violate(front->address().toString() + " dispatches by version " + std::to_string(*version) +
-              " although " + std::to_string(acknowledged_version_) + " was acknowledged");
+    if (!key.empty()) {
+      front->openStream(key);
+    }
+  }
+}
+
+void ConfigurationScenario::onDispatch(const Dispatch& dispatch) {
+  ++result_.dispatches;
+  checkVersionAtFront(dispatch.front, dispatch.version);
+  if (std::find(revoked_keys_.begin(), revoked_keys_.end(), dispatch.key) != revoked_keys_.end()) {
+    violate(dispatch.front.toString() + " dispatches for the " + dispatch.key +
+            " although its removal was acknowledged");
+  }
+}
+
+void ConfigurationScenario::onAnswer(const CallerAnswer& answer) {
+  if (answer.status == base::describe(ResultCode::Ok).http_status) {
+    ++result_.streams;
+  } else if (answer.status == base::describe(ResultCode::UnknownKey).http_status) {
+    ++result_.unknown_keys;
+    // Callers use a key only once operators were told that it is in force.
+    if (!keys_in_doubt_.contains(answer.key)) {
+      violate("the " + answer.key + " is refused although it was acknowledged");
+    }
+  } else {
+    ++result_.refusals;
+  }
+}
+
+void ConfigurationScenario::checkVersionAtFront(const base::NodeAddress& front,
+                                                std::uint64_t version) {
+  if (version < acknowledged_version_) {
+    violate(front.toString() + " dispatches by version " + std::to_string(version) + " although " +
+            std::to_string(acknowledged_version_) + " was acknowledged");
+  }
+}
+
+void ConfigurationScenario::look() {
+  for (const auto& front : fleet_.fronts) {
+    if (const std::optional<std::uint64_t> version = front->dispatchVersion()) {
+      checkVersionAtFront(front->address(), *version);
     }
   }
 }
@@ -82,6 +159,10 @@
     }
     fleet_.world.runFor(LookInterval);
     look();
+    if (fleet_.world.now() >= next_streams_) {
+      next_streams_ = fleet_.world.now() + StreamInterval;
+      openStreams();
+    }
   }
   return true;
 }
@@ -92,6 +173,10 @@
     violate("the fleet did not begin to serve");
     return result_;
   }
+  if (!fleet_.commitChange(firstChange(), seconds(12))) {
+    violate("the first configuration was not acknowledged");
+    return result_;
+  }
   for (const auto& one : fleet_.operators) {
     one->start();
   }
@@ -108,8 +193,9 @@
 }
 
 void ConfigurationScenario::runUnderTrouble() {
-  const base::TimePoint end = fleet_.world.now() + options_.trouble;
-  base::TimePoint next_fault = fleet_.world.now();
+  const base::TimePoint begin = fleet_.world.now();
+  const base::TimePoint end = begin + options_.trouble;
+  base::TimePoint next_fault = begin;
   settle(
       [&] {
         if (fleet_.world.now() >= next_fault) {
@@ -117,133 +203,11 @@
                                                            options_.fault_pause);
           injectFault();
         }
-        return fleet_.world.now() >= end;
+        const bool enough = options_.changes != 0 && result_.acknowledged >= options_.changes;
+        return enough || fleet_.world.now() >= end;
       },
       options_.trouble + seconds(1));
-}
-
-void ConfigurationScenario::injectFault() {
-  ++result_.faults;
-  if (disk_troubles_ && fleet_.world.random().chance(DiskFaultShare)) {
-    disk_troubles_->injectNext();
-    return;
-  }
-  // The disk troubles keep count of the disks they empty themselves.
-  const std::uint64_t kinds = disk_troubles_ ? 5 : 6;
-  switch (fleet_.world.random().below(kinds)) {
-    case 0:
-    case 1:
-      killCores();
-      break;
-    case 2:
-      freezeSome();
-      break;
-    case 3:
-      cutSome();
-      break;
-    case 4:
-      killFront();
-      break;
-    default:
-      wipeOne();
-      break;
-  }
-}
-
-void ConfigurationScenario::killCores() {
-  base::RandomSource& random = fleet_.world.random();
-  const bool many = random.chance(0.2);
-  const double share = many ? 0.8 : 1.0 / static_cast<double>(fleet_.cores.size());
-  for (const auto& core : fleet_.cores) {
-    if (!core->running() || !random.chance(share)) {
-      continue;
-    }
-    core->kill(random.chance(0.5) ? Death::Kill : Death::PowerLoss);
-    later(randomDuration(random, milliseconds(100), seconds(3)), [node = core.get()] {
-      if (!node->running()) {
-        node->start();
-      }
-    });
-  }
-}
-
-void ConfigurationScenario::freezeSome() {
-  base::RandomSource& random = fleet_.world.random();
-  const bool is_front = random.chance(0.5);
-  simulation::Process& process = is_front
-                                     ? fleet_.fronts[random.below(fleet_.fronts.size())]->process()
-                                     : fleet_.cores[random.below(fleet_.cores.size())]->process();
-  if (!process.running() || process.frozen()) {
-    return;
-  }
-  process.freeze();
-  later(randomDuration(random, milliseconds(100), seconds(5)), [this, &process] {
-    if (process.running() && process.frozen()) {
-      process.wake();
-      // At this very moment a woken front has heard nothing yet.
-      look();
-    }
-  });
-}
-
-void ConfigurationScenario::cutSome() {
-  base::RandomSource& random = fleet_.world.random();
-  std::vector<base::NodeAddress> others;
-  for (const auto& core : fleet_.cores) {
-    others.push_back(core->address());
-  }
-  for (const auto& front : fleet_.fronts) {
-    others.push_back(front->address());
-  }
-  std::vector<base::NodeAddress> one_side;
-  for (const base::NodeAddress& address : others) {
-    if (random.chance(0.3)) {
-      one_side.push_back(address);
-    }
-  }
-  for (const base::NodeAddress& inside : one_side) {
-    for (const base::NodeAddress& outside : others) {
-      if (std::find(one_side.begin(), one_side.end(), outside) == one_side.end()) {
-        fleet_.network.cut(inside, outside);
-      }
-    }
-  }
-  later(randomDuration(random, milliseconds(100), seconds(4)),
-        [this] { fleet_.network.healAll(); });
-}
-
-void ConfigurationScenario::wipeOne() {
-  // More disks lost at once than a minority would lose data by design.
-  if (wiped_ != nullptr && !fleet_.admitted(*wiped_)) {
-    return;
-  }
-  if (disk_troubles_ && !disk_troubles_->oneMoreMayLoseState()) {
-    return;
-  }
-  SimulatedCore& core = *fleet_.cores[fleet_.world.random().below(fleet_.cores.size())];
-  if (!fleet_.admitted(core)) {
-    return;
-  }
-  wiped_ = &core;
-  core.kill(Death::Wipe);
-  later(randomDuration(fleet_.world.random(), milliseconds(100), seconds(3)), [&core] {
-    if (!core.running()) {
-      core.start();
-    }
-  });
-}
-
-void ConfigurationScenario::killFront() {
-  FrontStandIn& front = *fleet_.fronts[fleet_.world.random().below(fleet_.fronts.size())];
-  if (!front.running()) {
-    return;
-  }
-  front.kill();
-  later(randomDuration(fleet_.world.random(), milliseconds(50), seconds(2)), [&front] {
-    if (!front.running()) {
-      front.start();
-    }
-  });
+  result_.trouble = fleet_.world.now() - begin;
 }
 
 void ConfigurationScenario::healAll() {
@@ -294,15 +258,20 @@
 }
 
 void ConfigurationScenario::checkChanges() {
-  std::map<std::uint64_t, std::string> by_base;
-  std::map<std::uint64_t, std::string> by_version;
+  std::map<std::uint64_t, std::string> by_base{{0, "the first configuration"}};
+  std::map<std::uint64_t, std::string> by_version{{1, "the first configuration"}};
+  std::uint64_t newest = 1;
+  for (const auto& one : fleet_.operators) {
+    newest = std::max(newest, one->newestVersion());
+  }
   for (const auto& one : fleet_.operators) {
     result_.resends += one->resends();
+    result_.repetitions += one->repetitions();
     for (const OperatorChange& change : one->changes()) {
       for (const std::string& contradiction : change.contradictions) {
         violate(change.change_id + ": " + contradiction);
       }
-      result_.conflicts += change.fate == ChangeFate::Conflict ? 1 : 0;
+      checkConflict(change, newest);
       if (!change.committed) {
         continue;
       }
@@ -319,12 +288,39 @@
   std::uint64_t expected = 1;
   for (const auto& [version, change_id] : by_version) {
     if (version != expected++) {
-      violate("no operator was told of version " + std::to_string(expected - 1));
+      violate("no operator was told of version " + std::to_string(expected - 1) + ";" +
+              refusedOn(expected - 2));
       break;
     }
   }
 }
 
+std::string ConfigurationScenario::refusedOn(std::uint64_t base_version) const {
+  std::string refused;
+  for (const auto& one : fleet_.operators) {
+    for (const OperatorChange& change : one->changes()) {
+      if (change.base_version == base_version && change.fate != ChangeFate::Acknowledged) {
+        refused += " " + change.change_id + " was told that " + std::to_string(change.version) +
+                   " is in force";
+      }
+    }
+  }
+  return refused;
+}
+
+void ConfigurationScenario::checkConflict(const OperatorChange& change, std::uint64_t newest) {
+  if (change.fate != ChangeFate::Conflict) {
+    return;
+  }
+  ++result_.conflicts;
+  const bool was_in_force = change.version > change.base_version && change.version <= newest &&
+                            change.version >= change.in_force_before;
+  if (!was_in_force) {
+    violate(change.change_id + " was told that version " + std::to_string(change.version) +
+            " is in force");
+  }
+}
+
 void ConfigurationScenario::checkFinalDocument() {
   std::map<std::uint64_t, const OperatorChange*> committed;
   for (const auto& one : fleet_.operators) {
@@ -334,12 +330,13 @@
       }
     }
   }
-  std::set<std::string> expected;
+  std::set<std::string> expected{"shapes/chat", "tenants/editors", "share/root", "routes/large",
+                                 CallerKey};
   for (const auto& [version, change] : committed) {
     if (change->removes) {
-      expected.erase("evacuations/" + change->zone);
+      expected.erase(change->path);
     } else {
-      expected.insert("evacuations/" + change->zone);
+      expected.insert(change->path);
     }
   }
   std::optional<std::string> body;
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -80,6 +80,8 @@
   void onOpen(const wire::SessionOpenRequest& request, transport::ReplyFunction reply);
   void onBatch(const wire::SessionRecordBatch& batch, const transport::ReplyFunction& reply);
   void record(const wire::SessionRecord& record);
+  /** Journals which instances at the record's address have sessions now. */
+  void journalSession(const wire::SessionRecord& record);
   /** Sends what waits after the interval has passed since the last batch, or earlier where that is
    * due already. */
   void scheduleFlush(base::Duration interval);
