Open the store anew after a lease granter's failed commit, and run long tests in shards

Cause: acceptor and lease granter share a store, which after a failed sync refuses all until it is opened again. Only the acceptor did that, on its own failed commits. Ruled out: a lost majority (four of five voted), split campaigns (no grant at all). Change: the granter tells of a failed commit and the acceptor reopens the store.

--- a/cmake/Workspace.cmake
+++ b/cmake/Workspace.cmake
@@ -1,7 +1,8 @@
 # switchsaddle_library(NAME DEPENDS a b LINKS x): a library made of libraries/NAME/{include,source},
-# with one test program from libraries/NAME/test where that folder holds *_test.cc files.
+# with one test program from libraries/NAME/test where that folder holds *_test.cc files. TEST_SHARDS n
+# runs it as n tests side by side.
 function(switchsaddle_library name)
-  cmake_parse_arguments(ARG "" "" "DEPENDS;LINKS;TEST_DEPENDS" ${ARGN})
+  cmake_parse_arguments(ARG "" "TEST_SHARDS" "DEPENDS;LINKS;TEST_DEPENDS" ${ARGN})
   set(root ${CMAKE_CURRENT_SOURCE_DIR}/${name})
   file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${root}/source/*.cc)
   set(target switchsaddle_${name})
@@ -28,7 +29,16 @@
     foreach(dependency ${ARG_TEST_DEPENDS})
       target_link_libraries(${name}_test PRIVATE switchsaddle_${dependency})
     endforeach()
-    add_test(NAME ${name} COMMAND ${name}_test --gtest_brief=1)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 600)
+    if(NOT ARG_TEST_SHARDS)
+      set(ARG_TEST_SHARDS 1)
+    endif()
+    math(EXPR last_shard "${ARG_TEST_SHARDS} - 1")
+    foreach(shard RANGE ${last_shard})
+      add_test(NAME ${name}_${shard} COMMAND ${name}_test --gtest_brief=1)
+      set_tests_properties(
+        ${name}_${shard}
+        PROPERTIES TIMEOUT 900 ENVIRONMENT
+                   "GTEST_TOTAL_SHARDS=${ARG_TEST_SHARDS};GTEST_SHARD_INDEX=${shard}")
+    endforeach()
   endif()
 endfunction()
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -109,6 +109,8 @@
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
   granter_.setEpochSource([this] { return membership_.setEpoch(); });
+  granter_.setCommitFailureListener(
+      [this](base::ResultCode code) { acceptor_.noteCommitFailure(code); });
   acceptor_.setAcceptedListener([this](const std::string& key, const std::string& value) {
     if (key == registers::ConfigurationRegister) {
       follower_.onAccepted(value);
--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -78,6 +78,8 @@
   const workers::WorkerDirectory& directory() const { return directory_; }
   const sessions::QuorumSessionClient& session() const { return session_; }
   routing::Router& router() { return router_; }
+  /** What the flows see of the fleet, and tell it. */
+  FleetBeliefs& beliefs() { return *this; }
 
  private:
   std::shared_ptr<const configuration::View> configuration() const override;
--- a/libraries/lease/include/switchsaddle/lease/lease_granter.h
+++ b/libraries/lease/include/switchsaddle/lease/lease_granter.h
@@ -56,6 +56,11 @@
    */
   void setEpochSource(std::function<std::uint64_t()> source) { epoch_source_ = std::move(source); }
 
+  /** Told of each failed commit, so that the store's owner opens it anew. */
+  void setCommitFailureListener(std::function<void(base::ResultCode)> listener) {
+    commit_failure_listener_ = std::move(listener);
+  }
+
  private:
   struct Lease {
     std::uint64_t highest_term = 0;
@@ -86,6 +91,7 @@
   std::optional<base::TimePoint> voting_since_;
   std::function<bool()> may_vote_;
   std::function<std::uint64_t()> epoch_source_;
+  std::function<void(base::ResultCode)> commit_failure_listener_;
   std::map<std::string, Lease> leases_;
   /** Expires with this object, so that late callbacks find it gone. */
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libraries/lease/source/lease_granter.cc
+++ b/libraries/lease/source/lease_granter.cc
@@ -156,6 +156,9 @@
     // The term stays used up; a higher one has to be stored before the next grant.
     lease.holder_instance = 0;
     lease.expires_at = dispatcher_.now();
+    if (commit_failure_listener_) {
+      commit_failure_listener_(code);
+    }
   }
   const bool still_held = dispatcher_.now() < lease.expires_at;
   journal_.append(journal::Subject::Lease, request.name, still_held ? lease.holder.toString() : "",
--- a/libraries/registers/include/switchsaddle/registers/acceptor.h
+++ b/libraries/registers/include/switchsaddle/registers/acceptor.h
@@ -94,6 +94,11 @@
    * a register's.
    */
   std::optional<std::string> markDamaged(const std::string& record_key);
+  /**
+   * A commit to the shared store failed, this acceptor's or another user's: it stops voting and opens
+   * the store anew after a pause, so that all who share it can go on.
+   */
+  void noteCommitFailure(base::ResultCode code);
   /** All records of this acceptor, as they are after the commits handed to the store; nothing while
    * the store fails. */
   std::vector<storage::Record> records() const;
@@ -113,7 +118,6 @@
   void commitAnswer(storage::Record record, const wire::RegisterReply& answer,
                     transport::ReplyFunction reply, std::function<void()> after_commit);
   void commit(std::vector<storage::Record> records, InstallCallback callback);
-  void onCommitFailed(base::ResultCode code);
   void reopen();
   void answerOverdue();
   void armOverdueTimer();
--- a/libraries/registers/source/acceptor.cc
+++ b/libraries/registers/source/acceptor.cc
@@ -233,14 +233,14 @@
                     return;
                   }
                   if (code != base::ResultCode::Ok) {
-                    onCommitFailed(code);
+                    noteCommitFailure(code);
                   }
                   // A commit behind a failed one may hold what was built on the lost one.
                   callback(failures == commit_failures_);
                 });
 }
 
-void Acceptor::onCommitFailed(base::ResultCode code) {
+void Acceptor::noteCommitFailure(base::ResultCode code) {
   ++commit_failures_;
   if (storage_failed_) {
     return;
--- a/libraries/scenarios/include/switchsaddle/scenarios/watched_front.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/watched_front.h
@@ -59,6 +59,8 @@
   std::optional<std::uint64_t> dispatchVersion() const;
   /** What it believes of the workers; nullptr while it does not run. */
   workers::WorkerSnapshotPtr workers() const;
+  /** It hears from a worker it knows that this one is draining; only while running. */
+  void hearOfDraining(const std::string& worker);
 
  private:
   struct Life;
--- a/libraries/scenarios/source/watched_front.cc
+++ b/libraries/scenarios/source/watched_front.cc
@@ -109,6 +109,10 @@
   return dispatches ? std::optional(life_->node->replica().version()) : std::nullopt;
 }
 
+void WatchedFront::hearOfDraining(const std::string& worker) {
+  node().beliefs().observeDraining(workers()->workers.at(worker));
+}
+
 workers::WorkerSnapshotPtr WatchedFront::workers() const {
   return life_ ? life_->node->directory().snapshot() : nullptr;
 }
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -22,10 +22,7 @@
         instance_(process_.random().next()),
         client_(http::createClient(process_.context())),
         worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
-        node_(front::FrontEnvironment{
-            process_.dispatcher(), process_.calls(), process_.random(), process_.journal(),
-            settings_, worker_port_, instance_, nullptr, &process_.incidents(),
-            [this](metrics::Page& page) { process_.appendMetrics(page); }}),
+        node_(environment()),
         server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
                                     node_.service().enqueue(std::move(request), std::move(writer));
@@ -41,6 +38,18 @@
   }
 
  private:
+  front::FrontEnvironment environment() {
+    return {.dispatcher = process_.dispatcher(),
+            .calls = process_.calls(),
+            .random = process_.random(),
+            .journal = process_.journal(),
+            .settings = settings_,
+            .workers = worker_port_,
+            .instance = instance_,
+            .incidents = &process_.incidents(),
+            .process_metrics = [this](metrics::Page& page) { process_.appendMetrics(page); }};
+  }
+
   configuration::Settings settings_;
   DaemonProcess process_;
   std::uint64_t instance_;
