Mend the first clang-tidy findings and the format of two files

Cause: the lint run over the tree was red. clang 14 refuses captured structured bindings, which become init-captures; an unused dispatcher member of GossipAgent goes; a static local follows the case of variables; two files are formatted anew. No change of behaviour is meant.

--- a/libraries/configuration/source/checks/shapes.cc
+++ b/libraries/configuration/source/checks/shapes.cc
@@ -105,9 +105,10 @@
 
 void checkParametersAreUsed(ObjectReader& reader, const ShapeTemplate& shape) {
   for (const auto& [name, parameter] : shape.parameters) {
-    const bool is_used = std::ranges::any_of(ShapeFields, [&](const ShapeField& field) {
-      return (shape.*field.member).parameter == name;
-    });
+    const bool is_used =
+        std::ranges::any_of(ShapeFields, [&, &name = name](const ShapeField& field) {
+          return (shape.*field.member).parameter == name;
+        });
     if (!is_used) {
       reader.fault("parameters." + name, ResultCode::InvalidValue, "fills in no field");
     }
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -119,8 +119,8 @@
 }
 
 const std::vector<ControlService::Operation>& ControlService::operations() {
-  static const std::vector<Operation> All = makeOperations();
-  return All;
+  static const std::vector<Operation> all = makeOperations();
+  return all;
 }
 
 ControlService::ControlService(ControlDependencies dependencies)
--- a/libraries/core/source/membership_keeper.cc
+++ b/libraries/core/source/membership_keeper.cc
@@ -126,7 +126,7 @@
     }
     change_.replace(
         member, *candidate,
-        [this, alive = std::weak_ptr(alive_), member, candidate](base::ResultCode code) {
+        [this, alive = std::weak_ptr(alive_), member = member, candidate](base::ResultCode code) {
           if (!alive.expired()) {
             journalReplacement(member, *candidate, code);
           }
--- a/libraries/dissemination/include/switchsaddle/dissemination/gossip_agent.h
+++ b/libraries/dissemination/include/switchsaddle/dissemination/gossip_agent.h
@@ -77,7 +77,6 @@
   void pushObservations(const std::vector<wire::WorkerObservation>& observations);
   std::vector<base::NodeAddress> randomPeers(std::size_t count);
 
-  base::Dispatcher& dispatcher_;
   transport::PeerCalls& calls_;
   base::RandomSource& random_;
   ConfigurationReplica& replica_;
--- a/libraries/dissemination/source/gossip_agent.cc
+++ b/libraries/dissemination/source/gossip_agent.cc
@@ -19,8 +19,7 @@
 GossipAgent::GossipAgent(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
                          base::RandomSource& random, ConfigurationReplica& replica,
                          workers::WorkerDirectory& workers, GossipOptions options)
-    : dispatcher_(dispatcher),
-      calls_(calls),
+    : calls_(calls),
       random_(random),
       replica_(replica),
       workers_(workers),
--- a/libraries/registers/include/switchsaddle/registers/acceptor.h
+++ b/libraries/registers/include/switchsaddle/registers/acceptor.h
@@ -95,8 +95,8 @@
    */
   std::optional<std::string> markDamaged(const std::string& record_key);
   /**
-   * A commit to the shared store failed, this acceptor's or another user's: it stops voting and opens
-   * the store anew after a pause, so that all who share it can go on.
+   * A commit to the shared store failed, this acceptor's or another user's: it stops voting and
+   * opens the store anew after a pause, so that all who share it can go on.
    */
   void noteCommitFailure(base::ResultCode code);
   /** All records of this acceptor, as they are after the commits handed to the store; nothing while
--- a/libraries/workers/source/worker_journal.cc
+++ b/libraries/workers/source/worker_journal.cc
@@ -41,18 +41,18 @@
 }  // namespace
 
 void journalChanges(WorkerDirectory& directory, journal::Journal& journal) {
-  directory.addListener([&journal](const WorkerSnapshotPtr& before,
-                                   const WorkerSnapshotPtr& after) {
-    journalWorkers(*before, *after, journal);
-    if (before->term != after->term) {
-      journal.append(Subject::Lease, "platform-watcher, term heard", std::to_string(after->term),
-                     after->term);
-    }
-    if (before->sequence != after->sequence || before->term != after->term) {
-      journal.append(Subject::Workers, "list", "term " + std::to_string(after->term),
-                     after->sequence);
-    }
-  });
+  directory.addListener(
+      [&journal](const WorkerSnapshotPtr& before, const WorkerSnapshotPtr& after) {
+        journalWorkers(*before, *after, journal);
+        if (before->term != after->term) {
+          journal.append(Subject::Lease, "platform-watcher, term heard",
+                         std::to_string(after->term), after->term);
+        }
+        if (before->sequence != after->sequence || before->term != after->term) {
+          journal.append(Subject::Workers, "list", "term " + std::to_string(after->term),
+                         after->sequence);
+        }
+      });
 }
 
 }  // namespace switchsaddle::workers
