Mend the clang-tidy findings of laboratory and hollow

Cause: a constant and a local lambda did not follow the naming rules, and a count became a share by a narrowing conversion; the conversion is written out. The value is the same.

--- a/libraries/hollow/source/hollow_front.cc
+++ b/libraries/hollow/source/hollow_front.cc
@@ -15,7 +15,7 @@
 constexpr std::uint32_t PromptTokens = 1'000;
 constexpr base::Duration FirstToken = std::chrono::milliseconds(300);
 constexpr base::Duration ShortestRun = std::chrono::milliseconds(6'000);
-constexpr std::uint64_t RunSpread_ms = 6'000;
+constexpr std::uint64_t RunSpreadMs = 6'000;
 
 class NoCall final : public front::WorkerCall {
  public:
@@ -106,7 +106,7 @@
     completion.output_tokens = OutputTokens;
     completion.uncached_tokens = PromptTokens;
     completion.time_to_first_token = FirstToken;
-    completion.total = ShortestRun + std::chrono::milliseconds(random_.below(RunSpread_ms));
+    completion.total = ShortestRun + std::chrono::milliseconds(random_.below(RunSpreadMs));
     node_.router().complete(completion);
   }
 }
--- a/libraries/laboratory/source/branch_judge.cc
+++ b/libraries/laboratory/source/branch_judge.cc
@@ -214,8 +214,8 @@
         window.pop_front();
       }
       const std::uint64_t first_tries = window.size() - retries;
-      const double share =
-          first_tries == 0 ? retries : static_cast<double>(retries) / double(first_tries);
+      const double share = first_tries == 0 ? static_cast<double>(retries)
+                                            : static_cast<double>(retries) / double(first_tries);
       if (attempt.second && share > findings.worst_share) {
         findings.worst_share = share;
         findings.worst_retries = retries;
--- a/libraries/laboratory/source/call_history.cc
+++ b/libraries/laboratory/source/call_history.cc
@@ -43,7 +43,7 @@
 void foldRuns(const std::vector<WorkerEvent>& journal, std::map<std::string, RunHistory>& runs) {
   std::set<std::string> open;
   std::int64_t last_ms = 0;
-  const auto closeOpen = [&] {
+  const auto close_open = [&] {
     for (const std::string& run : open) {
       runs[run].end_ms = last_ms;
     }
@@ -51,7 +51,7 @@
   };
   for (const WorkerEvent& event : journal) {
     if (event.event == "up") {
-      closeOpen();
+      close_open();
     } else if (event.event == "start") {
       runs[event.run].start = event;
       open.insert(event.run);
@@ -64,7 +64,7 @@
     }
     last_ms = event.at_ms;
   }
-  closeOpen();
+  close_open();
 }
 
 }  // namespace switchsaddle::laboratory
