Move a ledger's reservations into a class of their own

Ruled out: splitting by function only, which would have left the tables and the pending grants shared. Change: ReservationWriter owns the register, its durable and wanted tables, the fence, and the grants which wait for their reservation. WaitingRequest is a type of its own. No behaviour is changed.

--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -10,6 +10,8 @@
 #include <vector>
 
 #include "switchsaddle/admission/reservation_table.h"
+#include "switchsaddle/admission/reservation_writer.h"
+#include "switchsaddle/admission/waiting_request.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/registers/proposer.h"
 #include "switchsaddle/transport/peer_calls.h"
@@ -89,20 +91,13 @@
     /** When the front's process was found to have ended. */
     std::optional<base::TimePoint> orphaned_at;
   };
-  struct Waiting {
-    wire::SlotRequest request;
-    transport::ReplyFunction reply;
-    /** Whether it came before the recall under way, so that the recall's answers are newer. */
-    bool in_recall = false;
-  };
   struct BranchState {
     std::map<FrontIdentity, Holding> holdings;
-    std::deque<Waiting> waiting;
+    std::deque<WaitingRequest> waiting;
     bool recalling = false;
     std::uint32_t recalls_open = 0;
   };
 
-  /** Writes the term into the register, so that no earlier ledger writes any more. */
   void fence();
   void onFenced(const registers::RegisterOutcome& outcome);
   void takeOver(const ReservationTable& table);
@@ -115,46 +110,27 @@
   void renewWaiting(const FrontIdentity& front, BranchState& state, const wire::SlotHolding& told);
   std::vector<FrontIdentity> frontsToRecall(const std::string& branch) const;
   void recall(const std::string& branch, const FrontIdentity& front);
-  bool grantPending(const std::string& branch) const;
   void refuseNotServing();
   void dropFront(const FrontIdentity& front);
   void dropOrphans(BranchState& state);
   void serveWaiting(const std::string& branch);
   std::uint32_t freeSlots(const std::string& branch) const;
-  void grant(const std::string& branch, Waiting waiting, std::uint32_t slots);
-  void answer(const Waiting& waiting, std::uint32_t granted, bool exhausted) const;
+  void grant(const std::string& branch, WaitingRequest waiting, std::uint32_t slots);
+  void answer(const WaitingRequest& waiting, std::uint32_t granted, bool exhausted) const;
   void startRecall(const std::string& branch);
   void finishRecall(const std::string& branch);
   bool allKnownInUse(const std::string& branch) const;
-  void reserve(const FrontIdentity& front, const std::string& branch, std::uint32_t slots);
-  bool reservedFor(const Waiting& waiting, std::uint32_t granted) const;
-  void writeReservations();
-  void onReservationsWritten(const registers::RegisterOutcome& outcome,
-                             const ReservationTable& written);
-  ReservationTable tableToWrite();
   void noteRecallUnanswered(const FrontIdentity& front, BranchState& state);
-  std::string registerKey() const;
 
   base::Dispatcher& dispatcher_;
   transport::PeerCalls& calls_;
-  registers::RegisterProposer& proposer_;
   LedgerLease& lease_;
   std::uint32_t shard_;
   SlotLedgerOptions options_;
   std::map<std::string, std::uint32_t> limits_;
   std::map<std::string, BranchState> branches_;
   base::Duration longest_use_{};
-  /** The reservations known to be in the register. */
-  ReservationTable durable_;
-  /** What is to be in it; differs while a write is wanted or under way. */
-  ReservationTable wanted_;
-  bool writing_ = false;
-  /** Grants which wait for their reservation. */
-  struct PendingGrant {
-    Waiting waiting;
-    std::uint32_t slots = 0;
-  };
-  std::vector<PendingGrant> pending_grants_;
+  ReservationWriter reservations_;
   bool serving_ = false;
   /** The term this ledger serves under; 0 where it does not. */
   std::uint64_t term_ = 0;
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -13,10 +13,6 @@
 /** Beyond the longest request, for clocks and timers that run late. */
 constexpr base::Duration SilenceMargin = std::chrono::seconds(30);
 
-FrontIdentity identityOf(const wire::SlotRequest& request) {
-  return FrontIdentity{request.front, request.front_instance};
-}
-
 }  // namespace
 
 SlotLedger::SlotLedger(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
@@ -24,16 +20,22 @@
                        std::uint32_t shard, SlotLedgerOptions options)
     : dispatcher_(dispatcher),
       calls_(calls),
-      proposer_(proposer),
       lease_(lease),
       shard_(shard),
       options_(options),
+      reservations_(
+          proposer, shard,
+          ReservationWriterOptions{options.reservation_step, options.reserve_before_granting,
+                                   options.fence_by_term},
+          [this](const WaitingRequest& waiting, std::uint32_t granted) {
+            answer(waiting, granted, false);
+          },
+          [this](const FrontIdentity& front, const std::string& branch) {
+            const auto state = branches_.find(branch);
+            return state != branches_.end() && state->second.holdings.contains(front);
+          }),
       fence_timer_(dispatcher.createTimer([this] { fence(); })) {}
 
-std::string SlotLedger::registerKey() const {
-  return "ledger/" + std::to_string(shard_);
-}
-
 bool SlotLedger::serving() const {
   return serving_ && lease_.held() && lease_.term() == term_;
 }
@@ -56,22 +58,8 @@
   if (!lease_.held() || lease_.term() != term_) {
     return;
   }
-  const std::uint64_t term = term_;
-  const auto raise_term = [term](const std::string& present) -> std::optional<std::string> {
-    ReservationTable table = decodeReservations(present);
-    if (table.term >= term) {
-      return std::nullopt;
-    }
-    table.term = term;
-    return encodeReservations(table);
-  };
-  proposer_.change(
-      registerKey(), raise_term,
-      [this, alive = std::weak_ptr(alive_), term](const registers::RegisterOutcome& outcome) {
-        if (!alive.expired() && term == term_) {
-          onFenced(outcome);
-        }
-      });
+  reservations_.fence(term_,
+                      [this](const registers::RegisterOutcome& outcome) { onFenced(outcome); });
 }
 
 void SlotLedger::onFenced(const registers::RegisterOutcome& outcome) {
@@ -91,26 +79,23 @@
   serving_ = false;
   refuseNotServing();
   term_ = 0;
-  writing_ = false;
-  pending_grants_.clear();
   branches_.clear();
 }
 
 void SlotLedger::refuseNotServing() {
   // The fronts then look for the successor at once.
-  for (const PendingGrant& pending : pending_grants_) {
-    pending.waiting.reply(wire::SlotReply{});
+  for (const WaitingRequest& waiting : reservations_.endTerm()) {
+    waiting.reply(wire::SlotReply{});
   }
   for (const auto& [branch, state] : branches_) {
-    for (const Waiting& waiting : state.waiting) {
+    for (const WaitingRequest& waiting : state.waiting) {
       waiting.reply(wire::SlotReply{});
     }
   }
 }
 
 void SlotLedger::takeOver(const ReservationTable& table) {
-  durable_ = table;
-  wanted_ = table;
+  reservations_.takeOver(table);
   for (const auto& [front, reservations] : table.reserved) {
     for (const auto& [branch, slots] : reservations) {
       Holding holding;
@@ -175,8 +160,8 @@
 void SlotLedger::renewWaiting(const FrontIdentity& front, BranchState& state,
                               const wire::SlotHolding& told) {
   // What the front waits for is still wanted; a grant must stand on what it told last.
-  for (Waiting& waiting : state.waiting) {
-    if (identityOf(waiting.request) == front) {
+  for (WaitingRequest& waiting : state.waiting) {
+    if (waiting.front() == front) {
       waiting.request.sequence = told.sequence;
       waiting.request.held = told.held;
       waiting.request.in_use = told.in_use;
@@ -189,10 +174,10 @@
 }
 
 void SlotLedger::answerEarlierRequests(const FrontIdentity& front, BranchState& state) {
-  const auto is_earlier = [&front](const Waiting& waiting) {
-    return identityOf(waiting.request) == front;
+  const auto is_earlier = [&front](const WaitingRequest& waiting) {
+    return waiting.front() == front;
   };
-  for (const Waiting& waiting : state.waiting) {
+  for (const WaitingRequest& waiting : state.waiting) {
     if (is_earlier(waiting)) {
       answer(waiting, 0, false);
     }
@@ -211,7 +196,7 @@
     found->second.confirmed = false;
     found->second.orphaned_at = dispatcher_.now();
   }
-  wanted_.reserved.erase(front);
+  reservations_.forget(front);
 }
 
 void SlotLedger::dropOrphans(BranchState& state) {
@@ -224,13 +209,7 @@
 void SlotLedger::askOtherInstances(const FrontIdentity& front) {
   // Which instance is the later one can't be told from a message, which may be an old one. The
   // process that answers a call now is the living one.
-  std::vector<FrontIdentity> others;
-  for (const auto& [known, reservations] : wanted_.reserved) {
-    if (known.address == front.address && known.instance != front.instance) {
-      others.push_back(known);
-    }
-  }
-  for (const FrontIdentity& other : others) {
+  for (const FrontIdentity& other : reservations_.otherInstances(front)) {
     askFront(other);
   }
 }
@@ -257,11 +236,11 @@
     reply(wire::SlotReply{});
     return;
   }
-  const FrontIdentity front = identityOf(request);
+  const WaitingRequest waiting{request, std::move(reply)};
+  const FrontIdentity front = waiting.front();
   askOtherInstances(front);
   BranchState& state = branches_[request.branch];
   Holding& holding = state.holdings[front];
-  const Waiting waiting{request, std::move(reply)};
   const bool unconfirmed = holding.sequence == 0 && holding.held > 0;
   if (unconfirmed && options_.confirm_after_takeover) {
     // The request may have been under way since before the predecessor's last grants.
@@ -321,27 +300,21 @@
       startRecall(branch);
       return;
     }
-    Waiting waiting = std::move(state.waiting.front());
+    WaitingRequest waiting = std::move(state.waiting.front());
     state.waiting.pop_front();
     const std::uint32_t slots = std::min(available, waiting.request.wanted);
     grant(branch, std::move(waiting), slots);
   }
 }
 
-void SlotLedger::grant(const std::string& branch, Waiting waiting, std::uint32_t slots) {
-  const FrontIdentity front = identityOf(waiting.request);
-  Holding& holding = branches_[branch].holdings[front];
+void SlotLedger::grant(const std::string& branch, WaitingRequest waiting, std::uint32_t slots) {
+  Holding& holding = branches_[branch].holdings[waiting.front()];
   holding.held += slots;
-  reserve(front, branch, holding.held);
-  if (reservedFor(waiting, slots)) {
-    answer(waiting, slots, false);
-    return;
-  }
-  pending_grants_.push_back(PendingGrant{std::move(waiting), slots});
-  writeReservations();
+  reservations_.grant(std::move(waiting), slots, holding.held);
 }
 
-void SlotLedger::answer(const Waiting& waiting, std::uint32_t granted, bool exhausted) const {
+void SlotLedger::answer(const WaitingRequest& waiting, std::uint32_t granted,
+                        bool exhausted) const {
   wire::SlotReply reply;
   reply.is_ledger = true;
   reply.ledger = calls_.localAddress();
@@ -359,11 +332,7 @@
   }
   for (const auto& [front, holding] : branches_.at(branch).holdings) {
     // A recall would make void what a pending grant stands on.
-    const bool pending =
-        std::ranges::any_of(pending_grants_, [&, &front = front](const PendingGrant& grant) {
-          const wire::SlotRequest& request = grant.waiting.request;
-          return request.branch == branch && identityOf(request) == front;
-        });
+    const bool pending = reservations_.grantPending(branch, front);
     if (!pending && holding.held > 0 && !holding.orphaned_at) {
       fronts.push_back(front);
     }
@@ -377,7 +346,7 @@
     return;
   }
   const std::vector<FrontIdentity> asked = frontsToRecall(branch);
-  for (Waiting& waiting : state.waiting) {
+  for (WaitingRequest& waiting : state.waiting) {
     waiting.in_recall = true;
   }
   state.recalling = true;
@@ -413,12 +382,6 @@
               });
 }
 
-bool SlotLedger::grantPending(const std::string& branch) const {
-  return std::ranges::any_of(pending_grants_, [&branch](const PendingGrant& pending) {
-    return pending.waiting.request.branch == branch;
-  });
-}
-
 bool SlotLedger::allKnownInUse(const std::string& branch) const {
   const auto state = branches_.find(branch);
   if (state == branches_.end()) {
@@ -437,20 +400,20 @@
   BranchState& state = branches_[branch];
   state.recalling = false;
   while (!state.waiting.empty() && freeSlots(branch) > 0) {
-    Waiting waiting = std::move(state.waiting.front());
+    WaitingRequest waiting = std::move(state.waiting.front());
     state.waiting.pop_front();
     const std::uint32_t slots = std::min(freeSlots(branch), waiting.request.wanted);
     grant(branch, std::move(waiting), slots);
   }
   // A grant that waits for its reservation may come to nothing.
-  const bool exhausted = allKnownInUse(branch) && !grantPending(branch);
-  std::deque<Waiting> later;
-  std::deque<Waiting> refused;
-  for (Waiting& waiting : state.waiting) {
+  const bool exhausted = allKnownInUse(branch) && !reservations_.grantPending(branch);
+  std::deque<WaitingRequest> later;
+  std::deque<WaitingRequest> refused;
+  for (WaitingRequest& waiting : state.waiting) {
     (waiting.in_recall ? refused : later).push_back(std::move(waiting));
   }
   state.waiting = std::move(later);
-  for (const Waiting& waiting : refused) {
+  for (const WaitingRequest& waiting : refused) {
     answer(waiting, 0, exhausted);
   }
   if (!state.waiting.empty()) {
@@ -458,96 +421,4 @@
   }
 }
 
-void SlotLedger::reserve(const FrontIdentity& front, const std::string& branch,
-                         std::uint32_t slots) {
-  std::uint32_t& reserved = wanted_.reserved[front][branch];
-  if (reserved < slots) {
-    const std::uint32_t steps = (slots + options_.reservation_step - 1) / options_.reservation_step;
-    reserved = steps * options_.reservation_step;
-  }
-}
-
-bool SlotLedger::reservedFor(const Waiting& waiting, std::uint32_t granted) const {
-  if (!options_.reserve_before_granting) {
-    return true;
-  }
-  const auto front = durable_.reserved.find(identityOf(waiting.request));
-  if (front == durable_.reserved.end()) {
-    return false;
-  }
-  const auto branch = front->second.find(waiting.request.branch);
-  return branch != front->second.end() && branch->second >= waiting.request.held + granted;
-}
-
-ReservationTable SlotLedger::tableToWrite() {
-  // Bounds of fronts which hold nothing any more are taken out with the next write.
-  for (auto& [front, reservations] : wanted_.reserved) {
-    std::erase_if(reservations, [this, &front = front](const auto& item) {
-      const auto state = branches_.find(item.first);
-      return state == branches_.end() || !state->second.holdings.contains(front);
-    });
-  }
-  std::erase_if(wanted_.reserved, [](const auto& item) { return item.second.empty(); });
-  wanted_.term = term_;
-  return wanted_;
-}
-
-void SlotLedger::writeReservations() {
-  if (writing_) {
-    return;
-  }
-  writing_ = true;
-  ReservationTable table = tableToWrite();
-  // A bound that is taken out must not be relied on from now on.
-  std::erase_if(durable_.reserved,
-                [&table](const auto& item) { return !table.reserved.contains(item.first); });
-  for (auto& [front, reservations] : durable_.reserved) {
-    const BranchReservations& next = table.reserved.at(front);
-    std::erase_if(reservations, [&next](const auto& item) { return !next.contains(item.first); });
-  }
-  const std::string bytes = encodeReservations(table);
-  const std::uint64_t term = term_;
-  const auto change = [term, bytes, fenced = options_.fence_by_term](
-                          const std::string& present) -> std::optional<std::string> {
-    if (fenced && decodeReservations(present).term > term) {
-      return std::nullopt;
-    }
-    return bytes;
-  };
-  proposer_.change(registerKey(), change,
-                   [this, alive = std::weak_ptr(alive_), term,
-                    table = std::move(table)](const registers::RegisterOutcome& outcome) {
-                     if (alive.expired() || term != term_) {
-                       return;
-                     }
-                     onReservationsWritten(outcome, table);
-                   });
-}
-
-void SlotLedger::onReservationsWritten(const registers::RegisterOutcome& outcome,
-                                       const ReservationTable& written) {
-  writing_ = false;
-  const bool is_written = outcome.code == base::ResultCode::Ok && outcome.changed;
-  if (is_written) {
-    durable_ = written;
-  }
-  std::vector<PendingGrant> pending;
-  pending.swap(pending_grants_);
-  for (PendingGrant& pending_grant : pending) {
-    const Waiting& waiting = pending_grant.waiting;
-    if (reservedFor(waiting, pending_grant.slots)) {
-      answer(waiting, pending_grant.slots, false);
-    } else if (is_written) {
-      pending_grants_.push_back(std::move(pending_grant));
-    } else {
-      // The register did not answer: the slots stay counted as held until the front tells
-      // otherwise.
-      answer(waiting, 0, false);
-    }
-  }
-  if (!pending_grants_.empty()) {
-    writeReservations();
-  }
-}
-
 }  // namespace switchsaddle::admission
