Give what fronts hold of a branch a class of its own

Cause: the slot ledger counted holdings, aged them and drove recalls in one class. Change: BranchHoldings counts what the fronts hold of one branch. A process that is gone is called ended throughout. A stale request numbered 0, which no front sends, no longer leaves an empty holding; nothing else is changed.

--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "switchsaddle/admission/branch_holdings.h"
 #include "switchsaddle/admission/reservation_table.h"
 #include "switchsaddle/admission/reservation_writer.h"
 #include "switchsaddle/admission/waiting_request.h"
@@ -78,21 +79,8 @@
   std::uint32_t heldOf(const std::string& branch) const;
 
  private:
-  /** What the ledger counts for one front in one branch. */
-  struct Holding {
-    /** Of the latest message about it; 0 where this ledger knows it from the register only. */
-    std::uint64_t sequence = 0;
-    std::uint32_t held = 0;
-    /** As the front told; grants are not added, for they may never arrive. */
-    std::uint32_t in_use = 0;
-    /** False until the front has told this ledger itself; `held` is then the reservation. */
-    bool confirmed = false;
-    base::TimePoint heard_at{};
-    /** When the front's process was found to have ended. */
-    std::optional<base::TimePoint> orphaned_at;
-  };
   struct BranchState {
-    std::map<FrontIdentity, Holding> holdings;
+    BranchHoldings holdings;
     std::deque<WaitingRequest> waiting;
     bool recalling = false;
     std::uint32_t recalls_open = 0;
@@ -104,6 +92,8 @@
   void askFront(const FrontIdentity& front);
   void noteReport(const FrontIdentity& front, const wire::SlotReport& report,
                   const std::string& branch);
+  void noteReportOf(const std::string& branch, BranchState& state, const FrontIdentity& front,
+                    const wire::SlotReport& report);
   void askOtherInstances(const FrontIdentity& front);
   bool isStale(const Holding& holding, std::uint64_t sequence) const;
   void answerEarlierRequests(const FrontIdentity& front, BranchState& state);
@@ -112,7 +102,6 @@
   void recall(const std::string& branch, const FrontIdentity& front);
   void refuseNotServing();
   void dropFront(const FrontIdentity& front);
-  void dropOrphans(BranchState& state);
   void serveWaiting(const std::string& branch);
   std::uint32_t freeSlots(const std::string& branch) const;
   void grant(const std::string& branch, WaitingRequest waiting, std::uint32_t slots);
@@ -120,7 +109,8 @@
   void startRecall(const std::string& branch);
   void finishRecall(const std::string& branch);
   bool allKnownInUse(const std::string& branch) const;
-  void noteRecallUnanswered(const FrontIdentity& front, BranchState& state);
+  /** A front silent for longer holds nothing: no request lasts that long. */
+  base::Duration silenceBound() const;
 
   base::Dispatcher& dispatcher_;
   transport::PeerCalls& calls_;
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -1,7 +1,6 @@
 #include "switchsaddle/admission/slot_ledger.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "switchsaddle/admission/ledger_shard.h"
@@ -98,11 +97,7 @@
   reservations_.takeOver(table);
   for (const auto& [front, reservations] : table.reserved) {
     for (const auto& [branch, slots] : reservations) {
-      Holding holding;
-      holding.held = slots;
-      holding.in_use = slots;
-      holding.heard_at = dispatcher_.now();
-      branches_[branch].holdings[front] = holding;
+      branches_[branch].holdings.takeReservation(front, slots, dispatcher_.now());
     }
     askFront(front);
   }
@@ -136,24 +131,25 @@
     return;
   }
   for (auto& [path, state] : branches_) {
-    const auto found = state.holdings.find(front);
     const bool asked = branch.empty() || branch == path;
-    if (found == state.holdings.end() || !asked) {
-      continue;
+    if (asked && state.holdings.contains(front)) {
+      noteReportOf(path, state, front, report);
     }
-    const auto listed = std::find_if(
-        report.holdings.begin(), report.holdings.end(),
-        [&path = path](const wire::SlotHolding& holding) { return holding.branch == path; });
-    if (listed == report.holdings.end()) {
-      // A request which the report was overtaken by is later than it.
-      if (found->second.sequence == 0) {
-        state.holdings.erase(found);
-      }
-    } else if (!isStale(found->second, listed->sequence)) {
-      found->second =
-          Holding{listed->sequence, listed->held, listed->in_use, true, dispatcher_.now(), {}};
-      renewWaiting(front, state, *listed);
+  }
+}
+
+void SlotLedger::noteReportOf(const std::string& branch, BranchState& state,
+                              const FrontIdentity& front, const wire::SlotReport& report) {
+  const Holding counted = state.holdings.of(front);
+  const auto told = std::ranges::find(report.holdings, branch, &wire::SlotHolding::branch);
+  if (told == report.holdings.end()) {
+    // A request which the report was overtaken by is later than it.
+    if (counted.sequence == 0) {
+      state.holdings.erase(front);
     }
+  } else if (!isStale(counted, told->sequence)) {
+    state.holdings.noteTold(front, *told, dispatcher_.now());
+    renewWaiting(front, state, *told);
   }
 }
 
@@ -187,25 +183,11 @@
 
 void SlotLedger::dropFront(const FrontIdentity& front) {
   for (auto& [branch, state] : branches_) {
-    const auto found = state.holdings.find(front);
-    if (found == state.holdings.end() || found->second.orphaned_at) {
-      continue;
-    }
-    // Nothing it sent is believed any more, however late it comes.
-    found->second.sequence = std::numeric_limits<std::uint64_t>::max();
-    found->second.confirmed = false;
-    found->second.orphaned_at = dispatcher_.now();
+    state.holdings.noteEnded(front, dispatcher_.now());
   }
   reservations_.forget(front);
 }
 
-void SlotLedger::dropOrphans(BranchState& state) {
-  std::erase_if(state.holdings, [this](const auto& item) {
-    const std::optional<base::TimePoint>& since = item.second.orphaned_at;
-    return since && dispatcher_.now() - *since >= options_.orphan_time;
-  });
-}
-
 void SlotLedger::askOtherInstances(const FrontIdentity& front) {
   // Which instance is the later one can't be told from a message, which may be an old one. The
   // process that answers a call now is the living one.
@@ -219,16 +201,8 @@
   longest_use_ = std::max(longest_use_, longest_use);
 }
 
-void SlotLedger::noteRecallUnanswered(const FrontIdentity& front, BranchState& state) {
-  const auto found = state.holdings.find(front);
-  if (found == state.holdings.end()) {
-    return;
-  }
-  const base::Duration bound = std::max(options_.silence_bound, longest_use_ + SilenceMargin);
-  found->second.confirmed = false;
-  if (dispatcher_.now() - found->second.heard_at > bound) {
-    state.holdings.erase(found);
-  }
+base::Duration SlotLedger::silenceBound() const {
+  return std::max(options_.silence_bound, longest_use_ + SilenceMargin);
 }
 
 void SlotLedger::onRequest(const wire::SlotRequest& request, transport::ReplyFunction reply) {
@@ -240,7 +214,7 @@
   const FrontIdentity front = waiting.front();
   askOtherInstances(front);
   BranchState& state = branches_[request.branch];
-  Holding& holding = state.holdings[front];
+  const Holding holding = state.holdings.of(front);
   const bool unconfirmed = holding.sequence == 0 && holding.held > 0;
   if (unconfirmed && options_.confirm_after_takeover) {
     // The request may have been under way since before the predecessor's last grants.
@@ -254,7 +228,9 @@
     }
     return;
   }
-  holding = Holding{request.sequence, request.held, request.in_use, true, dispatcher_.now(), {}};
+  state.holdings.noteTold(
+      front, wire::SlotHolding{request.branch, request.sequence, request.held, request.in_use},
+      dispatcher_.now());
   answerEarlierRequests(front, state);
   if (request.held == 0 && request.wanted == 0) {
     state.holdings.erase(front);
@@ -278,14 +254,7 @@
 
 std::uint32_t SlotLedger::heldOf(const std::string& branch) const {
   const auto state = branches_.find(branch);
-  if (state == branches_.end()) {
-    return 0;
-  }
-  std::uint32_t held = 0;
-  for (const auto& [front, holding] : state->second.holdings) {
-    held += holding.held;
-  }
-  return held;
+  return state == branches_.end() ? 0 : state->second.holdings.held();
 }
 
 void SlotLedger::serveWaiting(const std::string& branch) {
@@ -293,7 +262,7 @@
     return;
   }
   BranchState& state = branches_[branch];
-  dropOrphans(state);
+  state.holdings.dropEnded(dispatcher_.now() - options_.orphan_time);
   while (!state.waiting.empty()) {
     const std::uint32_t available = freeSlots(branch);
     if (available == 0) {
@@ -308,9 +277,8 @@
 }
 
 void SlotLedger::grant(const std::string& branch, WaitingRequest waiting, std::uint32_t slots) {
-  Holding& holding = branches_[branch].holdings[waiting.front()];
-  holding.held += slots;
-  reservations_.grant(std::move(waiting), slots, holding.held);
+  const std::uint32_t held = branches_[branch].holdings.addGrant(waiting.front(), slots);
+  reservations_.grant(std::move(waiting), slots, held);
 }
 
 void SlotLedger::answer(const WaitingRequest& waiting, std::uint32_t granted,
@@ -326,17 +294,14 @@
 }
 
 std::vector<FrontIdentity> SlotLedger::frontsToRecall(const std::string& branch) const {
-  std::vector<FrontIdentity> fronts;
   if (!options_.recall_before_refusing) {
-    return fronts;
-  }
-  for (const auto& [front, holding] : branches_.at(branch).holdings) {
-    // A recall would make void what a pending grant stands on.
-    const bool pending = reservations_.grantPending(branch, front);
-    if (!pending && holding.held > 0 && !holding.orphaned_at) {
-      fronts.push_back(front);
-    }
+    return {};
   }
+  std::vector<FrontIdentity> fronts = branches_.at(branch).holdings.liveHolders();
+  // A recall would make void what a pending grant stands on.
+  std::erase_if(fronts, [this, &branch](const FrontIdentity& front) {
+    return reservations_.grantPending(branch, front);
+  });
   return fronts;
 }
 
@@ -374,7 +339,7 @@
                 } else if (const auto* report = result.as<wire::SlotReport>()) {
                   noteReport(front, *report, branch);
                 } else {
-                  noteRecallUnanswered(front, state);
+                  state.holdings.noteUnanswered(front, dispatcher_.now() - silenceBound());
                 }
                 if (--state.recalls_open == 0) {
                   finishRecall(branch);
@@ -384,16 +349,12 @@
 
 bool SlotLedger::allKnownInUse(const std::string& branch) const {
   const auto state = branches_.find(branch);
-  if (state == branches_.end()) {
+  const auto limit = limits_.find(branch);
+  if (state == branches_.end() || limit == limits_.end()) {
     return false;
   }
-  std::uint32_t in_use = 0;
-  for (const auto& [front, holding] : state->second.holdings) {
-    const bool recent = dispatcher_.now() - holding.heard_at <= options_.evidence_age;
-    in_use += holding.confirmed && recent ? holding.in_use : 0;
-  }
-  const auto limit = limits_.find(branch);
-  return limit != limits_.end() && in_use >= limit->second;
+  const base::TimePoint since = dispatcher_.now() - options_.evidence_age;
+  return state->second.holdings.inUseSince(since) >= limit->second;
 }
 
 void SlotLedger::finishRecall(const std::string& branch) {
