Join test fixtures and parsing which stood twice

Cause: the allocation probe, the change coordinator's fixture, the move of a ledger's lease and the reading of an optional object were written out twice each. Change: a library allocation_probe for tests of decoders, ChangeFixture, moveLease() and ObjectReader::optionalObject().

--- a/libraries/admission/test/slot_fleet.h
+++ b/libraries/admission/test/slot_fleet.h
@@ -107,6 +107,20 @@
   simulation::Network& network_;
 };
 
+/** Takes the lease from whichever core holds it and gives it to another, under the next term. */
+inline void moveLease(const std::vector<std::unique_ptr<LedgerNode>>& cores, std::size_t index,
+                      std::uint64_t term) {
+  for (const auto& core : cores) {
+    if (core->has_lease) {
+      core->has_lease = false;
+      core->ledger->onLeaseLost();
+    }
+  }
+  cores[index]->has_lease = true;
+  cores[index]->lease_term = term;
+  cores[index]->ledger->onLeaseGained();
+}
+
 /** What the workers and callers of one branch see, at every instant. */
 class BranchObserver {
  public:
--- a/libraries/admission/test/slot_fleet_seeds_test.cc
+++ b/libraries/admission/test/slot_fleet_seeds_test.cc
@@ -78,17 +78,7 @@
   std::vector<std::unique_ptr<FrontNode>> fronts;
 
  private:
-  void giveLease(std::size_t index) {
-    for (const auto& core : cores) {
-      if (core->has_lease) {
-        core->has_lease = false;
-        core->ledger->onLeaseLost();
-      }
-    }
-    cores[index]->has_lease = true;
-    cores[index]->lease_term = ++term_;
-    cores[index]->ledger->onLeaseGained();
-  }
+  void giveLease(std::size_t index) { moveLease(cores, index, ++term_); }
 
   static void revive(FrontNode& front) {
     if (!front.alive()) {
--- a/libraries/admission/test/slot_ledger_test.cc
+++ b/libraries/admission/test/slot_ledger_test.cc
@@ -33,17 +33,7 @@
     cores.clear();
   }
 
-  void giveLease(std::size_t index) {
-    for (const auto& core : cores) {
-      if (core->has_lease) {
-        core->has_lease = false;
-        core->ledger->onLeaseLost();
-      }
-    }
-    cores[index]->has_lease = true;
-    cores[index]->lease_term = ++term;
-    cores[index]->ledger->onLeaseGained();
-  }
+  void giveLease(std::size_t index) { moveLease(cores, index, ++term); }
 
   /** Slots in use as the workers would see them: a killed front's connections are closed. */
   std::size_t inUse() const {
--- a/libraries/configuration/source/checks/shapes.cc
+++ b/libraries/configuration/source/checks/shapes.cc
@@ -35,14 +35,10 @@
 }
 
 void parseParameters(ObjectReader& reader, ShapeTemplate& shape, Faults& faults) {
-  const JsonValue* parameters = reader.optional("parameters");
+  const JsonValue* parameters = reader.optionalObject("parameters");
   if (parameters == nullptr) {
     return;
   }
-  if (parameters->kind != JsonKind::Object) {
-    reader.fault("parameters", ResultCode::InvalidValue, "must be an object");
-    return;
-  }
   for (std::size_t index = 0; index < parameters->names.size(); ++index) {
     const std::string& name = parameters->names[index];
     const std::string path = reader.pathOf("parameters." + name);
--- a/libraries/configuration/source/checks/tenants.cc
+++ b/libraries/configuration/source/checks/tenants.cc
@@ -11,14 +11,10 @@
 using base::ResultCode;
 
 void parseTenantParameters(ObjectReader& reader, TenantEntry& tenant) {
-  const JsonValue* parameters = reader.optional("parameters");
+  const JsonValue* parameters = reader.optionalObject("parameters");
   if (parameters == nullptr) {
     return;
   }
-  if (parameters->kind != JsonKind::Object) {
-    reader.fault("parameters", ResultCode::InvalidValue, "must be an object");
-    return;
-  }
   for (std::size_t index = 0; index < parameters->names.size(); ++index) {
     const std::string& name = parameters->names[index];
     const JsonValue& value = parameters->elements[index];
--- a/libraries/configuration/source/object_reader.cc
+++ b/libraries/configuration/source/object_reader.cc
@@ -76,6 +76,15 @@
   return value_.find(name);
 }
 
+const JsonValue* ObjectReader::optionalObject(const std::string& name) {
+  const JsonValue* member = optional(name);
+  if (member != nullptr && member->kind != JsonKind::Object) {
+    fault(name, ResultCode::InvalidValue, "must be an object");
+    return nullptr;
+  }
+  return member;
+}
+
 const JsonValue* ObjectReader::required(const std::string& name) {
   const JsonValue* member = optional(name);
   if (member == nullptr && value_.kind == JsonKind::Object) {
--- a/libraries/configuration/source/object_reader.h
+++ b/libraries/configuration/source/object_reader.h
@@ -33,6 +33,8 @@
 
   /** The member, or nullptr; nothing is noted where it is missing. */
   const JsonValue* optional(const std::string& name);
+  /** The member, or nullptr where it is missing or, as noted, no object. */
+  const JsonValue* optionalObject(const std::string& name);
   /** The member, or nullptr with MissingField noted. */
   const JsonValue* required(const std::string& name);
   /** A required string that isName(); empty where faulty. */
--- a/libraries/core/test/control_service_test.cc
+++ b/libraries/core/test/control_service_test.cc
@@ -4,10 +4,9 @@
 
 #include <optional>
 
+#include "change_fixture.h"
 #include "fakes.h"
 #include "switchsaddle/configuration/json_value.h"
-#include "switchsaddle/core/register_change_coordinator.h"
-#include "switchsaddle/simulation/network.h"
 
 namespace switchsaddle::core {
 namespace {
@@ -32,9 +31,9 @@
   journal::BeliefView beliefs_;
 };
 
-class ControlServiceTest : public testing::Test {
+class ControlServiceTest : public ChangeFixture {
  protected:
-  ControlServiceTest() {
+  ControlServiceTest() : ChangeFixture(5) {
     expect("POST", "/v1/configuration/changes",
            R"({"change_id":"setup","base_version":0,"set":{
                "shapes/plain":{"services":["completions"]},
@@ -76,17 +75,6 @@
     return error == nullptr ? 0 : error->integerOf("code");
   }
 
-  simulation::World world_{5};
-  simulation::Network network_{world_};
-  simulation::Process process_{world_};
-  std::unique_ptr<transport::Transport> transport_ = network_.attach({"127.0.0.1", 7000}, process_);
-  transport::PeerCalls calls_{process_, *transport_};
-  journal::Journal journal_{process_};
-  dissemination::ConfigurationReplica replica_{journal_};
-  FakeProposer proposer_;
-  FakeDirectory directory_;
-  InForceTracker tracker_{process_, calls_, directory_, replica_};
-  RegisterChangeCoordinator coordinator_{process_, proposer_, replica_, tracker_, seconds(2)};
   FakeNode node_{journal_};
   std::vector<base::NodeAddress> replaced_;
   ControlService service_{{process_,
--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -5,8 +5,8 @@
 #include <optional>
 #include <vector>
 
+#include "change_fixture.h"
 #include "fakes.h"
-#include "switchsaddle/simulation/network.h"
 
 namespace switchsaddle::core {
 namespace {
@@ -49,8 +49,10 @@
   bool confirms = true;
 };
 
-class RegisterChangeCoordinatorTest : public testing::Test {
+class RegisterChangeCoordinatorTest : public ChangeFixture {
  protected:
+  RegisterChangeCoordinatorTest() : ChangeFixture(3) {}
+
   ChangeAnswer submit(const configuration::Change& change, bool dry_run = false) {
     std::optional<ChangeAnswer> answer;
     const base::TimePoint before = world_.now();
@@ -60,17 +62,6 @@
     return *answer;
   }
 
-  simulation::World world_{3};
-  simulation::Network network_{world_};
-  simulation::Process process_{world_};
-  std::unique_ptr<transport::Transport> transport_ = network_.attach({"127.0.0.1", 7000}, process_);
-  transport::PeerCalls calls_{process_, *transport_};
-  journal::Journal journal_{process_};
-  dissemination::ConfigurationReplica replica_{journal_};
-  FakeProposer proposer_;
-  FakeDirectory directory_;
-  InForceTracker tracker_{process_, calls_, directory_, replica_};
-  RegisterChangeCoordinator coordinator_{process_, proposer_, replica_, tracker_, seconds(2)};
   Front first_{world_, network_, directory_, {"127.0.0.1", 7001}};
   Front second_{world_, network_, directory_, {"127.0.0.1", 7002}};
   base::Duration taken_{};
--- a/libraries/wire/test/codec_test.cc
+++ b/libraries/wire/test/codec_test.cc
@@ -2,7 +2,7 @@
 
 #include <type_traits>
 
-#include "allocation_probe.h"
+#include "switchsaddle/allocation_probe/allocation_probe.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/base/hash.h"
 #include "switchsaddle/base/random.h"
@@ -166,9 +166,10 @@
       std::string bytes = whole;
       bytes.replace(place, forged.size(), forged);
       repairChecksum(bytes);
-      resetLargestAllocation();
+      allocation_probe::resetLargestAllocation();
       decodes(bytes);
-      ASSERT_LT(largestAllocation(), AllocationLimit) << "kind " << index << " at " << place;
+      ASSERT_LT(allocation_probe::largestAllocation(), AllocationLimit)
+          << "kind " << index << " at " << place;
     }
   }
 }
--- a/libraries/wire/test/stored_record_test.cc
+++ b/libraries/wire/test/stored_record_test.cc
@@ -2,7 +2,7 @@
 
 #include <gtest/gtest.h>
 
-#include "allocation_probe.h"
+#include "switchsaddle/allocation_probe/allocation_probe.h"
 
 namespace switchsaddle::wire {
 namespace {
@@ -40,10 +40,10 @@
   constexpr std::size_t SmallBlock = 1U << 20U;
   Names names;
   std::string text;
-  resetLargestAllocation();
+  allocation_probe::resetLargestAllocation();
   EXPECT_THROW(readRecord(writeRecord(Forged), names), base::Error);
   EXPECT_THROW(readRecord(writeRecord(Forged), text), base::Error);
-  EXPECT_LT(largestAllocation(), SmallBlock);
+  EXPECT_LT(allocation_probe::largestAllocation(), SmallBlock);
 }
 
 }  // namespace
