--- a/libraries/admission/include/switchsaddle/admission/ledger_slot_broker.h
+++ b/libraries/admission/include/switchsaddle/admission/ledger_slot_broker.h
@@ -14,6 +14,7 @@
 
 namespace switchsaddle::admission {
 
+/** Times and bounds of a front's broker. */
 struct SlotBrokerOptions {
   /** How long a request may wait for the ledger before it is refused with LimitsUnavailable. */
   base::Duration acquire_deadline = std::chrono::milliseconds(1'500);
--- a/libraries/admission/include/switchsaddle/admission/reservation_writer.h
+++ b/libraries/admission/include/switchsaddle/admission/reservation_writer.h
@@ -12,6 +12,7 @@
 
 namespace switchsaddle::admission {
 
+/** How a ledger reserves; SlotLedgerOptions carries the same. */
 struct ReservationWriterOptions {
   /** Reservations grow in steps of this, so that most grants need no register write. */
   std::uint32_t reservation_step = 8;
--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -28,6 +28,7 @@
   virtual std::uint64_t term() const = 0;
 };
 
+/** Times and steps of a slot ledger. */
 struct SlotLedgerOptions {
   /** How long a front may take to answer a recall before it counts as silent. */
   base::Duration recall_timeout = std::chrono::milliseconds(200);
@@ -37,7 +38,7 @@
    * Slots of a front whose process has ended count as held for this long: its one-shots run to
    * their end, and workers notice closed streams with their next piece.
    */
-  base::Duration orphan_time = std::chrono::seconds(1);
+  base::Duration ended_front_time = std::chrono::seconds(1);
   /** A front silent for this long, and for longer than any request may last, holds nothing. */
   base::Duration silence_bound = std::chrono::seconds(330);
   /** Reservations grow in steps of this, so that most grants need no register write. */
--- a/libraries/admission/source/slot_ledger.cc
+++ b/libraries/admission/source/slot_ledger.cc
@@ -262,7 +262,7 @@
     return;
   }
   BranchState& state = branches_[branch];
-  state.holdings.dropEnded(dispatcher_.now() - options_.orphan_time);
+  state.holdings.dropEnded(dispatcher_.now() - options_.ended_front_time);
   while (!state.waiting.empty()) {
     const std::uint32_t available = freeSlots(branch);
     if (available == 0) {
--- a/libraries/wire/include/switchsaddle/wire/admission_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/admission_messages.h
@@ -34,11 +34,11 @@
 
 /** The ledger's answer. */
 struct SlotReply {
-  /** False where the asked node does not hold the ledger's lease; `ledger` then says who may. */
+  /** False where the asked node does not hold the ledger's lease; `ledger` may then name it. */
   bool is_ledger = false;
   base::NodeAddress ledger;
   std::uint64_t term = 0;
-  /** The request's sequence. */
+  /** The last one the front told of the branch: the request's, or that of a report since. */
   std::uint64_t sequence = 0;
   std::uint32_t granted = 0;
   /** Every slot of the branch is known to be in use. */
