--- a/libraries/admission/include/switchsaddle/admission/slot_ledger.h
+++ b/libraries/admission/include/switchsaddle/admission/slot_ledger.h
@@ -9,7 +9,10 @@
 #include <string>
 #include <vector>
 
+#include "switchsaddle/admission/branch_holdings.h"
 #include "switchsaddle/admission/reservation_table.h"
+#include "switchsaddle/admission/reservation_writer.h"
+#include "switchsaddle/admission/waiting_request.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/registers/proposer.h"
 #include "switchsaddle/transport/peer_calls.h"
@@ -25,6 +28,7 @@
   virtual std::uint64_t term() const = 0;
 };
 
+/** Times and steps of a slot ledger. */
 struct SlotLedgerOptions {
   /** How long a front may take to answer a recall before it counts as silent. */
   base::Duration recall_timeout = std::chrono::milliseconds(200);
@@ -34,7 +38,7 @@
    * Slots of a front whose process has ended count as held for this long: its one-shots run to
    * their end, and workers notice closed streams with their next piece.
    */
-  base::Duration orphan_time = std::chrono::seconds(1);
+  base::Duration ended_front_time = std::chrono::seconds(1);
   /** A front silent for this long, and for longer than any request may last, holds nothing. */
   base::Duration silence_bound = std::chrono::seconds(330);
   /** Reservations grow in steps of this, so that most grants need no register write. */
@@ -76,85 +80,48 @@
   std::uint32_t heldOf(const std::string& branch) const;
 
  private:
-  /** What the ledger counts for one front in one branch. */
-  struct Holding {
-    /** Of the latest message about it; 0 where this ledger knows it from the register only. */
-    std::uint64_t sequence = 0;
-    std::uint32_t held = 0;
-    /** As the front told; grants are not added, for they may never arrive. */
-    std::uint32_t in_use = 0;
-    /** False until the front has told this ledger itself; `held` is then the reservation. */
-    bool confirmed = false;
-    base::TimePoint heard_at{};
-    /** When the front's process was found to have ended. */
-    std::optional<base::TimePoint> orphaned_at;
-  };
-  struct Waiting {
-    wire::SlotRequest request;
-    transport::ReplyFunction reply;
-    /** Whether it came before the recall under way, so that the recall's answers are newer. */
-    bool in_recall = false;
-  };
   struct BranchState {
-    std::map<FrontIdentity, Holding> holdings;
-    std::deque<Waiting> waiting;
+    BranchHoldings holdings;
+    std::deque<WaitingRequest> waiting;
     bool recalling = false;
     std::uint32_t recalls_open = 0;
   };
 
-  /** Writes the term into the register, so that no earlier ledger writes any more. */
   void fence();
   void onFenced(const registers::RegisterOutcome& outcome);
   void takeOver(const ReservationTable& table);
   void askFront(const FrontIdentity& front);
   void noteReport(const FrontIdentity& front, const wire::SlotReport& report,
                   const std::string& branch);
+  void noteReportOf(const std::string& branch, BranchState& state, const FrontIdentity& front,
+                    const wire::SlotReport& report);
   void askOtherInstances(const FrontIdentity& front);
   bool isStale(const Holding& holding, std::uint64_t sequence) const;
   void answerEarlierRequests(const FrontIdentity& front, BranchState& state);
   void renewWaiting(const FrontIdentity& front, BranchState& state, const wire::SlotHolding& told);
   std::vector<FrontIdentity> frontsToRecall(const std::string& branch) const;
   void recall(const std::string& branch, const FrontIdentity& front);
-  bool grantPending(const std::string& branch) const;
   void refuseNotServing();
   void dropFront(const FrontIdentity& front);
-  void dropOrphans(BranchState& state);
   void serveWaiting(const std::string& branch);
   std::uint32_t freeSlots(const std::string& branch) const;
-  void grant(const std::string& branch, Waiting waiting, std::uint32_t slots);
-  void answer(const Waiting& waiting, std::uint32_t granted, bool exhausted) const;
+  void grant(const std::string& branch, WaitingRequest waiting, std::uint32_t slots);
+  void answer(const WaitingRequest& waiting, std::uint32_t granted, bool exhausted) const;
   void startRecall(const std::string& branch);
   void finishRecall(const std::string& branch);
   bool allKnownInUse(const std::string& branch) const;
-  void reserve(const FrontIdentity& front, const std::string& branch, std::uint32_t slots);
-  bool reservedFor(const Waiting& waiting, std::uint32_t granted) const;
-  void writeReservations();
-  void onReservationsWritten(const registers::RegisterOutcome& outcome,
-                             const ReservationTable& written);
-  ReservationTable tableToWrite();
-  void noteRecallUnanswered(const FrontIdentity& front, BranchState& state);
-  std::string registerKey() const;
+  /** A front silent for longer holds nothing: no request lasts that long. */
+  base::Duration silenceBound() const;
 
   base::Dispatcher& dispatcher_;
   transport::PeerCalls& calls_;
-  registers::RegisterProposer& proposer_;
   LedgerLease& lease_;
   std::uint32_t shard_;
   SlotLedgerOptions options_;
   std::map<std::string, std::uint32_t> limits_;
   std::map<std::string, BranchState> branches_;
   base::Duration longest_use_{};
-  /** The reservations known to be in the register. */
-  ReservationTable durable_;
-  /** What is to be in it; differs while a write is wanted or under way. */
-  ReservationTable wanted_;
-  bool writing_ = false;
-  /** Grants which wait for their reservation. */
-  struct PendingGrant {
-    Waiting waiting;
-    std::uint32_t slots = 0;
-  };
-  std::vector<PendingGrant> pending_grants_;
+  ReservationWriter reservations_;
   bool serving_ = false;
   /** The term this ledger serves under; 0 where it does not. */
   std::uint64_t term_ = 0;
