--- a/libraries/scenarios/include/switchsaddle/scenarios/operator_stand_in.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/operator_stand_in.h
@@ -97,7 +97,6 @@
   void end(ChangeFate fate);
   std::string body() const;
 
-  simulation::World& world_;
   base::NodeAddress address_;
   std::string name_;
   std::vector<base::NodeAddress> nodes_;
--- a/libraries/scenarios/source/operator_stand_in.cc
+++ b/libraries/scenarios/source/operator_stand_in.cc
@@ -40,8 +40,7 @@
 OperatorStandIn::OperatorStandIn(simulation::World& world, simulation::Network& network,
                                  base::NodeAddress address, std::string name,
                                  std::vector<base::NodeAddress> nodes)
-    : world_(world),
-      address_(std::move(address)),
+    : address_(std::move(address)),
       name_(std::move(name)),
       nodes_(std::move(nodes)),
       random_(world.random().next()),
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -95,7 +95,8 @@
   void startRound(const ReadPtr& read);
   void onTable(const ReadPtr& read, std::uint64_t round, const base::NodeAddress& peer,
                const transport::CallResult& result);
-  void finishRead(const ReadPtr& read, base::ResultCode code);
+  /** Takes the read by value: it must outlive its place in `reads_`. */
+  void finishRead(ReadPtr read, base::ResultCode code);
   base::Duration roundLimit() const;
   void sweep();
   void observeVote() const;
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -305,14 +305,13 @@
   }
 }
 
-void SessionTable::finishRead(const ReadPtr& read, base::ResultCode code) {
-  const ReadPtr kept = read;
-  const LiveSessionsCallback callback = std::exchange(kept->callback, nullptr);
-  kept->timer->disable();
-  reads_.erase(kept);
+void SessionTable::finishRead(ReadPtr read, base::ResultCode code) {
+  const LiveSessionsCallback callback = std::exchange(read->callback, nullptr);
+  read->timer->disable();
+  reads_.erase(read);
   std::vector<wire::SessionTableEntry> live;
   if (code == base::ResultCode::Ok) {
-    for (const auto& [key, entry] : kept->live) {
+    for (const auto& [key, entry] : read->live) {
       live.push_back(entry);
     }
   }
--- a/libraries/storage/source/posix_file_system.cc
+++ b/libraries/storage/source/posix_file_system.cc
@@ -20,7 +20,7 @@
 
 constexpr mode_t FolderMode = 0750;
 constexpr mode_t FileMode = 0640;
-constexpr std::size_t ReadChunkBytes = 64 * 1024;
+constexpr std::size_t ReadChunkBytes = std::size_t{64} * 1024;
 
 [[noreturn]] void fail(const char* action, const std::string& path, int error) {
   const bool full = error == ENOSPC || error == EDQUOT;
