--- a/programs/lab/hollow_command.cc
+++ b/programs/lab/hollow_command.cc
@@ -131,7 +131,7 @@
   for (const auto& shard : shards) {
     for (const auto& [version, times] : shard->tally().versions()) {
       hollow::VersionTimes& merged =
-          all.try_emplace(version, times.first, times.last).first->second;
+          all.try_emplace(version, hollow::VersionTimes{times.first, times.last, 0}).first->second;
       merged.first = std::min(merged.first, times.first);
       merged.last = std::max(merged.last, times.last);
       merged.fronts += times.fronts;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,5 +13,5 @@
   mapfile -t files < <(git ls-files 'libraries/*/source/*.cc' 'programs/*.cc')
 fi
 printf '%s\0' "${files[@]}" |
-  xargs -0 -n 2 -P "${JOBS:-$(nproc)}" clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated' >&2 || true)
+  xargs -0 -n 1 -P "${JOBS:-$(nproc)}" clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated' >&2 || true)
 echo "clang-tidy: clean (${#files[@]} files)"
