--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,7 +6,7 @@
 build=${BUILD:-build}
 git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 echo "clang-format: clean"
-[ -f "$build/compile_commands.json" ] || cmake -S . -B "$build" -G Ninja >/dev/null
+cmake -S . -B "$build" -G Ninja >/dev/null
 if [ "$#" -gt 0 ]; then
   files=("$@")
 else
