--- a/programs/lab/worker_command.cc
+++ b/programs/lab/worker_command.cc
@@ -41,7 +41,7 @@
         worker_(arguments.options, dispatcher_, *client_, events_, [] { ::_exit(CrashExitCode); }),
         server_(http::startServer(context_, base::NodeAddress::parse(arguments.address), {},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
-                                    worker_.handle(std::move(request), std::move(writer));
+                                    worker_.handle(request, writer);
                                   })),
         signals_(context_, SIGTERM, SIGINT) {}
 
