Let the demonstration ask again while the worker list is on its way

Cause: a new watcher waits 400 ms for the last view, so a front may be ready before it knows any worker; the first stream was refused with 3004 and the demonstration ended there.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -37,8 +37,13 @@
 ctl() { "$daemon" ctl --address "$front_one,$front_two" --key "$operator" "$@"; }
 
 say "A streamed completion, up to [DONE]"
-stream=$(curl -sN --max-time 20 "http://$front_one/v1/chat/completions" -H "Authorization: Bearer $tenant" \
-  -d '{"model":"small","messages":[{"role":"user","content":"hello"}],"stream":true,"max_tokens":5}')
+# Right after the start the worker list may not have reached the front: it refuses, and is asked again.
+for _ in 1 2 3 4 5 6 7 8 9 10; do
+  stream=$(curl -sN --max-time 20 "http://$front_one/v1/chat/completions" -H "Authorization: Bearer $tenant" \
+    -d '{"model":"small","messages":[{"role":"user","content":"hello"}],"stream":true,"max_tokens":5}')
+  grep -q NoWorkerAvailable <<<"$stream" || break
+  sleep 1
+done
 echo "$stream"
 expect "$stream" 'data: \[DONE\]' "the stream did not reach [DONE]"
 
