--- a/libraries/laboratory/include/switchsaddle/laboratory/branch_judge.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/branch_judge.h
@@ -27,7 +27,10 @@
    * with its next piece, and notes an end after its caller has read it.
    */
   std::int64_t excess_ms = 100;
-  /** A run occupies its slot from this long before its start until this long after its end. */
+  /**
+   * A run occupies its slot from this long before its worker started or queued it until this long
+   * after its end.
+   */
   std::int64_t occupancy_ms = 50;
   /** Window of the retry share. */
   std::int64_t retry_window_ms = 10'000;
--- a/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
+++ b/libraries/laboratory/include/switchsaddle/laboratory/worker_event.h
@@ -12,8 +12,8 @@
 struct WorkerEvent {
   /** Boot clock, milliseconds. */
   std::int64_t at_ms = 0;
-  /** "up" when the process starts, "refused" of a request, else "start", "end" or "cancelled" of a
-   * run. */
+  /** "up" when the process starts, "refused" or "queued" of a request, else "start", "end" or
+   * "cancelled" of a run. */
   std::string event;
   /** "stream", "one-shot", "prefill" or, for "up", "process". */
   std::string kind;
--- a/libraries/laboratory/source/one_shot_run.cc
+++ b/libraries/laboratory/source/one_shot_run.cc
@@ -24,6 +24,8 @@
     worker_.note("refused", Kind, "", identity_, 0, 0);
     writer_->respond(worker_.refusal(503, identity_.request_id, "queue full"));
     worker_.forget(shared_from_this());
+  } else if (run_.empty()) {
+    worker_.note("queued", Kind, "", identity_, 0, 0);
   }
 }
 
--- a/libraries/laboratory/source/stream_run.cc
+++ b/libraries/laboratory/source/stream_run.cc
@@ -39,6 +39,8 @@
     worker_.note("refused", Kind, "", request_.identity, 0, 0);
     writer_->respond(worker_.refusal(503, request_.identity.request_id, "queue full"));
     worker_.forget(shared_from_this());
+  } else if (!running_) {
+    worker_.note("queued", Kind, "", request_.identity, 0, 0);
   }
 }
 
