--- a/cmake/Workspace.cmake
+++ b/cmake/Workspace.cmake
@@ -21,7 +21,7 @@
   target_link_libraries(${target} ${scope} ${ARG_LINKS})
 
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${root}/test/*.cc)
-  if(tests)
+  if(tests AND SWITCHSADDLE_TESTS)
     add_executable(${name}_test ${tests})
     target_include_directories(${name}_test PRIVATE ${root}/test ${root}/source)
     target_compile_definitions(${name}_test PRIVATE SWITCHSADDLE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
--- a/libraries/base/include/switchsaddle/base/result_code.h
+++ b/libraries/base/include/switchsaddle/base/result_code.h
@@ -37,6 +37,8 @@
   LimitsUnavailable = 3008,
   UnknownService = 3009,
   RetryBudgetSpent = 3010,
+  UnknownRoute = 3011,
+  QuotaSpent = 3012,
   // 4000: one-shots.
   OutcomeUnknown = 4001,
   KeyReusedForOtherRequest = 4002,
@@ -49,6 +51,8 @@
   StreamRepeat = 5003,
   StreamRunChanged = 5004,
   WorkerFailed = 5005,
+  OutcomeNotKnown = 5006,
+  TimeLimitPassed = 5007,
   // 6000: configuration.
   ConfigurationConflict = 6001,
   ConfigurationInvalid = 6002,
--- a/libraries/configuration/include/switchsaddle/configuration/json_value.h
+++ b/libraries/configuration/include/switchsaddle/configuration/json_value.h
@@ -50,4 +50,7 @@
 std::optional<JsonValue> parseJson(std::string_view text, const JsonLimits& limits,
                                    const std::string& path, std::vector<Fault>& faults);
 
+/** Canonical text of a value; a text that is not JSON stays as it is, for the checks to find. */
+std::string canonicalText(const std::string& json);
+
 }  // namespace switchsaddle::configuration
--- a/libraries/configuration/include/switchsaddle/configuration/register_value.h
+++ b/libraries/configuration/include/switchsaddle/configuration/register_value.h
@@ -26,6 +26,15 @@
   std::vector<std::string> removed;
 };
 
+/** The source document in force; docs/CONFIGURATION.md. Kept out of the entries, since fronts have
+ * no use for it. */
+struct SourceDocument {
+  /** The operators' own number; 0 where there is none. */
+  std::uint64_t revision = 0;
+  /** As they sent it. */
+  std::string text;
+};
+
 /** What the configuration register holds: the document, recent change results and the history. */
 struct RegisterValue {
   Document document;
@@ -33,6 +42,7 @@
   std::vector<RecordedChange> recorded;
   /** Oldest first; at most MaximumHistoryLines. */
   std::vector<HistoryLine> history;
+  SourceDocument source = {};
 
   const RecordedChange* findRecorded(const std::string& change_id) const;
 };
@@ -68,4 +78,8 @@
  */
 ChangeDecision decideChange(const RegisterValue& present, const Change& change);
 
+/** The decision that takes `next`, which is `present` with the change applied and has been checked.
+ */
+ChangeDecision commitChange(const RegisterValue& present, const Change& change, Document next);
+
 }  // namespace switchsaddle::configuration
--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -24,10 +24,32 @@
    * all. */
   base::Duration core_refused_grace = std::chrono::seconds(60);
   base::Duration stop_deadline = std::chrono::seconds(25);
+  /** How long a stopping front still takes new forwarded requests, until callers have noticed. */
+  base::Duration stop_notice{};
   /** A core member silent for this long may be replaced by an announced empty one. */
   base::Duration core_replacement_silence = std::chrono::seconds(10);
 };
 
+/** What a front does whose session has lapsed. */
+enum class LapsedSession : std::uint8_t {
+  /** Refuses new work, since a newer configuration may be in force. */
+  Refuse,
+  /** Serves on by its last configuration and worker list, without a bound on time. */
+  Serve,
+};
+
+/** What the operators of a deployment allow its fronts together. */
+struct ForwardingSettings {
+  /** Repeats as a share of a pool's requests, and besides, over ten seconds. */
+  double retry_share = 0.1;
+  double retry_extra = 0;
+  /** A tenant may be let in, in any window, for (rate x window + burst) x (1 + overshoot) + slack
+   * units. */
+  double quota_window_s = 8;
+  double quota_overshoot = 0;
+  double quota_slack = 0;
+};
+
 /** What one process learns from its settings file and flags. */
 struct Settings {
   /** Where peers reach this process. */
@@ -45,6 +67,21 @@
   /** Core only: the first members of a new fleet; ignored once an acceptor set is stored. */
   std::vector<base::NodeAddress> initial_cores;
   TimeSettings times;
+  /** Where readiness is asked for besides http_address; empty: nowhere. */
+  base::NodeAddress readiness_address;
+  /** The port on which every node of the fleet listens for its peers: seeds and initial cores are
+   * then told with whatever port, and this one is put in its place. Zero: they are told whole. */
+  std::uint16_t fleet_peer_port = 0;
+  /** Core only: this is the first start of the whole fleet, whose first cores are the seeds. */
+  bool first_start = false;
+  /** Core only: reads the platform's list once at its start, without waiting for the watcher's
+   * lease, so that a fleet that lost all memory serves sooner. */
+  bool list_before_lease = false;
+  /** The interfaces spoken towards callers, workers, operators and the platform; empty: the
+   * product's own. */
+  std::string dialect;
+  LapsedSession lapsed_session = LapsedSession::Refuse;
+  ForwardingSettings forwarding;
 };
 
 /** Parses a settings file (JSON, unknown keys refused). Appends every fault. */
--- a/libraries/configuration/include/switchsaddle/configuration/view.h
+++ b/libraries/configuration/include/switchsaddle/configuration/view.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "switchsaddle/configuration/document.h"
+#include "switchsaddle/configuration/forwarding.h"
 
 namespace switchsaddle::configuration {
 
@@ -81,6 +82,7 @@
   /** Operators' key hashes from operators/ID. */
   std::set<std::string> operator_hashes;
   std::set<std::string> evacuated_zones;
+  Forwarding forwarding;
   Tuning tuning;
 
   /** The route of a model in the completions service, or nullptr. */
--- a/libraries/configuration/source/change.cc
+++ b/libraries/configuration/source/change.cc
@@ -16,13 +16,6 @@
 constexpr std::size_t MaximumChangeIdLength = 128;
 constexpr std::size_t MaximumPathLength = 1'024;
 
-/** Canonical text of a value; a text that is not JSON stays as it is, for the checks to find. */
-std::string canonicalText(const std::string& json) {
-  std::vector<Fault> faults;
-  const std::optional<JsonValue> value = parseJson(json, {}, "", faults);
-  return value ? value->canonical() : json;
-}
-
 std::vector<EntryChange> entriesOf(const JsonValue& object) {
   std::vector<EntryChange> entries;
   for (std::size_t index = 0; index < object.names.size(); ++index) {
--- /dev/null
+++ b/libraries/configuration/source/checks/forwarding.cc
@@ -0,0 +1,181 @@
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "checks/checks.h"
+#include "object_reader.h"
+
+namespace switchsaddle::configuration {
+
+namespace {
+
+using base::ResultCode;
+
+constexpr IntegerRange MillisecondRange{1, 86'400'000};
+constexpr IntegerRange GoalRange{0, 86'400'000};
+constexpr IntegerRange CountRange{0, 1'000'000'000};
+constexpr IntegerRange AttemptRange{1, 100};
+
+struct KindName {
+  std::string_view name;
+  ForwardKind kind;
+};
+
+constexpr std::array KindNames{
+    KindName{"repeatable", ForwardKind::Repeatable},
+    KindName{"at-most-once", ForwardKind::AtMostOnce},
+    KindName{"event-stream", ForwardKind::EventStream},
+    KindName{"resumable-stream", ForwardKind::ResumableStream},
+};
+
+ForwardKind readKind(ObjectReader& reader) {
+  reader.required("kind");
+  const std::string text = reader.text("kind");
+  const auto* found = std::ranges::find(KindNames, text, &KindName::name);
+  if (found != KindNames.end()) {
+    return found->kind;
+  }
+  reader.fault("kind", ResultCode::InvalidValue,
+               "must be repeatable, at-most-once, event-stream or resumable-stream");
+  return ForwardKind::AtMostOnce;
+}
+
+std::uint32_t readCount(ObjectReader& reader, const std::string& member, IntegerRange range,
+                        std::uint32_t fallback) {
+  return static_cast<std::uint32_t>(reader.integer(member, range, fallback));
+}
+
+/** A number that may have a fraction and is not negative. */
+double readAmount(ObjectReader& reader, const std::string& member) {
+  const JsonValue* value = reader.optional(member);
+  if (value == nullptr) {
+    return 0;
+  }
+  const bool whole = value->kind == JsonKind::Integer;
+  const double amount = whole ? static_cast<double>(value->integer) : value->number;
+  if ((!whole && value->kind != JsonKind::Number) || amount < 0) {
+    reader.fault(member, ResultCode::InvalidValue, "must be a number of at least 0");
+    return 0;
+  }
+  return amount;
+}
+
+std::vector<ForwardTarget> readTargets(ObjectReader& reader, const EntryText& entry,
+                                       Faults& faults) {
+  std::vector<ForwardTarget> targets;
+  const JsonValue* list = reader.required("targets");
+  if (list == nullptr) {
+    return targets;
+  }
+  if (list->kind != JsonKind::Array) {
+    reader.fault("targets", ResultCode::InvalidValue, "must be a list");
+    return targets;
+  }
+  std::uint64_t sum = 0;
+  for (std::size_t index = 0; index < list->elements.size(); ++index) {
+    ObjectReader element(list->elements[index],
+                         entry.path + ".targets[" + std::to_string(index) + "]", faults);
+    element.required("pool");
+    ForwardTarget target;
+    target.pool = element.text("pool");
+    target.weight = readCount(element, "weight", CountRange, 1);
+    element.finish();
+    sum += target.weight;
+    targets.push_back(std::move(target));
+  }
+  if (sum == 0) {
+    reader.fault("targets", ResultCode::InvalidValue, "the weights sum to 0");
+  }
+  return targets;
+}
+
+}  // namespace
+
+void parseForwardRoute(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults) {
+  ForwardRoute& route = parsed.forwarding.routes[entry.name];
+  ObjectReader reader(entry.value, entry.path, faults);
+  route.name = entry.name;
+  reader.required("host");
+  route.host = reader.text("host");
+  reader.required("path_prefix");
+  route.path_prefix = reader.text("path_prefix");
+  if (!route.path_prefix.starts_with('/') || !route.path_prefix.ends_with('/')) {
+    reader.fault("path_prefix", ResultCode::InvalidValue, "must begin and end with a slash");
+  }
+  route.kind = readKind(reader);
+  route.targets = readTargets(reader, entry, faults);
+  route.time_limit_ms = readCount(reader, "time_limit_ms", MillisecondRange, route.time_limit_ms);
+  route.answer_goal_ms = readCount(reader, "answer_goal_ms", GoalRange, route.answer_goal_ms);
+  route.event_gap_goal_ms = readCount(reader, "event_gap_goal_ms", GoalRange, 0);
+  route.attempts = readCount(reader, "attempts", AttemptRange, 1);
+  route.priority = readCount(reader, "priority", CountRange, route.priority);
+  route.open = reader.boolean("open", false);
+  reader.finish();
+}
+
+void parseForwardPool(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults) {
+  ForwardPool& pool = parsed.forwarding.pools[entry.name];
+  ObjectReader reader(entry.value, entry.path, faults);
+  pool.name = entry.name;
+  pool.health_path = reader.text("health_path");
+  pool.connections = readCount(reader, "connections", CountRange, 0);
+  pool.cold_ms = readCount(reader, "cold_ms", GoalRange, 0);
+  pool.cold_per_s = readAmount(reader, "cold_per_s");
+  pool.tokens_per_event = readCount(reader, "tokens_per_event", CountRange, 0);
+  pool.models = reader.texts("models");
+  reader.finish();
+}
+
+void parseForwardTenant(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults) {
+  ForwardTenant& tenant = parsed.forwarding.tenants[entry.name];
+  ObjectReader reader(entry.value, entry.path, faults);
+  tenant.name = entry.name;
+  tenant.key_hashes = reader.texts("keys");
+  for (const std::string& hash : tenant.key_hashes) {
+    if (!isSha256(hash)) {
+      reader.fault("keys", ResultCode::InvalidValue, "must hold SHA-256 in hexadecimal");
+    }
+  }
+  tenant.has_priority = reader.has("priority");
+  tenant.priority = readCount(reader, "priority", CountRange, 0);
+  const std::string unit = reader.text("unit", "requests");
+  if (unit != "requests" && unit != "tokens") {
+    reader.fault("unit", ResultCode::InvalidValue, "must be requests or tokens");
+  }
+  tenant.unit = unit == "tokens" ? QuotaUnit::Tokens : QuotaUnit::Requests;
+  tenant.rate_per_s = readAmount(reader, "rate_per_s");
+  tenant.burst = readAmount(reader, "burst");
+  tenant.default_tokens = readCount(reader, "default_tokens", CountRange, 1);
+  reader.finish();
+}
+
+void checkForwarding(const ParsedConfiguration& parsed, Faults& faults) {
+  const Forwarding& forwarding = parsed.forwarding;
+  std::map<std::pair<std::string, std::string>, std::string> places;
+  for (const auto& [name, route] : forwarding.routes) {
+    const std::string path = "forwarding/routes/" + name;
+    const auto [owner, is_first] = places.emplace(std::pair(route.host, route.path_prefix), name);
+    if (!is_first) {
+      faults.push_back({path, ResultCode::InvalidValue,
+                        "has the host and path prefix of forwarding/routes/" + owner->second});
+    }
+    for (const ForwardTarget& target : route.targets) {
+      if (!forwarding.pools.contains(target.pool)) {
+        faults.push_back({path + ".targets", ResultCode::InvalidValue,
+                          "names the pool '" + target.pool + "', which is not known"});
+      }
+    }
+  }
+  std::map<std::string, std::string> owner_of_key;
+  for (const auto& [name, tenant] : forwarding.tenants) {
+    for (const std::string& hash : tenant.key_hashes) {
+      const auto [owner, is_first] = owner_of_key.emplace(hash, name);
+      if (!is_first && owner->second != name) {
+        faults.push_back({"forwarding/tenants/" + name + ".keys", ResultCode::InvalidValue,
+                          "shares a key with forwarding/tenants/" + owner->second});
+      }
+    }
+  }
+}
+
+}  // namespace switchsaddle::configuration
--- a/libraries/configuration/source/json_value.cc
+++ b/libraries/configuration/source/json_value.cc
@@ -248,4 +248,10 @@
   return std::move(parser.handler().root);
 }
 
+std::string canonicalText(const std::string& json) {
+  std::vector<Fault> faults;
+  const std::optional<JsonValue> value = parseJson(json, {}, "", faults);
+  return value ? value->canonical() : json;
+}
+
 }  // namespace switchsaddle::configuration
--- a/libraries/configuration/source/parsed_configuration.cc
+++ b/libraries/configuration/source/parsed_configuration.cc
@@ -20,10 +20,17 @@
 };
 
 constexpr std::array EntryKinds{
-    EntryKind{"evacuations/", true, parseEvacuation}, EntryKind{"keys/", true, parseKey},
-    EntryKind{"operators/", true, parseOperator},     EntryKind{"routes/", true, parseRoute},
-    EntryKind{"shapes/", true, parseShape},           EntryKind{"share/", false, parseShare},
-    EntryKind{"tenants/", true, parseTenant},         EntryKind{"tuning/", true, parseTuning},
+    EntryKind{"evacuations/", true, parseEvacuation},
+    EntryKind{"forwarding/pools/", false, parseForwardPool},
+    EntryKind{"forwarding/routes/", false, parseForwardRoute},
+    EntryKind{"forwarding/tenants/", false, parseForwardTenant},
+    EntryKind{"keys/", true, parseKey},
+    EntryKind{"operators/", true, parseOperator},
+    EntryKind{"routes/", true, parseRoute},
+    EntryKind{"shapes/", true, parseShape},
+    EntryKind{"share/", false, parseShare},
+    EntryKind{"tenants/", true, parseTenant},
+    EntryKind{"tuning/", true, parseTuning},
 };
 
 constexpr std::size_t MaximumEntries = 100'000;
@@ -79,6 +86,7 @@
   checkShareTree(parsed, faults);
   checkRoutes(parsed, faults);
   checkKeys(parsed, faults);
+  checkForwarding(parsed, faults);
   return parsed;
 }
 
--- a/libraries/configuration/source/parsed_configuration.h
+++ b/libraries/configuration/source/parsed_configuration.h
@@ -62,6 +62,8 @@
   std::map<std::string, Key> keys;
   std::map<std::string, std::string> operators;
   std::set<std::string> evacuated_zones;
+  /** Not indexed. */
+  Forwarding forwarding;
   Tuning tuning;
 };
 
--- a/libraries/configuration/source/register_value.cc
+++ b/libraries/configuration/source/register_value.cc
@@ -13,7 +13,9 @@
 using base::ResultCode;
 
 /** Bumped with every change of the stored form. */
-constexpr std::uint16_t RegisterFormat = 1;
+constexpr std::uint16_t RegisterFormat = 2;
+/** Written by earlier releases, still read. */
+constexpr std::uint16_t FormatWithoutSource = 1;
 constexpr std::size_t ChecksumSize = 8;
 
 std::string checksumOf(std::string_view body) {
@@ -94,18 +96,6 @@
   return decision;
 }
 
-ChangeDecision commit(const RegisterValue& present, const Change& change, Document next) {
-  ChangeDecision decision;
-  decision.version = next.version;
-  decision.writes = true;
-  decision.next = present;
-  decision.next.document = std::move(next);
-  decision.next.history.push_back(describeChange(decision.next.document, change));
-  keepNewest(decision.next.history, MaximumHistoryLines);
-  record(decision.next, change, decision.code, decision.version);
-  return decision;
-}
-
 /** Throws base::Error with RecordCorrupt. */
 void verifyChecksum(const std::string& bytes) {
   const std::string_view all(bytes);
@@ -115,6 +105,31 @@
   }
 }
 
+/** What every record begins with. */
+struct RecordHead {
+  std::uint16_t format = 0;
+  std::uint64_t version = 0;
+};
+
+/** The archive's mark of its byte order, the format and the version. */
+constexpr std::size_t RecordHeadBytes = 1 + sizeof(std::uint16_t) + sizeof(std::uint64_t);
+
+/** Throws base::Error with RecordCorrupt where the format is not known. */
+RecordHead readHead(const std::string& body) {
+  RecordHead head;
+  try {
+    std::istringstream stream(body.substr(0, RecordHeadBytes));
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(head.format, head.version);
+  } catch (const std::exception& exception) {
+    throw base::Error(ResultCode::RecordCorrupt, exception.what());
+  }
+  if (head.format != RegisterFormat && head.format != FormatWithoutSource) {
+    throw base::Error(ResultCode::RecordCorrupt, "the configuration is of another format");
+  }
+  return head;
+}
+
 }  // namespace
 
 template <class Archive>
@@ -127,6 +142,11 @@
   archive(line.version, line.change_id, line.set, line.removed);
 }
 
+template <class Archive>
+void serialize(Archive& archive, SourceDocument& source) {
+  archive(source.revision, source.text);
+}
+
 const RecordedChange* RegisterValue::findRecorded(const std::string& change_id) const {
   const auto found = std::ranges::find(recorded, change_id, &RecordedChange::change_id);
   return found == recorded.end() ? nullptr : &*found;
@@ -135,7 +155,7 @@
 std::string encodeRegisterValue(const RegisterValue& value) {
   const std::string body =
       wire::writeRecord(RegisterFormat, value.document.version, entriesOf(value.document),
-                        value.recorded, value.history);
+                        value.recorded, value.history, value.source);
   return checksumOf(body) + body;
 }
 
@@ -145,12 +165,14 @@
     return value;
   }
   verifyChecksum(bytes);
-  std::uint16_t format = 0;
+  const std::string body = bytes.substr(ChecksumSize);
+  std::uint16_t format = readHead(body).format;
   std::vector<wire::ConfigurationEntry> entries;
-  wire::readRecord(bytes.substr(ChecksumSize), format, value.document.version, entries,
-                   value.recorded, value.history);
-  if (format != RegisterFormat) {
-    throw base::Error(ResultCode::RecordCorrupt, "the configuration is of another format");
+  if (format == FormatWithoutSource) {
+    wire::readRecord(body, format, value.document.version, entries, value.recorded, value.history);
+  } else {
+    wire::readRecord(body, format, value.document.version, entries, value.recorded, value.history,
+                     value.source);
   }
   for (wire::ConfigurationEntry& entry : entries) {
     std::string path = entry.path;
@@ -164,21 +186,19 @@
     return 0;
   }
   verifyChecksum(bytes);
-  // The archive's mark of its byte order, the format and the version.
-  constexpr std::size_t HeadBytes = 1 + sizeof(std::uint16_t) + sizeof(std::uint64_t);
-  std::uint16_t format = 0;
-  std::uint64_t version = 0;
-  try {
-    std::istringstream stream(bytes.substr(ChecksumSize, HeadBytes));
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(format, version);
-  } catch (const std::exception& exception) {
-    throw base::Error(ResultCode::RecordCorrupt, exception.what());
-  }
-  if (format != RegisterFormat) {
-    throw base::Error(ResultCode::RecordCorrupt, "the configuration is of another format");
-  }
-  return version;
+  return readHead(bytes.substr(ChecksumSize, RecordHeadBytes)).version;
+}
+
+ChangeDecision commitChange(const RegisterValue& present, const Change& change, Document next) {
+  ChangeDecision decision;
+  decision.version = next.version;
+  decision.writes = true;
+  decision.next = present;
+  decision.next.document = std::move(next);
+  decision.next.history.push_back(describeChange(decision.next.document, change));
+  keepNewest(decision.next.history, MaximumHistoryLines);
+  record(decision.next, change, decision.code, decision.version);
+  return decision;
 }
 
 ChangeDecision decideChange(const RegisterValue& present, const Change& change) {
@@ -197,7 +217,7 @@
   if (!faults.empty()) {
     return refuseInvalid(present, std::move(faults));
   }
-  return commit(present, change, std::move(next));
+  return commitChange(present, change, std::move(next));
 }
 
 }  // namespace switchsaddle::configuration
--- a/libraries/configuration/source/settings.cc
+++ b/libraries/configuration/source/settings.cc
@@ -34,6 +34,7 @@
     TimeField{"gossip_interval_ms", {10, 60'000}, &TimeSettings::gossip_interval},
     TimeField{"platform_poll_ms", {10, 60'000}, &TimeSettings::platform_poll},
     TimeField{"core_refused_grace_ms", {0, 3'600'000}, &TimeSettings::core_refused_grace},
+    TimeField{"stop_notice_ms", {0, 3'600'000}, &TimeSettings::stop_notice},
     TimeField{"stop_deadline_ms", {0, 3'600'000}, &TimeSettings::stop_deadline},
     TimeField{
         "core_replacement_silence_ms", {100, 3'600'000}, &TimeSettings::core_replacement_silence},
@@ -73,6 +74,27 @@
   return addresses;
 }
 
+double readFraction(ObjectReader& reader, const std::string& member, double fallback) {
+  const JsonValue* value = reader.optional(member);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const bool whole = value->kind == JsonKind::Integer;
+  const double number = whole ? static_cast<double>(value->integer) : value->number;
+  if ((!whole && value->kind != JsonKind::Number) || number < 0) {
+    reader.fault(member, ResultCode::InvalidValue, "must be a number of at least 0");
+    return fallback;
+  }
+  return number;
+}
+
+/** When open work is ended so that the process can close its session and go before it is killed. */
+base::Duration stopDeadlineWithin(double grace_s) {
+  constexpr double LongestCloseS = 1.5;
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(std::max(0.0, grace_s - LongestCloseS)));
+}
+
 void readTimes(ObjectReader& reader, TimeSettings& times, Faults& faults) {
   const JsonValue* value = reader.optional("times");
   if (value == nullptr) {
@@ -84,9 +106,42 @@
     times.*field.member =
         std::chrono::milliseconds(time_reader.integer(field.name, field.range, fallback));
   }
+  const double grace_s = readFraction(time_reader, "process_grace_s", 0);
+  if (grace_s > 0) {
+    times.stop_deadline = stopDeadlineWithin(grace_s);
+  }
   time_reader.finish();
 }
 
+void readForwarding(ObjectReader& reader, ForwardingSettings& forwarding, Faults& faults) {
+  const JsonValue* value = reader.optional("forwarding");
+  if (value == nullptr) {
+    return;
+  }
+  ObjectReader inner(*value, "forwarding", faults);
+  forwarding.retry_share = readFraction(inner, "retry_share", forwarding.retry_share);
+  forwarding.retry_extra = readFraction(inner, "retry_extra", forwarding.retry_extra);
+  forwarding.quota_slack = readFraction(inner, "quota_slack", forwarding.quota_slack);
+  forwarding.quota_window_s = readFraction(inner, "quota_window_s", forwarding.quota_window_s);
+  forwarding.quota_overshoot = readFraction(inner, "quota_overshoot", forwarding.quota_overshoot);
+  inner.finish();
+}
+
+LapsedSession readLapsedSession(ObjectReader& reader) {
+  const std::string text = reader.text("lapsed_session", "refuse");
+  if (text != "refuse" && text != "serve") {
+    reader.fault("lapsed_session", ResultCode::InvalidValue, "must be refuse or serve");
+  }
+  return text == "serve" ? LapsedSession::Serve : LapsedSession::Refuse;
+}
+
+/** Puts the fleet's port in the place of whatever port an address was told with. */
+void setPort(std::vector<base::NodeAddress>& addresses, std::uint16_t port) {
+  for (base::NodeAddress& address : addresses) {
+    address.port = port;
+  }
+}
+
 void checkHashes(const Settings& settings, Faults& faults) {
   for (std::size_t index = 0; index < settings.operator_hashes.size(); ++index) {
     if (!isSha256(settings.operator_hashes[index])) {
@@ -151,7 +206,22 @@
   settings.initial_cores = readAddresses(reader, "initial_cores", faults);
   settings.operator_hashes = reader.texts("operator_hashes");
   readTimes(reader, settings.times, faults);
+  readAddress(reader, "readiness_address", settings.readiness_address, faults);
+  settings.fleet_peer_port =
+      static_cast<std::uint16_t>(reader.integer("fleet_peer_port", {0, 65'535}, 0));
+  settings.first_start = reader.boolean("first_start", false);
+  settings.list_before_lease = reader.boolean("list_before_lease", false);
+  settings.dialect = reader.text("dialect");
+  settings.lapsed_session = readLapsedSession(reader);
+  readForwarding(reader, settings.forwarding, faults);
   reader.finish();
+  if (settings.fleet_peer_port != 0) {
+    setPort(settings.seeds, settings.fleet_peer_port);
+    setPort(settings.initial_cores, settings.fleet_peer_port);
+  }
+  if (settings.first_start && settings.initial_cores.empty()) {
+    settings.initial_cores = settings.seeds;
+  }
   return settings;
 }
 
--- a/libraries/configuration/source/view.cc
+++ b/libraries/configuration/source/view.cc
@@ -72,6 +72,8 @@
     view.operator_hashes.insert(hash);
   }
   view.evacuated_zones = std::move(parsed.evacuated_zones);
+  view.forwarding = std::move(parsed.forwarding);
+  view.forwarding.index();
   view.tuning = parsed.tuning;
   return view;
 }
--- a/libraries/core/include/switchsaddle/core/change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/change_coordinator.h
@@ -7,6 +7,7 @@
 
 #include "switchsaddle/base/result_code.h"
 #include "switchsaddle/configuration/document.h"
+#include "switchsaddle/configuration/source_document.h"
 
 namespace switchsaddle::core {
 
@@ -28,6 +29,12 @@
   virtual ~ChangeCoordinator() = default;
   virtual void submit(const configuration::Change& change, bool dry_run,
                       std::function<void(const ChangeAnswer&)> callback) = 0;
+  virtual void submitSource(const configuration::SourceUpdate& update,
+                            std::function<void(const ChangeAnswer&)> callback) = 0;
+  /** Empties a zone, or lets it take work again; once more for a zone in that state is no change.
+   */
+  virtual void submitEvacuation(const std::string& zone, bool evacuated,
+                                std::function<void(const ChangeAnswer&)> callback) = 0;
 };
 
 }  // namespace switchsaddle::core
--- a/libraries/core/include/switchsaddle/core/control_service.h
+++ b/libraries/core/include/switchsaddle/core/control_service.h
@@ -52,6 +52,13 @@
   static bool serves(const std::string& target);
   void handle(const http::Request& request, Respond respond);
 
+  // For interfaces beside this one; who calls them has checked who may.
+  using SourceReader =
+      std::function<void(base::ResultCode, const configuration::SourceDocument& source)>;
+  ChangeCoordinator& coordinator() { return dependencies_.coordinator; }
+  /** Reads the source document, confirmed by a quorum. */
+  void readSource(SourceReader reader);
+
  private:
   struct Operation;
 
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -17,6 +17,7 @@
 #include "switchsaddle/core/membership_keeper.h"
 #include "switchsaddle/core/node_information.h"
 #include "switchsaddle/core/observed_proposer.h"
+#include "switchsaddle/core/quota_allotter.h"
 #include "switchsaddle/core/register_change_coordinator.h"
 #include "switchsaddle/dissemination/gossip_agent.h"
 #include "switchsaddle/lease/lease_granter.h"
@@ -67,6 +68,8 @@
   /** Gives the leases back and stops proposing; `stopped` runs soon after. */
   void stop(std::function<void()> stopped);
 
+  /** Other cores to ask for the acceptor set, where this one is no member. */
+  void setSeeds(std::vector<base::NodeAddress> seeds) { bootstrap_.setSeeds(std::move(seeds)); }
   ControlService& control() { return control_; }
   const dissemination::ConfigurationReplica& replica() const { return replica_; }
   const workers::WorkerDirectory& workers() const { return workers_; }
@@ -90,9 +93,15 @@
    * work they stand for. */
   void followMembership();
   void onWatcherLease(bool gained);
+  /** Lets another core try, where this one cannot read the platform's list. */
+  void yieldWatcherLease();
   void startWatcher();
+  /** After a loss of the whole fleet's memory nobody knows a worker until a watcher has its lease:
+   * reads the list once and publishes it below any watcher's view. */
+  void readFirstWorkers();
   void onMembershipLease(bool gained);
   void publishWorkers(const wire::WorkerView& view);
+  void publishToAll(const wire::WorkerView& view);
   std::vector<base::NodeAddress> frontsWithSessions() const;
   ControlDependencies controlDependencies();
 
@@ -111,6 +120,7 @@
   registers::Scrubber scrubber_;
   CoreMembership membership_;
   sessions::SessionTable sessions_;
+  QuotaAllotter quotas_;
   lease::LeaseGranter granter_;
   dissemination::ConfigurationReplica replica_;
   workers::WorkerDirectory workers_;
@@ -128,6 +138,7 @@
   base::TimerPtr open_timer_;
   base::TimerPtr peers_timer_;
   base::TimerPtr watcher_timer_;
+  base::TimerPtr watcher_campaign_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/libraries/core/include/switchsaddle/core/quota_allotter.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/wire/session_messages.h"
+
+namespace switchsaddle::core {
+
+/**
+ * Adds up what all fronts let in for each tenant, and divides what is left of the quota among them
+ * by what was asked of them lately. Every core hears all fronts' demands with their sessions'
+ * records, so that any of them divides alike, without a lease and without a message of its own.
+ * What a front that is silent now had let in still counts until it has left the quota's window.
+ * Runs on the control strand.
+ */
+class QuotaAllotter {
+ public:
+  /** Whoever reads the live sessions known here. */
+  using Records = std::vector<wire::SessionTableEntry>;
+  using RecordSource = std::function<Records()>;
+
+  QuotaAllotter(base::Dispatcher& dispatcher, RecordSource records);
+
+  /** The front's parts of its tenants' quotas. */
+  std::vector<wire::TenantAllotment> allot(const wire::SessionRecord& record);
+
+ private:
+  using FrontKey = std::pair<base::NodeAddress, std::uint64_t>;
+  struct Front {
+    base::TimePoint heard_at;
+    std::vector<wire::TenantDemand> demand;
+  };
+  struct Total {
+    double units_per_s = 0;
+    double admitted = 0;
+  };
+
+  void refresh();
+
+  base::Dispatcher& dispatcher_;
+  RecordSource records_;
+  base::TimePoint refreshed_at_{};
+  bool refreshed_ = false;
+  /** Over all fronts, by tenant. */
+  std::map<std::string, Total> totals_;
+  std::size_t live_ = 0;
+  std::map<FrontKey, Front> fronts_;
+};
+
+}  // namespace switchsaddle::core
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -48,11 +48,18 @@
 
   void submit(const configuration::Change& change, bool dry_run,
               std::function<void(const ChangeAnswer&)> callback) override;
+  void submitSource(const configuration::SourceUpdate& update,
+                    std::function<void(const ChangeAnswer&)> callback) override;
+  void submitEvacuation(const std::string& zone, bool evacuated,
+                        std::function<void(const ChangeAnswer&)> callback) override;
 
  private:
   using Callback = std::function<void(const ChangeAnswer&)>;
+  using Decide =
+      std::function<configuration::ChangeDecision(const configuration::RegisterValue& present)>;
 
-  void commit(const configuration::Change& change, Callback callback);
+  /** `change_id` is empty where the decision is not recorded under one known beforehand. */
+  void commit(Decide decide, const std::string& change_id, Callback callback);
   void check(const configuration::Change& change, Callback callback);
   void takeCommitted(const configuration::Document& document);
   void onCommitted(const registers::RegisterOutcome& outcome,
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -191,6 +191,22 @@
                               });
 }
 
+void ControlService::readSource(SourceReader reader) {
+  dependencies_.proposer.read(
+      registers::ConfigurationRegister,
+      [reader = std::move(reader)](const registers::RegisterOutcome& outcome) {
+        if (outcome.code != ResultCode::Ok) {
+          reader(outcome.code, {});
+          return;
+        }
+        try {
+          reader(ResultCode::Ok, configuration::decodeRegisterValue(outcome.value).source);
+        } catch (const base::Error& error) {
+          reader(error.code(), {});
+        }
+      });
+}
+
 void ControlService::getConfiguration(const http::Request& /*request*/, const std::string& /*name*/,
                                       Respond respond) {
   readRegister(
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -15,6 +15,8 @@
 /** For peers to tell a new watcher the last view, so that workers keep their instances. */
 constexpr base::Duration WatcherPause = std::chrono::milliseconds(400);
 constexpr base::Duration PeersInterval = std::chrono::milliseconds(500);
+/** Left to the other cores to take the watcher's lease that this one gave back. */
+constexpr base::Duration YieldPause = std::chrono::seconds(3);
 
 registers::AcceptorOptions acceptorOptionsOf(const CoreFaults& faults) {
   registers::AcceptorOptions options;
@@ -53,6 +55,7 @@
       sessions_(environment.dispatcher, environment.calls, environment.journal,
                 sessionTimesOf(environment.settings.times), membership_,
                 environment.faults.sessions),
+      quotas_(environment.dispatcher, [this] { return sessions_.localSessions(); }),
       granter_(environment.dispatcher, environment.calls, environment.store, environment.journal,
                leaseTimesOf(environment.settings.times)),
       replica_(environment.journal),
@@ -81,7 +84,12 @@
       control_(controlDependencies()),
       open_timer_(environment.dispatcher.createTimer([this] { openStore(); })),
       peers_timer_(environment.dispatcher.createTimer([this] { refreshPeers(); })),
-      watcher_timer_(environment.dispatcher.createTimer([this] { startWatcher(); })) {
+      watcher_timer_(environment.dispatcher.createTimer([this] { startWatcher(); })),
+      watcher_campaign_timer_(environment.dispatcher.createTimer([this] {
+        if (campaigning_) {
+          watcher_lease_.start();
+        }
+      })) {
   connectParts();
   handleControlRequests();
 }
@@ -106,6 +114,10 @@
 
 void CoreNode::connectParts() {
   workers::journalChanges(workers_, environment_.journal);
+  sessions_.setAllotmentSource([this](const wire::SessionRecord& record) {
+    // A core that has just started does not know yet what the other fronts let in.
+    return sessions_.recovering() ? std::vector<wire::TenantAllotment>{} : quotas_.allot(record);
+  });
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
   granter_.setEpochSource([this] { return membership_.setEpoch(); });
@@ -126,6 +138,7 @@
       }
     }
   });
+  watcher_.setUnreadableListener([this] { yieldWatcherLease(); });
   watcher_lease_.setListener([this](bool gained) { onWatcherLease(gained); });
   membership_lease_.setListener([this](bool gained) { onMembershipLease(gained); });
   replica_.addListener(
@@ -201,6 +214,9 @@
   }
   bootstrap_.start();
   scrubber_.start();
+  if (environment_.settings.list_before_lease) {
+    readFirstWorkers();
+  }
   follower_.start();
   followMembership();
   gossip_.start();
@@ -229,6 +245,7 @@
   peers_timer_->disable();
   if (taking_part_) {
     watcher_timer_->disable();
+    watcher_campaign_timer_->disable();
     watcher_.stop();
     keeper_.stop();
     follower_.stop();
@@ -268,6 +285,29 @@
   watcher_timer_->enable(WatcherPause);
 }
 
+void CoreNode::yieldWatcherLease() {
+  watcher_lease_.stop();
+  watcher_campaign_timer_->enable(YieldPause);
+}
+
+void CoreNode::readFirstWorkers() {
+  environment_.platform.read(
+      [this, alive = std::weak_ptr(alive_)](const workers::PlatformReading& reading) {
+        if (alive.expired() || !taking_part_ || reading.code != base::ResultCode::Ok) {
+          return;
+        }
+        const bool known = workers_.view().term != 0 || !workers_.view().workers.empty();
+        if (known || reading.workers.empty()) {
+          return;
+        }
+        wire::WorkerView view{0, 1, reading.workers};
+        for (wire::WorkerEntry& entry : view.workers) {
+          entry.instance = workers::workerInstance(view.term, view.sequence);
+        }
+        publishToAll(view);
+      });
+}
+
 void CoreNode::startWatcher() {
   if (watcher_lease_.held()) {
     watcher_.start(watcher_lease_.term());
@@ -288,6 +328,10 @@
   if (!watcher_lease_.held() || watcher_lease_.term() != view.term) {
     return;
   }
+  publishToAll(view);
+}
+
+void CoreNode::publishToAll(const wire::WorkerView& view) {
   std::vector<base::NodeAddress> first = frontsWithSessions();
   for (const base::NodeAddress& core : membership_.coreAddresses()) {
     first.push_back(core);
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -72,10 +72,29 @@
   if (dry_run) {
     check(change, std::move(callback));
   } else {
-    commit(change, std::move(callback));
+    const auto decide = [change](const RegisterValue& present) {
+      return configuration::decideChange(present, change);
+    };
+    commit(decide, change.change_id, std::move(callback));
   }
 }
 
+void RegisterChangeCoordinator::submitSource(const configuration::SourceUpdate& update,
+                                             Callback callback) {
+  const auto decide = [update](const RegisterValue& present) {
+    return configuration::decideSourceUpdate(present, update);
+  };
+  commit(decide, update.change_id, std::move(callback));
+}
+
+void RegisterChangeCoordinator::submitEvacuation(const std::string& zone, bool evacuated,
+                                                 Callback callback) {
+  const auto decide = [zone, evacuated](const RegisterValue& present) {
+    return configuration::decideEvacuation(present, zone, evacuated);
+  };
+  commit(decide, {}, std::move(callback));
+}
+
 void RegisterChangeCoordinator::check(const configuration::Change& change, Callback callback) {
   proposer_.read(registers::ConfigurationRegister, [change, callback = std::move(callback)](
                                                        const registers::RegisterOutcome& outcome) {
@@ -89,12 +108,13 @@
   });
 }
 
-void RegisterChangeCoordinator::commit(const configuration::Change& change, Callback callback) {
+void RegisterChangeCoordinator::commit(Decide decide, const std::string& change_id,
+                                       Callback callback) {
   const base::TimePoint deadline = dispatcher_.now() + acknowledgement_deadline_;
   // Only of use for changes that were not written: the function's last run need not be the one that
   // took effect, since an earlier proposal can be found to have done so after all.
   auto decision = std::make_shared<ChangeDecision>();
-  auto function = [change, decision,
+  auto function = [decide = std::move(decide), decision,
                    faults = faults_](const std::string& bytes) -> std::optional<std::string> {
     const std::optional<RegisterValue> present = decode(bytes);
     if (!present) {
@@ -102,7 +122,7 @@
       decision->code = ResultCode::RecordCorrupt;
       return std::nullopt;
     }
-    *decision = configuration::decideChange(*present, change);
+    *decision = decide(*present);
     if (!decision->writes) {
       return std::nullopt;
     }
@@ -111,14 +131,13 @@
     }
     return configuration::encodeRegisterValue(decision->next);
   };
-  proposer_.change(
-      registers::ConfigurationRegister, std::move(function),
-      [this, alive = std::weak_ptr(alive_), decision, change_id = change.change_id, deadline,
-       callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
-        if (!alive.expired()) {
-          onCommitted(outcome, *decision, change_id, deadline, callback);
-        }
-      });
+  proposer_.change(registers::ConfigurationRegister, std::move(function),
+                   [this, alive = std::weak_ptr(alive_), decision, change_id, deadline,
+                    callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
+                     if (!alive.expired()) {
+                       onCommitted(outcome, *decision, change_id, deadline, callback);
+                     }
+                   });
 }
 
 void RegisterChangeCoordinator::takeCommitted(const configuration::Document& document) {
--- a/libraries/front/include/switchsaddle/front/caller_service.h
+++ b/libraries/front/include/switchsaddle/front/caller_service.h
@@ -9,10 +9,12 @@
 
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/incident.h"
+#include "switchsaddle/configuration/settings.h"
 #include "switchsaddle/configuration/view.h"
 #include "switchsaddle/front/control_forwarder.h"
 #include "switchsaddle/front/counters.h"
 #include "switchsaddle/front/fleet_beliefs.h"
+#include "switchsaddle/front/forward_flow.h"
 #include "switchsaddle/front/one_shot_flow.h"
 #include "switchsaddle/front/stage.h"
 #include "switchsaddle/front/stream_flow.h"
@@ -42,6 +44,10 @@
   std::function<std::string()> node_report;
   /** Where one-shots of unknown outcome are told; nowhere if left out. */
   base::IncidentSink* incidents = nullptr;
+  /** Null: nothing is forwarded. */
+  ForwardFlow* forwards = nullptr;
+  ForwardHeaders forward_headers = {};
+  configuration::LapsedSession lapsed_session = configuration::LapsedSession::Refuse;
 };
 
 /**
@@ -64,14 +70,20 @@
   /** Hands a request over from any thread; QueueFull at once where too many wait. */
   void enqueue(http::Request request, http::ResponseWriterPtr writer);
   void handle(const http::Request& request, const http::ResponseWriterPtr& writer);
-  /** From now on new work is refused with Stopping and the node reports itself as not ready. */
+  /** From now on the node reports itself as not ready, and new work is refused with Stopping; but
+   * forwarded requests are taken until stopForwarding(). */
   void stop() { stopping_ = true; }
+  void stopForwarding() { forwarding_stopped_ = true; }
   /** Requests refused since too many waited for the control strand. */
   std::uint64_t queueRefusals() const { return queue_refusals_.load(); }
-  bool ready() const { return !stopping_ && dependencies_.session.mayDispatch(); }
+  bool ready() const;
 
  private:
   void route(const http::Request& request, const http::ResponseWriterPtr& writer);
+  /** Whether the request is for forwarding: no other path of this node's is meant. */
+  bool isForwarded(const http::Request& request) const;
+  void forward(const http::Request& request, const http::ResponseWriterPtr& writer);
+  bool servesForwarding() const;
   void handleCompletion(const http::Request& request, const http::ResponseWriterPtr& writer);
   void handleOneShot(const http::Request& request, const http::ResponseWriterPtr& writer);
   http::Response plainAnswer(const http::Request& request, std::string_view path) const;
@@ -84,6 +96,7 @@
 
   CallerDependencies dependencies_;
   bool stopping_ = false;
+  bool forwarding_stopped_ = false;
   Stage one_shot_stage_{512, 256};
   std::atomic<std::size_t> waiting_{0};
   std::atomic<std::uint64_t> queue_refusals_{0};
--- /dev/null
+++ b/libraries/front/include/switchsaddle/front/forward_placer.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/configuration/forwarding.h"
+#include "switchsaddle/front/fleet_beliefs.h"
+#include "switchsaddle/front/worker_circuit.h"
+#include "switchsaddle/routing/cold_guard.h"
+#include "switchsaddle/routing/router.h"
+
+namespace switchsaddle::front {
+
+/** The worker chosen for a forwarded request. */
+struct ForwardPlacement {
+  workers::Worker worker;
+  /** The router's, for a pool of models; it is to be completed there. */
+  std::optional<routing::Placement> learned;
+};
+
+/**
+ * Chooses workers of a pool: for models by ADR-0021's router, for other services the one with the
+ * fewest requests of this front. Workers that are draining, gone, evacuated, tried before or behind
+ * an open circuit are left out, and cold ones used within their bound. Runs on the control strand.
+ */
+class ForwardPlacer {
+ public:
+  ForwardPlacer(base::Dispatcher& dispatcher, base::RandomSource& random, routing::Router& router,
+                WorkerCircuit& circuit, FleetBeliefs& beliefs, base::NodeAddress self);
+
+  std::optional<ForwardPlacement> choose(const configuration::ForwardPool& pool,
+                                         const routing::Prompt& prompt,
+                                         const std::vector<std::string>& tried);
+  /** To be called once for each placement; `completion` is of use to the router alone. */
+  void complete(const ForwardPlacement& placement, routing::Completion completion);
+  void setFronts(const std::vector<base::NodeAddress>& fronts);
+
+ private:
+  struct Usage {
+    std::uint32_t in_flight = 0;
+    routing::ColdState cold;
+  };
+
+  std::optional<ForwardPlacement> chooseLearned(const configuration::ForwardPool& pool,
+                                                const routing::Prompt& prompt,
+                                                const std::vector<std::string>& tried);
+  std::optional<ForwardPlacement> chooseLeastLoaded(const configuration::ForwardPool& pool,
+                                                    const std::vector<std::string>& tried);
+  bool mayUse(const workers::Worker& worker, const configuration::ForwardPool& pool);
+  void forgetVanished(const workers::WorkerSnapshot& snapshot);
+
+  base::Dispatcher& dispatcher_;
+  base::RandomSource& random_;
+  routing::Router& router_;
+  WorkerCircuit& circuit_;
+  FleetBeliefs& beliefs_;
+  base::NodeAddress self_;
+  routing::ColdGuard cold_guard_;
+  std::map<std::string, Usage> usage_;
+  std::uint64_t known_revision_ = 0;
+};
+
+}  // namespace switchsaddle::front
--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -17,6 +18,7 @@
 #include "switchsaddle/front/caller_service.h"
 #include "switchsaddle/front/control_forwarder.h"
 #include "switchsaddle/front/fleet_beliefs.h"
+#include "switchsaddle/front/forward_flow.h"
 #include "switchsaddle/front/one_shot_flow.h"
 #include "switchsaddle/front/session_monitor.h"
 #include "switchsaddle/front/stream_flow.h"
@@ -54,6 +56,9 @@
   bool check_sequence = true;
   /** Test-only deviations of the session. */
   sessions::SessionClientFaults session_faults = {};
+  /** Where forwarded requests go; nothing is forwarded if left out. */
+  ForwardPort* forward_port = nullptr;
+  ForwardHeaders forward_headers = {};
 };
 
 /**
@@ -84,6 +89,8 @@
   const workers::WorkerDirectory& directory() const { return directory_; }
   const sessions::QuorumSessionClient& session() const { return session_; }
   routing::Router& router() { return router_; }
+  /** Other cores to ask, where none of those known answers. */
+  void setSeeds(std::vector<base::NodeAddress> seeds) { session_.setSeeds(std::move(seeds)); }
   /** What the flows see of the fleet, and tell it. */
   FleetBeliefs& beliefs() { return *this; }
 
@@ -99,7 +106,12 @@
   void connectParts();
   void onConfiguration(const dissemination::ViewPtr& view);
   void refreshPeers();
+  /** Fronts of the last while: right after a restart of the cores their list names only those that
+   * have opened again, while the others serve on. */
+  std::vector<base::NodeAddress> recentFronts();
   void awaitEndOfWork();
+  bool isIdle() const;
+  std::unique_ptr<ForwardFlow> createForwards();
   std::string metricsText() const;
   std::string nodeReport() const;
 
@@ -118,12 +130,18 @@
   StreamStages stages_;
   StreamFlow streams_;
   OneShotFlow one_shots_;
+  QuotaMeter quotas_;
+  ForwardPlacer placer_;
+  /** Null where nothing is forwarded. */
+  std::unique_ptr<ForwardFlow> forwards_;
   ControlForwarder control_;
   CallerService service_;
   SessionMonitor monitor_;
+  std::map<base::NodeAddress, base::TimePoint> fronts_seen_;
   base::TimerPtr peers_timer_;
   base::TimerPtr stop_timer_;
   base::TimePoint stop_deadline_;
+  base::TimePoint stop_notice_until_;
   std::function<void()> stopped_;
 };
 
--- a/libraries/front/include/switchsaddle/front/retry_budget.h
+++ b/libraries/front/include/switchsaddle/front/retry_budget.h
@@ -11,7 +11,8 @@
 
 /**
  * Keeps the retries of each service below a share of its first tries over a sliding window. There
- * is no floor: a service with few first tries has no retries, so that nothing adds up over a fleet.
+ * is no floor of its own: a service with few first tries has no retries, so that nothing adds up
+ * over a fleet, unless the caller gives it this front's part of what the fleet may have besides.
  * Counted in slices; retries leave the window late by up to one slice, so that rounding never
  * allows a retry too many. First tries leave it early: each front's share was right when it spent
  * it, and the sum over the fleet must still be so when some of them have fewer first tries than
@@ -29,12 +30,13 @@
   explicit RetryBudget(base::Dispatcher& dispatcher) : dispatcher_(dispatcher) {}
 
   void countFirstTry(const std::string& service);
-  /** Whether trySpend() would count one now. */
-  bool maySpend(const std::string& service, double share);
+  /** Whether trySpend() would count one now. `extra`: repeats in a window beyond the share; the
+   * fronts of a fleet together must not be given more than it may have. */
+  bool maySpend(const std::string& service, double share, double extra = 0);
   /** To be asked right before the retry is sent. Counts a retry and returns true where it stays
    * within the share; else counts nothing.
    */
-  bool trySpend(const std::string& service, double share);
+  bool trySpend(const std::string& service, double share, double extra = 0);
 
  private:
   struct SliceCount {
--- a/libraries/front/source/caller_service.cc
+++ b/libraries/front/source/caller_service.cc
@@ -129,7 +129,54 @@
   }
 }
 
+bool CallerService::ready() const {
+  if (stopping_) {
+    return false;
+  }
+  return dependencies_.forwards != nullptr ? servesForwarding()
+                                           : dependencies_.session.mayDispatch();
+}
+
+bool CallerService::servesForwarding() const {
+  const bool knows_fleet = dependencies_.beliefs.configuration()->version > 0 &&
+                           !dependencies_.beliefs.workers()->workers.empty();
+  const bool may_serve = dependencies_.lapsed_session == configuration::LapsedSession::Serve ||
+                         dependencies_.session.mayDispatch();
+  return knows_fleet && may_serve;
+}
+
+bool CallerService::isForwarded(const http::Request& request) const {
+  if (dependencies_.forwards == nullptr) {
+    return false;
+  }
+  const std::string_view path = http::targetPath(request.target);
+  const configuration::Forwarding& forwarding = dependencies_.beliefs.configuration()->forwarding;
+  if (forwarding.knowsHost(hostName(request.header("Host")))) {
+    return true;
+  }
+  const bool own = std::find(PlainPaths.begin(), PlainPaths.end(), path) != PlainPaths.end() ||
+                   path == CompletionsPath || path == OneShotsPath ||
+                   ControlForwarder::serves(path);
+  return !own;
+}
+
+void CallerService::forward(const http::Request& request, const http::ResponseWriterPtr& writer) {
+  if (forwarding_stopped_) {
+    throw base::Error(ResultCode::Stopping, "");
+  }
+  if (!servesForwarding()) {
+    throw base::Error(ResultCode::NotServing, "");
+  }
+  ForwardRequest parsed = parseForwardRequest(dependencies_.beliefs.configuration(), request,
+                                              dependencies_.forward_headers);
+  dependencies_.forwards->run(std::move(parsed), writer);
+}
+
 void CallerService::route(const http::Request& request, const http::ResponseWriterPtr& writer) {
+  if (isForwarded(request)) {
+    forward(request, writer);
+    return;
+  }
   const std::string_view path = http::targetPath(request.target);
   const bool work = path == CompletionsPath || path == OneShotsPath;
   if (work && request.method != "POST") {
--- /dev/null
+++ b/libraries/front/source/forward_request.cc
@@ -0,0 +1,215 @@
+#include "switchsaddle/front/forward_request.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle::front {
+
+namespace {
+
+using base::ResultCode;
+
+constexpr std::uint32_t LowestPriority = 9;
+
+char lower(char character) {
+  return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a')
+                                              : character;
+}
+
+bool sameName(std::string_view first, std::string_view second) {
+  return std::ranges::equal(first, second, {}, lower, lower);
+}
+
+/** Headers that concern one connection only; RFC 9110, section 7.6.1. */
+bool concernsConnection(std::string_view name) {
+  static constexpr std::array<std::string_view, 9> Names{
+      "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding",
+      "upgrade",    "expect",     "content-length"};
+  return std::ranges::any_of(Names, [name](std::string_view one) { return sameName(name, one); });
+}
+
+/** Names that the Connection header adds to those. */
+std::vector<std::string> connectionNames(std::string_view value) {
+  std::vector<std::string> names;
+  while (!value.empty()) {
+    const std::size_t comma = std::min(value.find(','), value.size());
+    std::string_view name = value.substr(0, comma);
+    value.remove_prefix(std::min(comma + 1, value.size()));
+    while (name.starts_with(' ')) {
+      name.remove_prefix(1);
+    }
+    while (name.ends_with(' ')) {
+      name.remove_suffix(1);
+    }
+    names.emplace_back(name);
+  }
+  return names;
+}
+
+bool isNamed(const std::vector<std::string>& names, std::string_view name) {
+  return std::ranges::any_of(names, [name](const std::string& one) { return sameName(one, name); });
+}
+
+std::optional<std::uint64_t> parseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool whole = !text.empty() && fault == std::errc() && end == text.data() + text.size();
+  return whole ? std::optional(number) : std::nullopt;
+}
+
+std::optional<std::uint32_t> parseTokens(std::string_view text) {
+  const std::optional<std::uint64_t> number = parseNumber(text);
+  constexpr std::uint64_t Most = 1U << 30U;
+  return number && *number <= Most ? std::optional(static_cast<std::uint32_t>(*number))
+                                   : std::nullopt;
+}
+
+void readTokenCount(std::string_view text, ForwardRequest& request) {
+  const std::size_t comma = text.find(',');
+  if (comma == std::string_view::npos) {
+    return;
+  }
+  const auto prompt = parseTokens(text.substr(0, comma));
+  const auto most_out = parseTokens(text.substr(comma + 1));
+  if (prompt && most_out) {
+    request.prompt.prompt_tokens = *prompt;
+    request.prompt.maximum_tokens = *most_out;
+    request.tells_tokens = true;
+  }
+}
+
+void readPrefixParts(std::string_view text, routing::Prompt& prompt) {
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    const std::string_view part = text.substr(0, comma);
+    text.remove_prefix(std::min(comma + 1, text.size()));
+    const std::size_t colon = part.rfind(':');
+    if (colon == std::string_view::npos) {
+      return;
+    }
+    const auto tokens = parseTokens(part.substr(colon + 1));
+    if (!tokens) {
+      return;
+    }
+    prompt.prefix_parts.push_back({std::string(part.substr(0, colon)), *tokens});
+  }
+}
+
+const configuration::ForwardTenant* findTenant(const configuration::Forwarding& forwarding,
+                                               const configuration::ForwardRoute& route,
+                                               std::string_view key) {
+  if (forwarding.tenants.empty()) {
+    return nullptr;
+  }
+  if (key.empty()) {
+    if (route.open) {
+      return nullptr;
+    }
+    throw base::Error(ResultCode::MissingKey, "");
+  }
+  const configuration::ForwardTenant* tenant =
+      forwarding.tenantOfKey(configuration::sha256Hex(std::string(key)));
+  if (tenant == nullptr && !route.open) {
+    throw base::Error(ResultCode::UnknownKey, "");
+  }
+  return tenant;
+}
+
+}  // namespace
+
+double ForwardRequest::quotaUnits() const {
+  if (tenant == nullptr || tenant->unit == configuration::QuotaUnit::Requests) {
+    return 1;
+  }
+  if (!tells_tokens) {
+    return tenant->default_tokens;
+  }
+  return static_cast<double>(prompt.prompt_tokens) + static_cast<double>(prompt.maximum_tokens);
+}
+
+std::uint32_t ForwardRequest::priority() const {
+  return tenant != nullptr && tenant->has_priority ? tenant->priority : route->priority;
+}
+
+std::string hostName(std::string_view host) {
+  std::string name(host.substr(0, host.find(':')));
+  std::ranges::transform(name, name.begin(), lower);
+  return name;
+}
+
+ForwardRequest parseForwardRequest(std::shared_ptr<const configuration::View> view,
+                                   http::Request message, const ForwardHeaders& headers) {
+  ForwardRequest request;
+  request.view = std::move(view);
+  const configuration::Forwarding& forwarding = request.view->forwarding;
+  request.route =
+      forwarding.find(hostName(message.header("Host")), http::targetPath(message.target));
+  if (request.route == nullptr) {
+    throw base::Error(ResultCode::UnknownRoute, "");
+  }
+  request.tenant = findTenant(forwarding, *request.route, message.header(headers.key));
+  request.request_id = message.header(headers.request_id);
+  if (const auto deadline = parseNumber(message.header(headers.deadline_ms))) {
+    request.deadline = std::chrono::milliseconds(*deadline);
+  }
+  request.prompt.model = message.header(headers.model);
+  readTokenCount(message.header(headers.token_count), request);
+  readPrefixParts(message.header(headers.prefix_parts), request.prompt);
+  request.message = std::move(message);
+  return request;
+}
+
+http::Request workerMessage(const ForwardRequest& request, const ForwardHeaders& headers,
+                            const std::string& instance, base::Duration time_left,
+                            std::optional<std::uint64_t> last_event_id) {
+  http::Request message;
+  message.method = request.message.method;
+  message.target = request.message.target;
+  message.body = request.message.body;
+  const std::vector<std::string> connection_names =
+      connectionNames(request.message.header("Connection"));
+  const auto set_by_front = [&](std::string_view name) {
+    return sameName(name, headers.key) || sameName(name, headers.tenant) ||
+           sameName(name, headers.deadline_ms) || sameName(name, headers.priority) ||
+           sameName(name, headers.expect_instance) ||
+           (last_event_id && sameName(name, headers.last_event_id));
+  };
+  for (const http::Header& header : request.message.headers) {
+    const bool kept = !concernsConnection(header.name) && !set_by_front(header.name) &&
+                      !isNamed(connection_names, header.name);
+    if (kept) {
+      message.headers.push_back(header);
+    }
+  }
+  const std::int64_t left_ms = std::max<std::int64_t>(1, base::toMilliseconds(time_left));
+  message.headers.push_back({headers.deadline_ms, std::to_string(left_ms)});
+  message.headers.push_back({headers.expect_instance, instance});
+  message.headers.push_back(
+      {headers.priority, std::to_string(std::min(request.priority(), LowestPriority))});
+  if (request.tenant != nullptr) {
+    message.headers.push_back({headers.tenant, request.tenant->name});
+  }
+  if (last_event_id) {
+    message.headers.push_back({headers.last_event_id, std::to_string(*last_event_id)});
+  }
+  return message;
+}
+
+http::Response callerMessage(const http::Response& answer) {
+  http::Response message;
+  message.status = answer.status;
+  const std::vector<std::string> connection_names = connectionNames(answer.header("Connection"));
+  for (const http::Header& header : answer.headers) {
+    if (!concernsConnection(header.name) && !isNamed(connection_names, header.name)) {
+      message.headers.push_back(header);
+    }
+  }
+  return message;
+}
+
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/source/forward_run.cc
@@ -0,0 +1,478 @@
+#include "forward_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "caller_answers.h"
+
+namespace switchsaddle::front {
+
+using base::ResultCode;
+using configuration::ForwardKind;
+
+namespace {
+
+constexpr std::uint16_t FirstStatusOfServerFailure = 500;
+constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint16_t StatusMisdirected = 421;
+/** Pieces of a stream that may wait for the caller before its worker is read no further. */
+constexpr std::size_t MaximumOutstanding = 16;
+constexpr std::size_t MaximumCollectedBytes = 16U << 20U;
+/** Dispatches of one request, those included that no worker ran. */
+constexpr std::uint32_t MaximumDispatches = 4;
+/** With less time left than this another worker would not answer in time. */
+constexpr base::Duration LeastTimeForAnother = std::chrono::milliseconds(30);
+/** When a caller that found no worker is to come back. */
+constexpr base::Duration NoWorkerRetryAfter = std::chrono::milliseconds(200);
+/** A request that may run only once goes by a connection that its worker has used just now: one
+ * that lay idle may have been forgotten there. */
+constexpr base::Duration ReuseForOnce = std::chrono::milliseconds(2'000);
+constexpr base::Duration ReuseForRepeatable = std::chrono::seconds(30);
+
+/** Passes what a dispatch hears on to the run while there is one. */
+class RunObserver : public ForwardObserver {
+ public:
+  RunObserver(std::weak_ptr<ForwardRun> run, std::uint64_t dispatch)
+      : run_(std::move(run)), dispatch_(dispatch) {}
+
+  void onHead(const http::Response& head) override {
+    if (const auto run = run_.lock()) {
+      run->onHead(dispatch_, head);
+    }
+  }
+  void onBytes(const std::string& bytes, std::function<void()> resume) override {
+    if (const auto run = run_.lock()) {
+      run->onBytes(dispatch_, bytes, std::move(resume));
+    }
+  }
+  void onComplete() override {
+    if (const auto run = run_.lock()) {
+      run->onComplete(dispatch_);
+    }
+  }
+  void onFailure(WorkerFailure failure, bool refused) override {
+    if (const auto run = run_.lock()) {
+      run->onFailure(dispatch_, failure, refused);
+    }
+  }
+
+ private:
+  std::weak_ptr<ForwardRun> run_;
+  std::uint64_t dispatch_;
+};
+
+std::string secondsText(base::Duration duration) {
+  const std::int64_t milliseconds = std::max<std::int64_t>(1, base::toMilliseconds(duration));
+  const std::string fraction = std::to_string(1'000 + milliseconds % 1'000);
+  return std::to_string(milliseconds / 1'000) + "." + fraction.substr(1);
+}
+
+}  // namespace
+
+ForwardRun::ForwardRun(ForwardFlow& flow, ForwardRequest request, http::ResponseWriterPtr writer)
+    : flow_(flow),
+      environment_(flow.environment_),
+      request_(std::move(request)),
+      writer_(std::move(writer)) {}
+
+void ForwardRun::start() {
+  started_at_ = environment_.dispatcher.now();
+  base::Duration limit = std::chrono::milliseconds(request_.route->time_limit_ms);
+  if (request_.deadline) {
+    limit = std::min(limit, *request_.deadline);
+  }
+  limit_at_ = started_at_ + limit;
+  pool_ = &choosePool();
+  environment_.retries.countFirstTry(pool_->name);
+  if (!takeQuota()) {
+    return;
+  }
+  limit_timer_ = environment_.dispatcher.createTimer([this] { onTimeLimit(); });
+  limit_timer_->enable(limit);
+  writer_->onClientGone([&dispatcher = environment_.dispatcher, weak = weak_from_this()] {
+    dispatcher.post([weak] {
+      if (const auto run = weak.lock()) {
+        run->cancel();
+      }
+    });
+  });
+  place();
+}
+
+const configuration::ForwardPool& ForwardRun::choosePool() {
+  const std::vector<configuration::ForwardTarget>& targets = request_.route->targets;
+  std::uint64_t sum = 0;
+  for (const configuration::ForwardTarget& target : targets) {
+    sum += target.weight;
+  }
+  std::uint64_t point = targets.size() > 1 ? environment_.random.below(sum) : 0;
+  const configuration::ForwardTarget* chosen = &targets.front();
+  for (const configuration::ForwardTarget& target : targets) {
+    chosen = &target;
+    if (point < target.weight) {
+      break;
+    }
+    point -= target.weight;
+  }
+  return *request_.view->forwarding.findPool(chosen->pool);
+}
+
+bool ForwardRun::takeQuota() {
+  if (request_.tenant == nullptr) {
+    return true;
+  }
+  const double units = request_.quotaUnits();
+  const std::optional<base::Duration> wait = environment_.quotas.take(*request_.tenant, units);
+  if (wait) {
+    refuse(ResultCode::QuotaSpent, *wait);
+    return false;
+  }
+  quota_taken_ = units;
+  return true;
+}
+
+void ForwardRun::place() {
+  std::optional<ForwardPlacement> placement =
+      environment_.placer.choose(*pool_, request_.prompt, tried_);
+  if (!placement) {
+    giveUp(ResultCode::NoWorkerAvailable);
+    return;
+  }
+  send(std::move(*placement));
+}
+
+void ForwardRun::send(ForwardPlacement placement) {
+  ++dispatch_;
+  ++dispatches_;
+  ++environment_.counters.dispatches;
+  dispatched_at_ = environment_.dispatcher.now();
+  head_.reset();
+  body_.clear();
+  splitter_.reset();
+  resume_ = nullptr;
+  events_of_dispatch_ = 0;
+  completion_ = {};
+  placement_ = std::move(placement);
+  const wire::WorkerEntry& worker = placement_->worker.entry;
+  environment_.circuit.onDispatch(placement_->worker);
+  ForwardDispatch dispatch;
+  dispatch.worker = worker.address;
+  dispatch.message = workerMessage(request_, environment_.headers, worker.id, timeLeft(),
+                                   stream_started_ ? last_event_id_ : std::nullopt);
+  dispatch.request_id_header = environment_.headers.request_id;
+  dispatch.request_id = request_.request_id;
+  dispatch.reuse_within =
+      configuration::mayRepeat(request_.route->kind) ? ReuseForRepeatable : ReuseForOnce;
+  call_ = environment_.port.forward(std::move(dispatch),
+                                    std::make_shared<RunObserver>(weak_from_this(), dispatch_));
+}
+
+base::Duration ForwardRun::timeLeft() const {
+  return std::max(base::Duration::zero(), limit_at_ - environment_.dispatcher.now());
+}
+
+bool ForwardRun::isNotRun(const http::Response& head) const {
+  return head.status == StatusMisdirected || !head.header(environment_.headers.not_run).empty();
+}
+
+void ForwardRun::onHead(std::uint64_t dispatch, const http::Response& head) {
+  if (!isCurrent(dispatch)) {
+    return;
+  }
+  if (isNotRun(head)) {
+    if (head.status == StatusMisdirected) {
+      // Another worker has the address: this one has ended.
+      environment_.circuit.onRefused(placement_->worker);
+    }
+    onNotRun(ResultCode::NotRun);
+    return;
+  }
+  environment_.circuit.onConnected(placement_->worker);
+  completion_.weights_version = head.header(environment_.headers.weights_version);
+  head_ = head;
+}
+
+void ForwardRun::onBytes(std::uint64_t dispatch, const std::string& bytes,
+                         std::function<void()> resume) {
+  if (!isCurrent(dispatch) || !head_) {
+    return;
+  }
+  resume_ = std::move(resume);
+  const bool relayed = configuration::isStream(request_.route->kind) && head_->status == StatusOk;
+  if (!relayed) {
+    body_ += bytes;
+    if (body_.size() > MaximumCollectedBytes) {
+      onLost(ResultCode::WorkerFailed);
+      return;
+    }
+    std::exchange(resume_, nullptr)();
+    return;
+  }
+  std::vector<streams::RawEvent> events;
+  const bool sound = splitter_.feed(bytes, events);
+  relay(events);
+  if (!isCurrent(dispatch)) {
+    return;
+  }
+  if (!sound) {
+    onLost(ResultCode::StreamBroken);
+    return;
+  }
+  readOn();
+}
+
+void ForwardRun::relay(const std::vector<streams::RawEvent>& events) {
+  std::string bytes;
+  for (const streams::RawEvent& event : events) {
+    const bool repeated = event.id && last_event_id_ && *event.id <= *last_event_id_;
+    if (repeated) {
+      if (!bytes.empty()) {
+        writeEvents(std::move(bytes));
+      }
+      onLost(ResultCode::StreamRepeat);
+      return;
+    }
+    if (events_of_dispatch_ == 0) {
+      completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
+      environment_.counters.first_token.observe(completion_.time_to_first_token);
+    }
+    ++events_of_dispatch_;
+    last_event_id_ = event.id;
+    bytes += event.bytes;
+  }
+  if (!bytes.empty()) {
+    writeEvents(std::move(bytes));
+  }
+}
+
+void ForwardRun::writeEvents(std::string bytes) {
+  beginStream();
+  ++outstanding_;
+  writer_->writeChunk(std::move(bytes),
+                      [&dispatcher = environment_.dispatcher, weak = weak_from_this()](bool taken) {
+                        dispatcher.post([weak, taken] {
+                          if (const auto run = weak.lock()) {
+                            run->onWritten(taken);
+                          }
+                        });
+                      });
+}
+
+void ForwardRun::beginStream() {
+  if (stream_started_) {
+    return;
+  }
+  stream_started_ = true;
+  ++environment_.counters.streams_started;
+  writer_->startStream(callerMessage(*head_));
+}
+
+void ForwardRun::onWritten(bool taken) {
+  if (over_) {
+    return;
+  }
+  --outstanding_;
+  if (!taken) {
+    cancel();
+    return;
+  }
+  readOn();
+}
+
+void ForwardRun::readOn() {
+  if (resume_ && outstanding_ < MaximumOutstanding) {
+    std::exchange(resume_, nullptr)();
+  }
+}
+
+void ForwardRun::onComplete(std::uint64_t dispatch) {
+  if (!isCurrent(dispatch) || !head_) {
+    return;
+  }
+  const bool relayed = configuration::isStream(request_.route->kind) && head_->status == StatusOk;
+  if (!relayed) {
+    answerWhole();
+  } else if (splitter_.midEvent()) {
+    onLost(ResultCode::StreamBroken);
+  } else {
+    finishStream();
+  }
+}
+
+void ForwardRun::finishStream() {
+  beginStream();
+  ++environment_.counters.streams_finished;
+  environment_.counters.countRequest("forwarded-stream", "ran", ResultCode::Ok);
+  endAttempt(false);
+  const auto self = shared_from_this();
+  release();
+  writer_->endStream();
+}
+
+void ForwardRun::answerWhole() {
+  http::Response response = callerMessage(*head_);
+  response.body = std::move(body_);
+  const bool failed = response.status >= FirstStatusOfServerFailure;
+  if (!failed && !stream_started_) {
+    endAttempt(false);
+    answer(std::move(response), "ran", ResultCode::Ok);
+    return;
+  }
+  worker_failure_ = std::move(response);
+  onLost(ResultCode::WorkerFailed);
+}
+
+void ForwardRun::onFailure(std::uint64_t dispatch, WorkerFailure failure, bool /*refused*/) {
+  if (!isCurrent(dispatch)) {
+    return;
+  }
+  if (failure == WorkerFailure::NotSent) {
+    environment_.circuit.onRefused(placement_->worker);
+    environment_.beliefs.observeRefused(placement_->worker);
+    --dispatches_;
+    onNotRun(ResultCode::NoWorkerAvailable);
+    return;
+  }
+  onLost(ResultCode::WorkerFailed);
+}
+
+void ForwardRun::endAttempt(bool failed) {
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+  if (!placement_) {
+    return;
+  }
+  const std::uint32_t cached = placement_->learned ? placement_->learned->cached_tokens : 0;
+  completion_.failed = failed;
+  completion_.cached_tokens = cached;
+  completion_.uncached_tokens = request_.prompt.prompt_tokens - cached;
+  completion_.output_tokens = events_of_dispatch_ * pool_->tokens_per_event;
+  completion_.total = environment_.dispatcher.now() - dispatched_at_;
+  environment_.placer.complete(*placement_, completion_);
+  tried_.push_back(placement_->worker.entry.id);
+  placement_.reset();
+}
+
+void ForwardRun::onNotRun(ResultCode code) {
+  const bool reached_worker = code == ResultCode::NotRun;
+  endAttempt(!reached_worker);
+  ++sent_;
+  const bool another = dispatches_ < MaximumDispatches && sent_ < 2 * MaximumDispatches &&
+                       timeLeft() >= LeastTimeForAnother;
+  if (!another || (dispatches_ > 0 && !spendRetry())) {
+    giveUp(code);
+    return;
+  }
+  place();
+}
+
+void ForwardRun::onLost(ResultCode code) {
+  ++may_have_run_;
+  endAttempt(true);
+  if (!mayTryAnother()) {
+    giveUp(code);
+    return;
+  }
+  place();
+}
+
+bool ForwardRun::mayTryAnother() {
+  const ForwardKind kind = request_.route->kind;
+  const bool allowed = configuration::mayRepeat(kind) && may_have_run_ < request_.route->attempts;
+  const bool can_go_on =
+      !stream_started_ || (kind == ForwardKind::ResumableStream && last_event_id_);
+  return allowed && can_go_on && dispatches_ < MaximumDispatches &&
+         timeLeft() >= LeastTimeForAnother && spendRetry();
+}
+
+bool ForwardRun::spendRetry() {
+  const RetryAllowance& allowance = environment_.retry_allowance;
+  const double extra = allowance.fleet_extra / static_cast<double>(flow_.fronts_);
+  if (!environment_.retries.trySpend(pool_->name, allowance.share, extra)) {
+    return false;
+  }
+  ++environment_.counters.retries;
+  return true;
+}
+
+void ForwardRun::onTimeLimit() {
+  const bool under_way = placement_.has_value();
+  endAttempt(false);
+  if (under_way) {
+    ++may_have_run_;
+  }
+  giveUp(ResultCode::TimeLimitPassed);
+}
+
+void ForwardRun::giveUp(ResultCode code) {
+  if (stream_started_) {
+    breakStream(code);
+  } else if (worker_failure_) {
+    answer(std::move(*worker_failure_), "ran", code);
+  } else if (may_have_run_ > 0) {
+    const bool late = code == ResultCode::TimeLimitPassed;
+    const ResultCode told = late ? code : ResultCode::OutcomeNotKnown;
+    answer(errorAnswer(told, {Outcome::Unknown, 0, {}, {}}), "unknown", told);
+  } else {
+    refuse(code == ResultCode::TimeLimitPassed ? ResultCode::NoWorkerAvailable : code,
+           NoWorkerRetryAfter);
+  }
+}
+
+void ForwardRun::refuse(ResultCode code, base::Duration retry_after) {
+  ++environment_.counters.refusals[code];
+  if (request_.tenant != nullptr && quota_taken_ > 0) {
+    environment_.quotas.giveBack(*request_.tenant, quota_taken_);
+  }
+  http::Response response = errorAnswer(code, {Outcome::NotRun, 0, {}, {}});
+  response.headers.push_back({"Retry-After", secondsText(retry_after)});
+  answer(std::move(response), "not-run", code);
+}
+
+void ForwardRun::answer(http::Response response, std::string_view outcome, ResultCode code) {
+  environment_.counters.countRequest("forwarded", outcome, code);
+  const auto self = shared_from_this();
+  release();
+  writer_->respond(std::move(response));
+}
+
+void ForwardRun::breakStream(ResultCode code) {
+  ++environment_.counters.streams_broken;
+  environment_.counters.countRequest("forwarded-stream", "broken", code);
+  const auto self = shared_from_this();
+  release();
+  writer_->abort();
+}
+
+void ForwardRun::cancel() {
+  if (over_) {
+    return;
+  }
+  endAttempt(false);
+  const auto self = shared_from_this();
+  release();
+  writer_->abort();
+}
+
+void ForwardRun::abandon() {
+  over_ = true;
+  ++dispatch_;
+  resume_ = nullptr;
+  if (limit_timer_) {
+    limit_timer_->disable();
+  }
+  if (call_) {
+    call_->cancel();
+    call_.reset();
+  }
+}
+
+void ForwardRun::release() {
+  const auto self = shared_from_this();
+  abandon();
+  flow_.runs_.erase(self);
+}
+
+}  // namespace switchsaddle::front
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -12,6 +12,11 @@
 namespace {
 
 constexpr base::Duration PeersInterval = std::chrono::milliseconds(250);
+/** Part of the repeats that a deployment allows: the rest covers fronts that come, go and restart.
+ */
+constexpr double RetriesUsed = 0.7;
+/** How long a front that is no longer listed counts on. */
+constexpr base::Duration FrontMemory = std::chrono::seconds(15);
 constexpr base::Duration StopPollInterval = std::chrono::milliseconds(50);
 
 sessions::SessionTimes sessionTimes(const configuration::TimeSettings& settings) {
@@ -30,6 +35,15 @@
   return options;
 }
 
+QuotaOptions quotaOptions(const configuration::ForwardingSettings& settings) {
+  QuotaOptions options;
+  options.window = std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double>(settings.quota_window_s));
+  options.overshoot = settings.quota_overshoot;
+  options.slack = settings.quota_slack;
+  return options;
+}
+
 claims::ClaimClientOptions claimOptions(const configuration::TimeSettings& settings) {
   claims::ClaimClientOptions options;
   options.core_silence = settings.core_silence;
@@ -70,12 +84,16 @@
       one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims(), slots(),
                                     servingSession(), environment.workers, *this, retries_,
                                     circuit_, counters_}),
+      quotas_(environment.dispatcher, quotaOptions(environment.settings.forwarding)),
+      placer_(environment.dispatcher, environment.random, router_, circuit_, *this,
+              environment.calls.localAddress()),
+      forwards_(createForwards()),
       control_(environment.calls, [this] { return session_.coreAddresses(); }),
       service_(CallerDependencies{
           environment.dispatcher, servingSession(), *this, router_, streams_, one_shots_, control_,
           counters_, environment.settings.operator_hashes, [this] { return beliefs_->report(); },
-          [this] { return metricsText(); }, [this] { return nodeReport(); },
-          environment.incidents}),
+          [this] { return metricsText(); }, [this] { return nodeReport(); }, environment.incidents,
+          forwards_.get(), environment.forward_headers, environment.settings.lapsed_session}),
       monitor_(
           environment.dispatcher, session_,
           environment.incidents == nullptr ? base::ignoredIncidents() : *environment.incidents) {
@@ -87,6 +105,19 @@
   // set off work in the other.
   const auto ended_streams = streams_.abandon();
   const auto ended_one_shots = one_shots_.abandon();
+  forwards_.reset();
+}
+
+std::unique_ptr<ForwardFlow> FrontNode::createForwards() {
+  if (environment_.forward_port == nullptr) {
+    return nullptr;
+  }
+  const configuration::ForwardingSettings& settings = environment_.settings.forwarding;
+  const RetryAllowance allowance{settings.retry_share * RetriesUsed,
+                                 settings.retry_extra * RetriesUsed};
+  return std::make_unique<ForwardFlow>(ForwardEnvironment{
+      environment_.dispatcher, environment_.random, *environment_.forward_port, placer_, *this,
+      retries_, circuit_, quotas_, counters_, environment_.forward_headers, allowance});
 }
 
 admission::SlotBroker& FrontNode::slots() {
@@ -124,6 +155,10 @@
   gossip_.setScoreSource([this] { return router_.exportScores(); });
   gossip_.setScoreSink(
       [this](const std::vector<wire::RouteScore>& scores) { router_.importScores(scores); });
+  session_.setDemandSource([this] { return quotas_.demand(); });
+  session_.setAllotmentListener([this](const std::vector<wire::TenantAllotment>& allotments) {
+    quotas_.setAllotments(allotments);
+  });
   peers_timer_ = environment_.dispatcher.createTimer([this] { refreshPeers(); });
   stop_timer_ = environment_.dispatcher.createTimer([this] { awaitEndOfWork(); });
   router_.setConfiguration(replica_.view());
@@ -143,13 +178,36 @@
   session_.setApplied(replica_.version(), replica_.digest());
 }
 
+std::vector<base::NodeAddress> FrontNode::recentFronts() {
+  const base::TimePoint now = environment_.dispatcher.now();
+  fronts_seen_[environment_.calls.localAddress()] = now;
+  for (const base::NodeAddress& front : session_.frontAddresses()) {
+    fronts_seen_[front] = now;
+  }
+  std::erase_if(fronts_seen_, [now](const auto& item) { return now - item.second > FrontMemory; });
+  std::vector<base::NodeAddress> fronts;
+  for (const auto& [front, seen_at] : fronts_seen_) {
+    fronts.push_back(front);
+  }
+  return fronts;
+}
+
 void FrontNode::refreshPeers() {
   beliefs_->look();
-  const std::vector<base::NodeAddress>& fronts = session_.frontAddresses();
+  const std::vector<base::NodeAddress> fronts = recentFronts();
   std::vector<base::NodeAddress> peers = session_.coreAddresses();
   peers.insert(peers.end(), fronts.begin(), fronts.end());
   gossip_.setPeers(std::move(peers));
   router_.setFronts(fronts);
+  placer_.setFronts(fronts);
+  quotas_.setFronts(fronts.size());
+  if (forwards_) {
+    forwards_->setFronts(fronts.size());
+  }
+  const std::vector<base::NodeAddress>& cores = session_.coreAddresses();
+  if (forwards_ && directory_.snapshot()->workers.empty() && !cores.empty()) {
+    gossip_.pullFrom(cores[environment_.random.below(cores.size())]);
+  }
   peers_timer_->enable(PeersInterval);
 }
 
@@ -174,13 +232,25 @@
 void FrontNode::stop(std::function<void()> stopped) {
   stopped_ = std::move(stopped);
   service_.stop();
-  stop_deadline_ = environment_.dispatcher.now() + environment_.settings.times.stop_deadline;
+  const base::TimePoint now = environment_.dispatcher.now();
+  stop_deadline_ = now + environment_.settings.times.stop_deadline;
+  stop_notice_until_ = now + environment_.settings.times.stop_notice;
   awaitEndOfWork();
 }
 
+bool FrontNode::isIdle() const {
+  const bool forwarding = forwards_ && forwards_->active() > 0;
+  return streams_.active() == 0 && one_shots_.active() == 0 && !forwarding;
+}
+
 void FrontNode::awaitEndOfWork() {
-  const bool idle = streams_.active() == 0 && one_shots_.active() == 0;
-  if (!idle && environment_.dispatcher.now() < stop_deadline_) {
+  const base::TimePoint now = environment_.dispatcher.now();
+  const bool noticed = now >= stop_notice_until_;
+  if (noticed) {
+    // What came now could not end before the deadline; it has not run, and another front takes it.
+    service_.stopForwarding();
+  }
+  if (!(isIdle() && noticed) && now < stop_deadline_) {
     stop_timer_->enable(StopPollInterval);
     return;
   }
@@ -223,6 +293,7 @@
   writer.name("workers").unsignedInteger(directory_.snapshot()->workers.size());
   writer.name("open_streams").unsignedInteger(streams_.active());
   writer.name("open_one_shots").unsignedInteger(one_shots_.active());
+  writer.name("open_forwarded").unsignedInteger(forwards_ ? forwards_->active() : 0);
   writer.name("evacuated_zones").beginArray();
   for (const std::string& zone : view->evacuated_zones) {
     writer.string(zone);
--- a/libraries/front/source/http_worker_port.cc
+++ b/libraries/front/source/http_worker_port.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <utility>
 
+#include "http_call.h"
+
 namespace switchsaddle::front {
 
 namespace {
@@ -40,60 +42,6 @@
   return load;
 }
 
-/** One request's two sides; cancelled from the control strand, called on by the client. */
-class HttpWorkerCall : public WorkerCall,
-                       public http::ExchangeObserver,
-                       public std::enable_shared_from_this<HttpWorkerCall> {
- public:
-  HttpWorkerCall(base::Dispatcher& dispatcher, std::shared_ptr<WorkerObserver> observer)
-      : dispatcher_(dispatcher), observer_(std::move(observer)) {}
-
-  void setExchange(std::shared_ptr<http::Exchange> exchange) { exchange_ = std::move(exchange); }
-
-  void cancel() override {
-    cancelled_ = true;
-    observer_.reset();
-    if (exchange_) {
-      std::exchange(exchange_, nullptr)->cancel();
-    }
-  }
-
-  void onResponseHead(const http::Response& head) override {
-    tell([parsed = parseWorkerHead(head)](WorkerObserver& observer) { observer.onHead(parsed); });
-  }
-  void onBodyBytes(std::string bytes, std::function<void()> resume) override {
-    tell([bytes = std::move(bytes), resume = std::move(resume)](WorkerObserver& observer) {
-      observer.onBytes(bytes, resume);
-    });
-  }
-  void onComplete() override {
-    tell([](WorkerObserver& observer) { observer.onComplete(); });
-  }
-  void onFailure(http::ExchangeFailure failure, bool refused) override {
-    const WorkerFailure kind = failure == http::ExchangeFailure::NotConnected
-                                   ? WorkerFailure::NotSent
-                                   : WorkerFailure::Lost;
-    tell([kind, refused](WorkerObserver& observer) { observer.onFailure(kind, refused); });
-  }
-
- private:
-  template <class Action>
-  void tell(Action action) {
-    dispatcher_.post([self = shared_from_this(), action = std::move(action)] {
-      const std::shared_ptr<WorkerObserver> observer = self->observer_;
-      if (!self->cancelled_ && observer) {
-        action(*observer);
-      }
-    });
-  }
-
-  base::Dispatcher& dispatcher_;
-  // These three belong to the control strand.
-  std::shared_ptr<WorkerObserver> observer_;
-  std::shared_ptr<http::Exchange> exchange_;
-  bool cancelled_ = false;
-};
-
 http::Request toHttpRequest(const WorkerRequest& request) {
   http::Request message;
   message.method = "POST";
@@ -139,7 +87,9 @@
   options.response_timeout = request.response_timeout;
   options.fresh_connection = request.fresh_connection;
   options.local_ip = local_ip_;
-  auto call = std::make_shared<HttpWorkerCall>(dispatcher_, std::move(observer));
+  auto call = std::make_shared<HttpCall<WorkerObserver>>(
+      dispatcher_, std::move(observer),
+      [](WorkerObserver& told, const http::Response& head) { told.onHead(parseWorkerHead(head)); });
   call->setExchange(client_.start(request.address, toHttpRequest(request), options, call));
   return call;
 }
--- a/libraries/front/source/retry_budget.cc
+++ b/libraries/front/source/retry_budget.cc
@@ -10,20 +10,20 @@
   count(counts.first_tries);
 }
 
-bool RetryBudget::maySpend(const std::string& service, double share) {
+bool RetryBudget::maySpend(const std::string& service, double share, double extra) {
   ServiceCounts& counts = services_[service];
   expire(counts.first_tries, Window - Headroom);
   expire(counts.retries, Window + Slice);
-  const double allowed = share * dependable(counts.first_tries.total);
+  const double allowed = share * dependable(counts.first_tries.total) + extra;
   const double allowed_now =
-      share * static_cast<double>(countWithin(counts.first_tries, ShortWindow));
+      share * static_cast<double>(countWithin(counts.first_tries, ShortWindow)) + extra;
   const bool within = static_cast<double>(counts.retries.total + 1) <= allowed;
   const bool spread = static_cast<double>(countWithin(counts.retries, ShortWindow)) <= allowed_now;
   return within && spread;
 }
 
-bool RetryBudget::trySpend(const std::string& service, double share) {
-  if (!maySpend(service, share)) {
+bool RetryBudget::trySpend(const std::string& service, double share, double extra) {
+  if (!maySpend(service, share, extra)) {
     return false;
   }
   count(services_[service].retries);
--- a/libraries/http/include/switchsaddle/http/client.h
+++ b/libraries/http/include/switchsaddle/http/client.h
@@ -54,10 +54,20 @@
 /** Options of an exchange. */
 struct ExchangeOptions {
   base::Duration connect_timeout = std::chrono::seconds(1);
-  /** For the response header. */
+  /** For the response header; zero: as long as the owner waits. */
   base::Duration response_timeout = std::chrono::seconds(60);
-  /** Longest silence within the body. */
+  /** Longest silence within the body; zero: as long as the owner waits. */
   base::Duration idle_timeout = std::chrono::seconds(30);
+  /** How long sent bytes may stay unacknowledged before the connection counts as dead, and how long
+   * a silent peer may leave probes unanswered; zero: the system's own times. */
+  base::Duration unacknowledged_limit{};
+  /** A connection that has lain idle for longer is not used again. */
+  base::Duration reuse_within = std::chrono::seconds(30);
+  /** Whether a GET that was lost on a reused connection is sent once more. */
+  bool resend_lost_get = true;
+  /** Whether an answer is that to this request: one that is not is read and passed over. All are
+   * where this is left out. */
+  std::function<bool(const Response& head)> is_answer;
   /** Use a connection which carried nothing before and carries nothing after. */
   bool fresh_connection = false;
   /** The address to connect from, in numbers; empty for any. */
--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -58,6 +58,8 @@
   virtual base::NodeAddress address() const = 0;
   /** Stops accepting; open exchanges go on, and each connection closes after its next answer. */
   virtual void stopAccepting() = 0;
+  /** From now on each connection closes after its next answer, which says so; more are accepted. */
+  virtual void closeAfterAnswers() = 0;
   virtual std::size_t openConnections() const = 0;
 };
 
--- a/libraries/http/source/client_exchange.cc
+++ b/libraries/http/source/client_exchange.cc
@@ -1,10 +1,13 @@
 #include "client_exchange.h"
 
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "serialise.h"
@@ -23,8 +26,29 @@
 /** Kept small, so that a reader held back soon holds back the server. */
 constexpr int ReceiveBuffer = 128 << 10;
 
+using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+using ProbeAfter = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using ProbeInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using ProbeCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
 using BindAddressNoPort = asio::detail::socket_option::integer<IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT>;
 
+/** The time of a Keep-Alive header in whole seconds; nothing where there is none. */
+std::optional<base::Duration> keepAliveTimeout(const Response& head) {
+  constexpr std::string_view Name = "timeout=";
+  const std::string_view text = head.header("Keep-Alive");
+  const std::size_t begin = text.find(Name);
+  if (begin == std::string_view::npos) {
+    return std::nullopt;
+  }
+  int seconds = 0;
+  const std::string_view number = text.substr(begin + Name.size());
+  const auto [end, fault] = std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (fault != std::errc() || seconds < 0) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
 }  // namespace
 
 ClientExchange::ClientExchange(std::shared_ptr<ClientState> client, base::NodeAddress address,
@@ -45,7 +69,7 @@
   }
   std::optional<tcp::socket> idle;
   if (!options_.fresh_connection) {
-    idle = client_->pool.take(poolKey());
+    idle = client_->pool.take(poolKey(), options_.reuse_within);
   }
   if (!idle) {
     connect();
@@ -116,28 +140,69 @@
     fail(ExchangeFailure::NotConnected, refused);
     return;
   }
+  setConnectedOptions();
+  sendRequest();
+}
+
+void ClientExchange::setConnectedOptions() {
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
-  sendRequest();
+  if (options_.unacknowledged_limit <= base::Duration::zero()) {
+    return;
+  }
+  const auto limit_ms = static_cast<int>(base::toMilliseconds(options_.unacknowledged_limit));
+  socket_.set_option(UserTimeout(limit_ms), ignored);
+  socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket_.set_option(ProbeAfter(1), ignored);
+  socket_.set_option(ProbeInterval(1), ignored);
+  socket_.set_option(ProbeCount(1), ignored);
 }
 
 void ClientExchange::sendRequest() {
   armTimer(options_.response_timeout, ExchangeFailure::TimedOut);
-  asio::async_write(
-      socket_, asio::buffer(request_bytes_),
-      [self = shared_from_this(), attempt = attempt_](const error_code& error, std::size_t bytes) {
-        if (!self->outdated(attempt)) {
-          self->onWritten(error, bytes);
-        }
-      });
+  written_bytes_ = 0;
+  reading_ = false;
+  passing_over_ = false;
+  writeSome();
+}
+
+void ClientExchange::writeSome() {
+  const asio::const_buffer rest = asio::buffer(request_bytes_) + written_bytes_;
+  socket_.async_write_some(rest, [self = shared_from_this(), attempt = attempt_](
+                                     const error_code& error, std::size_t bytes) {
+    if (!self->outdated(attempt)) {
+      self->onWritten(error, bytes);
+    }
+  });
 }
 
 void ClientExchange::onWritten(const error_code& error, std::size_t bytes) {
-  if (error && bytes == 0) {
+  written_bytes_ += bytes;
+  if (error) {
+    onWriteFailed();
+    return;
+  }
+  // A server may answer before it has read a long request.
+  startReading();
+  if (written_bytes_ < request_bytes_.size()) {
+    writeSome();
+  }
+}
+
+void ClientExchange::onWriteFailed() {
+  if (written_bytes_ == 0) {
     failBeforeHead(false);
     return;
   }
-  // After a partial write the server may have answered early, so that its answer is read.
+  // The server may have answered early, so that its answer is read.
+  startReading();
+}
+
+void ClientExchange::startReading() {
+  if (reading_) {
+    return;
+  }
+  reading_ = true;
   buffer_.clear();
   expectHead();
 }
@@ -172,12 +237,23 @@
   deliverHead();
 }
 
-void ClientExchange::deliverHead() {
+Response ClientExchange::readResponseHead() const {
   Response head;
   head.status = static_cast<std::uint16_t>(parser_->get().result_int());
   for (const auto& field : parser_->get()) {
     head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
   }
+  return head;
+}
+
+void ClientExchange::deliverHead() {
+  const Response head = readResponseHead();
+  passing_over_ = options_.is_answer && !options_.is_answer(head);
+  if (passing_over_) {
+    readBody();
+    return;
+  }
+  kept_for_ = keepAliveTimeout(head);
   const std::uint64_t attempt = attempt_;
   observer_->onResponseHead(head);
   if (!outdated(attempt)) {
@@ -206,7 +282,11 @@
 void ClientExchange::onBody(const error_code& error) {
   const bool cut = error && error != beast_http::error::need_buffer;
   const std::size_t filled = body_bytes_.size() - parser_->get().body().size;
-  if (filled == 0) {
+  if (passing_over_ && cut) {
+    fail(ExchangeFailure::NoResponse);
+    return;
+  }
+  if (filled == 0 || passing_over_) {
     if (cut) {
       fail(ExchangeFailure::BodyCut);
     } else {
@@ -236,9 +316,16 @@
 }
 
 void ClientExchange::complete() {
-  const bool reusable = !options_.fresh_connection && parser_->keep_alive() && buffer_.size() == 0;
+  if (passing_over_) {
+    passing_over_ = false;
+    expectHead();
+    return;
+  }
+  const bool request_sent = written_bytes_ == request_bytes_.size();
+  const bool reusable =
+      !options_.fresh_connection && request_sent && parser_->keep_alive() && buffer_.size() == 0;
   if (reusable) {
-    client_->pool.put(poolKey(), std::move(socket_));
+    client_->pool.put(poolKey(), std::move(socket_), kept_for_);
     socket_ = tcp::socket(client_->strand);
   }
   const auto observer = observer_;
@@ -249,7 +336,7 @@
 
 /** Tries once more where that cannot carry the request out twice. */
 void ClientExchange::failBeforeHead(bool any_byte_sent) {
-  const bool harmless = !any_byte_sent || method_ == "GET";
+  const bool harmless = !any_byte_sent || (options_.resend_lost_get && method_ == "GET");
   const bool no_answer = buffer_.size() == 0 && (!parser_ || !parser_->got_some());
   if (reused_ && !retried_ && harmless && no_answer) {
     retried_ = true;
@@ -278,6 +365,10 @@
 
 void ClientExchange::armTimer(base::Duration delay, ExchangeFailure failure) {
   const std::uint64_t arming = ++timer_arming_;
+  if (delay <= base::Duration::zero()) {
+    timer_.cancel();
+    return;
+  }
   timer_.expires_after(delay);
   timer_.async_wait([self = shared_from_this(), arming, failure](const error_code&) {
     const bool expired = !self->ended_ && self->timer_arming_ == arming;
--- a/libraries/http/source/client_exchange.h
+++ b/libraries/http/source/client_exchange.h
@@ -45,11 +45,16 @@
   boost::system::error_code openSocket(const boost::asio::ip::tcp::endpoint& endpoint);
   void onConnect(const boost::system::error_code& error);
   void sendRequest();
+  void writeSome();
   void onWritten(const boost::system::error_code& error, std::size_t bytes);
+  void onWriteFailed();
+  void startReading();
   void expectHead();
   void readHead();
   void onHead(const boost::system::error_code& error);
   void deliverHead();
+  Response readResponseHead() const;
+  void setConnectedOptions();
   void readBody();
   void onBody(const boost::system::error_code& error);
   void resume(std::uint64_t piece);
@@ -76,6 +81,13 @@
   /** The connection ended with the piece the observer has. */
   bool cut_ = false;
   bool reused_ = false;
+  std::size_t written_bytes_ = 0;
+  /** The answer is awaited; a long request may still be on its way. */
+  bool reading_ = false;
+  /** The answer being read belongs to another request. */
+  bool passing_over_ = false;
+  /** How long the server keeps the connection, as its answer says. */
+  std::optional<base::Duration> kept_for_;
   bool retried_ = false;
   std::atomic<bool> ended_ = false;
 };
--- a/libraries/http/source/client_pool.h
+++ b/libraries/http/source/client_pool.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "switchsaddle/base/node_address.h"
+#include "switchsaddle/base/time.h"
 
 namespace switchsaddle::http {
 
@@ -29,14 +30,18 @@
  public:
   using Socket = boost::asio::ip::tcp::socket;
 
-  /** The connection last put back that is still sound. */
-  std::optional<Socket> take(const PoolKey& key);
-  void put(const PoolKey& key, Socket socket);
+  /** The connection last put back that is still sound and has been idle for at most `idle_limit`.
+   */
+  std::optional<Socket> take(const PoolKey& key, base::Duration idle_limit);
+  /** `kept_for`: how long the server says it keeps the connection, where it does. */
+  void put(const PoolKey& key, Socket socket, std::optional<base::Duration> kept_for);
 
  private:
   struct Idle {
     Socket socket;
     std::chrono::steady_clock::time_point since;
+    /** From then on the server may close it at any moment. */
+    std::chrono::steady_clock::time_point until;
   };
 
   void dropOld();
--- a/libraries/registers/include/switchsaddle/registers/bootstrap.h
+++ b/libraries/registers/include/switchsaddle/registers/bootstrap.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
@@ -41,6 +42,8 @@
 
   /** Starts the announcements; called once. */
   void start();
+  /** Further cores that may know the acceptor set, in place of those known so far. */
+  void setSeeds(std::vector<base::NodeAddress> seeds) { options_.seeds = std::move(seeds); }
   /** Called for each announcement of an instance which is not in the acceptor set held here. */
   void setCandidateListener(CandidateListener listener) { listener_ = std::move(listener); }
 
--- a/libraries/routing/include/switchsaddle/routing/cold_guard.h
+++ b/libraries/routing/include/switchsaddle/routing/cold_guard.h
@@ -21,6 +21,13 @@
   bool placed = false;
   /** Present from the first list this front ever got: the fleet, not the worker, is new. */
   bool present_at_start = false;
+  /** Requests a second that the worker bears from all fronts while cold; zero: not known, so that
+   * its cold time is judged by its age and samples. */
+  double bearable_per_s = 0;
+  /** The platform lists it as cold. */
+  bool listed_cold = false;
+  /** Taken for cold until then whatever the list says. */
+  base::TimePoint cold_until{};
 };
 
 /**
@@ -30,6 +37,10 @@
  * is let in during the first second and two during the next, hence at most
  * MostInFirstTwoSeconds prompts come from all fronts; afterwards as many fronts as the worker has
  * slots, until WarmSamples are known or LongestGuard has passed.
+ *
+ * A worker whose bearable rate is known is cold for as long as the platform says; its rate is
+ * shared by so many fronts, ranked the same way, that each may place once each PlacementInterval.
+ * Fronts whose views of each other differ may so let in more, by the rate of the fronts they miss.
  */
 class ColdGuard {
  public:
@@ -45,7 +56,7 @@
 
   void setFronts(const base::NodeAddress& self, const std::vector<base::NodeAddress>& fronts);
   bool isCold(const ColdState& state, base::TimePoint now) const;
-  /** Whether this front may send the worker a prompt now. Always true for warm workers. */
+  /** Whether this front may send the worker a request now. Always true for warm workers. */
   bool mayPlace(const ColdState& state, std::uint32_t slots, base::TimePoint now) const;
 
  private:
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +62,12 @@
   std::uint64_t epochOf(const std::string& model) const;
 
  private:
+  struct PoolKey {
+    std::string model;
+    std::string pool;
+
+    auto operator<=>(const PoolKey&) const = default;
+  };
   /** One arm under consideration for a prompt. */
   struct Candidate {
     Arm* arm = nullptr;
@@ -118,13 +125,16 @@
    * more fronts there are, so that the fleet's scouts of one arm are bounded. */
   bool scoutDue(const Arm& arm) const;
 
+  void importScore(ModelPool& pool, const wire::RouteScore& score, base::TimePoint now);
   static bool tellsMore(const FreshArm& first, const FreshArm& second);
   wire::RouteScore scoreOf(const ModelPool& pool, const Arm& arm) const;
   void notePlacement(WorkerRecord& worker);
   void recordLoad(WorkerRecord& worker, const Completion& completion);
   void recordFailure(ModelPool& pool, Arm& arm);
-  ModelPool* findPool(const std::string& model);
-  const ModelPool* findPool(const std::string& model) const;
+  /** The pool of a model; null where there is none. */
+  ModelPool* findPool(const std::string& pool, const std::string& model);
+  void rebuildPool(const std::string& pool_name, const std::string& model);
+  void updateColdLimits();
 
   base::Dispatcher& dispatcher_;
   base::RandomSource& random_;
@@ -142,7 +152,8 @@
   std::map<std::string, WorkerRecordPtr> workers_;
   WorkerNumber next_number_ = 0;
   bool numbers_reused_ = false;
-  std::unordered_map<std::string, ModelPool> pools_;
+  /** By model and name of the pool; one model may be served by several pools. */
+  std::map<PoolKey, ModelPool> pools_;
   std::unordered_map<std::uint64_t, InFlight> in_flight_;
   std::uint64_t next_ticket_ = 1;
   // Reused between calls of choose(), so that the ordinary path does not allocate.
--- a/libraries/routing/include/switchsaddle/routing/router.h
+++ b/libraries/routing/include/switchsaddle/routing/router.h
@@ -39,6 +39,8 @@
   std::optional<workers::Worker> decode;
   /** Estimated time to the first token. */
   base::Duration first_token_estimate{};
+  /** Prompt tokens that the worker is believed to hold already. */
+  std::uint32_t cached_tokens = 0;
   std::uint64_t ticket = 0;
 };
 
@@ -91,7 +93,8 @@
   virtual void setFronts(const std::vector<base::NodeAddress>& fronts) = 0;
   /**
    * Places a prompt within the route's pool. `excluded` names workers already tried for this
-   * prompt. Returns nothing where no usable worker remains.
+   * prompt. Returns nothing where no usable worker remains, or where all that remain are cold and
+   * this front has used up what it may send them.
    */
   virtual std::optional<Placement> choose(const Prompt& prompt, const configuration::Route& route,
                                           const std::vector<std::string>& excluded) = 0;
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -187,7 +187,12 @@
   const auto allowed = [this](const Candidate& candidate) { return mayScout(*candidate.arm); };
   if (std::any_of(candidates_.begin(), candidates_.end(), allowed)) {
     std::erase_if(candidates_, std::not_fn(allowed));
+    return;
   }
+  // A known bound is kept even where no other worker is left.
+  std::erase_if(candidates_, [](const Candidate& candidate) {
+    return candidate.arm->prefill->cold.bearable_per_s > 0;
+  });
 }
 
 void LearnedRouter::dropFarFromBest() {
--- a/libraries/routing/source/cold_guard.cc
+++ b/libraries/routing/source/cold_guard.cc
@@ -18,6 +18,9 @@
 }
 
 bool ColdGuard::isCold(const ColdState& state, base::TimePoint now) const {
+  if (state.bearable_per_s > 0) {
+    return state.listed_cold || now < state.cold_until;
+  }
   const base::Duration age = now - state.first_seen;
   if (state.present_at_start || age >= LongestGuard) {
     return false;
@@ -30,6 +33,11 @@
     return true;
   }
   const bool too_soon = state.placed && now - state.last_placed < PlacementInterval;
+  if (state.bearable_per_s > 0) {
+    const double placements_per_s = 1.0 / std::chrono::duration<double>(PlacementInterval).count();
+    const auto admitted = static_cast<std::size_t>(state.bearable_per_s / placements_per_s);
+    return !too_soon && rankOfSelf(state.instance) < std::max<std::size_t>(1, admitted);
+  }
   if (state.in_flight > 0 || too_soon) {
     return false;
   }
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -56,26 +56,25 @@
       options_(options),
       prefix_index_(options.prefix_chains) {}
 
-ModelPool* LearnedRouter::findPool(const std::string& model) {
-  const auto found = pools_.find(model);
-  return found == pools_.end() ? nullptr : &found->second;
-}
-
-const ModelPool* LearnedRouter::findPool(const std::string& model) const {
-  const auto found = pools_.find(model);
+ModelPool* LearnedRouter::findPool(const std::string& pool, const std::string& model) {
+  const auto found = pools_.find(PoolKey{model, pool});
   return found == pools_.end() ? nullptr : &found->second;
 }
 
 std::uint64_t LearnedRouter::epochOf(const std::string& model) const {
-  const ModelPool* pool = findPool(model);
-  return pool == nullptr ? 0 : pool->epoch;
+  for (const auto& [key, pool] : pools_) {
+    if (key.model == model) {
+      return pool.epoch;
+    }
+  }
+  return 0;
 }
 
 std::optional<Placement> LearnedRouter::choose(const Prompt& prompt,
                                                const configuration::Route& route,
                                                const std::vector<std::string>& excluded) {
-  ModelPool* pool = findPool(prompt.model);
-  if (pool == nullptr || pool->pool != route.pool) {
+  ModelPool* pool = findPool(route.pool, prompt.model);
+  if (pool == nullptr) {
     return std::nullopt;
   }
   const PrefixChains chains(prompt);
@@ -84,6 +83,9 @@
     return std::nullopt;
   }
   dropHeldBack();
+  if (candidates_.empty()) {
+    return std::nullopt;
+  }
   if (options_.load_estimates) {
     dropFarFromBest();
   }
@@ -98,6 +100,7 @@
     notePlacement(*chosen.arm->decode);
   }
   placement.first_token_estimate = fromSeconds(chosen.first_token_s);
+  placement.cached_tokens = std::min(chosen.cached_tokens, prompt.prompt_tokens);
   placement.ticket = next_ticket_++;
   notePlacement(*chosen.arm->prefill);
   if (selection.mode == Mode::Scout) {
@@ -182,8 +185,8 @@
 std::vector<RoutingRow> LearnedRouter::table(const std::string& model) const {
   std::vector<RoutingRow> rows;
   const base::TimePoint now = dispatcher_.now();
-  for (const auto& [name, pool] : pools_) {
-    if (!model.empty() && name != model) {
+  for (const auto& [key, pool] : pools_) {
+    if (!model.empty() && key.model != model) {
       continue;
     }
     double best = 0;
@@ -194,7 +197,7 @@
       const ArmStatus status =
           statistics.status(now, pool.epoch_start, tuning_.route_stats_half_life_s);
       RoutingRow row;
-      row.model = name;
+      row.model = key.model;
       row.arm = arm->signature;
       row.tokens_per_second = statistics.mean().tokens_per_second;
       row.samples = statistics.samples();
@@ -226,7 +229,7 @@
 std::vector<wire::RouteScore> LearnedRouter::exportScores() const {
   const base::TimePoint now = dispatcher_.now();
   std::vector<FreshArm> fresh;
-  for (const auto& [model, pool] : pools_) {
+  for (const auto& [key, pool] : pools_) {
     for (const ArmPtr& arm : pool.arms) {
       const RouteStatistics& statistics = arm->statistics;
       if (statistics.measured() && statistics.measuredAt() >= pool.epoch_start) {
@@ -270,23 +273,28 @@
 void LearnedRouter::importScores(const std::vector<wire::RouteScore>& scores) {
   const base::TimePoint now = dispatcher_.now();
   for (const wire::RouteScore& score : scores) {
-    ModelPool* pool = findPool(score.model);
-    if (pool == nullptr) {
-      continue;
-    }
-    Arm* arm = pool->index.findSignature(score.arm);
-    const base::Duration age = std::chrono::milliseconds(score.age_ms);
-    const bool of_this_epoch = now - age >= pool->epoch_start;
-    if (arm == nullptr || !of_this_epoch) {
-      continue;
+    for (auto& [key, pool] : pools_) {
+      if (key.model == score.model) {
+        importScore(pool, score, now);
+      }
     }
-    SpeedSample mean;
-    mean.tokens_per_second = score.tokens_per_second;
-    mean.seconds_per_prefill_token = score.seconds_per_prefill_token;
-    mean.seconds_per_output_token = score.seconds_per_output_token;
-    arm->statistics.merge(mean, score.mass, age, now, tuning_.route_stats_half_life_s);
-    arm->prefill->cold.samples = std::max(arm->prefill->cold.samples, score.mass);
   }
 }
 
+void LearnedRouter::importScore(ModelPool& pool, const wire::RouteScore& score,
+                                base::TimePoint now) {
+  Arm* arm = pool.index.findSignature(score.arm);
+  const base::Duration age = std::chrono::milliseconds(score.age_ms);
+  const bool of_this_epoch = now - age >= pool.epoch_start;
+  if (arm == nullptr || !of_this_epoch) {
+    return;
+  }
+  SpeedSample mean;
+  mean.tokens_per_second = score.tokens_per_second;
+  mean.seconds_per_prefill_token = score.seconds_per_prefill_token;
+  mean.seconds_per_output_token = score.seconds_per_output_token;
+  arm->statistics.merge(mean, score.mass, age, now, tuning_.route_stats_half_life_s);
+  arm->prefill->cold.samples = std::max(arm->prefill->cold.samples, score.mass);
+}
+
 }  // namespace switchsaddle::routing
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -19,6 +19,7 @@
 void LearnedRouter::setConfiguration(std::shared_ptr<const configuration::View> view) {
   view_ = std::move(view);
   tuning_ = view_->tuning;
+  updateColdLimits();
   rebuildPools();
 }
 
@@ -47,11 +48,30 @@
       record->cold.present_at_start = !first_list_taken_;
     }
     record->worker = worker;
+    record->cold.listed_cold = worker.entry.cold;
     record->slots = std::max(1U, worker.entry.slots);
   }
   std::erase_if(workers_,
                 [this](const auto& item) { return !snapshot_->workers.contains(item.first); });
   first_list_taken_ = first_list_taken_ || !snapshot_->workers.empty();
+  updateColdLimits();
+}
+
+void LearnedRouter::updateColdLimits() {
+  if (!view_) {
+    return;
+  }
+  for (const auto& [id, record] : workers_) {
+    const configuration::ForwardPool* pool =
+        view_->forwarding.findPool(record->worker.entry.service);
+    record->cold.bearable_per_s = pool == nullptr ? 0 : pool->cold_per_s;
+    const bool evacuated = view_->evacuated_zones.contains(record->worker.entry.zone);
+    if (record->evacuated && !evacuated && pool != nullptr) {
+      // A zone's workers may come back cold, which the list tells later.
+      record->cold.cold_until = dispatcher_.now() + std::chrono::milliseconds(pool->cold_ms);
+    }
+    record->evacuated = evacuated;
+  }
 }
 
 /** Numbers are used again only after all others, when no chain is remembered under them. */
@@ -72,19 +92,25 @@
   if (!view_ || !snapshot_) {
     return;
   }
-  for (const auto& [id, record] : workers_) {
-    record->evacuated = view_->evacuated_zones.contains(record->worker.entry.zone);
-  }
   for (const auto& [name, route] : view_->routes) {
     for (const std::string& model : route.models) {
-      ModelPool& pool = pools_[model];
-      pool.model = model;
-      pool.pool = route.pool;
-      buildPool(pool);
+      rebuildPool(route.pool, model);
+    }
+  }
+  for (const auto& [name, pool] : view_->forwarding.pools) {
+    for (const std::string& model : pool.models) {
+      rebuildPool(name, model);
     }
   }
 }
 
+void LearnedRouter::rebuildPool(const std::string& pool_name, const std::string& model) {
+  ModelPool& pool = pools_[PoolKey{model, pool_name}];
+  pool.model = model;
+  pool.pool = pool_name;
+  buildPool(pool);
+}
+
 void LearnedRouter::buildPool(ModelPool& pool) {
   const std::string topology_before = topologyOf(pool);
   std::map<std::string, ArmPtr> former;
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,6 +51,10 @@
 
   void readLive(LiveSessionsCallback callback) override;
   std::vector<wire::SessionTableEntry> localSessions() const override;
+  /** Works out what a front is allotted along with a grant of its session; none without it. */
+  using AllotmentSource =
+      std::function<std::vector<wire::TenantAllotment>(const wire::SessionRecord& record)>;
+  void setAllotmentSource(AllotmentSource source) { allotment_source_ = std::move(source); }
   /** Whether sessions granted through this node's earlier life may still be unknown to it. */
   bool recovering() const;
 
@@ -108,6 +113,7 @@
   SessionTimes times_;
   CoreView& view_;
   SessionTableFaults faults_;
+  AllotmentSource allotment_source_;
   /** Since when this life of the node has been able to record all; unset while it may not vote, or
    * joins. */
   mutable std::optional<base::TimePoint> recording_since_;
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -37,6 +37,18 @@
   tick();
 }
 
+void QuorumSessionClient::setSeeds(std::vector<base::NodeAddress> seeds) {
+  seeds_ = std::move(seeds);
+  if (!sessionValid() && !seeds_.empty()) {
+    // The known cores may all have gone since; seeds are asked beside them.
+    for (const base::NodeAddress& seed : seeds_) {
+      if (std::find(cores_.begin(), cores_.end(), seed) == cores_.end()) {
+        cores_.push_back(seed);
+      }
+    }
+  }
+}
+
 void QuorumSessionClient::tick() {
   const base::TimePoint now = dispatcher_.now();
   const bool late = now > next_tick_ + LateTick;
@@ -77,7 +89,10 @@
 void QuorumSessionClient::askCore(const base::NodeAddress& core) {
   const base::TimePoint asked_at = dispatcher_.now();
   wire::SessionRecord record{identity_.address, identity_.instance, ++sequence_, applied_version_,
-                             applied_digest_,   identity_.zone,     closing_};
+                             applied_digest_,   identity_.zone,     closing_,    {}};
+  if (demand_source_) {
+    record.demand = demand_source_();
+  }
   calls_.call(core, wire::SessionOpenRequest{record, members_digest_}, times_.core_silence,
               [this, alive = std::weak_ptr(alive_), core, asked_at](const auto& result) {
                 if (!alive.expired()) {
@@ -143,6 +158,9 @@
     }
   }
   learn(reply);
+  if (allotment_listener_) {
+    allotment_listener_(reply.allotments);
+  }
   if (!continues) {
     ask();
   }
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -232,6 +232,9 @@
     granted.core_addresses = cores;
     granted.front_addresses = members().fronts;
   }
+  if (allotment_source_ && !pending.record.demand.empty()) {
+    granted.allotments = allotment_source_(pending.record);
+  }
   const transport::ReplyFunction reply = std::exchange(pending.reply, nullptr);
   reply(std::move(granted));
 }
--- a/libraries/wire/include/switchsaddle/wire/dissemination_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/dissemination_messages.h
@@ -73,12 +73,15 @@
   std::uint32_t slots = 0;
   /** Changes when the worker leaves and comes back, as the watcher saw it. */
   std::uint64_t instance = 0;
+  /** The platform says that the worker bears little for now, as after its start. */
+  bool cold = false;
 
   bool operator==(const WorkerEntry&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, address, zone, models, service, stage, state, weights_version, slots, instance);
+    archive(id, address, zone, models, service, stage, state, weights_version, slots, instance,
+            cold);
   }
 };
 
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -15,6 +15,36 @@
 
 namespace switchsaddle::wire {
 
+/** What a tenant asks of one front and has got from it, in units of its quota. */
+struct TenantDemand {
+  std::string tenant;
+  /** Asked for lately. */
+  float units_per_s = 0;
+  /** Let in within the quota's window. */
+  float admitted = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tenant, units_per_s, admitted);
+  }
+};
+
+/** What the fleet does for a tenant, and one front's part of it. */
+struct TenantAllotment {
+  std::string tenant;
+  /** The front's part of what is left of the quota; 0 to 1. */
+  float share = 0;
+  /** Asked for of all fronts lately. */
+  float fleet_units_per_s = 0;
+  /** Let in by all fronts within the quota's window. */
+  float fleet_admitted = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tenant, share, fleet_units_per_s, fleet_admitted);
+  }
+};
+
 /** One front's session as a core node records it. Durations only; each core counts from receipt. */
 struct SessionRecord {
   base::NodeAddress front;
@@ -28,10 +58,12 @@
   std::string zone;
   /** The front has ended its session; it does no more work. */
   bool closed = false;
+  /** Tenants with a quota that asked the front for something lately. */
+  std::vector<TenantDemand> demand = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(front, instance, sequence, applied_version, applied_digest, zone, closed);
+    archive(front, instance, sequence, applied_version, applied_digest, zone, closed, demand);
   }
 };
 
@@ -59,10 +91,13 @@
   std::vector<base::NodeAddress> front_addresses;
   /** Digest of both lists; where the request names the same one, both are left empty. */
   std::uint64_t members_digest = 0;
+  /** For the tenants of the record's demand. */
+  std::vector<TenantAllotment> allotments = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest);
+    archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest,
+            allotments);
   }
 };
 
--- a/libraries/workers/include/switchsaddle/workers/platform_watcher.h
+++ b/libraries/workers/include/switchsaddle/workers/platform_watcher.h
@@ -4,7 +4,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/journal/journal.h"
@@ -16,6 +18,10 @@
 /** Times and bounds of the platform watcher. */
 struct PlatformWatcherOptions {
   base::Duration poll_interval = std::chrono::milliseconds(500);
+  /** A reading without an answer for this long is given up for the next. */
+  base::Duration longest_reading = std::chrono::milliseconds(2'500);
+  /** With the list unreadable for this long, another node had better try. */
+  base::Duration unreadable_bound = std::chrono::milliseconds(1'000);
   /** Comebacks of one worker count against it for this long. */
   base::Duration flap_memory = std::chrono::seconds(60);
   /** Readings in a row which a worker must be listed as ready for after draining was withdrawn. */
@@ -56,6 +62,10 @@
   void start(std::uint64_t term);
   /** The lease is no longer held: nothing is published from now on. */
   void stop();
+  /** Told each time the list has been unreadable here for the bound. */
+  void setUnreadableListener(std::function<void()> listener) {
+    unreadable_listener_ = std::move(listener);
+  }
   bool running() const { return term_ != 0; }
   std::uint64_t term() const { return term_; }
 
@@ -79,6 +89,7 @@
   void poll();
   void onReading(const PlatformReading& reading);
   bool refuse(const PlatformReading& reading);
+  void noteUnreadable();
   void note(const std::string& what);
   wire::WorkerView nextView(const PlatformReading& reading);
   bool include(const wire::WorkerEntry& entry, std::uint64_t instance, wire::WorkerEntry& result);
@@ -99,6 +110,10 @@
   std::uint64_t term_ = 0;
   std::uint64_t sequence_ = 0;
   std::uint64_t reading_ = 0;
+  /** Set while a reading is under way. */
+  std::optional<base::TimePoint> reading_since_;
+  std::optional<base::TimePoint> unreadable_since_;
+  std::function<void()> unreadable_listener_;
   std::uint64_t list_generation_ = 0;
   std::uint32_t lagging_ = 0;
   std::string last_note_;
--- a/libraries/workers/source/platform_watcher.cc
+++ b/libraries/workers/source/platform_watcher.cc
@@ -10,19 +10,6 @@
 /** Terms have up to 40 bits (epoch and count), which leaves 24 for the views of one term. */
 constexpr unsigned TermShift = 24;
 
-bool sameEntry(const wire::WorkerEntry& first, const wire::WorkerEntry& second) {
-  return first.id == second.id && first.address == second.address && first.zone == second.zone &&
-         first.models == second.models && first.service == second.service &&
-         first.stage == second.stage && first.state == second.state &&
-         first.weights_version == second.weights_version && first.slots == second.slots &&
-         first.instance == second.instance;
-}
-
-bool sameList(const std::vector<wire::WorkerEntry>& first,
-              const std::vector<wire::WorkerEntry>& second) {
-  return std::equal(first.begin(), first.end(), second.begin(), second.end(), sameEntry);
-}
-
 }  // namespace
 
 std::uint64_t workerInstance(std::uint64_t term, std::uint64_t sequence) {
@@ -46,6 +33,8 @@
   }
   term_ = term;
   sequence_ = 0;
+  unreadable_since_.reset();
+  reading_since_.reset();
   last_note_.clear();
   adopt(directory_.view());
   poll();
@@ -70,11 +59,17 @@
 
 void PlatformWatcher::poll() {
   timer_->enable(options_.poll_interval);
+  const base::TimePoint now = dispatcher_.now();
+  if (reading_since_ && now - *reading_since_ < options_.longest_reading) {
+    return;
+  }
+  reading_since_ = now;
   const std::uint64_t reading = ++reading_;
   source_.read(
       [this, alive = std::weak_ptr(alive_), reading, term = term_](const PlatformReading& result) {
         const bool outdated = alive.expired() || term_ != term || reading_ != reading;
         if (!outdated) {
+          reading_since_.reset();
           onReading(result);
         }
       });
@@ -91,8 +86,10 @@
 bool PlatformWatcher::refuse(const PlatformReading& reading) {
   if (reading.code != base::ResultCode::Ok) {
     note("list unreadable, the last stays in force: " + reading.fault);
+    noteUnreadable();
     return true;
   }
+  unreadable_since_.reset();
   if (reading.workers.empty() && !published_.empty()) {
     note("list suddenly empty, the last stays in force");
     return true;
@@ -105,6 +102,17 @@
   return false;
 }
 
+void PlatformWatcher::noteUnreadable() {
+  const base::TimePoint now = dispatcher_.now();
+  if (!unreadable_since_) {
+    unreadable_since_ = now;
+  }
+  if (now - *unreadable_since_ >= options_.unreadable_bound && unreadable_listener_) {
+    unreadable_since_.reset();
+    unreadable_listener_();
+  }
+}
+
 void PlatformWatcher::onReading(const PlatformReading& reading) {
   if (refuse(reading)) {
     return;
@@ -113,7 +121,7 @@
   lagging_ = 0;
   list_generation_ = reading.generation;
   wire::WorkerView view = nextView(reading);
-  if (sequence_ > 0 && sameList(view.workers, published_)) {
+  if (sequence_ > 0 && view.workers == published_) {
     return;
   }
   ++sequence_;
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -1,7 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include "daemon_process.h"
-#include "http_platform_source.h"
+#include "dialect.h"
 #include "role_commands.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
@@ -20,20 +20,23 @@
 /** One core daemon: the node with real sockets, disk and clock. */
 class CoreDaemon {
  public:
-  explicit CoreDaemon(const configuration::Settings& settings)
+  CoreDaemon(const configuration::Settings& settings, SettingsOptions options)
       : settings_(settings),
+        options_(std::move(options)),
+        dialect_(createDialect(settings_)),
         process_(settings_),
         file_system_(settings_.data_folder),
         executor_(process_.dispatcher()),
         store_(process_.dispatcher(), file_system_, executor_, process_.random()),
         client_(http::createClient(process_.context())),
-        platform_(process_.dispatcher(), *client_, settings_.platform_address),
+        platform_(dialect_->createPlatformSource(process_.dispatcher(), *client_,
+                                                 settings_.platform_address)),
         node_(core::CoreEnvironment{process_.dispatcher(),
                                     process_.calls(),
                                     store_,
                                     process_.random(),
                                     process_.journal(),
-                                    platform_,
+                                    *platform_,
                                     settings_,
                                     {},
                                     &process_.incidents()}),
@@ -48,6 +51,11 @@
     base::logEvent(
         base::Severity::Notice, "core-started",
         {{"peer", settings_.peer_address.toString()}, {"http", settings_.http_address.toString()}});
+    process_.onSettingsChange(options_.file, [this] {
+      reloadSeeds(options_, "core", [this](std::vector<base::NodeAddress> seeds) {
+        node_.setSeeds(std::move(seeds));
+      });
+    });
     return process_.run([this](std::function<void()> stopped) {
       server_->stopAccepting();
       node_.stop(std::move(stopped));
@@ -57,18 +65,24 @@
  private:
   void handle(http::Request request, http::ResponseWriterPtr writer) {
     process_.dispatcher().post([this, request = std::move(request), writer = std::move(writer)] {
-      service_.handle(request,
-                      [writer](http::Response response) { writer->respond(std::move(response)); });
+      const auto respond = [writer](http::Response response) {
+        writer->respond(std::move(response));
+      };
+      if (!dialect_->handleControl(node_.control(), request, respond)) {
+        service_.handle(request, respond);
+      }
     });
   }
 
   configuration::Settings settings_;
+  SettingsOptions options_;
+  std::unique_ptr<Dialect> dialect_;
   DaemonProcess process_;
   storage::PosixFileSystem file_system_;
   storage::ThreadStorageExecutor executor_;
   storage::FileRecordStore store_;
   std::unique_ptr<http::Client> client_;
-  HttpPlatformSource platform_;
+  std::unique_ptr<workers::PlatformSource> platform_;
   core::CoreNode node_;
   core::CoreHttpService service_;
   std::unique_ptr<http::Server> server_;
@@ -82,7 +96,7 @@
                             {"switchsaddle core --settings core.json --data-folder data"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
-    CoreDaemon daemon(loadSettings(*options, "core"));
+    CoreDaemon daemon(loadSettings(*options, "core"), *options);
     exit_code = daemon.run();
   });
 }
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -12,6 +12,9 @@
 
 namespace {
 
+/** How often the settings file is looked at for a change that no signal told of. */
+constexpr base::Duration SettingsLookInterval = std::chrono::seconds(2);
+
 /** The folder of the log ring's dumps; none where there is no data folder. */
 std::filesystem::path logFolder(const configuration::Settings& settings) {
   if (settings.data_folder.empty()) {
@@ -28,7 +31,8 @@
       calls_(dispatcher_, transport_),
       journal_(dispatcher_),
       incidents_(dispatcher_, base::processLogRing(), logFolder(settings)),
-      signals_(context_, SIGTERM, SIGINT) {
+      signals_(context_, SIGTERM, SIGINT),
+      hangup_(context_, SIGHUP) {
   base::installCrashDump(base::processLogRing(), logFolder(settings));
   journal_.addListener([this](const journal::Event& event) {
     base::logEvent(base::Severity::Info, "belief",
@@ -45,10 +49,45 @@
 int DaemonProcess::run(std::function<void(std::function<void()>)> stop) {
   stop_ = std::move(stop);
   awaitSignal();
+  awaitHangup();
   context_.run();
   return EXIT_SUCCESS;
 }
 
+void DaemonProcess::onSettingsChange(const std::string& file, std::function<void()> callback) {
+  settings_file_ = file;
+  settings_changed_ = std::move(callback);
+  if (settings_file_.empty()) {
+    return;
+  }
+  std::error_code ignored;
+  settings_written_ = std::filesystem::last_write_time(settings_file_, ignored);
+  settings_timer_ = dispatcher_.createTimer([this] { watchSettingsFile(); });
+  dispatcher_.post([this] { settings_timer_->enable(SettingsLookInterval); });
+}
+
+void DaemonProcess::watchSettingsFile() {
+  settings_timer_->enable(SettingsLookInterval);
+  std::error_code failure;
+  const auto written = std::filesystem::last_write_time(settings_file_, failure);
+  if (!failure && written != settings_written_) {
+    settings_written_ = written;
+    settings_changed_();
+  }
+}
+
+void DaemonProcess::awaitHangup() {
+  hangup_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+    if (error) {
+      return;
+    }
+    if (settings_changed_) {
+      dispatcher_.post(settings_changed_);
+    }
+    awaitHangup();
+  });
+}
+
 void DaemonProcess::appendMetrics(metrics::Page& page) const {
   const transport::TcpTransportCounters& traffic = transport_.counters();
   const auto add = [&page](const char* name, const char* help, std::uint64_t value) {
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <filesystem>
 #include <functional>
 #include <memory>
 #include <string>
@@ -41,9 +42,13 @@
    * signal ends the process at once. Returns the exit code.
    */
   int run(std::function<void(std::function<void()>)> stop);
+  /** Called on each SIGHUP, and when the settings file has changed without one. */
+  void onSettingsChange(const std::string& file, std::function<void()> callback);
 
  private:
   void awaitSignal();
+  void awaitHangup();
+  void watchSettingsFile();
 
   boost::asio::io_context context_{1};
   transport::AsioDispatcher dispatcher_;
@@ -53,7 +58,12 @@
   journal::Journal journal_;
   base::IncidentLog incidents_;
   boost::asio::signal_set signals_;
+  boost::asio::signal_set hangup_;
   std::function<void(std::function<void()>)> stop_;
+  std::function<void()> settings_changed_;
+  std::filesystem::path settings_file_;
+  std::filesystem::file_time_type settings_written_{};
+  base::TimerPtr settings_timer_;
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/programs/switchsaddle/dialect.cc
@@ -0,0 +1,56 @@
+#include "dialect.h"
+
+#include "forward_headers.h"
+#include "http_platform_source.h"
+#include "instance_list.h"
+#include "operator_interface.h"
+#include "switchsaddle/base/error.h"
+
+namespace switchsaddle {
+
+namespace {
+
+constexpr std::string_view PlatformDialectName = "platform";
+
+class OwnDialect : public Dialect {
+ public:
+  front::ForwardHeaders forwardHeaders() const override { return {}; }
+  std::unique_ptr<workers::PlatformSource> createPlatformSource(
+      base::Dispatcher& dispatcher, http::Client& client,
+      const base::NodeAddress& platform) override {
+    return std::make_unique<HttpPlatformSource>(dispatcher, client, platform);
+  }
+  bool handleControl(core::ControlService& /*control*/, const http::Request& /*request*/,
+                     const std::function<void(http::Response)>& /*respond*/) override {
+    return false;
+  }
+};
+
+class PlatformDialect : public Dialect {
+ public:
+  front::ForwardHeaders forwardHeaders() const override { return platform::forwardHeaders(); }
+  std::unique_ptr<workers::PlatformSource> createPlatformSource(
+      base::Dispatcher& dispatcher, http::Client& client,
+      const base::NodeAddress& platform) override {
+    return std::make_unique<platform::InstanceList>(dispatcher, client, platform);
+  }
+  bool handleControl(core::ControlService& control, const http::Request& request,
+                     const std::function<void(http::Response)>& respond) override {
+    return platform::OperatorInterface(control).handle(request, respond);
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<Dialect> createDialect(const configuration::Settings& settings) {
+  if (settings.dialect.empty()) {
+    return std::make_unique<OwnDialect>();
+  }
+  if (settings.dialect == PlatformDialectName) {
+    return std::make_unique<PlatformDialect>();
+  }
+  throw base::Error(base::ResultCode::SettingsInvalid,
+                    "dialect: '" + settings.dialect + "' is not known", "dialect");
+}
+
+}  // namespace switchsaddle
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -1,11 +1,13 @@
 #include <CLI/CLI.hpp>
 
 #include "daemon_process.h"
+#include "dialect.h"
 #include "role_commands.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/front/front_node.h"
+#include "switchsaddle/front/http_forward_port.h"
 #include "switchsaddle/front/http_worker_port.h"
 #include "switchsaddle/http/server.h"
 
@@ -16,17 +18,21 @@
 /** One front daemon: the node with real sockets and clock. */
 class FrontDaemon {
  public:
-  explicit FrontDaemon(const configuration::Settings& settings)
+  FrontDaemon(const configuration::Settings& settings, SettingsOptions options)
       : settings_(settings),
+        options_(std::move(options)),
+        dialect_(createDialect(settings_)),
         process_(settings_),
         instance_(process_.random().next()),
         client_(http::createClient(process_.context())),
         worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
+        forward_port_(process_.dispatcher(), *client_),
         node_(environment()),
-        server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
-                                  [this](http::Request request, http::ResponseWriterPtr writer) {
-                                    node_.service().enqueue(std::move(request), std::move(writer));
-                                  })) {}
+        server_(startServer(settings_.http_address)) {
+    if (!settings_.readiness_address.empty()) {
+      readiness_server_ = startServer(settings_.readiness_address);
+    }
+  }
 
   int run() {
     process_.dispatcher().post([this] { node_.start(); });
@@ -34,10 +40,25 @@
                    {{"peer", settings_.peer_address.toString()},
                     {"http", settings_.http_address.toString()},
                     {"instance", std::to_string(instance_)}});
-    return process_.run([this](std::function<void()> stopped) { node_.stop(std::move(stopped)); });
+    process_.onSettingsChange(options_.file, [this] {
+      reloadSeeds(options_, "front", [this](std::vector<base::NodeAddress> seeds) {
+        node_.setSeeds(std::move(seeds));
+      });
+    });
+    return process_.run([this](std::function<void()> stopped) {
+      server_->closeAfterAnswers();
+      node_.stop(std::move(stopped));
+    });
   }
 
  private:
+  std::unique_ptr<http::Server> startServer(const base::NodeAddress& address) {
+    return http::startServer(process_.context(), address, http::ServerLimits{},
+                             [this](http::Request request, http::ResponseWriterPtr writer) {
+                               node_.service().enqueue(std::move(request), std::move(writer));
+                             });
+  }
+
   front::FrontEnvironment environment() {
     return {.dispatcher = process_.dispatcher(),
             .calls = process_.calls(),
@@ -47,16 +68,23 @@
             .workers = worker_port_,
             .instance = instance_,
             .incidents = &process_.incidents(),
-            .process_metrics = [this](metrics::Page& page) { process_.appendMetrics(page); }};
+            .process_metrics = [this](metrics::Page& page) { process_.appendMetrics(page); },
+            .forward_port = &forward_port_,
+            .forward_headers = dialect_->forwardHeaders()};
   }
 
   configuration::Settings settings_;
+  SettingsOptions options_;
+  std::unique_ptr<Dialect> dialect_;
   DaemonProcess process_;
   std::uint64_t instance_;
   std::unique_ptr<http::Client> client_;
   front::HttpWorkerPort worker_port_;
+  front::HttpForwardPort forward_port_;
   front::FrontNode node_;
   std::unique_ptr<http::Server> server_;
+  /** Null where no address of its own is set. */
+  std::unique_ptr<http::Server> readiness_server_;
 };
 
 }  // namespace
@@ -66,7 +94,7 @@
   command_line::describeUse(*command, {"switchsaddle front --settings front.json"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
-    FrontDaemon daemon(loadSettings(*options, "front"));
+    FrontDaemon daemon(loadSettings(*options, "front"), *options);
     exit_code = daemon.run();
   });
 }
--- a/programs/switchsaddle/settings_options.cc
+++ b/programs/switchsaddle/settings_options.cc
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/base/log.h"
 
 namespace switchsaddle {
 
@@ -91,4 +92,16 @@
   return settings;
 }
 
+void reloadSeeds(const SettingsOptions& options, const std::string& role,
+                 const std::function<void(std::vector<base::NodeAddress>)>& set_seeds) {
+  try {
+    const configuration::Settings settings = loadSettings(options, role);
+    set_seeds(settings.seeds);
+    base::logEvent(base::Severity::Notice, "settings-read-again",
+                   {{"seeds", std::to_string(settings.seeds.size())}});
+  } catch (const base::Error& error) {
+    base::logEvent(base::Severity::Error, "settings-refused", {{"reason", error.what()}});
+  }
+}
+
 }  // namespace switchsaddle
--- a/programs/switchsaddle/settings_options.h
+++ b/programs/switchsaddle/settings_options.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,4 +34,9 @@
  */
 configuration::Settings loadSettings(const SettingsOptions& options, const std::string& role);
 
+/** Reads the changed settings and hands over the seeds, which alone take effect in a running
+ * process; a faulty file leaves those in force and is told in the log. */
+void reloadSeeds(const SettingsOptions& options, const std::string& role,
+                 const std::function<void(std::vector<base::NodeAddress>)>& set_seeds);
+
 }  // namespace switchsaddle
