--- a/libraries/configuration/include/switchsaddle/configuration/forwarding.h
+++ b/libraries/configuration/include/switchsaddle/configuration/forwarding.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -101,6 +102,17 @@
   std::uint32_t default_tokens = 1;
 };
 
+/** Bounds of the quotas of a deployment, on the units that a tenant may be let in for in any
+ * window: (rate x window + burst) x (1 + overshoot) + slack. */
+struct QuotaBounds {
+  double window_s = 8;
+  double overshoot = 0;
+  double slack = 0;
+
+  /** The tenant's units in any window; nothing where it has no quota. */
+  std::optional<double> limitOf(const ForwardTenant& tenant) const;
+};
+
 /** The forwarding part of a configuration, indexed for lookups on the data plane. */
 struct Forwarding {
   std::map<std::string, ForwardRoute> routes;
--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -6,6 +6,7 @@
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/base/time.h"
 #include "switchsaddle/configuration/document.h"
+#include "switchsaddle/configuration/forwarding.h"
 
 namespace switchsaddle::configuration {
 
@@ -43,11 +44,7 @@
   /** Repeats as a share of a pool's requests, and besides, over ten seconds. */
   double retry_share = 0.1;
   double retry_extra = 0;
-  /** A tenant may be let in, in any window, for (rate x window + burst) x (1 + overshoot) + slack
-   * units. */
-  double quota_window_s = 8;
-  double quota_overshoot = 0;
-  double quota_slack = 0;
+  QuotaBounds quotas;
 };
 
 /** What one process learns from its settings file and flags. */
--- a/libraries/configuration/source/forwarding.cc
+++ b/libraries/configuration/source/forwarding.cc
@@ -2,6 +2,13 @@
 
 namespace switchsaddle::configuration {
 
+std::optional<double> QuotaBounds::limitOf(const ForwardTenant& tenant) const {
+  if (tenant.rate_per_s <= 0 && tenant.burst <= 0) {
+    return std::nullopt;
+  }
+  return (tenant.rate_per_s * window_s + tenant.burst) * (1 + overshoot) + slack;
+}
+
 void Forwarding::index() {
   by_host_.clear();
   tenant_of_key.clear();
--- a/libraries/configuration/source/settings.cc
+++ b/libraries/configuration/source/settings.cc
@@ -121,9 +121,10 @@
   ObjectReader inner(*value, "forwarding", faults);
   forwarding.retry_share = readFraction(inner, "retry_share", forwarding.retry_share);
   forwarding.retry_extra = readFraction(inner, "retry_extra", forwarding.retry_extra);
-  forwarding.quota_slack = readFraction(inner, "quota_slack", forwarding.quota_slack);
-  forwarding.quota_window_s = readFraction(inner, "quota_window_s", forwarding.quota_window_s);
-  forwarding.quota_overshoot = readFraction(inner, "quota_overshoot", forwarding.quota_overshoot);
+  QuotaBounds& quotas = forwarding.quotas;
+  quotas.window_s = readFraction(inner, "quota_window_s", quotas.window_s);
+  quotas.overshoot = readFraction(inner, "quota_overshoot", quotas.overshoot);
+  quotas.slack = readFraction(inner, "quota_slack", quotas.slack);
   inner.finish();
 }
 
--- a/libraries/configuration/test/settings_test.cc
+++ b/libraries/configuration/test/settings_test.cc
@@ -76,5 +76,31 @@
                           "times.session_renewal_ms InvalidValue"));
 }
 
+TEST(SettingsTest, ReadsThePlatformsFields) {
+  std::vector<Fault> faults;
+  const Settings settings = parseSettings(R"({
+      "peer_address": "10.1.0.1:7500", "http_address": "10.1.0.1:8000", "zone": "north",
+      "readiness_address": "10.1.0.1:8001", "seeds": ["10.1.0.2:8367", "10.1.0.3:8367"],
+      "fleet_peer_port": 7500, "first_start": true, "dialect": "platform",
+      "lapsed_session": "serve", "list_before_lease": true,
+      "forwarding": {"retry_share": 0.2, "retry_extra": 52, "quota_window_s": 8,
+                     "quota_overshoot": 0.1, "quota_slack": 140000},
+      "times": {"process_grace_s": 8, "stop_notice_ms": 2700}
+    })",
+                                          faults);
+  EXPECT_THAT(placesOf(faults), IsEmpty());
+  EXPECT_EQ(settings.seeds.front().toString(), "10.1.0.2:7500");
+  EXPECT_EQ(settings.initial_cores, settings.seeds);
+  EXPECT_EQ(settings.lapsed_session, LapsedSession::Serve);
+  EXPECT_EQ(settings.readiness_address.port, 8001);
+  EXPECT_EQ(settings.times.stop_deadline, std::chrono::milliseconds(6'500));
+  EXPECT_EQ(settings.times.stop_notice, std::chrono::milliseconds(2'700));
+  EXPECT_DOUBLE_EQ(settings.forwarding.quotas.slack, 140'000);
+  EXPECT_THAT(parseFaults(R"({"lapsed_session": "maybe", "forwarding": {"retry_share": -1, "x": 1},
+                              "fleet_peer_port": 70000})"),
+              ElementsAre("fleet_peer_port InvalidValue", "lapsed_session InvalidValue",
+                          "forwarding.retry_share InvalidValue", "forwarding.x UnknownField"));
+}
+
 }  // namespace
 }  // namespace switchsaddle::configuration::test
--- a/libraries/core/include/switchsaddle/core/quota_allotter.h
+++ b/libraries/core/include/switchsaddle/core/quota_allotter.h
@@ -3,11 +3,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/configuration/view.h"
 #include "switchsaddle/wire/session_messages.h"
 
 namespace switchsaddle::core {
@@ -25,9 +27,13 @@
   using Records = std::vector<wire::SessionTableEntry>;
   using RecordSource = std::function<Records()>;
 
-  QuotaAllotter(base::Dispatcher& dispatcher, RecordSource records);
+  QuotaAllotter(base::Dispatcher& dispatcher, RecordSource records,
+                configuration::QuotaBounds bounds);
 
-  /** The front's parts of its tenants' quotas. */
+  void setConfiguration(std::shared_ptr<const configuration::View> view) {
+    view_ = std::move(view);
+  }
+  /** The front's parts of the quotas of which much has been used. */
   std::vector<wire::TenantAllotment> allot(const wire::SessionRecord& record);
 
  private:
@@ -43,8 +49,12 @@
 
   void refresh();
 
+  bool muchUsed(const std::string& tenant, const Total& total) const;
+
   base::Dispatcher& dispatcher_;
   RecordSource records_;
+  configuration::QuotaBounds bounds_;
+  std::shared_ptr<const configuration::View> view_;
   base::TimePoint refreshed_at_{};
   bool refreshed_ = false;
   /** Over all fronts, by tenant. */
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -55,7 +55,9 @@
       sessions_(environment.dispatcher, environment.calls, environment.journal,
                 sessionTimesOf(environment.settings.times), membership_,
                 environment.faults.sessions),
-      quotas_(environment.dispatcher, [this] { return sessions_.localSessions(); }),
+      quotas_(
+          environment.dispatcher, [this] { return sessions_.localSessions(); },
+          environment.settings.forwarding.quotas),
       granter_(environment.dispatcher, environment.calls, environment.store, environment.journal,
                leaseTimesOf(environment.settings.times)),
       replica_(environment.journal),
@@ -116,7 +118,7 @@
   workers::journalChanges(workers_, environment_.journal);
   sessions_.setAllotmentSource([this](const wire::SessionRecord& record) {
     // A core that has just started does not know yet what the other fronts let in.
-    return sessions_.recovering() ? std::vector<wire::TenantAllotment>{} : quotas_.allot(record);
+    return sessions_.recovering() ? std::nullopt : std::optional(quotas_.allot(record));
   });
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
@@ -141,8 +143,10 @@
   watcher_.setUnreadableListener([this] { yieldWatcherLease(); });
   watcher_lease_.setListener([this](bool gained) { onWatcherLease(gained); });
   membership_lease_.setListener([this](bool gained) { onMembershipLease(gained); });
-  replica_.addListener(
-      [this](const dissemination::ViewPtr& view) { ledgers_.setConfiguration(*view); });
+  replica_.addListener([this](const dissemination::ViewPtr& view) {
+    ledgers_.setConfiguration(*view);
+    quotas_.setConfiguration(view);
+  });
 }
 
 void CoreNode::handleControlRequests() {
--- /dev/null
+++ b/libraries/core/test/quota_allotter_test.cc
@@ -0,0 +1,64 @@
+#include "switchsaddle/core/quota_allotter.h"
+
+#include <gtest/gtest.h>
+
+#include "switchsaddle/simulation/process.h"
+#include "switchsaddle/simulation/world.h"
+
+namespace switchsaddle::core {
+namespace {
+
+class QuotaAllotterTest : public testing::Test {
+ protected:
+  QuotaAllotterTest() {
+    auto view = std::make_shared<configuration::View>();
+    configuration::ForwardTenant& tenant = view->forwarding.tenants["t"];
+    tenant.name = "t";
+    tenant.rate_per_s = 100;
+    allotter.setConfiguration(view);
+  }
+  wire::SessionRecord& front(std::uint16_t port, float per_s, float admitted) {
+    wire::SessionTableEntry entry;
+    entry.record.front = {"127.0.0.1", port};
+    entry.record.instance = port;
+    entry.record.demand = {{"t", per_s, admitted}};
+    records.push_back(entry);
+    return records.back().record;
+  }
+
+  simulation::World world{1};
+  simulation::Process process{world};
+  QuotaAllotter::Records records;
+  QuotaAllotter allotter{process, [this] { return records; }, {8, 0, 0}};
+};
+
+TEST_F(QuotaAllotterTest, SaysNothingOfATenantThatUsedLittle) {
+  front(1, 10, 100);
+  EXPECT_TRUE(allotter.allot(records[0].record).empty());
+}
+
+TEST_F(QuotaAllotterTest, PartsFollowDemandAndSumToTheWhole) {
+  front(1, 90, 300);
+  front(2, 10, 300);
+  const auto first = allotter.allot(records[0].record);
+  const auto second = allotter.allot(records[1].record);
+  ASSERT_EQ(first.size(), 1U);
+  EXPECT_FLOAT_EQ(first[0].fleet_admitted, 600);
+  EXPECT_FLOAT_EQ(first[0].fleet_units_per_s, 100);
+  EXPECT_GT(first[0].share, second[0].share);
+  EXPECT_NEAR(first[0].share + second[0].share, 1.0, 1e-6);
+}
+
+TEST_F(QuotaAllotterTest, WhatASilentFrontLetInCountsOn) {
+  front(1, 50, 300);
+  front(2, 50, 300);
+  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 600);
+  records.pop_back();
+  world.runFor(std::chrono::seconds(5));
+  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 600);
+  world.runFor(std::chrono::seconds(11));
+  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 300);
+}
+
+}  // namespace
+}  // namespace switchsaddle::core
--- a/libraries/front/include/switchsaddle/front/quota_meter.h
+++ b/libraries/front/include/switchsaddle/front/quota_meter.h
@@ -13,12 +13,9 @@
 
 namespace switchsaddle::front {
 
-/** Bounds of the quotas of a deployment, on the units that a tenant may be let in for in any
- * window: (rate x window + burst) x (1 + overshoot) + slack. */
+/** How a front keeps to its part of the quotas. */
 struct QuotaOptions {
-  base::Duration window = std::chrono::seconds(8);
-  double overshoot = 0;
-  double slack = 0;
+  configuration::QuotaBounds bounds;
   /** Part of the bound that is used; the rest covers what fronts let in before they hear of each
    * other. */
   double used = 0.9;
@@ -26,6 +23,9 @@
   base::Duration knowledge_lag = std::chrono::milliseconds(750);
   /** An allotment older than this is no longer relied on. */
   base::Duration allotment_lifetime = std::chrono::milliseconds(2'500);
+  /** Part of the quota that a front may use between two reports for a tenant of which the cores say
+   * nothing. */
+  double untold_part = 0.25;
 };
 
 /**
@@ -63,9 +63,10 @@
     double total = 0;
     double told_total = 0;
     double allotted_total = 0;
-    wire::TenantAllotment allotment;
-    bool is_allotted = false;
-    base::TimePoint allotted_at;
+    /** The last one told; nothing where the cores last said nothing of the tenant. */
+    std::optional<wire::TenantAllotment> allotment;
+    /** The last part told, for when the cores fall silent. */
+    std::optional<double> last_share;
     /** Asked for since `demand_at`, and the mean before it. */
     double asked = 0;
     double demand_per_s = 0;
@@ -75,13 +76,14 @@
   Usage& usageOf(const std::string& tenant);
   void expire(Usage& usage) const;
   void count(Usage& usage, double units);
-  double limitOf(const configuration::ForwardTenant& tenant) const;
-  /** Units that may be let in now. */
-  double roomOf(const configuration::ForwardTenant& tenant, const Usage& usage) const;
+  /** Units that may be let in now, of a quota of `limit`. */
+  double roomOf(double limit, const Usage& usage) const;
 
   base::Dispatcher& dispatcher_;
   QuotaOptions options_;
   std::size_t fronts_ = 1;
+  /** When the cores last told how much the fleet lets in. */
+  std::optional<base::TimePoint> told_at_;
   std::map<std::string, Usage> usages_;
 };
 
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -37,10 +37,7 @@
 
 QuotaOptions quotaOptions(const configuration::ForwardingSettings& settings) {
   QuotaOptions options;
-  options.window = std::chrono::duration_cast<base::Duration>(
-      std::chrono::duration<double>(settings.quota_window_s));
-  options.overshoot = settings.quota_overshoot;
-  options.slack = settings.quota_slack;
+  options.bounds = settings.quotas;
   return options;
 }
 
--- a/libraries/front/source/quota_meter.cc
+++ b/libraries/front/source/quota_meter.cc
@@ -10,6 +10,8 @@
 /** Demand is a mean over about this time, in seconds. */
 constexpr double DemandTimeS = 0.7;
 constexpr double ShortestDemandS = 0.1;
+/** Less than this is not told. */
+constexpr double LeastDemandPerS = 0.01;
 constexpr base::Duration SliceLength = std::chrono::milliseconds(100);
 /** What a refused caller is told at least and at most. */
 constexpr base::Duration ShortestWait = std::chrono::milliseconds(200);
@@ -39,7 +41,7 @@
 void QuotaMeter::expire(Usage& usage) const {
   const base::TimePoint now = dispatcher_.now();
   while (!usage.slices.empty() &&
-         now - usage.slices.front().start >= options_.window + SliceLength) {
+         secondsOf(now - usage.slices.front().start - SliceLength) >= options_.bounds.window_s) {
     usage.in_window -= usage.slices.front().units;
     usage.slices.pop_front();
   }
@@ -55,35 +57,31 @@
   usage.total += units;
 }
 
-double QuotaMeter::limitOf(const configuration::ForwardTenant& tenant) const {
-  const double quota = tenant.rate_per_s * secondsOf(options_.window) + tenant.burst;
-  return (quota * (1 + options_.overshoot) + options_.slack) * options_.used;
-}
-
-double QuotaMeter::roomOf(const configuration::ForwardTenant& tenant, const Usage& usage) const {
-  const double limit = limitOf(tenant);
-  const double equal = 1.0 / static_cast<double>(fronts_);
-  const bool fresh =
-      usage.is_allotted && dispatcher_.now() - usage.allotted_at < options_.allotment_lifetime;
+double QuotaMeter::roomOf(double limit, const Usage& usage) const {
+  const bool fresh = told_at_ && dispatcher_.now() - *told_at_ < options_.allotment_lifetime;
   if (!fresh) {
-    const double last = usage.is_allotted ? usage.allotment.share : equal;
-    return limit * std::min(equal, last) - usage.in_window;
+    const double equal = 1.0 / static_cast<double>(fronts_);
+    return limit * std::min(equal, usage.last_share.value_or(equal)) - usage.in_window;
   }
-  const double left = limit - usage.allotment.fleet_admitted;
-  const double soon_used = usage.allotment.fleet_units_per_s * secondsOf(options_.knowledge_lag);
-  return std::max(left * usage.allotment.share, left - soon_used) -
-         (usage.total - usage.allotted_total);
+  const double untold = usage.total - usage.allotted_total;
+  if (!usage.allotment) {
+    return limit * options_.untold_part - untold;
+  }
+  const double left = limit - usage.allotment->fleet_admitted;
+  const double soon_used = usage.allotment->fleet_units_per_s * secondsOf(options_.knowledge_lag);
+  return std::max(left * usage.allotment->share, left - soon_used) - untold;
 }
 
 std::optional<base::Duration> QuotaMeter::take(const configuration::ForwardTenant& tenant,
                                                double units) {
-  if (tenant.rate_per_s <= 0 && tenant.burst <= 0) {
+  const std::optional<double> limit = options_.bounds.limitOf(tenant);
+  if (!limit) {
     return std::nullopt;
   }
   Usage& usage = usageOf(tenant.name);
   usage.asked += units;
   expire(usage);
-  const double room = roomOf(tenant, usage);
+  const double room = roomOf(*limit * options_.used, usage);
   if (units <= room) {
     count(usage, units);
     return std::nullopt;
@@ -102,15 +100,15 @@
 }
 
 void QuotaMeter::setAllotments(const std::vector<wire::TenantAllotment>& allotments) {
-  const base::TimePoint now = dispatcher_.now();
+  told_at_ = dispatcher_.now();
+  for (auto& [name, usage] : usages_) {
+    usage.allotment.reset();
+    usage.allotted_total = usage.told_total;
+  }
   for (const wire::TenantAllotment& allotment : allotments) {
-    const auto found = usages_.find(allotment.tenant);
-    if (found != usages_.end()) {
-      found->second.allotment = allotment;
-      found->second.allotted_at = now;
-      found->second.is_allotted = true;
-      found->second.allotted_total = found->second.told_total;
-    }
+    Usage& usage = usageOf(allotment.tenant);
+    usage.allotment = allotment;
+    usage.last_share = allotment.share;
   }
 }
 
@@ -127,8 +125,10 @@
     }
     expire(usage);
     usage.told_total = usage.total;
-    demands.push_back({name, static_cast<float>(usage.demand_per_s),
-                       static_cast<float>(std::max(0.0, usage.in_window))});
+    const auto admitted = static_cast<float>(std::max(0.0, usage.in_window));
+    if (admitted > 0 || usage.demand_per_s >= LeastDemandPerS) {
+      demands.push_back({name, static_cast<float>(usage.demand_per_s), admitted});
+    }
   }
   return demands;
 }
--- /dev/null
+++ b/libraries/front/test/forward_flow_test.cc
@@ -0,0 +1,394 @@
+#include "switchsaddle/front/forward_flow.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "fakes.h"
+#include "switchsaddle/base/error.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using configuration::ForwardKind;
+using testing::HasSubstr;
+
+/** Dispatches as sent, with their observers for the test to call. */
+class FakeForwardPort : public ForwardPort {
+ public:
+  class Call : public WorkerCall {
+   public:
+    void cancel() override { cancelled = true; }
+    bool cancelled = false;
+  };
+  struct Sent {
+    ForwardDispatch dispatch;
+    std::shared_ptr<ForwardObserver> observer;
+    std::shared_ptr<Call> call;
+
+    void head(std::uint16_t status, std::vector<http::Header> headers = {}) const {
+      headers.push_back({"Request-Id", dispatch.request_id});
+      headers.push_back({"Seal", "sealed"});
+      observer->onHead({status, headers, {}});
+    }
+    void bytes(const std::string& text) const {
+      observer->onBytes(text, [] {});
+    }
+    void answer(std::uint16_t status, const std::string& body) const {
+      head(status);
+      bytes(body);
+      observer->onComplete();
+    }
+    void refuse() const { observer->onHead({503, {{"Not-Run", "1"}}, {}}); }
+    void lose() const { observer->onFailure(WorkerFailure::Lost, false); }
+    std::string header(const std::string& name) const {
+      return std::string(dispatch.message.header(name));
+    }
+  };
+
+  WorkerCallPtr forward(ForwardDispatch dispatch,
+                        std::shared_ptr<ForwardObserver> observer) override {
+    sent.push_back({std::move(dispatch), std::move(observer), std::make_shared<Call>()});
+    return sent.back().call;
+  }
+
+  std::deque<Sent> sent;
+};
+
+/** What the caller gets. */
+class FakeWriter : public http::ResponseWriter {
+ public:
+  void respond(http::Response value) override {
+    EXPECT_FALSE(response || started || aborted);
+    response = std::move(value);
+  }
+  void startStream(http::Response head) override {
+    EXPECT_FALSE(response || started);
+    started = std::move(head);
+  }
+  void writeChunk(std::string chunk, std::function<void(bool)> written) override {
+    body += chunk;
+    if (slow) {
+      waiting.push_back(std::move(written));
+    } else {
+      written(true);
+    }
+  }
+  void endStream() override { ended = true; }
+  void abort() override { aborted = true; }
+  void onClientGone(std::function<void()> callback) override { gone = std::move(callback); }
+
+  std::optional<http::Response> response;
+  std::optional<http::Response> started;
+  std::string body;
+  bool ended = false;
+  bool aborted = false;
+  bool slow = false;
+  std::deque<std::function<void(bool)>> waiting;
+  std::function<void()> gone;
+};
+
+class ForwardFlowTest : public testing::Test {
+ protected:
+  ForwardFlowTest() {
+    configuration::Forwarding& forwarding = beliefs.view.forwarding;
+    forwarding.pools["shop"].name = "shop";
+    addRoute("once", ForwardKind::AtMostOnce, 1);
+    addRoute("again", ForwardKind::Repeatable, 2);
+    addRoute("stream", ForwardKind::EventStream, 1);
+    addRoute("resumed", ForwardKind::ResumableStream, 2);
+    configuration::ForwardTenant& tenant = forwarding.tenants["t"];
+    tenant.name = "t";
+    tenant.key_hashes = {configuration::sha256Hex("secret")};
+    tenant.priority = 1;
+    tenant.has_priority = true;
+    forwarding.index();
+    for (const char* name : {"w1", "w2", "w3"}) {
+      beliefs.addWorker(name, "shop");
+    }
+    for (int count = 0; count < 100; ++count) {
+      retries.countFirstTry("shop");
+    }
+  }
+  void addRoute(const std::string& name, ForwardKind kind, std::uint32_t attempts) {
+    configuration::ForwardRoute& route = beliefs.view.forwarding.routes[name];
+    route.name = name;
+    route.host = "a.example";
+    route.path_prefix = "/" + name + "/";
+    route.kind = kind;
+    route.targets = {{"shop", 1}};
+    route.attempts = attempts;
+    route.time_limit_ms = 2'000;
+  }
+  std::shared_ptr<FakeWriter> run(const std::string& route,
+                                  const std::vector<http::Header>& more = {}) {
+    http::Request message;
+    message.method = "POST";
+    message.target = "/" + route + "/x?y=1";
+    message.headers = {{"Host", "A.example:80"}, {"Request-Id", "r-1"},
+                       {"Caller-Key", "secret"}, {"Connection", "keep-alive, X-Hop"},
+                       {"X-Hop", "mine"},        {"Tenant", "forged"},
+                       {"Other", "kept"},        {"Request-Priority", "0"}};
+    message.headers.insert(message.headers.end(), more.begin(), more.end());
+    message.body = "body";
+    auto writer = std::make_shared<FakeWriter>();
+    flow.run(parseForwardRequest(beliefs.configuration(), message, {}), writer);
+    return writer;
+  }
+  FakeForwardPort::Sent& last() { return port.sent.back(); }
+
+  simulation::World world{1};
+  simulation::Process process{world};
+  FakeForwardPort port;
+  FakeRouter router;
+  FakeBeliefs beliefs;
+  RetryBudget retries{process};
+  WorkerCircuit circuit{process};
+  QuotaMeter quotas{process, {}};
+  ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
+  Counters counters;
+  ForwardFlow flow{ForwardEnvironment{process,
+                                      world.random(),
+                                      port,
+                                      placer,
+                                      beliefs,
+                                      retries,
+                                      circuit,
+                                      quotas,
+                                      counters,
+                                      {},
+                                      {0.2, 10}}};
+};
+
+TEST_F(ForwardFlowTest, PassesTheMessageOnUnchangedButForWhatItSets) {
+  const auto writer = run("once", {{"Deadline-Ms", "1500"}});
+  const http::Request& message = last().dispatch.message;
+  EXPECT_EQ(message.method, "POST");
+  EXPECT_EQ(message.target, "/once/x?y=1");
+  EXPECT_EQ(message.body, "body");
+  EXPECT_EQ(message.header("Other"), "kept");
+  EXPECT_EQ(message.header("Tenant"), "t");
+  EXPECT_EQ(message.header("Deadline-Ms"), "1500");
+  EXPECT_EQ(message.header("Request-Priority"), "1");
+  EXPECT_EQ(message.header("Caller-Key"), "");
+  EXPECT_EQ(message.header("X-Hop"), "");
+  EXPECT_EQ(message.header("Host"), "A.example:80");
+  EXPECT_FALSE(message.header("Expect-Instance").empty());
+  last().answer(201, "made");
+  ASSERT_TRUE(writer->response.has_value());
+  EXPECT_EQ(writer->response->status, 201);
+  EXPECT_EQ(writer->response->body, "made");
+  EXPECT_EQ(writer->response->header("Seal"), "sealed");
+  EXPECT_EQ(flow.active(), 0U);
+}
+
+TEST_F(ForwardFlowTest, RefusesWhatNoRouteOrKeyAllows) {
+  EXPECT_THROW(run("none"), base::Error);
+  http::Request message;
+  message.target = "/once/";
+  message.headers = {{"Host", "a.example"}};
+  EXPECT_THROW(parseForwardRequest(beliefs.configuration(), message, {}), base::Error);
+  message.headers.push_back({"Caller-Key", "wrong"});
+  EXPECT_THROW(parseForwardRequest(beliefs.configuration(), message, {}), base::Error);
+}
+
+TEST_F(ForwardFlowTest, WhatMayRunOnceIsNotSentAgainOnceItMayHaveRun) {
+  const auto writer = run("once");
+  last().lose();
+  EXPECT_EQ(port.sent.size(), 1U);
+  ASSERT_TRUE(writer->response.has_value());
+  EXPECT_EQ(writer->response->status, 502);
+  EXPECT_EQ(writer->response->header("Seal"), "");
+}
+
+TEST_F(ForwardFlowTest, WhatAWorkerDidNotRunGoesToAnother) {
+  const auto writer = run("once");
+  last().refuse();
+  ASSERT_EQ(port.sent.size(), 2U);
+  EXPECT_NE(port.sent[0].header("Expect-Instance"), port.sent[1].header("Expect-Instance"));
+  last().observer->onFailure(WorkerFailure::NotSent, true);
+  ASSERT_EQ(port.sent.size(), 3U);
+  last().refuse();
+  ASSERT_TRUE(writer->response.has_value());
+  EXPECT_EQ(writer->response->status, 503);
+  EXPECT_FALSE(writer->response->header("Retry-After").empty());
+}
+
+TEST_F(ForwardFlowTest, ARepeatableRequestGoesToAnotherWithinItsAttempts) {
+  const auto writer = run("again");
+  last().lose();
+  ASSERT_EQ(port.sent.size(), 2U);
+  last().lose();
+  EXPECT_EQ(port.sent.size(), 2U);
+  EXPECT_EQ(writer->response->status, 502);
+}
+
+TEST_F(ForwardFlowTest, TheWorkersOwnFailureIsPassedOnWhereNoOtherDoesBetter) {
+  const auto writer = run("again");
+  last().answer(500, "broken");
+  ASSERT_EQ(port.sent.size(), 2U);
+  last().lose();
+  EXPECT_EQ(writer->response->status, 500);
+  EXPECT_EQ(writer->response->body, "broken");
+  EXPECT_EQ(writer->response->header("Seal"), "sealed");
+}
+
+TEST_F(ForwardFlowTest, NoRepeatBeyondTheBudget) {
+  ForwardFlow poor{ForwardEnvironment{process,
+                                      world.random(),
+                                      port,
+                                      placer,
+                                      beliefs,
+                                      retries,
+                                      circuit,
+                                      quotas,
+                                      counters,
+                                      {},
+                                      {0, 0}}};
+  http::Request message;
+  message.method = "POST";
+  message.target = "/again/";
+  message.headers = {{"Host", "a.example"}, {"Caller-Key", "secret"}};
+  auto writer = std::make_shared<FakeWriter>();
+  poor.run(parseForwardRequest(beliefs.configuration(), message, {}), writer);
+  last().lose();
+  EXPECT_EQ(port.sent.size(), 1U);
+  EXPECT_EQ(writer->response->status, 502);
+}
+
+TEST_F(ForwardFlowTest, RelaysWholeEventsAndEndsWithTheWorker) {
+  const auto writer = run("stream");
+  last().head(200, {{"Content-Type", "text/event-stream"}});
+  EXPECT_FALSE(writer->started.has_value());
+  last().bytes("id: 1\ndata: a\n\nid: 2\nda");
+  EXPECT_EQ(writer->started->header("Content-Type"), "text/event-stream");
+  EXPECT_EQ(writer->body, "id: 1\ndata: a\n\n");
+  last().bytes("ta: b\n\n");
+  last().observer->onComplete();
+  EXPECT_EQ(writer->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(writer->ended);
+  EXPECT_EQ(flow.active(), 0U);
+}
+
+TEST_F(ForwardFlowTest, ABrokenStreamEndsVisibly) {
+  for (const bool in_an_event : {false, true}) {
+    const auto writer = run("stream");
+    last().head(200);
+    last().bytes(in_an_event ? "id: 1\ndata: a\n\nid: 2\nda" : "id: 1\ndata: a\n\n");
+    if (in_an_event) {
+      last().observer->onComplete();
+    } else {
+      last().lose();
+    }
+    EXPECT_TRUE(writer->aborted);
+    EXPECT_FALSE(writer->ended);
+    EXPECT_EQ(writer->body, "id: 1\ndata: a\n\n");
+  }
+}
+
+TEST_F(ForwardFlowTest, AResumableStreamGoesOnAfterItsLastWholeEvent) {
+  const auto writer = run("resumed");
+  last().head(200, {{"Run", "first"}});
+  last().bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  last().lose();
+  ASSERT_EQ(port.sent.size(), 2U);
+  EXPECT_EQ(last().header("Last-Event-ID"), "2");
+  last().head(200, {{"Run", "second"}});
+  last().bytes("id: 3\ndata: c\n\n");
+  last().observer->onComplete();
+  EXPECT_EQ(writer->started->header("Run"), "first");
+  EXPECT_EQ(writer->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  EXPECT_TRUE(writer->ended);
+}
+
+TEST_F(ForwardFlowTest, APieceGivenOnceIsNotGivenAgain) {
+  const auto writer = run("resumed");
+  last().head(200);
+  last().bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  last().lose();
+  last().head(200);
+  last().bytes("id: 2\ndata: b\n\n");
+  EXPECT_TRUE(writer->aborted);
+  EXPECT_EQ(writer->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+}
+
+TEST_F(ForwardFlowTest, TheTimeLimitGivesAFinalAnswer) {
+  const auto sent = run("once");
+  world.runFor(std::chrono::milliseconds(2'001));
+  ASSERT_TRUE(sent->response.has_value());
+  EXPECT_EQ(sent->response->status, 504);
+  EXPECT_TRUE(last().call->cancelled);
+  const auto streaming = run("stream", {{"Deadline-Ms", "500"}});
+  last().head(200);
+  last().bytes("id: 1\ndata: a\n\n");
+  world.runFor(std::chrono::milliseconds(501));
+  EXPECT_TRUE(streaming->aborted);
+  EXPECT_EQ(flow.active(), 0U);
+}
+
+TEST_F(ForwardFlowTest, ACallerThatLeavesFreesItsWorker) {
+  const auto writer = run("stream");
+  last().head(200);
+  writer->gone();
+  world.runFor(std::chrono::milliseconds(1));
+  EXPECT_TRUE(last().call->cancelled);
+  EXPECT_EQ(flow.active(), 0U);
+}
+
+TEST_F(ForwardFlowTest, ASlowCallerHoldsItsWorkerBack) {
+  const auto writer = run("stream");
+  writer->slow = true;
+  last().head(200);
+  int resumed = 0;
+  for (int index = 1; index <= 40; ++index) {
+    last().observer->onBytes("id: " + std::to_string(index) + "\ndata: a\n\n",
+                             [&resumed] { ++resumed; });
+  }
+  EXPECT_LT(resumed, 17);
+  writer->waiting.front()(true);
+  world.runFor(std::chrono::milliseconds(1));
+  EXPECT_EQ(flow.active(), 1U);
+}
+
+TEST_F(ForwardFlowTest, ATenantBeyondItsQuotaIsToldWhenToComeBack) {
+  beliefs.view.forwarding.tenants["t"].rate_per_s = 1;
+  int refused = 0;
+  for (int request = 0; request < 20; ++request) {
+    const auto writer = run("once");
+    if (writer->response) {
+      EXPECT_EQ(writer->response->status, 429);
+      EXPECT_THAT(std::string(writer->response->header("Retry-After")), HasSubstr("."));
+      ++refused;
+    }
+  }
+  EXPECT_GE(refused, 12);
+}
+
+TEST_F(ForwardFlowTest, NoWorkerOfAnEvacuatedZoneOrLeavingIsUsed) {
+  beliefs.view.evacuated_zones.insert("zone-w1");
+  beliefs.snapshot.workers["w2"].draining = true;
+  for (int request = 0; request < 20; ++request) {
+    run("once");
+    EXPECT_EQ(last().header("Expect-Instance"), "w3");
+  }
+  beliefs.snapshot.workers["w3"].gone = true;
+  EXPECT_EQ(run("once")->response->status, 503);
+}
+
+TEST_F(ForwardFlowTest, AColdWorkerGetsNoMoreThanItsPart) {
+  configuration::ForwardPool& pool = beliefs.view.forwarding.pools["shop"];
+  pool.cold_ms = 3'000;
+  pool.cold_per_s = 2;
+  for (const char* name : {"w1", "w2", "w3"}) {
+    beliefs.snapshot.workers[name].entry.cold = true;
+  }
+  for (int request = 0; request < 20; ++request) {
+    run("once");
+  }
+  EXPECT_EQ(port.sent.size(), 3U);
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/quota_meter_test.cc
@@ -0,0 +1,159 @@
+#include "switchsaddle/front/quota_meter.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <memory>
+
+#include "switchsaddle/core/quota_allotter.h"
+#include "switchsaddle/simulation/process.h"
+#include "switchsaddle/simulation/world.h"
+
+namespace switchsaddle::front {
+namespace {
+
+constexpr configuration::QuotaBounds Bounds{8, 0.1, 1'000};
+
+configuration::ForwardTenant tenantOf(double rate) {
+  configuration::ForwardTenant tenant;
+  tenant.name = "t";
+  tenant.rate_per_s = rate;
+  tenant.burst = rate;
+  return tenant;
+}
+
+QuotaOptions optionsOf() {
+  QuotaOptions options;
+  options.bounds = Bounds;
+  return options;
+}
+
+TEST(QuotaMeterTest, ATenantWithoutAQuotaIsNotLimited) {
+  simulation::World world{1};
+  simulation::Process process{world};
+  QuotaMeter meter(process, optionsOf());
+  EXPECT_FALSE(meter.take(tenantOf(0), 1e12).has_value());
+}
+
+TEST(QuotaMeterTest, WithoutWordFromTheCoresAFrontKeepsAnEqualPart) {
+  simulation::World world{1};
+  simulation::Process process{world};
+  QuotaMeter meter(process, optionsOf());
+  meter.setFronts(4);
+  const configuration::ForwardTenant tenant = tenantOf(1'000);
+  double let_in = 0;
+  for (int request = 0; request < 10'000; ++request) {
+    let_in += meter.take(tenant, 10).has_value() ? 0 : 10;
+  }
+  EXPECT_LE(let_in, *Bounds.limitOf(tenant) / 4);
+  EXPECT_GT(let_in, *Bounds.limitOf(tenant) / 5);
+  world.runFor(std::chrono::milliseconds(8'200));
+  EXPECT_FALSE(meter.take(tenant, 10).has_value());
+}
+
+TEST(QuotaMeterTest, ARefusalTellsWhenToComeBackAndGivenBackUnitsCountNoMore) {
+  simulation::World world{1};
+  simulation::Process process{world};
+  QuotaMeter meter(process, optionsOf());
+  const configuration::ForwardTenant tenant = tenantOf(100);
+  const double all = *Bounds.limitOf(tenant) * 0.9;
+  EXPECT_FALSE(meter.take(tenant, all - 1).has_value());
+  const auto wait = meter.take(tenant, 50);
+  ASSERT_TRUE(wait.has_value());
+  EXPECT_GT(*wait, base::Duration::zero());
+  meter.giveBack(tenant, all - 1);
+  EXPECT_FALSE(meter.take(tenant, 50).has_value());
+}
+
+/** Fronts that report to one core each quarter of a second, under demand that jumps about. */
+class QuotaFleet {
+ public:
+  QuotaFleet(std::uint64_t seed, std::size_t fronts) : world_(seed), tenant_(tenantOf(1'000)) {
+    auto view = std::make_shared<configuration::View>();
+    view->forwarding.tenants["t"] = tenant_;
+    allotter_.setConfiguration(view);
+    for (std::size_t index = 0; index < fronts; ++index) {
+      meters_.push_back(std::make_unique<QuotaMeter>(process_, optionsOf()));
+      meters_.back()->setFronts(fronts);
+      records_.emplace_back();
+      records_.back().record.front = {"127.0.0.1", static_cast<std::uint16_t>(index + 1)};
+    }
+  }
+
+  /** Asks for `per_s` units a second for a while; with `cut` no front hears of the others. */
+  void load(double per_s, base::Duration duration, bool cut) {
+    constexpr base::Duration Step = std::chrono::milliseconds(10);
+    for (base::Duration passed{}; passed < duration; passed += Step) {
+      world_.runFor(Step);
+      ++steps_;
+      report(cut);
+      askFor(per_s * 0.01);
+    }
+  }
+  double mostInAnyWindow() const { return most_; }
+  double letIn() const { return let_in_; }
+  const configuration::ForwardTenant& tenant() const { return tenant_; }
+
+ private:
+  void report(bool cut) {
+    for (std::size_t index = 0; index < meters_.size() && !cut; ++index) {
+      if ((steps_ + index * 7) % 25 == 0) {
+        records_[index].record.demand = meters_[index]->demand();
+        meters_[index]->setAllotments(allotter_.allot(records_[index].record));
+      }
+    }
+  }
+  void askFor(double units) {
+    const base::TimePoint now = process_.now();
+    constexpr double Request = 50;
+    for (owed_ += units; owed_ >= Request; owed_ -= Request) {
+      // Uneven, as callers are.
+      const std::size_t first = world_.random().below(meters_.size());
+      const std::size_t front = std::min(first, world_.random().below(meters_.size()));
+      if (!meters_[front]->take(tenant_, Request).has_value()) {
+        admitted_.push_back({now, Request});
+        let_in_ += Request;
+      }
+    }
+    while (!admitted_.empty() && now - admitted_.front().first > std::chrono::seconds(8)) {
+      admitted_.pop_front();
+    }
+    double sum = 0;
+    for (const auto& [at, units_in] : admitted_) {
+      sum += units_in;
+    }
+    most_ = std::max(most_, sum);
+  }
+
+  simulation::World world_;
+  simulation::Process process_{world_};
+  configuration::ForwardTenant tenant_;
+  core::QuotaAllotter::Records records_;
+  core::QuotaAllotter allotter_{process_, [this] { return records_; }, Bounds};
+  std::vector<std::unique_ptr<QuotaMeter>> meters_;
+  std::deque<std::pair<base::TimePoint, double>> admitted_;
+  std::uint64_t steps_ = 0;
+  double owed_ = 0;
+  double most_ = 0;
+  double let_in_ = 0;
+};
+
+class QuotaFleetTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(QuotaFleetTest, TheFleetStaysWithinTheQuotaAndGivesOutWhatIsAsked) {
+  for (const std::size_t fronts : {6U, 40U}) {
+    QuotaFleet fleet(GetParam(), fronts);
+    fleet.load(750, std::chrono::seconds(12), false);
+    // All that lies well within the quota is let in.
+    EXPECT_GE(fleet.letIn(), 750 * 12 * 0.99) << fronts;
+    fleet.load(6'000, std::chrono::seconds(12), false);
+    EXPECT_LE(fleet.mostInAnyWindow(), *Bounds.limitOf(fleet.tenant())) << fronts;
+    fleet.load(6'000, std::chrono::seconds(20), true);
+    EXPECT_LE(fleet.mostInAnyWindow(), *Bounds.limitOf(fleet.tenant())) << fronts;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, QuotaFleetTest, testing::Range<std::uint64_t>(1, 21));
+
+}  // namespace
+}  // namespace switchsaddle::front
--- /dev/null
+++ b/libraries/front/test/retry_budget_test.cc
@@ -0,0 +1,35 @@
+#include "switchsaddle/front/retry_budget.h"
+
+#include <gtest/gtest.h>
+
+#include "switchsaddle/simulation/process.h"
+#include "switchsaddle/simulation/world.h"
+
+namespace switchsaddle::front {
+namespace {
+
+TEST(RetryBudgetTest, HasNoFloorOfItsOwn) {
+  simulation::World world{1};
+  simulation::Process process{world};
+  RetryBudget budget(process);
+  budget.countFirstTry("s");
+  EXPECT_FALSE(budget.trySpend("s", 0.2));
+}
+
+TEST(RetryBudgetTest, SpendsItsPartOfTheFleetsExtraOnceInAWindow) {
+  simulation::World world{1};
+  simulation::Process process{world};
+  RetryBudget budget(process);
+  int spent = 0;
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    spent += budget.trySpend("s", 0.2, 5) ? 1 : 0;
+  }
+  EXPECT_EQ(spent, 5);
+  world.runFor(std::chrono::seconds(9));
+  EXPECT_FALSE(budget.trySpend("s", 0.2, 5));
+  world.runFor(std::chrono::seconds(2));
+  EXPECT_TRUE(budget.trySpend("s", 0.2, 5));
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- a/libraries/http/test/client_test.cc
+++ b/libraries/http/test/client_test.cc
@@ -271,5 +271,71 @@
   EXPECT_EQ(failure, ExchangeFailure::NotConnected);
 }
 
+/** Takes only answers that name the request. */
+ExchangeOptions onlyNamed() {
+  ExchangeOptions options;
+  options.is_answer = [](const Response& head) { return head.header("Request-Id") == "mine"; };
+  return options;
+}
+
+TEST_F(ClientTest, PassesOverAnAnswerThatBelongsToAnotherRequest) {
+  const base::NodeAddress address = serveRaw(
+      "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nwrong"
+      "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\nContent-Length: 5\r\n\r\nright");
+  const auto observer = runAt(address, {"POST", "/", {}, "x"}, onlyNamed());
+  EXPECT_EQ(observer->completions, 1);
+  EXPECT_EQ(observer->body, "right");
+}
+
+TEST_F(ClientTest, AnotherRequestsAnswerAloneIsNone) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nwrong");
+  EXPECT_EQ(runAt(address, {"POST", "/", {}, "x"}, onlyNamed())->failure,
+            ExchangeFailure::NoResponse);
+}
+
+TEST_F(ClientTest, TakesAnAnswerGivenBeforeTheRequestWasRead) {
+  const base::NodeAddress address =
+      serveRaw("HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy", true);
+  const std::string long_body(32U << 20U, 'x');
+  const auto observer = runAt(address, {"POST", "/", {}, long_body});
+  EXPECT_EQ(observer->completions, 1);
+  EXPECT_EQ(observer->head->status, 503);
+  // The rest of the body is still due on that connection, so that it is not used again.
+  runAt(address, {"POST", "/", {}, "x"});
+  EXPECT_EQ(raw_connections, 2);
+}
+
+TEST_F(ClientTest, LeavesAConnectionBeforeTheServerSaysItCloses) {
+  serve([](const Request&, const ResponseWriterPtr& writer) {
+    writer->respond({200, {{"Keep-Alive", "timeout=0"}}, "x"});
+  });
+  run({"POST", "/", {}, "x"});
+  run({"POST", "/", {}, "x"});
+  EXPECT_TRUE(runUntil([&] { return server->openConnections() <= 1; }));
+  ExchangeOptions never;
+  never.reuse_within = {};
+  EXPECT_EQ(run({"POST", "/", {}, "x"}, never)->body, "x");
+}
+
+TEST_F(ClientTest, AGetLostOnAReusedConnectionIsSentAgainOnlyWhereAsked) {
+  for (const bool resend : {true, false}) {
+    int requests = 0;
+    serve([&](const Request&, const ResponseWriterPtr& writer) {
+      if (++requests == 2) {
+        writer->abort();
+      } else {
+        writer->respond({200, {}, "x"});
+      }
+    });
+    ExchangeOptions options;
+    options.resend_lost_get = resend;
+    run({"GET", "/", {}, ""}, options);
+    const auto second = run({"GET", "/", {}, ""}, options);
+    EXPECT_EQ(second->completions, resend ? 1 : 0);
+    EXPECT_EQ(requests, resend ? 3 : 2);
+  }
+}
+
 }  // namespace
 }  // namespace switchsaddle::http
--- a/libraries/http/test/server_test.cc
+++ b/libraries/http/test/server_test.cc
@@ -322,5 +322,13 @@
   EXPECT_EQ(queryParameter("/a", "model"), "");
 }
 
+TEST_F(ServerTest, ClosesConnectionsAfterTheirAnswersAndAcceptsMore) {
+  serve([](const Request&, const ResponseWriterPtr& writer) { writer->respond({200, {}, "x"}); });
+  EXPECT_EQ(run({"POST", "/", {}, "x"})->head->header("Connection"), "keep-alive");
+  server->closeAfterAnswers();
+  EXPECT_EQ(run({"POST", "/", {}, "x"})->head->header("Connection"), "close");
+  EXPECT_EQ(run({"POST", "/", {}, "x"})->head->header("Connection"), "close");
+}
+
 }  // namespace
 }  // namespace switchsaddle::http
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -51,9 +51,10 @@
 
   void readLive(LiveSessionsCallback callback) override;
   std::vector<wire::SessionTableEntry> localSessions() const override;
-  /** Works out what a front is allotted along with a grant of its session; none without it. */
-  using AllotmentSource =
-      std::function<std::vector<wire::TenantAllotment>(const wire::SessionRecord& record)>;
+  /** Works out what a front is allotted along with a grant of its session; nothing where that is
+   * not known. */
+  using AllotmentSource = std::function<std::optional<std::vector<wire::TenantAllotment>>(
+      const wire::SessionRecord& record)>;
   void setAllotmentSource(AllotmentSource source) { allotment_source_ = std::move(source); }
   /** Whether sessions granted through this node's earlier life may still be unknown to it. */
   bool recovering() const;
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -158,7 +158,7 @@
     }
   }
   learn(reply);
-  if (allotment_listener_) {
+  if (allotment_listener_ && reply.quotas_known) {
     allotment_listener_(reply.allotments);
   }
   if (!continues) {
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -232,8 +232,11 @@
     granted.core_addresses = cores;
     granted.front_addresses = members().fronts;
   }
-  if (allotment_source_ && !pending.record.demand.empty()) {
-    granted.allotments = allotment_source_(pending.record);
+  if (allotment_source_) {
+    if (auto allotments = allotment_source_(pending.record)) {
+      granted.quotas_known = true;
+      granted.allotments = std::move(*allotments);
+    }
   }
   const transport::ReplyFunction reply = std::exchange(pending.reply, nullptr);
   reply(std::move(granted));
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -91,13 +91,15 @@
   std::vector<base::NodeAddress> front_addresses;
   /** Digest of both lists; where the request names the same one, both are left empty. */
   std::uint64_t members_digest = 0;
-  /** For the tenants of the record's demand. */
+  /** Whether the core knows what all fronts let in. */
+  bool quotas_known = false;
+  /** Of tenants that have used much of their quota; where quotas_known, no other has. */
   std::vector<TenantAllotment> allotments = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest,
-            allotments);
+            quotas_known, allotments);
   }
 };
 
--- a/libraries/workers/test/platform_watcher_test.cc
+++ b/libraries/workers/test/platform_watcher_test.cc
@@ -237,5 +237,39 @@
   EXPECT_FALSE(usable("b")) << "a platform which started anew is believed in the end";
 }
 
+TEST_F(PlatformWatcherTest, TellsWhenTheListHasBeenUnreadableForItsBound) {
+  int told = 0;
+  watcher_.setUnreadableListener([&told] { ++told; });
+  watcher_.start(1);
+  platform_.reading.code = base::ResultCode::PeerTimeout;
+  poll(2);
+  EXPECT_EQ(told, 0);
+  poll(2);
+  EXPECT_EQ(told, 1);
+  platform_.reading.code = base::ResultCode::Ok;
+  poll(4);
+  EXPECT_EQ(told, 1);
+}
+
+TEST_F(PlatformWatcherTest, ReadsOneListAtATimeUntilItIsGivenUp) {
+  platform_.silent = true;
+  watcher_.start(1);
+  poll(4);
+  EXPECT_EQ(platform_.reads, 1);
+  poll(2);
+  EXPECT_EQ(platform_.reads, 2);
+}
+
+TEST_F(PlatformWatcherTest, PublishesThatAWorkerIsColdNoMore) {
+  wire::WorkerEntry cold = entry("a");
+  cold.cold = true;
+  list({cold});
+  watcher_.start(1);
+  EXPECT_TRUE(directory_.snapshot()->workers.at("a").entry.cold);
+  list({entry("a")});
+  poll();
+  EXPECT_FALSE(directory_.snapshot()->workers.at("a").entry.cold);
+}
+
 }  // namespace
 }  // namespace switchsaddle::workers
