--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -39,8 +39,10 @@
   Serve,
 };
 
-/** What the operators of a deployment allow its fronts together. */
+/** How a front forwards, and what the operators of a deployment allow its fronts together. */
 struct ForwardingSettings {
+  /** Keep long prompts and short ones on different workers; docs/ROUTING.md. */
+  bool prompt_lanes = false;
   /** Repeats as a share of a pool's requests, and besides, over ten seconds. */
   double retry_share = 0.1;
   double retry_extra = 0;
@@ -71,6 +73,9 @@
   std::uint16_t fleet_peer_port = 0;
   /** Core only: this is the first start of the whole fleet, whose first cores are the seeds. */
   bool first_start = false;
+  /** Core only: cores that may be lost at once; the acceptor set grows to twice as many and one, as
+   * far as there are cores. Zero: it stays as it was founded. */
+  std::uint32_t tolerated_core_losses = 0;
   /** Core only: reads the platform's list once at its start, without waiting for the watcher's
    * lease, so that a fleet that lost all memory serves sooner. */
   bool list_before_lease = false;
--- a/libraries/configuration/source/settings.cc
+++ b/libraries/configuration/source/settings.cc
@@ -119,6 +119,7 @@
     return;
   }
   ObjectReader inner(*value, "forwarding", faults);
+  forwarding.prompt_lanes = inner.boolean("prompt_lanes", false);
   forwarding.retry_share = readFraction(inner, "retry_share", forwarding.retry_share);
   forwarding.retry_extra = readFraction(inner, "retry_extra", forwarding.retry_extra);
   QuotaBounds& quotas = forwarding.quotas;
@@ -211,6 +212,8 @@
   settings.fleet_peer_port =
       static_cast<std::uint16_t>(reader.integer("fleet_peer_port", {0, 65'535}, 0));
   settings.first_start = reader.boolean("first_start", false);
+  settings.tolerated_core_losses =
+      static_cast<std::uint32_t>(reader.integer("tolerated_core_losses", {0, 10}, 0));
   settings.list_before_lease = reader.boolean("list_before_lease", false);
   settings.dialect = reader.text("dialect");
   settings.lapsed_session = readLapsedSession(reader);
--- a/libraries/core/include/switchsaddle/core/membership_keeper.h
+++ b/libraries/core/include/switchsaddle/core/membership_keeper.h
@@ -21,6 +21,9 @@
   base::Duration call_timeout = std::chrono::milliseconds(400);
   /** A candidate not heard of for this long is forgotten. */
   base::Duration candidate_lifetime = std::chrono::seconds(3);
+  /** Members that the set is to have: while it has fewer, announced cores are added. Zero: as many
+   * as it was founded with. */
+  std::size_t wanted_members = 0;
   /** Pause before the announcement of one candidate is passed on again. */
   base::Duration forward_pause = std::chrono::milliseconds(500);
 };
@@ -30,7 +33,8 @@
  * passes their announcements on to the members, since a new core knows only its seeds. While this
  * node holds the core-membership lease it asks each member for a sign of life, and replaces one
  * that has been silent for its bound, or at whose address another instance answers, by an announced
- * core. An operator's replacement goes the same way without waiting for silence. Runs on the
+ * core; while the set has fewer members than wanted, it adds an announced one. An operator's
+ * replacement goes the same way without waiting for silence. Runs on the
  * control strand.
  */
 class MembershipKeeper {
@@ -69,7 +73,11 @@
   void check();
   void askMembers();
   void onSign(const wire::AcceptorMember& member, const transport::CallResult& result);
-  void replaceOneSilent();
+  /** Whether a replacement was begun. */
+  bool replaceOneSilent();
+  void addOneWanted();
+  /** Any candidate at an address that no member has. */
+  std::optional<wire::AcceptorMember> candidateElsewhere() const;
   /** The candidate for a member's place: the one at its own address, else any. */
   std::optional<wire::AcceptorMember> candidateFor(const wire::AcceptorMember& member) const;
   void forgetOldCandidates();
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -78,8 +78,7 @@
                [this](const wire::WorkerView& view) { publishWorkers(view); }),
       keeper_(
           environment.dispatcher, environment.calls, environment.journal, acceptor_, set_change_,
-          [this] { return membership_lease_.held(); },
-          membershipOptionsOf(environment.settings.times)),
+          [this] { return membership_lease_.held(); }, membershipOptionsOf(environment.settings)),
       claims_(environment.calls, observed_proposer_),
       ledgers_(environment.dispatcher, environment.calls, environment.random, observed_proposer_,
                membership_, leaseTimesOf(environment.settings.times), life_),
--- a/libraries/core/source/core_options.cc
+++ b/libraries/core/source/core_options.cc
@@ -45,9 +45,12 @@
   return result;
 }
 
-MembershipOptions membershipOptionsOf(const configuration::TimeSettings& times) {
+MembershipOptions membershipOptionsOf(const configuration::Settings& settings) {
   MembershipOptions result;
-  result.silence_bound = times.core_replacement_silence;
+  result.silence_bound = settings.times.core_replacement_silence;
+  if (settings.tolerated_core_losses > 0) {
+    result.wanted_members = 2 * settings.tolerated_core_losses + 1;
+  }
   return result;
 }
 
--- a/libraries/core/source/core_options.h
+++ b/libraries/core/source/core_options.h
@@ -22,6 +22,6 @@
 registers::BootstrapOptions bootstrapOptionsOf(const configuration::Settings& settings);
 dissemination::GossipOptions gossipOptionsOf(const configuration::TimeSettings& times);
 workers::PlatformWatcherOptions watcherOptionsOf(const configuration::TimeSettings& times);
-MembershipOptions membershipOptionsOf(const configuration::TimeSettings& times);
+MembershipOptions membershipOptionsOf(const configuration::Settings& settings);
 
 }  // namespace switchsaddle::core
--- a/libraries/core/source/membership_keeper.cc
+++ b/libraries/core/source/membership_keeper.cc
@@ -76,7 +76,9 @@
   }
   forgetOldCandidates();
   askMembers();
-  replaceOneSilent();
+  if (!change_.active() && !replaceOneSilent()) {
+    addOneWanted();
+  }
 }
 
 void MembershipKeeper::askMembers() {
@@ -112,10 +114,7 @@
   }
 }
 
-void MembershipKeeper::replaceOneSilent() {
-  if (change_.active()) {
-    return;
-  }
+bool MembershipKeeper::replaceOneSilent() {
   const base::TimePoint now = dispatcher_.now();
   for (const auto& [member, heard_at] : heard_) {
     const std::optional<wire::AcceptorMember> candidate = candidateFor(member);
@@ -131,30 +130,53 @@
             journalReplacement(member, *candidate, code);
           }
         });
+    return true;
+  }
+  return false;
+}
+
+void MembershipKeeper::addOneWanted() {
+  const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  if (members.size() >= options_.wanted_members) {
+    return;
+  }
+  const std::optional<wire::AcceptorMember> candidate = candidateElsewhere();
+  if (!candidate) {
     return;
   }
+  change_.add(*candidate, [this, alive = std::weak_ptr(alive_), candidate](base::ResultCode code) {
+    if (!alive.expired()) {
+      journal_.append(journal::Subject::AcceptorSet, "addition",
+                      candidate->address.toString() + ": " + std::string(base::describe(code).name),
+                      acceptor_.acceptorSet().epoch);
+    }
+  });
+}
+
+std::optional<wire::AcceptorMember> MembershipKeeper::candidateElsewhere() const {
+  const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  for (const auto& [instance, candidate] : candidates_) {
+    const base::NodeAddress& address = candidate.announce.member.address;
+    const bool address_taken =
+        std::any_of(members.begin(), members.end(),
+                    [&address](const auto& member) { return member.address == address; });
+    if (!address_taken) {
+      return candidate.announce.member;
+    }
+  }
+  return std::nullopt;
 }
 
 std::optional<wire::AcceptorMember> MembershipKeeper::candidateFor(
     const wire::AcceptorMember& member) const {
   const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
-  std::optional<wire::AcceptorMember> elsewhere;
   for (const auto& [instance, candidate] : candidates_) {
     const wire::AcceptorMember& announced = candidate.announce.member;
-    if (contains(members, instance)) {
-      continue;
-    }
-    if (announced.address == member.address) {
+    if (announced.address == member.address && !contains(members, instance)) {
       return announced;
     }
-    const bool address_taken = std::any_of(members.begin(), members.end(), [&](const auto& other) {
-      return other.address == announced.address;
-    });
-    if (!address_taken) {
-      elsewhere = announced;
-    }
   }
-  return elsewhere;
+  return candidateElsewhere();
 }
 
 void MembershipKeeper::replace(const base::NodeAddress& old_member,
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -35,6 +35,12 @@
   return options;
 }
 
+routing::RouterOptions routerOptions(const configuration::ForwardingSettings& settings) {
+  routing::RouterOptions options;
+  options.prompt_lanes = settings.prompt_lanes;
+  return options;
+}
+
 QuotaOptions quotaOptions(const configuration::ForwardingSettings& settings) {
   QuotaOptions options;
   options.bounds = settings.quotas;
@@ -61,7 +67,7 @@
       gossip_(environment.dispatcher, environment.calls, environment.random, replica_, directory_,
               gossipOptions(environment.settings.times)),
       router_(environment.dispatcher, environment.random, environment.calls.localAddress(),
-              routing::RouterOptions{}),
+              routerOptions(environment.settings.forwarding)),
       claims_(
           environment.dispatcher, environment.calls, [this] { return session_.coreAddresses(); },
           claimOptions(environment.settings.times)),
--- a/libraries/routing/include/switchsaddle/routing/arm.h
+++ b/libraries/routing/include/switchsaddle/routing/arm.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -36,6 +37,8 @@
   /** Null where one worker does both stages. */
   WorkerRecordPtr decode;
   std::uint64_t hash = 0;
+  /** The lane of prompts it takes, by its rank among the pool's arms. */
+  std::size_t lane = 0;
   RouteStatistics statistics;
   /** This front's last scout of the arm; only meaningful where there was one. */
   base::TimePoint scouted_at{};
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -14,6 +14,7 @@
 #include "switchsaddle/routing/chain_rate.h"
 #include "switchsaddle/routing/model_pool.h"
 #include "switchsaddle/routing/prefix_chains.h"
+#include "switchsaddle/routing/prompt_lanes.h"
 #include "switchsaddle/routing/router.h"
 
 namespace switchsaddle::routing {
@@ -25,6 +26,8 @@
   bool cold_guard = true;
   /** Draw on speed apart from prefix hits and lengths, in place of raw end-to-end tokens/s. */
   bool score_hygiene = true;
+  /** Keep long prompts and short ones on different workers. */
+  bool prompt_lanes = false;
   /** Chains of shared prefix parts remembered. */
   std::size_t prefix_chains = 1U << 16U;
   ColdPrior cold_prior;
@@ -106,13 +109,17 @@
   /** The workers consistent hashing names for the prompt's longest part. All fronts send it there,
    * so it is believed to be cached there. */
   void collectHomes(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
+  void collectHomesInLane(const ModelPool& pool, const PrefixChains& chains, std::size_t needed);
   /** Home workers the chain's prompts of all fronts need. */
   std::size_t homesNeeded(const ModelPool& pool, const Prompt& prompt, std::uint64_t chain) const;
   void collectAtRandom(const ModelPool& pool, std::size_t limit);
   void collectLeastMeasured(const ModelPool& pool);
   void collectLeastMeasured(ModelPool& pool);
   void refreshScouts(ModelPool& pool);
+  void gatherCandidates(ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
   void consider(Arm& arm, std::uint32_t cached_tokens);
+  /** Gives each arm of the pool its lane. */
+  static void assignLanes(ModelPool& pool);
   void rankCandidates(const Prompt& prompt, std::size_t limit);
   /** Drops arms the cold guard holds back, as long as others remain. */
   void dropHeldBack();
@@ -148,6 +155,7 @@
   ColdGuard cold_guard_;
   PrefixIndex prefix_index_;
   ChainRate chain_rate_;
+  PromptLanes lanes_;
   std::size_t fronts_ = 1;
   std::map<std::string, WorkerRecordPtr> workers_;
   WorkerNumber next_number_ = 0;
@@ -160,6 +168,8 @@
   std::vector<Candidate> candidates_;
   std::vector<SelectionCandidate> selection_;
   const std::vector<std::string>* excluded_ = nullptr;
+  /** The lane that candidates must have; nothing where any will do. */
+  std::optional<std::size_t> lane_;
 };
 
 }  // namespace switchsaddle::routing
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -42,7 +42,8 @@
       return;
     }
   }
-  if (arm.usable() && !isExcluded(arm)) {
+  const bool in_lane = !lane_ || *lane_ == arm.lane;
+  if (in_lane && arm.usable() && !isExcluded(arm)) {
     candidates_.push_back(Candidate{&arm, cached_tokens, 0});
   }
 }
@@ -50,8 +51,25 @@
 void LearnedRouter::collectCandidates(ModelPool& pool, const Prompt& prompt,
                                       const PrefixChains& chains,
                                       const std::vector<std::string>& excluded) {
-  candidates_.clear();
   excluded_ = &excluded;
+  lane_.reset();
+  const std::size_t lanes = PromptLanes::lanesFor(pool.arms.size());
+  if (options_.prompt_lanes && lanes > 1) {
+    lanes_.add(prompt.prompt_tokens, dispatcher_.now());
+    if (lanes_.known()) {
+      lane_ = lanes_.laneOf(prompt.prompt_tokens, lanes);
+    }
+  }
+  gatherCandidates(pool, prompt, chains);
+  if (candidates_.empty() && lane_) {
+    lane_.reset();
+    gatherCandidates(pool, prompt, chains);
+  }
+}
+
+void LearnedRouter::gatherCandidates(ModelPool& pool, const Prompt& prompt,
+                                     const PrefixChains& chains) {
+  candidates_.clear();
   const std::size_t limit = std::max(1U, tuning_.route_candidates);
   if (options_.prefix_affinity && !chains.empty()) {
     collectOwners(pool, prompt, chains);
@@ -100,6 +118,10 @@
   const std::uint64_t chain = chains.at(chains.homeDepth());
   const std::size_t needed = homesNeeded(pool, prompt, chain);
   const std::size_t looked_at = std::min(needed, HomeChoices);
+  if (lane_) {
+    collectHomesInLane(pool, chains, looked_at);
+    return;
+  }
   for (std::size_t choice = 0; choice < looked_at; ++choice) {
     const std::size_t replica = needed <= HomeChoices ? choice : random_.below(needed);
     for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
@@ -108,6 +130,19 @@
   }
 }
 
+void LearnedRouter::collectHomesInLane(const ModelPool& pool, const PrefixChains& chains,
+                                       std::size_t needed) {
+  const std::uint64_t chain = chains.at(chains.homeDepth());
+  const std::size_t most = needed * PromptLanes::MostLanes * 2;
+  std::size_t found = 0;
+  for (std::size_t replica = 0; replica < most && found < needed; ++replica) {
+    for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
+      found += *lane_ == arm->lane ? 1 : 0;
+      consider(*arm, chains.tokens());
+    }
+  }
+}
+
 void LearnedRouter::collectLeastMeasured(ModelPool& pool) {
   refreshScouts(pool);
   const base::TimePoint now = dispatcher_.now();
@@ -157,7 +192,7 @@
     }
     return;
   }
-  const std::size_t attempts = 2 * limit;
+  const std::size_t attempts = 2 * limit * (lane_ ? PromptLanes::MostLanes : 1);
   for (std::size_t attempt = 0; attempt < attempts && candidates_.size() < limit; ++attempt) {
     consider(*pool.arms[random_.below(size)], 0);
   }
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -144,6 +144,7 @@
       addArm(pool, former, prefill, decode);
     }
   }
+  assignLanes(pool);
   pool.index.rebuild(pool.arms);
   pool.scouts.clear();
   pool.scouts_epoch = 0;
@@ -157,6 +158,20 @@
   }
 }
 
+void LearnedRouter::assignLanes(ModelPool& pool) {
+  // By hash, so that all fronts agree, and zones are spread over the lanes.
+  std::vector<Arm*> ranked;
+  ranked.reserve(pool.arms.size());
+  for (const ArmPtr& arm : pool.arms) {
+    ranked.push_back(arm.get());
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const Arm* first, const Arm* second) { return first->hash < second->hash; });
+  for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+    ranked[rank]->lane = PromptLanes::laneOfRank(rank, ranked.size());
+  }
+}
+
 void LearnedRouter::addArm(ModelPool& pool, std::map<std::string, ArmPtr>& former,
                            const WorkerRecordPtr& prefill, const WorkerRecordPtr& decode) {
   std::string signature = prefill->worker.entry.id;
--- a/libraries/routing/test/learned_router_test.cc
+++ b/libraries/routing/test/learned_router_test.cc
@@ -1,6 +1,11 @@
 #include "switchsaddle/routing/learned_router.h"
 
 #include <gtest/gtest.h>
+#include <array>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
 
 #include <algorithm>
 #include <map>
@@ -291,5 +296,139 @@
   EXPECT_LE(on_cold, 1);
 }
 
+TEST(PromptLanesTest, EachLaneHasAnEqualPartOfTheTokens) {
+  PromptLanes lanes;
+  const base::TimePoint now{};
+  EXPECT_FALSE(lanes.known());
+  for (int round = 0; round < 100; ++round) {
+    for (int prompt = 0; prompt < 40; ++prompt) {
+      lanes.add(500, now);
+    }
+    for (int prompt = 0; prompt < 4; ++prompt) {
+      lanes.add(5'000, now);
+    }
+    lanes.add(20'000, now);
+  }
+  EXPECT_TRUE(lanes.known());
+  EXPECT_EQ(lanes.laneOf(500, 3), 0U);
+  EXPECT_EQ(lanes.laneOf(100, 3), 0U);
+  EXPECT_EQ(lanes.laneOf(5'000, 3), 1U);
+  EXPECT_EQ(lanes.laneOf(20'000, 3), 2U);
+  EXPECT_EQ(lanes.laneOf(1'000'000, 3), 2U);
+  EXPECT_EQ(lanes.laneOf(20'000, 1), 0U);
+}
+
+TEST(PromptLanesTest, WorkersAreDividedEvenly) {
+  EXPECT_EQ(PromptLanes::lanesFor(1), 1U);
+  EXPECT_EQ(PromptLanes::lanesFor(4), 2U);
+  EXPECT_EQ(PromptLanes::lanesFor(9), 3U);
+  std::array<int, 3> counts{};
+  for (std::size_t rank = 0; rank < 10; ++rank) {
+    ++counts.at(PromptLanes::laneOfRank(rank, 10));
+  }
+  EXPECT_EQ(counts[0] + counts[1] + counts[2], 10);
+  EXPECT_GE(*std::min_element(counts.begin(), counts.end()), 3);
+}
+
+class PromptLanesRouterTest : public LearnedRouterTest {
+ protected:
+  PromptLanesRouterTest() {
+    RouterOptions options;
+    options.prompt_lanes = true;
+    router = std::make_unique<LearnedRouter>(process_, random_, base::NodeAddress{"127.0.0.1", 1},
+                                             options);
+    auto view = std::make_shared<configuration::View>();
+    view->routes["chat"] = route_;
+    router->setConfiguration(view);
+  }
+  std::optional<std::string> placeLong(std::uint32_t tokens,
+                                       const std::vector<std::string>& excluded = {}) {
+    const auto placement = router->choose({"m", {}, tokens, 100}, route_, excluded);
+    if (!placement) {
+      return std::nullopt;
+    }
+    Completion completion;
+    completion.ticket = placement->ticket;
+    router->complete(completion);
+    return placement->arm;
+  }
+
+  std::unique_ptr<LearnedRouter> router;
+};
+
+TEST_F(PromptLanesRouterTest, LongPromptsAndShortOnesMeetNoWorkerInCommon) {
+  addWorkers(9);
+  auto snapshot = std::make_shared<workers::WorkerSnapshot>();
+  snapshot->revision = 1;
+  snapshot->workers = workers_;
+  router->setWorkers(snapshot);
+  std::set<std::string> for_short;
+  std::set<std::string> for_long;
+  for (int round = 0; round < 400; ++round) {
+    const bool counted = round >= 100;
+    for (int prompt = 0; prompt < 20; ++prompt) {
+      const auto arm = placeLong(1'000);
+      if (counted) {
+        for_short.insert(*arm);
+      }
+    }
+    const auto arm = placeLong(20'000);
+    if (counted) {
+      for_long.insert(*arm);
+    }
+  }
+  for (const std::string& arm : for_long) {
+    EXPECT_FALSE(for_short.contains(arm)) << arm;
+  }
+  // With its whole lane gone a prompt goes to any other worker.
+  const std::vector<std::string> excluded(for_long.begin(), for_long.end());
+  EXPECT_TRUE(placeLong(20'000, excluded).has_value());
+}
+
+class KnownColdRateTest : public LearnedRouterTest {
+ protected:
+  /** Placements on cold workers that fronts which see each other make in one second. */
+  int placedInASecond(std::size_t fronts, double per_s) {
+    std::vector<base::NodeAddress> addresses;
+    for (std::size_t index = 0; index < fronts; ++index) {
+      addresses.push_back({"127.0.0.1", static_cast<std::uint16_t>(index + 1)});
+    }
+    auto view = std::make_shared<configuration::View>();
+    configuration::ForwardPool& pool = view->forwarding.pools["llm"];
+    pool.models = {"m"};
+    pool.cold_per_s = per_s;
+    auto snapshot = std::make_shared<workers::WorkerSnapshot>();
+    snapshot->revision = 1;
+    workers::Worker cold{entry("w0"), false, false};
+    cold.entry.cold = true;
+    snapshot->workers["w0"] = cold;
+    std::vector<std::unique_ptr<LearnedRouter>> routers;
+    for (const base::NodeAddress& address : addresses) {
+      routers.push_back(
+          std::make_unique<LearnedRouter>(process_, random_, address, RouterOptions{}));
+      routers.back()->setConfiguration(view);
+      routers.back()->setWorkers(snapshot);
+      routers.back()->setFronts(addresses);
+    }
+    int placed = 0;
+    for (int step = 0; step < 100; ++step) {
+      for (const auto& router : routers) {
+        const auto placement = router->choose({"m", {}, 100, 100}, route_, {});
+        placed += placement ? 1 : 0;
+      }
+      world_.runFor(milliseconds(10));
+    }
+    return placed;
+  }
+};
+
+TEST_F(KnownColdRateTest, AllFrontsTogetherStayWithinIt) {
+  for (const std::size_t fronts : {1U, 6U, 87U}) {
+    const int placed = placedInASecond(fronts, 10);
+    EXPECT_LE(placed, 10) << fronts;
+    EXPECT_GE(placed, 2) << fronts;
+  }
+}
+
 }  // namespace
 }  // namespace switchsaddle::routing
--- a/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
@@ -17,6 +17,10 @@
   std::size_t operators = 1;
   /** The setting of how long fronts serve on while a majority of cores refuse connections. */
   base::Duration core_refused_grace = configuration::TimeSettings{}.core_refused_grace;
+  /** The setting by which the acceptor set grows; zero: it does not. */
+  std::uint32_t tolerated_core_losses = 0;
+  /** The setting by which cores read the platform's list before any has the watcher's lease. */
+  bool list_before_lease = false;
 };
 
 /** The body of a first change with whatever a stream needs; its key is secretOfKey(CallerKey). */
@@ -57,8 +61,7 @@
  private:
   configuration::Settings settingsOf(const base::NodeAddress& address) const;
 
-  base::Duration core_refused_grace_;
-
+  FleetSize size_;
   core::CoreFaults core_faults_;
   std::vector<base::NodeAddress> initial_cores_;
   std::vector<base::NodeAddress> seeds_;
--- a/libraries/scenarios/source/fleet.cc
+++ b/libraries/scenarios/source/fleet.cc
@@ -32,7 +32,7 @@
 
 Fleet::Fleet(std::uint64_t seed, FleetSize size, core::CoreFaults core_faults,
              sessions::SessionClientFaults front_faults)
-    : world(seed), core_refused_grace_(size.core_refused_grace), core_faults_(core_faults) {
+    : world(seed), size_(size), core_faults_(core_faults) {
   platform.reading.code = base::ResultCode::Ok;
   for (std::size_t index = 0; index < size.cores; ++index) {
     initial_cores_.push_back(addressOf(CorePort, index));
@@ -63,7 +63,9 @@
   configuration::Settings settings;
   settings.peer_address = address;
   settings.zone = "zone";
-  settings.times.core_refused_grace = core_refused_grace_;
+  settings.times.core_refused_grace = size_.core_refused_grace;
+  settings.tolerated_core_losses = size_.tolerated_core_losses;
+  settings.list_before_lease = size_.list_before_lease;
   settings.seeds = seeds_;
   settings.operator_hashes = {configuration::sha256Hex(SimulatedOperatorKey)};
   return settings;
--- /dev/null
+++ b/libraries/scenarios/test/core_growth_test.cc
@@ -0,0 +1,66 @@
+#include <gtest/gtest.h>
+
+#include <chrono>
+
+#include "switchsaddle/scenarios/fleet.h"
+
+namespace switchsaddle::scenarios {
+namespace {
+
+using std::chrono::seconds;
+
+FleetSize threeCores(std::uint32_t tolerated_losses) {
+  FleetSize size;
+  size.cores = 3;
+  size.tolerated_core_losses = tolerated_losses;
+  return size;
+}
+
+class CoreGrowthTest : public testing::TestWithParam<std::uint64_t> {};
+
+TEST_P(CoreGrowthTest, TheSetGrowsUntilTwoLossesAreBorne) {
+  Fleet fleet(GetParam(), threeCores(2));
+  ASSERT_TRUE(fleet.runUntilAllServe(0, seconds(12)));
+  ASSERT_TRUE(fleet.commitChange(firstChange(), seconds(10)));
+  SimulatedCore& fourth = fleet.addCore();
+  SimulatedCore& fifth = fleet.addCore();
+  ASSERT_TRUE(fleet.world.runUntil([&] { return fleet.admitted(fourth) && fleet.admitted(fifth); },
+                                   seconds(20)));
+  fleet.cores[0]->kill(Death::Wipe);
+  fleet.cores[1]->kill(Death::Wipe);
+  EXPECT_TRUE(fleet.runUntilAllServe(1, seconds(12)));
+}
+
+TEST_P(CoreGrowthTest, AFurtherCoreIsNotAddedWhereNoneIsWanted) {
+  Fleet fleet(GetParam(), threeCores(1));
+  ASSERT_TRUE(fleet.runUntilAllServe(0, seconds(12)));
+  SimulatedCore& fourth = fleet.addCore();
+  fleet.world.runFor(seconds(10));
+  EXPECT_FALSE(fleet.admitted(fourth));
+}
+
+TEST_P(CoreGrowthTest, WorkersAreKnownSoonAfterAllMemoryIsLost) {
+  for (const bool early : {false, true}) {
+    FleetSize size;
+    size.list_before_lease = early;
+    size.fronts = 0;
+    Fleet fleet(GetParam(), size);
+    fleet.addModelWorker();
+    fleet.world.runFor(seconds(10));
+    for (const auto& core : fleet.cores) {
+      core->kill(Death::Kill);
+    }
+    for (const auto& core : fleet.cores) {
+      core->start();
+    }
+    const auto knows = [&fleet] {
+      return !fleet.cores.front()->node().workers().snapshot()->workers.empty();
+    };
+    EXPECT_EQ(fleet.world.runUntil(knows, std::chrono::milliseconds(500)), early);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, CoreGrowthTest, testing::Range<std::uint64_t>(1, 6));
+
+}  // namespace
+}  // namespace switchsaddle::scenarios
