Lanes by kind of work, homes by shared parts, prefill rates of the pool

Change: homes by the parts before the last; kinds of work are parted where their mean lengths lie furthest apart; an arm is judged by its pool's prefill rate unless 2.5 times as slow; within a lane only workers within 4 ms of the best estimate are drawn from; hot chains get homes by their prefill too.

--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -41,8 +41,10 @@
 
 /** How a front forwards, and what the operators of a deployment allow its fronts together. */
 struct ForwardingSettings {
-  /** Keep long prompts and short ones on different workers; docs/ROUTING.md. */
-  bool prompt_lanes = false;
+  /** Keep kinds of work with long prompts and with short ones on different workers;
+   * docs/ROUTING.md.
+   */
+  bool work_lanes = false;
   /** Repeats as a share of a pool's requests, and besides, over ten seconds. */
   double retry_share = 0.1;
   double retry_extra = 0;
--- a/libraries/configuration/source/settings.cc
+++ b/libraries/configuration/source/settings.cc
@@ -119,7 +119,7 @@
     return;
   }
   ObjectReader inner(*value, "forwarding", faults);
-  forwarding.prompt_lanes = inner.boolean("prompt_lanes", false);
+  forwarding.work_lanes = inner.boolean("work_lanes", false);
   forwarding.retry_share = readFraction(inner, "retry_share", forwarding.retry_share);
   forwarding.retry_extra = readFraction(inner, "retry_extra", forwarding.retry_extra);
   QuotaBounds& quotas = forwarding.quotas;
--- a/libraries/front/include/switchsaddle/front/forward_headers.h
+++ b/libraries/front/include/switchsaddle/front/forward_headers.h
@@ -21,7 +21,7 @@
   std::string model = "Model";
   /** "PROMPT,MOST OUT" in tokens. */
   std::string token_count = "Token-Count";
-  /** "ID:TOKENS,..." of the prompt's parts in order. */
+  /** "ID:TOKENS,..." of the prompt's parts in order; the last is the request's own. */
   std::string prefix_parts = "Prefix-Parts";
   /** 0 to 9, 0 first. */
   std::string priority = "Request-Priority";
--- a/libraries/front/source/forward_request.cc
+++ b/libraries/front/source/forward_request.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/base/hash.h"
 
 namespace switchsaddle::front {
 
@@ -160,6 +161,8 @@
   request.prompt.model = message.header(headers.model);
   readTokenCount(message.header(headers.token_count), request);
   readPrefixParts(message.header(headers.prefix_parts), request.prompt);
+  request.prompt.last_part_own = true;
+  request.prompt.kind = base::hashBytes(request.route->name);
   request.message = std::move(message);
   return request;
 }
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -37,7 +37,7 @@
 
 routing::RouterOptions routerOptions(const configuration::ForwardingSettings& settings) {
   routing::RouterOptions options;
-  options.prompt_lanes = settings.prompt_lanes;
+  options.work_lanes = settings.work_lanes;
   return options;
 }
 
--- a/libraries/routing/include/switchsaddle/routing/arm.h
+++ b/libraries/routing/include/switchsaddle/routing/arm.h
@@ -37,8 +37,8 @@
   /** Null where one worker does both stages. */
   WorkerRecordPtr decode;
   std::uint64_t hash = 0;
-  /** The lane of prompts it takes, by its rank among the pool's arms. */
-  std::size_t lane = 0;
+  /** Its place among the pool's arms by hash, the same on all fronts. */
+  std::size_t rank = 0;
   RouteStatistics statistics;
   /** This front's last scout of the arm; only meaningful where there was one. */
   base::TimePoint scouted_at{};
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -14,8 +14,8 @@
 #include "switchsaddle/routing/chain_rate.h"
 #include "switchsaddle/routing/model_pool.h"
 #include "switchsaddle/routing/prefix_chains.h"
-#include "switchsaddle/routing/prompt_lanes.h"
 #include "switchsaddle/routing/router.h"
+#include "switchsaddle/routing/work_lanes.h"
 
 namespace switchsaddle::routing {
 
@@ -26,8 +26,8 @@
   bool cold_guard = true;
   /** Draw on speed apart from prefix hits and lengths, in place of raw end-to-end tokens/s. */
   bool score_hygiene = true;
-  /** Keep long prompts and short ones on different workers. */
-  bool prompt_lanes = false;
+  /** Keep kinds of work with long prompts and with short ones on different workers. */
+  bool work_lanes = false;
   /** Chains of shared prefix parts remembered. */
   std::size_t prefix_chains = 1U << 16U;
   ColdPrior cold_prior;
@@ -118,9 +118,13 @@
   void refreshScouts(ModelPool& pool);
   void gatherCandidates(ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
   void consider(Arm& arm, std::uint32_t cached_tokens);
-  /** Gives each arm of the pool its lane. */
-  static void assignLanes(ModelPool& pool);
-  void rankCandidates(const Prompt& prompt, std::size_t limit);
+  void chooseLane(const ModelPool& pool, const Prompt& prompt);
+  bool isInLane(const Arm& arm) const { return arm.rank >= first_rank_ && arm.rank < end_rank_; }
+  /** Gives each arm of the pool its rank. */
+  static void rankArms(ModelPool& pool);
+  void rankCandidates(const ModelPool& pool, const Prompt& prompt, std::size_t limit);
+  /** Works the pool's mean rates out anew now and then. */
+  void refreshRates(ModelPool& pool);
   /** Drops arms the cold guard holds back, as long as others remain. */
   void dropHeldBack();
   void dropFarFromBest();
@@ -155,7 +159,7 @@
   ColdGuard cold_guard_;
   PrefixIndex prefix_index_;
   ChainRate chain_rate_;
-  PromptLanes lanes_;
+  WorkLanes lanes_;
   std::size_t fronts_ = 1;
   std::map<std::string, WorkerRecordPtr> workers_;
   WorkerNumber next_number_ = 0;
@@ -168,8 +172,9 @@
   std::vector<Candidate> candidates_;
   std::vector<SelectionCandidate> selection_;
   const std::vector<std::string>* excluded_ = nullptr;
-  /** The lane that candidates must have; nothing where any will do. */
-  std::optional<std::size_t> lane_;
+  /** The ranks that candidates must have, as the kind of work's lane. */
+  std::size_t first_rank_ = 0;
+  std::size_t end_rank_ = 0;
 };
 
 }  // namespace switchsaddle::routing
--- a/libraries/routing/include/switchsaddle/routing/model_pool.h
+++ b/libraries/routing/include/switchsaddle/routing/model_pool.h
@@ -16,6 +16,10 @@
   /** When the present epoch began; older samples are stale. */
   base::TimePoint epoch_start{};
   std::vector<ArmPtr> arms;
+  /** Mean time to read a prompt token over the measured arms, in seconds; zero where none is, and
+   * while each arm is judged by its own. */
+  double seconds_per_prefill_token = 0;
+  base::TimePoint rates_at{};
   ArmIndex index;
   /** The arms to scout first, as of `scouts_at`; looked up anew now and then, not each time. */
   std::vector<Arm*> scouts;
@@ -32,9 +36,16 @@
   double base_seconds = 0.005;
 };
 
-/** Estimated time to the first token of a prompt on an arm, in seconds. */
+/**
+ * Estimated time to the first token of a prompt on an arm, in seconds. `pool_rate` goes before the
+ * arm's own prefill rate where it is above zero: what an arm measured is mostly the load it had
+ * then, and if all fronts sent their long prompts to the arm that looked fastest it would be the
+ * slowest. An arm SickRatio times as slow as its pool is judged by its own rate all the same.
+ */
 double estimateFirstToken(const Arm& arm, std::uint32_t uncached_tokens,
-                          std::uint32_t output_tokens, const ColdPrior& prior, base::TimePoint now);
+                          std::uint32_t output_tokens, const ColdPrior& prior, base::TimePoint now,
+                          double pool_rate = 0);
+inline constexpr double SickRatio = 2.5;
 
 /** Requests believed to be on the worker now, this front's own included. */
 std::uint32_t believedLoad(const WorkerRecord& record, base::TimePoint now);
--- a/libraries/routing/include/switchsaddle/routing/router.h
+++ b/libraries/routing/include/switchsaddle/routing/router.h
@@ -24,6 +24,11 @@
   std::vector<PrefixPart> prefix_parts;
   std::uint32_t prompt_tokens = 0;
   std::uint32_t maximum_tokens = 0;
+  /** Prompts of one kind of work, such as one route's, have the same; zero: not known. */
+  std::uint64_t kind = 0;
+  /** The last part is this prompt's own: no other has it, so that none can have left it anywhere.
+   */
+  bool last_part_own = false;
 };
 
 /** How a placement was chosen; ADR-0021's modes. */
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -10,6 +10,8 @@
 
 /** Homes of a chain considered for one prompt. */
 constexpr std::size_t HomeChoices = 4;
+/** Replicas of a chain looked at for each home wanted in its lane. */
+constexpr std::size_t HomeSearch = 16;
 /** Share of a worker's slots that one chain may fill before it gets a further home. */
 constexpr double HomeSlotShare = 0.25;
 /** Arms kept in the list of those to scout first, and how long it is used. */
@@ -18,6 +20,12 @@
 /** Candidates this much slower to the first token than the best are not drawn from. */
 constexpr double FarFactor = 1.25;
 constexpr double FarSeconds = 0.010;
+/** The same within a lane: a shared part read again costs more than this. */
+constexpr double FarSecondsInLane = 0.004;
+/** How long a pool's mean rates are used. */
+constexpr base::Duration RatesLifetime = std::chrono::seconds(1);
+/** Part of a worker's time that the prompts of one chain may take before it gets a further home. */
+constexpr double HomePrefillShare = 0.35;
 
 /** Scouts of one arm by all fronts together come no closer than this. */
 constexpr base::Duration ScoutSpacing = std::chrono::milliseconds(250);
@@ -42,8 +50,7 @@
       return;
     }
   }
-  const bool in_lane = !lane_ || *lane_ == arm.lane;
-  if (in_lane && arm.usable() && !isExcluded(arm)) {
+  if (isInLane(arm) && arm.usable() && !isExcluded(arm)) {
     candidates_.push_back(Candidate{&arm, cached_tokens, 0});
   }
 }
@@ -52,34 +59,66 @@
                                       const PrefixChains& chains,
                                       const std::vector<std::string>& excluded) {
   excluded_ = &excluded;
-  lane_.reset();
-  const std::size_t lanes = PromptLanes::lanesFor(pool.arms.size());
-  if (options_.prompt_lanes && lanes > 1) {
-    lanes_.add(prompt.prompt_tokens, dispatcher_.now());
-    if (lanes_.known()) {
-      lane_ = lanes_.laneOf(prompt.prompt_tokens, lanes);
-    }
-  }
+  chooseLane(pool, prompt);
+  refreshRates(pool);
   gatherCandidates(pool, prompt, chains);
-  if (candidates_.empty() && lane_) {
-    lane_.reset();
+  const bool whole_pool = first_rank_ == 0 && end_rank_ == pool.arms.size();
+  if (candidates_.empty() && !whole_pool) {
+    first_rank_ = 0;
+    end_rank_ = pool.arms.size();
     gatherCandidates(pool, prompt, chains);
   }
 }
 
+void LearnedRouter::chooseLane(const ModelPool& pool, const Prompt& prompt) {
+  first_rank_ = 0;
+  end_rank_ = pool.arms.size();
+  if (!options_.work_lanes || prompt.kind == 0) {
+    return;
+  }
+  lanes_.add(prompt.kind, prompt.prompt_tokens, dispatcher_.now());
+  const std::size_t short_workers = lanes_.shortWorkers(pool.arms.size());
+  if (short_workers == pool.arms.size()) {
+    return;
+  }
+  if (lanes_.isLong(prompt.kind)) {
+    first_rank_ = short_workers;
+  } else {
+    end_rank_ = short_workers;
+  }
+}
+
 void LearnedRouter::gatherCandidates(ModelPool& pool, const Prompt& prompt,
                                      const PrefixChains& chains) {
   candidates_.clear();
   const std::size_t limit = std::max(1U, tuning_.route_candidates);
   if (options_.prefix_affinity && !chains.empty()) {
     collectOwners(pool, prompt, chains);
+  }
+  if (options_.prefix_affinity && chains.homeDepth() > 0) {
     collectHomes(pool, prompt, chains);
   }
   if (pool.arms.size() > limit) {
     collectLeastMeasured(pool);
   }
   collectAtRandom(pool, limit);
-  rankCandidates(prompt, limit);
+  rankCandidates(pool, prompt, limit);
+}
+
+void LearnedRouter::refreshRates(ModelPool& pool) {
+  const base::TimePoint now = dispatcher_.now();
+  if (!options_.work_lanes || now - pool.rates_at < RatesLifetime) {
+    return;
+  }
+  pool.rates_at = now;
+  double sum = 0;
+  double measured = 0;
+  for (const ArmPtr& arm : pool.arms) {
+    const double rate = arm->statistics.mean().seconds_per_prefill_token;
+    sum += rate;
+    measured += rate > 0 ? 1 : 0;
+  }
+  pool.seconds_per_prefill_token = measured > 0 ? sum / measured : 0;
 }
 
 void LearnedRouter::collectOwners(const ModelPool& pool, const Prompt& prompt,
@@ -109,7 +148,12 @@
   const double streams_per_s =
       chain_rate_.perSecond(chain, dispatcher_.now()) * static_cast<double>(fronts_);
   const double busy_slots = streams_per_s * token_s * prompt.maximum_tokens;
-  const double homes = std::ceil(busy_slots / (HomeSlotShare * home.front()->prefill->slots));
+  const double own_tokens =
+      prompt.last_part_own ? static_cast<double>(prompt.prefix_parts.back().tokens) : 0;
+  const double prefill_share = streams_per_s * own_tokens * pool.seconds_per_prefill_token;
+  const double homes =
+      std::ceil(std::max(busy_slots / (HomeSlotShare * home.front()->prefill->slots),
+                         prefill_share / HomePrefillShare));
   return static_cast<std::size_t>(std::clamp(homes, 1.0, static_cast<double>(pool.arms.size())));
 }
 
@@ -118,14 +162,14 @@
   const std::uint64_t chain = chains.at(chains.homeDepth());
   const std::size_t needed = homesNeeded(pool, prompt, chain);
   const std::size_t looked_at = std::min(needed, HomeChoices);
-  if (lane_) {
+  if (end_rank_ - first_rank_ < pool.arms.size()) {
     collectHomesInLane(pool, chains, looked_at);
     return;
   }
   for (std::size_t choice = 0; choice < looked_at; ++choice) {
     const std::size_t replica = needed <= HomeChoices ? choice : random_.below(needed);
     for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
-      consider(*arm, chains.tokens());
+      consider(*arm, chains.sharedTokens());
     }
   }
 }
@@ -133,12 +177,12 @@
 void LearnedRouter::collectHomesInLane(const ModelPool& pool, const PrefixChains& chains,
                                        std::size_t needed) {
   const std::uint64_t chain = chains.at(chains.homeDepth());
-  const std::size_t most = needed * PromptLanes::MostLanes * 2;
+  const std::size_t most = needed * HomeSearch;
   std::size_t found = 0;
   for (std::size_t replica = 0; replica < most && found < needed; ++replica) {
     for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
-      found += *lane_ == arm->lane ? 1 : 0;
-      consider(*arm, chains.tokens());
+      found += isInLane(*arm) ? 1 : 0;
+      consider(*arm, chains.sharedTokens());
     }
   }
 }
@@ -192,7 +236,8 @@
     }
     return;
   }
-  const std::size_t attempts = 2 * limit * (lane_ ? PromptLanes::MostLanes : 1);
+  const std::size_t lane_size = std::max<std::size_t>(1, end_rank_ - first_rank_);
+  const std::size_t attempts = 2 * limit * (size / lane_size);
   for (std::size_t attempt = 0; attempt < attempts && candidates_.size() < limit; ++attempt) {
     consider(*pool.arms[random_.below(size)], 0);
   }
@@ -202,12 +247,13 @@
   }
 }
 
-void LearnedRouter::rankCandidates(const Prompt& prompt, std::size_t limit) {
+void LearnedRouter::rankCandidates(const ModelPool& pool, const Prompt& prompt, std::size_t limit) {
   const base::TimePoint now = dispatcher_.now();
   for (Candidate& candidate : candidates_) {
     const std::uint32_t cached = std::min(candidate.cached_tokens, prompt.prompt_tokens);
-    candidate.first_token_s = estimateFirstToken(*candidate.arm, prompt.prompt_tokens - cached,
-                                                 prompt.maximum_tokens, options_.cold_prior, now);
+    candidate.first_token_s =
+        estimateFirstToken(*candidate.arm, prompt.prompt_tokens - cached, prompt.maximum_tokens,
+                           options_.cold_prior, now, pool.seconds_per_prefill_token);
   }
   std::stable_sort(candidates_.begin(), candidates_.end(),
                    [](const Candidate& first, const Candidate& second) {
@@ -231,7 +277,9 @@
 }
 
 void LearnedRouter::dropFarFromBest() {
-  const double bound = candidates_.front().first_token_s * FarFactor + FarSeconds;
+  const double bound = options_.work_lanes
+                           ? candidates_.front().first_token_s + FarSecondsInLane
+                           : candidates_.front().first_token_s * FarFactor + FarSeconds;
   const base::TimePoint now = dispatcher_.now();
   std::erase_if(candidates_, [this, bound, now](const Candidate& candidate) {
     const bool measured =
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -107,7 +107,7 @@
     chosen.arm->scouted = true;
     chosen.arm->scouted_at = dispatcher_.now();
   }
-  if (!chains.empty()) {
+  if (chains.homeDepth() > 0) {
     chain_rate_.add(chains.at(chains.homeDepth()), dispatcher_.now());
   }
   for (const std::uint64_t chain : chains.all()) {
--- a/libraries/routing/source/model_pool.cc
+++ b/libraries/routing/source/model_pool.cc
@@ -25,11 +25,12 @@
 }
 
 double estimateFirstToken(const Arm& arm, std::uint32_t uncached_tokens,
-                          std::uint32_t output_tokens, const ColdPrior& prior,
-                          base::TimePoint now) {
+                          std::uint32_t output_tokens, const ColdPrior& prior, base::TimePoint now,
+                          double pool_rate) {
   const SpeedSample& mean = arm.statistics.mean();
+  const bool pooled = pool_rate > 0 && mean.seconds_per_prefill_token < pool_rate * SickRatio;
   const double prefill_rate =
-      orPrior(mean.seconds_per_prefill_token, prior.seconds_per_prefill_token);
+      pooled ? pool_rate : orPrior(mean.seconds_per_prefill_token, prior.seconds_per_prefill_token);
   const double output_rate = orPrior(mean.seconds_per_output_token, prior.seconds_per_output_token);
   const double prefill_s = uncached_tokens * prefill_rate;
   const double service_s = prefill_s + output_tokens * output_rate;
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -144,7 +144,7 @@
       addArm(pool, former, prefill, decode);
     }
   }
-  assignLanes(pool);
+  rankArms(pool);
   pool.index.rebuild(pool.arms);
   pool.scouts.clear();
   pool.scouts_epoch = 0;
@@ -158,7 +158,7 @@
   }
 }
 
-void LearnedRouter::assignLanes(ModelPool& pool) {
+void LearnedRouter::rankArms(ModelPool& pool) {
   // By hash, so that all fronts agree, and zones are spread over the lanes.
   std::vector<Arm*> ranked;
   ranked.reserve(pool.arms.size());
@@ -168,7 +168,7 @@
   std::sort(ranked.begin(), ranked.end(),
             [](const Arm* first, const Arm* second) { return first->hash < second->hash; });
   for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
-    ranked[rank]->lane = PromptLanes::laneOfRank(rank, ranked.size());
+    ranked[rank]->rank = rank;
   }
 }
 
--- a/libraries/routing/source/prefix_chains.cc
+++ b/libraries/routing/source/prefix_chains.cc
@@ -10,15 +10,20 @@
     : depth_(std::min(prompt.prefix_parts.size(), MaximumDepth)) {
   std::uint64_t chain = base::hashBytes(prompt.model);
   std::uint32_t longest = 0;
+  const std::size_t shared = prompt.last_part_own && depth_ > 0 ? depth_ - 1 : depth_;
   for (std::size_t index = 0; index < depth_; ++index) {
     const PrefixPart& part = prompt.prefix_parts[index];
     chain = base::combineHashes(chain, base::hashBytes(part.id));
     hashes_[index] = chain;
     tokens_ += part.tokens;
-    if (home_depth_ == 0 || part.tokens > longest) {
+    const bool may_be_home = index < shared;
+    if (may_be_home && (home_depth_ == 0 || part.tokens > longest)) {
       longest = part.tokens;
       home_depth_ = index + 1;
     }
+    if (may_be_home) {
+      shared_tokens_ = tokens_;
+    }
   }
 }
 
