--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 if [ "$#" -gt 0 ]; then
   files=("$@")
 else
-  mapfile -t files < <(git ls-files 'libraries/*/source/*.cc' 'programs/*.cc')
+  mapfile -t files < <(git ls-files 'libraries/*/source/*.cc' 'programs/*.cc' 'platform/*.cc')
 fi
 printf '%s\0' "${files[@]}" |
   xargs -0 -n 1 -P "${JOBS:-$(nproc)}" clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated' >&2 || true)
