Quotas hold where fronts and a core lose their memory together

Ruled out: the fronts that lived on (they report their own use), the bound's margin alone. Change: a core says nothing of quotas until it has heard the fronts for a whole window; a front holds to what the fleet was told to have let in as it leaves the window; until a front is as old as the window it uses at most its equal part of what comes free. 0.84 of the bound is used, 0.9 before.

--- a/libraries/core/include/switchsaddle/core/quota_allotter.h
+++ b/libraries/core/include/switchsaddle/core/quota_allotter.h
@@ -32,11 +32,14 @@
   QuotaAllotter(base::Dispatcher& dispatcher, RecordSource records,
                 configuration::QuotaBounds bounds);
 
+  /** This core does not hear the fronts: it is starting, or joining. */
+  void stopHearing() { hearing_since_.reset(); }
   void setConfiguration(std::shared_ptr<const configuration::View> view) {
     view_ = std::move(view);
   }
-  /** The front's parts of the quotas of which much has been used. */
-  std::vector<wire::TenantAllotment> allot(const wire::SessionRecord& record);
+  /** The front's parts of the quotas of which much has been used; nothing until this core has heard
+   * the fronts for a whole window, since before it may not know what ended fronts let in. */
+  std::optional<std::vector<wire::TenantAllotment>> allot(const wire::SessionRecord& record);
 
  private:
   using FrontKey = std::pair<base::NodeAddress, std::uint64_t>;
@@ -63,6 +66,8 @@
   RecordSource records_;
   configuration::QuotaBounds bounds_;
   std::shared_ptr<const configuration::View> view_;
+  /** Since when this core has heard the fronts without a break. */
+  std::optional<base::TimePoint> hearing_since_;
   base::TimePoint refreshed_at_{};
   bool refreshed_ = false;
   /** Over all fronts, by tenant. */
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -116,8 +116,10 @@
 void CoreNode::connectParts() {
   workers::journalChanges(workers_, environment_.journal);
   sessions_.setAllotmentSource([this](const wire::SessionRecord& record) {
-    // A core that has just started does not know yet what the other fronts let in.
-    return sessions_.recovering() ? std::nullopt : std::optional(quotas_.allot(record));
+    if (sessions_.recovering()) {
+      quotas_.stopHearing();
+    }
+    return quotas_.allot(record);
   });
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
--- a/libraries/core/source/quota_allotter.cc
+++ b/libraries/core/source/quota_allotter.cc
@@ -106,8 +106,17 @@
   }
 }
 
-std::vector<wire::TenantAllotment> QuotaAllotter::allot(const wire::SessionRecord& record) {
+std::optional<std::vector<wire::TenantAllotment>> QuotaAllotter::allot(
+    const wire::SessionRecord& record) {
+  const base::TimePoint now = dispatcher_.now();
+  if (!hearing_since_) {
+    hearing_since_ = now;
+  }
+  const double heard_s = std::chrono::duration<double>(now - *hearing_since_).count();
   refresh();
+  if (heard_s < bounds_.window_s) {
+    return std::nullopt;
+  }
   const auto live = static_cast<double>(std::max<std::size_t>(1, live_));
   std::map<std::string, wire::TenantDemand> own;
   for (const wire::TenantDemand& demand : record.demand) {
--- a/libraries/core/test/quota_allotter_test.cc
+++ b/libraries/core/test/quota_allotter_test.cc
@@ -16,6 +16,13 @@
     tenant.name = "t";
     tenant.rate_per_s = 100;
     allotter.setConfiguration(view);
+    // It has heard the fronts for a whole window.
+    allotter.allot({});
+    world.runFor(std::chrono::seconds(8));
+  }
+  /** What the allotter says to the front of a record. */
+  std::vector<wire::TenantAllotment> told(std::size_t index) {
+    return allotter.allot(records[index].record).value();
   }
   wire::SessionRecord& front(std::uint16_t port, float per_s, float admitted) {
     wire::SessionTableEntry entry;
@@ -32,16 +39,26 @@
   QuotaAllotter allotter{process, [this] { return records; }, {8, 0, 0}};
 };
 
+TEST_F(QuotaAllotterTest, KnowsNothingUntilItHasHeardTheFrontsForAWindow) {
+  front(1, 90, 700);
+  allotter.stopHearing();
+  EXPECT_FALSE(allotter.allot(records[0].record).has_value());
+  world.runFor(std::chrono::milliseconds(7'900));
+  EXPECT_FALSE(allotter.allot(records[0].record).has_value());
+  world.runFor(std::chrono::milliseconds(200));
+  EXPECT_TRUE(allotter.allot(records[0].record).has_value());
+}
+
 TEST_F(QuotaAllotterTest, SaysNothingOfATenantThatUsedLittle) {
   front(1, 10, 100);
-  EXPECT_TRUE(allotter.allot(records[0].record).empty());
+  EXPECT_TRUE(told(0).empty());
 }
 
 TEST_F(QuotaAllotterTest, PartsFollowDemandAndSumToTheWhole) {
   front(1, 90, 300);
   front(2, 10, 300);
-  const auto first = allotter.allot(records[0].record);
-  const auto second = allotter.allot(records[1].record);
+  const auto first = told(0);
+  const auto second = told(1);
   ASSERT_EQ(first.size(), 1U);
   EXPECT_FLOAT_EQ(first[0].fleet_admitted, 600);
   EXPECT_FLOAT_EQ(first[0].fleet_units_per_s, 100);
@@ -52,22 +69,22 @@
 TEST_F(QuotaAllotterTest, WhatASilentFrontLetInCountsOn) {
   front(1, 50, 300);
   front(2, 50, 300);
-  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 600);
+  EXPECT_FLOAT_EQ(told(0)[0].fleet_admitted, 600);
   records.pop_back();
   world.runFor(std::chrono::seconds(5));
   // It may let in its equal part of the 800 by itself.
-  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 700);
+  EXPECT_FLOAT_EQ(told(0)[0].fleet_admitted, 700);
   // Another process at its address shows that it has ended.
   wire::SessionRecord& restarted = front(2, 50, 0);
   restarted.instance = 77;
   world.runFor(std::chrono::milliseconds(200));
-  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 600);
+  EXPECT_FLOAT_EQ(told(0)[0].fleet_admitted, 600);
   records.pop_back();
   // What it had let in has left the window, but cut off it could still use its part.
   world.runFor(std::chrono::seconds(11));
-  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 700);
+  EXPECT_FLOAT_EQ(told(0)[0].fleet_admitted, 700);
   world.runFor(std::chrono::seconds(61));
-  EXPECT_FLOAT_EQ(allotter.allot(records[0].record)[0].fleet_admitted, 300);
+  EXPECT_FLOAT_EQ(told(0)[0].fleet_admitted, 300);
 }
 
 }  // namespace
--- a/libraries/front/include/switchsaddle/front/quota_meter.h
+++ b/libraries/front/include/switchsaddle/front/quota_meter.h
@@ -18,7 +18,7 @@
   configuration::QuotaBounds bounds;
   /** Part of the bound that is used; the rest covers what fronts let in before they hear of each
    * other. */
-  double used = 0.9;
+  double used = 0.84;
   /** What the fronts let in is known to each other after at most about this time. */
   base::Duration knowledge_lag = std::chrono::milliseconds(750);
   /** An allotment older than this is no longer relied on. */
@@ -26,6 +26,14 @@
   /** Part of the quota that a front may use between two reports for a tenant of which the cores say
    * nothing. */
   double untold_part = 0.25;
+  /** A front that has heard nothing since its start does not know how many others there are: it
+   * counts on at least so many. */
+  std::size_t assumed_fronts = 8;
+  /** Until a front is as old as the window, it uses at most so many times its equal part of what
+   * comes free, and this part of the quota besides: what was let in before its start may be known
+   * to nobody any more. */
+  double young_factor = 0.8;
+  double young_part = 0.015;
 };
 
 /**
@@ -67,6 +75,9 @@
     std::optional<wire::TenantAllotment> allotment;
     /** The last part told, for when the cores fall silent. */
     std::optional<double> last_share;
+    /** The most that the fleet was told to have let in, as it has left the window since. */
+    double most_told = 0;
+    base::TimePoint most_told_at;
     /** Asked for since `demand_at`, and the mean before it. */
     double asked = 0;
     double demand_per_s = 0;
@@ -78,9 +89,13 @@
   void count(Usage& usage, double units);
   /** Units that may be let in now, of a quota of `limit`. */
   double roomOf(double limit, const Usage& usage) const;
+  double roomByAllotment(double limit, const Usage& usage) const;
+  /** What is left of `most_told`: a core that has just started forgets what ended fronts let in. */
+  double stillTold(const Usage& usage) const;
 
   base::Dispatcher& dispatcher_;
   QuotaOptions options_;
+  base::TimePoint started_at_;
   std::size_t fronts_ = 1;
   /** When the cores last told how much the fleet lets in. */
   std::optional<base::TimePoint> told_at_;
--- a/libraries/front/source/quota_meter.cc
+++ b/libraries/front/source/quota_meter.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 QuotaMeter::QuotaMeter(base::Dispatcher& dispatcher, QuotaOptions options)
-    : dispatcher_(dispatcher), options_(options) {}
+    : dispatcher_(dispatcher), options_(options), started_at_(dispatcher.now()) {}
 
 void QuotaMeter::setFronts(std::size_t fronts) {
   fronts_ = std::max<std::size_t>(1, fronts);
@@ -58,20 +58,44 @@
 }
 
 double QuotaMeter::roomOf(double limit, const Usage& usage) const {
+  const double room = roomByAllotment(limit, usage);
+  const double age_s = secondsOf(dispatcher_.now() - started_at_);
+  if (age_s >= options_.bounds.window_s) {
+    return room;
+  }
+  const auto fronts =
+      static_cast<double>(told_at_ ? fronts_ : std::max(fronts_, options_.assumed_fronts));
+  const double part = limit / fronts * age_s / options_.bounds.window_s;
+  const double young = part * options_.young_factor + limit * options_.young_part;
+  return std::min(room, young - usage.in_window);
+}
+
+double QuotaMeter::roomByAllotment(double limit, const Usage& usage) const {
   const bool fresh = told_at_ && dispatcher_.now() - *told_at_ < options_.allotment_lifetime;
+  const double untold = usage.total - usage.allotted_total;
+  const double still_told = stillTold(usage);
   if (!fresh) {
     const double equal = 1.0 / static_cast<double>(fronts_);
-    return limit * std::min(equal, usage.last_share.value_or(equal)) - usage.in_window;
+    const double last = usage.last_share.value_or(equal);
+    const double alone = limit * std::min(equal, last) - usage.in_window;
+    // What others let in before the cores fell silent leaves the window only bit by bit.
+    const double freed = (limit - still_told) * std::max(equal, last) - untold;
+    return still_told > 0 ? std::min(alone, freed) : alone;
   }
-  const double untold = usage.total - usage.allotted_total;
   if (!usage.allotment) {
-    return limit * options_.untold_part - untold;
+    return std::min(limit * options_.untold_part, limit - still_told) - untold;
   }
-  const double left = limit - usage.allotment->fleet_admitted;
+  const double admitted = std::max<double>(usage.allotment->fleet_admitted, still_told);
+  const double left = limit - admitted;
   const double soon_used = usage.allotment->fleet_units_per_s * secondsOf(options_.knowledge_lag);
   return std::max(left * usage.allotment->share, left - soon_used) - untold;
 }
 
+double QuotaMeter::stillTold(const Usage& usage) const {
+  const double age_s = secondsOf(dispatcher_.now() - usage.most_told_at);
+  return usage.most_told * std::max(0.0, 1 - age_s / options_.bounds.window_s);
+}
+
 std::optional<base::Duration> QuotaMeter::take(const configuration::ForwardTenant& tenant,
                                                double units) {
   const std::optional<double> limit = options_.bounds.limitOf(tenant);
@@ -107,6 +131,10 @@
   }
   for (const wire::TenantAllotment& allotment : allotments) {
     Usage& usage = usageOf(allotment.tenant);
+    if (allotment.fleet_admitted >= stillTold(usage)) {
+      usage.most_told = allotment.fleet_admitted;
+      usage.most_told_at = *told_at_;
+    }
     usage.allotment = allotment;
     usage.last_share = allotment.share;
   }
--- a/libraries/front/test/forward_flow_test.cc
+++ b/libraries/front/test/forward_flow_test.cc
@@ -111,6 +111,7 @@
     for (int count = 0; count < 100; ++count) {
       retries.countFirstTry("shop");
     }
+    quotas.setAllotments({});
   }
   void addRoute(const std::string& name, ForwardKind kind, std::uint32_t attempts) {
     configuration::ForwardRoute& route = beliefs.view.forwarding.routes[name];
--- a/libraries/front/test/quota_meter_test.cc
+++ b/libraries/front/test/quota_meter_test.cc
@@ -40,6 +40,8 @@
   simulation::Process process{world};
   QuotaMeter meter(process, optionsOf());
   meter.setFronts(4);
+  meter.setAllotments({});
+  world.runFor(std::chrono::seconds(9));
   const configuration::ForwardTenant tenant = tenantOf(1'000);
   double let_in = 0;
   for (int request = 0; request < 10'000; ++request) {
@@ -51,12 +53,30 @@
   EXPECT_FALSE(meter.take(tenant, 10).has_value());
 }
 
+TEST(QuotaMeterTest, AFrontThatHasJustStartedBeginsWithNothing) {
+  simulation::World world{1};
+  simulation::Process process{world};
+  QuotaMeter meter(process, optionsOf());
+  const configuration::ForwardTenant tenant = tenantOf(1'000);
+  EXPECT_TRUE(meter.take(tenant, 300).has_value());
+  world.runFor(std::chrono::seconds(1));
+  double let_in = 0;
+  for (int request = 0; request < 1'000; ++request) {
+    let_in += meter.take(tenant, 10).has_value() ? 0 : 10;
+  }
+  // An eighth of what comes free in a second, and a little besides.
+  EXPECT_LE(let_in, *Bounds.limitOf(tenant) * (1.0 / 8 / 8 + 0.02));
+  EXPECT_GT(let_in, 0);
+}
+
 TEST(QuotaMeterTest, ARefusalTellsWhenToComeBackAndGivenBackUnitsCountNoMore) {
   simulation::World world{1};
   simulation::Process process{world};
   QuotaMeter meter(process, optionsOf());
+  world.runFor(std::chrono::seconds(9));
+  meter.setAllotments({{"t", 1, 0, 0}});
   const configuration::ForwardTenant tenant = tenantOf(100);
-  const double all = *Bounds.limitOf(tenant) * 0.9;
+  const double all = *Bounds.limitOf(tenant) * 0.84;
   EXPECT_FALSE(meter.take(tenant, all - 1).has_value());
   const auto wait = meter.take(tenant, 50);
   ASSERT_TRUE(wait.has_value());
@@ -71,10 +91,13 @@
   QuotaFleet(std::uint64_t seed, std::size_t fronts) : world_(seed), tenant_(tenantOf(1'000)) {
     auto view = std::make_shared<configuration::View>();
     view->forwarding.tenants["t"] = tenant_;
-    allotter_.setConfiguration(view);
+    view_ = view;
+    replaceCore();
     for (std::size_t index = 0; index < fronts; ++index) {
       meters_.push_back(std::make_unique<QuotaMeter>(process_, optionsOf()));
       meters_.back()->setFronts(fronts);
+      // A front serves only once its session is open, which tells it this much.
+      meters_.back()->setAllotments({});
       records_.emplace_back();
       records_.back().record.front = {"127.0.0.1", static_cast<std::uint16_t>(index + 1)};
     }
@@ -90,6 +113,21 @@
       askFor(per_s * 0.01);
     }
   }
+  /** The first fronts end and start again with no memory. */
+  void restart(std::size_t count) {
+    for (std::size_t index = 0; index < count; ++index) {
+      meters_[index] = std::make_unique<QuotaMeter>(process_, optionsOf());
+      meters_[index]->setFronts(meters_.size());
+      records_[index].record.instance += 1;
+      records_[index].record.demand.clear();
+    }
+  }
+  /** The core that all ask is replaced by one that knows the live sessions alone. */
+  void replaceCore() {
+    allotter_ = std::make_unique<core::QuotaAllotter>(
+        process_, [this] { return heard(); }, Bounds);
+    allotter_->setConfiguration(view_);
+  }
   double mostInAnyWindow() const { return most_; }
   double letIn() const { return let_in_; }
   const configuration::ForwardTenant& tenant() const { return tenant_; }
@@ -100,7 +138,9 @@
     for (std::size_t index = 0; index + cut < meters_.size(); ++index) {
       if ((steps_ + index * 7) % 25 == 0) {
         records_[index].record.demand = meters_[index]->demand();
-        meters_[index]->setAllotments(allotter_.allot(records_[index].record));
+        if (const auto allotments = allotter_->allot(records_[index].record)) {
+          meters_[index]->setAllotments(*allotments);
+        }
       }
     }
   }
@@ -134,7 +174,8 @@
   simulation::Process process_{world_};
   configuration::ForwardTenant tenant_;
   core::QuotaAllotter::Records records_;
-  core::QuotaAllotter allotter_{process_, [this] { return heard(); }, Bounds};
+  std::shared_ptr<const configuration::View> view_;
+  std::unique_ptr<core::QuotaAllotter> allotter_;
   std::vector<std::unique_ptr<QuotaMeter>> meters_;
   std::deque<std::pair<base::TimePoint, double>> admitted_;
   std::size_t cut_ = 0;
@@ -149,9 +190,16 @@
 TEST_P(QuotaFleetTest, TheFleetStaysWithinTheQuotaAndGivesOutWhatIsAsked) {
   for (const std::size_t fronts : {6U, 40U}) {
     QuotaFleet fleet(GetParam(), fronts);
+    fleet.load(0, std::chrono::seconds(9), 0);
     fleet.load(750, std::chrono::seconds(12), 0);
     // All that lies well within the quota is let in.
     EXPECT_GE(fleet.letIn(), 750 * 12 * 0.99) << fronts;
+    fleet.load(6'000, std::chrono::seconds(3), 0);
+    fleet.restart(fronts / 2);
+    fleet.replaceCore();
+    fleet.load(6'000, std::chrono::seconds(12), 0);
+    EXPECT_LE(fleet.mostInAnyWindow(), *Bounds.limitOf(fleet.tenant())) << fronts;
+    fleet.load(750, std::chrono::seconds(12), 0);
     fleet.load(6'000, std::chrono::milliseconds(700), 0);
     // A third of the fronts is cut off just as a tenant begins to ask for eight times as much.
     fleet.load(6'000, std::chrono::seconds(12), fronts / 3);
