--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -5,6 +5,7 @@
 
 #include "core_options.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/node_options/node_options.h"
 #include "switchsaddle/workers/worker_journal.h"
 
 namespace switchsaddle::core {
@@ -53,7 +54,7 @@
                 environment.store),
       membership_(acceptor_),
       sessions_(environment.dispatcher, environment.calls, environment.journal,
-                sessionTimesOf(environment.settings.times), membership_,
+                node_options::sessionTimesOf(environment.settings.times), membership_,
                 environment.faults.sessions),
       quotas_(
           environment.dispatcher, [this] { return sessions_.localSessions(); },
@@ -62,7 +63,7 @@
                leaseTimesOf(environment.settings.times)),
       replica_(environment.journal),
       gossip_(environment.dispatcher, environment.calls, environment.random, replica_, workers_,
-              gossipOptionsOf(environment.settings.times)),
+              node_options::gossipOptionsOf(environment.settings.times)),
       tracker_(environment.dispatcher, environment.calls, sessions_, replica_),
       follower_(environment.dispatcher, observed_proposer_, membership_, replica_, tracker_),
       coordinator_(environment.dispatcher, observed_proposer_, replica_, tracker_,
--- a/libraries/core/source/core_options.cc
+++ b/libraries/core/source/core_options.cc
@@ -2,17 +2,6 @@
 
 namespace switchsaddle::core {
 
-sessions::SessionTimes sessionTimesOf(const configuration::TimeSettings& times) {
-  sessions::SessionTimes result;
-  result.front_limit = times.session_front_limit;
-  result.core_limit = times.session_core_limit;
-  result.renewal = times.session_renewal;
-  result.core_silence = times.core_silence;
-  result.read_deadline = times.register_deadline;
-  result.core_refused_grace = times.core_refused_grace;
-  return result;
-}
-
 lease::LeaseTimes leaseTimesOf(const configuration::TimeSettings& times) {
   lease::LeaseTimes result;
   result.duration = times.lease_duration;
@@ -33,12 +22,6 @@
   return result;
 }
 
-dissemination::GossipOptions gossipOptionsOf(const configuration::TimeSettings& times) {
-  dissemination::GossipOptions result;
-  result.interval = times.gossip_interval;
-  return result;
-}
-
 workers::PlatformWatcherOptions watcherOptionsOf(const configuration::TimeSettings& times) {
   workers::PlatformWatcherOptions result;
   result.poll_interval = times.platform_poll;
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -5,6 +5,7 @@
 #include "belief_keeper.h"
 #include "switchsaddle/configuration/change_json.h"
 #include "switchsaddle/configuration/json_writer.h"
+#include "switchsaddle/node_options/node_options.h"
 #include "switchsaddle/workers/worker_journal.h"
 
 namespace switchsaddle::front {
@@ -19,22 +20,6 @@
 constexpr base::Duration FrontMemory = std::chrono::seconds(15);
 constexpr base::Duration StopPollInterval = std::chrono::milliseconds(50);
 
-sessions::SessionTimes sessionTimes(const configuration::TimeSettings& settings) {
-  sessions::SessionTimes times;
-  times.front_limit = settings.session_front_limit;
-  times.core_limit = settings.session_core_limit;
-  times.renewal = settings.session_renewal;
-  times.core_silence = settings.core_silence;
-  times.core_refused_grace = settings.core_refused_grace;
-  return times;
-}
-
-dissemination::GossipOptions gossipOptions(const configuration::TimeSettings& settings) {
-  dissemination::GossipOptions options;
-  options.interval = settings.gossip_interval;
-  return options;
-}
-
 routing::RouterOptions routerOptions(const configuration::ForwardingSettings& settings) {
   routing::RouterOptions options;
   options.work_lanes = settings.work_lanes;
@@ -60,12 +45,12 @@
     : environment_(environment),
       replica_(environment.journal),
       session_(environment.dispatcher, environment.calls, environment.random,
-               sessionTimes(environment.settings.times), environment.settings.seeds,
+               node_options::sessionTimesOf(environment.settings.times), environment.settings.seeds,
                sessions::FrontIdentity{environment.calls.localAddress(), environment.instance,
                                        environment.settings.zone},
                environment.session_faults),
       gossip_(environment.dispatcher, environment.calls, environment.random, replica_, directory_,
-              gossipOptions(environment.settings.times)),
+              node_options::gossipOptionsOf(environment.settings.times)),
       router_(environment.dispatcher, environment.random, environment.calls.localAddress(),
               routerOptions(environment.settings.forwarding)),
       claims_(
--- a/libraries/routing/test/learned_router_test.cc
+++ b/libraries/routing/test/learned_router_test.cc
@@ -296,40 +296,6 @@
   EXPECT_LE(on_cold, 1);
 }
 
-TEST(WorkLanesTest, PartsKindsWhereTheirLengthsLieFurthestApart) {
-  WorkLanes lanes;
-  base::TimePoint now{};
-  EXPECT_FALSE(lanes.divided());
-  for (int round = 0; round < 100; ++round) {
-    now += milliseconds(100);
-    for (int prompt = 0; prompt < 3; ++prompt) {
-      lanes.add(1, 800, now);
-      lanes.add(2, 2'000, now);
-    }
-    lanes.add(3, round % 2 == 0 ? 1'000 : 25'000, now);
-  }
-  EXPECT_TRUE(lanes.divided());
-  EXPECT_FALSE(lanes.isLong(1));
-  EXPECT_FALSE(lanes.isLong(2));
-  EXPECT_TRUE(lanes.isLong(3));
-  EXPECT_FALSE(lanes.isLong(4));
-  // 13,000 of 21,400 tokens are of the long kind.
-  EXPECT_EQ(lanes.shortWorkers(10), 4U);
-  EXPECT_EQ(lanes.shortWorkers(3), 3U);
-}
-
-TEST(WorkLanesTest, KindsOfLikeLengthShareTheirWorkers) {
-  WorkLanes lanes;
-  base::TimePoint now{};
-  for (int round = 0; round < 100; ++round) {
-    now += milliseconds(100);
-    lanes.add(1, 1'000, now);
-    lanes.add(2, 2'000, now);
-  }
-  EXPECT_FALSE(lanes.divided());
-  EXPECT_EQ(lanes.shortWorkers(10), 10U);
-}
-
 class WorkLanesRouterTest : public LearnedRouterTest {
  protected:
   WorkLanesRouterTest() {
@@ -431,34 +397,5 @@
   }
 }
 
-TEST(FirstTokenEstimateTest, ThePoolsRateGoesBeforeAnArmsOwnUnlessItIsSick) {
-  Arm arm;
-  arm.prefill = std::make_shared<WorkerRecord>();
-  SpeedSample sample;
-  sample.seconds_per_prefill_token = 0.000'01;
-  arm.statistics.add(sample, {}, 600);
-  const ColdPrior prior;
-  const double quick = estimateFirstToken(arm, 1'000, 1, prior, {}, 0.000'02);
-  EXPECT_NEAR(quick, prior.base_seconds + 0.02, 1e-6);
-  EXPECT_NEAR(estimateFirstToken(arm, 1'000, 1, prior, {}), prior.base_seconds + 0.01, 1e-6);
-  Arm sick;
-  sick.prefill = arm.prefill;
-  sample.seconds_per_prefill_token = 0.000'1;
-  sick.statistics.add(sample, {}, 600);
-  EXPECT_NEAR(estimateFirstToken(sick, 1'000, 1, prior, {}, 0.000'02), prior.base_seconds + 0.1,
-              1e-6);
-}
-
-TEST(PrefixChainsTest, APromptsOwnPartMakesNoHome) {
-  Prompt prompt{"m", {{"system", 100}, {"subject", 400}, {"own", 5'000}}, 5'500, 10};
-  EXPECT_EQ(PrefixChains(prompt).homeDepth(), 3U);
-  prompt.last_part_own = true;
-  const PrefixChains chains(prompt);
-  EXPECT_EQ(chains.homeDepth(), 2U);
-  EXPECT_EQ(chains.sharedTokens(), 500U);
-  prompt.prefix_parts = {{"own", 5'000}};
-  EXPECT_EQ(PrefixChains(prompt).homeDepth(), 0U);
-}
-
 }  // namespace
 }  // namespace switchsaddle::routing
