Forwarding through 1,000 seeds of workers that refuse, cut, lose and fall silent; caller's side

A front without a configuration answers 503 and is not ready; one that stops serves on until its notice has passed.

--- /dev/null
+++ b/libraries/front/test/caller_forwarding_test.cc
@@ -0,0 +1,125 @@
+#include <gtest/gtest.h>
+
+#include "fakes.h"
+#include "forward_fakes.h"
+#include "switchsaddle/front/caller_service.h"
+#include "switchsaddle/simulation/network.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using configuration::LapsedSession;
+
+/** A front's HTTP side with forwarding. */
+class CallerForwardingTest : public testing::Test {
+ protected:
+  CallerForwardingTest() {
+    configuration::Forwarding& forwarding = beliefs.view.forwarding;
+    forwarding.pools["shop"].name = "shop";
+    configuration::ForwardRoute& route = forwarding.routes["r"];
+    route.name = "r";
+    route.host = "a.example";
+    route.path_prefix = "/metrics/";
+    route.kind = configuration::ForwardKind::AtMostOnce;
+    route.targets = {{"shop", 1}};
+    forwarding.index();
+    beliefs.view.version = 1;
+    beliefs.addWorker("w1", "shop");
+    create(LapsedSession::Serve);
+  }
+  void create(LapsedSession lapsed) {
+    service =
+        std::make_unique<CallerService>(CallerDependencies{process,
+                                                           session,
+                                                           beliefs,
+                                                           router,
+                                                           streams,
+                                                           one_shots,
+                                                           control,
+                                                           counters,
+                                                           {},
+                                                           {},
+                                                           [] { return std::string("metrics"); },
+                                                           {},
+                                                           nullptr,
+                                                           &flow,
+                                                           {},
+                                                           lapsed});
+  }
+  std::uint16_t statusOf(const std::string& target, const std::string& host = "a.example") {
+    auto writer = std::make_shared<ForwardWriter>();
+    const std::size_t before = port.sent.size();
+    service->handle({"GET", target, {{"Host", host}, {"Request-Id", "r-1"}}, ""}, writer);
+    if (port.sent.size() > before) {
+      port.sent.back().answer(200, "x");
+    }
+    return writer->response ? writer->response->status : 0;
+  }
+
+  simulation::World world{1};
+  simulation::Process process{world};
+  simulation::Network network{world};
+  std::unique_ptr<transport::Transport> transport = network.attach({"127.0.0.1", 1}, process);
+  transport::PeerCalls calls{process, *transport};
+  FakeClaims claims;
+  FakeSlots slots;
+  FakeSession session;
+  FakeRouter router;
+  FakeWorkers workers;
+  FakeForwardPort port;
+  FakeBeliefs beliefs;
+  RetryBudget retries{process};
+  WorkerCircuit circuit{process};
+  QuotaMeter quotas{process, {}};
+  Counters counters;
+  StreamStages stages;
+  StreamFlow streams{StreamEnvironment{process, world.random(), slots, session, router, workers,
+                                       beliefs, retries, circuit, counters, stages}};
+  OneShotFlow one_shots{OneShotEnvironment{process, world.random(), claims, slots, session, workers,
+                                           beliefs, retries, circuit, counters}};
+  ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
+  ForwardFlow flow{ForwardEnvironment{
+      process, world.random(), port, placer, beliefs, retries, circuit, quotas, counters, {}, {}}};
+  ControlForwarder control{calls, [] { return std::vector<base::NodeAddress>{}; }};
+  std::unique_ptr<CallerService> service;
+};
+
+TEST_F(CallerForwardingTest, AHostWithRoutesIsForwardingsAlone) {
+  EXPECT_EQ(statusOf("/metrics/x"), 200);
+  EXPECT_EQ(port.sent.size(), 1U);
+  EXPECT_EQ(statusOf("/metrics"), 404);
+  EXPECT_EQ(statusOf("/nowhere/"), 404);
+  EXPECT_EQ(statusOf("/metrics", "other"), 200);
+  EXPECT_EQ(port.sent.size(), 1U);
+}
+
+TEST_F(CallerForwardingTest, WithoutAConfigurationOrWorkersNothingIsDenied) {
+  beliefs.view = {};
+  EXPECT_FALSE(service->ready());
+  EXPECT_EQ(statusOf("/metrics/x"), 503);
+  EXPECT_EQ(statusOf("/nowhere/"), 503);
+  beliefs.view.version = 1;
+  beliefs.snapshot.workers.clear();
+  EXPECT_FALSE(service->ready());
+}
+
+TEST_F(CallerForwardingTest, ALapsedSessionServesOnlyWhereTheSettingsSaySo) {
+  session.now = sessions::SessionState::Lapsed;
+  EXPECT_TRUE(service->ready());
+  EXPECT_EQ(statusOf("/metrics/x"), 200);
+  create(LapsedSession::Refuse);
+  EXPECT_FALSE(service->ready());
+  EXPECT_EQ(statusOf("/metrics/x"), 503);
+}
+
+TEST_F(CallerForwardingTest, AStoppingFrontIsNotReadyAndServesOnUntilItsNoticeHasPassed) {
+  service->stop();
+  EXPECT_FALSE(service->ready());
+  EXPECT_EQ(statusOf("/readyz", "other"), 503);
+  EXPECT_EQ(statusOf("/metrics/x"), 200);
+  service->stopForwarding();
+  EXPECT_EQ(statusOf("/metrics/x"), 503);
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
--- a/libraries/front/test/forward_flow_test.cc
+++ b/libraries/front/test/forward_flow_test.cc
@@ -3,9 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include <deque>
-
 #include "fakes.h"
+#include "forward_fakes.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/simulation/process.h"
 
@@ -15,81 +14,6 @@
 using configuration::ForwardKind;
 using testing::HasSubstr;
 
-/** Dispatches as sent, with their observers for the test to call. */
-class FakeForwardPort : public ForwardPort {
- public:
-  class Call : public WorkerCall {
-   public:
-    void cancel() override { cancelled = true; }
-    bool cancelled = false;
-  };
-  struct Sent {
-    ForwardDispatch dispatch;
-    std::shared_ptr<ForwardObserver> observer;
-    std::shared_ptr<Call> call;
-
-    void head(std::uint16_t status, std::vector<http::Header> headers = {}) const {
-      headers.push_back({"Request-Id", dispatch.request_id});
-      headers.push_back({"Seal", "sealed"});
-      observer->onHead({status, headers, {}});
-    }
-    void bytes(const std::string& text) const {
-      observer->onBytes(text, [] {});
-    }
-    void answer(std::uint16_t status, const std::string& body) const {
-      head(status);
-      bytes(body);
-      observer->onComplete();
-    }
-    void refuse() const { observer->onHead({503, {{"Not-Run", "1"}}, {}}); }
-    void lose() const { observer->onFailure(WorkerFailure::Lost, false); }
-    std::string header(const std::string& name) const {
-      return std::string(dispatch.message.header(name));
-    }
-  };
-
-  WorkerCallPtr forward(ForwardDispatch dispatch,
-                        std::shared_ptr<ForwardObserver> observer) override {
-    sent.push_back({std::move(dispatch), std::move(observer), std::make_shared<Call>()});
-    return sent.back().call;
-  }
-
-  std::deque<Sent> sent;
-};
-
-/** What the caller gets. */
-class FakeWriter : public http::ResponseWriter {
- public:
-  void respond(http::Response value) override {
-    EXPECT_FALSE(response || started || aborted);
-    response = std::move(value);
-  }
-  void startStream(http::Response head) override {
-    EXPECT_FALSE(response || started);
-    started = std::move(head);
-  }
-  void writeChunk(std::string chunk, std::function<void(bool)> written) override {
-    body += chunk;
-    if (slow) {
-      waiting.push_back(std::move(written));
-    } else {
-      written(true);
-    }
-  }
-  void endStream() override { ended = true; }
-  void abort() override { aborted = true; }
-  void onClientGone(std::function<void()> callback) override { gone = std::move(callback); }
-
-  std::optional<http::Response> response;
-  std::optional<http::Response> started;
-  std::string body;
-  bool ended = false;
-  bool aborted = false;
-  bool slow = false;
-  std::deque<std::function<void(bool)>> waiting;
-  std::function<void()> gone;
-};
-
 class ForwardFlowTest : public testing::Test {
  protected:
   ForwardFlowTest() {
@@ -123,8 +47,8 @@
     route.attempts = attempts;
     route.time_limit_ms = 2'000;
   }
-  std::shared_ptr<FakeWriter> run(const std::string& route,
-                                  const std::vector<http::Header>& more = {}) {
+  std::shared_ptr<ForwardWriter> run(const std::string& route,
+                                     const std::vector<http::Header>& more = {}) {
     http::Request message;
     message.method = "POST";
     message.target = "/" + route + "/x?y=1";
@@ -134,7 +58,7 @@
                        {"Other", "kept"},        {"Request-Priority", "0"}};
     message.headers.insert(message.headers.end(), more.begin(), more.end());
     message.body = "body";
-    auto writer = std::make_shared<FakeWriter>();
+    auto writer = std::make_shared<ForwardWriter>();
     flow.run(parseForwardRequest(beliefs.configuration(), message, {}), writer);
     return writer;
   }
@@ -252,7 +176,7 @@
   message.method = "POST";
   message.target = "/again/";
   message.headers = {{"Host", "a.example"}, {"Caller-Key", "secret"}};
-  auto writer = std::make_shared<FakeWriter>();
+  auto writer = std::make_shared<ForwardWriter>();
   poor.run(parseForwardRequest(beliefs.configuration(), message, {}), writer);
   last().lose();
   EXPECT_EQ(port.sent.size(), 1U);
--- /dev/null
+++ b/libraries/front/test/forward_seeds_test.cc
@@ -0,0 +1,270 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <map>
+
+#include "fakes.h"
+#include "forward_fakes.h"
+#include "switchsaddle/front/forward_flow.h"
+#include "switchsaddle/simulation/process.h"
+#include "switchsaddle/streams/event_splitter.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using configuration::ForwardKind;
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t Events = 12;
+constexpr int Requests = 60;
+constexpr double RetryShare = 0.2;
+constexpr double RetryExtra = 10;
+
+std::string eventText(std::uint64_t id) {
+  return "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + "\n\n";
+}
+
+/** Workers that refuse, run, fail, cut and lose by chance, and count what they ran. */
+class ChaosForwardPort : public ForwardPort {
+ public:
+  ChaosForwardPort(simulation::World& world, simulation::Process& process)
+      : world_(world), process_(process) {}
+
+  WorkerCallPtr forward(ForwardDispatch dispatch,
+                        std::shared_ptr<ForwardObserver> observer) override {
+    auto call = std::make_shared<Call>();
+    call->dispatch = std::move(dispatch);
+    call->observer = std::move(observer);
+    after(call, [this, call] { decide(call); });
+    return call;
+  }
+
+  /** Runs begun, by request id. */
+  std::map<std::string, int> runs;
+  std::map<std::string, int> arrivals;
+
+ private:
+  struct Call : WorkerCall {
+    void cancel() override { cancelled = true; }
+    ForwardDispatch dispatch;
+    std::shared_ptr<ForwardObserver> observer;
+    bool cancelled = false;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void after(const CallPtr& call, std::function<void()> action) {
+    process_.postAfter(milliseconds(1 + world_.random().below(40)),
+                       [call, action = std::move(action)] {
+                         if (!call->cancelled) {
+                           action();
+                         }
+                       });
+  }
+  static http::Response headOf(const CallPtr& call, std::uint16_t status) {
+    return {status, {{"Request-Id", call->dispatch.request_id}, {"Seal", "sealed"}}, {}};
+  }
+  void decide(const CallPtr& call) {
+    const std::uint64_t chance = world_.random().below(100);
+    if (chance < 8) {
+      call->observer->onFailure(WorkerFailure::NotSent, true);
+      return;
+    }
+    ++arrivals[call->dispatch.request_id];
+    if (chance < 16) {
+      call->observer->onHead({503, {{"Not-Run", "1"}}, {}});
+    } else if (chance < 20) {
+      call->observer->onHead({421, {}, {}});
+    } else {
+      run(call, chance);
+    }
+  }
+  void run(const CallPtr& call, std::uint64_t chance) {
+    ++runs[call->dispatch.request_id];
+    if (chance < 28) {
+      call->observer->onFailure(WorkerFailure::Lost, false);
+    } else if (chance < 32) {
+      // Silent: the time limit has to end it.
+    } else if (chance < 36) {
+      answer(call, 500, "failed");
+    } else if (call->dispatch.message.target.find("stream") != std::string::npos) {
+      call->observer->onHead(headOf(call, 200));
+      const std::string_view last = call->dispatch.message.header("Last-Event-ID");
+      sendEvent(call, last.empty() ? 1 : std::stoull(std::string(last)) + 1);
+    } else if (chance < 44) {
+      call->observer->onHead(headOf(call, 200));
+      call->observer->onBytes("wh", [] {});
+      after(call, [call] { call->observer->onFailure(WorkerFailure::Lost, false); });
+    } else {
+      answer(call, 200, "whole");
+    }
+  }
+  void answer(const CallPtr& call, std::uint16_t status, const std::string& body) {
+    call->observer->onHead(headOf(call, status));
+    call->observer->onBytes(body, [] {});
+    after(call, [call] { call->observer->onComplete(); });
+  }
+  void sendEvent(const CallPtr& call, std::uint64_t id) {
+    after(call, [this, call, id] {
+      if (id > Events) {
+        call->observer->onComplete();
+        return;
+      }
+      const std::string text = eventText(id);
+      const std::uint64_t chance = world_.random().below(100);
+      if (chance < 5) {
+        call->observer->onBytes(text.substr(0, text.size() / 2), [] {});
+        after(call, [call] { call->observer->onFailure(WorkerFailure::Lost, false); });
+        return;
+      }
+      call->observer->onBytes(text, [] {});
+      if (chance < 8) {
+        // Ends as though it were complete.
+        after(call, [call] { call->observer->onFailure(WorkerFailure::Lost, false); });
+        return;
+      }
+      sendEvent(call, id + 1);
+    });
+  }
+
+  simulation::World& world_;
+  simulation::Process& process_;
+};
+
+/** One request of the run, and what is allowed of it. */
+struct Asked {
+  std::string id;
+  ForwardKind kind = ForwardKind::AtMostOnce;
+  std::shared_ptr<ForwardWriter> writer;
+};
+
+class ForwardSeedsTest : public testing::Test {
+ protected:
+  /** Plays one seed and judges by what callers and workers saw. */
+  class Play {
+   public:
+    explicit Play(std::uint64_t seed) : world_(seed) {
+      addRoute("once", ForwardKind::AtMostOnce, 1);
+      addRoute("again", ForwardKind::Repeatable, 2);
+      addRoute("stream", ForwardKind::EventStream, 1);
+      addRoute("resumed-stream", ForwardKind::ResumableStream, 2);
+      beliefs_.view.forwarding.pools["shop"].name = "shop";
+      beliefs_.view.forwarding.index();
+      for (int worker = 0; worker < 6; ++worker) {
+        beliefs_.addWorker("w" + std::to_string(worker), "shop");
+      }
+    }
+
+    void run() {
+      const std::array<const char*, 4> routes{"once", "again", "stream", "resumed-stream"};
+      for (int request = 0; request < Requests; ++request) {
+        ask(routes.at(world_.random().below(routes.size())), "r-" + std::to_string(request));
+        world_.runFor(milliseconds(world_.random().below(60)));
+      }
+      world_.runFor(milliseconds(2'100));
+    }
+    void judge() const {
+      double repeats = 0;
+      for (const Asked& asked : asked_) {
+        judgeOne(asked);
+        repeats += std::max(0, countOf(port_.arrivals, asked.id) - 1);
+      }
+      EXPECT_LE(repeats, RetryShare * Requests + RetryExtra);
+      EXPECT_EQ(flow_.active(), 0U);
+    }
+
+   private:
+    void addRoute(const std::string& name, ForwardKind kind, std::uint32_t attempts) {
+      configuration::ForwardRoute& route = beliefs_.view.forwarding.routes[name];
+      route.name = name;
+      route.host = "h";
+      route.path_prefix = "/" + name + "/";
+      route.kind = kind;
+      route.targets = {{"shop", 1}};
+      route.attempts = attempts;
+      route.time_limit_ms = 2'000;
+    }
+    void ask(const std::string& route, const std::string& id) {
+      http::Request message{"POST", "/" + route + "/", {{"Host", "h"}, {"Request-Id", id}}, "b"};
+      const ForwardKind kind = beliefs_.view.forwarding.routes.at(route).kind;
+      asked_.push_back({id, kind, std::make_shared<ForwardWriter>()});
+      flow_.run(parseForwardRequest(beliefs_.configuration(), std::move(message), {}),
+                asked_.back().writer);
+    }
+    static int countOf(const std::map<std::string, int>& counts, const std::string& id) {
+      const auto found = counts.find(id);
+      return found == counts.end() ? 0 : found->second;
+    }
+    void judgeOne(const Asked& asked) const {
+      const int runs = countOf(port_.runs, asked.id);
+      const bool repeatable = configuration::mayRepeat(asked.kind);
+      EXPECT_LE(runs, repeatable ? 2 : 1) << asked.id;
+      const ForwardWriter& writer = *asked.writer;
+      EXPECT_TRUE(writer.response || writer.ended || writer.aborted) << asked.id;
+      if (writer.response) {
+        judgeAnswer(*writer.response, runs, repeatable);
+      } else {
+        judgeStream(writer);
+      }
+    }
+    static void judgeAnswer(const http::Response& response, int runs, bool repeatable) {
+      if (response.status == 503 || response.status == 429) {
+        EXPECT_TRUE(runs == 0 || repeatable);
+        EXPECT_FALSE(response.header("Retry-After").empty());
+      }
+      const bool sealed = !response.header("Seal").empty();
+      EXPECT_EQ(sealed, response.status == 200 || response.status == 500);
+      if (response.status == 200) {
+        EXPECT_EQ(response.body, "whole");
+        EXPECT_GE(runs, 1);
+      }
+    }
+    static void judgeStream(const ForwardWriter& writer) {
+      streams::EventSplitter splitter;
+      std::vector<streams::RawEvent> events;
+      EXPECT_TRUE(splitter.feed(writer.body, events));
+      EXPECT_FALSE(splitter.midEvent());
+      for (std::size_t index = 0; index < events.size(); ++index) {
+        EXPECT_EQ(events[index].bytes, eventText(index + 1));
+      }
+      if (writer.ended && !writer.aborted) {
+        EXPECT_EQ(events.size(), Events);
+      }
+    }
+
+    simulation::World world_;
+    simulation::Process process_{world_};
+    ChaosForwardPort port_{world_, process_};
+    FakeRouter router_;
+    FakeBeliefs beliefs_;
+    RetryBudget retries_{process_};
+    WorkerCircuit circuit_{process_};
+    QuotaMeter quotas_{process_, {}};
+    ForwardPlacer placer_{process_, world_.random(), router_, circuit_, beliefs_, {"127.0.0.1", 1}};
+    Counters counters_;
+    ForwardFlow flow_{ForwardEnvironment{process_,
+                                         world_.random(),
+                                         port_,
+                                         placer_,
+                                         beliefs_,
+                                         retries_,
+                                         circuit_,
+                                         quotas_,
+                                         counters_,
+                                         {},
+                                         {RetryShare, RetryExtra}}};
+    std::vector<Asked> asked_;
+  };
+};
+
+TEST_F(ForwardSeedsTest, PromisesHoldWhateverWorkersDo) {
+  for (std::uint64_t seed = 1; seed <= 1'000; ++seed) {
+    Play play(seed);
+    play.run();
+    play.judge();
+    ASSERT_FALSE(HasFailure()) << "seed " << seed;
+  }
+}
+
+}  // namespace
+}  // namespace switchsaddle::front
