--- a/libraries/front/include/switchsaddle/front/quota_meter.h
+++ b/libraries/front/include/switchsaddle/front/quota_meter.h
@@ -29,9 +29,9 @@
   /** A front that has heard nothing since its start does not know how many others there are: it
    * counts on at least so many. */
   std::size_t assumed_fronts = 8;
-  /** Until a front is as old as the window, it uses at most so many times its equal part of what
-   * comes free, and this part of the quota besides: what was let in before its start may be known
-   * to nobody any more. */
+  /** Until a front is as old as the window, and while the cores tell it nothing, it uses at most so
+   * many times its equal part of what comes free, and this part of the quota besides: what was let
+   * in before its start may be known to nobody any more. */
   double young_factor = 0.8;
   double young_part = 0.015;
 };
@@ -89,6 +89,8 @@
   void count(Usage& usage, double units);
   /** Units that may be let in now, of a quota of `limit`. */
   double roomOf(double limit, const Usage& usage) const;
+  /** Whether the cores told lately how much the fleet lets in. */
+  bool isTold() const;
   double roomByAllotment(double limit, const Usage& usage) const;
   /** What is left of `most_told`: a core that has just started forgets what ended fronts let in. */
   double stillTold(const Usage& usage) const;
--- a/libraries/front/source/quota_meter.cc
+++ b/libraries/front/source/quota_meter.cc
@@ -60,7 +60,8 @@
 double QuotaMeter::roomOf(double limit, const Usage& usage) const {
   const double room = roomByAllotment(limit, usage);
   const double age_s = secondsOf(dispatcher_.now() - started_at_);
-  if (age_s >= options_.bounds.window_s) {
+  // Cores that tell have heard every front for a window, also this one's earlier life.
+  if (isTold() || age_s >= options_.bounds.window_s) {
     return room;
   }
   const auto fronts =
@@ -70,11 +71,14 @@
   return std::min(room, young - usage.in_window);
 }
 
+bool QuotaMeter::isTold() const {
+  return told_at_ && dispatcher_.now() - *told_at_ < options_.allotment_lifetime;
+}
+
 double QuotaMeter::roomByAllotment(double limit, const Usage& usage) const {
-  const bool fresh = told_at_ && dispatcher_.now() - *told_at_ < options_.allotment_lifetime;
   const double untold = usage.total - usage.allotted_total;
   const double still_told = stillTold(usage);
-  if (!fresh) {
+  if (!isTold()) {
     const double equal = 1.0 / static_cast<double>(fronts_);
     const double last = usage.last_share.value_or(equal);
     const double alone = limit * std::min(equal, last) - usage.in_window;
