Find workers that fail in part by what all fronts saw of them, and rank them

Cause: a worker that fails some of its requests while its health is good, or that is silent, was known to each front alone, and on a grown site a front sends a worker one request in twelve seconds: nobody learnt anything before the trouble was over.

Ruled out: gossip of every failure (at 22 failures a second and 73 fronts thousands of messages a second); counts of all workers in every renewal (fronts x workers at the cores); a circuit of each front alone (too few samples).

Change: library worker_health. Fronts count what dispatches came to, and tell in their sessions' renewals of workers that did worse than the pool, of those that the cores ask about, and of one more in turn. Cores add up, compare with the rest of the pool, and name in the grant the workers to watch and to avoid: by zone of the callers, never more than a third of a pool, not on one front's word, not by fronts to which everything fails; a worker comes back after 3 s and must fail anew, staying away twice as long each time. The same counts with a half life of two minutes rank workers by stalls, slow transfers and failures; the ranking is not yet shown to anyone.

--- a/experiments/platform-days/play.py
+++ b/experiments/platform-days/play.py
@@ -154,12 +154,12 @@
         seed, closing, ", ".join(plan), ", ".join(faults), traffic)
 
 
-def play(bench, site, label, text, seed, why):
+def play(bench, site, label, text, seed, why, extra):
     with tempfile.NamedTemporaryFile("w", suffix=".toml", delete=False) as file:
         file.write(text)
     try:
-        done = subprocess.run([bench, "run", site, file.name, "--seed", str(seed), "--why", why + ": " + label],
-                              capture_output=True, text=True, check=False)
+        done = subprocess.run([bench, "run", site, file.name, "--seed", str(seed), "--why", why + ": " + label]
+                              + extra, capture_output=True, text=True, check=False)
     finally:
         os.unlink(file.name)
     out = done.stdout + done.stderr
@@ -181,6 +181,9 @@
     parser.add_argument("--first-seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--keep", default="", help="folder for the output of days with a broken rule")
+    parser.add_argument("--small", action="store_true", help="the small twin of a large site")
+    parser.add_argument("--no-cpu", action="store_true", help="without counting processor time")
+    parser.add_argument("--all", action="store_true", help="print what each day was worth")
     parser.add_argument("--why", required=True)
     options = parser.parse_args()
     with open(options.site, encoding="utf-8") as file:
@@ -200,16 +203,18 @@
             label = " + ".join(entry[0] for entry in group)
             tasks.append((label, day_text(group, seed, traffic), seed))
     bad = 0
+    extra = ["--small"] * options.small + ["--no-cpu"] * options.no_cpu
     with ThreadPoolExecutor(options.jobs) as pool:
-        results = pool.map(lambda task: play(options.bench, options.site, task[0], task[1], task[2], options.why), tasks)
+        results = pool.map(lambda task: play(options.bench, options.site, task[0], task[1], task[2], options.why, extra),
+                           tasks)
         for label, seed, broken, worth, fault, out in results:
-            if broken or fault:
-                bad += 1
+            bad += 1 if broken or fault else 0
+            if broken or fault or options.all:
                 print("%-42s seed %d  worth %-6s %s %s" % (label, seed, worth, broken, fault), flush=True)
-                if options.keep:
-                    name = re.sub(r"[^a-z0-9_]+", "-", label) + "-%d.txt" % seed
-                    with open(os.path.join(options.keep, name), "w", encoding="utf-8") as file:
-                        file.write(out)
+            if options.keep and (broken or fault):
+                name = re.sub(r"[^a-z0-9_]+", "-", label) + "-%d.txt" % seed
+                with open(os.path.join(options.keep, name), "w", encoding="utf-8") as file:
+                    file.write(out)
     print("%d days played, %d with a broken rule or a fault" % (len(tasks), bad))
     return 1 if bad else 0
 
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -28,6 +28,7 @@
 #include "switchsaddle/registers/quorum_proposer.h"
 #include "switchsaddle/registers/scrubber.h"
 #include "switchsaddle/sessions/session_table.h"
+#include "switchsaddle/worker_health/suspicion.h"
 #include "switchsaddle/workers/platform_watcher.h"
 
 namespace switchsaddle::core {
@@ -86,6 +87,8 @@
   void takePart();
   void connectParts();
   void handleControlRequests();
+  /** What a front hears along with the grant of its session. */
+  void addToGrant(const wire::SessionRecord& record, wire::SessionOpenReply& granted);
   void refreshPeers();
   base::IncidentSink& incidents() const;
   void reportLease(const lease::LeaseHolder& holder, const char* name, bool gained);
@@ -121,6 +124,8 @@
   CoreMembership membership_;
   sessions::SessionTable sessions_;
   QuotaAllotter quotas_;
+  worker_health::EvidenceLedger evidence_;
+  worker_health::Suspicion suspicion_;
   lease::LeaseGranter granter_;
   dissemination::ConfigurationReplica replica_;
   workers::WorkerDirectory workers_;
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -59,6 +59,8 @@
       quotas_(
           environment.dispatcher, [this] { return sessions_.localSessions(); },
           environment.settings.forwarding.quotas),
+      evidence_(environment.dispatcher),
+      suspicion_(environment.dispatcher, evidence_),
       granter_(environment.dispatcher, environment.calls, environment.store, environment.journal,
                leaseTimesOf(environment.settings.times)),
       replica_(environment.journal),
@@ -116,12 +118,16 @@
 
 void CoreNode::connectParts() {
   workers::journalChanges(workers_, environment_.journal);
-  sessions_.setAllotmentSource([this](const wire::SessionRecord& record) {
-    if (sessions_.recovering()) {
-      quotas_.stopHearing();
-    }
-    return quotas_.allot(record);
+  workers_.addListener(
+      [this](const workers::WorkerSnapshotPtr& /*before*/,
+             const workers::WorkerSnapshotPtr& after) { suspicion_.setWorkers(after); });
+  sessions_.setRecordListener([this](const wire::SessionRecord& record) {
+    evidence_.hear({record.front, record.instance}, record.zone, record.health);
   });
+  sessions_.setGrantSource(
+      [this](const wire::SessionRecord& record, wire::SessionOpenReply& granted) {
+        addToGrant(record, granted);
+      });
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
   granter_.setEpochSource([this] { return membership_.setEpoch(); });
@@ -151,6 +157,17 @@
   });
 }
 
+void CoreNode::addToGrant(const wire::SessionRecord& record, wire::SessionOpenReply& granted) {
+  if (sessions_.recovering()) {
+    quotas_.stopHearing();
+  }
+  if (auto allotments = quotas_.allot(record)) {
+    granted.quotas_known = true;
+    granted.allotments = std::move(*allotments);
+  }
+  granted.health = suspicion_.advice(record.zone);
+}
+
 void CoreNode::handleControlRequests() {
   environment_.calls.handle<wire::ControlRequest>(
       [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& /*from*/,
--- a/libraries/front/include/switchsaddle/front/forward_flow.h
+++ b/libraries/front/include/switchsaddle/front/forward_flow.h
@@ -16,6 +16,7 @@
 #include "switchsaddle/front/retry_budget.h"
 #include "switchsaddle/front/worker_circuit.h"
 #include "switchsaddle/http/server.h"
+#include "switchsaddle/worker_health/evidence_recorder.h"
 
 namespace switchsaddle::front {
 
@@ -37,6 +38,7 @@
   RetryBudget& retries;
   WorkerCircuit& circuit;
   QuotaMeter& quotas;
+  worker_health::EvidenceRecorder& health;
   Counters& counters;
   ForwardHeaders headers;
   RetryAllowance retry_allowance;
--- a/libraries/front/include/switchsaddle/front/forward_placer.h
+++ b/libraries/front/include/switchsaddle/front/forward_placer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,9 @@
 
 /**
  * Chooses workers of a pool: for models by ADR-0021's router, for other services the one with the
- * fewest requests of this front. Workers that are draining, gone, evacuated, tried before or behind
- * an open circuit are left out, and cold ones used within their bound. Runs on the control strand.
+ * fewest requests of this front. Workers that are draining, gone, evacuated or tried before are
+ * left out, those behind an open circuit or found failing are the last choice, and cold ones are
+ * used within their bound. Runs on the control strand.
  */
 class ForwardPlacer {
  public:
@@ -39,6 +41,9 @@
   /** To be called once for each placement; `completion` is of use to the router alone. */
   void complete(const ForwardPlacement& placement, routing::Completion completion);
   void setFronts(const std::vector<base::NodeAddress>& fronts);
+  /** Workers, by worker_health::workerKey(), that the cores found failing. They get requests only
+   * where no other worker can take one, and all again unless this is said again in time. */
+  void setAvoided(const std::vector<std::uint64_t>& workers);
 
  private:
   struct Usage {
@@ -51,6 +56,8 @@
                                                 const std::vector<std::string>& tried);
   std::optional<ForwardPlacement> chooseLeastLoaded(const configuration::ForwardPool& pool,
                                                     const std::vector<std::string>& tried);
+  bool isAvoided(const wire::WorkerEntry& entry) const;
+  std::vector<std::string> avoidedWorkers(const configuration::ForwardPool& pool) const;
   bool mayUse(const workers::Worker& worker, const configuration::ForwardPool& pool);
   void forgetVanished(const workers::WorkerSnapshot& snapshot);
 
@@ -63,6 +70,8 @@
   routing::ColdGuard cold_guard_;
   std::map<std::string, Usage> usage_;
   std::uint64_t known_revision_ = 0;
+  std::set<std::uint64_t> avoided_;
+  base::TimePoint avoided_until_{};
 };
 
 }  // namespace switchsaddle::front
--- a/libraries/front/include/switchsaddle/front/front_node.h
+++ b/libraries/front/include/switchsaddle/front/front_node.h
@@ -106,6 +106,7 @@
   void connectParts();
   void onConfiguration(const dissemination::ViewPtr& view);
   void refreshPeers();
+  void onGranted(const wire::SessionOpenReply& granted);
   /** Fronts of the last while: right after a restart of the cores their list names only those that
    * have opened again, while the others serve on. */
   std::vector<base::NodeAddress> recentFronts();
@@ -130,6 +131,7 @@
   StreamStages stages_;
   StreamFlow streams_;
   OneShotFlow one_shots_;
+  worker_health::EvidenceRecorder health_;
   QuotaMeter quotas_;
   ForwardPlacer placer_;
   /** Null where nothing is forwarded. */
--- a/libraries/front/source/forward_placer.cc
+++ b/libraries/front/source/forward_placer.cc
@@ -4,11 +4,15 @@
 #include <utility>
 
 #include "switchsaddle/base/hash.h"
+#include "switchsaddle/worker_health/dispatch_sample.h"
 
 namespace switchsaddle::front {
 
 namespace {
 
+/** What the cores said of workers holds for so long without their word. */
+constexpr base::Duration AvoidedLifetime = std::chrono::seconds(3);
+
 bool contains(const std::vector<std::string>& names, const std::string& name) {
   return std::ranges::find(names, name) != names.end();
 }
@@ -43,9 +47,11 @@
   route.pool = pool.name;
   std::vector<std::string> excluded = circuit_.openWorkers();
   excluded.insert(excluded.end(), tried.begin(), tried.end());
+  const std::vector<std::string> avoided = avoidedWorkers(pool);
+  excluded.insert(excluded.end(), avoided.begin(), avoided.end());
   std::optional<routing::Placement> placement = router_.choose(prompt, route, excluded);
   if (!placement) {
-    // A worker behind an open circuit is better than none.
+    // A worker behind an open circuit, or one that fails at times, is better than none.
     placement = router_.choose(prompt, route, tried);
   }
   if (!placement) {
@@ -57,6 +63,30 @@
   return chosen;
 }
 
+void ForwardPlacer::setAvoided(const std::vector<std::uint64_t>& workers) {
+  avoided_ = {workers.begin(), workers.end()};
+  avoided_until_ = dispatcher_.now() + AvoidedLifetime;
+}
+
+bool ForwardPlacer::isAvoided(const wire::WorkerEntry& entry) const {
+  return !avoided_.empty() && dispatcher_.now() < avoided_until_ &&
+         avoided_.contains(worker_health::workerKey(entry));
+}
+
+std::vector<std::string> ForwardPlacer::avoidedWorkers(
+    const configuration::ForwardPool& pool) const {
+  std::vector<std::string> workers;
+  if (avoided_.empty()) {
+    return workers;
+  }
+  for (const auto& [id, worker] : beliefs_.workers()->workers) {
+    if (worker.entry.service == pool.name && isAvoided(worker.entry)) {
+      workers.push_back(id);
+    }
+  }
+  return workers;
+}
+
 bool ForwardPlacer::mayUse(const workers::Worker& worker, const configuration::ForwardPool& pool) {
   Usage& usage = usage_[worker.entry.id];
   usage.cold.instance = base::hashBytes(worker.entry.id);
@@ -91,7 +121,8 @@
     if (!eligible) {
       continue;
     }
-    const std::pair rank{!circuit_.mayTry(worker), usage_[id].in_flight};
+    const bool last_choice = !circuit_.mayTry(worker) || isAvoided(worker.entry);
+    const std::pair rank{last_choice, usage_[id].in_flight};
     const bool better = best == nullptr || rank < best_rank;
     const bool tie = !better && rank == best_rank;
     ties = better ? 1 : ties + (tie ? 1 : 0);
--- a/libraries/front/source/forward_run.cc
+++ b/libraries/front/source/forward_run.cc
@@ -7,6 +7,7 @@
 
 using base::ResultCode;
 using configuration::ForwardKind;
+using worker_health::DispatchEnd;
 
 namespace {
 
@@ -142,9 +143,13 @@
   resume_ = nullptr;
   events_of_dispatch_ = 0;
   completion_ = {};
+  sample_ = {};
   placement_ = std::move(placement);
   const wire::WorkerEntry& worker = placement_->worker.entry;
   environment_.circuit.onDispatch(placement_->worker);
+  health_number_ = environment_.health.onDispatch(
+      {worker_health::workerKey(worker), worker_health::poolKey(pool_->name), request_.prompt.kind,
+       placement_->learned ? placement_->learned->prefill_estimate : base::Duration::zero()});
   ForwardDispatch dispatch;
   dispatch.worker = worker.address;
   dispatch.message = workerMessage(request_, environment_.headers, worker.id, timeLeft(),
@@ -178,6 +183,7 @@
     return;
   }
   environment_.circuit.onConnected(placement_->worker);
+  environment_.health.onHead(health_number_);
   completion_.weights_version = head.header(environment_.headers.weights_version);
   head_ = head;
 }
@@ -222,6 +228,7 @@
       onLost(ResultCode::StreamRepeat);
       return;
     }
+    measureEvent();
     if (events_of_dispatch_ == 0) {
       completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
       environment_.counters.first_token.observe(completion_.time_to_first_token);
@@ -235,6 +242,16 @@
   }
 }
 
+void ForwardRun::measureEvent() {
+  const base::TimePoint now = environment_.dispatcher.now();
+  if (events_of_dispatch_ == 0) {
+    first_event_at_ = now;
+  } else {
+    sample_.longest_pause = std::max<base::Duration>(sample_.longest_pause, now - last_event_at_);
+  }
+  last_event_at_ = now;
+}
+
 void ForwardRun::writeEvents(std::string bytes) {
   beginStream();
   ++outstanding_;
@@ -272,6 +289,8 @@
 void ForwardRun::readOn() {
   if (resume_ && outstanding_ < MaximumOutstanding) {
     std::exchange(resume_, nullptr)();
+  } else if (resume_) {
+    sample_.held_back = true;
   }
 }
 
@@ -293,7 +312,7 @@
   beginStream();
   ++environment_.counters.streams_finished;
   environment_.counters.countRequest("forwarded-stream", "ran", ResultCode::Ok);
-  endAttempt(false);
+  endAttempt(DispatchEnd::Answered);
   const auto self = shared_from_this();
   release();
   writer_->endStream();
@@ -304,7 +323,7 @@
   response.body = std::move(body_);
   const bool failed = response.status >= FirstStatusOfServerFailure;
   if (!failed && !stream_started_) {
-    endAttempt(false);
+    endAttempt(DispatchEnd::Answered);
     answer(std::move(response), "ran", ResultCode::Ok);
     return;
   }
@@ -326,7 +345,7 @@
   onLost(ResultCode::WorkerFailed);
 }
 
-void ForwardRun::endAttempt(bool failed) {
+void ForwardRun::endAttempt(DispatchEnd end) {
   if (call_) {
     call_->cancel();
     call_.reset();
@@ -335,7 +354,13 @@
     return;
   }
   const std::uint32_t cached = placement_->learned ? placement_->learned->cached_tokens : 0;
-  completion_.failed = failed;
+  sample_.end = end;
+  sample_.events = events_of_dispatch_;
+  if (events_of_dispatch_ > 0) {
+    sample_.transfer = last_event_at_ - first_event_at_;
+  }
+  environment_.health.onEnd(health_number_, sample_);
+  completion_.failed = end == DispatchEnd::Failed || end == DispatchEnd::Unreachable;
   completion_.cached_tokens = cached;
   completion_.uncached_tokens = request_.prompt.prompt_tokens - cached;
   completion_.output_tokens = events_of_dispatch_ * pool_->tokens_per_event;
@@ -347,7 +372,7 @@
 
 void ForwardRun::onNotRun(ResultCode code) {
   const bool reached_worker = code == ResultCode::NotRun;
-  endAttempt(!reached_worker);
+  endAttempt(reached_worker ? DispatchEnd::Refused : DispatchEnd::Unreachable);
   ++sent_;
   const bool another = dispatches_ < MaximumDispatches && sent_ < 2 * MaximumDispatches &&
                        timeLeft() >= LeastTimeForAnother;
@@ -360,7 +385,7 @@
 
 void ForwardRun::onLost(ResultCode code) {
   ++may_have_run_;
-  endAttempt(true);
+  endAttempt(DispatchEnd::Failed);
   if (!mayTryAnother()) {
     giveUp(code);
     return;
@@ -389,7 +414,7 @@
 
 void ForwardRun::onTimeLimit() {
   const bool under_way = placement_.has_value();
-  endAttempt(false);
+  endAttempt(DispatchEnd::Abandoned);
   if (under_way) {
     ++may_have_run_;
   }
--- a/libraries/front/source/forward_run.h
+++ b/libraries/front/source/forward_run.h
@@ -9,6 +9,7 @@
 
 #include "switchsaddle/front/forward_flow.h"
 #include "switchsaddle/streams/event_splitter.h"
+#include "switchsaddle/worker_health/dispatch_sample.h"
 
 namespace switchsaddle::front {
 
@@ -41,11 +42,13 @@
   void onLost(base::ResultCode code);
   bool mayTryAnother();
   bool spendRetry();
-  void endAttempt(bool failed);
+  void endAttempt(worker_health::DispatchEnd end);
 
   bool isNotRun(const http::Response& head) const;
   void beginStream();
   void relay(const std::vector<streams::RawEvent>& events);
+  /** Notes when an event came, for the worker's health. */
+  void measureEvent();
   void writeEvents(std::string bytes);
   void onWritten(bool taken);
   void readOn();
@@ -89,6 +92,10 @@
   std::string body_;
   routing::Completion completion_;
   std::uint32_t events_of_dispatch_ = 0;
+  std::uint64_t health_number_ = 0;
+  worker_health::DispatchSample sample_;
+  base::TimePoint first_event_at_;
+  base::TimePoint last_event_at_;
 
   // The caller's stream.
   bool stream_started_ = false;
--- a/libraries/front/source/forward_run_answers.cc
+++ b/libraries/front/source/forward_run_answers.cc
@@ -69,7 +69,7 @@
   if (over_) {
     return;
   }
-  endAttempt(false);
+  endAttempt(worker_health::DispatchEnd::Abandoned);
   const auto self = shared_from_this();
   release();
   writer_->abort();
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -72,6 +72,7 @@
       one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims(), slots(),
                                     servingSession(), environment.workers, *this, retries_,
                                     circuit_, counters_}),
+      health_(environment.dispatcher),
       quotas_(environment.dispatcher, quotaOptions(environment.settings.forwarding)),
       placer_(environment.dispatcher, environment.random, router_, circuit_, *this,
               environment.calls.localAddress()),
@@ -105,7 +106,7 @@
                                  settings.retry_extra * RetriesUsed};
   return std::make_unique<ForwardFlow>(ForwardEnvironment{
       environment_.dispatcher, environment_.random, *environment_.forward_port, placer_, *this,
-      retries_, circuit_, quotas_, counters_, environment_.forward_headers, allowance});
+      retries_, circuit_, quotas_, health_, counters_, environment_.forward_headers, allowance});
 }
 
 admission::SlotBroker& FrontNode::slots() {
@@ -143,16 +144,27 @@
   gossip_.setScoreSource([this] { return router_.exportScores(); });
   gossip_.setScoreSink(
       [this](const std::vector<wire::RouteScore>& scores) { router_.importScores(scores); });
-  session_.setDemandSource([this] { return quotas_.demand(); });
-  session_.setAllotmentListener([this](const std::vector<wire::TenantAllotment>& allotments) {
-    quotas_.setAllotments(allotments);
+  session_.setRecordSource([this](wire::SessionRecord& record) {
+    record.demand = quotas_.demand();
+    record.health = health_.statement();
   });
+  session_.setGrantListener([this](const wire::SessionOpenReply& granted) { onGranted(granted); });
   peers_timer_ = environment_.dispatcher.createTimer([this] { refreshPeers(); });
   stop_timer_ = environment_.dispatcher.createTimer([this] { awaitEndOfWork(); });
   router_.setConfiguration(replica_.view());
   router_.setWorkers(directory_.snapshot());
 }
 
+void FrontNode::onGranted(const wire::SessionOpenReply& granted) {
+  if (granted.quotas_known) {
+    quotas_.setAllotments(granted.allotments);
+  }
+  if (granted.health.known) {
+    health_.setWatched(granted.health.watched);
+    placer_.setAvoided(granted.health.avoided);
+  }
+}
+
 void FrontNode::start() {
   session_.start();
   gossip_.start();
--- a/libraries/front/test/caller_forwarding_test.cc
+++ b/libraries/front/test/caller_forwarding_test.cc
@@ -71,6 +71,7 @@
   RetryBudget retries{process};
   WorkerCircuit circuit{process};
   QuotaMeter quotas{process, {}};
+  worker_health::EvidenceRecorder health{process};
   Counters counters;
   StreamStages stages;
   StreamFlow streams{StreamEnvironment{process, world.random(), slots, session, router, workers,
@@ -78,8 +79,18 @@
   OneShotFlow one_shots{OneShotEnvironment{process, world.random(), claims, slots, session, workers,
                                            beliefs, retries, circuit, counters}};
   ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
-  ForwardFlow flow{ForwardEnvironment{
-      process, world.random(), port, placer, beliefs, retries, circuit, quotas, counters, {}, {}}};
+  ForwardFlow flow{ForwardEnvironment{process,
+                                      world.random(),
+                                      port,
+                                      placer,
+                                      beliefs,
+                                      retries,
+                                      circuit,
+                                      quotas,
+                                      health,
+                                      counters,
+                                      {},
+                                      {}}};
   ControlForwarder control{calls, [] { return std::vector<base::NodeAddress>{}; }};
   std::unique_ptr<CallerService> service;
 };
--- a/libraries/front/test/forward_flow_test.cc
+++ b/libraries/front/test/forward_flow_test.cc
@@ -72,6 +72,7 @@
   RetryBudget retries{process};
   WorkerCircuit circuit{process};
   QuotaMeter quotas{process, {}};
+  worker_health::EvidenceRecorder health{process};
   ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
   Counters counters;
   ForwardFlow flow{ForwardEnvironment{process,
@@ -82,6 +83,7 @@
                                       retries,
                                       circuit,
                                       quotas,
+                                      health,
                                       counters,
                                       {},
                                       {0.2, 10}}};
@@ -169,6 +171,7 @@
                                       retries,
                                       circuit,
                                       quotas,
+                                      health,
                                       counters,
                                       {},
                                       {0, 0}}};
--- a/libraries/front/test/forward_seeds_test.cc
+++ b/libraries/front/test/forward_seeds_test.cc
@@ -240,6 +240,7 @@
     RetryBudget retries_{process_};
     WorkerCircuit circuit_{process_};
     QuotaMeter quotas_{process_, {}};
+    worker_health::EvidenceRecorder health_{process_};
     ForwardPlacer placer_{process_, world_.random(), router_, circuit_, beliefs_, {"127.0.0.1", 1}};
     Counters counters_;
     ForwardFlow flow_{ForwardEnvironment{process_,
@@ -250,6 +251,7 @@
                                          retries_,
                                          circuit_,
                                          quotas_,
+                                         health_,
                                          counters_,
                                          {},
                                          {RetryShare, RetryExtra}}};
--- a/libraries/routing/include/switchsaddle/routing/model_pool.h
+++ b/libraries/routing/include/switchsaddle/routing/model_pool.h
@@ -47,6 +47,9 @@
                           double pool_rate = 0);
 inline constexpr double SickRatio = 2.5;
 
+/** Seconds in which the arm reads a prompt token; `pool_rate` as above. */
+double prefillRate(const Arm& arm, const ColdPrior& prior, double pool_rate);
+
 /** Requests believed to be on the worker now, this front's own included. */
 std::uint32_t believedLoad(const WorkerRecord& record, base::TimePoint now);
 
--- a/libraries/routing/include/switchsaddle/routing/router.h
+++ b/libraries/routing/include/switchsaddle/routing/router.h
@@ -46,6 +46,8 @@
   base::Duration first_token_estimate{};
   /** Prompt tokens that the worker is believed to hold already. */
   std::uint32_t cached_tokens = 0;
+  /** How long the worker is expected to read the others. */
+  base::Duration prefill_estimate{};
   std::uint64_t ticket = 0;
 };
 
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -101,6 +101,10 @@
   }
   placement.first_token_estimate = fromSeconds(chosen.first_token_s);
   placement.cached_tokens = std::min(chosen.cached_tokens, prompt.prompt_tokens);
+  const std::uint32_t uncached_tokens = prompt.prompt_tokens - placement.cached_tokens;
+  placement.prefill_estimate =
+      fromSeconds(uncached_tokens *
+                  prefillRate(*chosen.arm, options_.cold_prior, pool->seconds_per_prefill_token));
   placement.ticket = next_ticket_++;
   notePlacement(*chosen.arm->prefill);
   if (selection.mode == Mode::Scout) {
--- a/libraries/routing/source/model_pool.cc
+++ b/libraries/routing/source/model_pool.cc
@@ -24,15 +24,18 @@
   return record.cold.in_flight + (fresh ? record.others_load : 0);
 }
 
+double prefillRate(const Arm& arm, const ColdPrior& prior, double pool_rate) {
+  const double own_rate = arm.statistics.mean().seconds_per_prefill_token;
+  const bool pooled = pool_rate > 0 && own_rate < pool_rate * SickRatio;
+  return pooled ? pool_rate : orPrior(own_rate, prior.seconds_per_prefill_token);
+}
+
 double estimateFirstToken(const Arm& arm, std::uint32_t uncached_tokens,
                           std::uint32_t output_tokens, const ColdPrior& prior, base::TimePoint now,
                           double pool_rate) {
   const SpeedSample& mean = arm.statistics.mean();
-  const bool pooled = pool_rate > 0 && mean.seconds_per_prefill_token < pool_rate * SickRatio;
-  const double prefill_rate =
-      pooled ? pool_rate : orPrior(mean.seconds_per_prefill_token, prior.seconds_per_prefill_token);
   const double output_rate = orPrior(mean.seconds_per_output_token, prior.seconds_per_output_token);
-  const double prefill_s = uncached_tokens * prefill_rate;
+  const double prefill_s = uncached_tokens * prefillRate(arm, prior, pool_rate);
   const double service_s = prefill_s + output_tokens * output_rate;
   const WorkerRecord& worker = *arm.prefill;
   const double slots = std::max(1U, worker.slots);
--- a/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
+++ b/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
@@ -58,13 +58,11 @@
                       SessionClientFaults faults = {});
 
   void setCommittedListener(CommittedListener listener) { listener_ = std::move(listener); }
-  /** What each renewal tells of this front's tenants, and who hears what is allotted in return. */
-  using DemandSource = std::function<std::vector<wire::TenantDemand>()>;
-  using AllotmentListener = std::function<void(const std::vector<wire::TenantAllotment>&)>;
-  void setDemandSource(DemandSource source) { demand_source_ = std::move(source); }
-  void setAllotmentListener(AllotmentListener listener) {
-    allotment_listener_ = std::move(listener);
-  }
+  /** Adds to each renewal what else the cores are to hear, and hears what they say in return. */
+  using RecordSource = std::function<void(wire::SessionRecord&)>;
+  using GrantListener = std::function<void(const wire::SessionOpenReply&)>;
+  void setRecordSource(RecordSource source) { record_source_ = std::move(source); }
+  void setGrantListener(GrantListener listener) { grant_listener_ = std::move(listener); }
   /** Replaces the cores asked while none is known from a grant. */
   void setSeeds(std::vector<base::NodeAddress> seeds);
   void start() override;
@@ -104,8 +102,8 @@
   FrontIdentity identity_;
   SessionClientFaults faults_;
   CommittedListener listener_;
-  DemandSource demand_source_;
-  AllotmentListener allotment_listener_;
+  RecordSource record_source_;
+  GrantListener grant_listener_;
   std::vector<base::NodeAddress> cores_;
   std::vector<base::NodeAddress> fronts_;
   /** Digest of the cores and fronts as last learnt. */
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -51,11 +51,13 @@
 
   void readLive(LiveSessionsCallback callback) override;
   std::vector<wire::SessionTableEntry> localSessions() const override;
-  /** Works out what a front is allotted along with a grant of its session; nothing where that is
-   * not known. */
-  using AllotmentSource = std::function<std::optional<std::vector<wire::TenantAllotment>>(
-      const wire::SessionRecord& record)>;
-  void setAllotmentSource(AllotmentSource source) { allotment_source_ = std::move(source); }
+  /** Adds to the grant of a session what else the front is to hear. */
+  using GrantSource =
+      std::function<void(const wire::SessionRecord& record, wire::SessionOpenReply& granted)>;
+  void setGrantSource(GrantSource source) { grant_source_ = std::move(source); }
+  /** Hears each record that is newer than the one before of its front. */
+  using RecordListener = std::function<void(const wire::SessionRecord& record)>;
+  void setRecordListener(RecordListener listener) { record_listener_ = std::move(listener); }
   /** Whether sessions granted through this node's earlier life may still be unknown to it. */
   bool recovering() const;
 
@@ -114,7 +116,8 @@
   SessionTimes times_;
   CoreView& view_;
   SessionTableFaults faults_;
-  AllotmentSource allotment_source_;
+  GrantSource grant_source_;
+  RecordListener record_listener_;
   /** Since when this life of the node has been able to record all; unset while it may not vote, or
    * joins. */
   mutable std::optional<base::TimePoint> recording_since_;
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -89,9 +89,9 @@
 void QuorumSessionClient::askCore(const base::NodeAddress& core) {
   const base::TimePoint asked_at = dispatcher_.now();
   wire::SessionRecord record{identity_.address, identity_.instance, ++sequence_, applied_version_,
-                             applied_digest_,   identity_.zone,     closing_,    {}};
-  if (demand_source_) {
-    record.demand = demand_source_();
+                             applied_digest_,   identity_.zone,     closing_};
+  if (record_source_) {
+    record_source_(record);
   }
   calls_.call(core, wire::SessionOpenRequest{record, members_digest_}, times_.core_silence,
               [this, alive = std::weak_ptr(alive_), core, asked_at](const auto& result) {
@@ -158,8 +158,8 @@
     }
   }
   learn(reply);
-  if (allotment_listener_ && reply.quotas_known) {
-    allotment_listener_(reply.allotments);
+  if (grant_listener_) {
+    grant_listener_(reply);
   }
   if (!continues) {
     ask();
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -171,6 +171,9 @@
     members_.outdated = true;
   }
   entries_[key] = Entry{record, dispatcher_.now() + times_.core_limit};
+  if (record_listener_) {
+    record_listener_(record);
+  }
   if (changed) {
     journalSession(record);
   }
@@ -232,11 +235,8 @@
     granted.core_addresses = cores;
     granted.front_addresses = members().fronts;
   }
-  if (allotment_source_) {
-    if (auto allotments = allotment_source_(pending.record)) {
-      granted.quotas_known = true;
-      granted.allotments = std::move(*allotments);
-    }
+  if (grant_source_) {
+    grant_source_(pending.record, granted);
   }
   const transport::ReplyFunction reply = std::exchange(pending.reply, nullptr);
   reply(std::move(granted));
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/base/node_address.h"
+#include "switchsaddle/wire/health_messages.h"
 
 /**
  * @file
@@ -60,10 +61,13 @@
   bool closed = false;
   /** Tenants with a quota that asked the front for something lately. */
   std::vector<TenantDemand> demand = {};
+  /** What the front has seen of workers. */
+  HealthStatement health = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(front, instance, sequence, applied_version, applied_digest, zone, closed, demand);
+    archive(front, instance, sequence, applied_version, applied_digest, zone, closed, demand,
+            health);
   }
 };
 
@@ -95,11 +99,12 @@
   bool quotas_known = false;
   /** Of tenants that have used much of their quota; where quotas_known, no other has. */
   std::vector<TenantAllotment> allotments = {};
+  HealthAdvice health = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest,
-            quotas_known, allotments);
+            quotas_known, allotments, health);
   }
 };
 
--- /dev/null
+++ b/libraries/worker_health/test/health_ranking_test.cc
@@ -0,0 +1,222 @@
+#include "switchsaddle/worker_health/health_ranking.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "simulated_fleet.h"
+
+namespace switchsaddle::worker_health {
+namespace {
+
+FleetPlan planWith(std::size_t worker, const PlantedSickness& sickness) {
+  FleetPlan plan;
+  plan.sick[worker] = sickness;
+  return plan;
+}
+
+std::size_t sickCount(const SimulatedFleet& fleet) {
+  return static_cast<std::size_t>(
+      std::ranges::count(fleet.ranking().ranks(), HealthState::Sick, &WorkerRank::state));
+}
+
+TEST(HealthRankingTest, FindsStallsSlowTransfersAndFailures) {
+  FleetPlan plan;
+  plan.sick[2] = {.stalls = 0.5};
+  plan.sick[5] = {.slowness = 3};
+  plan.sick[9] = {.failures = 0.4};
+  SimulatedFleet fleet(plan, 1);
+  fleet.run();
+  EXPECT_EQ(fleet.rankOf(2).sickness, Sickness::Stalls);
+  EXPECT_EQ(fleet.rankOf(5).sickness, Sickness::SlowTransfers);
+  EXPECT_EQ(fleet.rankOf(9).sickness, Sickness::Failures);
+  EXPECT_EQ(sickCount(fleet), 3U);
+}
+
+TEST(HealthRankingTest, TheSickestStandsFirst) {
+  FleetPlan plan;
+  plan.sick[2] = {.stalls = 0.3};
+  plan.sick[5] = {.stalls = 0.9};
+  SimulatedFleet fleet(plan, 1);
+  fleet.run();
+  EXPECT_EQ(fleet.ranking().ranks()[0].worker, SimulatedFleet::nameOf(5));
+  EXPECT_EQ(fleet.ranking().ranks()[1].worker, SimulatedFleet::nameOf(2));
+}
+
+TEST(HealthRankingTest, NobodyIsSickInAHealthyFleet) {
+  SimulatedFleet fleet(FleetPlan{}, 3);
+  fleet.run();
+  EXPECT_EQ(sickCount(fleet), 0U);
+}
+
+TEST(HealthRankingTest, FewSamplesMakeNobodySickOrHealthy) {
+  FleetPlan plan = planWith(2, {.stalls = 0.9});
+  plan.time = std::chrono::seconds(3);
+  plan.requests_per_s = 20;
+  SimulatedFleet fleet(plan, 1);
+  fleet.run();
+  for (const WorkerRank& rank : fleet.ranking().ranks()) {
+    EXPECT_EQ(rank.state, HealthState::Unknown) << rank.worker;
+  }
+}
+
+TEST(HealthRankingTest, PromptsOfOneTenantMakeNoWorkerSick) {
+  FleetPlan plan;
+  plan.decoy_worker = 4;
+  SimulatedFleet fleet(plan, 5);
+  fleet.run();
+  EXPECT_NE(fleet.rankOf(4).state, HealthState::Sick);
+}
+
+TEST(HealthRankingTest, AFrontThatIsSickItselfAccusesNobody) {
+  FleetPlan plan;
+  plan.sick_front = 1;
+  SimulatedFleet fleet(plan, 6);
+  fleet.run();
+  EXPECT_EQ(sickCount(fleet), 0U);
+}
+
+TEST(HealthRankingTest, TheHistoryTellsWhoWasAtTheTop) {
+  SimulatedFleet fleet(planWith(2, {.stalls = 0.6}), 1);
+  fleet.run();
+  ASSERT_FALSE(fleet.ranking().history().empty());
+  EXPECT_EQ(fleet.ranking().history().back().worker, SimulatedFleet::nameOf(2));
+  EXPECT_GT(fleet.rankOf(2).since.count(), 0);
+}
+
+/** Counts over many seeds, for one way to tell the sick from the healthy. */
+struct Tally {
+  int planted = 0;
+  int found = 0;
+  int accused = 0;
+  int accused_rightly = 0;
+
+  double recall() const { return planted > 0 ? static_cast<double>(found) / planted : 1; }
+  double precision() const {
+    return accused > 0 ? static_cast<double>(accused_rightly) / accused : 1;
+  }
+};
+
+double meanOf(const std::vector<double>& values) {
+  double sum = 0;
+  for (const double value : values) {
+    sum += value;
+  }
+  return values.empty() ? 0 : sum / static_cast<double>(values.size());
+}
+
+double percentile99(std::vector<double> values) {
+  std::ranges::sort(values);
+  return values.empty() ? 0 : values[values.size() * 99 / 100];
+}
+
+double medianOf(std::vector<double> values) {
+  std::ranges::sort(values);
+  return values[values.size() / 2];
+}
+
+/** Fleets with one to three sick workers of one severity, a decoy tenant and a sick front. */
+class PlantedFleets {
+ public:
+  explicit PlantedFleets(double severity) : severity_(severity) {}
+
+  void play(std::uint64_t seed) {
+    base::RandomSource random(seed * 7 + 1);
+    FleetPlan plan;
+    const std::size_t count = 1 + random.below(3);
+    while (plan.sick.size() < count) {
+      plan.sick[random.below(plan.workers)] = draw(random);
+    }
+    do {
+      plan.decoy_worker = random.below(plan.workers);
+    } while (plan.sick.contains(*plan.decoy_worker));
+    if (random.chance(0.5)) {
+      plan.sick_front = random.below(plan.fronts);
+    }
+    SimulatedFleet fleet(plan, seed);
+    fleet.run();
+    judge(fleet, plan);
+  }
+
+  Tally ranking;
+  Tally mean_speed;
+  Tally tail_alone;
+  int kept_as_healthy = 0;
+
+ private:
+  PlantedSickness draw(base::RandomSource& random) const {
+    PlantedSickness sickness;
+    switch (random.below(3)) {
+      case 0:
+        sickness.stalls = severity_;
+        break;
+      case 1:
+        sickness.slowness = 1.5 + 2 * severity_;
+        break;
+      default:
+        sickness.failures = severity_;
+    }
+    sickness.intermittent = random.chance(0.3);
+    return sickness;
+  }
+
+  static void count(Tally& tally, bool planted, bool accused) {
+    tally.planted += planted ? 1 : 0;
+    tally.accused += accused ? 1 : 0;
+    tally.found += planted && accused ? 1 : 0;
+    tally.accused_rightly += planted && accused ? 1 : 0;
+  }
+
+  void judge(const SimulatedFleet& fleet, const FleetPlan& plan) {
+    std::vector<double> speeds;
+    std::vector<double> tails;
+    for (std::size_t worker = 0; worker < plan.workers; ++worker) {
+      speeds.push_back(meanOf(fleet.measuresOf(worker).events_per_s));
+      tails.push_back(percentile99(fleet.measuresOf(worker).longest_pauses_s));
+    }
+    for (std::size_t worker = 0; worker < plan.workers; ++worker) {
+      const bool planted = plan.sick.contains(worker);
+      const HealthState state = fleet.rankOf(worker).state;
+      count(ranking, planted, state == HealthState::Sick);
+      count(mean_speed, planted, speeds[worker] < 0.7 * medianOf(speeds));
+      count(tail_alone, planted, tails[worker] > 2 * medianOf(tails));
+      kept_as_healthy += planted && state == HealthState::Healthy ? 1 : 0;
+    }
+  }
+
+  double severity_;
+};
+
+class PlantedSicknessTest : public testing::TestWithParam<double> {};
+
+std::string figures(const Tally& tally) {
+  return "precision " + std::to_string(tally.precision()) + ", recall " +
+         std::to_string(tally.recall());
+}
+
+TEST_P(PlantedSicknessTest, IsFoundWithoutAccusingOthers) {
+  constexpr std::uint64_t Seeds = 334;
+  PlantedFleets fleets(GetParam());
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    fleets.play(seed);
+  }
+  RecordProperty("ranking", figures(fleets.ranking));
+  RecordProperty("mean_speed", figures(fleets.mean_speed));
+  RecordProperty("tail_alone", figures(fleets.tail_alone));
+  RecordProperty("kept_as_healthy", fleets.kept_as_healthy);
+  std::cout << "severity " << GetParam() << ": ranking " << figures(fleets.ranking)
+            << "; mean speed " << figures(fleets.mean_speed) << "; 99th percentile "
+            << figures(fleets.tail_alone) << "; sick kept as healthy " << fleets.kept_as_healthy
+            << " of " << fleets.ranking.planted << "\n";
+  EXPECT_GE(fleets.ranking.precision(), 0.98);
+  EXPECT_GT(fleets.ranking.recall(), fleets.mean_speed.recall() + 0.3);
+  EXPECT_GT(fleets.ranking.recall(), fleets.tail_alone.recall() + 0.3);
+  const bool is_strong = GetParam() >= 0.5;
+  EXPECT_GE(fleets.ranking.recall(), is_strong ? 0.99 : 0.9);
+  EXPECT_LE(fleets.kept_as_healthy, is_strong ? 0 : fleets.ranking.planted / 20);
+}
+
+INSTANTIATE_TEST_SUITE_P(Severities, PlantedSicknessTest, testing::Values(0.25, 0.5, 0.8));
+
+}  // namespace
+}  // namespace switchsaddle::worker_health
