Rank workers for operators, and take the sickest out exactly once

Ruled out: a core that drains under a lease (a frozen or cut holder can lose or double the order). The register already decides races and outlasts restarts, so the order is an entry, maintenance/WORKER.

An order sent again is answered as before, also after the worker is back; a second order for a worker that is out is 6006, one that leaves too few 6007, none sick 6008, an unknown name 6009. Fronts send such a worker nothing new, and move resumable streams after their last whole event as a repeat within the budget.

Also: FakeNode of two test files is one; orders and their ends in ctl are one function each.

--- a/libraries/base/include/switchsaddle/base/result_code.h
+++ b/libraries/base/include/switchsaddle/base/result_code.h
@@ -59,6 +59,10 @@
   CommittedNotYetInForce = 6003,
   ChangeIdReused = 6004,
   SettingsInvalid = 6005,
+  AlreadyInMaintenance = 6006,
+  CapacityTooLow = 6007,
+  NothingToMaintain = 6008,
+  UnknownWorker = 6009,
   // 7000: the control plane.
   NoQuorum = 7001,
   SessionLapsed = 7002,
--- a/libraries/configuration/include/switchsaddle/configuration/view.h
+++ b/libraries/configuration/include/switchsaddle/configuration/view.h
@@ -68,6 +68,12 @@
   double route_prune_after_s = 86'400.0;
   /** Share of a service's first tries that may be retried, over 10 s. */
   double retry_share = 0.1;
+  /** Part of a pool that may be out for maintenance at once; at least one worker may. */
+  double maintenance_pool_share = 0.1;
+  /** Part of a pool that is to be left when a worker is taken out. */
+  double maintenance_capacity_share = 0.6;
+  /** Workers of a pool that may be out in one zone. */
+  std::uint32_t maintenance_zone_workers = 1;
 };
 
 /** The parsed, indexed form of a valid document, for lookups on the data plane. Immutable. */
@@ -82,9 +88,15 @@
   /** Operators' key hashes from operators/ID. */
   std::set<std::string> operator_hashes;
   std::set<std::string> evacuated_zones;
+  /** By id. They finish what they have and get nothing new. */
+  std::set<std::string> workers_in_maintenance;
   Forwarding forwarding;
   Tuning tuning;
 
+  /** Whether neither the worker nor its zone has been ordered to be empty. */
+  bool allowsWorker(const wire::WorkerEntry& worker) const {
+    return !evacuated_zones.contains(worker.zone) && !workers_in_maintenance.contains(worker.id);
+  }
   /** The route of a model in the completions service, or nullptr. */
   const Route* routeOfModel(const std::string& model) const;
   /** The route of a one-shot service, or nullptr. */
--- a/libraries/configuration/source/checks/checks.h
+++ b/libraries/configuration/source/checks/checks.h
@@ -44,6 +44,8 @@
 
 void parseEvacuation(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults);
 
+void parseMaintenance(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults);
+
 void parseForwardRoute(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults);
 void parseForwardPool(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults);
 void parseForwardTenant(const EntryText& entry, ParsedConfiguration& parsed, Faults& faults);
--- a/libraries/configuration/source/checks/tuning.cc
+++ b/libraries/configuration/source/checks/tuning.cc
@@ -37,6 +37,14 @@
                 [](Tuning& tuning, double value) { tuning.route_prune_after_s = value; }},
     TuningField{"retry-share", 0, 0.5, false,
                 [](Tuning& tuning, double value) { tuning.retry_share = value; }},
+    TuningField{"maintenance-pool-share", 0, 1, false,
+                [](Tuning& tuning, double value) { tuning.maintenance_pool_share = value; }},
+    TuningField{"maintenance-capacity-share", 0, 1, false,
+                [](Tuning& tuning, double value) { tuning.maintenance_capacity_share = value; }},
+    TuningField{"maintenance-zone-workers", 1, 1'000, true,
+                [](Tuning& tuning, double value) {
+                  tuning.maintenance_zone_workers = static_cast<std::uint32_t>(value);
+                }},
 };
 
 bool isWithin(const TuningField& field, const JsonValue& value) {
--- a/libraries/configuration/source/parsed_configuration.cc
+++ b/libraries/configuration/source/parsed_configuration.cc
@@ -25,6 +25,7 @@
     EntryKind{"forwarding/routes/", false, parseForwardRoute},
     EntryKind{"forwarding/tenants/", false, parseForwardTenant},
     EntryKind{"keys/", true, parseKey},
+    EntryKind{"maintenance/", false, parseMaintenance},
     EntryKind{"operators/", true, parseOperator},
     EntryKind{"routes/", true, parseRoute},
     EntryKind{"shapes/", true, parseShape},
--- a/libraries/configuration/source/parsed_configuration.h
+++ b/libraries/configuration/source/parsed_configuration.h
@@ -62,6 +62,7 @@
   std::map<std::string, Key> keys;
   std::map<std::string, std::string> operators;
   std::set<std::string> evacuated_zones;
+  std::set<std::string> workers_in_maintenance;
   /** Not indexed. */
   Forwarding forwarding;
   Tuning tuning;
--- a/libraries/configuration/source/view.cc
+++ b/libraries/configuration/source/view.cc
@@ -72,6 +72,7 @@
     view.operator_hashes.insert(hash);
   }
   view.evacuated_zones = std::move(parsed.evacuated_zones);
+  view.workers_in_maintenance = std::move(parsed.workers_in_maintenance);
   view.forwarding = std::move(parsed.forwarding);
   view.forwarding.index();
   view.tuning = parsed.tuning;
--- a/libraries/core/include/switchsaddle/core/change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/change_coordinator.h
@@ -31,6 +31,12 @@
                       std::function<void(const ChangeAnswer&)> callback) = 0;
   virtual void submitSource(const configuration::SourceUpdate& update,
                             std::function<void(const ChangeAnswer&)> callback) = 0;
+  using Decide =
+      std::function<configuration::ChangeDecision(const configuration::RegisterValue& present)>;
+  /** Commits what the function decides of the present value; it may run more than once.
+   * `change_id` is that under which the decision is recorded. */
+  virtual void submitOrder(Decide decide, const std::string& change_id,
+                           std::function<void(const ChangeAnswer&)> callback) = 0;
   /** Empties a zone, or lets it take work again; once more for a zone in that state is no change.
    */
   virtual void submitEvacuation(const std::string& zone, bool evacuated,
--- a/libraries/core/include/switchsaddle/core/control_service.h
+++ b/libraries/core/include/switchsaddle/core/control_service.h
@@ -7,6 +7,7 @@
 
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/node_address.h"
+#include "switchsaddle/configuration/maintenance.h"
 #include "switchsaddle/configuration/register_value.h"
 #include "switchsaddle/core/change_coordinator.h"
 #include "switchsaddle/core/node_information.h"
@@ -76,6 +77,18 @@
   void deleteEvacuation(const http::Request& request, const std::string& name, Respond respond);
   void postKey(const http::Request& request, const std::string& name, Respond respond);
   void deleteKey(const http::Request& request, const std::string& name, Respond respond);
+  // Health and maintenance, in source/control_health.cc.
+  void getHealth(const http::Request& request, const std::string& name, Respond respond);
+  void getWorkerHealth(const http::Request& request, const std::string& name, Respond respond);
+  void getMaintenance(const http::Request& request, const std::string& name, Respond respond);
+  void postNextMaintenance(const http::Request& request, const std::string& name, Respond respond);
+  void postMaintenance(const http::Request& request, const std::string& name, Respond respond);
+  void deleteMaintenance(const http::Request& request, const std::string& name, Respond respond);
+  void submitMaintenance(configuration::MaintenanceOrder order,
+                         const std::vector<configuration::Fault>& faults, Respond respond);
+  void answerMaintenance(const ChangeAnswer& answer, const std::string& change_id,
+                         const Respond& respond);
+
   void postReplacement(const http::Request& request, const std::string& name, Respond respond);
 
   using RegisterReader =
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
 #include "switchsaddle/registers/quorum_proposer.h"
 #include "switchsaddle/registers/scrubber.h"
 #include "switchsaddle/sessions/session_table.h"
+#include "switchsaddle/worker_health/health_ranking.h"
 #include "switchsaddle/worker_health/suspicion.h"
 #include "switchsaddle/workers/platform_watcher.h"
 
@@ -80,6 +82,9 @@
   std::size_t sessionCount() const { return sessions_.localSessions().size(); }
   NodeStatus status() const override;
   const journal::BeliefView& beliefs() const override { return beliefs_; }
+  const worker_health::HealthRanking& health() const override { return ranking_; }
+  workers::WorkerSnapshotPtr fleet() const override { return workers_.snapshot(); }
+  std::uint32_t requestsOn(const std::string& worker) const override;
 
  private:
   void openStore();
@@ -90,6 +95,9 @@
   /** What a front hears along with the grant of its session. */
   void addToGrant(const wire::SessionRecord& record, wire::SessionOpenReply& granted);
   void refreshPeers();
+  void refreshRanking();
+  /** The keys of workers that every front is to tell of. */
+  void addWatched(std::vector<std::uint64_t>& watched) const;
   base::IncidentSink& incidents() const;
   void reportLease(const lease::LeaseHolder& holder, const char* name, bool gained);
   /** Members campaign for the leases; a core that has not joined yet, or has left, could not do the
@@ -126,6 +134,9 @@
   QuotaAllotter quotas_;
   worker_health::EvidenceLedger evidence_;
   worker_health::Suspicion suspicion_;
+  worker_health::HealthRanking ranking_;
+  /** Unset while the ranking is not of the present workers. */
+  std::optional<base::TimePoint> ranked_at_;
   lease::LeaseGranter granter_;
   dissemination::ConfigurationReplica replica_;
   workers::WorkerDirectory workers_;
--- a/libraries/core/include/switchsaddle/core/node_information.h
+++ b/libraries/core/include/switchsaddle/core/node_information.h
@@ -8,6 +8,7 @@
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/journal/belief_view.h"
 #include "switchsaddle/wire/register_messages.h"
+#include "switchsaddle/worker_health/health_ranking.h"
 
 namespace switchsaddle::core {
 
@@ -40,6 +41,12 @@
   virtual ~NodeInformation() = default;
   virtual NodeStatus status() const = 0;
   virtual const journal::BeliefView& beliefs() const = 0;
+  /** The workers' health as this node ranks it. */
+  virtual const worker_health::HealthRanking& health() const = 0;
+  /** The workers known here; never null. */
+  virtual workers::WorkerSnapshotPtr fleet() const = 0;
+  /** Requests that fronts have on a worker, as they told of late. */
+  virtual std::uint32_t requestsOn(const std::string& worker) const = 0;
 };
 
 }  // namespace switchsaddle::core
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -50,13 +50,13 @@
               std::function<void(const ChangeAnswer&)> callback) override;
   void submitSource(const configuration::SourceUpdate& update,
                     std::function<void(const ChangeAnswer&)> callback) override;
+  void submitOrder(Decide decide, const std::string& change_id,
+                   std::function<void(const ChangeAnswer&)> callback) override;
   void submitEvacuation(const std::string& zone, bool evacuated,
                         std::function<void(const ChangeAnswer&)> callback) override;
 
  private:
   using Callback = std::function<void(const ChangeAnswer&)>;
-  using Decide =
-      std::function<configuration::ChangeDecision(const configuration::RegisterValue& present)>;
 
   /** `change_id` is empty where the decision is not recorded under one known beforehand. */
   void commit(Decide decide, const std::string& change_id, Callback callback);
--- a/libraries/core/source/control_requests.cc
+++ b/libraries/core/source/control_requests.cc
@@ -32,6 +32,25 @@
 
 }  // namespace
 
+http::Response jsonResponse(std::uint16_t status, std::string body) {
+  http::Response response;
+  response.status = status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  response.body = std::move(body);
+  return response;
+}
+
+http::Response controlError(base::ResultCode code,
+                            const std::vector<configuration::Fault>& faults) {
+  return jsonResponse(base::describe(code).http_status,
+                      configuration::renderError(code, {}, faults));
+}
+
+base::ResultCode codeOf(const std::vector<configuration::Fault>& faults) {
+  const bool malformed = faults.front().code == base::ResultCode::MalformedJson;
+  return malformed ? base::ResultCode::MalformedJson : base::ResultCode::ConfigurationInvalid;
+}
+
 bool queryFlag(std::string_view target, std::string_view name) {
   const std::size_t start = target.find('?');
   if (start == std::string_view::npos) {
--- a/libraries/core/source/control_requests.h
+++ b/libraries/core/source/control_requests.h
@@ -22,6 +22,14 @@
   base::NodeAddress new_member;
 };
 
+http::Response jsonResponse(std::uint16_t status, std::string body);
+/** The numbered error of a refused request. */
+http::Response controlError(base::ResultCode code,
+                            const std::vector<configuration::Fault>& faults = {});
+
+/** The code under which a faulty body is refused: that of its form, or of its content. */
+base::ResultCode codeOf(const std::vector<configuration::Fault>& faults);
+
 /** Whether the query has the flag, alone or with a value other than "false". */
 bool queryFlag(std::string_view target, std::string_view name);
 
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -50,19 +50,6 @@
   return name;
 }
 
-http::Response jsonResponse(std::uint16_t status, std::string body) {
-  http::Response response;
-  response.status = status;
-  response.headers.push_back({"Content-Type", "application/json"});
-  response.body = std::move(body);
-  return response;
-}
-
-http::Response controlError(ResultCode code, const std::vector<Fault>& faults = {}) {
-  return jsonResponse(base::describe(code).http_status,
-                      configuration::renderError(code, {}, faults));
-}
-
 configuration::ChangeResult resultOf(const ChangeAnswer& answer, bool dry_run) {
   configuration::ChangeResult result;
   result.code = answer.code;
@@ -84,12 +71,6 @@
   return fronts;
 }
 
-/** The code under which a faulty body is refused: that of its form, or of its content. */
-ResultCode codeOf(const std::vector<Fault>& faults) {
-  const bool malformed = faults.front().code == ResultCode::MalformedJson;
-  return malformed ? ResultCode::MalformedJson : ResultCode::ConfigurationInvalid;
-}
-
 }  // namespace
 
 /** One row of the API: a method on a path. */
@@ -115,6 +96,12 @@
       {"GET", "/v1/status", &Self::getStatus},
       {"GET", "/v1/beliefs", &Self::getBeliefs},
       {"POST", "/v1/core/replacements", &Self::postReplacement},
+      {"GET", "/v1/health/workers", &Self::getHealth},
+      {"GET", "/v1/health/workers/{}", &Self::getWorkerHealth},
+      {"GET", "/v1/maintenance", &Self::getMaintenance},
+      {"POST", "/v1/maintenance/next", &Self::postNextMaintenance},
+      {"POST", "/v1/maintenance/workers/{}", &Self::postMaintenance},
+      {"DELETE", "/v1/maintenance/workers/{}", &Self::deleteMaintenance},
   };
 }
 
--- a/libraries/core/source/core_metrics.cc
+++ b/libraries/core/source/core_metrics.cc
@@ -28,12 +28,32 @@
   page.gauge("registers", "Registers held.", static_cast<double>(status.register_count));
 }
 
+void appendHealth(const CoreNode& node, metrics::Page& page) {
+  const std::vector<worker_health::WorkerRank>& ranks = node.health().ranks();
+  const auto sick = std::count_if(ranks.begin(), ranks.end(), [](const auto& rank) {
+    return rank.state == worker_health::HealthState::Sick;
+  });
+  page.gauge("sick_workers", "Workers that the ranking of this node finds sick.",
+             static_cast<double>(sick));
+  page.gauge("workers_in_maintenance", "Workers that operators have taken out.",
+             static_cast<double>(node.replica().view()->workers_in_maintenance.size()));
+  for (const worker_health::WorkerRank& rank : ranks) {
+    if (rank.state == worker_health::HealthState::Sick) {
+      page.gauge(
+          "worker_severity", "Part of its requests that a sick worker spoils unexplained.",
+          rank.severity,
+          {{"worker", rank.worker}, {"sickness", worker_health::sicknessName(rank.sickness)}});
+    }
+  }
+}
+
 }  // namespace
 
 void appendMetrics(const CoreNode& node, metrics::Page& page) {
   const NodeStatus status = node.status();
   appendRegisters(node, page);
   appendStorage(status, page);
+  appendHealth(node, page);
   page.gauge("acceptor_set_epoch", "Epoch of the acceptor set held here.",
              static_cast<double>(status.acceptor_set.epoch));
   page.gauge("acceptor_set_members", "Members of the acceptor set.",
--- /dev/null
+++ b/libraries/core/source/health_json.cc
@@ -0,0 +1,126 @@
+#include "health_json.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "switchsaddle/configuration/change_json.h"
+#include "switchsaddle/configuration/json_writer.h"
+
+namespace switchsaddle::core {
+
+namespace {
+
+using configuration::JsonWriter;
+using worker_health::WorkerRank;
+
+/** Shares and severities are shown in thousandths. */
+constexpr double Thousand = 1'000;
+
+std::uint64_t thousandths(double share) {
+  return static_cast<std::uint64_t>(std::lround(std::max(0.0, share) * Thousand));
+}
+
+std::uint64_t shareOf(float bad, float counted) {
+  return counted > 0 ? thousandths(bad / counted) : 0;
+}
+
+void writeRank(JsonWriter& writer, const WorkerRank& rank, bool is_out) {
+  const wire::HealthCounts& counts = rank.evidence.counts;
+  writer.name("worker").string(rank.worker);
+  writer.name("pool").string(rank.pool);
+  writer.name("zone").string(rank.zone);
+  writer.name("state").string(worker_health::healthStateName(rank.state));
+  writer.name("sickness").string(worker_health::sicknessName(rank.sickness));
+  writer.name("severity_permille").unsignedInteger(thousandths(rank.severity));
+  writer.name("since_s").unsignedInteger(
+      static_cast<std::uint64_t>(base::toMilliseconds(rank.since)) / 1'000);
+  writer.name("requests").unsignedInteger(static_cast<std::uint64_t>(counts.dispatched));
+  writer.name("stalled_permille").unsignedInteger(shareOf(counts.stalled, counts.timed));
+  writer.name("slow_permille").unsignedInteger(shareOf(counts.slow, counts.timed));
+  writer.name("failed_permille").unsignedInteger(shareOf(counts.failed, counts.dispatched));
+  writer.name("maintenance").boolean(is_out);
+}
+
+}  // namespace
+
+std::string renderRanking(const worker_health::HealthRanking& ranking,
+                          const std::set<std::string>& out, base::TimePoint now) {
+  JsonWriter writer;
+  writer.beginObject();
+  writer.name("workers").beginArray();
+  for (const WorkerRank& rank : ranking.ranks()) {
+    writer.beginObject();
+    writeRank(writer, rank, out.contains(rank.worker));
+    writer.endObject();
+  }
+  writer.endArray();
+  writer.name("history").beginArray();
+  for (const worker_health::TopChange& change : ranking.history()) {
+    writer.beginObject();
+    writer.name("ago_s").unsignedInteger(
+        static_cast<std::uint64_t>(base::toMilliseconds(now - change.at)) / 1'000);
+    writer.name("sickest").string(change.worker);
+    writer.name("before").string(change.before);
+    writer.endObject();
+  }
+  writer.endArray().endObject();
+  return writer.text();
+}
+
+std::optional<std::string> renderWorkerHealth(const worker_health::HealthRanking& ranking,
+                                              const std::string& worker, bool is_out) {
+  const auto rank = std::ranges::find(ranking.ranks(), worker, &WorkerRank::worker);
+  if (rank == ranking.ranks().end()) {
+    return std::nullopt;
+  }
+  JsonWriter writer;
+  writer.beginObject();
+  writeRank(writer, *rank, is_out);
+  writer.name("explained").beginObject();
+  writer.name("stalled_permille").unsignedInteger(thousandths(rank->explained_stalls));
+  writer.name("slow_permille").unsignedInteger(thousandths(rank->explained_slow));
+  writer.name("failed_permille").unsignedInteger(thousandths(rank->explained_failures));
+  writer.endObject();
+  writer.name("compared_streams")
+      .unsignedInteger(static_cast<std::uint64_t>(rank->evidence.counts.timed));
+  writer.name("fronts_telling").unsignedInteger(rank->evidence.telling_fronts);
+  writer.name("in_flight").unsignedInteger(rank->evidence.in_flight);
+  writer.endObject();
+  return writer.text();
+}
+
+std::string renderMaintenance(const std::vector<MaintainedWorker>& workers) {
+  JsonWriter writer;
+  writer.beginObject();
+  writer.name("workers").beginArray();
+  for (const MaintainedWorker& one : workers) {
+    writer.beginObject();
+    writer.name("worker").string(one.worker.worker);
+    writer.name("pool").string(one.worker.pool);
+    writer.name("zone").string(one.worker.zone);
+    writer.name("listed").boolean(one.listed);
+    writer.name("in_flight").unsignedInteger(one.in_flight);
+    writer.name("state").string(one.in_flight > 0 ? "draining" : "drained");
+    writer.endObject();
+  }
+  writer.endArray().endObject();
+  return writer.text();
+}
+
+std::string renderMaintenanceResult(const ChangeAnswer& answer, const std::string& worker) {
+  const bool is_committed = answer.code == base::ResultCode::Ok ||
+                            answer.code == base::ResultCode::CommittedNotYetInForce;
+  if (!is_committed) {
+    return configuration::renderError(answer.code, {}, answer.faults);
+  }
+  JsonWriter writer;
+  writer.beginObject();
+  writer.name("version").unsignedInteger(answer.version);
+  writer.name("in_force").boolean(answer.code == base::ResultCode::Ok);
+  writer.name("repeated").boolean(answer.repeated);
+  writer.name("worker").string(worker);
+  writer.endObject();
+  return writer.text();
+}
+
+}  // namespace switchsaddle::core
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -87,6 +87,11 @@
   commit(decide, update.change_id, std::move(callback));
 }
 
+void RegisterChangeCoordinator::submitOrder(Decide decide, const std::string& change_id,
+                                            Callback callback) {
+  commit(std::move(decide), change_id, std::move(callback));
+}
+
 void RegisterChangeCoordinator::submitEvacuation(const std::string& zone, bool evacuated,
                                                  Callback callback) {
   const auto decide = [zone, evacuated](const RegisterValue& present) {
--- a/libraries/core/test/control_service_test.cc
+++ b/libraries/core/test/control_service_test.cc
@@ -7,6 +7,8 @@
 #include "change_fixture.h"
 #include "fakes.h"
 #include "switchsaddle/configuration/json_value.h"
+#include "switchsaddle/worker_health/decayed_counts.h"
+#include "switchsaddle/worker_health/dispatch_sample.h"
 
 namespace switchsaddle::core {
 namespace {
@@ -16,21 +18,6 @@
 
 constexpr const char* OperatorKey = "operator-secret";
 
-class FakeNode : public NodeInformation {
- public:
-  explicit FakeNode(journal::Journal& journal) : beliefs_(journal) {}
-  NodeStatus status() const override {
-    NodeStatus status;
-    status.address = {"127.0.0.1", 7000};
-    status.leases.push_back({"platform-watcher", true, 4});
-    return status;
-  }
-  const journal::BeliefView& beliefs() const override { return beliefs_; }
-
- private:
-  journal::BeliefView beliefs_;
-};
-
 class ControlServiceTest : public ChangeFixture {
  protected:
   ControlServiceTest() : ChangeFixture(5) {
@@ -75,7 +62,7 @@
     return error == nullptr ? 0 : error->integerOf("code");
   }
 
-  FakeNode node_{journal_};
+  FakeNode node_{process_, journal_};
   std::vector<base::NodeAddress> replaced_;
   ControlService service_{{process_,
                            proposer_,
@@ -205,5 +192,88 @@
          ResultCode::ConfigurationInvalid);
 }
 
+/** Ten workers of one pool, of which the last stalls. */
+class ControlHealthTest : public ControlServiceTest {
+ protected:
+  ControlHealthTest() {
+    wire::HealthStatement statement;
+    wire::PoolHealth pool;
+    pool.pool = worker_health::poolKey("p");
+    for (int index = 0; index < 10; ++index) {
+      workers::Worker& worker = node_.snapshot->workers["w" + std::to_string(index)];
+      worker.entry.id = "w" + std::to_string(index);
+      worker.entry.service = "p";
+      worker.entry.zone = index % 2 == 0 ? "north" : "south";
+      wire::WorkerHealth health;
+      health.worker = worker_health::workerKey(worker.entry);
+      health.counts.dispatched = 100;
+      health.counts.timed = 100;
+      health.counts.stalled = index == 9 ? 60 : 0;
+      statement.workers.push_back(health);
+      worker_health::addCounts(pool.counts, health.counts);
+    }
+    statement.pools.push_back(pool);
+    node_.ranking.setWorkers(node_.snapshot);
+    node_.ledger.hear({{"10.0.0.1", 1}, 1}, "north", statement);
+    node_.ranking.refresh();
+  }
+  static std::string order(const std::string& id) { return R"({"change_id":")" + id + R"("})"; }
+};
+
+TEST_F(ControlHealthTest, ShowsTheSickestFirst) {
+  const configuration::JsonValue body = expect("GET", "/v1/health/workers");
+  const configuration::JsonValue& first = body.find("workers")->elements.front();
+  EXPECT_EQ(first.textOf("worker"), "w9");
+  EXPECT_EQ(first.textOf("state"), "sick");
+  EXPECT_EQ(first.textOf("sickness"), "stalls");
+  EXPECT_EQ(first.integerOf("stalled_permille"), 600);
+  EXPECT_EQ(body.find("history")->elements.front().textOf("sickest"), "w9");
+}
+
+TEST_F(ControlHealthTest, ExplainsOneWorker) {
+  const configuration::JsonValue body = expect("GET", "/v1/health/workers/w9");
+  EXPECT_EQ(body.integerOf("compared_streams"), 100);
+  ASSERT_NE(body.find("explained"), nullptr);
+  EXPECT_LT(body.find("explained")->integerOf("stalled_permille"), 200);
+  EXPECT_EQ(errorCode(expect("GET", "/v1/health/workers/w99", {}, ResultCode::UnknownWorker)),
+            static_cast<int>(ResultCode::UnknownWorker));
+}
+
+TEST_F(ControlHealthTest, TakesTheSickestOutOnceHoweverOftenItIsAsked) {
+  const configuration::JsonValue first = expect("POST", "/v1/maintenance/next", order("n1"));
+  EXPECT_EQ(first.textOf("worker"), "w9");
+  // Another is sick by now; the order was for that one.
+  const configuration::JsonValue again = expect("POST", "/v1/maintenance/next", order("n1"));
+  EXPECT_EQ(again.textOf("worker"), "w9");
+  EXPECT_EQ(again.integerOf("version"), first.integerOf("version"));
+  const configuration::JsonValue status = expect("GET", "/v1/maintenance");
+  ASSERT_EQ(status.find("workers")->elements.size(), 1U);
+  EXPECT_EQ(status.find("workers")->elements.front().textOf("state"), "draining");
+}
+
+TEST_F(ControlHealthTest, RefusalsAreNumbered) {
+  expect("POST", "/v1/maintenance/workers/w3", order("a"));
+  EXPECT_EQ(errorCode(expect("POST", "/v1/maintenance/workers/w3", order("b"),
+                             ResultCode::AlreadyInMaintenance)),
+            static_cast<int>(ResultCode::AlreadyInMaintenance));
+  EXPECT_EQ(errorCode(expect("POST", "/v1/maintenance/workers/w4", order("c"),
+                             ResultCode::CapacityTooLow)),
+            static_cast<int>(ResultCode::CapacityTooLow));
+  expect("POST", "/v1/maintenance/workers/nobody", order("d"), ResultCode::UnknownWorker);
+}
+
+TEST_F(ControlHealthTest, AFinishedWorkerTakesRequestsAgain) {
+  expect("POST", "/v1/maintenance/workers/w3", order("a"));
+  expect("DELETE", "/v1/maintenance/workers/w3?change_id=b");
+  expect("DELETE", "/v1/maintenance/workers/w3?change_id=b");
+  EXPECT_TRUE(expect("GET", "/v1/maintenance").find("workers")->elements.empty());
+}
+
+TEST_F(ControlHealthTest, WithoutAQuorumNothingIsTakenOut) {
+  proposer_.has_quorum = false;
+  EXPECT_EQ(errorCode(expect("POST", "/v1/maintenance/next", order("n1"), ResultCode::NoQuorum)),
+            static_cast<int>(ResultCode::NoQuorum));
+}
+
 }  // namespace
 }  // namespace switchsaddle::core
--- a/libraries/core/test/fakes.h
+++ b/libraries/core/test/fakes.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "switchsaddle/core/node_information.h"
 #include "switchsaddle/registers/proposer.h"
 #include "switchsaddle/sessions/session_directory.h"
 
@@ -73,4 +74,28 @@
   std::vector<sessions::LiveSessionsCallback> held;
 };
 
+/** A node that the test makes up. */
+class FakeNode : public NodeInformation {
+ public:
+  FakeNode(base::Dispatcher& dispatcher, journal::Journal& journal)
+      : ledger(dispatcher), ranking(dispatcher, ledger), beliefs_(journal) {}
+  NodeStatus status() const override {
+    NodeStatus status;
+    status.address = {"127.0.0.1", 7000};
+    status.leases.push_back({"platform-watcher", true, 4});
+    return status;
+  }
+  const journal::BeliefView& beliefs() const override { return beliefs_; }
+  const worker_health::HealthRanking& health() const override { return ranking; }
+  workers::WorkerSnapshotPtr fleet() const override { return snapshot; }
+  std::uint32_t requestsOn(const std::string& /*worker*/) const override { return 2; }
+
+  worker_health::EvidenceLedger ledger;
+  worker_health::HealthRanking ranking;
+  std::shared_ptr<workers::WorkerSnapshot> snapshot = std::make_shared<workers::WorkerSnapshot>();
+
+ private:
+  journal::BeliefView beliefs_;
+};
+
 }  // namespace switchsaddle::core
--- a/libraries/front/include/switchsaddle/front/forward_flow.h
+++ b/libraries/front/include/switchsaddle/front/forward_flow.h
@@ -65,6 +65,9 @@
   void run(ForwardRequest request, http::ResponseWriterPtr writer);
   std::size_t active() const { return runs_.size(); }
   void setFronts(std::size_t fronts);
+  /** Streams that can go on elsewhere leave workers that are to be empty by the configuration; what
+   * else such workers have ends there. */
+  void leaveEmptied(const configuration::View& view);
   /** Ends all requests at once; streams visibly, others without an answer of their own. */
   void abandon();
 
--- a/libraries/front/source/control_forwarder.cc
+++ b/libraries/front/source/control_forwarder.cc
@@ -9,8 +9,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> CorePaths{"/v1/configuration", "/v1/zones", "/v1/keys",
-                                                    "/v1/status", "/v1/core"};
+constexpr std::array<std::string_view, 7> CorePaths{
+    "/v1/configuration", "/v1/zones",  "/v1/keys", "/v1/health",
+    "/v1/maintenance",   "/v1/status", "/v1/core"};
 
 }  // namespace
 
--- a/libraries/front/source/forward_flow.cc
+++ b/libraries/front/source/forward_flow.cc
@@ -27,6 +27,14 @@
   fronts_ = std::max<std::size_t>(1, fronts);
 }
 
+void ForwardFlow::leaveEmptied(const configuration::View& view) {
+  // A run that ends takes itself out.
+  const std::set<std::shared_ptr<ForwardRun>> runs = runs_;
+  for (const std::shared_ptr<ForwardRun>& run : runs) {
+    run->leaveEmptied(view);
+  }
+}
+
 void ForwardFlow::abandon() {
   const std::set<std::shared_ptr<ForwardRun>> runs = std::exchange(runs_, {});
   for (const std::shared_ptr<ForwardRun>& run : runs) {
--- a/libraries/front/source/forward_placer.cc
+++ b/libraries/front/source/forward_placer.cc
@@ -116,8 +116,8 @@
   std::uint64_t ties = 0;
   for (const auto& [id, worker] : snapshot->workers) {
     const bool eligible = worker.entry.service == pool.name && worker.usable() &&
-                          !view->evacuated_zones.contains(worker.entry.zone) &&
-                          !contains(tried, id) && mayUse(worker, pool);
+                          view->allowsWorker(worker.entry) && !contains(tried, id) &&
+                          mayUse(worker, pool);
     if (!eligible) {
       continue;
     }
--- a/libraries/front/source/forward_run.cc
+++ b/libraries/front/source/forward_run.cc
@@ -412,6 +412,26 @@
   return true;
 }
 
+void ForwardRun::leaveEmptied(const configuration::View& view) {
+  const bool can_go_on =
+      stream_started_ && last_event_id_ && request_.route->kind == ForwardKind::ResumableStream;
+  const bool is_emptied =
+      placement_ && view.workers_in_maintenance.contains(placement_->worker.entry.id);
+  const bool in_time = dispatches_ < MaximumDispatches && timeLeft() >= LeastTimeForAnother;
+  // It leaves only as a repeat that the budget bears, and only for a worker that is there.
+  if (over_ || !is_emptied || !can_go_on || !in_time || !spendRetry()) {
+    return;
+  }
+  std::vector<std::string> left = tried_;
+  left.push_back(placement_->worker.entry.id);
+  std::optional<ForwardPlacement> next = environment_.placer.choose(*pool_, request_.prompt, left);
+  if (!next) {
+    return;
+  }
+  endAttempt(DispatchEnd::Abandoned);
+  send(std::move(*next));
+}
+
 void ForwardRun::onTimeLimit() {
   const bool under_way = placement_.has_value();
   endAttempt(DispatchEnd::Abandoned);
--- a/libraries/front/source/forward_run.h
+++ b/libraries/front/source/forward_run.h
@@ -22,6 +22,8 @@
   void start();
   /** The caller has left: its worker is freed and nothing is answered. */
   void cancel();
+  /** Goes on at another worker where the present one is in maintenance and the kind allows it. */
+  void leaveEmptied(const configuration::View& view);
   /** The flow goes away. */
   void abandon();
 
--- a/libraries/front/source/one_shot_flow.cc
+++ b/libraries/front/source/one_shot_flow.cc
@@ -55,7 +55,7 @@
   std::uint64_t ties = 0;
   for (const auto& [id, worker] : snapshot.workers) {
     const bool eligible = route != nullptr && worker.entry.service == route->pool &&
-                          worker.usable() && !view->evacuated_zones.contains(worker.entry.zone) &&
+                          worker.usable() && view->allowsWorker(worker.entry) &&
                           !excluded.contains(id) && environment_.circuit.mayTry(worker);
     if (!eligible) {
       continue;
--- a/libraries/front/test/forward_flow_test.cc
+++ b/libraries/front/test/forward_flow_test.cc
@@ -231,6 +231,78 @@
   EXPECT_TRUE(writer->ended);
 }
 
+TEST_F(ForwardFlowTest, AResumableStreamLeavesAWorkerInMaintenanceAfterItsLastWholeEvent) {
+  const auto writer = run("resumed");
+  const std::string left = last().header("Expect-Instance");
+  last().head(200, {{"Run", "first"}});
+  last().bytes("id: 1\ndata: a\n\nid: 2\nda");
+  beliefs.view.workers_in_maintenance = {left};
+  flow.leaveEmptied(beliefs.view);
+  ASSERT_EQ(port.sent.size(), 2U);
+  EXPECT_TRUE(port.sent.front().call->cancelled);
+  EXPECT_NE(last().header("Expect-Instance"), left);
+  EXPECT_EQ(last().header("Last-Event-ID"), "1");
+  last().head(200);
+  last().bytes("id: 2\ndata: b\n\n");
+  last().observer->onComplete();
+  EXPECT_EQ(writer->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  EXPECT_TRUE(writer->ended);
+}
+
+TEST_F(ForwardFlowTest, WhatCannotGoOnEndsAtAWorkerInMaintenance) {
+  const auto once = run("once");
+  beliefs.view.workers_in_maintenance = {last().header("Expect-Instance")};
+  flow.leaveEmptied(beliefs.view);
+  EXPECT_EQ(port.sent.size(), 1U);
+  EXPECT_FALSE(last().call->cancelled);
+  last().answer(200, "done");
+  EXPECT_EQ(once->response->body, "done");
+}
+
+TEST_F(ForwardFlowTest, NothingNewGoesToAWorkerInMaintenance) {
+  beliefs.view.workers_in_maintenance = {"w1", "w3"};
+  for (int count = 0; count < 5; ++count) {
+    run("once");
+    EXPECT_EQ(last().header("Expect-Instance"), "w2");
+  }
+}
+
+TEST_F(ForwardFlowTest, AWorkerThatTheCoresFoundFailingIsTheLastChoice) {
+  const auto keyOf = [this](const std::string& id) {
+    return worker_health::workerKey(beliefs.workers()->workers.at(id).entry);
+  };
+  placer.setAvoided({keyOf("w1"), keyOf("w2")});
+  for (int count = 0; count < 5; ++count) {
+    run("once");
+    EXPECT_EQ(last().header("Expect-Instance"), "w3");
+  }
+  placer.setAvoided({keyOf("w1"), keyOf("w2"), keyOf("w3")});
+  const std::size_t before = port.sent.size();
+  run("once");
+  EXPECT_EQ(port.sent.size(), before + 1);
+}
+
+TEST_F(ForwardFlowTest, WhatTheCoresSaidOfWorkersIsForgotten) {
+  placer.setAvoided({worker_health::workerKey(beliefs.workers()->workers.at("w1").entry),
+                     worker_health::workerKey(beliefs.workers()->workers.at("w2").entry)});
+  world.runFor(std::chrono::seconds(4));
+  std::set<std::string> used;
+  for (int count = 0; count < 6; ++count) {
+    run("once");
+    used.insert(last().header("Expect-Instance"));
+  }
+  EXPECT_EQ(used.size(), 3U);
+}
+
+TEST_F(ForwardFlowTest, FailuresOfAWorkerAreTold) {
+  run("once");
+  last().lose();
+  world.runFor(std::chrono::seconds(1));
+  const wire::HealthStatement told = health.statement();
+  ASSERT_FALSE(told.workers.empty());
+  EXPECT_GT(told.workers.front().recent_failed, 0.5);
+}
+
 TEST_F(ForwardFlowTest, APieceGivenOnceIsNotGivenAgain) {
   const auto writer = run("resumed");
   last().head(200);
--- a/libraries/operator_client/include/switchsaddle/operator_client/operator_client.h
+++ b/libraries/operator_client/include/switchsaddle/operator_client/operator_client.h
@@ -54,6 +54,12 @@
   ExitCode addKey(const KeyOptions& options);
   ExitCode revokeKey(const std::string& id, const std::string& change_id);
   ExitCode compare(const base::NodeAddress& first, const base::NodeAddress& second);
+  /** One worker's evidence. */
+  ExitCode showWorkerHealth(const std::string& worker);
+  /** Takes the sickest worker out that may be missed. */
+  ExitCode maintainNext(const std::string& change_id);
+  ExitCode startMaintenance(const std::string& worker, const std::string& change_id);
+  ExitCode finishMaintenance(const std::string& worker, const std::string& change_id);
   ExitCode replaceCore(const base::NodeAddress& old_member, const base::NodeAddress& new_member);
 
  private:
@@ -62,6 +68,9 @@
     ChangeOptions options;
   };
   ExitCode submit(const Submission& submission);
+  /** An order that names nothing but its change_id in the body. */
+  ExitCode order(const std::string& target, const std::string& change_id);
+  ExitCode endOrder(const std::string& target, const std::string& change_id);
   std::optional<std::uint64_t> findBaseVersion(const ChangeOptions& options);
   std::optional<std::uint64_t> baseFromHistory(const std::string& change_id);
   std::optional<configuration::BeliefReport> fetchBeliefs(const base::NodeAddress& address);
--- a/libraries/operator_client/source/operator_client.cc
+++ b/libraries/operator_client/source/operator_client.cc
@@ -255,21 +255,42 @@
   return ExitCode::Done;
 }
 
-ExitCode OperatorClient::evacuate(const std::string& zone, const std::string& change_id) {
+ExitCode OperatorClient::order(const std::string& target, const std::string& change_id) {
   const std::string id = changeIdOr(change_id);
   JsonWriter writer;
   writer.beginObject().name("change_id").string(id).endObject();
-  const ControlCall call{"POST", "/v1/zones/" + escapeForUrl(zone) + "/evacuation", writer.text(),
-                         true};
-  return report(endpoint_.call(call), resendHint(id));
+  return report(endpoint_.call({"POST", target, writer.text(), true}), resendHint(id));
 }
 
-ExitCode OperatorClient::restore(const std::string& zone, const std::string& change_id) {
+ExitCode OperatorClient::endOrder(const std::string& target, const std::string& change_id) {
   const std::string id = changeIdOr(change_id);
-  const ControlCall call{
-      "DELETE", "/v1/zones/" + escapeForUrl(zone) + "/evacuation?change_id=" + escapeForUrl(id), "",
-      true};
-  return report(endpoint_.call(call), resendHint(id));
+  const std::string whole = target + "?change_id=" + escapeForUrl(id);
+  return report(endpoint_.call({"DELETE", whole, "", true}), resendHint(id));
+}
+
+ExitCode OperatorClient::evacuate(const std::string& zone, const std::string& change_id) {
+  return order("/v1/zones/" + escapeForUrl(zone) + "/evacuation", change_id);
+}
+
+ExitCode OperatorClient::restore(const std::string& zone, const std::string& change_id) {
+  return endOrder("/v1/zones/" + escapeForUrl(zone) + "/evacuation", change_id);
+}
+
+ExitCode OperatorClient::showWorkerHealth(const std::string& worker) {
+  return show("/v1/health/workers/" + escapeForUrl(worker));
+}
+
+ExitCode OperatorClient::maintainNext(const std::string& change_id) {
+  return order("/v1/maintenance/next", change_id);
+}
+
+ExitCode OperatorClient::startMaintenance(const std::string& worker, const std::string& change_id) {
+  return order("/v1/maintenance/workers/" + escapeForUrl(worker), change_id);
+}
+
+ExitCode OperatorClient::finishMaintenance(const std::string& worker,
+                                           const std::string& change_id) {
+  return endOrder("/v1/maintenance/workers/" + escapeForUrl(worker), change_id);
 }
 
 ExitCode OperatorClient::addKey(const KeyOptions& options) {
@@ -288,10 +309,7 @@
 }
 
 ExitCode OperatorClient::revokeKey(const std::string& id, const std::string& change_id) {
-  const std::string change = changeIdOr(change_id);
-  const ControlCall call{
-      "DELETE", "/v1/keys/" + escapeForUrl(id) + "?change_id=" + escapeForUrl(change), "", true};
-  return report(endpoint_.call(call), resendHint(change));
+  return endOrder("/v1/keys/" + escapeForUrl(id), change_id);
 }
 
 std::optional<configuration::BeliefReport> OperatorClient::fetchBeliefs(
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -65,9 +65,9 @@
     const configuration::ForwardPool* pool =
         view_->forwarding.findPool(record->worker.entry.service);
     record->cold.bearable_per_s = pool == nullptr ? 0 : pool->cold_per_s;
-    const bool evacuated = view_->evacuated_zones.contains(record->worker.entry.zone);
+    const bool evacuated = !view_->allowsWorker(record->worker.entry);
     if (record->evacuated && !evacuated && pool != nullptr) {
-      // A zone's workers may come back cold, which the list tells later.
+      // A worker that was empty may come back cold, which the list tells later.
       record->cold.cold_until = dispatcher_.now() + std::chrono::milliseconds(pool->cold_ms);
     }
     record->evacuated = evacuated;
--- a/libraries/worker_health/include/switchsaddle/worker_health/evidence_ledger.h
+++ b/libraries/worker_health/include/switchsaddle/worker_health/evidence_ledger.h
@@ -53,6 +53,8 @@
   /** Of one worker, as the fronts of all zones see it, or of one. */
   Evidence ofWorker(std::uint64_t worker, const std::optional<std::string>& zone = {}) const;
   Evidence ofPool(std::uint64_t pool) const;
+  /** Of every worker that some front told of, in one pass over all rows. */
+  std::map<std::uint64_t, Evidence> ofAllWorkers() const;
   /** Every worker that some front told of, with the first time that one saw failures there that
    * have not ended since. */
   const std::map<std::uint64_t, base::TimePoint>& accusedSince() const { return accused_since_; }
@@ -71,6 +73,7 @@
   };
 
   bool isBelieved(const Front& front) const;
+  static void addRow(Evidence& evidence, const Front& front, const Row& row, base::TimePoint now);
   void noteAccused(const wire::WorkerHealth& health);
 
   base::Dispatcher& dispatcher_;
--- a/libraries/worker_health/source/evidence_ledger.cc
+++ b/libraries/worker_health/source/evidence_ledger.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr base::Duration RowMemory = std::chrono::seconds(120);
+/** What a front had on a worker is worth nothing later. */
+constexpr base::Duration InFlightMemory = std::chrono::seconds(3);
 constexpr base::Duration FrontMemory = std::chrono::seconds(20);
 /** A front is judged by no fewer dispatches of late. */
 constexpr double FewestToJudgeFront = 6;
@@ -86,6 +88,32 @@
   return true;
 }
 
+void EvidenceLedger::addRow(Evidence& evidence, const Front& front, const Row& row,
+                            base::TimePoint now) {
+  const double recent = factorOf(now - row.heard_at, RecentHalfLife);
+  evidence.recent_dispatched += row.health.recent_dispatched * recent;
+  evidence.recent_failed += row.health.recent_failed * recent;
+  addCounts(evidence.counts, row.health.counts, factorOf(now - row.heard_at, LongHalfLife));
+  evidence.accusing_fronts += row.health.recent_failed * recent >= AccusedFrom ? 1 : 0;
+  evidence.telling_fronts += 1;
+  evidence.in_flight += now - row.heard_at <= InFlightMemory ? row.health.in_flight : 0;
+  evidence.observed_s = std::max(evidence.observed_s, front.observed_s);
+}
+
+std::map<std::uint64_t, Evidence> EvidenceLedger::ofAllWorkers() const {
+  const base::TimePoint now = dispatcher_.now();
+  std::map<std::uint64_t, Evidence> workers;
+  for (const auto& [key, front] : fronts_) {
+    if (!isBelieved(front)) {
+      continue;
+    }
+    for (const auto& [worker, row] : front.workers) {
+      addRow(workers[worker], front, row, now);
+    }
+  }
+  return workers;
+}
+
 Evidence EvidenceLedger::ofWorker(std::uint64_t worker,
                                   const std::optional<std::string>& zone) const {
   const base::TimePoint now = dispatcher_.now();
@@ -96,15 +124,7 @@
     if (!counts || !isBelieved(front)) {
       continue;
     }
-    const Row& row = found->second;
-    const double recent = factorOf(now - row.heard_at, RecentHalfLife);
-    evidence.recent_dispatched += row.health.recent_dispatched * recent;
-    evidence.recent_failed += row.health.recent_failed * recent;
-    addCounts(evidence.counts, row.health.counts, factorOf(now - row.heard_at, LongHalfLife));
-    evidence.accusing_fronts += row.health.recent_failed * recent >= AccusedFrom ? 1 : 0;
-    evidence.telling_fronts += 1;
-    evidence.in_flight += row.health.in_flight;
-    evidence.observed_s = std::max(evidence.observed_s, front.observed_s);
+    addRow(evidence, front, found->second, now);
   }
   return evidence;
 }
--- a/libraries/worker_health/source/health_ranking.cc
+++ b/libraries/worker_health/source/health_ranking.cc
@@ -134,6 +134,7 @@
 
 bool HealthRanking::refresh() {
   ledger_.forgetSilent();
+  const std::map<std::uint64_t, Evidence> evidence = ledger_.ofAllWorkers();
   std::map<std::string, std::vector<WorkerRank>> pools;
   for (const auto& [id, worker] : snapshot_->workers) {
     if (worker.gone) {
@@ -143,7 +144,8 @@
     rank.worker = id;
     rank.pool = worker.entry.service;
     rank.zone = worker.entry.zone;
-    rank.evidence = ledger_.ofWorker(workerKey(worker.entry));
+    const auto seen = evidence.find(workerKey(worker.entry));
+    rank.evidence = seen == evidence.end() ? Evidence{} : seen->second;
     pools[rank.pool].push_back(std::move(rank));
   }
   ranks_.clear();
--- a/programs/switchsaddle/ctl_command.cc
+++ b/programs/switchsaddle/ctl_command.cc
@@ -107,6 +107,8 @@
     addReads();
     addZones();
     addKeys();
+    addHealth();
+    addMaintenance();
     addCore();
   }
 
@@ -178,7 +180,7 @@
         [](auto& client, auto&) { return client.show("/v1/configuration/in-force"); });
     CLI::App* status = add("status", "Show nodes, sessions, leases, core set and disks",
                            "status --watch", showStatus);
-    status->add_flag("--watch", options_->watch, "Show it again each second until interrupted");
+    addWatch(status);
     CLI::App* routing =
         add("routing", "Show a node's routing table", "routing --model summary-1",
             [](auto& client, auto& options) { return client.showRouting(options.first); });
@@ -193,16 +195,74 @@
   }
 
   static ExitCode showStatus(OperatorClient& client, const CtlOptions& options) {
-    ExitCode code = client.show("/v1/status");
+    return showAgain(client, options, "/v1/status");
+  }
+
+  /** Once, or each second where the operator watches. */
+  static ExitCode showAgain(OperatorClient& client, const CtlOptions& options,
+                            const std::string& target) {
+    ExitCode code = client.show(target);
     while (options.watch) {
       std::this_thread::sleep_for(WatchInterval);
       std::cout << (isatty(STDOUT_FILENO) != 0 ? ClearScreen : "\n");
-      code = client.show("/v1/status");
+      code = client.show(target);
       std::cout << std::flush;
     }
     return code;
   }
 
+  void addWatch(CLI::App* sub) {
+    sub->add_flag("--watch", options_->watch, "Show it again each second until interrupted");
+  }
+
+  CLI::App* addGroup(const std::string& name, const std::string& help, const std::string& example) {
+    CLI::App* group = command_->add_subcommand(name, help);
+    group->fallthrough();
+    command_line::describeUse(*group, {ExampleStart + example});
+    group->require_subcommand(1);
+    return group;
+  }
+
+  void addHealth() {
+    CLI::App* health = addGroup("health", "Show which workers are sick", "health list");
+    CLI::App* list = add(health, "list", "Rank the workers, the sickest first", "health list",
+                         [](auto& client, auto& options) {
+                           return showAgain(client, options, "/v1/health/workers");
+                         });
+    addWatch(list);
+    CLI::App* show =
+        add(health, "show", "Show what was seen of one worker", "health show worker-7",
+            [](auto& client, auto& options) { return client.showWorkerHealth(options.first); });
+    show->add_option("worker", options_->first, "The worker's id")->required();
+  }
+
+  void addMaintenance() {
+    CLI::App* group =
+        addGroup("maintenance", "Take workers out for maintenance", "maintenance next");
+    CLI::App* next =
+        add(group, "next", "Take out the sickest worker that may be missed", "maintenance next",
+            [](auto& client, auto& options) { return client.maintainNext(options.change_id); });
+    CLI::App* status = add(
+        group, "status", "List the workers that are out, and what they still have",
+        "maintenance status --watch",
+        [](auto& client, auto& options) { return showAgain(client, options, "/v1/maintenance"); });
+    addWatch(status);
+    CLI::App* start = add(group, "start", "Take out one worker", "maintenance start worker-7",
+                          [](auto& client, auto& options) {
+                            return client.startMaintenance(options.first, options.change_id);
+                          });
+    CLI::App* finish = add(group, "finish", "Let a worker take requests again",
+                           "maintenance finish worker-7", [](auto& client, auto& options) {
+                             return client.finishMaintenance(options.first, options.change_id);
+                           });
+    for (CLI::App* sub : {start, finish}) {
+      sub->add_option("worker", options_->first, "The worker's id")->required();
+    }
+    for (CLI::App* sub : {next, start, finish}) {
+      addChangeId(sub);
+    }
+  }
+
   void addZones() {
     CLI::App* evacuate =
         add("evacuate", "Empty a zone", "evacuate north", [](auto& client, auto& options) {
@@ -219,10 +279,7 @@
   }
 
   void addKeys() {
-    CLI::App* key = command_->add_subcommand("key", "Add and revoke tenants' keys");
-    key->fallthrough();
-    command_line::describeUse(*key, {ExampleStart + "key add editors"});
-    key->require_subcommand(1);
+    CLI::App* key = addGroup("key", "Add and revoke tenants' keys", "key add editors");
     CLI::App* create = add(key, "add", "Add a key; its secret is shown now and never again",
                            "key add editors --id editors-2", [](auto& client, auto& options) {
                              KeyOptions key_options = options.key_options;
@@ -243,10 +300,8 @@
   }
 
   void addCore() {
-    CLI::App* core = command_->add_subcommand("core", "Change the core set");
-    core->fallthrough();
-    command_line::describeUse(*core, {ExampleStart + "core replace 10.0.0.5:7000 10.0.0.9:7000"});
-    core->require_subcommand(1);
+    CLI::App* core =
+        addGroup("core", "Change the core set", "core replace 10.0.0.5:7000 10.0.0.9:7000");
     CLI::App* replace =
         add(core, "replace", "Put an empty core node in place of a lost one",
             "core replace 10.0.0.5:7000 10.0.0.9:7000", [](auto& client, auto& options) {
