--- a/libraries/front/test/traffic_scenario.h
+++ b/libraries/front/test/traffic_scenario.h
@@ -13,6 +13,9 @@
 
 namespace switchsaddle::front {
 
+/** The zone that the scenario orders to be empty. */
+inline constexpr const char* EvacuatedZone = "a";
+
 /** Which mechanisms work; all but in tests that show what each prevents. */
 struct TrafficOptions {
   bool claims = true;
