Start on deployments that lack bounds, and make the core what is to be borne

Ruled out: fields with the value 0 (a probe of the templates shows that `|json` gives null for an absent field and 0 for zero).

--- a/libraries/base/include/switchsaddle/base/result_code.h
+++ b/libraries/base/include/switchsaddle/base/result_code.h
@@ -74,6 +74,7 @@
   InstanceNotAdmitted = 7008,
   AcceptorSetChanged = 7009,
   Recovering = 7010,
+  ToleranceNotMet = 7011,
   // 8000: storage.
   StorageFailed = 8001,
   StorageFull = 8002,
--- a/libraries/base/source/result_code.cc
+++ b/libraries/base/source/result_code.cc
@@ -101,6 +101,8 @@
                    "The request names an older acceptor set."},
     ResultCodeInfo{Recovering, "Recovering", 503, true,
                    "The core node restarted less than a session length ago."},
+    ResultCodeInfo{ToleranceNotMet, "ToleranceNotMet", 503, true,
+                   "The core cannot bear the losses that the deployment asks for."},
     ResultCodeInfo{StorageFailed, "StorageFailed", 503, true, "A write or sync failed."},
     ResultCodeInfo{StorageFull, "StorageFull", 503, true, "The disk is full."},
     ResultCodeInfo{StorageSlow, "StorageSlow", 503, true,
--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -75,9 +75,11 @@
   std::uint16_t fleet_peer_port = 0;
   /** Core only: this is the first start of the whole fleet, whose first cores are the seeds. */
   bool first_start = false;
-  /** Core only: cores that may be lost at once; the acceptor set grows to twice as many and one, as
-   * far as there are cores. Zero: it stays as it was founded. */
+  /** Core only: cores, and zones, that may be lost at once; the acceptor set grows to twice as many
+   * and one, and is spread so that zones can be lost, as far as there are cores. Both zero: it
+   * stays as it was founded. */
   std::uint32_t tolerated_core_losses = 0;
+  std::uint32_t tolerated_zone_losses = 0;
   /** Core only: reads the platform's list once at its start, without waiting for the watcher's
    * lease, so that a fleet that lost all memory serves sooner. */
   bool list_before_lease = false;
--- a/libraries/configuration/source/settings.cc
+++ b/libraries/configuration/source/settings.cc
@@ -16,6 +16,9 @@
 
 constexpr JsonLimits SettingsLimits{.maximum_bytes = 262'144, .maximum_depth = 4, .comments = true};
 
+/** Losses that a set of acceptors may be asked to bear. */
+constexpr std::int64_t MaximumLosses = 10;
+
 /** One time limit of the settings file: its key, range and place. Values are milliseconds. */
 struct TimeField {
   const char* name;
@@ -40,6 +43,28 @@
         "core_replacement_silence_ms", {100, 3'600'000}, &TimeSettings::core_replacement_silence},
 };
 
+bool isUnset(const JsonValue& value) {
+  const bool is_empty_text = value.kind == JsonKind::String && value.text.empty();
+  return value.kind == JsonKind::Null || is_empty_text;
+}
+
+/** The value without the members that are null or an empty text: what fills a template in leaves
+ * these where a deployment says nothing of them, and then the default holds. */
+JsonValue withoutUnset(const JsonValue& value) {
+  if (value.kind != JsonKind::Object) {
+    return value;
+  }
+  JsonValue given;
+  given.kind = JsonKind::Object;
+  for (std::size_t index = 0; index < value.names.size(); ++index) {
+    if (!isUnset(value.elements[index])) {
+      given.names.push_back(value.names[index]);
+      given.elements.push_back(withoutUnset(value.elements[index]));
+    }
+  }
+  return given;
+}
+
 void addAddress(const std::string& text, const std::string& path, base::NodeAddress& address,
                 Faults& faults) {
   try {
@@ -197,7 +222,8 @@
   if (!value) {
     return settings;
   }
-  ObjectReader reader(*value, "", faults);
+  const JsonValue given = withoutUnset(*value);
+  ObjectReader reader(given, "", faults);
   readAddress(reader, "peer_address", settings.peer_address, faults);
   readAddress(reader, "http_address", settings.http_address, faults);
   readAddress(reader, "platform_address", settings.platform_address, faults);
@@ -213,7 +239,9 @@
       static_cast<std::uint16_t>(reader.integer("fleet_peer_port", {0, 65'535}, 0));
   settings.first_start = reader.boolean("first_start", false);
   settings.tolerated_core_losses =
-      static_cast<std::uint32_t>(reader.integer("tolerated_core_losses", {0, 10}, 0));
+      static_cast<std::uint32_t>(reader.integer("tolerated_core_losses", {0, MaximumLosses}, 0));
+  settings.tolerated_zone_losses =
+      static_cast<std::uint32_t>(reader.integer("tolerated_zone_losses", {0, MaximumLosses}, 0));
   settings.list_before_lease = reader.boolean("list_before_lease", false);
   settings.dialect = reader.text("dialect");
   settings.lapsed_session = readLapsedSession(reader);
--- a/libraries/configuration/test/settings_test.cc
+++ b/libraries/configuration/test/settings_test.cc
@@ -102,5 +102,24 @@
                           "forwarding.retry_share InvalidValue", "forwarding.x UnknownField"));
 }
 
+TEST(SettingsTest, WhatIsNullOrEmptyCountsAsNotGiven) {
+  std::vector<Fault> faults;
+  const Settings settings = parseSettings(R"({
+      "peer_address": "10.1.0.1:7500", "http_address": "10.1.0.1:8000", "zone": "north",
+      "region": null, "platform_address": "", "readiness_address": null, "seeds": ["10.1.0.2:1"],
+      "first_start": null, "tolerated_core_losses": null, "tolerated_zone_losses": 1,
+      "forwarding": {"retry_share": null, "retry_extra": 0, "quota_window_s": null},
+      "times": {"process_grace_s": null}
+    })",
+                                          faults);
+  EXPECT_THAT(placesOf(faults), IsEmpty());
+  EXPECT_TRUE(settings.platform_address.empty());
+  EXPECT_EQ(settings.tolerated_core_losses, 0);
+  EXPECT_EQ(settings.tolerated_zone_losses, 1);
+  EXPECT_DOUBLE_EQ(settings.forwarding.retry_share, ForwardingSettings{}.retry_share);
+  EXPECT_EQ(settings.times.stop_deadline, TimeSettings{}.stop_deadline);
+  EXPECT_THAT(parseFaults(R"({"unknown": 1, "zone": null})"), ElementsAre("unknown UnknownField"));
+}
+
 }  // namespace
 }  // namespace switchsaddle::configuration::test
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -103,6 +103,8 @@
   /** Members campaign for the leases; a core that has not joined yet, or has left, could not do the
    * work they stand for. */
   void followMembership();
+  /** Tells operators that the acceptor set lacks cores or zones, or no longer does. */
+  void reportShortfall(const std::string& lacking);
   void onWatcherLease(bool gained);
   /** Lets another core try, where this one cannot read the platform's list. */
   void yieldWatcherLease();
--- a/libraries/core/include/switchsaddle/core/membership_keeper.h
+++ b/libraries/core/include/switchsaddle/core/membership_keeper.h
@@ -4,6 +4,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/journal/journal.h"
@@ -13,6 +15,8 @@
 
 namespace switchsaddle::core {
 
+struct PlacedCore;
+
 /** Times of the membership keeper. */
 struct MembershipOptions {
   /** A member silent for this long may be replaced. */
@@ -21,9 +25,13 @@
   base::Duration call_timeout = std::chrono::milliseconds(400);
   /** A candidate not heard of for this long is forgotten. */
   base::Duration candidate_lifetime = std::chrono::seconds(3);
-  /** Members that the set is to have: while it has fewer, announced cores are added. Zero: as many
-   * as it was founded with. */
-  std::size_t wanted_members = 0;
+  /** Cores and zones whose loss at once is to leave a majority. While the set is too small for
+   * that, announced cores are added; while it lies in too few zones, members are exchanged. Both
+   * zero: it stays as it was founded. */
+  std::uint32_t tolerated_core_losses = 0;
+  std::uint32_t tolerated_zone_losses = 0;
+  /** A set that lacks cores or zones for so long is told to operators. */
+  base::Duration shortfall_patience = std::chrono::seconds(15);
   /** Pause before the announcement of one candidate is passed on again. */
   base::Duration forward_pause = std::chrono::milliseconds(500);
 };
@@ -33,13 +41,15 @@
  * passes their announcements on to the members, since a new core knows only its seeds. While this
  * node holds the core-membership lease it asks each member for a sign of life, and replaces one
  * that has been silent for its bound, or at whose address another instance answers, by an announced
- * core; while the set has fewer members than wanted, it adds an announced one. An operator's
- * replacement goes the same way without waiting for silence. Runs on the
- * control strand.
+ * core; while the set bears fewer losses than wanted, it adds or exchanges one. Cores join in the
+ * zone that has the fewest members. An operator's replacement goes the same way without waiting for
+ * silence. Runs on the control strand.
  */
 class MembershipKeeper {
  public:
   using Callback = std::function<void(base::ResultCode)>;
+  /** Says what the set lacks for the losses to be borne; empty: nothing any more. */
+  using ShortfallListener = std::function<void(const std::string& lacking)>;
 
   /** `holds_lease` is evaluated right before each replacement begins. */
   MembershipKeeper(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
@@ -49,6 +59,9 @@
   MembershipKeeper(const MembershipKeeper&) = delete;
   MembershipKeeper& operator=(const MembershipKeeper&) = delete;
 
+  void setShortfallListener(ShortfallListener listener) {
+    shortfall_listener_ = std::move(listener);
+  }
   /** The lease was gained: counts every member's silence from now. */
   void start();
   /** The lease was lost. */
@@ -75,9 +88,16 @@
   void onSign(const wire::AcceptorMember& member, const transport::CallResult& result);
   /** Whether a replacement was begun. */
   bool replaceOneSilent();
-  void addOneWanted();
-  /** Any candidate at an address that no member has. */
-  std::optional<wire::AcceptorMember> candidateElsewhere() const;
+  /** Whether a core that the set needs was found and its joining begun. */
+  bool addOneWanted();
+  void spreadOverZones();
+  void exchangeMember(const wire::AcceptorMember& leaving, const wire::AcceptorMember& joining);
+  /** Tells of a set that has lacked cores or zones for long, and of the end of that, once each. */
+  void noteShortfall();
+  /** The members, with their zones as far as they have told them, but for one. */
+  std::vector<PlacedCore> placedMembers(const wire::AcceptorMember* but_for = nullptr) const;
+  /** The candidates at addresses that no member has. */
+  std::vector<PlacedCore> candidatesElsewhere() const;
   /** The candidate for a member's place: the one at its own address, else any. */
   std::optional<wire::AcceptorMember> candidateFor(const wire::AcceptorMember& member) const;
   void forgetOldCandidates();
@@ -100,6 +120,11 @@
   std::map<wire::AcceptorMember, base::TimePoint> heard_;
   /** By instance. */
   std::map<std::uint64_t, Candidate> candidates_;
+  /** Zones that members have told. */
+  std::map<wire::AcceptorMember, std::string> zones_;
+  ShortfallListener shortfall_listener_;
+  std::optional<base::TimePoint> short_since_;
+  bool told_short_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -138,6 +138,7 @@
       [this](const wire::SessionRecord& record, wire::SessionOpenReply& granted) {
         addToGrant(record, granted);
       });
+  keeper_.setShortfallListener([this](const std::string& lacking) { reportShortfall(lacking); });
   granter_.setMayVote([this] { return acceptor_.mayVote() && !membership_.joining(); });
   scrubber_.setOtherRecords([this] { return granter_.records(); });
   granter_.setEpochSource([this] { return membership_.setEpoch(); });
@@ -301,6 +302,16 @@
   incidents().report(incident);
 }
 
+void CoreNode::reportShortfall(const std::string& lacking) {
+  base::Incident incident;
+  incident.event = "tolerance-not-met";
+  incident.severity = lacking.empty() ? base::Severity::Info : base::Severity::Warning;
+  incident.code = lacking.empty() ? base::ResultCode::Ok : base::ResultCode::ToleranceNotMet;
+  incident.fields = {{"lacking", lacking},
+                     {"members", std::to_string(acceptor_.acceptorSet().members.size())}};
+  incidents().report(incident);
+}
+
 void CoreNode::onWatcherLease(bool gained) {
   reportLease(watcher_lease_, PlatformWatcherLease, gained);
   if (!gained) {
--- a/libraries/core/source/core_options.cc
+++ b/libraries/core/source/core_options.cc
@@ -31,9 +31,8 @@
 MembershipOptions membershipOptionsOf(const configuration::Settings& settings) {
   MembershipOptions result;
   result.silence_bound = settings.times.core_replacement_silence;
-  if (settings.tolerated_core_losses > 0) {
-    result.wanted_members = 2 * settings.tolerated_core_losses + 1;
-  }
+  result.tolerated_core_losses = settings.tolerated_core_losses;
+  result.tolerated_zone_losses = settings.tolerated_zone_losses;
   return result;
 }
 
--- /dev/null
+++ b/libraries/core/source/member_spread.cc
@@ -0,0 +1,92 @@
+#include "member_spread.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace switchsaddle::core {
+
+namespace {
+
+using ZoneCounts = std::map<std::string, std::size_t>;
+
+ZoneCounts countZones(const std::vector<PlacedCore>& members) {
+  ZoneCounts counts;
+  for (const PlacedCore& core : members) {
+    ++counts[core.zone];
+  }
+  return counts;
+}
+
+bool allZonesKnown(const std::vector<PlacedCore>& members) {
+  return std::ranges::none_of(members, [](const PlacedCore& core) { return core.zone.empty(); });
+}
+
+/** Whether a majority is left without the `zones` zones that hold the most members. */
+bool bearsZoneLosses(const std::vector<PlacedCore>& members, std::uint32_t zones) {
+  std::vector<std::size_t> sizes;
+  for (const auto& [zone, count] : countZones(members)) {
+    sizes.push_back(count);
+  }
+  std::ranges::sort(sizes, std::greater<>());
+  std::size_t left = members.size();
+  for (std::size_t index = 0; index < sizes.size() && index < zones; ++index) {
+    left -= sizes[index];
+  }
+  return left > members.size() / 2;
+}
+
+/** The candidate whose zone has the fewest members. */
+const PlacedCore* fewestInZone(const ZoneCounts& counts,
+                               const std::vector<PlacedCore>& candidates) {
+  const auto in_zone = [&counts](const PlacedCore& core) {
+    const auto found = counts.find(core.zone);
+    return found == counts.end() ? 0 : found->second;
+  };
+  const auto best = std::ranges::min_element(candidates, {}, in_zone);
+  return best == candidates.end() ? nullptr : &*best;
+}
+
+}  // namespace
+
+std::size_t wantedMembers(ToleratedLosses tolerated) {
+  const std::size_t losses = std::max(tolerated.cores, tolerated.zones);
+  return losses == 0 ? 0 : 2 * losses + 1;
+}
+
+std::optional<wire::AcceptorMember> memberToAdd(const std::vector<PlacedCore>& members,
+                                                const std::vector<PlacedCore>& candidates) {
+  const PlacedCore* best = fewestInZone(countZones(members), candidates);
+  return best == nullptr ? std::nullopt : std::optional(best->member);
+}
+
+std::optional<MemberExchange> exchangeForSpread(const std::vector<PlacedCore>& members,
+                                                const std::vector<PlacedCore>& candidates,
+                                                ToleratedLosses tolerated) {
+  if (!allZonesKnown(members) || bearsZoneLosses(members, tolerated.zones)) {
+    return std::nullopt;
+  }
+  const ZoneCounts counts = countZones(members);
+  const PlacedCore* joining = fewestInZone(counts, candidates);
+  const auto size_of = [&counts](const PlacedCore& core) { return counts.at(core.zone); };
+  const auto leaving = std::ranges::max_element(members, {}, size_of);
+  if (joining == nullptr || leaving == members.end()) {
+    return std::nullopt;
+  }
+  const auto joined = counts.find(joining->zone);
+  const std::size_t joined_size = joined == counts.end() ? 0 : joined->second;
+  if (joined_size + 1 >= size_of(*leaving)) {
+    return std::nullopt;
+  }
+  return MemberExchange{leaving->member, joining->member};
+}
+
+SpreadShortfall shortfallOf(const std::vector<PlacedCore>& members, ToleratedLosses tolerated) {
+  if (members.size() < wantedMembers(tolerated)) {
+    return SpreadShortfall::Cores;
+  }
+  const bool bears = !allZonesKnown(members) || bearsZoneLosses(members, tolerated.zones);
+  return bears ? SpreadShortfall::None : SpreadShortfall::Zones;
+}
+
+}  // namespace switchsaddle::core
--- a/libraries/core/source/membership_keeper.cc
+++ b/libraries/core/source/membership_keeper.cc
@@ -4,6 +4,8 @@
 #include <utility>
 #include <vector>
 
+#include "member_spread.h"
+
 namespace switchsaddle::core {
 
 namespace {
@@ -11,6 +13,22 @@
 /** Questions to a new core before an operator is told that it does not answer. */
 constexpr std::uint32_t InstanceTries = 5;
 
+ToleratedLosses toleratedBy(const MembershipOptions& options) {
+  return {options.tolerated_core_losses, options.tolerated_zone_losses};
+}
+
+const char* nameOf(SpreadShortfall shortfall) {
+  switch (shortfall) {
+    case SpreadShortfall::None:
+      return "";
+    case SpreadShortfall::Cores:
+      return "cores";
+    case SpreadShortfall::Zones:
+      return "zones";
+  }
+  return "";
+}
+
 bool contains(const std::vector<wire::AcceptorMember>& members, std::uint64_t instance) {
   return std::any_of(members.begin(), members.end(),
                      [&](const auto& member) { return member.instance == instance; });
@@ -33,6 +51,8 @@
 
 void MembershipKeeper::start() {
   heard_.clear();
+  short_since_.reset();
+  told_short_ = false;
   timer_->enable(options_.check_interval);
   // A change which another driver left under way is finished first.
   change_.resume([](base::ResultCode) {});
@@ -76,15 +96,20 @@
   }
   forgetOldCandidates();
   askMembers();
-  if (!change_.active() && !replaceOneSilent()) {
-    addOneWanted();
+  noteShortfall();
+  if (!change_.active() && !replaceOneSilent() && !addOneWanted()) {
+    spreadOverZones();
   }
 }
 
 void MembershipKeeper::askMembers() {
   const base::TimePoint now = dispatcher_.now();
   const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
-  std::erase_if(heard_, [&](const auto& item) { return !contains(members, item.first.instance); });
+  const auto has_left = [&members](const auto& item) {
+    return !contains(members, item.first.instance);
+  };
+  std::erase_if(heard_, has_left);
+  std::erase_if(zones_, has_left);
   const wire::CoreAnnounce question{{calls_.localAddress(), acceptor_.instance()}, true, {}};
   for (const wire::AcceptorMember& member : members) {
     heard_.try_emplace(member, now);
@@ -107,9 +132,11 @@
   const base::TimePoint now = dispatcher_.now();
   if (reply->member.instance == member.instance) {
     heard->second = now;
+    zones_[member] = reply->zone;
   } else if (!contains(acceptor_.acceptorSet().members, reply->member.instance)) {
     // Another instance has the member's address, so that the member is gone for good.
-    candidates_[reply->member.instance] = {{reply->member, reply->holds_state, {}}, now, {}};
+    candidates_[reply->member.instance] = {
+        {reply->member, reply->holds_state, reply->zone}, now, {}};
     heard->second = now - options_.silence_bound;
   }
 }
@@ -123,26 +150,21 @@
     if (!candidate || !(silent || same_address)) {
       continue;
     }
-    change_.replace(
-        member, *candidate,
-        [this, alive = std::weak_ptr(alive_), member = member, candidate](base::ResultCode code) {
-          if (!alive.expired()) {
-            journalReplacement(member, *candidate, code);
-          }
-        });
+    exchangeMember(member, *candidate);
     return true;
   }
   return false;
 }
 
-void MembershipKeeper::addOneWanted() {
+bool MembershipKeeper::addOneWanted() {
   const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
-  if (members.size() >= options_.wanted_members) {
-    return;
+  if (members.size() >= wantedMembers(toleratedBy(options_))) {
+    return false;
   }
-  const std::optional<wire::AcceptorMember> candidate = candidateElsewhere();
+  const std::optional<wire::AcceptorMember> candidate =
+      memberToAdd(placedMembers(), candidatesElsewhere());
   if (!candidate) {
-    return;
+    return false;
   }
   change_.add(*candidate, [this, alive = std::weak_ptr(alive_), candidate](base::ResultCode code) {
     if (!alive.expired()) {
@@ -151,20 +173,70 @@
                       acceptor_.acceptorSet().epoch);
     }
   });
+  return true;
+}
+
+void MembershipKeeper::spreadOverZones() {
+  const std::optional<MemberExchange> exchange =
+      exchangeForSpread(placedMembers(), candidatesElsewhere(), toleratedBy(options_));
+  if (exchange) {
+    exchangeMember(exchange->leaving, exchange->joining);
+  }
+}
+
+void MembershipKeeper::exchangeMember(const wire::AcceptorMember& leaving,
+                                      const wire::AcceptorMember& joining) {
+  change_.replace(leaving, joining,
+                  [this, alive = std::weak_ptr(alive_), leaving, joining](base::ResultCode code) {
+                    if (!alive.expired()) {
+                      journalReplacement(leaving, joining, code);
+                    }
+                  });
+}
+
+void MembershipKeeper::noteShortfall() {
+  const SpreadShortfall shortfall = shortfallOf(placedMembers(), toleratedBy(options_));
+  const base::TimePoint now = dispatcher_.now();
+  if (shortfall == SpreadShortfall::None) {
+    short_since_.reset();
+  } else if (!short_since_) {
+    short_since_ = now;
+  }
+  const bool lasting = short_since_ && now - *short_since_ >= options_.shortfall_patience;
+  const bool is_over = shortfall == SpreadShortfall::None && told_short_;
+  if ((lasting && !told_short_) || is_over) {
+    told_short_ = lasting;
+    if (shortfall_listener_) {
+      shortfall_listener_(nameOf(shortfall));
+    }
+  }
+}
+
+std::vector<PlacedCore> MembershipKeeper::placedMembers(const wire::AcceptorMember* but_for) const {
+  std::vector<PlacedCore> placed;
+  for (const wire::AcceptorMember& member : acceptor_.acceptorSet().members) {
+    if (but_for != nullptr && member == *but_for) {
+      continue;
+    }
+    const auto zone = zones_.find(member);
+    placed.push_back({member, zone == zones_.end() ? std::string{} : zone->second});
+  }
+  return placed;
 }
 
-std::optional<wire::AcceptorMember> MembershipKeeper::candidateElsewhere() const {
+std::vector<PlacedCore> MembershipKeeper::candidatesElsewhere() const {
   const std::vector<wire::AcceptorMember>& members = acceptor_.acceptorSet().members;
+  std::vector<PlacedCore> candidates;
   for (const auto& [instance, candidate] : candidates_) {
     const base::NodeAddress& address = candidate.announce.member.address;
     const bool address_taken =
         std::any_of(members.begin(), members.end(),
                     [&address](const auto& member) { return member.address == address; });
     if (!address_taken) {
-      return candidate.announce.member;
+      candidates.push_back({candidate.announce.member, candidate.announce.zone});
     }
   }
-  return std::nullopt;
+  return candidates;
 }
 
 std::optional<wire::AcceptorMember> MembershipKeeper::candidateFor(
@@ -176,7 +248,7 @@
       return announced;
     }
   }
-  return candidateElsewhere();
+  return memberToAdd(placedMembers(&member), candidatesElsewhere());
 }
 
 void MembershipKeeper::replace(const base::NodeAddress& old_member,
--- a/libraries/core/test/core_incidents_test.cc
+++ b/libraries/core/test/core_incidents_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "switchsaddle/core/core_http_service.h"
 #include "switchsaddle/core/core_node.h"
 #include "switchsaddle/simulation/collecting_incidents.h"
@@ -27,6 +29,11 @@
     settings_.zone = "north";
     settings_.seeds = {settings_.peer_address};
     settings_.initial_cores = settings_.seeds;
+    createNode();
+  }
+
+  void createNode() {
+    node_.reset();
     node_ = std::make_unique<CoreNode>(CoreEnvironment{process_,
                                                        calls_,
                                                        store_,
@@ -71,6 +78,22 @@
   EXPECT_EQ(get("/readyz").status, 200);
 }
 
+TEST_F(CoreIncidentsTest, TellsOnceThatItCannotBearTheLossesAskedFor) {
+  settings_.tolerated_core_losses = 1;
+  createNode();
+  node_->start();
+  world_.runFor(seconds(10));
+  EXPECT_EQ(incidents_.find("tolerance-not-met"), nullptr);
+  world_.runFor(seconds(30));
+  const base::Incident* told = incidents_.find("tolerance-not-met");
+  ASSERT_NE(told, nullptr);
+  EXPECT_EQ(told->code, base::ResultCode::ToleranceNotMet);
+  const auto tells = [](const base::Incident& incident) {
+    return incident.event == "tolerance-not-met";
+  };
+  EXPECT_EQ(std::ranges::count_if(incidents_.all, tells), 1);
+}
+
 TEST_F(CoreIncidentsTest, TellsOfAStoreThatCannotBeOpenedAndIsNotReady) {
   disk_.setFull(true);
   node_->start();
--- a/libraries/registers/source/bootstrap.cc
+++ b/libraries/registers/source/bootstrap.cc
@@ -41,7 +41,7 @@
     return;
   }
   const wire::AcceptorSet& set = acceptor_.acceptorSet();
-  reply(wire::CoreAnnounceReply{set, ownMember(), acceptor_.holdsState()});
+  reply(wire::CoreAnnounceReply{set, ownMember(), acceptor_.holdsState(), options_.zone});
   const bool is_candidate = set.epoch != 0 && !isMember(set, announce.member.instance);
   if (is_candidate && listener_) {
     listener_(announce);
--- a/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
@@ -19,6 +19,8 @@
   base::Duration core_refused_grace = configuration::TimeSettings{}.core_refused_grace;
   /** The setting by which the acceptor set grows; zero: it does not. */
   std::uint32_t tolerated_core_losses = 0;
+  /** The setting by which it is spread over zones. */
+  std::uint32_t tolerated_zone_losses = 0;
   /** The setting by which cores read the platform's list before any has the watcher's lease. */
   bool list_before_lease = false;
 };
@@ -37,8 +39,9 @@
   Fleet(std::uint64_t seed, FleetSize size, core::CoreFaults core_faults = {},
         sessions::SessionClientFaults front_faults = {});
 
-  /** A further, empty core at a new address, with the same seeds and no initial cores. */
-  SimulatedCore& addCore();
+  /** A further, empty core at a new address, with the same seeds and no initial cores. All others
+   * are in FirstZone. */
+  SimulatedCore& addCore(const std::string& zone = FirstZone);
   /** Lists one worker that serves the streams of firstChange(). */
   void addModelWorker();
   /** Sends a change to the cores in turn until it is acknowledged. */
@@ -51,6 +54,8 @@
   /** The first core which holds a lease, by its status; nullptr where none does. */
   SimulatedCore* holderOf(const std::string& lease);
 
+  static constexpr const char* FirstZone = "zone";
+
   simulation::World world;
   simulation::Network network{world};
   SimulatedPlatform platform;
--- a/libraries/scenarios/source/fleet.cc
+++ b/libraries/scenarios/source/fleet.cc
@@ -62,18 +62,21 @@
 configuration::Settings Fleet::settingsOf(const base::NodeAddress& address) const {
   configuration::Settings settings;
   settings.peer_address = address;
-  settings.zone = "zone";
+  settings.zone = FirstZone;
   settings.times.core_refused_grace = size_.core_refused_grace;
   settings.tolerated_core_losses = size_.tolerated_core_losses;
+  settings.tolerated_zone_losses = size_.tolerated_zone_losses;
   settings.list_before_lease = size_.list_before_lease;
   settings.seeds = seeds_;
   settings.operator_hashes = {configuration::sha256Hex(SimulatedOperatorKey)};
   return settings;
 }
 
-SimulatedCore& Fleet::addCore() {
-  cores.push_back(std::make_unique<SimulatedCore>(
-      world, network, platform, settingsOf(addressOf(CorePort, cores.size())), core_faults_));
+SimulatedCore& Fleet::addCore(const std::string& zone) {
+  configuration::Settings settings = settingsOf(addressOf(CorePort, cores.size()));
+  settings.zone = zone;
+  cores.push_back(
+      std::make_unique<SimulatedCore>(world, network, platform, settings, core_faults_));
   cores.back()->start();
   return *cores.back();
 }
--- a/libraries/scenarios/test/core_growth_test.cc
+++ b/libraries/scenarios/test/core_growth_test.cc
@@ -31,6 +31,44 @@
   EXPECT_TRUE(fleet.runUntilAllServe(1, seconds(12)));
 }
 
+TEST_P(CoreGrowthTest, TwoDisksLostWhileAllOthersLosePowerLoseNothingAcknowledged) {
+  Fleet fleet(GetParam(), threeCores(2));
+  ASSERT_TRUE(fleet.runUntilAllServe(0, seconds(12)));
+  SimulatedCore& fourth = fleet.addCore();
+  SimulatedCore& fifth = fleet.addCore();
+  ASSERT_TRUE(fleet.world.runUntil([&] { return fleet.admitted(fourth) && fleet.admitted(fifth); },
+                                   seconds(20)));
+  ASSERT_TRUE(fleet.commitChange(firstChange(), seconds(10)));
+  const std::size_t first_lost = fleet.world.random().below(fleet.cores.size());
+  const std::size_t second_lost = (first_lost + 1) % fleet.cores.size();
+  for (std::size_t index = 0; index < fleet.cores.size(); ++index) {
+    const bool disk_lost = index == first_lost || index == second_lost;
+    fleet.cores[index]->kill(disk_lost ? Death::Wipe : Death::PowerLoss);
+  }
+  for (const auto& core : fleet.cores) {
+    core->start();
+  }
+  EXPECT_TRUE(fleet.runUntilAllServe(1, seconds(12)));
+  EXPECT_TRUE(
+      fleet.world.runUntil([&] { return fleet.admitted(*fleet.cores[first_lost]); }, seconds(20)));
+}
+
+TEST_P(CoreGrowthTest, MembersAreExchangedUntilAZoneMayBeLost) {
+  FleetSize size = threeCores(1);
+  size.tolerated_zone_losses = 1;
+  Fleet fleet(GetParam(), size);
+  ASSERT_TRUE(fleet.runUntilAllServe(0, seconds(12)));
+  ASSERT_TRUE(fleet.commitChange(firstChange(), seconds(10)));
+  SimulatedCore& second_zone = fleet.addCore("second");
+  SimulatedCore& third_zone = fleet.addCore("third");
+  ASSERT_TRUE(fleet.world.runUntil(
+      [&] { return fleet.admitted(second_zone) && fleet.admitted(third_zone); }, seconds(30)));
+  for (std::size_t index = 0; index < size.cores; ++index) {
+    fleet.cores[index]->kill(Death::PowerLoss);
+  }
+  EXPECT_TRUE(fleet.runUntilAllServe(1, seconds(12)));
+}
+
 TEST_P(CoreGrowthTest, AFurtherCoreIsNotAddedWhereNoneIsWanted) {
   Fleet fleet(GetParam(), threeCores(1));
   ASSERT_TRUE(fleet.runUntilAllServe(0, seconds(12)));
--- a/libraries/wire/include/switchsaddle/wire/control_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/control_messages.h
@@ -57,10 +57,11 @@
   /** The answering core process. */
   AcceptorMember member;
   bool holds_state = false;
+  std::string zone;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(acceptor_set, member, holds_state);
+    archive(acceptor_set, member, holds_state, zone);
   }
 };
 
