Place by what all fronts have under way, and by expected work

Cause: a front of 67 hears of a worker once in 11 s, and judged homes by its own rate times the number of fronts, so that one placement made three homes of a chain: one shared token in five was read again; long prompts met on workers that no front knew to be busy. Change: fronts tell requests and expected reading by worker with each session renewal; cores add them up (LoadLedger) and tell each front what the others have; the router takes expected work from that and from a model fitted to first tokens, and chooses by one cost: lateness against the route's goal, shared tokens read again, a new connection, time. Homes by what the counts prove. Services that are no model are drawn by free slots.

--- /dev/null
+++ b/experiments/paired-seeds/paired.py
@@ -0,0 +1,120 @@
+#!/usr/bin/env python3
+"""Plays days of a site with given seeds, without processor time charged, and says where worth went.
+
+    paired.py BENCH SITE DAY[,DAY...] --seeds N [--small] [--jobs N] [--cpu] --out FILE --why "..."
+    paired.py --compare FILE FILE
+
+Run in the repository whose sources are to be played. The first form writes one row for each day and
+seed; the second prints the differences of two such files, row by row, with mean and standard error:
+days are alike in both, so that most of the chance cancels out.
+"""
+import argparse
+import json
+import math
+import os
+import re
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+
+SHOWN_PRICES = {
+    "read": "1,000 tokens of shared parts read again",
+    "connections": "new connections to servers",
+    "machines": "machine-seconds",
+    "calls": "cloud calls",
+    "zones": "GB between zones",
+}
+
+
+def play(bench, site, day, seed, options, why):
+    with tempfile.NamedTemporaryFile(suffix=".json", delete=False) as file:
+        report_path = file.name
+    command = [bench, "run", site, day, "--report", report_path, "--why", f"{why} ({day}, seed {seed})"]
+    command += ["--seed", str(seed)] if seed else []
+    command += options
+    result = subprocess.run(command, capture_output=True, text=True)
+    try:
+        with open(report_path) as file:
+            report = json.load(file)
+    except (OSError, ValueError):
+        return {"day": day, "seed": seed, "error": (result.stdout + result.stderr)[-400:]}
+    finally:
+        os.unlink(report_path)
+    row = {"day": day, "seed": seed, "worth": report["G"], "served": report["served"],
+           "refused": report["refused"], "failed": report["failed"]}
+    row.update({name: value for name, _, value in report["parts"]})
+    prices = {name: value for name, _, value in report["prices"]}
+    row.update({short: prices.get(name, 0) for short, name in SHOWN_PRICES.items()})
+    row["prices"] = sum(prices.values())
+    busiest = re.findall(r"^\S+ +\d+ +\d+ +\d+ +\d+ +\d+ +\d+ +([\d.]+)$", result.stdout, re.M)
+    row["busiest"] = float(busiest[0]) if busiest else 0
+    broken = [line for line in result.stdout.splitlines() if "BROKEN" in line]
+    if broken:
+        row["broken"] = broken[0][-200:]
+    return row
+
+
+def show(rows):
+    columns = [key for key in rows[0] if key not in ("day", "seed", "broken", "error")]
+    print(f"{'day':12}{'seed':>6}" + "".join(f"{name[:11]:>12}" for name in columns))
+    for row in rows:
+        if "error" in row:
+            print(row["day"], row["seed"], "FAILED:", row["error"])
+            continue
+        print(f"{row['day']:12}{row['seed']:>6}" + "".join(f"{row[name]:12.4f}" for name in columns)
+              + ("  " + row["broken"] if "broken" in row else ""))
+
+
+def compare(first_path, second_path):
+    with open(first_path) as file:
+        first = {(row["day"], row["seed"]): row for row in json.load(file)}
+    with open(second_path) as file:
+        second = {(row["day"], row["seed"]): row for row in json.load(file)}
+    keys = [key for key in first if key in second and "error" not in first[key]
+            and "error" not in second[key]]
+    columns = [name for name in first[keys[0]] if name not in ("day", "seed", "broken")]
+    for day in sorted({key[0] for key in keys}) + ["all"]:
+        chosen = [key for key in keys if day in ("all", key[0])]
+        text = f"{day:12}n={len(chosen):<3}"
+        for name in columns:
+            differences = [second[key][name] - first[key][name] for key in chosen]
+            mean = sum(differences) / len(differences)
+            spread = math.sqrt(sum((one - mean) ** 2 for one in differences))
+            error = spread / max(1, len(differences) - 1) ** 0.5 / len(differences) ** 0.5
+            text += f" {name}{mean:+.4f}+-{error:.4f}"
+        print(text)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    parser.add_argument("bench", nargs="?")
+    parser.add_argument("site", nargs="?")
+    parser.add_argument("days", nargs="?")
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--small", action="store_true")
+    parser.add_argument("--cpu", action="store_true")
+    parser.add_argument("--jobs", type=int, default=4)
+    parser.add_argument("--out")
+    parser.add_argument("--why")
+    parser.add_argument("--compare", nargs=2)
+    arguments = parser.parse_args()
+    if arguments.compare:
+        compare(*arguments.compare)
+        return
+    if not arguments.days or not arguments.why or not arguments.out:
+        parser.error("bench, site, days, --out and --why are needed")
+    options = [] if arguments.cpu else ["--no-cpu"]
+    options += ["--small"] if arguments.small else []
+    plays = [(day, seed) for day in arguments.days.split(",") for seed in range(1, arguments.seeds + 1)]
+    with ThreadPoolExecutor(arguments.jobs) as pool:
+        rows = list(pool.map(
+            lambda one: play(arguments.bench, arguments.site, one[0], one[1], options, arguments.why),
+            plays))
+    with open(arguments.out, "w") as file:
+        json.dump(rows, file, indent=1)
+    show(rows)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/libraries/configuration/source/settings.cc
+++ b/libraries/configuration/source/settings.cc
@@ -145,6 +145,7 @@
   }
   ObjectReader inner(*value, "forwarding", faults);
   forwarding.work_lanes = inner.boolean("work_lanes", false);
+  forwarding.fleet_loads = inner.boolean("fleet_loads", false);
   forwarding.retry_share = readFraction(inner, "retry_share", forwarding.retry_share);
   forwarding.retry_extra = readFraction(inner, "retry_extra", forwarding.retry_extra);
   QuotaBounds& quotas = forwarding.quotas;
--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -15,6 +15,7 @@
 #include "switchsaddle/core/core_membership.h"
 #include "switchsaddle/core/in_force_tracker.h"
 #include "switchsaddle/core/ledger_host.h"
+#include "switchsaddle/core/load_ledger.h"
 #include "switchsaddle/core/membership_keeper.h"
 #include "switchsaddle/core/node_information.h"
 #include "switchsaddle/core/observed_proposer.h"
@@ -134,6 +135,7 @@
   CoreMembership membership_;
   sessions::SessionTable sessions_;
   QuotaAllotter quotas_;
+  LoadLedger loads_;
   worker_health::EvidenceLedger evidence_;
   worker_health::Suspicion suspicion_;
   worker_health::HealthRanking ranking_;
--- /dev/null
+++ b/libraries/core/include/switchsaddle/core/load_ledger.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/wire/session_messages.h"
+
+namespace switchsaddle::core {
+
+/**
+ * Adds up what the fronts have under way at each worker, as their session records tell it, and says
+ * to each front what all others have there. Every core hears all records, so that each adds up
+ * alike, without a message of its own. A front that has ended, or is silent for the bound, counts
+ * with nothing. Runs on the control strand.
+ */
+class LoadLedger {
+ public:
+  LoadLedger(base::Dispatcher& dispatcher, base::Duration silence_bound)
+      : dispatcher_(dispatcher), silence_bound_(silence_bound) {}
+
+  void hear(const wire::SessionRecord& record);
+  /** What the other fronts have under way; workers without work are left out. */
+  std::vector<wire::WorkerLoad> othersThan(const wire::SessionRecord& record);
+
+ private:
+  using FrontKey = std::pair<base::NodeAddress, std::uint64_t>;
+  struct Total {
+    std::uint32_t requests = 0;
+    std::uint32_t prefill_ms = 0;
+
+    bool empty() const { return requests == 0 && prefill_ms == 0; }
+  };
+  struct Front {
+    base::TimePoint heard_at;
+    std::vector<wire::WorkerLoad> loads;
+  };
+
+  void add(const std::vector<wire::WorkerLoad>& loads);
+  void takeOff(const std::vector<wire::WorkerLoad>& loads);
+  void forgetSilent();
+
+  base::Dispatcher& dispatcher_;
+  base::Duration silence_bound_;
+  std::map<FrontKey, Front> fronts_;
+  /** Over all fronts, by worker. */
+  std::map<std::uint32_t, Total> totals_;
+  base::TimePoint swept_at_{};
+};
+
+}  // namespace switchsaddle::core
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -62,6 +62,7 @@
       quotas_(
           environment.dispatcher, [this] { return sessions_.localSessions(); },
           environment.settings.forwarding.quotas),
+      loads_(environment.dispatcher, environment.settings.times.session_core_limit),
       evidence_(environment.dispatcher),
       suspicion_(environment.dispatcher, evidence_),
       ranking_(environment.dispatcher, evidence_),
@@ -133,6 +134,7 @@
   });
   sessions_.setRecordListener([this](const wire::SessionRecord& record) {
     evidence_.hear({record.front, record.instance}, record.zone, record.health);
+    loads_.hear(record);
   });
   sessions_.setGrantSource(
       [this](const wire::SessionRecord& record, wire::SessionOpenReply& granted) {
@@ -178,6 +180,10 @@
   }
   granted.health = suspicion_.advice(record.zone);
   addWatched(granted.health.watched);
+  granted.load.known = !sessions_.recovering();
+  if (granted.load.known) {
+    granted.load.others = loads_.othersThan(record);
+  }
 }
 
 void CoreNode::handleControlRequests() {
--- /dev/null
+++ b/libraries/core/source/load_ledger.cc
@@ -0,0 +1,96 @@
+#include "switchsaddle/core/load_ledger.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace switchsaddle::core {
+
+namespace {
+
+/** Silent fronts are looked for so often. */
+constexpr base::Duration SweepInterval = std::chrono::milliseconds(200);
+
+std::uint16_t clipped(std::uint32_t value) {
+  constexpr std::uint32_t Most = std::numeric_limits<std::uint16_t>::max();
+  return static_cast<std::uint16_t>(std::min(value, Most));
+}
+
+}  // namespace
+
+void LoadLedger::hear(const wire::SessionRecord& record) {
+  const FrontKey key{record.front, record.instance};
+  const auto known = fronts_.find(key);
+  if (known != fronts_.end()) {
+    takeOff(known->second.loads);
+  }
+  if (record.closed) {
+    if (known != fronts_.end()) {
+      fronts_.erase(known);
+    }
+    return;
+  }
+  add(record.loads);
+  fronts_[key] = Front{dispatcher_.now(), record.loads};
+}
+
+void LoadLedger::add(const std::vector<wire::WorkerLoad>& loads) {
+  for (const wire::WorkerLoad& load : loads) {
+    Total& total = totals_[load.worker];
+    total.requests += load.requests;
+    total.prefill_ms += load.prefill_ms;
+  }
+}
+
+void LoadLedger::takeOff(const std::vector<wire::WorkerLoad>& loads) {
+  for (const wire::WorkerLoad& load : loads) {
+    const auto total = totals_.find(load.worker);
+    total->second.requests -= load.requests;
+    total->second.prefill_ms -= load.prefill_ms;
+    if (total->second.empty()) {
+      totals_.erase(total);
+    }
+  }
+}
+
+void LoadLedger::forgetSilent() {
+  const base::TimePoint now = dispatcher_.now();
+  if (now - swept_at_ < SweepInterval) {
+    return;
+  }
+  swept_at_ = now;
+  for (auto front = fronts_.begin(); front != fronts_.end();) {
+    if (now - front->second.heard_at < silence_bound_) {
+      ++front;
+      continue;
+    }
+    takeOff(front->second.loads);
+    front = fronts_.erase(front);
+  }
+}
+
+std::vector<wire::WorkerLoad> LoadLedger::othersThan(const wire::SessionRecord& record) {
+  forgetSilent();
+  std::map<std::uint32_t, const wire::WorkerLoad*> own;
+  const auto known = fronts_.find(FrontKey{record.front, record.instance});
+  if (known != fronts_.end()) {
+    for (const wire::WorkerLoad& load : known->second.loads) {
+      own[load.worker] = &load;
+    }
+  }
+  std::vector<wire::WorkerLoad> others;
+  others.reserve(totals_.size());
+  for (const auto& [worker, total] : totals_) {
+    Total left = total;
+    const auto counted = own.find(worker);
+    if (counted != own.end()) {
+      left.requests -= counted->second->requests;
+      left.prefill_ms -= counted->second->prefill_ms;
+    }
+    if (!left.empty()) {
+      others.push_back({worker, clipped(left.requests), clipped(left.prefill_ms)});
+    }
+  }
+  return others;
+}
+
+}  // namespace switchsaddle::core
--- a/libraries/front/include/switchsaddle/front/forward_placer.h
+++ b/libraries/front/include/switchsaddle/front/forward_placer.h
@@ -13,6 +13,7 @@
 #include "switchsaddle/front/fleet_beliefs.h"
 #include "switchsaddle/front/worker_circuit.h"
 #include "switchsaddle/routing/cold_guard.h"
+#include "switchsaddle/routing/others_load.h"
 #include "switchsaddle/routing/router.h"
 
 namespace switchsaddle::front {
@@ -26,9 +27,10 @@
 
 /**
  * Chooses workers of a pool: for models by ADR-0021's router, for other services the one with the
- * fewest requests of this front. Workers that are draining, gone, evacuated or tried before are
- * left out, those behind an open circuit or found failing are the last choice, and cold ones are
- * used within their bound. Runs on the control strand.
+ * fewest requests of this front, or a draw by the slots that all fronts leave free. Workers that
+ * are draining, gone, evacuated or tried before are left out, those behind an open circuit or found
+ * failing are the last choice, and cold ones are used within their bound. Runs on the control
+ * strand.
  */
 class ForwardPlacer {
  public:
@@ -40,6 +42,11 @@
                                          const std::vector<std::string>& tried);
   /** To be called once for each placement; `completion` is of use to the router alone. */
   void complete(const ForwardPlacement& placement, routing::Completion completion);
+  /** The first event of a stream has come. */
+  void noteFirstToken(const ForwardPlacement& placement);
+  /** What this front has under way at workers, to be told to the others. */
+  std::vector<wire::WorkerLoad> loads() const;
+  void setOthersLoads(const wire::FleetLoad& loads);
   void setFronts(const std::vector<base::NodeAddress>& fronts);
   /** Workers, by worker_health::workerKey(), that the cores found failing. They get requests only
    * where no other worker can take one, and all again unless this is said again in time. */
@@ -48,9 +55,25 @@
  private:
   struct Usage {
     std::uint32_t in_flight = 0;
+    /** workers::loadKey() of the instance. */
+    std::uint32_t load_key = 0;
     routing::ColdState cold;
   };
 
+  /** A worker that may get the request, and what this front, or as far as it is known all fronts,
+   * have under way there. */
+  struct Eligible {
+    const workers::Worker* worker = nullptr;
+    double load = 0;
+  };
+
+  /** Those behind an open circuit or found failing only where there is no other. */
+  std::vector<Eligible> eligibleWorkers(const configuration::ForwardPool& pool,
+                                        const workers::WorkerSnapshot& snapshot,
+                                        const std::vector<std::string>& tried);
+  /** What chance a worker gets. Fronts that hear the same loads at the same time may not all choose
+   * the least loaded, so a known fleet's workers are drawn by their free slots. */
+  double weightOf(const Eligible& eligible, double least_load, bool fleet_known) const;
   std::optional<ForwardPlacement> chooseLearned(const configuration::ForwardPool& pool,
                                                 const routing::Prompt& prompt,
                                                 const std::vector<std::string>& tried);
@@ -69,6 +92,7 @@
   base::NodeAddress self_;
   routing::ColdGuard cold_guard_;
   std::map<std::string, Usage> usage_;
+  routing::OthersLoad others_;
   std::uint64_t known_revision_ = 0;
   std::set<std::uint64_t> avoided_;
   base::TimePoint avoided_until_{};
--- a/libraries/front/source/forward_placer.cc
+++ b/libraries/front/source/forward_placer.cc
@@ -13,6 +13,9 @@
 /** What the cores said of workers holds for so long without their word. */
 constexpr base::Duration AvoidedLifetime = std::chrono::seconds(3);
 
+/** A worker whose slots seem full counts as having this much of one free. */
+constexpr double LeastFreeSlots = 0.25;
+
 bool contains(const std::vector<std::string>& names, const std::string& name) {
   return std::ranges::find(names, name) != names.end();
 }
@@ -89,6 +92,7 @@
 
 bool ForwardPlacer::mayUse(const workers::Worker& worker, const configuration::ForwardPool& pool) {
   Usage& usage = usage_[worker.entry.id];
+  usage.load_key = workers::loadKey(worker.entry);
   usage.cold.instance = base::hashBytes(worker.entry.id);
   usage.cold.bearable_per_s = pool.cold_ms > 0 ? pool.cold_per_s : 0;
   usage.cold.listed_cold = worker.entry.cold;
@@ -106,40 +110,90 @@
   });
 }
 
-std::optional<ForwardPlacement> ForwardPlacer::chooseLeastLoaded(
-    const configuration::ForwardPool& pool, const std::vector<std::string>& tried) {
-  const workers::WorkerSnapshotPtr snapshot = beliefs_.workers();
-  forgetVanished(*snapshot);
+double ForwardPlacer::weightOf(const Eligible& eligible, double least_load,
+                               bool fleet_known) const {
+  if (!fleet_known) {
+    return eligible.load <= least_load ? 1.0 : 0.0;
+  }
+  const double slots = std::max(1U, eligible.worker->entry.slots);
+  const double free = std::max(LeastFreeSlots, slots - eligible.load);
+  return free * free;
+}
+
+std::vector<ForwardPlacer::Eligible> ForwardPlacer::eligibleWorkers(
+    const configuration::ForwardPool& pool, const workers::WorkerSnapshot& snapshot,
+    const std::vector<std::string>& tried) {
   const std::shared_ptr<const configuration::View> view = beliefs_.configuration();
-  const workers::Worker* best = nullptr;
-  std::pair<bool, std::uint32_t> best_rank;
-  std::uint64_t ties = 0;
-  for (const auto& [id, worker] : snapshot->workers) {
+  std::vector<Eligible> first_choice;
+  std::vector<Eligible> last_choice;
+  for (const auto& [id, worker] : snapshot.workers) {
     const bool eligible = worker.entry.service == pool.name && worker.usable() &&
                           view->allowsWorker(worker.entry) && !contains(tried, id) &&
                           mayUse(worker, pool);
     if (!eligible) {
       continue;
     }
-    const bool last_choice = !circuit_.mayTry(worker) || isAvoided(worker.entry);
-    const std::pair rank{last_choice, usage_[id].in_flight};
-    const bool better = best == nullptr || rank < best_rank;
-    const bool tie = !better && rank == best_rank;
-    ties = better ? 1 : ties + (tie ? 1 : 0);
-    // Each of several equal workers is taken with the same chance.
-    if (better || (tie && random_.below(ties) == 0)) {
-      best = &worker;
-      best_rank = rank;
-    }
+    const Usage& usage = usage_[id];
+    const double others = others_.of(usage.load_key, dispatcher_.now()).requests;
+    const bool last = !circuit_.mayTry(worker) || isAvoided(worker.entry);
+    (last ? last_choice : first_choice).push_back({&worker, usage.in_flight + others});
   }
-  if (best == nullptr) {
+  return first_choice.empty() ? last_choice : first_choice;
+}
+
+std::optional<ForwardPlacement> ForwardPlacer::chooseLeastLoaded(
+    const configuration::ForwardPool& pool, const std::vector<std::string>& tried) {
+  const workers::WorkerSnapshotPtr snapshot = beliefs_.workers();
+  forgetVanished(*snapshot);
+  const std::vector<Eligible> eligible = eligibleWorkers(pool, *snapshot, tried);
+  if (eligible.empty()) {
     return std::nullopt;
   }
-  Usage& usage = usage_[best->entry.id];
+  const bool fleet_known = others_.known(dispatcher_.now());
+  const double least_load = std::ranges::min(eligible, {}, &Eligible::load).load;
+  double total = 0;
+  for (const Eligible& each : eligible) {
+    total += weightOf(each, least_load, fleet_known);
+  }
+  double point = random_.uniform() * total;
+  const workers::Worker* chosen = eligible.front().worker;
+  for (const Eligible& each : eligible) {
+    const double weight = weightOf(each, least_load, fleet_known);
+    if (weight <= 0) {
+      continue;
+    }
+    chosen = each.worker;
+    point -= weight;
+    if (point < 0) {
+      break;
+    }
+  }
+  Usage& usage = usage_[chosen->entry.id];
   ++usage.in_flight;
   usage.cold.placed = true;
   usage.cold.last_placed = dispatcher_.now();
-  return ForwardPlacement{*best, std::nullopt};
+  return ForwardPlacement{*chosen, std::nullopt};
+}
+
+void ForwardPlacer::noteFirstToken(const ForwardPlacement& placement) {
+  if (placement.learned) {
+    router_.noteFirstToken(placement.learned->ticket);
+  }
+}
+
+std::vector<wire::WorkerLoad> ForwardPlacer::loads() const {
+  std::vector<wire::WorkerLoad> loads = router_.exportLoads();
+  for (const auto& [id, usage] : usage_) {
+    if (usage.in_flight > 0) {
+      loads.push_back({usage.load_key, static_cast<std::uint16_t>(usage.in_flight), 0});
+    }
+  }
+  return loads;
+}
+
+void ForwardPlacer::setOthersLoads(const wire::FleetLoad& loads) {
+  others_.set(loads, dispatcher_.now());
+  router_.importLoads(loads);
 }
 
 void ForwardPlacer::complete(const ForwardPlacement& placement, routing::Completion completion) {
--- a/libraries/front/source/forward_run.cc
+++ b/libraries/front/source/forward_run.cc
@@ -231,6 +231,7 @@
     measureEvent();
     if (events_of_dispatch_ == 0) {
       completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
+      environment_.placer.noteFirstToken(*placement_);
       environment_.counters.first_token.observe(completion_.time_to_first_token);
     }
     ++events_of_dispatch_;
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -23,6 +23,7 @@
 routing::RouterOptions routerOptions(const configuration::ForwardingSettings& settings) {
   routing::RouterOptions options;
   options.work_lanes = settings.work_lanes;
+  options.fleet_loads = settings.fleet_loads;
   return options;
 }
 
@@ -147,6 +148,9 @@
   session_.setRecordSource([this](wire::SessionRecord& record) {
     record.demand = quotas_.demand();
     record.health = health_.statement();
+    if (environment_.settings.forwarding.fleet_loads) {
+      record.loads = placer_.loads();
+    }
   });
   session_.setGrantListener([this](const wire::SessionOpenReply& granted) { onGranted(granted); });
   peers_timer_ = environment_.dispatcher.createTimer([this] { refreshPeers(); });
@@ -159,6 +163,9 @@
   if (granted.quotas_known) {
     quotas_.setAllotments(granted.allotments);
   }
+  if (environment_.settings.forwarding.fleet_loads) {
+    placer_.setOthersLoads(granted.load);
+  }
   if (granted.health.known) {
     health_.setWatched(granted.health.watched);
     placer_.setAvoided(granted.health.avoided);
--- a/libraries/front/test/fakes.h
+++ b/libraries/front/test/fakes.h
@@ -259,6 +259,9 @@
   void complete(const routing::Completion& completion) override {
     completions.push_back(completion);
   }
+  void noteFirstToken(std::uint64_t) override { ++first_tokens; }
+  std::vector<wire::WorkerLoad> exportLoads() const override { return {}; }
+  void importLoads(const wire::FleetLoad&) override {}
   std::vector<routing::RoutingRow> table(const std::string&) const override { return {}; }
   std::vector<wire::RouteScore> exportScores() const override { return {}; }
   void importScores(const std::vector<wire::RouteScore>&) override {}
@@ -266,6 +269,7 @@
   std::vector<workers::Worker> workers;
   base::Duration estimate{};
   std::uint64_t tickets = 0;
+  std::uint64_t first_tokens = 0;
   std::vector<routing::Completion> completions;
 };
 
--- a/libraries/routing/include/switchsaddle/routing/arm.h
+++ b/libraries/routing/include/switchsaddle/routing/arm.h
@@ -3,9 +3,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "switchsaddle/routing/cold_guard.h"
+#include "switchsaddle/routing/prefill_queue.h"
 #include "switchsaddle/routing/prefix_index.h"
 #include "switchsaddle/routing/route_statistics.h"
 #include "switchsaddle/workers/worker_directory.h"
@@ -22,6 +24,12 @@
   /** Last Worker-Load: running plus queued, less this front's own part at that moment. */
   std::uint32_t others_load = 0;
   std::uint32_t slots = 1;
+  /** workers::loadKey() of the instance. */
+  std::uint32_t load_key = 0;
+  /** Prompts of this front that the worker is reading. */
+  PrefillQueue prefill;
+  /** When this front's last request there ended, so that its connection may still be open. */
+  std::optional<base::TimePoint> last_ended;
   base::TimePoint load_at{};
   bool evacuated = false;
 
--- a/libraries/routing/include/switchsaddle/routing/chain_rate.h
+++ b/libraries/routing/include/switchsaddle/routing/chain_rate.h
@@ -20,6 +20,9 @@
   void add(std::uint64_t chain, base::TimePoint now);
   /** Placements each second. */
   double perSecond(std::uint64_t chain, base::TimePoint now) const;
+  /** The same, less two standard deviations of the count: what a few placements prove. A front that
+   * placed a chain once says nothing of the fleet's rate. */
+  double provenPerSecond(std::uint64_t chain, base::TimePoint now) const;
 
  private:
   static constexpr std::size_t Rows = 2;
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -13,6 +13,7 @@
 #include "switchsaddle/routing/arm_selection.h"
 #include "switchsaddle/routing/chain_rate.h"
 #include "switchsaddle/routing/model_pool.h"
+#include "switchsaddle/routing/others_load.h"
 #include "switchsaddle/routing/prefix_chains.h"
 #include "switchsaddle/routing/router.h"
 #include "switchsaddle/routing/work_lanes.h"
@@ -28,6 +29,9 @@
   bool score_hygiene = true;
   /** Keep kinds of work with long prompts and with short ones on different workers. */
   bool work_lanes = false;
+  /** Place by what all fronts have under way and by expected work, in place of estimates from this
+   * front's own answers. */
+  bool fleet_loads = false;
   /** Chains of shared prefix parts remembered. */
   std::size_t prefix_chains = 1U << 16U;
   ColdPrior cold_prior;
@@ -57,6 +61,9 @@
   std::optional<Placement> choose(const Prompt& prompt, const configuration::Route& route,
                                   const std::vector<std::string>& excluded) override;
   void complete(const Completion& completion) override;
+  void noteFirstToken(std::uint64_t ticket) override;
+  std::vector<wire::WorkerLoad> exportLoads() const override;
+  void importLoads(const wire::FleetLoad& loads) override;
   std::vector<RoutingRow> table(const std::string& model) const override;
   /** At most MaximumExportedScores: arms of cold workers first, then the last measured. */
   std::vector<wire::RouteScore> exportScores() const override;
@@ -76,12 +83,23 @@
     Arm* arm = nullptr;
     std::uint32_t cached_tokens = 0;
     double first_token_s = 0;
+    /** The next in the chain's order after its homes, where all fronts send what they cannot take.
+     */
+    bool next_home = false;
+    /** placementCost(), where placements are chosen by it. */
+    double cost = 0;
   };
   struct InFlight {
     ArmPtr arm;
     /** Pools are never removed. */
     ModelPool* pool = nullptr;
     PrefixChains chains;
+    base::TimePoint placed_at{};
+    std::uint32_t uncached_tokens = 0;
+    /** Expected then: reading before it, and of it, in seconds. */
+    double queue_s = 0;
+    double prefill_s = 0;
+    bool answered = false;
   };
   /** An arm whose score may be exported. */
   struct FreshArm {
@@ -109,6 +127,8 @@
   /** The workers consistent hashing names for the prompt's longest part. All fronts send it there,
    * so it is believed to be cached there. */
   void collectHomes(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains);
+  /** The worker that takes what the homes cannot, by the same order on all fronts. */
+  void considerNextHome(const ModelPool& pool, std::uint64_t chain, std::size_t homes);
   void collectHomesInLane(const ModelPool& pool, const PrefixChains& chains, std::size_t needed);
   /** Home workers the chain's prompts of all fronts need. */
   std::size_t homesNeeded(const ModelPool& pool, const Prompt& prompt, std::uint64_t chain) const;
@@ -123,6 +143,19 @@
   /** Gives each arm of the pool its rank. */
   static void rankArms(ModelPool& pool);
   void rankCandidates(const ModelPool& pool, const Prompt& prompt, std::size_t limit);
+  // Ranking by expected work, in source/expected_work.cc.
+  void rankByCost(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains,
+                  std::size_t limit);
+  void dropDearer();
+  double costOf(const ModelPool& pool, const Prompt& prompt, const PrefixChains& chains,
+                Candidate& candidate) const;
+  /** Seconds until the worker has read what it was sent before. */
+  double queueSeconds(const Arm& arm, base::TimePoint now) const;
+  /** Seconds that the arm reads so many tokens. */
+  double prefillSeconds(const ModelPool& pool, const Arm& arm, std::uint32_t tokens) const;
+  /** Seconds until one of the worker's slots is free. */
+  double slotWaitSeconds(const Arm& arm, const Prompt& prompt, base::TimePoint now) const;
+  void noteAnswered(InFlight& in_flight);
   /** Works the pool's mean rates out anew now and then. */
   void refreshRates(ModelPool& pool);
   /** Drops arms the cold guard holds back, as long as others remain. */
@@ -160,6 +193,7 @@
   PrefixIndex prefix_index_;
   ChainRate chain_rate_;
   WorkLanes lanes_;
+  OthersLoad others_;
   std::size_t fronts_ = 1;
   std::map<std::string, WorkerRecordPtr> workers_;
   WorkerNumber next_number_ = 0;
--- a/libraries/routing/include/switchsaddle/routing/model_pool.h
+++ b/libraries/routing/include/switchsaddle/routing/model_pool.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "switchsaddle/routing/arm_index.h"
+#include "switchsaddle/routing/first_token_model.h"
 
 namespace switchsaddle::routing {
 
@@ -20,6 +21,8 @@
    * while each arm is judged by its own. */
   double seconds_per_prefill_token = 0;
   base::TimePoint rates_at{};
+  /** What this front's own answers told of the pool. */
+  FirstTokenModel first_token;
   ArmIndex index;
   /** The arms to scout first, as of `scouts_at`; looked up anew now and then, not each time. */
   std::vector<Arm*> scouts;
--- /dev/null
+++ b/libraries/routing/include/switchsaddle/routing/others_load.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "switchsaddle/base/time.h"
+#include "switchsaddle/wire/load_messages.h"
+
+namespace switchsaddle::routing {
+
+/**
+ * What the other fronts have under way at workers, as the cores last told. Prompts that were being
+ * read then are taken to have been read on since. A view that is not told anew in time says nothing
+ * any more: the front then goes by its own load alone. Runs on the control strand.
+ */
+class OthersLoad {
+ public:
+  /** How long a view is used. */
+  static constexpr base::Duration Lifetime = std::chrono::seconds(2);
+
+  struct Load {
+    double requests = 0;
+    /** Seconds of prompts still to be read. */
+    double prefill_s = 0;
+  };
+
+  void set(const wire::FleetLoad& load, base::TimePoint now);
+  /** Of the worker with this workers::loadKey(). */
+  Load of(std::uint32_t worker, base::TimePoint now) const;
+  bool known(base::TimePoint now) const { return told_ && now - told_at_ < Lifetime; }
+
+ private:
+  std::unordered_map<std::uint32_t, wire::WorkerLoad> loads_;
+  base::TimePoint told_at_{};
+  bool told_ = false;
+};
+
+}  // namespace switchsaddle::routing
--- a/libraries/routing/include/switchsaddle/routing/router.h
+++ b/libraries/routing/include/switchsaddle/routing/router.h
@@ -8,6 +8,7 @@
 
 #include "switchsaddle/base/time.h"
 #include "switchsaddle/configuration/view.h"
+#include "switchsaddle/wire/load_messages.h"
 #include "switchsaddle/workers/worker_directory.h"
 
 namespace switchsaddle::routing {
@@ -26,6 +27,8 @@
   std::uint32_t maximum_tokens = 0;
   /** Prompts of one kind of work, such as one route's, have the same; zero: not known. */
   std::uint64_t kind = 0;
+  /** Within this time the first token is in time. */
+  base::Duration first_token_goal = std::chrono::seconds(1);
   /** The last part is this prompt's own: no other has it, so that none can have left it anywhere.
    */
   bool last_part_own = false;
@@ -106,6 +109,11 @@
   virtual std::optional<Placement> choose(const Prompt& prompt, const configuration::Route& route,
                                           const std::vector<std::string>& excluded) = 0;
   virtual void complete(const Completion& completion) = 0;
+  /** The first token of a placement has come. */
+  virtual void noteFirstToken(std::uint64_t ticket) = 0;
+  /** What this front has under way at workers, and what the other fronts have. */
+  virtual std::vector<wire::WorkerLoad> exportLoads() const = 0;
+  virtual void importLoads(const wire::FleetLoad& loads) = 0;
   virtual std::vector<RoutingRow> table(const std::string& model) const = 0;
   /** Fresh scores of this front's own samples for dissemination, and those of others to be merged.
    */
--- a/libraries/routing/include/switchsaddle/routing/work_lanes.h
+++ b/libraries/routing/include/switchsaddle/routing/work_lanes.h
@@ -33,6 +33,8 @@
   /** Whether the kinds known are parted into two lanes. */
   bool divided() const { return divided_; }
   /** Whether the kind has long prompts; false for a kind not known. */
+  /** Mean prompt tokens of a kind; zero where it is not known. */
+  double meanTokens(std::uint64_t kind) const;
   bool isLong(std::uint64_t kind) const;
   /** Of so many workers, how many serve the short kinds; all where there is no division. */
   std::size_t shortWorkers(std::size_t workers) const;
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -51,7 +51,7 @@
     }
   }
   if (isInLane(arm) && arm.usable() && !isExcluded(arm)) {
-    candidates_.push_back(Candidate{&arm, cached_tokens, 0});
+    candidates_.push_back(Candidate{&arm, cached_tokens});
   }
 }
 
@@ -102,7 +102,11 @@
     collectLeastMeasured(pool);
   }
   collectAtRandom(pool, limit);
-  rankCandidates(pool, prompt, limit);
+  if (options_.fleet_loads) {
+    rankByCost(pool, prompt, chains, limit);
+  } else {
+    rankCandidates(pool, prompt, limit);
+  }
 }
 
 void LearnedRouter::refreshRates(ModelPool& pool) {
@@ -146,7 +150,7 @@
   const double measured_s = home.front()->statistics.mean().seconds_per_output_token;
   const double token_s = measured_s > 0 ? measured_s : options_.cold_prior.seconds_per_output_token;
   const double streams_per_s =
-      chain_rate_.perSecond(chain, dispatcher_.now()) * static_cast<double>(fronts_);
+      chain_rate_.provenPerSecond(chain, dispatcher_.now()) * static_cast<double>(fronts_);
   const double busy_slots = streams_per_s * token_s * prompt.maximum_tokens;
   const double own_tokens =
       prompt.last_part_own ? static_cast<double>(prompt.prefix_parts.back().tokens) : 0;
@@ -172,6 +176,9 @@
       consider(*arm, chains.sharedTokens());
     }
   }
+  if (options_.fleet_loads) {
+    considerNextHome(pool, chain, needed);
+  }
 }
 
 void LearnedRouter::collectHomesInLane(const ModelPool& pool, const PrefixChains& chains,
@@ -185,6 +192,23 @@
       consider(*arm, chains.sharedTokens());
     }
   }
+  if (options_.fleet_loads) {
+    considerNextHome(pool, chain, needed);
+  }
+}
+
+void LearnedRouter::considerNextHome(const ModelPool& pool, std::uint64_t chain,
+                                     std::size_t homes) {
+  for (std::size_t replica = homes; replica < homes + HomeSearch; ++replica) {
+    for (const ArmPtr& arm : pool.index.homeOf(chain, replica)) {
+      const std::size_t before = candidates_.size();
+      consider(*arm, 0);
+      if (candidates_.size() > before) {
+        candidates_.back().next_home = true;
+        return;
+      }
+    }
+  }
 }
 
 void LearnedRouter::collectLeastMeasured(ModelPool& pool) {
--- a/libraries/routing/source/chain_rate.cc
+++ b/libraries/routing/source/chain_rate.cc
@@ -49,4 +49,11 @@
   return count / weightAt(now) * std::numbers::ln2 / HalfLifeSeconds;
 }
 
+double ChainRate::provenPerSecond(std::uint64_t chain, base::TimePoint now) const {
+  constexpr double Deviations = 2.0;
+  constexpr double SecondsOfCount = HalfLifeSeconds / std::numbers::ln2;
+  const double count = perSecond(chain, now) * SecondsOfCount;
+  return std::max(0.0, count - Deviations * std::sqrt(count)) / SecondsOfCount;
+}
+
 }  // namespace switchsaddle::routing
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -86,7 +86,9 @@
   if (candidates_.empty()) {
     return std::nullopt;
   }
-  if (options_.load_estimates) {
+  if (options_.fleet_loads) {
+    dropDearer();
+  } else if (options_.load_estimates) {
     dropFarFromBest();
   }
   const Selection selection = select(*pool, prompt);
@@ -117,7 +119,13 @@
   for (const std::uint64_t chain : chains.all()) {
     prefix_index_.add(chain, chosen.arm->prefill->number);
   }
-  in_flight_.emplace(placement.ticket, InFlight{chosen.arm->shared_from_this(), pool, chains});
+  InFlight in_flight{chosen.arm->shared_from_this(), pool, chains};
+  in_flight.placed_at = dispatcher_.now();
+  in_flight.uncached_tokens = uncached_tokens;
+  in_flight.queue_s = queueSeconds(*chosen.arm, in_flight.placed_at);
+  in_flight.prefill_s = prefillSeconds(*pool, *chosen.arm, uncached_tokens);
+  chosen.arm->prefill->prefill.add(in_flight.prefill_s, in_flight.placed_at);
+  in_flight_.emplace(placement.ticket, std::move(in_flight));
   return placement;
 }
 
@@ -132,8 +140,10 @@
   if (found == in_flight_.end()) {
     return;
   }
-  const InFlight in_flight = std::move(found->second);
+  InFlight in_flight = std::move(found->second);
   in_flight_.erase(found);
+  noteAnswered(in_flight);
+  in_flight.arm->prefill->last_ended = dispatcher_.now();
   Arm& arm = *in_flight.arm;
   --arm.prefill->cold.in_flight;
   if (arm.decode) {
--- a/libraries/routing/source/pool_builder.cc
+++ b/libraries/routing/source/pool_builder.cc
@@ -43,6 +43,7 @@
       record = std::make_shared<WorkerRecord>();
       record->number = freeNumber();
       record->hash = base::hashBytes(id);
+      record->load_key = workers::loadKey(worker.entry);
       record->cold.instance = base::combineHashes(record->hash, worker.entry.instance);
       record->cold.first_seen = now;
       record->cold.present_at_start = !first_list_taken_;
--- a/libraries/routing/source/work_lanes.cc
+++ b/libraries/routing/source/work_lanes.cc
@@ -72,6 +72,11 @@
   }
 }
 
+double WorkLanes::meanTokens(std::uint64_t kind) const {
+  const auto known = kinds_.find(kind);
+  return known == kinds_.end() ? 0 : known->second.tokens / known->second.prompts;
+}
+
 bool WorkLanes::isLong(std::uint64_t kind) const {
   const auto known = kinds_.find(kind);
   return divided_ && known != kinds_.end() &&
--- /dev/null
+++ b/libraries/wire/include/switchsaddle/wire/load_messages.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+/**
+ * @file
+ * What the fronts have under way at workers, told with each renewal of a session, added up by the
+ * cores and told back. Whole each time, so that one that is lost or comes twice does no harm.
+ */
+
+namespace switchsaddle::wire {
+
+/** What one front, or several together, have under way at one worker. Eight bytes, since a core
+ * tells every front of every worker that has work. */
+struct WorkerLoad {
+  /** workers::loadKey() of the instance. */
+  std::uint32_t worker = 0;
+  std::uint16_t requests = 0;
+  /** Milliseconds that the worker is expected to read prompts which it has not answered. */
+  std::uint16_t prefill_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker, requests, prefill_ms);
+  }
+};
+
+/** What all fronts but the one that is told have under way. */
+struct FleetLoad {
+  /** Whether the core has heard the fronts; where it has not, the rest is to be passed over. */
+  bool known = false;
+  std::vector<WorkerLoad> others;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(known, others);
+  }
+};
+
+}  // namespace switchsaddle::wire
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -7,6 +7,7 @@
 
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/wire/health_messages.h"
+#include "switchsaddle/wire/load_messages.h"
 
 /**
  * @file
@@ -63,11 +64,13 @@
   std::vector<TenantDemand> demand = {};
   /** What the front has seen of workers. */
   HealthStatement health = {};
+  /** What the front has under way at workers. */
+  std::vector<WorkerLoad> loads = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(front, instance, sequence, applied_version, applied_digest, zone, closed, demand,
-            health);
+            health, loads);
   }
 };
 
@@ -100,11 +103,12 @@
   /** Of tenants that have used much of their quota; where quotas_known, no other has. */
   std::vector<TenantAllotment> allotments = {};
   HealthAdvice health = {};
+  FleetLoad load = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(granted, sequence, committed_version, core_addresses, front_addresses, members_digest,
-            quotas_known, allotments, health);
+            quotas_known, allotments, health, load);
   }
 };
 
--- a/libraries/workers/include/switchsaddle/workers/worker_directory.h
+++ b/libraries/workers/include/switchsaddle/workers/worker_directory.h
@@ -32,6 +32,10 @@
   std::map<std::string, Worker> workers;
 };
 
+/** Names a worker instance where loads are told; the same at every node. Of two that had the same,
+ * each would count with the other's load too. */
+std::uint32_t loadKey(const wire::WorkerEntry& entry);
+
 using WorkerSnapshotPtr = std::shared_ptr<const WorkerSnapshot>;
 
 /**
--- a/libraries/workers/source/worker_directory.cc
+++ b/libraries/workers/source/worker_directory.cc
@@ -42,6 +42,12 @@
 
 }  // namespace
 
+std::uint32_t loadKey(const wire::WorkerEntry& entry) {
+  constexpr unsigned UpperHalf = 32;
+  const std::uint64_t hash = base::combineHashes(base::hashBytes(entry.id), entry.instance);
+  return static_cast<std::uint32_t>(hash >> UpperHalf);
+}
+
 bool WorkerDirectory::applyView(const wire::WorkerView& view) {
   if (!isNewer(view, view_)) {
     return false;
