Lanes by the work of all fronts, and what a backlog and stalled streams cost

Change: fronts tell their kinds of work with their load, cores add them up, lanes follow that and what workers read; a backlog costs those who come next; a prompt that would stall streams weighs each of them. Homes by what counts prove only where loads are known: without them RoutingGoalsTest fell (440 ms against a goal of 409).

--- a/libraries/core/include/switchsaddle/core/load_ledger.h
+++ b/libraries/core/include/switchsaddle/core/load_ledger.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
@@ -21,8 +23,9 @@
       : dispatcher_(dispatcher), silence_bound_(silence_bound) {}
 
   void hear(const wire::SessionRecord& record);
-  /** What the other fronts have under way; workers without work are left out. */
-  std::vector<wire::WorkerLoad> othersThan(const wire::SessionRecord& record);
+  /** What the other fronts have under way, workers without work left out, and the kinds of work of
+   * all fronts. */
+  wire::FleetLoad toldTo(const wire::SessionRecord& record);
 
  private:
   using FrontKey = std::pair<base::NodeAddress, std::uint64_t>;
@@ -34,19 +37,24 @@
   };
   struct Front {
     base::TimePoint heard_at;
-    std::vector<wire::WorkerLoad> loads;
+    wire::FrontLoad load;
   };
 
   void add(const std::vector<wire::WorkerLoad>& loads);
   void takeOff(const std::vector<wire::WorkerLoad>& loads);
+  /** Forgets silent fronts, and adds up the kinds of work, now and then. */
+  void refresh();
   void forgetSilent();
+  void addUpKinds();
+  std::vector<wire::WorkerLoad> othersThan(const FrontKey& key) const;
 
   base::Dispatcher& dispatcher_;
   base::Duration silence_bound_;
   std::map<FrontKey, Front> fronts_;
   /** Over all fronts, by worker. */
   std::map<std::uint32_t, Total> totals_;
-  base::TimePoint swept_at_{};
+  std::vector<wire::KindWork> kinds_;
+  std::optional<base::TimePoint> refreshed_at_;
 };
 
 }  // namespace switchsaddle::core
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -180,9 +180,8 @@
   }
   granted.health = suspicion_.advice(record.zone);
   addWatched(granted.health.watched);
-  granted.load.known = !sessions_.recovering();
-  if (granted.load.known) {
-    granted.load.others = loads_.othersThan(record);
+  if (!sessions_.recovering()) {
+    granted.load = loads_.toldTo(record);
   }
 }
 
--- a/libraries/core/source/load_ledger.cc
+++ b/libraries/core/source/load_ledger.cc
@@ -7,8 +7,8 @@
 
 namespace {
 
-/** Silent fronts are looked for so often. */
-constexpr base::Duration SweepInterval = std::chrono::milliseconds(200);
+/** Silent fronts are looked for, and kinds of work added up, so often. */
+constexpr base::Duration RefreshInterval = std::chrono::milliseconds(200);
 
 std::uint16_t clipped(std::uint32_t value) {
   constexpr std::uint32_t Most = std::numeric_limits<std::uint16_t>::max();
@@ -21,7 +21,7 @@
   const FrontKey key{record.front, record.instance};
   const auto known = fronts_.find(key);
   if (known != fronts_.end()) {
-    takeOff(known->second.loads);
+    takeOff(known->second.load.workers);
   }
   if (record.closed) {
     if (known != fronts_.end()) {
@@ -29,8 +29,8 @@
     }
     return;
   }
-  add(record.loads);
-  fronts_[key] = Front{dispatcher_.now(), record.loads};
+  add(record.load.workers);
+  fronts_[key] = Front{dispatcher_.now(), record.load};
 }
 
 void LoadLedger::add(const std::vector<wire::WorkerLoad>& loads) {
@@ -52,28 +52,54 @@
   }
 }
 
-void LoadLedger::forgetSilent() {
+void LoadLedger::refresh() {
   const base::TimePoint now = dispatcher_.now();
-  if (now - swept_at_ < SweepInterval) {
-    return;
+  if (!refreshed_at_ || now - *refreshed_at_ >= RefreshInterval) {
+    refreshed_at_ = now;
+    forgetSilent();
+    addUpKinds();
+  }
+}
+
+void LoadLedger::addUpKinds() {
+  std::map<std::uint64_t, wire::KindWork> sums;
+  for (const auto& [key, front] : fronts_) {
+    for (const wire::KindWork& work : front.load.kinds) {
+      wire::KindWork& sum = sums[work.kind];
+      sum.kind = work.kind;
+      sum.prompts += work.prompts;
+      sum.prompt_tokens += work.prompt_tokens;
+      sum.read_tokens += work.read_tokens;
+    }
+  }
+  kinds_.clear();
+  for (const auto& [kind, sum] : sums) {
+    kinds_.push_back(sum);
   }
-  swept_at_ = now;
+}
+
+void LoadLedger::forgetSilent() {
+  const base::TimePoint now = dispatcher_.now();
   for (auto front = fronts_.begin(); front != fronts_.end();) {
     if (now - front->second.heard_at < silence_bound_) {
       ++front;
       continue;
     }
-    takeOff(front->second.loads);
+    takeOff(front->second.load.workers);
     front = fronts_.erase(front);
   }
 }
 
-std::vector<wire::WorkerLoad> LoadLedger::othersThan(const wire::SessionRecord& record) {
-  forgetSilent();
+wire::FleetLoad LoadLedger::toldTo(const wire::SessionRecord& record) {
+  refresh();
+  return {true, othersThan(FrontKey{record.front, record.instance}), kinds_};
+}
+
+std::vector<wire::WorkerLoad> LoadLedger::othersThan(const FrontKey& key) const {
   std::map<std::uint32_t, const wire::WorkerLoad*> own;
-  const auto known = fronts_.find(FrontKey{record.front, record.instance});
+  const auto known = fronts_.find(key);
   if (known != fronts_.end()) {
-    for (const wire::WorkerLoad& load : known->second.loads) {
+    for (const wire::WorkerLoad& load : known->second.load.workers) {
       own[load.worker] = &load;
     }
   }
--- /dev/null
+++ b/libraries/core/test/load_ledger_test.cc
@@ -0,0 +1,101 @@
+#include "switchsaddle/core/load_ledger.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "switchsaddle/simulation/process.h"
+#include "switchsaddle/simulation/world.h"
+
+namespace switchsaddle::core {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t FirstWorker = 11;
+constexpr std::uint32_t SecondWorker = 22;
+
+class LoadLedgerTest : public testing::Test {
+ protected:
+  static wire::SessionRecord recordOf(std::uint16_t front, std::vector<wire::WorkerLoad> loads) {
+    wire::SessionRecord record;
+    record.front = {"127.0.0.1", front};
+    record.instance = front;
+    record.load.workers = std::move(loads);
+    return record;
+  }
+  /** What a front is told, as "worker:requests/prefill_ms". */
+  std::vector<std::string> told(const wire::SessionRecord& record) {
+    std::vector<std::string> texts;
+    for (const wire::WorkerLoad& load : ledger.toldTo(record).others) {
+      texts.push_back(std::to_string(load.worker) + ":" + std::to_string(load.requests) + "/" +
+                      std::to_string(load.prefill_ms));
+    }
+    return texts;
+  }
+
+  simulation::World world{1};
+  simulation::Process process{world};
+  LoadLedger ledger{process, milliseconds(1'500)};
+  wire::SessionRecord first = recordOf(1, {{FirstWorker, 2, 100}, {SecondWorker, 1, 0}});
+  wire::SessionRecord second = recordOf(2, {{FirstWorker, 3, 50}});
+};
+
+TEST_F(LoadLedgerTest, TellsEachFrontWhatTheOthersHave) {
+  ledger.hear(first);
+  ledger.hear(second);
+  EXPECT_THAT(told(first), testing::ElementsAre("11:3/50"));
+  EXPECT_THAT(told(second), testing::ElementsAre("11:2/100", "22:1/0"));
+  EXPECT_THAT(told(recordOf(3, {})), testing::ElementsAre("11:5/150", "22:1/0"));
+}
+
+TEST_F(LoadLedgerTest, ARecordTakesThePlaceOfTheOneBefore) {
+  ledger.hear(first);
+  ledger.hear(first);
+  ledger.hear(recordOf(1, {{FirstWorker, 1, 10}}));
+  EXPECT_THAT(told(second), testing::ElementsAre("11:1/10"));
+  ledger.hear(recordOf(1, {}));
+  EXPECT_THAT(told(second), testing::IsEmpty());
+}
+
+TEST_F(LoadLedgerTest, AFrontThatEndedOrIsSilentCountsWithNothing) {
+  ledger.hear(first);
+  first.closed = true;
+  ledger.hear(first);
+  EXPECT_THAT(told(second), testing::IsEmpty());
+  ledger.hear(second);
+  world.runFor(milliseconds(1'400));
+  EXPECT_THAT(told(first), testing::ElementsAre("11:3/50"));
+  world.runFor(milliseconds(200));
+  EXPECT_THAT(told(first), testing::IsEmpty());
+}
+
+TEST_F(LoadLedgerTest, TwoProcessesOfOneAddressCountApart) {
+  ledger.hear(first);
+  wire::SessionRecord restarted = recordOf(1, {{FirstWorker, 1, 5}});
+  restarted.instance = 7;
+  ledger.hear(restarted);
+  EXPECT_THAT(told(second), testing::ElementsAre("11:3/105", "22:1/0"));
+}
+
+TEST_F(LoadLedgerTest, AddsUpKindsOfWorkOfAllFronts) {
+  first.load.kinds = {{7, 10, 1'000, 500}};
+  second.load.kinds = {{7, 5, 500, 100}, {9, 1, 20, 20}};
+  ledger.hear(first);
+  ledger.hear(second);
+  const std::vector<wire::KindWork> kinds = ledger.toldTo(first).kinds;
+  ASSERT_EQ(kinds.size(), 2U);
+  EXPECT_EQ(kinds[0].kind, 7U);
+  EXPECT_FLOAT_EQ(kinds[0].prompts, 15);
+  EXPECT_FLOAT_EQ(kinds[0].prompt_tokens, 1'500);
+  EXPECT_FLOAT_EQ(kinds[0].read_tokens, 600);
+}
+
+TEST_F(LoadLedgerTest, SumsStopAtWhatTheMessageHolds) {
+  for (std::uint16_t front = 10; front < 13; ++front) {
+    ledger.hear(recordOf(front, {{FirstWorker, 1, 60'000}}));
+  }
+  EXPECT_THAT(told(second), testing::ElementsAre("11:3/65535"));
+}
+
+}  // namespace
+}  // namespace switchsaddle::core
--- a/libraries/front/include/switchsaddle/front/forward_placer.h
+++ b/libraries/front/include/switchsaddle/front/forward_placer.h
@@ -45,7 +45,7 @@
   /** The first event of a stream has come. */
   void noteFirstToken(const ForwardPlacement& placement);
   /** What this front has under way at workers, to be told to the others. */
-  std::vector<wire::WorkerLoad> loads() const;
+  wire::FrontLoad load() const;
   void setOthersLoads(const wire::FleetLoad& loads);
   void setFronts(const std::vector<base::NodeAddress>& fronts);
   /** Workers, by worker_health::workerKey(), that the cores found failing. They get requests only
--- a/libraries/front/source/forward_placer.cc
+++ b/libraries/front/source/forward_placer.cc
@@ -181,14 +181,14 @@
   }
 }
 
-std::vector<wire::WorkerLoad> ForwardPlacer::loads() const {
-  std::vector<wire::WorkerLoad> loads = router_.exportLoads();
+wire::FrontLoad ForwardPlacer::load() const {
+  wire::FrontLoad load = router_.exportLoads();
   for (const auto& [id, usage] : usage_) {
     if (usage.in_flight > 0) {
-      loads.push_back({usage.load_key, static_cast<std::uint16_t>(usage.in_flight), 0});
+      load.workers.push_back({usage.load_key, static_cast<std::uint16_t>(usage.in_flight), 0});
     }
   }
-  return loads;
+  return load;
 }
 
 void ForwardPlacer::setOthersLoads(const wire::FleetLoad& loads) {
--- a/libraries/front/source/forward_request.cc
+++ b/libraries/front/source/forward_request.cc
@@ -162,6 +162,7 @@
   readTokenCount(message.header(headers.token_count), request);
   readPrefixParts(message.header(headers.prefix_parts), request.prompt);
   request.prompt.last_part_own = true;
+  request.prompt.event_gap_goal = std::chrono::milliseconds(request.route->event_gap_goal_ms);
   request.prompt.first_token_goal = std::chrono::milliseconds(request.route->answer_goal_ms);
   request.prompt.kind = base::hashBytes(request.route->name);
   request.message = std::move(message);
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -149,7 +149,7 @@
     record.demand = quotas_.demand();
     record.health = health_.statement();
     if (environment_.settings.forwarding.fleet_loads) {
-      record.loads = placer_.loads();
+      record.load = placer_.load();
     }
   });
   session_.setGrantListener([this](const wire::SessionOpenReply& granted) { onGranted(granted); });
--- a/libraries/front/test/fakes.h
+++ b/libraries/front/test/fakes.h
@@ -260,7 +260,7 @@
     completions.push_back(completion);
   }
   void noteFirstToken(std::uint64_t) override { ++first_tokens; }
-  std::vector<wire::WorkerLoad> exportLoads() const override { return {}; }
+  wire::FrontLoad exportLoads() const override { return {}; }
   void importLoads(const wire::FleetLoad&) override {}
   std::vector<routing::RoutingRow> table(const std::string&) const override { return {}; }
   std::vector<wire::RouteScore> exportScores() const override { return {}; }
--- a/libraries/routing/include/switchsaddle/routing/learned_router.h
+++ b/libraries/routing/include/switchsaddle/routing/learned_router.h
@@ -62,7 +62,7 @@
                                   const std::vector<std::string>& excluded) override;
   void complete(const Completion& completion) override;
   void noteFirstToken(std::uint64_t ticket) override;
-  std::vector<wire::WorkerLoad> exportLoads() const override;
+  wire::FrontLoad exportLoads() const override;
   void importLoads(const wire::FleetLoad& loads) override;
   std::vector<RoutingRow> table(const std::string& model) const override;
   /** At most MaximumExportedScores: arms of cold workers first, then the last measured. */
--- a/libraries/routing/include/switchsaddle/routing/placement_cost.h
+++ b/libraries/routing/include/switchsaddle/routing/placement_cost.h
@@ -11,6 +11,14 @@
   double size = 1;
   /** Tokens of shared parts that this worker does not hold and others do. */
   double read_again = 0;
+  /** Seconds of reading that the worker will have before it with this prompt: whoever comes next
+   * waits for it. */
+  double backlog_s = 0;
+  /** Streams that run there, and the longest pause that they may have; zero: none is set. */
+  double streams = 0;
+  double gap_goal_s = 0;
+  /** Seconds of reading before this prompt. */
+  double queue_s = 0;
   /** This front has no open connection to the worker. */
   bool connects = false;
 };
--- a/libraries/routing/include/switchsaddle/routing/router.h
+++ b/libraries/routing/include/switchsaddle/routing/router.h
@@ -29,6 +29,8 @@
   std::uint64_t kind = 0;
   /** Within this time the first token is in time. */
   base::Duration first_token_goal = std::chrono::seconds(1);
+  /** Longest pause between two events of a stream that is in time; zero: none is set. */
+  base::Duration event_gap_goal{};
   /** The last part is this prompt's own: no other has it, so that none can have left it anywhere.
    */
   bool last_part_own = false;
@@ -112,7 +114,7 @@
   /** The first token of a placement has come. */
   virtual void noteFirstToken(std::uint64_t ticket) = 0;
   /** What this front has under way at workers, and what the other fronts have. */
-  virtual std::vector<wire::WorkerLoad> exportLoads() const = 0;
+  virtual wire::FrontLoad exportLoads() const = 0;
   virtual void importLoads(const wire::FleetLoad& loads) = 0;
   virtual std::vector<RoutingRow> table(const std::string& model) const = 0;
   /** Fresh scores of this front's own samples for dissemination, and those of others to be merged.
--- a/libraries/routing/include/switchsaddle/routing/work_lanes.h
+++ b/libraries/routing/include/switchsaddle/routing/work_lanes.h
@@ -3,8 +3,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <vector>
 
 #include "switchsaddle/base/time.h"
+#include "switchsaddle/wire/load_messages.h"
 
 namespace switchsaddle::routing {
 
@@ -14,10 +16,17 @@
  * that queues behind it is late whole. A kind goes as one, whatever the length of a single prompt,
  * since its prompts share parts that ought to be read once. The kinds are parted where the mean
  * lengths of two neighbours lie furthest apart, if they do so by LeastRatio; the long ones get a
- * part of the workers like their part of all prompt tokens, within bounds. Strand of its owner.
+ * part of the workers like their part of all tokens that workers read, within bounds and in steps.
+ * While the cores tell what work all fronts get, lanes follow that, so that all fronts have the
+ * same ones; otherwise this front's own work.
+ * Strand of its owner.
  */
 class WorkLanes {
  public:
+  WorkLanes() = default;
+  WorkLanes(const WorkLanes&) = delete;
+  WorkLanes& operator=(const WorkLanes&) = delete;
+
   /** Means closer than this share their workers. */
   static constexpr double LeastRatio = 2.5;
   /** Bounds of the long lane's part of the workers. */
@@ -29,12 +38,23 @@
   static constexpr double FewestPrompts = 5;
   static constexpr base::Duration HalfLife = std::chrono::seconds(60);
 
+  /** How long the cores' word holds. */
+  static constexpr base::Duration FleetLifetime = std::chrono::seconds(5);
+  /** Parts of the workers are multiples of this, so that fronts agree on them. */
+  static constexpr double PartStep = 0.05;
+
   void add(std::uint64_t kind, std::uint32_t prompt_tokens, base::TimePoint now);
+  /** Of a prompt that add() has counted, so many tokens are to be read. */
+  void addRead(std::uint64_t kind, std::uint32_t tokens);
+  /** The work that this front got. */
+  std::vector<wire::KindWork> kinds() const;
+  /** The work that all fronts got. */
+  void setFleet(const std::vector<wire::KindWork>& kinds, base::TimePoint now);
   /** Whether the kinds known are parted into two lanes. */
   bool divided() const { return divided_; }
-  /** Whether the kind has long prompts; false for a kind not known. */
   /** Mean prompt tokens of a kind; zero where it is not known. */
   double meanTokens(std::uint64_t kind) const;
+  /** Whether the kind has long prompts; false for a kind not known. */
   bool isLong(std::uint64_t kind) const;
   /** Of so many workers, how many serve the short kinds; all where there is no division. */
   std::size_t shortWorkers(std::size_t workers) const;
@@ -43,13 +63,27 @@
   struct Kind {
     double prompts = 0;
     double tokens = 0;
+    double read = 0;
+
+    double mean() const { return tokens / prompts; }
   };
+  using Kinds = std::map<std::uint64_t, Kind>;
 
   void decay(base::TimePoint now);
   void divide();
+  /** Tokens that workers read for the kind. */
+  static double workOf(const Kind& kind);
+  /** Gives the long kinds a part of the workers like `wanted`. */
+  void movePart(double wanted);
 
-  std::map<std::uint64_t, Kind> kinds_;
+  /** This front's own work. */
+  Kinds kinds_;
   base::TimePoint decayed_at_{};
+  /** All fronts' work, while it is known. */
+  Kinds fleet_;
+  base::TimePoint fleet_at_{};
+  /** What the lanes follow: one of the two. */
+  const Kinds* followed_ = &kinds_;
   bool divided_ = false;
   /** Mean length from which on a kind is long. */
   double long_from_ = 0;
--- a/libraries/routing/source/candidates.cc
+++ b/libraries/routing/source/candidates.cc
@@ -149,8 +149,12 @@
   }
   const double measured_s = home.front()->statistics.mean().seconds_per_output_token;
   const double token_s = measured_s > 0 ? measured_s : options_.cold_prior.seconds_per_output_token;
-  const double streams_per_s =
-      chain_rate_.provenPerSecond(chain, dispatcher_.now()) * static_cast<double>(fronts_);
+  // Where loads are known, what a home cannot take goes on to the next; elsewhere it must not be
+  // overrun, so that a chain gets further homes sooner.
+  const base::TimePoint now = dispatcher_.now();
+  const double own_per_s = options_.fleet_loads ? chain_rate_.provenPerSecond(chain, now)
+                                                : chain_rate_.perSecond(chain, now);
+  const double streams_per_s = own_per_s * static_cast<double>(fronts_);
   const double busy_slots = streams_per_s * token_s * prompt.maximum_tokens;
   const double own_tokens =
       prompt.last_part_own ? static_cast<double>(prompt.prefix_parts.back().tokens) : 0;
--- a/libraries/routing/source/expected_work.cc
+++ b/libraries/routing/source/expected_work.cc
@@ -54,14 +54,20 @@
   const base::TimePoint now = dispatcher_.now();
   const WorkerRecord& worker = *candidate.arm->prefill;
   const std::uint32_t cached = std::min(candidate.cached_tokens, prompt.prompt_tokens);
-  candidate.first_token_s = pool.first_token.baseSeconds() + queueSeconds(*candidate.arm, now) +
-                            slotWaitSeconds(*candidate.arm, prompt, now) +
-                            prefillSeconds(pool, *candidate.arm, prompt.prompt_tokens - cached);
+  const double queue_s = queueSeconds(*candidate.arm, now);
+  const double backlog_s =
+      queue_s + prefillSeconds(pool, *candidate.arm, prompt.prompt_tokens - cached);
+  candidate.first_token_s =
+      pool.first_token.baseSeconds() + backlog_s + slotWaitSeconds(*candidate.arm, prompt, now);
   const double mean_tokens = lanes_.meanTokens(prompt.kind);
   const double shared = chains.sharedTokens();
   const double held = std::max<double>(cached, candidate.next_home ? shared * NextHomeHolds : 0);
   ExpectedPlacement expected;
   expected.first_token_s = candidate.first_token_s;
+  expected.backlog_s = backlog_s;
+  expected.queue_s = queue_s;
+  expected.streams = worker.cold.in_flight + others_.of(worker.load_key, now).requests;
+  expected.gap_goal_s = seconds(prompt.event_gap_goal);
   expected.goal_s = seconds(prompt.first_token_goal);
   expected.size = mean_tokens > 0 ? prompt.prompt_tokens / mean_tokens : 1;
   expected.read_again = std::max(0.0, shared - held);
@@ -113,25 +119,29 @@
   }
 }
 
-std::vector<wire::WorkerLoad> LearnedRouter::exportLoads() const {
+wire::FrontLoad LearnedRouter::exportLoads() const {
   constexpr double MsPerSecond = 1e3;
   constexpr double MostMs = 60'000;
   const base::TimePoint now = dispatcher_.now();
-  std::vector<wire::WorkerLoad> loads;
+  wire::FrontLoad load;
+  load.kinds = lanes_.kinds();
   for (const auto& [id, record] : workers_) {
     const std::uint32_t requests = record->cold.in_flight;
     if (requests == 0) {
       continue;
     }
     const double prefill_ms = std::min(MostMs, record->prefill.left(now) * MsPerSecond);
-    loads.push_back({record->load_key, static_cast<std::uint16_t>(requests),
-                     static_cast<std::uint16_t>(prefill_ms)});
+    load.workers.push_back({record->load_key, static_cast<std::uint16_t>(requests),
+                            static_cast<std::uint16_t>(prefill_ms)});
   }
-  return loads;
+  return load;
 }
 
 void LearnedRouter::importLoads(const wire::FleetLoad& loads) {
   others_.set(loads, dispatcher_.now());
+  if (loads.known) {
+    lanes_.setFleet(loads.kinds, dispatcher_.now());
+  }
 }
 
 }  // namespace switchsaddle::routing
--- a/libraries/routing/source/learned_router.cc
+++ b/libraries/routing/source/learned_router.cc
@@ -122,6 +122,7 @@
   InFlight in_flight{chosen.arm->shared_from_this(), pool, chains};
   in_flight.placed_at = dispatcher_.now();
   in_flight.uncached_tokens = uncached_tokens;
+  lanes_.addRead(prompt.kind, uncached_tokens);
   in_flight.queue_s = queueSeconds(*chosen.arm, in_flight.placed_at);
   in_flight.prefill_s = prefillSeconds(*pool, *chosen.arm, uncached_tokens);
   chosen.arm->prefill->prefill.add(in_flight.prefill_s, in_flight.placed_at);
--- a/libraries/routing/source/work_lanes.cc
+++ b/libraries/routing/source/work_lanes.cc
@@ -12,7 +12,7 @@
 /** A kind with less than this left of a prompt is forgotten. */
 constexpr double ForgottenBelow = 0.05;
 /** The division moves only where the work asks for a part that differs by more than this. */
-constexpr double LeastMove = 0.08;
+constexpr double LeastMove = 0.06;
 
 }  // namespace
 
@@ -22,36 +22,60 @@
   known.tokens += prompt_tokens;
   if (now - decayed_at_ >= DivideInterval) {
     decay(now);
+    followed_ = now - fleet_at_ < FleetLifetime && !fleet_.empty() ? &fleet_ : &kinds_;
     divide();
   }
 }
 
+void WorkLanes::addRead(std::uint64_t kind, std::uint32_t tokens) {
+  const auto known = kinds_.find(kind);
+  if (known != kinds_.end()) {
+    known->second.read += tokens;
+  }
+}
+
+std::vector<wire::KindWork> WorkLanes::kinds() const {
+  std::vector<wire::KindWork> kinds;
+  for (const auto& [name, kind] : kinds_) {
+    kinds.push_back({name, static_cast<float>(kind.prompts), static_cast<float>(kind.tokens),
+                     static_cast<float>(kind.read)});
+  }
+  return kinds;
+}
+
+void WorkLanes::setFleet(const std::vector<wire::KindWork>& kinds, base::TimePoint now) {
+  fleet_at_ = now;
+  fleet_.clear();
+  for (const wire::KindWork& work : kinds) {
+    fleet_[work.kind] = {work.prompts, work.prompt_tokens, work.read_tokens};
+  }
+}
+
 void WorkLanes::decay(base::TimePoint now) {
   const double kept = std::exp2(-std::chrono::duration<double>(now - decayed_at_) / HalfLife);
   decayed_at_ = now;
   for (auto& [name, kind] : kinds_) {
     kind.prompts *= kept;
     kind.tokens *= kept;
+    kind.read *= kept;
   }
   std::erase_if(kinds_, [](const auto& item) { return item.second.prompts < ForgottenBelow; });
 }
 
 void WorkLanes::divide() {
   std::vector<Kind> known;
-  for (const auto& [name, kind] : kinds_) {
+  for (const auto& [name, kind] : *followed_) {
     if (kind.prompts >= FewestPrompts && kind.tokens > 0) {
       known.push_back(kind);
     }
   }
-  const auto mean = [](const Kind& kind) { return kind.tokens / kind.prompts; };
-  std::sort(known.begin(), known.end(),
-            [&mean](const Kind& first, const Kind& second) { return mean(first) < mean(second); });
+  std::ranges::sort(known, {}, &Kind::mean);
   double widest = 0;
   std::size_t cut = 0;
   double total = 0;
   for (std::size_t index = 0; index < known.size(); ++index) {
-    total += known[index].tokens;
-    const double ratio = index == 0 ? 0 : mean(known[index]) / mean(known[index - 1]);
+    total += workOf(known[index]);
+    const double ratio = index == 0 ? 0 : known[index].mean() / known[index - 1].mean();
     if (ratio > widest) {
       widest = ratio;
       cut = index;
@@ -61,25 +85,33 @@
   if (!divided_) {
     return;
   }
-  long_from_ = std::sqrt(mean(known[cut]) * mean(known[cut - 1]));
-  double long_tokens = 0;
+  long_from_ = std::sqrt(known[cut].mean() * known[cut - 1].mean());
+  double long_work = 0;
   for (std::size_t index = cut; index < known.size(); ++index) {
-    long_tokens += known[index].tokens;
+    long_work += workOf(known[index]);
   }
-  const double wanted = std::clamp(long_tokens / total, LeastPart, LargestPart);
+  movePart(std::clamp(long_work / total, LeastPart, LargestPart));
+}
+
+double WorkLanes::workOf(const Kind& kind) {
+  // Before anything was placed nothing is known to be read.
+  return kind.read > 0 ? kind.read : kind.tokens;
+}
+
+void WorkLanes::movePart(double wanted) {
   if (std::abs(wanted - long_part_) > LeastMove) {
-    long_part_ = wanted;
+    long_part_ = std::round(wanted / PartStep) * PartStep;
   }
 }
 
 double WorkLanes::meanTokens(std::uint64_t kind) const {
-  const auto known = kinds_.find(kind);
-  return known == kinds_.end() ? 0 : known->second.tokens / known->second.prompts;
+  const auto known = followed_->find(kind);
+  return known == followed_->end() ? 0 : known->second.mean();
 }
 
 bool WorkLanes::isLong(std::uint64_t kind) const {
-  const auto known = kinds_.find(kind);
-  return divided_ && known != kinds_.end() &&
+  const auto known = followed_->find(kind);
+  return divided_ && known != followed_->end() &&
          known->second.tokens >= long_from_ * known->second.prompts;
 }
 
--- /dev/null
+++ b/libraries/routing/test/first_token_model_test.cc
@@ -0,0 +1,56 @@
+#include "switchsaddle/routing/first_token_model.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace switchsaddle::routing {
+namespace {
+
+constexpr double Base = 0.03;
+constexpr double PerToken = 2e-5;
+
+/** Answers of an engine with the rates above: prompts of 200 to 12,000 tokens, `busy` of ten of
+ * them delayed by half a second that the front does not know of. */
+FirstTokenModel trained(int answers, int busy) {
+  std::mt19937 random(3);
+  std::uniform_real_distribution<double> tokens(200, 12'000);
+  std::uniform_int_distribution<int> in_ten(0, 9);
+  FirstTokenModel model;
+  for (int answer = 0; answer < answers; ++answer) {
+    const double read = tokens(random);
+    const double delay = in_ten(random) < busy ? 0.5 : 0;
+    model.add(read, Base + read * PerToken + delay);
+  }
+  return model;
+}
+
+TEST(FirstTokenModelTest, FindsTheRates) {
+  const FirstTokenModel model = trained(200, 0);
+  EXPECT_NEAR(model.secondsPerToken(), PerToken, PerToken * 0.02);
+  EXPECT_NEAR(model.baseSeconds(), Base, 0.002);
+}
+
+TEST(FirstTokenModelTest, AFewAnswersAreEnough) {
+  const FirstTokenModel model = trained(5, 0);
+  EXPECT_NEAR(model.expect(10'000), Base + 10'000 * PerToken, 0.05);
+}
+
+TEST(FirstTokenModelTest, DelaysThatWereNotKnownMoveItWithinABound) {
+  const FirstTokenModel model = trained(400, 2);
+  EXPECT_GT(model.expect(10'000), 0.2);
+  EXPECT_LT(model.expect(10'000), 0.4);
+}
+
+TEST(FirstTokenModelTest, BelievesNoRateBelowZero) {
+  FirstTokenModel model;
+  for (int answer = 0; answer < 50; ++answer) {
+    model.add(100, 0.2);
+    model.add(8'000, 0.1);
+  }
+  EXPECT_GT(model.secondsPerToken(), 0);
+  EXPECT_GT(model.baseSeconds(), 0);
+}
+
+}  // namespace
+}  // namespace switchsaddle::routing
--- /dev/null
+++ b/libraries/routing/test/others_load_test.cc
@@ -0,0 +1,40 @@
+#include "switchsaddle/routing/others_load.h"
+
+#include <gtest/gtest.h>
+
+namespace switchsaddle::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint32_t Worker = 5;
+const base::TimePoint Start{std::chrono::seconds(100)};
+
+TEST(OthersLoadTest, ReadsOnSinceItWasTold) {
+  OthersLoad others;
+  EXPECT_FALSE(others.known(Start));
+  others.set({true, {{Worker, 4, 300}}, {}}, Start);
+  EXPECT_DOUBLE_EQ(others.of(Worker, Start).prefill_s, 0.3);
+  EXPECT_NEAR(others.of(Worker, Start + milliseconds(100)).prefill_s, 0.2, 1e-9);
+  EXPECT_DOUBLE_EQ(others.of(Worker, Start + milliseconds(400)).prefill_s, 0);
+  EXPECT_DOUBLE_EQ(others.of(Worker, Start + milliseconds(400)).requests, 4);
+  EXPECT_DOUBLE_EQ(others.of(Worker + 1, Start).requests, 0);
+}
+
+TEST(OthersLoadTest, AViewThatIsNotToldAnewSaysNothing) {
+  OthersLoad others;
+  others.set({true, {{Worker, 4, 3'000}}, {}}, Start);
+  const base::TimePoint later = Start + OthersLoad::Lifetime;
+  EXPECT_FALSE(others.known(later));
+  EXPECT_DOUBLE_EQ(others.of(Worker, later).requests, 0);
+}
+
+TEST(OthersLoadTest, ACoreThatHasNotHeardTheFrontsChangesNothing) {
+  OthersLoad others;
+  others.set({true, {{Worker, 4, 300}}, {}}, Start);
+  others.set({false, {}, {}}, Start);
+  EXPECT_DOUBLE_EQ(others.of(Worker, Start).requests, 4);
+}
+
+}  // namespace
+}  // namespace switchsaddle::routing
--- a/libraries/routing/test/work_lanes_test.cc
+++ b/libraries/routing/test/work_lanes_test.cc
@@ -12,6 +12,11 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::uint64_t Short = 10;
+constexpr std::uint64_t Middle = 20;
+constexpr std::uint64_t Long = 30;
+constexpr std::uint64_t Unknown = 40;
+
 TEST(WorkLanesTest, PartsKindsWhereTheirLengthsLieFurthestApart) {
   WorkLanes lanes;
   base::TimePoint now{};
@@ -19,16 +24,16 @@
   for (int round = 0; round < 100; ++round) {
     now += milliseconds(100);
     for (int prompt = 0; prompt < 3; ++prompt) {
-      lanes.add(1, 800, now);
-      lanes.add(2, 2'000, now);
+      lanes.add(Short, 800, now);
+      lanes.add(Middle, 2'000, now);
     }
-    lanes.add(3, round % 2 == 0 ? 1'000 : 25'000, now);
+    lanes.add(Long, round % 2 == 0 ? 1'000 : 25'000, now);
   }
   EXPECT_TRUE(lanes.divided());
-  EXPECT_FALSE(lanes.isLong(1));
-  EXPECT_FALSE(lanes.isLong(2));
-  EXPECT_TRUE(lanes.isLong(3));
-  EXPECT_FALSE(lanes.isLong(4));
+  EXPECT_FALSE(lanes.isLong(Short));
+  EXPECT_FALSE(lanes.isLong(Middle));
+  EXPECT_TRUE(lanes.isLong(Long));
+  EXPECT_FALSE(lanes.isLong(Unknown));
   // 13,000 of 21,400 tokens are of the long kind.
   EXPECT_EQ(lanes.shortWorkers(10), 4U);
   EXPECT_EQ(lanes.shortWorkers(3), 3U);
@@ -39,13 +44,30 @@
   base::TimePoint now{};
   for (int round = 0; round < 100; ++round) {
     now += milliseconds(100);
-    lanes.add(1, 1'000, now);
-    lanes.add(2, 2'000, now);
+    lanes.add(Short, 1'000, now);
+    lanes.add(Middle, 2'000, now);
   }
   EXPECT_FALSE(lanes.divided());
   EXPECT_EQ(lanes.shortWorkers(10), 10U);
 }
 
+TEST(WorkLanesTest, FollowsTheWorkOfAllFrontsWhileItIsTold) {
+  WorkLanes lanes;
+  base::TimePoint now = base::TimePoint{} + std::chrono::seconds(100);
+  const std::vector<wire::KindWork> fleet = {{Short, 100, 100'000, 100'000},
+                                             {Long, 100, 900'000, 300'000}};
+  lanes.setFleet(fleet, now);
+  lanes.add(Short, 50'000, now);
+  EXPECT_FALSE(lanes.isLong(Short));
+  EXPECT_TRUE(lanes.isLong(Long));
+  EXPECT_DOUBLE_EQ(lanes.meanTokens(Long), 9'000);
+  // By what is read, not by the length of prompts: 0.7 in place of 0.9.
+  EXPECT_EQ(lanes.shortWorkers(20), 6U);
+  now += WorkLanes::FleetLifetime;
+  lanes.add(Short, 50'000, now);
+  EXPECT_FALSE(lanes.divided()) << "its own work is of one kind";
+}
+
 TEST(FirstTokenEstimateTest, ThePoolsRateGoesBeforeAnArmsOwnUnlessItIsSick) {
   Arm arm;
   arm.prefill = std::make_shared<WorkerRecord>();
--- a/libraries/wire/include/switchsaddle/wire/load_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/load_messages.h
@@ -26,15 +26,42 @@
   }
 };
 
+/** Prompts of one kind of work, such as one route's, counted with a half life. */
+struct KindWork {
+  std::uint64_t kind = 0;
+  float prompts = 0;
+  float prompt_tokens = 0;
+  /** Of these, those that a worker had to read. */
+  float read_tokens = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(kind, prompts, prompt_tokens, read_tokens);
+  }
+};
+
+/** What one front has under way, and what work it got of late. */
+struct FrontLoad {
+  std::vector<WorkerLoad> workers;
+  std::vector<KindWork> kinds;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(workers, kinds);
+  }
+};
+
 /** What all fronts but the one that is told have under way. */
 struct FleetLoad {
   /** Whether the core has heard the fronts; where it has not, the rest is to be passed over. */
   bool known = false;
   std::vector<WorkerLoad> others;
+  /** Of all fronts, that one included. */
+  std::vector<KindWork> kinds;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(known, others);
+    archive(known, others, kinds);
   }
 };
 
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -64,13 +64,12 @@
   std::vector<TenantDemand> demand = {};
   /** What the front has seen of workers. */
   HealthStatement health = {};
-  /** What the front has under way at workers. */
-  std::vector<WorkerLoad> loads = {};
+  FrontLoad load = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(front, instance, sequence, applied_version, applied_digest, zone, closed, demand,
-            health, loads);
+            health, load);
   }
 };
 
