--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -45,8 +45,7 @@
    * docs/ROUTING.md.
    */
   bool work_lanes = false;
-  /** Tell the other fronts what this one has under way at workers, and place by what all have;
-   * docs/design/placement.md. */
+  /** Place by what all fronts have under way at workers; docs/design/placement.md. */
   bool fleet_loads = false;
   /** Repeats as a share of a pool's requests, and besides, over ten seconds. */
   double retry_share = 0.1;
--- a/libraries/core/include/switchsaddle/core/load_ledger.h
+++ b/libraries/core/include/switchsaddle/core/load_ledger.h
@@ -26,6 +26,8 @@
   /** What the other fronts have under way, workers without work left out, and the kinds of work of
    * all fronts. */
   wire::FleetLoad toldTo(const wire::SessionRecord& record);
+  /** Requests of all fronts on the worker with this workers::loadKey(). */
+  std::uint32_t requestsOn(std::uint32_t worker) const;
 
  private:
   using FrontKey = std::pair<base::NodeAddress, std::uint64_t>;
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -7,7 +7,6 @@
 #include "core_options.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/node_options/node_options.h"
-#include "switchsaddle/worker_health/dispatch_sample.h"
 #include "switchsaddle/workers/worker_journal.h"
 
 namespace switchsaddle::core {
@@ -17,7 +16,6 @@
 constexpr base::Duration ReopenPause = std::chrono::seconds(1);
 /** For peers to tell a new watcher the last view, so that workers keep their instances. */
 constexpr base::Duration WatcherPause = std::chrono::milliseconds(400);
-constexpr base::Duration RankingInterval = std::chrono::seconds(2);
 constexpr base::Duration PeersInterval = std::chrono::milliseconds(500);
 /** Left to the other cores to take the watcher's lease that this one gave back. */
 constexpr base::Duration YieldPause = std::chrono::seconds(3);
@@ -170,21 +168,6 @@
   });
 }
 
-void CoreNode::addToGrant(const wire::SessionRecord& record, wire::SessionOpenReply& granted) {
-  if (sessions_.recovering()) {
-    quotas_.stopHearing();
-  }
-  if (auto allotments = quotas_.allot(record)) {
-    granted.quotas_known = true;
-    granted.allotments = std::move(*allotments);
-  }
-  granted.health = suspicion_.advice(record.zone);
-  addWatched(granted.health.watched);
-  if (!sessions_.recovering()) {
-    granted.load = loads_.toldTo(record);
-  }
-}
-
 void CoreNode::handleControlRequests() {
   environment_.calls.handle<wire::ControlRequest>(
       [this, alive = std::weak_ptr(alive_)](const base::NodeAddress& /*from*/,
@@ -408,44 +391,6 @@
   gossip_.setPeers(std::move(peers));
 }
 
-void CoreNode::refreshRanking() {
-  const base::TimePoint now = environment_.dispatcher.now();
-  if (ranked_at_ && now - *ranked_at_ < RankingInterval) {
-    return;
-  }
-  ranked_at_ = now;
-  if (!ranking_.refresh() || !membership_lease_.held()) {
-    return;
-  }
-  const worker_health::TopChange& change = ranking_.history().back();
-  base::Incident incident;
-  incident.event = "sickest-worker";
-  incident.severity = change.worker.empty() ? base::Severity::Info : base::Severity::Warning;
-  incident.fields = {{"worker", change.worker}, {"before", change.before}};
-  incidents().report(incident);
-}
-
-void CoreNode::addWatched(std::vector<std::uint64_t>& watched) const {
-  const std::vector<std::uint64_t> questioned = ranking_.questioned();
-  watched.insert(watched.end(), questioned.begin(), questioned.end());
-  for (const std::string& worker : replica_.view()->workers_in_maintenance) {
-    const auto listed = workers_.snapshot()->workers.find(worker);
-    if (listed != workers_.snapshot()->workers.end()) {
-      watched.push_back(worker_health::workerKey(listed->second.entry));
-    }
-  }
-  std::ranges::sort(watched);
-  watched.erase(std::unique(watched.begin(), watched.end()), watched.end());
-}
-
-std::uint32_t CoreNode::requestsOn(const std::string& worker) const {
-  const auto listed = workers_.snapshot()->workers.find(worker);
-  if (listed == workers_.snapshot()->workers.end()) {
-    return 0;
-  }
-  return evidence_.ofWorker(worker_health::workerKey(listed->second.entry)).in_flight;
-}
-
 NodeStatus CoreNode::status() const {
   NodeStatus status;
   status.address = environment_.calls.localAddress();
--- a/libraries/core/source/load_ledger.cc
+++ b/libraries/core/source/load_ledger.cc
@@ -95,6 +95,11 @@
   return {true, othersThan(FrontKey{record.front, record.instance}), kinds_};
 }
 
+std::uint32_t LoadLedger::requestsOn(std::uint32_t worker) const {
+  const auto total = totals_.find(worker);
+  return total == totals_.end() ? 0 : total->second.requests;
+}
+
 std::vector<wire::WorkerLoad> LoadLedger::othersThan(const FrontKey& key) const {
   std::map<std::uint32_t, const wire::WorkerLoad*> own;
   const auto known = fronts_.find(key);
--- a/libraries/core/test/load_ledger_test.cc
+++ b/libraries/core/test/load_ledger_test.cc
@@ -46,6 +46,8 @@
   EXPECT_THAT(told(first), testing::ElementsAre("11:3/50"));
   EXPECT_THAT(told(second), testing::ElementsAre("11:2/100", "22:1/0"));
   EXPECT_THAT(told(recordOf(3, {})), testing::ElementsAre("11:5/150", "22:1/0"));
+  EXPECT_EQ(ledger.requestsOn(FirstWorker), 5);
+  EXPECT_EQ(ledger.requestsOn(33), 0);
 }
 
 TEST_F(LoadLedgerTest, ARecordTakesThePlaceOfTheOneBefore) {
--- a/libraries/front/source/front_node.cc
+++ b/libraries/front/source/front_node.cc
@@ -148,9 +148,7 @@
   session_.setRecordSource([this](wire::SessionRecord& record) {
     record.demand = quotas_.demand();
     record.health = health_.statement();
-    if (environment_.settings.forwarding.fleet_loads) {
-      record.load = placer_.load();
-    }
+    record.load = placer_.load();
   });
   session_.setGrantListener([this](const wire::SessionOpenReply& granted) { onGranted(granted); });
   peers_timer_ = environment_.dispatcher.createTimer([this] { refreshPeers(); });
