Whole-node test of the load that cores hear; forget silent fronts at every core

FleetLoadsTest (three cores, two fronts, 24 workers a pool, ten seeds): every core knows the requests on every worker, also beyond the 16 whose health a front tells; a killed front counts no more. Its second half failed first: at a core that granted no session the killed front's 30 requests stayed. hear() now forgets silent fronts as well. AddsUpKindsOfWorkOfAllFronts waits for the next adding up, each 200 ms, since hear() now begins one.

--- a/libraries/core/source/load_ledger.cc
+++ b/libraries/core/source/load_ledger.cc
@@ -31,6 +31,7 @@
   }
   add(record.load.workers);
   fronts_[key] = Front{dispatcher_.now(), record.load};
+  refresh();
 }
 
 void LoadLedger::add(const std::vector<wire::WorkerLoad>& loads) {
--- a/libraries/core/test/load_ledger_test.cc
+++ b/libraries/core/test/load_ledger_test.cc
@@ -71,6 +71,14 @@
   EXPECT_THAT(told(first), testing::IsEmpty());
 }
 
+TEST_F(LoadLedgerTest, SilentFrontsAreForgottenAtACoreThatNobodyAsks) {
+  ledger.hear(first);
+  world.runFor(milliseconds(1'600));
+  ledger.hear(second);
+  EXPECT_EQ(ledger.requestsOn(FirstWorker), 3);
+  EXPECT_EQ(ledger.requestsOn(SecondWorker), 0);
+}
+
 TEST_F(LoadLedgerTest, TwoProcessesOfOneAddressCountApart) {
   ledger.hear(first);
   wire::SessionRecord restarted = recordOf(1, {{FirstWorker, 1, 5}});
@@ -84,6 +92,8 @@
   second.load.kinds = {{7, 5, 500, 100}, {9, 1, 20, 20}};
   ledger.hear(first);
   ledger.hear(second);
+  // They are added up five times a second.
+  world.runFor(milliseconds(200));
   const std::vector<wire::KindWork> kinds = ledger.toldTo(first).kinds;
   ASSERT_EQ(kinds.size(), 2U);
   EXPECT_EQ(kinds[0].kind, 7U);
--- /dev/null
+++ b/libraries/front/test/fleet_loads_test.cc
@@ -0,0 +1,82 @@
+// What fronts have under way at workers, as the cores hear it on whole nodes.
+
+#include "simulated_fleet.h"
+
+namespace switchsaddle::front {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** More than the workers of which a front tells what it has seen of their health. */
+constexpr int WorkersPerPool = 24;
+constexpr int Streams = 60;
+
+class FleetLoadsTest : public testing::TestWithParam<std::uint64_t> {
+ protected:
+  static std::string configurationOfManySlots() {
+    std::string text = wholeConfiguration();
+    const std::string few = "\"slots\": 10";
+    text.replace(text.find(few), few.size(), "\"slots\": 1000");
+    return text;
+  }
+  void beginStreams() {
+    for (int stream = 0; stream < Streams; ++stream) {
+      auto writer = std::make_shared<CallerWriter>();
+      fleet.fronts[stream % Fronts]->node().service().enqueue(
+          {"POST",
+           "/v1/chat/completions",
+           {{"Authorization", "Bearer secret"}},
+           R"({"model":"large","stream":true,"messages":[{"role":"user","content":"hi"}]})"},
+          writer);
+      fleet.world.runFor(milliseconds(20));
+    }
+  }
+  std::size_t dispatchedBy(int front) const {
+    return static_cast<const FakeWorkers&>(*fleet.fronts[front]->workers).sent.size();
+  }
+  /** Requests on all workers together, as a core hears of them. */
+  std::uint32_t heardBy(int core) const {
+    const core::CoreNode& node = fleet.cores[core]->life->node;
+    std::uint32_t requests = 0;
+    for (const auto& [id, worker] : node.workers().snapshot()->workers) {
+      requests += node.requestsOn(id);
+    }
+    return requests;
+  }
+
+  /** Workers that take every request and answer none. */
+  Fleet fleet{
+      GetParam(),
+      [](simulation::World&, simulation::Process&) { return std::make_unique<FakeWorkers>(); },
+      WorkersPerPool};
+};
+
+TEST_P(FleetLoadsTest, EveryCoreKnowsTheRequestsOnEveryWorker) {
+  ASSERT_TRUE(fleet.allReady());
+  ASSERT_EQ(fleet.change(0, configurationOfManySlots()), 200);
+  beginStreams();
+  fleet.world.runFor(milliseconds(600));
+  const std::size_t under_way = dispatchedBy(0) + dispatchedBy(1);
+  ASSERT_EQ(under_way, static_cast<std::size_t>(Streams));
+  for (int core = 0; core < Cores; ++core) {
+    EXPECT_EQ(heardBy(core), under_way);
+  }
+}
+
+TEST_P(FleetLoadsTest, AFrontThatIsKilledCountsNoMore) {
+  ASSERT_TRUE(fleet.allReady());
+  ASSERT_EQ(fleet.change(0, configurationOfManySlots()), 200);
+  beginStreams();
+  fleet.world.runFor(milliseconds(600));
+  const std::size_t others = dispatchedBy(1);
+  fleet.fronts[0]->kill();
+  fleet.world.runFor(milliseconds(2'500));
+  for (int core = 0; core < Cores; ++core) {
+    EXPECT_EQ(heardBy(core), others);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FleetLoadsTest, testing::Range<std::uint64_t>(1, 11));
+
+}  // namespace
+}  // namespace switchsaddle::front
