--- a/libraries/core/include/switchsaddle/core/in_force_tracker.h
+++ b/libraries/core/include/switchsaddle/core/in_force_tracker.h
@@ -23,6 +23,17 @@
   base::Duration push_pause = std::chrono::milliseconds(100);
 };
 
+/** How a wait ended, and what the readings that counted for it had shown. */
+struct InForceOutcome {
+  bool in_force = false;
+  /** Readings that a majority answered. */
+  std::size_t readings = 0;
+  /** Live sessions with an older version at the last of them. */
+  std::size_t behind = 0;
+  /** One of these fronts; empty where there is none. */
+  base::NodeAddress first_behind;
+};
+
 /**
  * Pushes the committed configuration to the fronts with live sessions, and tells when each of them
  * has confirmed a version or its session has lapsed. Only readings begun after the wait count, so
@@ -31,8 +42,7 @@
  */
 class InForceTracker {
  public:
-  /** True where the version is in force everywhere, false where the deadline passed first. */
-  using Callback = std::function<void(bool)>;
+  using Callback = std::function<void(const InForceOutcome&)>;
 
   InForceTracker(base::Dispatcher& dispatcher, transport::PeerCalls& calls,
                  sessions::SessionDirectory& sessions,
@@ -53,6 +63,7 @@
     std::uint64_t version = 0;
     /** The first reading that counts. */
     std::uint64_t first_reading = 0;
+    InForceOutcome seen;
     Callback callback;
     base::TimerPtr deadline;
   };
@@ -60,7 +71,9 @@
   void startReading();
   void onReading(base::ResultCode code, const std::vector<wire::SessionTableEntry>& sessions);
   void push(const std::vector<wire::SessionTableEntry>& sessions);
-  void finish(std::uint64_t wait, bool in_force);
+  /** Tells a wait what a reading shows; true where its version is in force. */
+  static bool see(Wait& wait, const std::vector<wire::SessionTableEntry>& sessions);
+  void finish(std::uint64_t wait);
 
   base::Dispatcher& dispatcher_;
   transport::PeerCalls& calls_;
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "switchsaddle/base/dispatcher.h"
+#include "switchsaddle/base/incident.h"
 #include "switchsaddle/configuration/register_value.h"
 #include "switchsaddle/core/change_coordinator.h"
 #include "switchsaddle/core/in_force_tracker.h"
@@ -35,13 +36,15 @@
  * change sent again finds its recorded result. What is answered is the result that the value in
  * force has recorded, not that of the function's last run. Refusals are answered at once; only a
  * committed change waits, at most until the acknowledgement deadline, counted from its arrival.
+ * How each change ended, and how long its parts took, is reported as the event `change-ended`.
  * Runs on the control strand.
  */
 class RegisterChangeCoordinator : public ChangeCoordinator {
  public:
   RegisterChangeCoordinator(base::Dispatcher& dispatcher, registers::RegisterProposer& proposer,
                             dissemination::ConfigurationReplica& replica, InForceTracker& tracker,
-                            base::Duration acknowledgement_deadline, CoreFaults faults = {});
+                            base::IncidentSink& incidents, base::Duration acknowledgement_deadline,
+                            CoreFaults faults = {});
 
   /** Hears what led to each version committed here, before it is in force here: for the other core
    * nodes, so that they need not read the register. */
@@ -66,12 +69,16 @@
   void takeCommitted(const configuration::Document& document);
   void onCommitted(const registers::RegisterOutcome& outcome,
                    const configuration::ChangeDecision& decision, const std::string& change_id,
-                   base::TimePoint deadline, Callback callback);
+                   base::TimePoint begun_at, const Callback& callback);
+  void awaitInForce(const ChangeAnswer& answer, base::TimePoint begun_at, Callback callback);
+  void report(const ChangeAnswer& answer, base::Duration commit_took, base::Duration wait_took,
+              const InForceOutcome& in_force);
 
   base::Dispatcher& dispatcher_;
   registers::RegisterProposer& proposer_;
   dissemination::ConfigurationReplica& replica_;
   InForceTracker& tracker_;
+  base::IncidentSink& incidents_;
   base::Duration acknowledgement_deadline_;
   CoreFaults faults_;
   CommittedListener listener_;
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -72,7 +72,7 @@
               node_options::gossipOptionsOf(environment.settings.times)),
       tracker_(environment.dispatcher, environment.calls, sessions_, replica_),
       follower_(environment.dispatcher, observed_proposer_, membership_, replica_, tracker_),
-      coordinator_(environment.dispatcher, observed_proposer_, replica_, tracker_,
+      coordinator_(environment.dispatcher, observed_proposer_, replica_, tracker_, incidents(),
                    environment.settings.times.acknowledgement_deadline, environment.faults),
       watcher_lease_(environment.dispatcher, environment.calls, environment.random,
                      shortLeaseTimesOf(environment.settings.times), PlatformWatcherLease,
--- a/libraries/core/source/in_force_tracker.cc
+++ b/libraries/core/source/in_force_tracker.cc
@@ -23,7 +23,7 @@
   wait.version = version;
   wait.first_reading = reading_number_ + 1;
   wait.callback = std::move(callback);
-  wait.deadline = dispatcher_.createTimer([this, number] { finish(number, false); });
+  wait.deadline = dispatcher_.createTimer([this, number] { finish(number); });
   wait.deadline->enable(std::max(base::Duration::zero(), deadline - dispatcher_.now()));
   pushToLocalSessions();
   if (!reading_) {
@@ -67,20 +67,14 @@
   reading_ = false;
   if (code == base::ResultCode::Ok) {
     push(sessions);
-    std::uint64_t in_force = UINT64_MAX;
-    for (const wire::SessionTableEntry& session : sessions) {
-      if (!session.record.closed) {
-        in_force = std::min(in_force, session.record.applied_version);
-      }
-    }
     std::vector<std::uint64_t> done;
-    for (const auto& [number, wait] : waits_) {
-      if (wait.first_reading <= reading_number_ && wait.version <= in_force) {
+    for (auto& [number, wait] : waits_) {
+      if (wait.first_reading <= reading_number_ && see(wait, sessions)) {
         done.push_back(number);
       }
     }
     for (const std::uint64_t number : done) {
-      finish(number, true);
+      finish(number);
     }
   }
   if (!waits_.empty() && !reading_) {
@@ -119,14 +113,29 @@
   }
 }
 
-void InForceTracker::finish(std::uint64_t wait, bool in_force) {
+bool InForceTracker::see(Wait& wait, const std::vector<wire::SessionTableEntry>& sessions) {
+  InForceOutcome& seen = wait.seen;
+  ++seen.readings;
+  seen.behind = 0;
+  seen.first_behind = {};
+  for (const wire::SessionTableEntry& session : sessions) {
+    const bool behind = !session.record.closed && session.record.applied_version < wait.version;
+    if (behind && seen.behind++ == 0) {
+      seen.first_behind = session.record.front;
+    }
+  }
+  seen.in_force = seen.behind == 0;
+  return seen.in_force;
+}
+
+void InForceTracker::finish(std::uint64_t wait) {
   const auto found = waits_.find(wait);
   if (found == waits_.end()) {
     return;
   }
   const Wait finished = std::move(found->second);
   waits_.erase(found);
-  finished.callback(in_force);
+  finished.callback(finished.seen);
 }
 
 }  // namespace switchsaddle::core
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -54,16 +54,15 @@
 
 }  // namespace
 
-RegisterChangeCoordinator::RegisterChangeCoordinator(base::Dispatcher& dispatcher,
-                                                     registers::RegisterProposer& proposer,
-                                                     dissemination::ConfigurationReplica& replica,
-                                                     InForceTracker& tracker,
-                                                     base::Duration acknowledgement_deadline,
-                                                     CoreFaults faults)
+RegisterChangeCoordinator::RegisterChangeCoordinator(
+    base::Dispatcher& dispatcher, registers::RegisterProposer& proposer,
+    dissemination::ConfigurationReplica& replica, InForceTracker& tracker,
+    base::IncidentSink& incidents, base::Duration acknowledgement_deadline, CoreFaults faults)
     : dispatcher_(dispatcher),
       proposer_(proposer),
       replica_(replica),
       tracker_(tracker),
+      incidents_(incidents),
       acknowledgement_deadline_(acknowledgement_deadline),
       faults_(faults) {}
 
@@ -115,7 +114,7 @@
 
 void RegisterChangeCoordinator::commit(Decide decide, const std::string& change_id,
                                        Callback callback) {
-  const base::TimePoint deadline = dispatcher_.now() + acknowledgement_deadline_;
+  const base::TimePoint begun_at = dispatcher_.now();
   // Only of use for changes that were not written: the function's last run need not be the one that
   // took effect, since an earlier proposal can be found to have done so after all.
   auto decision = std::make_shared<ChangeDecision>();
@@ -137,10 +136,10 @@
     return configuration::encodeRegisterValue(decision->next);
   };
   proposer_.change(registers::ConfigurationRegister, std::move(function),
-                   [this, alive = std::weak_ptr(alive_), decision, change_id, deadline,
+                   [this, alive = std::weak_ptr(alive_), decision, change_id, begun_at,
                     callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
                      if (!alive.expired()) {
-                       onCommitted(outcome, *decision, change_id, deadline, callback);
+                       onCommitted(outcome, *decision, change_id, begun_at, callback);
                      }
                    });
 }
@@ -159,9 +158,11 @@
 
 void RegisterChangeCoordinator::onCommitted(const registers::RegisterOutcome& outcome,
                                             const ChangeDecision& decision,
-                                            const std::string& change_id, base::TimePoint deadline,
-                                            Callback callback) {
+                                            const std::string& change_id, base::TimePoint begun_at,
+                                            const Callback& callback) {
+  const base::Duration commit_took = dispatcher_.now() - begun_at;
   if (outcome.code != ResultCode::Ok) {
+    report(refusal(outcome.code), commit_took, {}, {});
     callback(refusal(outcome.code));
     return;
   }
@@ -171,16 +172,46 @@
   }
   const ChangeAnswer answer = recordedAnswer(value, change_id, answerOf(decision), outcome.changed);
   if (answer.code != ResultCode::Ok || faults_.acknowledge_without_waiting) {
+    report(answer, commit_took, {}, {});
     callback(answer);
     return;
   }
-  tracker_.wait(answer.version, deadline, [answer, callback](bool in_force) {
-    ChangeAnswer final_answer = answer;
-    if (!in_force) {
-      final_answer.code = ResultCode::CommittedNotYetInForce;
-    }
-    callback(final_answer);
-  });
+  awaitInForce(answer, begun_at, callback);
+}
+
+void RegisterChangeCoordinator::awaitInForce(const ChangeAnswer& answer, base::TimePoint begun_at,
+                                             Callback callback) {
+  const base::TimePoint committed_at = dispatcher_.now();
+  tracker_.wait(answer.version, begun_at + acknowledgement_deadline_,
+                [this, answer, begun_at, committed_at,
+                 callback = std::move(callback)](const InForceOutcome& in_force) {
+                  ChangeAnswer final_answer = answer;
+                  if (!in_force.in_force) {
+                    final_answer.code = ResultCode::CommittedNotYetInForce;
+                  }
+                  report(final_answer, committed_at - begun_at, dispatcher_.now() - committed_at,
+                         in_force);
+                  callback(final_answer);
+                });
+}
+
+void RegisterChangeCoordinator::report(const ChangeAnswer& answer, base::Duration commit_took,
+                                       base::Duration wait_took, const InForceOutcome& in_force) {
+  const bool unclear =
+      answer.code == ResultCode::CommittedNotYetInForce || answer.code == ResultCode::NoQuorum;
+  const bool is_behind = in_force.behind > 0;
+  base::Incident incident;
+  incident.event = "change-ended";
+  incident.severity = unclear ? base::Severity::Warning : base::Severity::Info;
+  incident.code = answer.code;
+  incident.fields = {{"version", std::to_string(answer.version)},
+                     {"repeated", answer.repeated ? "yes" : ""},
+                     {"commit_ms", std::to_string(base::toMilliseconds(commit_took))},
+                     {"wait_ms", std::to_string(base::toMilliseconds(wait_took))},
+                     {"readings", std::to_string(in_force.readings)},
+                     {"behind", std::to_string(in_force.behind)},
+                     {"first_behind", is_behind ? in_force.first_behind.toString() : ""}};
+  incidents_.report(incident);
 }
 
 }  // namespace switchsaddle::core
--- a/libraries/core/test/change_fixture.h
+++ b/libraries/core/test/change_fixture.h
@@ -6,6 +6,7 @@
 
 #include "fakes.h"
 #include "switchsaddle/core/register_change_coordinator.h"
+#include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/network.h"
 
 namespace switchsaddle::core {
@@ -24,9 +25,10 @@
   dissemination::ConfigurationReplica replica_{journal_};
   FakeProposer proposer_;
   FakeDirectory directory_;
+  simulation::CollectingIncidents incidents_;
   InForceTracker tracker_{process_, calls_, directory_, replica_};
-  RegisterChangeCoordinator coordinator_{process_, proposer_, replica_, tracker_,
-                                         std::chrono::seconds(2)};
+  RegisterChangeCoordinator coordinator_{process_, proposer_,  replica_,
+                                         tracker_, incidents_, std::chrono::seconds(2)};
 };
 
 }  // namespace switchsaddle::core
--- a/libraries/core/test/in_force_tracker_test.cc
+++ b/libraries/core/test/in_force_tracker_test.cc
@@ -16,7 +16,7 @@
   int readings(base::Duration each) {
     directory_.setSession({"127.0.0.2", 7000}, 0);
     directory_.holds = true;
-    tracker_.wait(5, process_.now() + seconds(10), [](bool) {});
+    tracker_.wait(5, process_.now() + seconds(10), [](const InForceOutcome&) {});
     const base::TimePoint end = process_.now() + seconds(2);
     while (process_.now() < end) {
       world_.runFor(each);
--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -185,7 +185,8 @@
 TEST_F(RegisterChangeCoordinatorTest, AReadingBegunBeforeTheCommitDoesNotCount) {
   directory_.holds = true;
   bool first_done = false;
-  tracker_.wait(0, world_.now() + seconds(2), [&](bool in_force) { first_done = in_force; });
+  tracker_.wait(0, world_.now() + seconds(2),
+                [&](const InForceOutcome& seen) { first_done = seen.in_force; });
   std::optional<ChangeAnswer> answer;
   coordinator_.submit(changeOf("1", 0), false,
                       [&](const ChangeAnswer& result) { answer = result; });
--- /dev/null
+++ b/libraries/metrics/source/strand_watch.cc
@@ -0,0 +1,39 @@
+#include "switchsaddle/metrics/strand_watch.h"
+
+#include <algorithm>
+#include <string>
+
+namespace switchsaddle::metrics {
+
+namespace {
+
+constexpr base::Duration LookInterval = std::chrono::milliseconds(250);
+
+}  // namespace
+
+StrandWatch::StrandWatch(base::Dispatcher& dispatcher, base::IncidentSink& incidents)
+    : dispatcher_(dispatcher),
+      incidents_(incidents),
+      timer_(dispatcher.createTimer([this] { look(); })),
+      lateness_(roundTripBounds()) {}
+
+void StrandWatch::start() {
+  due_ = dispatcher_.now() + LookInterval;
+  timer_->enable(LookInterval);
+}
+
+void StrandWatch::look() {
+  const base::TimePoint now = dispatcher_.now();
+  const base::Duration late = std::max(base::Duration::zero(), now - due_);
+  lateness_.observe(late);
+  if (late >= LateStrand) {
+    base::Incident incident;
+    incident.event = "strand-late";
+    incident.severity = base::Severity::Warning;
+    incident.fields = {{"late_ms", std::to_string(base::toMilliseconds(late))}};
+    incidents_.report(incident);
+  }
+  start();
+}
+
+}  // namespace switchsaddle::metrics
--- /dev/null
+++ b/libraries/metrics/test/strand_watch_test.cc
@@ -0,0 +1,44 @@
+#include "switchsaddle/metrics/strand_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <numeric>
+
+#include "switchsaddle/simulation/collecting_incidents.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::metrics {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class StrandWatchTest : public testing::Test {
+ protected:
+  StrandWatchTest() { watch_.start(); }
+
+  simulation::World world_{1};
+  simulation::Process process_{world_};
+  simulation::CollectingIncidents incidents_;
+  StrandWatch watch_{process_, incidents_};
+};
+
+TEST_F(StrandWatchTest, SaysNothingWhileTimersAreInTime) {
+  world_.runFor(seconds(10));
+  EXPECT_TRUE(incidents_.all.empty());
+  const auto& counts = watch_.lateness().counts();
+  EXPECT_EQ(std::accumulate(counts.begin(), counts.end(), std::uint64_t{0}), 40U);
+}
+
+TEST_F(StrandWatchTest, TellsHowLateTheStrandWas) {
+  process_.freeze();
+  world_.runFor(seconds(1));
+  process_.wake();
+  world_.runFor(seconds(1));
+  ASSERT_EQ(incidents_.all.size(), 1U);
+  EXPECT_EQ(incidents_.all[0].event, "strand-late");
+  EXPECT_EQ(incidents_.all[0].fields[0].value, "750");
+}
+
+}  // namespace
+}  // namespace switchsaddle::metrics
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -31,6 +31,7 @@
       calls_(dispatcher_, transport_),
       journal_(dispatcher_),
       incidents_(dispatcher_, base::processLogRing(), logFolder(settings)),
+      strand_watch_(dispatcher_, incidents_),
       signals_(context_, SIGTERM, SIGINT),
       hangup_(context_, SIGHUP) {
   base::installCrashDump(base::processLogRing(), logFolder(settings));
@@ -50,6 +51,7 @@
   stop_ = std::move(stop);
   awaitSignal();
   awaitHangup();
+  dispatcher_.post([this] { strand_watch_.start(); });
   context_.run();
   return EXIT_SUCCESS;
 }
@@ -102,6 +104,8 @@
   add("peer_bytes_sent_total", "Bytes sent to other nodes.", traffic.bytes_sent);
   add("peer_bytes_received_total", "Bytes of messages taken from other nodes.",
       traffic.bytes_received);
+  page.histogram("strand_lateness_seconds", "How late timers of the control strand run.",
+                 strand_watch_.lateness());
   page.process();
 }
 
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -12,6 +12,7 @@
 #include "switchsaddle/configuration/settings.h"
 #include "switchsaddle/journal/journal.h"
 #include "switchsaddle/metrics/page.h"
+#include "switchsaddle/metrics/strand_watch.h"
 #include "switchsaddle/transport/asio_dispatcher.h"
 #include "switchsaddle/transport/peer_calls.h"
 #include "switchsaddle/transport/tcp_transport.h"
@@ -57,6 +58,7 @@
   base::RandomSource random_ = base::RandomSource::fromSystem();
   journal::Journal journal_;
   base::IncidentLog incidents_;
+  metrics::StrandWatch strand_watch_;
   boost::asio::signal_set signals_;
   boost::asio::signal_set hangup_;
   std::function<void(std::function<void()>)> stop_;
