--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -202,7 +202,7 @@
   const bool is_behind = in_force.behind > 0;
   base::Incident incident;
   incident.event = "change-ended";
-  incident.severity = unclear ? base::Severity::Warning : base::Severity::Info;
+  incident.severity = unclear ? base::Severity::Warning : base::Severity::Notice;
   incident.code = answer.code;
   incident.fields = {{"version", std::to_string(answer.version)},
                      {"repeated", answer.repeated ? "yes" : ""},
