--- a/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/fleet.h
@@ -23,6 +23,8 @@
   std::uint32_t tolerated_zone_losses = 0;
   /** The setting by which cores read the platform's list before any has the watcher's lease. */
   bool list_before_lease = false;
+  /** The setting of how long a change waits until it is in force everywhere. */
+  base::Duration acknowledgement_deadline = configuration::TimeSettings{}.acknowledgement_deadline;
 };
 
 /** The body of a first change with whatever a stream needs; its key is secretOfKey(CallerKey). */
--- a/libraries/scenarios/source/fleet.cc
+++ b/libraries/scenarios/source/fleet.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint16_t CorePort = 7000;
-constexpr std::uint16_t FrontPort = 7100;
+constexpr std::uint16_t FrontPort = 7300;
 constexpr std::uint16_t OperatorPort = 7200;
 constexpr std::size_t SeedCount = 3;
 
@@ -66,6 +66,7 @@
   settings.times.core_refused_grace = size_.core_refused_grace;
   settings.tolerated_core_losses = size_.tolerated_core_losses;
   settings.tolerated_zone_losses = size_.tolerated_zone_losses;
+  settings.times.acknowledgement_deadline = size_.acknowledgement_deadline;
   settings.list_before_lease = size_.list_before_lease;
   settings.seeds = seeds_;
   settings.operator_hashes = {configuration::sha256Hex(SimulatedOperatorKey)};
--- a/libraries/simulation/include/switchsaddle/simulation/network.h
+++ b/libraries/simulation/include/switchsaddle/simulation/network.h
@@ -20,6 +20,9 @@
   double loss = 0.0;
   /** Chance that an envelope is delivered a second time, later. */
   double duplication = 0.0;
+  /** Processor time that sending or taking one envelope costs, and each 1,024 bytes of it. */
+  base::Duration work_per_envelope{};
+  base::Duration work_per_kilobyte{};
 };
 
 /**
@@ -71,6 +74,7 @@
   transport::Receiver* receiverOf(const base::NodeAddress& address, std::uint64_t life);
   bool isCut(const base::NodeAddress& first, const base::NodeAddress& second) const;
   base::Duration randomDelay();
+  base::Duration workOf(std::size_t bytes) const;
 
   World& world_;
   std::map<base::NodeAddress, Endpoint*> endpoints_;
--- a/libraries/simulation/include/switchsaddle/simulation/process.h
+++ b/libraries/simulation/include/switchsaddle/simulation/process.h
@@ -14,7 +14,8 @@
  * A simulated process: the dispatcher of the state machines that run in it. Killing it drops every
  * callback that has not run; freezing it holds them back until it is woken, when all those due run
  * at once, as after SIGSTOP and SIGCONT. A killed process may be started again, with fresh state
- * machines.
+ * machines. Work that takes processor time is told by spend(): what falls due meanwhile waits for
+ * its turn.
  */
 class Process : public base::Dispatcher {
  public:
@@ -34,8 +35,13 @@
   void kill();
   void freeze() { frozen_ = true; }
   void wake();
+  /** The process is at work for so long from now on, or from the end of the work before. */
+  void spend(base::Duration duration);
 
  private:
+  bool busy() const { return now() < busy_until_; }
+  void scheduleWaiting();
+  void runWaiting();
   void run(std::uint64_t generation, std::function<void()> callback);
 
   World& world_;
@@ -44,6 +50,9 @@
   /** Counts starts; callbacks of an earlier life are dropped. */
   std::uint64_t generation_ = 0;
   std::deque<std::function<void()>> held_;
+  base::TimePoint busy_until_;
+  /** Due, in the order in which they run once the process has time. */
+  std::deque<std::function<void()>> waiting_;
 };
 
 }  // namespace switchsaddle::simulation
--- a/libraries/simulation/source/network.cc
+++ b/libraries/simulation/source/network.cc
@@ -60,10 +60,18 @@
   return conditions.minimum_delay + base::Duration(static_cast<std::int64_t>(extra));
 }
 
+base::Duration Network::workOf(std::size_t bytes) const {
+  constexpr std::size_t Kilobyte = 1'024;
+  const auto parts = static_cast<std::int64_t>(bytes);
+  return conditions.work_per_envelope +
+         conditions.work_per_kilobyte * parts / static_cast<std::int64_t>(Kilobyte);
+}
+
 void Network::send(Endpoint& from, const base::NodeAddress& to, const wire::Envelope& envelope) {
   const std::string bytes = wire::encode(envelope);
   ++envelopes_sent_;
   bytes_sent_ += bytes.size();
+  from.process().spend(workOf(bytes.size()));
   if (observer) {
     observer(to, envelope, bytes.size());
   }
@@ -92,8 +100,10 @@
     return;
   }
   const std::uint64_t target_life = target->second->life();
-  target->second->process().post([this, to = parcel.to, target_life, bytes = parcel.bytes] {
+  Process& process = target->second->process();
+  process.post([this, &process, to = parcel.to, target_life, bytes = parcel.bytes] {
     if (transport::Receiver* receiver = receiverOf(to, target_life)) {
+      process.spend(workOf(bytes.size()));
       receiver->onEnvelope(wire::decode(bytes));
     }
   });
--- a/libraries/simulation/source/process.cc
+++ b/libraries/simulation/source/process.cc
@@ -1,5 +1,6 @@
 #include "switchsaddle/simulation/process.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace switchsaddle::simulation {
@@ -69,9 +70,40 @@
     held_.push_back(std::move(callback));
     return;
   }
+  if (busy() || !waiting_.empty()) {
+    waiting_.push_back(std::move(callback));
+    if (waiting_.size() == 1) {
+      scheduleWaiting();
+    }
+    return;
+  }
   callback();
 }
 
+void Process::spend(base::Duration duration) {
+  busy_until_ = std::max(busy_until_, now()) + duration;
+}
+
+void Process::scheduleWaiting() {
+  world_.schedule(std::max(base::Duration::zero(), busy_until_ - now()),
+                  [this, generation = generation_] {
+                    if (running_ && generation == generation_) {
+                      runWaiting();
+                    }
+                  });
+}
+
+void Process::runWaiting() {
+  while (!waiting_.empty() && !busy() && !frozen_) {
+    const std::function<void()> callback = std::move(waiting_.front());
+    waiting_.pop_front();
+    callback();
+  }
+  if (!waiting_.empty() && !frozen_) {
+    scheduleWaiting();
+  }
+}
+
 void Process::start() {
   running_ = true;
   frozen_ = false;
@@ -83,10 +115,15 @@
   frozen_ = false;
   ++generation_;
   held_.clear();
+  waiting_.clear();
+  busy_until_ = {};
 }
 
 void Process::wake() {
   frozen_ = false;
+  if (!waiting_.empty()) {
+    scheduleWaiting();
+  }
   for (std::function<void()>& callback : held_) {
     post(std::move(callback));
   }
