Ask late cores no more often: a session's renewal waits for the answer that the core owes

Cause: a renewal that had no answer after 300 ms was dropped, answered or not, and another core was asked at once, beside the renewal each 250 ms. The rounds of the register wait in the same queue and miss their time-outs: no quorum, for as long as the load lasts. Class: retries that grow with the delay of those who are asked, and work thrown away. Change: an answer counts as long as the session it grants still runs (1 s from the asking); after 300 ms another core is turned to as before, but a core that owes an answer is not asked again by the clock.

--- a/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
+++ b/libraries/sessions/include/switchsaddle/sessions/quorum_session_client.h
@@ -82,7 +82,12 @@
   bool troubled() const;
   void ask();
   void askAll();
+  /** Renews at the present core, unless it still owes an answer: cores that are late are not to get
+   * the more to do. */
+  void renew();
   void askCore(const base::NodeAddress& core);
+  /** A core has not answered within the silence bound; its answer still counts if it comes. */
+  void onSilence(const base::NodeAddress& core);
   void onReply(const base::NodeAddress& core, base::TimePoint asked_at,
                const transport::CallResult& result);
   void onGranted(const base::NodeAddress& core, base::TimePoint asked_at,
@@ -114,6 +119,12 @@
   std::size_t core_index_ = 0;
   std::size_t refused_in_a_row_ = 0;
   std::uint64_t sequence_ = 0;
+  /** An ask that has had no answer yet, and the timer of its silence bound. */
+  struct Ask {
+    base::NodeAddress core;
+    base::TimerPtr silence_timer;
+  };
+  std::map<std::uint64_t, Ask> unanswered_;
   std::uint64_t applied_version_ = 0;
   std::uint64_t applied_digest_ = 0;
   /** The newest version any peer has shown. */
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -64,6 +64,18 @@
   if (troubled()) {
     askAll();
   } else {
+    renew();
+  }
+}
+
+void QuorumSessionClient::renew() {
+  if (cores_.empty()) {
+    return;
+  }
+  const base::NodeAddress& present = cores_[core_index_ % cores_.size()];
+  const bool owes_answer = std::ranges::any_of(
+      unanswered_, [&present](const auto& item) { return item.second.core == present; });
+  if (!owes_answer) {
     ask();
   }
 }
@@ -94,14 +106,26 @@
   if (record_source_) {
     record_source_(record);
   }
-  calls_.call(core, wire::SessionOpenRequest{record, members_digest_}, times_.core_silence,
-              [this, alive = std::weak_ptr(alive_), core, asked_at](const auto& result) {
+  base::TimerPtr silence_timer = dispatcher_.createTimer([this, core] { onSilence(core); });
+  silence_timer->enable(times_.core_silence);
+  unanswered_[sequence_] = {core, std::move(silence_timer)};
+  calls_.call(core, wire::SessionOpenRequest{record, members_digest_}, times_.front_limit,
+              [this, alive = std::weak_ptr(alive_), core, asked_at,
+               sequence = sequence_](const auto& result) {
                 if (!alive.expired()) {
+                  unanswered_.erase(sequence);
                   onReply(core, asked_at, result);
                 }
               });
 }
 
+void QuorumSessionClient::onSilence(const base::NodeAddress& core) {
+  const bool was_current = passOver(core);
+  if (was_current && !troubled() && tick_timer_->enabled()) {
+    ask();
+  }
+}
+
 void QuorumSessionClient::onReply(const base::NodeAddress& core, base::TimePoint asked_at,
                                   const transport::CallResult& result) {
   if (result.code == base::ResultCode::PeerUnreachable) {
@@ -110,10 +134,6 @@
   }
   const auto* reply = result.as<wire::SessionOpenReply>();
   if (reply == nullptr) {
-    const bool was_current = passOver(core);
-    if (was_current && !troubled() && tick_timer_->enabled()) {
-      ask();
-    }
     return;
   }
   refusals_.erase(core);
--- a/libraries/sessions/test/quorum_session_client_test.cc
+++ b/libraries/sessions/test/quorum_session_client_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+#include <variant>
+
 #include "session_fleet.h"
 
 namespace switchsaddle::sessions {
@@ -58,6 +61,29 @@
   }
 }
 
+TEST_F(QuorumSessionClientTest, KeepsServingWhileEveryCoreAnswersLaterThanTheSilenceBound) {
+  // An ask, a batch, its answer and the grant: four messages.
+  fleet_.network.conditions.minimum_delay = milliseconds(95);
+  fleet_.network.conditions.maximum_delay = milliseconds(105);
+  fleet_.run(seconds(2));
+  const bool lapsed =
+      fleet_.runUntil([this] { return !front_.client->mayDispatch(); }, seconds(10));
+  EXPECT_FALSE(lapsed);
+}
+
+TEST_F(QuorumSessionClientTest, AsksNoMoreOftenWhereEveryCoreAnswersLate) {
+  std::size_t asks = 0;
+  fleet_.network.observer = [&](const auto&, const wire::Envelope& envelope, std::size_t) {
+    asks += std::holds_alternative<wire::SessionOpenRequest>(envelope.message) ? 1 : 0;
+  };
+  fleet_.run(seconds(4));
+  const std::size_t in_time = std::exchange(asks, 0);
+  fleet_.network.conditions.minimum_delay = milliseconds(95);
+  fleet_.network.conditions.maximum_delay = milliseconds(105);
+  fleet_.run(seconds(4));
+  EXPECT_LE(asks, in_time);
+}
+
 TEST_F(QuorumSessionClientTest, IsLapsedAtTheMomentOfWaking) {
   front_.process.freeze();
   fleet_.run(milliseconds(1'000));
