Encode a message once that goes to many peers

A change of the configuration or of the worker list goes to each of 291 fronts; it was copied and encoded for each. Tests: one envelope to several peers on both transports, one notification to each peer and the node itself.

--- a/libraries/dissemination/source/gossip_agent.cc
+++ b/libraries/dissemination/source/gossip_agent.cc
@@ -230,9 +230,7 @@
 void GossipAgent::pushObservations(const std::vector<wire::WorkerObservation>& observations) {
   wire::GossipDelta push;
   push.observations = observations;
-  for (const base::NodeAddress& peer : randomPeers(options_.fanout)) {
-    calls_.notify(peer, push);
-  }
+  calls_.notifyAll(randomPeers(options_.fanout), push);
 }
 
 void GossipAgent::takeView(const wire::WorkerView& view,
@@ -242,14 +240,10 @@
     return;
   }
   const wire::WorkerViewChange change = workers::changeBetween(before, view);
-  for (const base::NodeAddress& peer : first) {
-    if (peer != calls_.localAddress()) {
-      calls_.notify(peer, change);
-    }
-  }
-  for (const base::NodeAddress& peer : randomPeers(options_.fanout)) {
-    calls_.notify(peer, change);
-  }
+  std::vector<base::NodeAddress> others = first;
+  std::erase(others, calls_.localAddress());
+  calls_.notifyAll(std::move(others), change);
+  calls_.notifyAll(randomPeers(options_.fanout), change);
 }
 
 void GossipAgent::takeViewChange(const base::NodeAddress& from,
--- a/libraries/transport/include/switchsaddle/transport/peer_calls.h
+++ b/libraries/transport/include/switchsaddle/transport/peer_calls.h
@@ -44,6 +44,8 @@
   void call(const base::NodeAddress& to, wire::Message request, base::Duration timeout,
             CallCallback callback);
   void notify(const base::NodeAddress& to, wire::Message message);
+  /** Sends one message to each of them; it is encoded once. */
+  void notifyAll(std::vector<base::NodeAddress> peers, wire::Message message);
   const base::NodeAddress& localAddress() const { return transport_.localAddress(); }
 
   /**
--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -66,9 +66,15 @@
   const base::NodeAddress& localAddress() const override;
   void setReceiver(Receiver* receiver) override;
   void send(const base::NodeAddress& to, const wire::Envelope& envelope) override;
+  void sendToAll(const std::vector<base::NodeAddress>& peers,
+                 const wire::Envelope& envelope) override;
   const TcpTransportCounters& counters() const;
 
  private:
+  /** An encoded envelope goes to one peer. */
+  void sendFrame(const base::NodeAddress& to, const std::string& frame,
+                 const wire::Envelope& envelope);
+
   class Shared;
   class Listener;
   class IncomingConnection;
--- a/libraries/transport/include/switchsaddle/transport/transport.h
+++ b/libraries/transport/include/switchsaddle/transport/transport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <vector>
 
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/wire/message.h"
@@ -35,6 +36,13 @@
   virtual const base::NodeAddress& localAddress() const = 0;
   virtual void setReceiver(Receiver* receiver) = 0;
   virtual void send(const base::NodeAddress& to, const wire::Envelope& envelope) = 0;
+  /** Sends one envelope to each of them. */
+  virtual void sendToAll(const std::vector<base::NodeAddress>& peers,
+                         const wire::Envelope& envelope) {
+    for (const base::NodeAddress& peer : peers) {
+      send(peer, envelope);
+    }
+  }
 };
 
 }  // namespace switchsaddle::transport
--- a/libraries/transport/source/peer_calls.cc
+++ b/libraries/transport/source/peer_calls.cc
@@ -64,6 +64,15 @@
   });
 }
 
+void PeerCalls::notifyAll(std::vector<base::NodeAddress> peers, wire::Message message) {
+  if (std::erase(peers, localAddress()) > 0) {
+    notify(localAddress(), message);
+  }
+  const wire::Envelope envelope{localAddress(), wire::EnvelopeKind::Notification, 0,
+                                std::move(message)};
+  transport_.sendToAll(peers, envelope);
+}
+
 void PeerCalls::onEnvelope(wire::Envelope envelope) {
   deliver(envelope);
 }
--- a/libraries/transport/source/tcp_transport.cc
+++ b/libraries/transport/source/tcp_transport.cc
@@ -32,11 +32,24 @@
 }
 
 void TcpTransport::send(const base::NodeAddress& to, const wire::Envelope& envelope) {
+  sendToAll({to}, envelope);
+}
+
+void TcpTransport::sendToAll(const std::vector<base::NodeAddress>& peers,
+                             const wire::Envelope& envelope) {
   const std::string bytes = wire::encode(envelope);
   if (bytes.size() > shared_->options.frame_bytes) {
-    ++shared_->counters.frames_dropped;
+    shared_->counters.frames_dropped += peers.size();
     return;
   }
+  const std::string frame = makeFrame(bytes);
+  for (const base::NodeAddress& peer : peers) {
+    sendFrame(peer, frame, envelope);
+  }
+}
+
+void TcpTransport::sendFrame(const base::NodeAddress& to, const std::string& frame,
+                             const wire::Envelope& envelope) {
   std::shared_ptr<OutgoingConnection>& connection = outgoing_[to];
   if (!connection) {
     if (outgoing_.size() > PeersBeforeSweep) {
@@ -45,7 +58,7 @@
     }
     connection = std::make_shared<OutgoingConnection>(shared_, to);
   }
-  connection->send({makeFrame(bytes), {envelope.kind, envelope.request_id}});
+  connection->send({frame, {envelope.kind, envelope.request_id}});
 }
 
 const TcpTransportCounters& TcpTransport::counters() const {
--- a/libraries/transport/test/peer_calls_test.cc
+++ b/libraries/transport/test/peer_calls_test.cc
@@ -170,6 +170,19 @@
   EXPECT_TRUE(results.empty());
 }
 
+TEST_F(PeerCallsTest, OneNotificationReachesEachPeerAndThisNode) {
+  std::vector<int> notified(4);
+  for (int node = 1; node <= 3; ++node) {
+    calls[node]->handle<wire::PrepareRequest>(
+        [&notified, node](const auto&, const wire::PrepareRequest&, const ReplyFunction&) {
+          ++notified[node];
+        });
+  }
+  calls[1]->notifyAll({harness.address(1), harness.address(2), harness.address(3)}, request("key"));
+  runOn();
+  EXPECT_EQ(notified, (std::vector<int>{0, 1, 1, 1}));
+}
+
 TEST_F(PeerCallsTest, AReplyFunctionOutlivesItsPeerCalls) {
   ReplyFunction kept;
   calls[2]->handle<wire::PrepareRequest>([&](const base::NodeAddress&, const wire::PrepareRequest&,
--- a/libraries/transport/test/transport_contract_test.cc
+++ b/libraries/transport/test/transport_contract_test.cc
@@ -63,6 +63,21 @@
   EXPECT_EQ(bytes, BigBytes);
 }
 
+TYPED_TEST(TransportContract, SendsOneEnvelopeToEachOfSeveralPeers) {
+  Transport& first = this->harness.start(1);
+  Transport& second = this->harness.start(2);
+  Transport& third = this->harness.start(3);
+  second.setReceiver(&this->first_receiver);
+  third.setReceiver(&this->second_receiver);
+  first.sendToAll({second.localAddress(), third.localAddress()}, numbered(first, 7, "bytes"));
+  ASSERT_TRUE(this->harness.runUntil([&] {
+    return this->first_receiver.envelopes.size() == 1 &&
+           this->second_receiver.envelopes.size() == 1;
+  }));
+  EXPECT_EQ(this->first_receiver.envelopes[0].request_id, 7U);
+  EXPECT_EQ(this->second_receiver.envelopes[0].sender, first.localAddress());
+}
+
 TYPED_TEST(TransportContract, TellsOfARefusedConnection) {
   Transport& first = this->harness.start(1);
   first.setReceiver(&this->first_receiver);
