While a change waits, read other cores' tables when one's own shows nobody behind, and only who is behind

A core that waits read the whole tables of all members each 10 ms, 291 records of each, from the moment of the commit on, when nobody can have the change yet; and pushed it again each 100 ms to every front that had not confirmed, though it was only waiting for its turn. Change: the own table is looked at until it shows no front behind (then the others' are read, as before only readings begun after the wait count); others are read each 200 ms meanwhile, and at once by nodes that hold no table. A table tells only of sessions behind the version asked for: one that any core still has as behind counts as behind, which is on the safe side. Pushes to one front pause 100, 200, 400, 800 ms. Tests: four of the tracker, ReadsOnlyFrontsBehindAVersion (all of them need what is new here, so none could fail before); ReadsOftenWhereCoresAnswerFast now plays a node without a table of its own, with its bound as it was.

--- a/libraries/core/include/switchsaddle/core/in_force_tracker.h
+++ b/libraries/core/include/switchsaddle/core/in_force_tracker.h
@@ -15,12 +15,14 @@
 
 /** Times of the wait until a version is in force. */
 struct InForceOptions {
-  /** Pause between two readings of the session tables. */
+  /** Pause between two looks at the session tables. */
   base::Duration reading_pause = std::chrono::milliseconds(10);
-  /** The same where readings take long: twice as long as the last one took, up to this. */
+  /** The same where readings take long: twice as long as the last one took, up to this. Also the
+   * longest time for which the own table alone is looked at while it shows fronts behind. */
   base::Duration longest_pause = std::chrono::milliseconds(200);
-  /** Pause before a delta is pushed to one front again. */
+  /** Pause before a delta is pushed to one front again; doubled with each further push. */
   base::Duration push_pause = std::chrono::milliseconds(100);
+  base::Duration longest_push_pause = std::chrono::milliseconds(800);
 };
 
 /** How a wait ended, and what the readings that counted for it had shown. */
@@ -36,9 +38,10 @@
 
 /**
  * Pushes the committed configuration to the fronts with live sessions, and tells when each of them
- * has confirmed a version or its session has lapsed. Only readings begun after the wait count, so
- * that every front which could still work by an older version is among those read. One reading
- * serves all waits. Runs on the control strand.
+ * has confirmed a version or its session has lapsed. Only readings of a majority's tables begun
+ * after the wait count, so that every front which could still work by an older version is among
+ * those read. One reading serves all waits. While this node's own table shows fronts behind, the
+ * others' are seldom asked. Runs on the control strand.
  */
 class InForceTracker {
  public:
@@ -68,6 +71,13 @@
     base::TimerPtr deadline;
   };
 
+  /** Reads the tables of a majority, or waits where this node's own shows fronts behind. */
+  void look();
+  /** Whether it shows fronts behind the oldest version that is waited for; pushes to those that
+   * lack the newest. */
+  bool ownTableShowsSomeBehind();
+  std::uint64_t newestAwaited() const;
+  std::uint64_t oldestAwaited() const;
   void startReading();
   void onReading(base::ResultCode code, const std::vector<wire::SessionTableEntry>& sessions);
   void push(const std::vector<wire::SessionTableEntry>& sessions);
@@ -83,6 +93,7 @@
   base::TimerPtr reading_timer_;
   bool reading_ = false;
   base::TimePoint reading_began_;
+  base::TimePoint last_reading_;
   /** Number of the newest reading begun. */
   std::uint64_t reading_number_ = 0;
   std::uint64_t next_wait_ = 1;
@@ -91,6 +102,7 @@
   struct Push {
     std::uint64_t version = 0;
     base::TimePoint at;
+    base::Duration pause;
   };
   std::map<base::NodeAddress, Push> pushes_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/libraries/core/source/in_force_tracker.cc
+++ b/libraries/core/source/in_force_tracker.cc
@@ -15,7 +15,7 @@
       sessions_(sessions),
       replica_(replica),
       options_(options),
-      reading_timer_(dispatcher.createTimer([this] { startReading(); })) {}
+      reading_timer_(dispatcher.createTimer([this] { look(); })) {}
 
 void InForceTracker::wait(std::uint64_t version, base::TimePoint deadline, Callback callback) {
   const std::uint64_t number = next_wait_++;
@@ -25,41 +25,78 @@
   wait.callback = std::move(callback);
   wait.deadline = dispatcher_.createTimer([this, number] { finish(number); });
   wait.deadline->enable(std::max(base::Duration::zero(), deadline - dispatcher_.now()));
+  if (waits_.size() == 1) {
+    last_reading_ = dispatcher_.now();
+  }
   pushToLocalSessions();
   if (!reading_) {
-    startReading();
+    look();
   }
 }
 
 void InForceTracker::pushToLocalSessions() {
-  push(sessions_.localSessions());
+  push(sessions_.localBehind(replica_.version()));
 }
 
 void InForceTracker::pushCommitted(const wire::ConfigurationDelta& delta) {
   const base::TimePoint now = dispatcher_.now();
-  for (const wire::SessionTableEntry& session : sessions_.localSessions()) {
-    const bool lacks = !session.record.closed && session.record.applied_version < delta.to_version;
-    if (lacks) {
-      pushes_[session.record.front] = {delta.to_version, now};
-      calls_.notify(session.record.front, delta);
-    }
+  std::vector<base::NodeAddress> fronts;
+  for (const wire::SessionTableEntry& session : sessions_.localBehind(delta.to_version)) {
+    pushes_[session.record.front] = {delta.to_version, now, options_.push_pause};
+    fronts.push_back(session.record.front);
   }
+  calls_.notifyAll(std::move(fronts), delta);
 }
 
-void InForceTracker::startReading() {
+std::uint64_t InForceTracker::newestAwaited() const {
+  std::uint64_t newest = 0;
+  for (const auto& [number, wait] : waits_) {
+    newest = std::max(newest, wait.version);
+  }
+  return newest;
+}
+
+std::uint64_t InForceTracker::oldestAwaited() const {
+  std::uint64_t oldest = UINT64_MAX;
+  for (const auto& [number, wait] : waits_) {
+    oldest = std::min(oldest, wait.version);
+  }
+  return oldest;
+}
+
+bool InForceTracker::ownTableShowsSomeBehind() {
+  const std::vector<wire::SessionTableEntry> behind = sessions_.localBehind(newestAwaited());
+  push(behind);
+  const std::uint64_t oldest = oldestAwaited();
+  return std::ranges::any_of(behind, [oldest](const wire::SessionTableEntry& session) {
+    return session.record.applied_version < oldest;
+  });
+}
+
+void InForceTracker::look() {
   reading_timer_->disable();
   if (reading_ || waits_.empty()) {
     return;
   }
+  const bool read_lately = dispatcher_.now() - last_reading_ < options_.longest_pause;
+  if (read_lately && ownTableShowsSomeBehind()) {
+    reading_timer_->enable(options_.reading_pause);
+  } else {
+    startReading();
+  }
+}
+
+void InForceTracker::startReading() {
   reading_ = true;
   reading_began_ = dispatcher_.now();
+  last_reading_ = reading_began_;
   ++reading_number_;
-  sessions_.readLive(
-      [this, alive = std::weak_ptr(alive_)](base::ResultCode code, const auto& sessions) {
-        if (!alive.expired()) {
-          onReading(code, sessions);
-        }
-      });
+  sessions_.readBehind(newestAwaited(), [this, alive = std::weak_ptr(alive_)](
+                                            base::ResultCode code, const auto& sessions) {
+    if (!alive.expired()) {
+      onReading(code, sessions);
+    }
+  });
 }
 
 void InForceTracker::onReading(base::ResultCode code,
@@ -88,7 +125,7 @@
 void InForceTracker::push(const std::vector<wire::SessionTableEntry>& sessions) {
   const base::TimePoint now = dispatcher_.now();
   // Most fronts lack the same versions, and a delta costs a pass over the whole document.
-  std::map<std::uint64_t, wire::ConfigurationDelta> deltas;
+  std::map<std::uint64_t, std::vector<base::NodeAddress>> fronts_by_version;
   std::erase_if(pushes_,
                 [&](const auto& item) { return now - item.second.at > std::chrono::seconds(10); });
   for (const wire::SessionTableEntry& session : sessions) {
@@ -98,18 +135,18 @@
       continue;
     }
     const auto pushed = pushes_.find(session.record.front);
-    const bool just_pushed = pushed != pushes_.end() &&
-                             pushed->second.version == replica_.version() &&
-                             now - pushed->second.at < options_.push_pause;
-    if (just_pushed) {
+    const bool again = pushed != pushes_.end() && pushed->second.version == replica_.version();
+    if (again && now - pushed->second.at < pushed->second.pause) {
       continue;
     }
-    pushes_[session.record.front] = {replica_.version(), now};
-    const auto [delta, is_new] = deltas.try_emplace(session.record.applied_version);
-    if (is_new) {
-      delta->second = replica_.document().deltaSince(session.record.applied_version);
-    }
-    calls_.notify(session.record.front, delta->second);
+    const base::Duration pause =
+        again ? std::min(2 * pushed->second.pause, options_.longest_push_pause)
+              : options_.push_pause;
+    pushes_[session.record.front] = {replica_.version(), now, pause};
+    fronts_by_version[session.record.applied_version].push_back(session.record.front);
+  }
+  for (auto& [version, fronts] : fronts_by_version) {
+    calls_.notifyAll(std::move(fronts), replica_.document().deltaSince(version));
   }
 }
 
--- a/libraries/core/test/fakes.h
+++ b/libraries/core/test/fakes.h
@@ -51,7 +51,20 @@
     }
     callback(code, live);
   }
+  void readBehind(std::uint64_t /*version*/, sessions::LiveSessionsCallback callback) override {
+    readLive(std::move(callback));
+  }
   std::vector<wire::SessionTableEntry> localSessions() const override { return live; }
+  std::vector<wire::SessionTableEntry> localBehind(std::uint64_t version) const override {
+    if (own_table_empty) {
+      return {};
+    }
+    std::vector<wire::SessionTableEntry> behind = live;
+    std::erase_if(behind, [version](const wire::SessionTableEntry& entry) {
+      return entry.record.closed || entry.record.applied_version >= version;
+    });
+    return behind;
+  }
 
   void setSession(const base::NodeAddress& front, std::uint64_t applied) {
     for (wire::SessionTableEntry& entry : live) {
@@ -69,6 +82,8 @@
   std::vector<wire::SessionTableEntry> live;
   base::ResultCode code = base::ResultCode::Ok;
   int reads = 0;
+  /** As at a node that is no member of the acceptor set. */
+  bool own_table_empty = false;
   /** Keeps the callbacks in `held` for the test to run. */
   bool holds = false;
   std::vector<sessions::LiveSessionsCallback> held;
--- a/libraries/core/test/in_force_tracker_test.cc
+++ b/libraries/core/test/in_force_tracker_test.cc
@@ -15,6 +15,7 @@
   /** Readings within two seconds of a wait that does not end, where each takes so long. */
   int readings(base::Duration each) {
     directory_.setSession({"127.0.0.2", 7000}, 0);
+    directory_.own_table_empty = true;
     directory_.holds = true;
     tracker_.wait(5, process_.now() + seconds(10), [](const InForceOutcome&) {});
     const base::TimePoint end = process_.now() + seconds(2);
@@ -34,6 +35,56 @@
 
 /** Each waiting core reads the tables of all others: cores that are slow must not be asked the
  * more. */
+TEST_F(InForceTrackerTest, AsksOthersOnceItsOwnTableShowsNobodyBehind) {
+  const base::NodeAddress front{"127.0.0.2", 7000};
+  directory_.setSession(front, 0);
+  InForceOutcome seen;
+  tracker_.wait(5, process_.now() + seconds(10),
+                [&](const InForceOutcome& in_force) { seen = in_force; });
+  world_.runFor(milliseconds(150));
+  EXPECT_EQ(directory_.reads, 0);
+  directory_.setSession(front, 5);
+  world_.runFor(milliseconds(15));
+  EXPECT_EQ(directory_.reads, 1);
+  EXPECT_TRUE(seen.in_force);
+}
+
+TEST_F(InForceTrackerTest, AsksOthersNowAndThenWhileItsOwnTableShowsSomeBehind) {
+  directory_.setSession({"127.0.0.2", 7000}, 0);
+  tracker_.wait(5, process_.now() + seconds(10), [](const InForceOutcome&) {});
+  world_.runFor(seconds(2));
+  EXPECT_GE(directory_.reads, 8);
+  EXPECT_LE(directory_.reads, 11);
+}
+
+TEST_F(InForceTrackerTest, AnOlderVersionIsNotHeldUpByANewerOne) {
+  directory_.setSession({"127.0.0.2", 7000}, 5);
+  bool older_done = false;
+  tracker_.wait(6, process_.now() + seconds(10), [](const InForceOutcome&) {});
+  tracker_.wait(5, process_.now() + seconds(10),
+                [&](const InForceOutcome& in_force) { older_done = in_force.in_force; });
+  world_.runFor(milliseconds(30));
+  EXPECT_TRUE(older_done);
+}
+
+TEST_F(InForceTrackerTest, PushesLessOftenToAFrontThatDoesNotConfirm) {
+  const base::NodeAddress front{"127.0.0.2", 7000};
+  simulation::Process front_process(world_);
+  const auto front_transport = network_.attach(front, front_process);
+  transport::PeerCalls front_calls(front_process, *front_transport);
+  int pushes = 0;
+  front_calls.handle<wire::ConfigurationDelta>(
+      [&](const auto&, const auto&, const auto&) { ++pushes; });
+  configuration::Document document;
+  document.version = 5;
+  replica_.apply(document.deltaSince(0));
+  directory_.setSession(front, 0);
+  tracker_.wait(5, process_.now() + seconds(10), [](const InForceOutcome&) {});
+  world_.runFor(seconds(2));
+  EXPECT_GE(pushes, 4);
+  EXPECT_LE(pushes, 6);
+}
+
 TEST_F(InForceTrackerTest, ReadsLessOftenWhereAReadingTakesLong) {
   EXPECT_LE(readings(milliseconds(100)), 14);
 }
--- a/libraries/sessions/include/switchsaddle/sessions/session_table.h
+++ b/libraries/sessions/include/switchsaddle/sessions/session_table.h
@@ -50,7 +50,11 @@
                SessionTimes times, CoreView& view, SessionTableFaults faults = {});
 
   void readLive(LiveSessionsCallback callback) override;
+  void readBehind(std::uint64_t version, LiveSessionsCallback callback) override;
   std::vector<wire::SessionTableEntry> localSessions() const override;
+  std::vector<wire::SessionTableEntry> localBehind(std::uint64_t version) const override;
+  /** Shows each live session recorded here, without a copy of it. */
+  void visitLocal(const std::function<void(const wire::SessionRecord&)>& visitor) const;
   /** Adds to the grant of a session what else the front is to hear. */
   using GrantSource =
       std::function<void(const wire::SessionRecord& record, wire::SessionOpenReply& granted)>;
@@ -92,9 +96,10 @@
   struct Read;
   using ReadPtr = std::shared_ptr<Read>;
 
-  /** The live sessions without what fronts tell besides: tables are read many times a second while
-   * a change waits, and with hundreds of fronts the rest is most of them. */
-  std::vector<wire::SessionTableEntry> tableEntries() const;
+  /** A record without what its front tells besides: tables are read many times a second while a
+   * change waits, and with hundreds of fronts the rest is most of them. */
+  static wire::SessionRecord bareRecord(const wire::SessionRecord& record);
+  static bool isLive(const Entry& entry, base::TimePoint now);
   void onOpen(const wire::SessionOpenRequest& request, transport::ReplyFunction reply);
   void onBatch(const wire::SessionRecordBatch& batch, const transport::ReplyFunction& reply);
   void record(const wire::SessionRecord& record);
--- a/libraries/sessions/source/session_table.cc
+++ b/libraries/sessions/source/session_table.cc
@@ -10,6 +10,7 @@
 
 /** One readLive() under way: rounds of questions until one of them finds a majority in time. */
 struct SessionTable::Read {
+  std::uint64_t below_version = UINT64_MAX;
   LiveSessionsCallback callback;
   base::TimePoint deadline;
   base::TimePoint round_started;
@@ -53,7 +54,7 @@
                                                          const transport::ReplyFunction& reply) {
     if (!alive.expired()) {
       const bool unusable = recovering() || !sameEpoch(request.set_epoch);
-      reply(wire::SessionTableReply{unusable, tableEntries()});
+      reply(wire::SessionTableReply{unusable, localBehind(request.below_version)});
     }
   });
 }
@@ -78,21 +79,42 @@
   return !faults_.skip_recovery && dispatcher_.now() < *recording_since_ + times_.core_limit;
 }
 
-std::vector<wire::SessionTableEntry> SessionTable::tableEntries() const {
-  std::vector<wire::SessionTableEntry> entries = localSessions();
-  for (wire::SessionTableEntry& entry : entries) {
-    entry.record.demand.clear();
-    entry.record.health = {};
-    entry.record.load = {};
+wire::SessionRecord SessionTable::bareRecord(const wire::SessionRecord& record) {
+  return {record.front,          record.instance, record.sequence, record.applied_version,
+          record.applied_digest, record.zone,     record.closed};
+}
+
+bool SessionTable::isLive(const Entry& entry, base::TimePoint now) {
+  return !entry.record.closed && now < entry.expires_at;
+}
+
+void SessionTable::visitLocal(
+    const std::function<void(const wire::SessionRecord&)>& visitor) const {
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [key, entry] : entries_) {
+    if (isLive(entry, now)) {
+      visitor(entry.record);
+    }
+  }
+}
+
+std::vector<wire::SessionTableEntry> SessionTable::localBehind(std::uint64_t version) const {
+  std::vector<wire::SessionTableEntry> sessions;
+  const base::TimePoint now = dispatcher_.now();
+  for (const auto& [key, entry] : entries_) {
+    if (isLive(entry, now) && entry.record.applied_version < version) {
+      const auto remaining = base::toMilliseconds(entry.expires_at - now);
+      sessions.push_back({bareRecord(entry.record), static_cast<std::uint32_t>(remaining)});
+    }
   }
-  return entries;
+  return sessions;
 }
 
 std::vector<wire::SessionTableEntry> SessionTable::localSessions() const {
   std::vector<wire::SessionTableEntry> sessions;
   const base::TimePoint now = dispatcher_.now();
   for (const auto& [key, entry] : entries_) {
-    if (!entry.record.closed && now < entry.expires_at) {
+    if (isLive(entry, now)) {
       const auto remaining = base::toMilliseconds(entry.expires_at - now);
       sessions.push_back({entry.record, static_cast<std::uint32_t>(remaining)});
     }
@@ -262,7 +284,12 @@
 }
 
 void SessionTable::readLive(LiveSessionsCallback callback) {
+  readBehind(UINT64_MAX, std::move(callback));
+}
+
+void SessionTable::readBehind(std::uint64_t version, LiveSessionsCallback callback) {
   auto read = std::make_shared<Read>();
+  read->below_version = version;
   read->callback = std::move(callback);
   read->deadline = dispatcher_.now() + times_.read_deadline;
   read->timer = dispatcher_.createTimer([this, weak = std::weak_ptr(read)] {
@@ -287,7 +314,8 @@
   read->live.clear();
   read->timer->enable(std::min(roundLimit(), read->deadline - now));
   for (const base::NodeAddress& peer : view_.coreAddresses()) {
-    calls_.call(peer, wire::SessionTableRequest{read->set_epoch}, times_.read_deadline,
+    calls_.call(peer, wire::SessionTableRequest{read->set_epoch, read->below_version},
+                times_.read_deadline,
                 [this, alive = std::weak_ptr(alive_), read, round, peer](const auto& result) {
                   if (!alive.expired()) {
                     onTable(read, round, peer, result);
--- a/libraries/sessions/test/session_table_test.cc
+++ b/libraries/sessions/test/session_table_test.cc
@@ -116,6 +116,21 @@
   EXPECT_TRUE(live_[0].record.load.workers.empty());
 }
 
+TEST_F(SessionTableTest, ReadsOnlyFrontsBehindAVersion) {
+  for (std::uint64_t instance = 0; instance < 6; ++instance) {
+    wire::SessionRecord record{{"127.0.0.9", 7000}, instance, 1, instance, 0, "z", false};
+    client_.calls->call(fleet_.core(0).address, wire::SessionOpenRequest{record}, seconds(1),
+                        [](const auto&) {});
+  }
+  fleet_.run(milliseconds(50));
+  std::size_t behind = 0;
+  fleet_.core(3).table->readBehind(
+      4, [&](base::ResultCode, const auto& sessions) { behind = sessions.size(); });
+  fleet_.run(milliseconds(50));
+  EXPECT_EQ(behind, 4U);
+  EXPECT_EQ(fleet_.core(3).table->localBehind(4).size(), 4U);
+}
+
 TEST_F(SessionTableTest, CoresThatAnswerLateGetFewerBatches) {
   fleet_.network.conditions.minimum_delay = milliseconds(40);
   fleet_.network.conditions.maximum_delay = milliseconds(40);
--- a/libraries/wire/include/switchsaddle/wire/session_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/session_messages.h
@@ -156,10 +156,12 @@
 struct SessionTableRequest {
   /** Epoch of the acceptor set whose majority the reader counts. */
   std::uint64_t set_epoch = 0;
+  /** Only sessions of fronts that have an older version in force are asked for. */
+  std::uint64_t below_version = UINT64_MAX;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(set_epoch);
+    archive(set_epoch, below_version);
   }
 };
 
