Add quotas up from the session table without copies of its records

The table now shows its records to a visitor. No change of what is worked out: quota_allotter_test, and the tests of meters and ledgers against it, are the same but for how they hand records over.

--- a/libraries/core/include/switchsaddle/core/quota_allotter.h
+++ b/libraries/core/include/switchsaddle/core/quota_allotter.h
@@ -38,9 +38,9 @@
  */
 class QuotaAllotter {
  public:
-  /** Whoever reads the live sessions known here. */
-  using Records = std::vector<wire::SessionTableEntry>;
-  using RecordSource = std::function<Records()>;
+  using RecordVisitor = std::function<void(const wire::SessionRecord&)>;
+  /** Shows the visitor the record of each live session. */
+  using RecordSource = std::function<void(const RecordVisitor&)>;
 
   QuotaAllotter(base::Dispatcher& dispatcher, RecordSource records,
                 configuration::QuotaBounds bounds);
@@ -72,6 +72,7 @@
   struct Front {
     base::TimePoint heard_at;
     std::vector<wire::TenantDemand> demand;
+    wire::FrontWitness witness;
     std::uint64_t settled_asks = 0;
   };
   struct Total {
@@ -83,7 +84,9 @@
   /** Whether this core knows what all fronts let in within the last window. */
   bool knowsAll();
   /** Whether no front can have ended within the window by what all of them tell. */
-  bool nobodyMissing(const Records& records) const;
+  bool nobodyMissing() const;
+  /** Takes over what the live sessions tell, and counts them. */
+  void hearFronts();
 
   base::Duration window() const;
   /** The tenant's units in any window; nothing where it has no quota. */
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -59,7 +59,8 @@
                 node_options::sessionTimesOf(environment.settings.times), membership_,
                 environment.faults.sessions),
       quotas_(
-          environment.dispatcher, [this] { return sessions_.localSessions(); },
+          environment.dispatcher,
+          [this](const QuotaAllotter::RecordVisitor& visitor) { sessions_.visitLocal(visitor); },
           environment.settings.forwarding.quotas),
       loads_(environment.dispatcher, environment.settings.times.session_core_limit),
       evidence_(environment.dispatcher),
@@ -390,9 +391,8 @@
 
 std::vector<base::NodeAddress> CoreNode::frontsWithSessions() const {
   std::set<base::NodeAddress> fronts;
-  for (const wire::SessionTableEntry& session : sessions_.localSessions()) {
-    fronts.insert(session.record.front);
-  }
+  sessions_.visitLocal(
+      [&fronts](const wire::SessionRecord& record) { fronts.insert(record.front); });
   return {fronts.begin(), fronts.end()};
 }
 
--- a/libraries/core/source/quota_allotter.cc
+++ b/libraries/core/source/quota_allotter.cc
@@ -52,19 +52,11 @@
   refreshed_ = true;
   ++refreshes_;
   refreshed_at_ = now;
-  const Records records = records_();
-  live_ = records.size();
-  const std::int64_t window_ms = base::toMilliseconds(window());
-  young_ = static_cast<std::size_t>(std::ranges::count_if(
-      records, [window_ms](const auto& entry) { return entry.record.witness.age_ms < window_ms; }));
+  hearFronts();
   const bool young = hearing_since_ && now - *hearing_since_ < window();
-  if (young && nobodyMissing(records)) {
+  if (young && nobodyMissing()) {
     hearing_since_ = now - window();
   }
-  for (const wire::SessionTableEntry& entry : records) {
-    fronts_[FrontKey{entry.record.front, entry.record.instance}] = {now, entry.record.demand,
-                                                                    entry.record.settled_asks};
-  }
   std::erase_if(fronts_,
                 [now](const auto& item) { return now - item.second.heard_at > SilenceRemembered; });
   totals_.clear();
@@ -87,18 +79,36 @@
       std::chrono::duration<double>(bounds_.window_s));
 }
 
-bool QuotaAllotter::nobodyMissing(const Records& records) const {
+void QuotaAllotter::hearFronts() {
+  live_ = 0;
+  young_ = 0;
+  const std::int64_t window_ms = base::toMilliseconds(window());
+  records_([this, window_ms](const wire::SessionRecord& record) {
+    ++live_;
+    young_ += record.witness.age_ms < window_ms ? 1 : 0;
+    Front& front = fronts_[FrontKey{record.front, record.instance}];
+    front.heard_at = refreshed_at_;
+    front.demand = record.demand;
+    front.witness = record.witness;
+    front.settled_asks = record.settled_asks;
+  });
+}
+
+bool QuotaAllotter::nobodyMissing() const {
+  if (live_ == 0 || young_ > 0) {
+    return false;
+  }
   std::set<base::NodeAddress> heard;
-  for (const wire::SessionTableEntry& entry : records) {
-    heard.insert(entry.record.front);
+  for (const auto& [key, front] : fronts_) {
+    if (front.heard_at == refreshed_at_) {
+      heard.insert(key.first);
+    }
   }
   const std::uint64_t digest = sessions::digestOfFronts(heard);
-  const std::int64_t window_ms = base::toMilliseconds(window());
-  return !records.empty() &&
-         std::ranges::all_of(records, [digest, window_ms](const wire::SessionTableEntry& entry) {
-           const wire::FrontWitness& witness = entry.record.witness;
-           return witness.age_ms >= window_ms && witness.fronts_digest == digest;
-         });
+  return std::ranges::all_of(fronts_, [this, digest](const auto& item) {
+    const Front& front = item.second;
+    return front.heard_at != refreshed_at_ || front.witness.fronts_digest == digest;
+  });
 }
 
 std::map<std::string, double> QuotaAllotter::admittedBy(const FrontKey& key) const {
--- a/libraries/core/test/quota_allotter_test.cc
+++ b/libraries/core/test/quota_allotter_test.cc
@@ -35,8 +35,14 @@
 
   simulation::World world{1};
   simulation::Process process{world};
-  QuotaAllotter::Records records;
-  QuotaAllotter allotter{process, [this] { return records; }, {8, 0, 0}};
+  std::vector<wire::SessionTableEntry> records;
+  QuotaAllotter allotter{process,
+                         [this](const QuotaAllotter::RecordVisitor& visitor) {
+                           for (const wire::SessionTableEntry& entry : records) {
+                             visitor(entry.record);
+                           }
+                         },
+                         {8, 0, 0}};
 };
 
 TEST_F(QuotaAllotterTest, KnowsNothingUntilItHasHeardTheFrontsForAWindow) {
--- a/libraries/front/test/quota_ledger_test.cc
+++ b/libraries/front/test/quota_ledger_test.cc
@@ -81,7 +81,13 @@
     ledger_.reset();
     if (forgets) {
       allotter_ = std::make_unique<core::QuotaAllotter>(
-          process_, [this] { return heard(); }, Bounds);
+          process_,
+          [this](const core::QuotaAllotter::RecordVisitor& visitor) {
+            for (const wire::SessionTableEntry& entry : heard()) {
+              visitor(entry.record);
+            }
+          },
+          Bounds);
       allotter_->setConfiguration(view_);
     }
     held_since_ = world_.now();
@@ -197,8 +203,8 @@
       }
     }
   }
-  core::QuotaAllotter::Records heard() const {
-    core::QuotaAllotter::Records records;
+  std::vector<wire::SessionTableEntry> heard() const {
+    std::vector<wire::SessionTableEntry> records;
     for (const std::unique_ptr<Front>& front : fronts_) {
       const bool live = front->heard_at != base::TimePoint{} &&
                         world_.now() - front->heard_at < milliseconds(1'500);
--- a/libraries/front/test/quota_meter_test.cc
+++ b/libraries/front/test/quota_meter_test.cc
@@ -135,7 +135,13 @@
   /** The core that all ask is replaced by one that knows the live sessions alone. */
   void replaceCore() {
     allotter_ = std::make_unique<core::QuotaAllotter>(
-        process_, [this] { return heard(); }, Bounds);
+        process_,
+        [this](const core::QuotaAllotter::RecordVisitor& visitor) {
+          for (const wire::SessionTableEntry& entry : heard()) {
+            visitor(entry.record);
+          }
+        },
+        Bounds);
     allotter_->setConfiguration(view_);
   }
   /** Whether the core has forgotten what nobody can tell it any more. */
@@ -159,7 +165,7 @@
     }
   }
   /** The records that a core has: those of fronts it hears. */
-  core::QuotaAllotter::Records heard() const {
+  std::vector<wire::SessionTableEntry> heard() const {
     return {records_.begin(), records_.end() - static_cast<std::ptrdiff_t>(cut_)};
   }
   std::vector<base::NodeAddress> listed() const {
@@ -194,7 +200,7 @@
   simulation::World world_;
   simulation::Process process_{world_};
   configuration::ForwardTenant tenant_;
-  core::QuotaAllotter::Records records_;
+  std::vector<wire::SessionTableEntry> records_;
   std::shared_ptr<const configuration::View> view_;
   std::unique_ptr<core::QuotaAllotter> allotter_;
   std::vector<std::unique_ptr<QuotaMeter>> meters_;
