--- a/libraries/claims/include/switchsaddle/claims/peer_claim_client.h
+++ b/libraries/claims/include/switchsaddle/claims/peer_claim_client.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
@@ -23,9 +24,10 @@
 };
 
 /**
- * Asks core nodes in turn for claims, beginning with the one that answered last. Each callback runs
- * exactly once unless the client is destroyed before. An answer `available == false` means that the
- * request may or may not be recorded. Runs on the dispatcher's strand.
+ * Asks core nodes in turn for claims, beginning with the one that answered last. One that is silent
+ * is passed over, but its answer counts if it comes, and it is not asked again before. Each
+ * callback runs exactly once unless the client is destroyed before. An answer `available == false`
+ * means that the request may or may not be recorded. Runs on the dispatcher's strand.
  */
 class PeerClaimClient : public ClaimClient {
  public:
@@ -45,12 +47,19 @@
     base::TimePoint deadline;
     std::size_t core = 0;
     std::size_t tries_in_round = 0;
+    /** The core asked last. */
+    base::NodeAddress present;
+    /** Cores that have not answered yet. */
+    std::set<base::NodeAddress> owing;
+    base::TimerPtr silence;
     base::TimerPtr pause;
   };
 
   void startOperation(wire::Message request, ClaimCallback callback);
   void tryNext(std::uint64_t id);
-  void onAnswer(std::uint64_t id, std::size_t core, const transport::CallResult& result);
+  void ask(std::uint64_t id, const base::NodeAddress& core, base::Duration left);
+  void onAnswer(std::uint64_t id, const base::NodeAddress& core, std::size_t index,
+                const transport::CallResult& result);
   void passOver(std::uint64_t id);
   void end(std::uint64_t id, const wire::ClaimReply& reply);
 
--- a/libraries/claims/source/peer_claim_client.cc
+++ b/libraries/claims/source/peer_claim_client.cc
@@ -24,6 +24,7 @@
   operation.callback = std::move(callback);
   operation.deadline = dispatcher_.now() + options_.deadline;
   operation.core = preferred_core_;
+  operation.silence = dispatcher_.createTimer([this, id] { passOver(id); });
   operation.pause = dispatcher_.createTimer([this, id] { tryNext(id); });
   operations_.emplace(id, std::move(operation));
   tryNext(id);
@@ -43,24 +44,44 @@
     return;
   }
   ++operation.tries_in_round;
-  const std::size_t core = operation.core % cores.size();
-  calls_.call(cores[core], operation.request, std::min(options_.core_silence, left),
-              [this, alive = std::weak_ptr(alive_), id, core](const auto& result) {
-                if (!alive.expired()) {
-                  onAnswer(id, core, result);
-                }
-              });
+  const base::NodeAddress core = cores[operation.core % cores.size()];
+  if (operation.owing.contains(core)) {
+    passOver(id);
+  } else {
+    ask(id, core, left);
+  }
+}
+
+void PeerClaimClient::ask(std::uint64_t id, const base::NodeAddress& core, base::Duration left) {
+  Operation& operation = operations_.at(id);
+  operation.present = core;
+  operation.owing.insert(core);
+  operation.silence->enable(std::min(options_.core_silence, left));
+  calls_.call(
+      core, operation.request, left,
+      [this, alive = std::weak_ptr(alive_), id, core, index = operation.core](const auto& result) {
+        if (!alive.expired()) {
+          onAnswer(id, core, index, result);
+        }
+      });
 }
 
-void PeerClaimClient::onAnswer(std::uint64_t id, std::size_t core,
+void PeerClaimClient::onAnswer(std::uint64_t id, const base::NodeAddress& core, std::size_t index,
                                const transport::CallResult& result) {
+  const auto found = operations_.find(id);
+  if (found == operations_.end()) {
+    return;
+  }
+  Operation& operation = found->second;
+  operation.owing.erase(core);
   const auto* reply = result.as<wire::ClaimReply>();
-  if (reply == nullptr || !reply->available) {
+  if (reply != nullptr && reply->available) {
+    preferred_core_ = index;
+    end(id, *reply);
+  } else if (core == operation.present && operation.silence->enabled()) {
+    operation.silence->disable();
     passOver(id);
-    return;
   }
-  preferred_core_ = core;
-  end(id, *reply);
 }
 
 void PeerClaimClient::passOver(std::uint64_t id) {
