--- a/libraries/front/test/caller_forwarding_test.cc
+++ b/libraries/front/test/caller_forwarding_test.cc
@@ -1,7 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "fakes.h"
-#include "forward_fakes.h"
+#include "forward_fixture.h"
 #include "switchsaddle/front/caller_service.h"
 #include "switchsaddle/simulation/network.h"
 
@@ -11,9 +10,9 @@
 using configuration::LapsedSession;
 
 /** A front's HTTP side with forwarding. */
-class CallerForwardingTest : public testing::Test {
+class CallerForwardingTest : public ForwardFixture {
  protected:
-  CallerForwardingTest() {
+  CallerForwardingTest() : ForwardFixture(RetryAllowance{}) {
     configuration::Forwarding& forwarding = beliefs.view.forwarding;
     forwarding.pools["shop"].name = "shop";
     configuration::ForwardRoute& route = forwarding.routes["r"];
@@ -56,41 +55,18 @@
     return writer->response ? writer->response->status : 0;
   }
 
-  simulation::World world{1};
-  simulation::Process process{world};
   simulation::Network network{world};
   std::unique_ptr<transport::Transport> transport = network.attach({"127.0.0.1", 1}, process);
   transport::PeerCalls calls{process, *transport};
   FakeClaims claims;
   FakeSlots slots;
   FakeSession session;
-  FakeRouter router;
   FakeWorkers workers;
-  FakeForwardPort port;
-  FakeBeliefs beliefs;
-  RetryBudget retries{process};
-  WorkerCircuit circuit{process};
-  QuotaMeter quotas{process, {}};
-  worker_health::EvidenceRecorder health{process};
-  Counters counters;
   StreamStages stages;
   StreamFlow streams{StreamEnvironment{process, world.random(), slots, session, router, workers,
                                        beliefs, retries, circuit, counters, stages}};
   OneShotFlow one_shots{OneShotEnvironment{process, world.random(), claims, slots, session, workers,
                                            beliefs, retries, circuit, counters}};
-  ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
-  ForwardFlow flow{ForwardEnvironment{process,
-                                      world.random(),
-                                      port,
-                                      placer,
-                                      beliefs,
-                                      retries,
-                                      circuit,
-                                      quotas,
-                                      health,
-                                      counters,
-                                      {},
-                                      {}}};
   ControlForwarder control{calls, [] { return std::vector<base::NodeAddress>{}; }};
   std::unique_ptr<CallerService> service;
 };
--- /dev/null
+++ b/libraries/front/test/forward_fixture.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include "fakes.h"
+#include "forward_fakes.h"
+#include "switchsaddle/front/forward_flow.h"
+#include "switchsaddle/simulation/process.h"
+
+namespace switchsaddle::front {
+
+/** A flow of forwarded requests with all that it stands on, in a world of its own. */
+class ForwardFixture : public testing::Test {
+ protected:
+  explicit ForwardFixture(RetryAllowance retry_allowance) : allowance(retry_allowance) {}
+
+  RetryAllowance allowance;
+  simulation::World world{1};
+  simulation::Process process{world};
+  FakeForwardPort port;
+  FakeRouter router;
+  FakeBeliefs beliefs;
+  RetryBudget retries{process};
+  WorkerCircuit circuit{process};
+  QuotaMeter quotas{process, {}};
+  worker_health::EvidenceRecorder health{process};
+  ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
+  Counters counters;
+  ForwardFlow flow{ForwardEnvironment{process,
+                                      world.random(),
+                                      port,
+                                      placer,
+                                      beliefs,
+                                      retries,
+                                      circuit,
+                                      quotas,
+                                      health,
+                                      counters,
+                                      {},
+                                      allowance}};
+};
+
+}  // namespace switchsaddle::front
--- a/libraries/front/test/forward_flow_test.cc
+++ b/libraries/front/test/forward_flow_test.cc
@@ -3,10 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include "fakes.h"
-#include "forward_fakes.h"
+#include "forward_fixture.h"
 #include "switchsaddle/base/error.h"
-#include "switchsaddle/simulation/process.h"
 
 namespace switchsaddle::front {
 namespace {
@@ -14,9 +12,9 @@
 using configuration::ForwardKind;
 using testing::HasSubstr;
 
-class ForwardFlowTest : public testing::Test {
+class ForwardFlowTest : public ForwardFixture {
  protected:
-  ForwardFlowTest() {
+  ForwardFlowTest() : ForwardFixture(RetryAllowance{0.2, 10}) {
     configuration::Forwarding& forwarding = beliefs.view.forwarding;
     forwarding.pools["shop"].name = "shop";
     addRoute("once", ForwardKind::AtMostOnce, 1);
@@ -63,30 +61,6 @@
     return writer;
   }
   FakeForwardPort::Sent& last() { return port.sent.back(); }
-
-  simulation::World world{1};
-  simulation::Process process{world};
-  FakeForwardPort port;
-  FakeRouter router;
-  FakeBeliefs beliefs;
-  RetryBudget retries{process};
-  WorkerCircuit circuit{process};
-  QuotaMeter quotas{process, {}};
-  worker_health::EvidenceRecorder health{process};
-  ForwardPlacer placer{process, world.random(), router, circuit, beliefs, {"127.0.0.1", 1}};
-  Counters counters;
-  ForwardFlow flow{ForwardEnvironment{process,
-                                      world.random(),
-                                      port,
-                                      placer,
-                                      beliefs,
-                                      retries,
-                                      circuit,
-                                      quotas,
-                                      health,
-                                      counters,
-                                      {},
-                                      {0.2, 10}}};
 };
 
 TEST_F(ForwardFlowTest, PassesTheMessageOnUnchangedButForWhatItSets) {
