--- a/libraries/claims/source/peer_claim_client.cc
+++ b/libraries/claims/source/peer_claim_client.cc
@@ -44,7 +44,7 @@
     return;
   }
   ++operation.tries_in_round;
-  const base::NodeAddress core = cores[operation.core % cores.size()];
+  const base::NodeAddress& core = cores[operation.core % cores.size()];
   if (operation.owing.contains(core)) {
     passOver(id);
   } else {
