--- a/libraries/scenarios/test/busy_core_test.cc
+++ b/libraries/scenarios/test/busy_core_test.cc
@@ -123,7 +123,8 @@
   EXPECT_TRUE(busy.fleet().allServe(1));
 }
 
-INSTANTIATE_TEST_SUITE_P(MicrosecondsOfWork, LateCoreTest, testing::Values(1'000, 1'500, 2'000));
+INSTANTIATE_TEST_SUITE_P(MicrosecondsOfWork, LateCoreTest,
+                         testing::Values(1'000, 1'500, 2'000, 3'000));
 
 INSTANTIATE_TEST_SUITE_P(Seeds, BusyCoreTest, testing::Values(1, 2, 3));
 
