Log: change-ended names the change that ended

Cause of the change: the line told the version and whether the answer was a repeat, but not of which change. Two operators who both got a 200 for version 2 (review/3) left 'version=2' and 'version=2 repeated=yes': a recorded repeat, a content comparison and a digest collision look the same.

Change: the field 'change' holds the identifier (48 characters at most), or evacuate/ZONE and restore/ZONE for orders without one. What belongs to one submission is one struct in the coordinator.

Test: TheLogNamesEachChangeThatEnded.

--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -26,7 +26,7 @@
  * outcome is the one recorded in the committed value, not that of the function's last run. A
  * rejected change is reported at once. A committed one is reported when it is in force, or at the
  * acknowledgement deadline, counted from its submission. The event `change-ended` reports the
- * outcome and durations.
+ * change, the outcome and durations.
  * Runs on the control strand.
  */
 class RegisterChangeCoordinator : public ChangeCoordinator {
@@ -55,16 +55,26 @@
  private:
   using Callback = std::function<void(const ChangeAnswer&)>;
 
-  /** @param change_id empty if the caller gave no identifier for the recorded decision. */
-  void commit(Decide decide, const std::string& change_id, Callback callback);
+  /** A change in progress. */
+  struct Submission {
+    /** Identifies the recorded decision; empty if the caller gave no identifier. */
+    std::string change_id;
+    /** Names the change in the log. */
+    std::string name;
+    base::TimePoint begun_at;
+  };
+
+  Submission submissionOf(const std::string& change_id) const;
+  void commit(Decide decide, const Submission& submission, Callback callback);
   void check(const configuration::Change& change, Callback callback);
   void applyCommitted(const configuration::Document& document);
   void onCommitted(const registers::RegisterOutcome& outcome,
-                   const configuration::ChangeDecision& decision, const std::string& change_id,
-                   base::TimePoint begun_at, const Callback& callback);
-  void awaitInForce(const ChangeAnswer& answer, base::TimePoint begun_at, Callback callback);
-  void report(const ChangeAnswer& answer, base::Duration commit_duration,
-              base::Duration wait_duration, const InForceOutcome& in_force);
+                   const configuration::ChangeDecision& decision, const Submission& submission,
+                   const Callback& callback);
+  void awaitInForce(const ChangeAnswer& answer, const Submission& submission, Callback callback);
+  void report(const ChangeAnswer& answer, const Submission& submission,
+              base::Duration commit_duration, base::Duration wait_duration,
+              const InForceOutcome& in_force);
 
   base::Dispatcher& dispatcher_;
   registers::RegisterProposer& proposer_;
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -14,6 +14,9 @@
 using configuration::RecordedChange;
 using configuration::RegisterValue;
 
+/** Maximum length of a change's name in the log, enough to tell digests apart. */
+constexpr std::size_t LoggedNameCharacters = 48;
+
 ChangeAnswer answerOf(const ChangeDecision& decision) {
   ChangeAnswer answer;
   answer.code = decision.code;
@@ -74,7 +77,7 @@
     const auto decide = [change](const RegisterValue& present) {
       return configuration::decideChange(present, change);
     };
-    commit(decide, change.change_id, std::move(callback));
+    commit(decide, submissionOf(change.change_id), std::move(callback));
   }
 }
 
@@ -83,12 +86,12 @@
   const auto decide = [update](const RegisterValue& present) {
     return configuration::decideSourceUpdate(present, update);
   };
-  commit(decide, update.change_id, std::move(callback));
+  commit(decide, submissionOf(update.change_id), std::move(callback));
 }
 
 void RegisterChangeCoordinator::submitOrder(Decide decide, const std::string& change_id,
                                             Callback callback) {
-  commit(std::move(decide), change_id, std::move(callback));
+  commit(std::move(decide), submissionOf(change_id), std::move(callback));
 }
 
 void RegisterChangeCoordinator::submitEvacuation(const std::string& zone, bool evacuated,
@@ -96,7 +99,9 @@
   const auto decide = [zone, evacuated](const RegisterValue& present) {
     return configuration::decideEvacuation(present, zone, evacuated);
   };
-  commit(decide, {}, std::move(callback));
+  Submission submission = submissionOf({});
+  submission.name = (evacuated ? "evacuate/" : "restore/") + zone;
+  commit(decide, submission, std::move(callback));
 }
 
 void RegisterChangeCoordinator::check(const configuration::Change& change, Callback callback) {
@@ -112,9 +117,13 @@
   });
 }
 
-void RegisterChangeCoordinator::commit(Decide decide, const std::string& change_id,
+RegisterChangeCoordinator::Submission RegisterChangeCoordinator::submissionOf(
+    const std::string& change_id) const {
+  return {change_id, change_id.substr(0, LoggedNameCharacters), dispatcher_.now()};
+}
+
+void RegisterChangeCoordinator::commit(Decide decide, const Submission& submission,
                                        Callback callback) {
-  const base::TimePoint begun_at = dispatcher_.now();
   // Used only for changes that were not written. The result of the function's last run may differ
   // from the committed one, since an earlier proposal may turn out to have been chosen.
   auto decision = std::make_shared<ChangeDecision>();
@@ -135,12 +144,11 @@
     }
     return configuration::encodeRegisterValue(decision->next);
   };
-  proposer_.change(
-      registers::ConfigurationRegister, std::move(function),
-      callbacks_.guard([this, decision, change_id, begun_at,
-                        callback = std::move(callback)](const registers::RegisterOutcome& outcome) {
-        onCommitted(outcome, *decision, change_id, begun_at, callback);
-      }));
+  proposer_.change(registers::ConfigurationRegister, std::move(function),
+                   callbacks_.guard([this, decision, submission, callback = std::move(callback)](
+                                        const registers::RegisterOutcome& outcome) {
+                     onCommitted(outcome, *decision, submission, callback);
+                   }));
 }
 
 void RegisterChangeCoordinator::applyCommitted(const configuration::Document& document) {
@@ -157,11 +165,11 @@
 
 void RegisterChangeCoordinator::onCommitted(const registers::RegisterOutcome& outcome,
                                             const ChangeDecision& decision,
-                                            const std::string& change_id, base::TimePoint begun_at,
+                                            const Submission& submission,
                                             const Callback& callback) {
-  const base::Duration commit_duration = dispatcher_.now() - begun_at;
+  const base::Duration commit_duration = dispatcher_.now() - submission.begun_at;
   if (outcome.code != ResultCode::Ok) {
-    report(rejection(outcome.code), commit_duration, {}, {});
+    report(rejection(outcome.code), submission, commit_duration, {}, {});
     callback(rejection(outcome.code));
     return;
   }
@@ -169,33 +177,34 @@
   if (value) {
     applyCommitted(value->document);
   }
-  const ChangeAnswer answer = recordedAnswer(value, change_id, answerOf(decision), outcome.changed);
+  const ChangeAnswer answer =
+      recordedAnswer(value, submission.change_id, answerOf(decision), outcome.changed);
   if (answer.code != ResultCode::Ok || faults_.acknowledge_without_waiting) {
-    report(answer, commit_duration, {}, {});
+    report(answer, submission, commit_duration, {}, {});
     callback(answer);
     return;
   }
-  awaitInForce(answer, begun_at, callback);
+  awaitInForce(answer, submission, callback);
 }
 
-void RegisterChangeCoordinator::awaitInForce(const ChangeAnswer& answer, base::TimePoint begun_at,
-                                             Callback callback) {
+void RegisterChangeCoordinator::awaitInForce(const ChangeAnswer& answer,
+                                             const Submission& submission, Callback callback) {
   const base::TimePoint committed_at = dispatcher_.now();
-  tracker_.wait(answer.version, begun_at + acknowledgement_deadline_,
-                [this, answer, begun_at, committed_at,
+  tracker_.wait(answer.version, submission.begun_at + acknowledgement_deadline_,
+                [this, answer, submission, committed_at,
                  callback = std::move(callback)](const InForceOutcome& in_force) {
                   ChangeAnswer final_answer = answer;
                   if (!in_force.in_force) {
                     final_answer.code = ResultCode::CommittedNotYetInForce;
                   }
-                  report(final_answer, committed_at - begun_at, dispatcher_.now() - committed_at,
-                         in_force);
+                  report(final_answer, submission, committed_at - submission.begun_at,
+                         dispatcher_.now() - committed_at, in_force);
                   callback(final_answer);
                 });
 }
 
-void RegisterChangeCoordinator::report(const ChangeAnswer& answer, base::Duration commit_duration,
-                                       base::Duration wait_duration,
+void RegisterChangeCoordinator::report(const ChangeAnswer& answer, const Submission& submission,
+                                       base::Duration commit_duration, base::Duration wait_duration,
                                        const InForceOutcome& in_force) {
   const bool is_pending =
       answer.code == ResultCode::CommittedNotYetInForce || answer.code == ResultCode::NoQuorum;
@@ -204,7 +213,8 @@
   incident.event = "change-ended";
   incident.severity = is_pending ? base::Severity::Warning : base::Severity::Notice;
   incident.code = answer.code;
-  incident.fields = {{"version", std::to_string(answer.version)},
+  incident.fields = {{"change", submission.name},
+                     {"version", std::to_string(answer.version)},
                      {"repeated", answer.repeated ? "yes" : ""},
                      {"commit_ms", std::to_string(base::toMilliseconds(commit_duration))},
                      {"wait_ms", std::to_string(base::toMilliseconds(wait_duration))},
--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -182,6 +182,21 @@
   EXPECT_EQ(submit(changeOf("1", 0)).code, ResultCode::CommittedNotYetInForce);
 }
 
+TEST_F(RegisterChangeCoordinatorTest, TheLogNamesEachChangeThatEnded) {
+  submit(changeOf("1", 0));
+  submit(changeOf("2", 0));
+  std::optional<ChangeAnswer> answer;
+  coordinator_.submitEvacuation("west", true, [&](const ChangeAnswer& result) { answer = result; });
+  EXPECT_TRUE(world_.runUntil([&] { return answer.has_value(); }, seconds(10)));
+  std::vector<std::string> names;
+  for (const base::Incident& incident : incidents_.all) {
+    ASSERT_EQ(incident.event, "change-ended");
+    EXPECT_EQ(incident.fields.front().key, "change");
+    names.push_back(incident.fields.front().value);
+  }
+  EXPECT_EQ(names, (std::vector<std::string>{"1", "2", "evacuate/west"}));
+}
+
 TEST_F(RegisterChangeCoordinatorTest, AReadingBegunBeforeTheCommitDoesNotCount) {
   directory_.defers_replies = true;
   bool first_done = false;
