Configuration: an update counts as repeated by its identifier alone

Cause: decideSourceUpdate translated the patch against the text in force and took it for a repeat if the outcome was that text, before it compared the base. So a patch contained in the one that won counted as done. The same comparison acknowledged a document with the version in force on top of itself, and an empty patch, which are invalid.

Ruled out: equal digests; two commits.

Change: the comparison is gone. A resent update is found by its recorded identifier, as before.

One expectation was wrong and is replaced: ARepeatedUpdateIsAcknowledgedAfterLaterChanges ended with another identifier, base 7 and revision 7 on top of revision 7, and wanted Ok. PROTOCOL.md: invalid 'if its version is not above the current one'. The new test asks for ConfigurationInvalid there, and for a conflict on the older base.

--- a/libraries/configuration/source/source_document.cc
+++ b/libraries/configuration/source/source_document.cc
@@ -37,11 +37,6 @@
   return decision;
 }
 
-bool isInForce(const SourceTranslation& translation, const SourceDocument& current) {
-  return translation.faults.empty() && translation.revision == current.revision &&
-         translation.text == current.text;
-}
-
 /** @return the change that makes the derived entries those of the translation. */
 Change changeOfEntries(const Document& document, const SourceUpdate& update,
                        const SourceTranslation& translation) {
@@ -106,13 +101,10 @@
   if (const RecordedChange* recorded = current.findRecorded(update.change_id)) {
     return repeatRecorded(*recorded);
   }
-  SourceTranslation translation = update.translate(current.source.text);
-  if (isInForce(translation, current.source)) {
-    return alreadyInForce(current);
-  }
   if (update.base_revision != current.source.revision) {
     return reject(current, ResultCode::ConfigurationConflict, {});
   }
+  SourceTranslation translation = update.translate(current.source.text);
   if (!translation.faults.empty()) {
     return reject(current, ResultCode::ConfigurationInvalid, std::move(translation.faults));
   }
--- a/libraries/configuration/test/source_document_test.cc
+++ b/libraries/configuration/test/source_document_test.cc
@@ -64,10 +64,16 @@
     EXPECT_TRUE(repeated.repeated);
     EXPECT_FALSE(repeated.writes);
   }
-  // The same document as the one in force, with another change_id.
-  const ChangeDecision same = decideSourceUpdate(second, updateTo(7, 7, "b", "other"));
-  EXPECT_EQ(same.code, ResultCode::Ok);
-  EXPECT_FALSE(same.writes);
+}
+
+TEST(SourceDocumentTest, AnotherUpdateWithTheResultInForceIsNotAcknowledged) {
+  const RegisterValue second = after(after({}, updateTo(0, 5, "a")), updateTo(5, 7, "b"));
+  const ChangeDecision outdated = decideSourceUpdate(second, updateTo(5, 7, "b", "other"));
+  EXPECT_EQ(outdated.code, ResultCode::ConfigurationConflict);
+  EXPECT_FALSE(outdated.writes);
+  const ChangeDecision unchanged = decideSourceUpdate(second, updateTo(7, 7, "b", "other"));
+  EXPECT_EQ(unchanged.code, ResultCode::ConfigurationInvalid);
+  EXPECT_FALSE(unchanged.writes);
 }
 
 TEST(SourceDocumentTest, RevisionsMustIncrease) {
