Orders of any version are carried out only while their caller waits

What callers saw: the order to end a zone's evacuation lay unread in a core that was frozen for 4 s, was acknowledged by another core, and the zone was evacuated again.

Cause: an order that names no version applies to whatever is in force when it is decided, however long ago it was sent. Evidence: 'strand-late late_ms=3971', then 'change=restore/zone-b version=5 commit_ms=4' at the core that woke. Ruled out: a round begun before the freeze (commit_ms would hold it), fronts that had not heard.

Change, for each path that shares it (platform's evacuations; the product's evacuations, keys, maintenance, changes of any version, replacements of a core; orders that a front passes on): such an order is committed only while its caller waits. Its connection is not closed, which the server looks at also before it hands over a request that may change something; and no more than the acknowledgement deadline has passed since it may have arrived, where the delay of the control strand in the last second counts. Looked at in each run of the change function. Else 6011 OrderExpired.

Tried and taken back: not to hand such requests over. The fuzz test's clients, which close their sending side and read on, got no answer.

--- a/libraries/base/include/switchsaddle/base/result_code.h
+++ b/libraries/base/include/switchsaddle/base/result_code.h
@@ -65,6 +65,7 @@
   NothingToMaintain = 6008,
   UnknownWorker = 6009,
   SettingsNeedRestart = 6010,
+  OrderExpired = 6011,
   // 7000: the control plane.
   NoQuorum = 7001,
   SessionLapsed = 7002,
--- a/libraries/base/source/result_code.cc
+++ b/libraries/base/source/result_code.cc
@@ -88,6 +88,8 @@
     ResultCodeInfo{UnknownWorker, "UnknownWorker", 404, false, "No worker has this name."},
     ResultCodeInfo{SettingsNeedRestart, "SettingsNeedRestart", 409, false,
                    "Changed settings take effect only at the next start."},
+    ResultCodeInfo{OrderExpired, "OrderExpired", 503, true,
+                   "The order was not decided while its caller waited; it has no effect."},
     ResultCodeInfo{NoQuorum, "NoQuorum", 503, true, "A majority of the core did not answer."},
     ResultCodeInfo{SessionLapsed, "SessionLapsed", 503, true, "The session has lapsed."},
     ResultCodeInfo{LeaseHeldElsewhere, "LeaseHeldElsewhere", 409, true,
--- a/libraries/core/include/switchsaddle/core/control_dependencies.h
+++ b/libraries/core/include/switchsaddle/core/control_dependencies.h
@@ -10,6 +10,7 @@
 #include "switchsaddle/core/change_coordinator.h"
 #include "switchsaddle/core/node_information.h"
 #include "switchsaddle/dissemination/configuration_replica.h"
+#include "switchsaddle/metrics/strand_watch.h"
 #include "switchsaddle/registers/proposer.h"
 #include "switchsaddle/sessions/session_directory.h"
 
@@ -33,6 +34,8 @@
   std::vector<std::string> operator_hashes;
   /** Test-only: reads return the replica's document, without a quorum. */
   bool read_unconfirmed = false;
+  /** Measures the delay of the control strand; null if it is never late. */
+  const metrics::StrandWatch* strand_watch = nullptr;
 };
 
 }  // namespace switchsaddle::core
--- a/libraries/core/include/switchsaddle/core/control_service.h
+++ b/libraries/core/include/switchsaddle/core/control_service.h
@@ -33,6 +33,8 @@
 
   /** For other interfaces, which authenticate their callers themselves. */
   ChangeCoordinator& coordinator() { return dependencies_.coordinator; }
+  /** @return the caller of a request that is read now, for coordinator(). */
+  Caller callerOf(const http::Request& request) const;
   /** Reads the source document, confirmed by a quorum; see coordinator() for authentication. */
   void readSource(SourceReader reader);
 
--- a/libraries/core/include/switchsaddle/core/core_environment.h
+++ b/libraries/core/include/switchsaddle/core/core_environment.h
@@ -6,6 +6,7 @@
 #include "switchsaddle/configuration/settings.h"
 #include "switchsaddle/core/core_faults.h"
 #include "switchsaddle/journal/journal.h"
+#include "switchsaddle/metrics/strand_watch.h"
 #include "switchsaddle/storage/record_store.h"
 #include "switchsaddle/transport/peer_calls.h"
 #include "switchsaddle/workers/platform_source.h"
@@ -25,6 +26,8 @@
   CoreFaults faults = {};
   /** Receives the events meant for operators; they are dropped if null. */
   base::IncidentSink* incidents = nullptr;
+  /** Measures the delay of the control strand; null if it is never late. */
+  const metrics::StrandWatch* strand_watch = nullptr;
 
   /** @return the sink for operator events, which may drop them. */
   base::IncidentSink& incidentSink() const {
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -25,7 +25,8 @@
  * same base version is committed, and a retried change finds its recorded outcome. The reported
  * outcome is the one recorded in the committed value, not that of the function's last run. A
  * rejected change is reported at once. A committed one is reported when it is in force, or at the
- * acknowledgement deadline, counted from its submission. The event `change-ended` reports the
+ * acknowledgement deadline, counted from its submission. Callers wait until that deadline, counted
+ * from the arrival of their order. The event `change-ended` reports the
  * change, the outcome and durations.
  * Runs on the control strand.
  */
@@ -43,13 +44,14 @@
   using CommittedListener = std::function<void(const wire::ConfigurationDelta&)>;
   void setCommittedListener(CommittedListener listener) { listener_ = std::move(listener); }
 
-  void submit(const configuration::Change& change, bool dry_run,
+  void submit(const configuration::Change& change, bool dry_run, const Caller& caller,
               std::function<void(const ChangeAnswer&)> callback) override;
+  bool isAwaited(const Caller& caller) const override;
   void submitSource(const configuration::SourceUpdate& update,
                     std::function<void(const ChangeAnswer&)> callback) override;
-  void submitOrder(Decide decide, const std::string& change_id,
+  void submitOrder(Decide decide, const std::string& change_id, const Caller& caller,
                    std::function<void(const ChangeAnswer&)> callback) override;
-  void submitEvacuation(const std::string& zone, bool evacuated,
+  void submitEvacuation(const std::string& zone, bool evacuated, const Caller& caller,
                         std::function<void(const ChangeAnswer&)> callback) override;
 
  private:
@@ -66,6 +68,8 @@
 
   Submission submissionOf(const std::string& change_id) const;
   void commit(Decide decide, const Submission& submission, Callback callback);
+  /** @return the function, which decides for OrderExpired once the caller no longer waits. */
+  Decide whileCallerWaits(Decide decide, const Caller& caller) const;
   void check(const configuration::Change& change, Callback callback);
   void applyCommitted(const configuration::Document& document);
   void onCommitted(const registers::RegisterOutcome& outcome,
--- a/libraries/core/source/configuration_handlers.cc
+++ b/libraries/core/source/configuration_handlers.cc
@@ -70,21 +70,22 @@
 }
 
 void ConfigurationHandlers::submit(const configuration::Change& change, bool dry_run,
-                                   Respond respond) const {
+                                   const Caller& caller, Respond respond) const {
   dependencies_.coordinator.submit(
-      change, dry_run, [dry_run, respond = std::move(respond)](const ChangeAnswer& answer) {
+      change, dry_run, caller, [dry_run, respond = std::move(respond)](const ChangeAnswer& answer) {
         respond(jsonResponse(base::describe(answer.code).http_status,
                              configuration::renderChangeResult(resultOf(answer, dry_run))));
       });
 }
 
 void ConfigurationHandlers::submitOrder(const configuration::Change& change,
-                                        const std::vector<Fault>& faults, Respond respond) const {
+                                        const std::vector<Fault>& faults, const Caller& caller,
+                                        Respond respond) const {
   if (!faults.empty()) {
     respond(controlError(codeOf(faults), faults));
     return;
   }
-  submit(change, false, std::move(respond));
+  submit(change, false, caller, std::move(respond));
 }
 
 void ConfigurationHandlers::postChange(const http::Request& request, Respond respond) const {
@@ -94,21 +95,24 @@
     respond(controlError(codeOf(faults), faults));
     return;
   }
-  submit(change, queryFlag(request.target, "dry_run"), std::move(respond));
+  submit(change, queryFlag(request.target, "dry_run"), callerOf(request, dependencies_),
+         std::move(respond));
 }
 
 void ConfigurationHandlers::postEvacuation(const http::Request& request, const std::string& zone,
                                            Respond respond) const {
   std::vector<Fault> faults;
   const std::string change_id = changeIdOf(request, faults);
-  submitOrder(configuration::evacuationChange(change_id, zone, false), faults, std::move(respond));
+  submitOrder(configuration::evacuationChange(change_id, zone, false), faults,
+              callerOf(request, dependencies_), std::move(respond));
 }
 
 void ConfigurationHandlers::deleteEvacuation(const http::Request& request, const std::string& zone,
                                              Respond respond) const {
   std::vector<Fault> faults;
   const std::string change_id = changeIdOf(request, faults);
-  submitOrder(configuration::evacuationChange(change_id, zone, true), faults, std::move(respond));
+  submitOrder(configuration::evacuationChange(change_id, zone, true), faults,
+              callerOf(request, dependencies_), std::move(respond));
 }
 
 void ConfigurationHandlers::postKey(const http::Request& request, Respond respond) const {
@@ -120,7 +124,8 @@
   }
   const configuration::KeyIssue issue = configuration::issueKey(key, bearerOf(request));
   dependencies_.coordinator.submit(
-      issue.change, false, [issue, respond = std::move(respond)](const ChangeAnswer& answer) {
+      issue.change, false, callerOf(request, dependencies_),
+      [issue, respond = std::move(respond)](const ChangeAnswer& answer) {
         respond(jsonResponse(base::describe(answer.code).http_status,
                              configuration::renderKeyResult(issue, resultOf(answer, false))));
       });
@@ -130,7 +135,8 @@
                                       Respond respond) const {
   std::vector<Fault> faults;
   const std::string change_id = changeIdOf(request, faults);
-  submitOrder(configuration::revokeKeyChange(change_id, key), faults, std::move(respond));
+  submitOrder(configuration::revokeKeyChange(change_id, key), faults,
+              callerOf(request, dependencies_), std::move(respond));
 }
 
 }  // namespace switchsaddle::core
--- a/libraries/core/source/configuration_handlers.h
+++ b/libraries/core/source/configuration_handlers.h
@@ -33,10 +33,12 @@
   void deleteKey(const http::Request& request, const std::string& key, Respond respond) const;
 
  private:
-  void submit(const configuration::Change& change, bool dry_run, Respond respond) const;
+  void submit(const configuration::Change& change, bool dry_run, const Caller& caller,
+              Respond respond) const;
   /** Submits the change of an operator's request, or responds with the faults of its body. */
   void submitOrder(const configuration::Change& change,
-                   const std::vector<configuration::Fault>& faults, Respond respond) const;
+                   const std::vector<configuration::Fault>& faults, const Caller& caller,
+                   Respond respond) const;
 
   const ControlDependencies& dependencies_;
   const ConfigurationReader& reader_;
--- a/libraries/core/source/control_requests.cc
+++ b/libraries/core/source/control_requests.cc
@@ -105,6 +105,12 @@
   return order;
 }
 
+Caller callerOf(const http::Request& request, const ControlDependencies& dependencies) {
+  const metrics::StrandWatch* watch = dependencies.strand_watch;
+  const base::Duration delay = watch == nullptr ? base::Duration::zero() : watch->recentDelay();
+  return {dependencies.dispatcher.now() - delay, request.client};
+}
+
 std::string changeIdOf(const http::Request& request, std::vector<Fault>& faults) {
   const std::string from_query = http::queryParameter(request.target, "change_id");
   if (request.body.empty() && !from_query.empty()) {
--- a/libraries/core/source/control_requests.h
+++ b/libraries/core/source/control_requests.h
@@ -7,6 +7,7 @@
 
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/configuration/document.h"
+#include "switchsaddle/core/control_dependencies.h"
 #include "switchsaddle/http/message.h"
 
 /**
@@ -44,6 +45,9 @@
 /** @return the request's bearer key; empty if it has none. */
 std::string bearerOf(const http::Request& request);
 
+/** @return the caller of a request that is read now. */
+Caller callerOf(const http::Request& request, const ControlDependencies& dependencies);
+
 /**
  * @return the change identifier of a request with no other field, from the body or, if the body
  * is empty, from the query.
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control_service.cc
@@ -97,6 +97,10 @@
   handlers_->handle(*route.operation, request, route.name, std::move(respond));
 }
 
+Caller ControlService::callerOf(const http::Request& request) const {
+  return core::callerOf(request, dependencies_);
+}
+
 void ControlService::readSource(SourceReader reader) {
   handlers_->reader.readSource(std::move(reader));
 }
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -71,7 +71,8 @@
           *this,
           std::move(replace),
           environment_.settings.operator_hashes,
-          environment_.faults.read_unconfirmed};
+          environment_.faults.read_unconfirmed,
+          environment_.strand_watch};
 }
 
 void CoreNode::connectWorkers() {
--- a/libraries/core/source/maintenance_handlers.cc
+++ b/libraries/core/source/maintenance_handlers.cc
@@ -65,7 +65,7 @@
   configuration::MaintenanceOrder order;
   order.change_id = changeIdOf(request, faults);
   order.wanted = unhealthyWorkers(dependencies_.node.health());
-  submit(std::move(order), faults, std::move(respond));
+  submit(std::move(order), faults, callerOf(request, dependencies_), std::move(respond));
 }
 
 void MaintenanceHandlers::postWorker(const http::Request& request, const std::string& worker,
@@ -75,11 +75,12 @@
   order.change_id = changeIdOf(request, faults);
   order.wanted = {worker};
   order.is_chosen = true;
-  submit(std::move(order), faults, std::move(respond));
+  submit(std::move(order), faults, callerOf(request, dependencies_), std::move(respond));
 }
 
 void MaintenanceHandlers::submit(configuration::MaintenanceOrder order,
-                                 const std::vector<Fault>& faults, Respond respond) const {
+                                 const std::vector<Fault>& faults, const Caller& caller,
+                                 Respond respond) const {
   if (!faults.empty()) {
     respond(controlError(codeOf(faults), faults));
     return;
@@ -90,7 +91,7 @@
       [order = std::move(order)](const RegisterValue& present) {
         return configuration::decideMaintenance(present, order);
       },
-      change_id,
+      change_id, caller,
       [this, change_id, respond = std::move(respond)](const ChangeAnswer& answer) {
         respondSubmitted(answer, change_id, respond);
       });
@@ -126,7 +127,7 @@
       [change_id, worker](const RegisterValue& present) {
         return configuration::decideMaintenanceEnd(present, change_id, worker);
       },
-      change_id,
+      change_id, callerOf(request, dependencies_),
       [worker, respond = std::move(respond)](const ChangeAnswer& answer) {
         respond(jsonResponse(base::describe(answer.code).http_status,
                              renderMaintenanceResult(answer, worker)));
--- a/libraries/core/source/maintenance_handlers.h
+++ b/libraries/core/source/maintenance_handlers.h
@@ -31,7 +31,8 @@
 
  private:
   void submit(configuration::MaintenanceOrder order,
-              const std::vector<configuration::Fault>& faults, Respond respond) const;
+              const std::vector<configuration::Fault>& faults, const Caller& caller,
+              Respond respond) const;
   void respondSubmitted(const ChangeAnswer& answer, const std::string& change_id,
                         const Respond& respond) const;
 
--- a/libraries/core/source/node_handlers.cc
+++ b/libraries/core/source/node_handlers.cc
@@ -32,6 +32,10 @@
     respond(controlError(codeOf(faults), faults));
     return;
   }
+  if (!dependencies_.coordinator.isAwaited(callerOf(request, dependencies_))) {
+    respond(controlError(ResultCode::OrderExpired));
+    return;
+  }
   dependencies_.replace_core(
       order.old_member, order.new_member, [respond = std::move(respond)](ResultCode code) {
         std::vector<Fault> causes;
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/register_change_coordinator.cc
@@ -46,6 +46,13 @@
   return answer;
 }
 
+ChangeDecision expired(const RegisterValue& present) {
+  ChangeDecision decision;
+  decision.code = ResultCode::OrderExpired;
+  decision.version = present.document.version;
+  return decision;
+}
+
 /** @return the decoded value; std::nullopt if it is corrupt. */
 std::optional<RegisterValue> decode(const std::string& bytes) {
   try {
@@ -70,15 +77,18 @@
       faults_(faults) {}
 
 void RegisterChangeCoordinator::submit(const configuration::Change& change, bool dry_run,
-                                       Callback callback) {
+                                       const Caller& caller, Callback callback) {
   if (dry_run) {
     check(change, std::move(callback));
-  } else {
-    const auto decide = [change](const RegisterValue& present) {
-      return configuration::decideChange(present, change);
-    };
-    commit(decide, submissionOf(change.change_id), std::move(callback));
+    return;
+  }
+  Decide decide = [change](const RegisterValue& present) {
+    return configuration::decideChange(present, change);
+  };
+  if (change.base_version == configuration::AnyBaseVersion) {
+    decide = whileCallerWaits(std::move(decide), caller);
   }
+  commit(std::move(decide), submissionOf(change.change_id), std::move(callback));
 }
 
 void RegisterChangeCoordinator::submitSource(const configuration::SourceUpdate& update,
@@ -90,18 +100,31 @@
 }
 
 void RegisterChangeCoordinator::submitOrder(Decide decide, const std::string& change_id,
-                                            Callback callback) {
-  commit(std::move(decide), submissionOf(change_id), std::move(callback));
+                                            const Caller& caller, Callback callback) {
+  commit(whileCallerWaits(std::move(decide), caller), submissionOf(change_id), std::move(callback));
 }
 
 void RegisterChangeCoordinator::submitEvacuation(const std::string& zone, bool evacuated,
-                                                 Callback callback) {
+                                                 const Caller& caller, Callback callback) {
   const auto decide = [zone, evacuated](const RegisterValue& present) {
     return configuration::decideEvacuation(present, zone, evacuated);
   };
   Submission submission = submissionOf({});
   submission.name = (evacuated ? "evacuate/" : "restore/") + zone;
-  commit(decide, submission, std::move(callback));
+  commit(whileCallerWaits(decide, caller), submission, std::move(callback));
+}
+
+ChangeCoordinator::Decide RegisterChangeCoordinator::whileCallerWaits(Decide decide,
+                                                                      const Caller& caller) const {
+  return [this, decide = std::move(decide), caller](const RegisterValue& present) {
+    ChangeDecision decision = decide(present);
+    return decision.writes && !isAwaited(caller) ? expired(present) : std::move(decision);
+  };
+}
+
+bool RegisterChangeCoordinator::isAwaited(const Caller& caller) const {
+  const bool has_left = caller.connection != nullptr && caller.connection->hasLeft();
+  return !has_left && dispatcher_.now() <= caller.arrived_at + acknowledgement_deadline_;
 }
 
 void RegisterChangeCoordinator::check(const configuration::Change& change, Callback callback) {
--- a/libraries/core/test/control_service_test.cc
+++ b/libraries/core/test/control_service_test.cc
@@ -63,6 +63,7 @@
   }
 
   FakeNode node_{process_, journal_};
+  metrics::StrandWatch watch_{process_, incidents_};
   std::vector<base::NodeAddress> replaced_;
   ControlService service_{{process_,
                            proposer_,
@@ -74,7 +75,9 @@
                              replaced_ = {old_member, new_member};
                              callback(ResultCode::Ok);
                            },
-                           {configuration::sha256Hex(OperatorKey)}}};
+                           {configuration::sha256Hex(OperatorKey)},
+                           false,
+                           &watch_}};
 };
 
 TEST_F(ControlServiceTest, AcceptsOnlyKeysOfOperators) {
@@ -192,6 +195,24 @@
          ResultCode::ConfigurationInvalid);
 }
 
+TEST_F(ControlServiceTest, OrdersThatLayUnreadInAFrozenCoreHaveNoEffect) {
+  watch_.start();
+  world_.runFor(seconds(2));
+  process_.freeze();
+  world_.runFor(seconds(4));
+  process_.wake();
+  const std::string order = R"({"change_id":"late"})";
+  EXPECT_EQ(errorCode(expect("POST", "/v1/zones/z1/evacuation", order, ResultCode::OrderExpired)),
+            static_cast<int>(ResultCode::OrderExpired));
+  expect("POST", "/v1/core/replacements", R"({"old":"127.0.0.1:1","new":"127.0.0.1:2"})",
+         ResultCode::OrderExpired);
+  EXPECT_TRUE(replaced_.empty());
+  EXPECT_EQ(replica_.version(), 1U);
+  world_.runFor(seconds(2));
+  expect("POST", "/v1/zones/z1/evacuation", order);
+  EXPECT_EQ(replica_.version(), 2U);
+}
+
 /** Ten workers of one pool, of which the last stalls. */
 class ControlHealthTest : public ControlServiceTest {
  protected:
--- a/libraries/core/test/fakes.h
+++ b/libraries/core/test/fakes.h
@@ -23,6 +23,9 @@
     for (int run = 1; run < runs; ++run) {
       function(value);
     }
+    if (before_last_run) {
+      before_last_run();
+    }
     const std::optional<std::string> next = function(value);
     if (next) {
       value = *next;
@@ -38,6 +41,8 @@
   bool has_quorum = true;
   /** How often the change function runs, as if ballots had been rejected. */
   int runs = 1;
+  /** Runs before the change function does so for the last time, if set. */
+  std::function<void()> before_last_run;
 };
 
 /** A session directory with the sessions that the test sets. */
--- a/libraries/core/test/register_change_coordinator_test.cc
+++ b/libraries/core/test/register_change_coordinator_test.cc
@@ -56,12 +56,26 @@
   ChangeAnswer submit(const configuration::Change& change, bool dry_run = false) {
     std::optional<ChangeAnswer> answer;
     const base::TimePoint before = world_.now();
-    coordinator_.submit(change, dry_run, [&](const ChangeAnswer& result) { answer = result; });
+    coordinator_.submit(change, dry_run, present(),
+                        [&](const ChangeAnswer& result) { answer = result; });
     EXPECT_TRUE(world_.runUntil([&] { return answer.has_value(); }, seconds(10)));
     taken_ = world_.now() - before;
     return *answer;
   }
 
+  /** @return a caller whose order arrives now. */
+  Caller present() const { return {world_.now(), nullptr}; }
+  ResultCode evacuate(const std::string& zone, bool evacuated, const Caller& caller) {
+    std::optional<ChangeAnswer> answer;
+    coordinator_.submitEvacuation(zone, evacuated, caller,
+                                  [&](const ChangeAnswer& result) { answer = result; });
+    EXPECT_TRUE(world_.runUntil([&] { return answer.has_value(); }, seconds(10)));
+    return answer->code;
+  }
+  bool isEvacuated(const std::string& zone) const {
+    return replica_.view()->evacuated_zones.contains(zone);
+  }
+
   Front first_{world_, network_, directory_, {"127.0.0.1", 7001}};
   Front second_{world_, network_, directory_, {"127.0.0.1", 7002}};
   base::Duration taken_{};
@@ -118,7 +132,7 @@
 TEST_F(RegisterChangeCoordinatorTest, AcknowledgesWhenTheSessionOfTheLastLaggingFrontExpires) {
   second_.confirms = false;
   std::optional<ChangeAnswer> answer;
-  coordinator_.submit(changeOf("1", 0), false,
+  coordinator_.submit(changeOf("1", 0), false, present(),
                       [&](const ChangeAnswer& result) { answer = result; });
   world_.runFor(milliseconds(500));
   ASSERT_FALSE(answer.has_value());
@@ -131,7 +145,7 @@
 TEST_F(RegisterChangeCoordinatorTest, ALostPushIsRetried) {
   network_.cut({"127.0.0.1", 7000}, second_.address);
   std::optional<ChangeAnswer> answer;
-  coordinator_.submit(changeOf("1", 0), false,
+  coordinator_.submit(changeOf("1", 0), false, present(),
                       [&](const ChangeAnswer& result) { answer = result; });
   world_.runFor(milliseconds(300));
   EXPECT_FALSE(answer.has_value());
@@ -185,9 +199,7 @@
 TEST_F(RegisterChangeCoordinatorTest, TheLogNamesEachChangeThatEnded) {
   submit(changeOf("1", 0));
   submit(changeOf("2", 0));
-  std::optional<ChangeAnswer> answer;
-  coordinator_.submitEvacuation("west", true, [&](const ChangeAnswer& result) { answer = result; });
-  EXPECT_TRUE(world_.runUntil([&] { return answer.has_value(); }, seconds(10)));
+  EXPECT_EQ(evacuate("west", true, present()), ResultCode::Ok);
   std::vector<std::string> names;
   for (const base::Incident& incident : incidents_.all) {
     ASSERT_EQ(incident.event, "change-ended");
@@ -197,13 +209,60 @@
   EXPECT_EQ(names, (std::vector<std::string>{"1", "2", "evacuate/west"}));
 }
 
+TEST_F(RegisterChangeCoordinatorTest, AnOldOrderDoesNotUndoANewerOne) {
+  world_.runFor(seconds(10));
+  const Caller old{world_.now() - seconds(4), nullptr};
+  EXPECT_EQ(evacuate("west", true, present()), ResultCode::Ok);
+  EXPECT_EQ(evacuate("west", false, old), ResultCode::OrderExpired);
+  EXPECT_TRUE(isEvacuated("west"));
+  // What holds already is acknowledged to anyone.
+  EXPECT_EQ(evacuate("west", true, old), ResultCode::Ok);
+  EXPECT_EQ(evacuate("west", false, present()), ResultCode::Ok);
+  EXPECT_FALSE(isEvacuated("west"));
+}
+
+TEST_F(RegisterChangeCoordinatorTest, AnOrderIsNotDecidedAfterItsCallerHasLeft) {
+  const auto connection = std::make_shared<http::ClientPresence>();
+  const Caller caller{world_.now(), connection};
+  EXPECT_EQ(evacuate("west", true, caller), ResultCode::Ok);
+  connection->leave();
+  EXPECT_EQ(evacuate("west", false, caller), ResultCode::OrderExpired);
+  EXPECT_TRUE(isEvacuated("west"));
+}
+
+TEST_F(RegisterChangeCoordinatorTest, AnOrderIsNotDecidedAnewAfterItsDeadline) {
+  EXPECT_EQ(evacuate("west", true, present()), ResultCode::Ok);
+  const Caller caller = present();
+  proposer_.before_last_run = [this] { world_.runFor(seconds(3)); };
+  proposer_.runs = 2;
+  EXPECT_EQ(evacuate("west", false, caller), ResultCode::OrderExpired);
+  EXPECT_TRUE(isEvacuated("west"));
+}
+
+TEST_F(RegisterChangeCoordinatorTest, OrdersWithAnIdentifierExpireToo) {
+  world_.runFor(seconds(10));
+  configuration::Change order = changeOf("1", configuration::AnyBaseVersion);
+  std::optional<ChangeAnswer> answer;
+  coordinator_.submit(order, false, {world_.now() - seconds(4), nullptr},
+                      [&](const ChangeAnswer& result) { answer = result; });
+  ASSERT_TRUE(answer.has_value());
+  EXPECT_EQ(answer->code, ResultCode::OrderExpired);
+  // A change that names its base is fenced by it.
+  order.base_version = 0;
+  answer.reset();
+  coordinator_.submit(order, false, {world_.now() - seconds(4), nullptr},
+                      [&](const ChangeAnswer& result) { answer = result; });
+  EXPECT_TRUE(world_.runUntil([&] { return answer.has_value(); }, seconds(10)));
+  EXPECT_EQ(answer->code, ResultCode::Ok);
+}
+
 TEST_F(RegisterChangeCoordinatorTest, AReadingBegunBeforeTheCommitDoesNotCount) {
   directory_.defers_replies = true;
   bool first_done = false;
   tracker_.wait(0, world_.now() + seconds(2),
                 [&](const InForceOutcome& outcome) { first_done = outcome.in_force; });
   std::optional<ChangeAnswer> answer;
-  coordinator_.submit(changeOf("1", 0), false,
+  coordinator_.submit(changeOf("1", 0), false, present(),
                       [&](const ChangeAnswer& result) { answer = result; });
   ASSERT_EQ(directory_.pending.size(), 1U);
   // The earlier reading returned no sessions.
--- a/libraries/front/include/switchsaddle/front/request/control_forwarder.h
+++ b/libraries/front/include/switchsaddle/front/request/control_forwarder.h
@@ -13,8 +13,8 @@
 
 /**
  * Forwards operators' requests to a core node, and to the next one if it does not respond or
- * rejects the call. Changes carry a change_id, which makes their retries idempotent. Runs on the
- * control strand.
+ * rejects the call, as long as the operator waits. Changes carry a change_id, which makes their
+ * retries idempotent. Runs on the control strand.
  */
 class ControlForwarder {
  public:
@@ -34,7 +34,13 @@
   void forward(const http::Request& request, Respond respond);
 
  private:
-  void attemptCore(wire::ControlRequest request, std::size_t attempts, Respond respond);
+  /** A request, and the operator's connection to this front. */
+  struct Forwarded {
+    wire::ControlRequest request;
+    http::ClientPresencePtr client;
+  };
+
+  void attemptCore(Forwarded forwarded, std::size_t attempts, Respond respond);
 
   transport::PeerCalls& calls_;
   CoreAddresses cores_;
--- a/libraries/front/source/request/control_forwarder.cc
+++ b/libraries/front/source/request/control_forwarder.cc
@@ -34,11 +34,14 @@
   message.target = request.target;
   message.authorization = request.header("Authorization");
   message.body = request.body;
-  attemptCore(std::move(message), 0, std::move(respond));
+  attemptCore({std::move(message), request.client}, 0, std::move(respond));
 }
 
-void ControlForwarder::attemptCore(wire::ControlRequest request, std::size_t attempts,
-                                   Respond respond) {
+void ControlForwarder::attemptCore(Forwarded forwarded, std::size_t attempts, Respond respond) {
+  if (forwarded.client != nullptr && forwarded.client->hasLeft()) {
+    respond(http::errorResponse(base::ResultCode::OrderExpired));
+    return;
+  }
   const std::vector<base::NodeAddress> cores = cores_();
   if (attempts >= cores.size()) {
     respond(
@@ -46,11 +49,12 @@
     return;
   }
   const std::size_t core = (preferred_ + attempts) % cores.size();
-  auto on_reply = [this, request, attempts, core,
+  const wire::ControlRequest request = forwarded.request;
+  auto on_reply = [this, forwarded = std::move(forwarded), attempts, core,
                    respond = std::move(respond)](const transport::CallResult& result) mutable {
     const auto* reply = result.as<wire::ControlReply>();
     if (reply == nullptr) {
-      attemptCore(std::move(request), attempts + 1, std::move(respond));
+      attemptCore(std::move(forwarded), attempts + 1, std::move(respond));
       return;
     }
     preferred_ = core;
--- a/libraries/http/include/switchsaddle/http/message.h
+++ b/libraries/http/include/switchsaddle/http/message.h
@@ -5,6 +5,8 @@
 #include <string_view>
 #include <vector>
 
+#include "switchsaddle/http/client_presence.h"
+
 namespace switchsaddle::http {
 
 /** One header field; its name is case-insensitive. */
@@ -20,6 +22,8 @@
   std::string target;
   std::vector<Header> headers;
   std::string body;
+  /** The client that sent it; null if no server received it. */
+  ClientPresencePtr client = nullptr;
 
   /** @return the value of the first field with this name, or an empty view. */
   std::string_view header(std::string_view name) const;
--- a/libraries/http/source/server_connection.cc
+++ b/libraries/http/source/server_connection.cc
@@ -3,11 +3,13 @@
 #include <glog/logging.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -48,6 +50,11 @@
   socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
 }
 
+/** @return whether requests with this method change nothing (RFC 9110, section 9.2.1). */
+bool isSafe(std::string_view method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "TRACE";
+}
+
 Request toRequest(beast_http::request<beast_http::string_body> parsed) {
   Request request;
   request.method = std::string(parsed.method_string());
@@ -80,6 +87,7 @@
   }
   const bool was_in_exchange = inExchange();
   phase_ = Phase::Closed;
+  presence_->leave();
   timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
@@ -215,7 +223,18 @@
   callHandler(std::move(request));
 }
 
+bool ServerConnection::hasClientClosed() {
+  char byte = 0;
+  const ssize_t peeked = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  const bool is_open = peeked > 0 || (peeked < 0 && (errno == EAGAIN || errno == EINTR));
+  return !is_open;
+}
+
 void ServerConnection::callHandler(Request request) {
+  if (!isSafe(request.method) && hasClientClosed()) {
+    presence_->leave();
+  }
+  request.client = presence_;
   phase_ = Phase::Awaiting;
   const std::uint64_t exchange = ++exchange_;
   readAhead();
--- a/libraries/http/source/server_connection.h
+++ b/libraries/http/source/server_connection.h
@@ -39,7 +39,9 @@
 /**
  * Connection of one client. Processes one request at a time: the next is parsed once the response
  * to the last has been written. While the response is awaited, the connection reads ahead a limited
- * number of bytes in order to detect a disconnect. Runs on the server's strand.
+ * number of bytes in order to detect a disconnect. Before a request that may change something is
+ * handled, the connection looks whether its client has closed it meanwhile, as it may have while
+ * this process was frozen; the request's ClientPresence tells. Runs on the server's strand.
  */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
@@ -92,6 +94,8 @@
   void onRequest(const boost::system::error_code& error);
   void sendContinue();
   void callHandler(Request request);
+  /** @return whether the client has closed its sending side or reset the connection. */
+  bool hasClientClosed();
   /** Handles a read error; @return whether there was one. */
   bool handleReadError(const boost::system::error_code& error);
   /** Sends an error response and closes the connection. */
@@ -123,6 +127,7 @@
   std::deque<PendingWrite> queue_;
   bool writing_ = false;
   std::function<void()> client_disconnected_;
+  std::shared_ptr<ClientPresence> presence_ = std::make_shared<ClientPresence>();
   std::size_t lingered_bytes_ = 0;
 };
 
--- a/libraries/http/test/server_test.cc
+++ b/libraries/http/test/server_test.cc
@@ -183,6 +183,49 @@
   EXPECT_EQ(disconnects, 1);
 }
 
+TEST_F(ServerTest, ARequestThatLayUnreadTellsThatItsClientHasLeft) {
+  std::vector<bool> had_left;
+  serve([&](const Request& request, const ResponseWriterPtr& writer) {
+    had_left.push_back(request.client->hasLeft());
+    writer->respond({200, {}, ""});
+  });
+  const std::string head = " / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string method : {"POST", "DELETE"}) {
+    auto socket = connectRaw();
+    boost::asio::write(socket, boost::asio::buffer(method + head));
+    socket.close();
+  }
+  ASSERT_TRUE(runUntil([&] { return had_left.size() == 2; }));
+  EXPECT_EQ(had_left, (std::vector<bool>{true, true}));
+}
+
+TEST_F(ServerTest, AClientThatHasClosedItsSendingSideGetsItsAnswer) {
+  serveEcho();
+  for (const std::string method : {"GET", "POST"}) {
+    auto socket = connectRaw();
+    boost::asio::write(socket,
+                       boost::asio::buffer(method + " /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n"));
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+    EXPECT_NE(readToEnd(socket).find(method + " /a"), std::string::npos);
+  }
+}
+
+TEST_F(ServerTest, ARequestTellsThatItsClientHasLeftWhileItIsHandled) {
+  Request handled;
+  ResponseWriterPtr pending;
+  serve([&](Request request, ResponseWriterPtr writer) {
+    handled = std::move(request);
+    pending = std::move(writer);
+  });
+  auto socket = connectRaw();
+  const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  ASSERT_TRUE(runUntil([&] { return pending != nullptr; }));
+  EXPECT_FALSE(handled.client->hasLeft());
+  socket.close();
+  EXPECT_TRUE(runUntil([&] { return handled.client->hasLeft(); }));
+}
+
 TEST_F(ServerTest, ReportsADisconnectDuringAStream) {
   ResponseWriterPtr kept;
   int disconnects = 0;
--- a/libraries/metrics/include/switchsaddle/metrics/strand_watch.h
+++ b/libraries/metrics/include/switchsaddle/metrics/strand_watch.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
+
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/incident.h"
 #include "switchsaddle/metrics/histogram.h"
@@ -21,8 +24,16 @@
   void start();
   /** @return the delays of all polls. */
   const Histogram& lateness() const { return lateness_; }
+  /**
+   * @return the longest time for which input that is handled now may have waited unread, to within
+   *     a poll interval: the longest recent delay, and the present one if a poll is overdue.
+   */
+  base::Duration recentDelay() const;
 
  private:
+  /** Polls whose delays are recent, long enough to work off the input that had to wait. */
+  static constexpr std::size_t RecentPolls = 4;
+
   void poll();
   void reportDelay(base::Duration delay);
 
@@ -31,6 +42,9 @@
   base::TimerPtr timer_;
   base::TimePoint due_;
   Histogram lateness_;
+  std::array<base::Duration, RecentPolls> recent_{};
+  std::size_t next_recent_ = 0;
+  bool started_ = false;
 };
 
 }  // namespace switchsaddle::metrics
--- a/libraries/metrics/test/strand_watch_test.cc
+++ b/libraries/metrics/test/strand_watch_test.cc
@@ -40,5 +40,21 @@
   EXPECT_EQ(incidents_.all[0].fields[0].value, "750");
 }
 
+TEST_F(StrandWatchTest, InputMayHaveWaitedForTheDelayUntilItIsWorkedOff) {
+  world_.runFor(seconds(1));
+  EXPECT_EQ(watch_.recentDelay(), base::Duration::zero());
+  process_.freeze();
+  world_.runFor(seconds(4));
+  // Before the overdue poll runs.
+  EXPECT_GE(watch_.recentDelay(), milliseconds(3'750));
+  process_.wake();
+  for (const auto pause : {milliseconds(1), milliseconds(500)}) {
+    world_.runFor(pause);
+    EXPECT_GE(watch_.recentDelay(), milliseconds(3'750));
+  }
+  world_.runFor(seconds(1));
+  EXPECT_EQ(watch_.recentDelay(), base::Duration::zero());
+}
+
 }  // namespace
 }  // namespace switchsaddle::metrics
--- a/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "switchsaddle/core/core_node.h"
+#include "switchsaddle/metrics/strand_watch.h"
 #include "switchsaddle/simulation/network.h"
 #include "switchsaddle/simulation/simulated_disk.h"
 #include "switchsaddle/simulation/simulated_storage_executor.h"
@@ -59,6 +60,7 @@
     std::unique_ptr<transport::PeerCalls> calls;
     std::unique_ptr<base::RandomSource> random;
     std::unique_ptr<journal::Journal> journal;
+    std::unique_ptr<metrics::StrandWatch> strand_watch;
     std::unique_ptr<simulation::SimulatedStorageExecutor> executor;
     std::unique_ptr<storage::FileRecordStore> store;
     std::unique_ptr<core::CoreNode> node;
--- a/libraries/scenarios/source/simulated_core.cc
+++ b/libraries/scenarios/source/simulated_core.cc
@@ -26,12 +26,16 @@
   incarnation_->calls = std::make_unique<transport::PeerCalls>(process_, *incarnation_->transport);
   incarnation_->random = std::make_unique<base::RandomSource>(world_.random().next());
   incarnation_->journal = std::make_unique<journal::Journal>(process_);
+  incarnation_->strand_watch =
+      std::make_unique<metrics::StrandWatch>(process_, base::ignoredIncidents());
+  incarnation_->strand_watch->start();
   incarnation_->executor = std::make_unique<simulation::SimulatedStorageExecutor>(world_, process_);
   incarnation_->store = std::make_unique<storage::FileRecordStore>(
       process_, disk_, *incarnation_->executor, *incarnation_->random);
-  incarnation_->node = std::make_unique<core::CoreNode>(core::CoreEnvironment{
-      process_, *incarnation_->calls, *incarnation_->store, *incarnation_->random,
-      *incarnation_->journal, platform_, settings_, faults_});
+  incarnation_->node = std::make_unique<core::CoreNode>(
+      core::CoreEnvironment{process_, *incarnation_->calls, *incarnation_->store,
+                            *incarnation_->random, *incarnation_->journal, platform_, settings_,
+                            faults_, nullptr, incarnation_->strand_watch.get()});
   incarnation_->node->start();
 }
 
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -39,7 +39,8 @@
                                     *platform_,
                                     settings_,
                                     {},
-                                    &process_.incidents()}),
+                                    &process_.incidents(),
+                                    &process_.strandWatch()}),
         service_(node_, [this](metrics::Page& page) { process_.appendMetrics(page); }),
         server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -36,6 +36,7 @@
   base::RandomSource& random() { return random_; }
   journal::Journal& journal() { return journal_; }
   base::IncidentSink& incidents() { return incidents_; }
+  const metrics::StrandWatch& strandWatch() const { return strand_watch_; }
   /** Adds processor time, memory, scheduling delay and the traffic between nodes. */
   void appendMetrics(metrics::Page& page) const;
 
