--- a/libraries/configuration/include/switchsaddle/configuration/source_document.h
+++ b/libraries/configuration/include/switchsaddle/configuration/source_document.h
@@ -47,9 +47,9 @@
 };
 
 /**
- * Decides on an update. Pure, since the register may evaluate it several times. Only an update whose
- * change_id is recorded counts as repeated: the text of another update may be equal to the one in
- * force and still not be what its operator would get on the base it names.
+ * Decides on an update. Pure, since the register may evaluate it several times. Only an update
+ * whose change_id is recorded counts as repeated: the text of another update may be equal to the
+ * one in force and still not be what its operator would get on the base it names.
  * @return Ok with the next value, in which only the derived entries that differ are changed, or the
  *     recorded result of a repeated update; ConfigurationConflict if the base is not the current
  *     revision; ConfigurationInvalid if there are faults or the revision does not increase.
