--- a/libraries/http/test/client_test.cc
+++ b/libraries/http/test/client_test.cc
@@ -211,6 +211,72 @@
   EXPECT_FALSE(paused->ended());
 }
 
+/** An exchange with a server that reads the request and sends only `response`. */
+class EndedCallTest : public HttpFixture {
+ protected:
+  void start(const std::string& response, const ExchangeOptions& options = {}) {
+    acceptor_.async_accept([this, response](const boost::system::error_code&, tcp::socket socket) {
+      peer_ = std::move(socket);
+      boost::asio::write(peer_, boost::asio::buffer(response));
+      read();
+    });
+    const tcp::endpoint endpoint = acceptor_.local_endpoint();
+    running = client->start({"127.0.0.1", endpoint.port()}, {"POST", "/", {}, "body"}, options,
+                            observer_);
+    ASSERT_TRUE(runUntil([&] { return received_ > 0; }));
+  }
+  /** @return how the client ended the connection, as the server sees it. */
+  boost::system::error_code awaitEnd() {
+    EXPECT_TRUE(runUntil([&] { return end_.has_value(); }));
+    return end_.value_or(boost::system::error_code());
+  }
+
+  std::shared_ptr<RecordingObserver> observer_ = std::make_shared<RecordingObserver>();
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+
+  void read() {
+    peer_.async_read_some(boost::asio::buffer(bytes_),
+                          [this](const boost::system::error_code& error, std::size_t count) {
+                            received_ += count;
+                            if (error) {
+                              end_ = error;
+                            } else {
+                              read();
+                            }
+                          });
+  }
+
+  tcp::acceptor acceptor_{context, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
+  tcp::socket peer_{context};
+  std::array<char, 4096> bytes_{};
+  std::size_t received_ = 0;
+  std::optional<boost::system::error_code> end_;
+};
+
+TEST_F(EndedCallTest, ACancelledCallResetsItsConnectionSoThatHeldUpBytesAreLost) {
+  start("");
+  running->cancel();
+  EXPECT_EQ(awaitEnd(), boost::asio::error::connection_reset);
+}
+
+TEST_F(EndedCallTest, ACallThatTimesOutResetsItsConnection) {
+  ExchangeOptions options;
+  options.response_timeout = std::chrono::milliseconds(50);
+  start("", options);
+  EXPECT_EQ(awaitEnd(), boost::asio::error::connection_reset);
+  EXPECT_EQ(observer_->failure, ExchangeFailure::TimedOut);
+}
+
+TEST_F(EndedCallTest, ACompletedCallEndsItsConnectionInOrder) {
+  ExchangeOptions options;
+  options.fresh_connection = true;
+  start("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", options);
+  EXPECT_EQ(awaitEnd(), boost::asio::error::eof);
+  EXPECT_EQ(observer_->completions, 1);
+}
+
 /** Cancels its exchange from within a callback; owned by the exchange only. */
 class CancellingObserver : public ExchangeObserver {
  public:
