--- a/libraries/http/source/client_exchange.cc
+++ b/libraries/http/source/client_exchange.cc
@@ -54,8 +54,8 @@
   if (ended_.exchange(true)) {
     return;
   }
-  // Posted, since abort() releases the observer, which may be calling cancel().
-  asio::post(client_->strand, [self = shared_from_this()] { self->abort(); });
+  // Posted, since end() releases the observer, which may be calling cancel().
+  asio::post(client_->strand, [self = shared_from_this()] { self->end(); });
 }
 
 void ClientExchange::connect() {
@@ -277,14 +277,8 @@
 void ClientExchange::fail(ExchangeFailure failure, bool refused) {
   const auto observer = observer_;
   ended_ = true;
-  abort();
-  observer->onFailure(failure, refused);
-}
-
-void ClientExchange::abort() {
-  error_code ignored;
-  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
   end();
+  observer->onFailure(failure, refused);
 }
 
 void ClientExchange::end() {
--- a/libraries/http/source/client_exchange.h
+++ b/libraries/http/source/client_exchange.h
@@ -66,11 +66,6 @@
   void failBeforeHead(bool any_byte_sent);
   bool mayRetry(bool any_byte_sent) const;
   void fail(ExchangeFailure failure, bool refused = false);
-  /**
-   * Ends an exchange that is not complete. Resets the connection: bytes of the request that the
-   * network still holds up must not reach the server later.
-   */
-  void abort();
   void end();
   /** @param delay zero for no time-out. */
   void armTimer(base::Duration delay, ExchangeFailure failure);
