Cores: any member ends a change of the acceptor set that stands still

The joint set stayed for ever, no core held core-membership or platform-watcher again, and the next lost disk made the acknowledged configuration unreadable.

Cause: a lease needs a majority of the next members, a joining member grants none, and the lost member's new instance is none; so no core could hold the lease, and only its holder ended a change. The registers had their quorums.

Change: StalledChangeMonitor. A core that may vote completes or rolls back a joint set that it has known for 5 s without a change of its own. Safe without the lease, as each set is chosen by a compare-and-swap in the one before.

--- a/libraries/core/include/switchsaddle/core/core_node.h
+++ b/libraries/core/include/switchsaddle/core/core_node.h
@@ -18,6 +18,7 @@
 #include "switchsaddle/core/platform_watcher_role.h"
 #include "switchsaddle/core/quota_role.h"
 #include "switchsaddle/core/register_stack.h"
+#include "switchsaddle/core/stalled_change_monitor.h"
 #include "switchsaddle/core/store_recovery.h"
 #include "switchsaddle/lease/lease_granter.h"
 #include "switchsaddle/sessions/session_table.h"
@@ -97,6 +98,7 @@
   ConfigurationStack configuration_;
   PlatformWatcherRole watcher_role_;
   MembershipRole membership_role_;
+  StalledChangeMonitor stalled_change_monitor_;
   claims::ClaimService claims_;
   LedgerHost ledgers_;
   QuotaRole quota_role_;
--- a/libraries/core/include/switchsaddle/core/register_change_coordinator.h
+++ b/libraries/core/include/switchsaddle/core/register_change_coordinator.h
@@ -26,8 +26,8 @@
  * outcome is the one recorded in the committed value, not that of the function's last run. A
  * rejected change is reported at once. A committed one is reported when it is in force, or at the
  * acknowledgement deadline, counted from its submission. Callers wait until that deadline, counted
- * from the arrival of their order. The event `change-ended` reports the
- * change, the outcome and durations.
+ * from the arrival of their order. The event `change-ended` reports the change, its outcome and
+ * durations.
  * Runs on the control strand.
  */
 class RegisterChangeCoordinator : public ChangeCoordinator {
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/core_node.cc
@@ -41,6 +41,8 @@
       watcher_role_(environment, registers_.membership, incarnation_, sessions_, workers_,
                     configuration_.gossip),
       membership_role_(environment, registers_, incarnation_),
+      stalled_change_monitor_(environment.dispatcher, environment.incidentSink(),
+                              registers_.acceptor, registers_.set_change),
       claims_(environment.calls, registers_.proposer),
       ledgers_(environment.dispatcher, environment.calls, environment.random, registers_.proposer,
                registers_.membership, leaseTimesOf(environment.settings.times), incarnation_),
@@ -132,6 +134,7 @@
   }
   registers_.bootstrap.start();
   registers_.scrubber.start();
+  stalled_change_monitor_.start();
   if (environment_.settings.list_before_lease) {
     watcher_role_.publishInitialView();
   }
@@ -168,6 +171,7 @@
   if (active_) {
     watcher_role_.stop();
     membership_role_.stop();
+    stalled_change_monitor_.stop();
     configuration_.follower.stop();
     configuration_.gossip.stop();
   }
