--- a/libraries/front/include/switchsaddle/front/node/front_node.h
+++ b/libraries/front/include/switchsaddle/front/node/front_node.h
@@ -126,6 +126,8 @@
   void onGranted(const wire::SessionOpenReply& granted);
   /** Next step of a graceful shutdown; closes the session once no request is in flight. */
   void continueStop();
+  /** Logs how many requests the stop deadline ends. */
+  void reportUnansweredRequests() const;
   bool isIdle() const;
   std::string metricsText() const;
   std::string nodeReport() const;
--- a/libraries/front/source/node/front_node.cc
+++ b/libraries/front/source/node/front_node.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "node/state_reporter.h"
+#include "switchsaddle/base/log.h"
 #include "switchsaddle/node_options/node_options.h"
 #include "switchsaddle/workers/worker_journal.h"
 
@@ -265,6 +266,14 @@
   return streams_.active() == 0 && one_shots_.active() == 0 && !is_forwarding;
 }
 
+void FrontNode::reportUnansweredRequests() const {
+  const std::size_t forwards = forwards_ ? forwards_->active() : 0;
+  base::logEvent(base::Severity::Warning, "stop-deadline-passed",
+                 {{"streams", std::to_string(streams_.active())},
+                  {"one_shots", std::to_string(one_shots_.active())},
+                  {"forwards", std::to_string(forwards)}});
+}
+
 void FrontNode::continueStop() {
   const base::TimePoint now = environment_.dispatcher.now();
   const bool notice_passed = now >= stop_notice_until_;
@@ -277,6 +286,9 @@
     stop_timer_->enable(StopPollInterval);
     return;
   }
+  if (!isIdle()) {
+    reportUnansweredRequests();
+  }
   gossip_.stop();
   monitor_.stop();
   session_.close(std::exchange(stopped_, nullptr));
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -115,15 +115,17 @@
 }
 
 void DaemonProcess::awaitSignal() {
-  signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+  signals_.async_wait([this](const boost::system::error_code& error, int signal) {
     if (error) {
       return;
     }
+    const std::string number = std::to_string(signal);
     if (stopping_) {
+      base::logEvent(base::Severity::Warning, "ended-at-once", {{"signal", number}});
       std::_Exit(static_cast<int>(command_line::ExitCode::EndedAtOnce));
     }
     stopping_ = true;
-    base::logEvent(base::Severity::Notice, "stopping");
+    base::logEvent(base::Severity::Notice, "stopping", {{"signal", number}});
     stop_([this] { context_.stop(); });
     awaitSignal();
   });
