Fronts: a response belongs to a request by its echoed id alone, whatever its status

Callers saw: a request that must run once ran at two workers; the client got one 200 (or 502, or a foreign error). Cause: on a connection that is used again, a response of status 400 or above without an id was taken for the response to the request just sent, since 'an error sent before the request was read may carry no id'. A worker's late surplus refusal so counted as proof that the next request had not run, and it went to another worker while the first one ran it. A surplus 500 or 404 reached the next client as its answer; a surplus 503 or 429 without the mark became a promise. Streams of the own API took any response on a reused connection and began again elsewhere. PROTOCOL.md: every worker answer echoes the id; a surplus answer may arrive late, in the place of the next one due; what follows a whole answer belongs to no request. Requests without an id get a connection of their own, since nothing could tell their responses apart. Ruled out meanwhile: a late connect timer (DeadlineTimer numbers its armings), a write that fails after bytes were sent (counts as sent), two decisions of one quota request (one callback a request).

--- a/libraries/front/source/worker_calls/http_forward_port.cc
+++ b/libraries/front/source/worker_calls/http_forward_port.cc
@@ -1,10 +1,9 @@
 #include "switchsaddle/front/worker_calls/http_forward_port.h"
 
-#include <string>
 #include <utility>
 
-#include "switchsaddle/base/log.h"
 #include "worker_calls/http_call.h"
+#include "worker_calls/response_matcher.h"
 
 namespace switchsaddle::front {
 
@@ -14,18 +13,6 @@
 /** A machine that does not acknowledge sent bytes within this time is considered unreachable: even
  * the machine of a busy worker acknowledges them. */
 constexpr base::Duration UnacknowledgedTimeout = std::chrono::milliseconds(1'000);
-constexpr std::uint16_t FirstFailureStatus = 400;
-
-/** Logs a response that does not echo the id of the request it was received for. */
-void logUnmatchedResponse(const base::NodeAddress& worker, const std::string& request_id,
-                          std::string_view echoed_id, std::uint16_t status, bool accepted) {
-  base::logEvent(base::Severity::Info, "unmatched-response",
-                 {{"worker", worker.toString()},
-                  {"request_id", request_id},
-                  {"echoed_id", std::string(echoed_id)},
-                  {"status", std::to_string(status)},
-                  {"accepted", accepted ? "true" : "false"}});
-}
 
 http::ExchangeOptions optionsOf(const ForwardDispatch& dispatch) {
   http::ExchangeOptions options;
@@ -36,16 +23,10 @@
   options.tcp_user_timeout = UnacknowledgedTimeout;
   options.maximum_idle_time = dispatch.maximum_idle_time;
   options.retry_lost_get = false;
-  options.accepts_response = [address = dispatch.worker, name = dispatch.request_id_header,
-                              id = dispatch.request_id](const http::Response& head) {
-    const std::string_view echoed = head.header(name);
-    // An error response that was sent before the request was read may carry no id.
-    const bool accepted = echoed.empty() ? head.status >= FirstFailureStatus : echoed == id;
-    if (echoed != id) {
-      logUnmatchedResponse(address, id, echoed, head.status, accepted);
-    }
-    return accepted;
-  };
+  // Without an id no response can be told from a surplus one of an earlier request.
+  options.fresh_connection = dispatch.request_id.empty();
+  options.accepts_response =
+      responseMatcher(dispatch.worker, dispatch.request_id_header, dispatch.request_id);
   return options;
 }
 
--- a/libraries/front/source/worker_calls/http_worker_port.cc
+++ b/libraries/front/source/worker_calls/http_worker_port.cc
@@ -4,11 +4,14 @@
 #include <utility>
 
 #include "worker_calls/http_call.h"
+#include "worker_calls/response_matcher.h"
 
 namespace switchsaddle::front {
 
 namespace {
 
+constexpr const char* RequestIdHeader = "Request-Id";
+
 std::uint32_t parseCount(std::string_view text) {
   std::uint32_t count = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
@@ -48,7 +51,7 @@
   message.target = request.target;
   message.body = request.body;
   message.headers.push_back({"Content-Type", "application/json"});
-  message.headers.push_back({"Request-Id", request.request_id});
+  message.headers.push_back({RequestIdHeader, request.request_id});
   message.headers.push_back({"Tenant", request.tenant});
   if (!request.caller_request_id.empty()) {
     message.headers.push_back({"Caller-Request-Id", request.caller_request_id});
@@ -67,7 +70,7 @@
 WorkerHead parseWorkerHead(const http::Response& head) {
   WorkerHead parsed;
   parsed.status = head.status;
-  parsed.request_id = head.header("Request-Id");
+  parsed.request_id = head.header(RequestIdHeader);
   parsed.run = head.header("Run");
   parsed.weights_version = head.header("Versions");
   parsed.load = parseLoad(head.header("Worker-Load"));
@@ -87,6 +90,7 @@
   options.response_timeout = request.response_timeout;
   options.fresh_connection = request.fresh_connection;
   options.local_ip = local_ip_;
+  options.accepts_response = responseMatcher(request.address, RequestIdHeader, request.request_id);
   auto call =
       std::make_shared<HttpCall<WorkerHead>>(dispatcher_, std::move(observer), parseWorkerHead);
   call->setExchange(client_.start(request.address, toHttpRequest(request), options, call));
