Forwards: a worker's status that promises "not run" is passed on only if the worker confirms it

Callers would see: 429, 503 or 408, which promise that the request has not run and never will, for a request that may have run; they send it again, and it runs twice. Cause: a worker's failure status was returned as it came, also without the mark that alone states that a request has not run (421 states it by itself). Change: such a response counts as lost; callers get 502, without a seal, or the answer of another worker where the route may be repeated. Test: StatusThatPromisesNoRunIsNotPassedOnWithoutTheWorkersConfirmation, failed before.

--- a/libraries/front/source/forward/forward_run.cc
+++ b/libraries/front/source/forward/forward_run.cc
@@ -15,7 +15,10 @@
 
 constexpr std::uint16_t FirstStatusOfServerFailure = 500;
 constexpr std::uint16_t StatusOk = 200;
+constexpr std::uint16_t StatusRequestTimeout = 408;
 constexpr std::uint16_t StatusMisdirected = 421;
+constexpr std::uint16_t StatusTooManyRequests = 429;
+constexpr std::uint16_t StatusUnavailable = 503;
 constexpr std::size_t MaximumCollectedBytes = 16U << 20U;
 /** Maximum dispatches of one request, including those that no worker ran. */
 constexpr std::uint32_t MaximumDispatches = 4;
@@ -28,6 +31,12 @@
 
 using RunObserver = AttemptObserver<http::Response, ForwardRun, std::uint64_t>;
 
+/** Whether callers take the status as proof that the request has not run. */
+bool promisesNotRun(std::uint16_t status) {
+  return status == StatusRequestTimeout || status == StatusMisdirected ||
+         status == StatusTooManyRequests || status == StatusUnavailable;
+}
+
 /** Chooses one of the route's pools at random by the weights of its targets. */
 const configuration::ForwardPool& choosePool(const ForwardRequest& request,
                                              base::RandomSource& random) {
@@ -231,6 +240,11 @@
 }
 
 void ForwardRun::answerComplete() {
+  if (promisesNotRun(head_->status)) {
+    // The worker has not confirmed the promise, so the caller must not get it.
+    onLost(ResultCode::WorkerFailed);
+    return;
+  }
   http::Response response = callerMessage(*head_);
   response.body = std::move(body_);
   const bool failed = response.status >= FirstStatusOfServerFailure;
--- a/libraries/front/test/forward/forward_flow_test.cc
+++ b/libraries/front/test/forward/forward_flow_test.cc
@@ -104,6 +104,17 @@
   EXPECT_EQ(writer->response->header("Seal"), "");
 }
 
+TEST_F(ForwardFlowTest, StatusThatPromisesNoRunIsNotPassedOnWithoutTheWorkersConfirmation) {
+  for (const std::uint16_t status : {408, 429, 503}) {
+    const auto writer = run("once");
+    last().answer(status, "busy");
+    ASSERT_TRUE(writer->response.has_value());
+    EXPECT_EQ(writer->response->status, 502) << status;
+    EXPECT_EQ(writer->response->header("Seal"), "");
+  }
+  EXPECT_EQ(port.sent.size(), 3U);
+}
+
 TEST_F(ForwardFlowTest, RequestThatDidNotRunIsRetriedAtAnotherWorker) {
   const auto writer = run("once");
   last().reject();
