Daemons: a series of SIGTERMs no longer cuts requests off; the stop deadline answers them

A client that takes such a close for 'not read' runs the request again. Cause: any second signal ended the process at once; past the stop deadline connections were dropped too. Change: ShutdownPolicy; further SIGTERMs leave the shutdown as it is, only a second SIGINT ends the process at once with 130. At the stop deadline forwarded requests get 502 (may have run) or 503 (not dispatched); only streams that have begun end with their connection.

--- a/libraries/command_line/include/switchsaddle/command_line/exit_code.h
+++ b/libraries/command_line/include/switchsaddle/command_line/exit_code.h
@@ -18,7 +18,7 @@
   NotYetInForce = 3,
   /** No node answered; a change may have been committed. Retry with the same change_id. */
   Unknown = 4,
-  /** A second signal ended a daemon during its graceful shutdown. */
+  /** A second SIGINT ended a daemon during its graceful shutdown. */
   EndedAtOnce = 130,
 };
 
--- a/libraries/command_line/source/exit_code.cc
+++ b/libraries/command_line/source/exit_code.cc
@@ -16,7 +16,7 @@
     ExitCodeInfo{ExitCode::Unknown, "Unknown",
                  "No node responded; retry a change with the same change id."},
     ExitCodeInfo{ExitCode::EndedAtOnce, "EndedAtOnce",
-                 "A second signal ended a daemon during its graceful shutdown."},
+                 "A second SIGINT ended a daemon during its graceful shutdown."},
 };
 
 }  // namespace
--- a/libraries/front/include/switchsaddle/front/forward/forward_flow.h
+++ b/libraries/front/include/switchsaddle/front/forward/forward_flow.h
@@ -76,6 +76,11 @@
   /** Moves resumable streams away from workers that are in maintenance by the configuration. Other
    * requests complete at their workers. */
   void migrateFromMaintenance(const configuration::View& view);
+  /**
+   * Ends all requests at once, since the front's stop deadline has passed. Those that may have run
+   * are answered "unknown", the others "not run"; started streams are aborted.
+   */
+  void answerAll();
   /** Ends all requests at once, without responses. */
   void abandon();
 
--- a/libraries/front/source/forward/forward_flow.cc
+++ b/libraries/front/source/forward/forward_flow.cc
@@ -31,6 +31,13 @@
   fronts_ = std::max<std::size_t>(1, fronts);
 }
 
+void ForwardFlow::answerAll() {
+  const std::set<std::shared_ptr<ForwardRun>> runs = runs_;
+  for (const std::shared_ptr<ForwardRun>& run : runs) {
+    run->answerEarly();
+  }
+}
+
 void ForwardFlow::migrateFromMaintenance(const configuration::View& view) {
   // Iterates over a copy, since a run that ends removes itself from the set.
   const std::set<std::shared_ptr<ForwardRun>> runs = runs_;
--- a/libraries/front/source/forward/forward_run.cc
+++ b/libraries/front/source/forward/forward_run.cc
@@ -361,12 +361,21 @@
 }
 
 void ForwardRun::onDeadline() {
+  abandonDispatch();
+  fail(ResultCode::TimeLimitPassed);
+}
+
+void ForwardRun::answerEarly() {
+  abandonDispatch();
+  fail(ResultCode::Stopping);
+}
+
+void ForwardRun::abandonDispatch() {
   const bool in_flight = placement_.has_value();
   endDispatch(DispatchEnd::Abandoned);
   if (in_flight) {
     ++may_have_run_;
   }
-  fail(ResultCode::TimeLimitPassed);
 }
 
 }  // namespace switchsaddle::front
--- a/libraries/front/source/forward/forward_run.h
+++ b/libraries/front/source/forward/forward_run.h
@@ -34,6 +34,8 @@
   void cancel();
   /** Continues a resumable stream at another worker if its worker is in maintenance. */
   void migrateFromMaintenance(const configuration::View& view);
+  /** Ends the run with the most precise response that its dispatches allow. */
+  void answerEarly();
   /** Ends the run without a response, since its flow is being destroyed. */
   void abandon();
 
@@ -86,6 +88,8 @@
   void finishStream();
   void answerComplete();
   void onDeadline();
+  /** Gives up the current dispatch, if any, whose worker may run the request. */
+  void abandonDispatch();
 
   // The end of the request.
   /** Ends the request with the most precise result that its dispatches allow. */
--- a/libraries/front/source/node/front_node.cc
+++ b/libraries/front/source/node/front_node.cc
@@ -289,6 +289,9 @@
   if (!isIdle()) {
     reportUnansweredRequests();
   }
+  if (forwards_) {
+    forwards_->answerAll();
+  }
   gossip_.stop();
   monitor_.stop();
   session_.close(std::exchange(stopped_, nullptr));
--- a/libraries/front/test/forward/forward_flow_test.cc
+++ b/libraries/front/test/forward/forward_flow_test.cc
@@ -313,6 +313,19 @@
   EXPECT_EQ(flow.active(), 0U);
 }
 
+TEST_F(ForwardFlowTest, RequestsInFlightAtTheStopDeadlineAreAnsweredAndNotJustDisconnected) {
+  const auto dispatched = run("once");
+  const auto streaming = run("stream");
+  last().head(200);
+  last().bytes("id: 1\ndata: a\n\n");
+  flow.answerAll();
+  ASSERT_TRUE(dispatched->response.has_value());
+  EXPECT_EQ(dispatched->response->status, 502);
+  EXPECT_TRUE(streaming->aborted);
+  EXPECT_TRUE(port.sent.front().call->cancelled);
+  EXPECT_EQ(flow.active(), 0U);
+}
+
 TEST_F(ForwardFlowTest, DisconnectedCallerCancelsTheCallToTheWorker) {
   const auto writer = run("stream");
   last().head(200);
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -116,19 +116,27 @@
 
 void DaemonProcess::awaitSignal() {
   signals_.async_wait([this](const boost::system::error_code& error, int signal) {
-    if (error) {
-      return;
+    if (!error) {
+      onSignal(signal);
+      awaitSignal();
     }
-    const std::string number = std::to_string(signal);
-    if (stopping_) {
+  });
+}
+
+void DaemonProcess::onSignal(int signal) {
+  const std::string number = std::to_string(signal);
+  switch (shutdown_.onSignal(signal)) {
+    case base::ShutdownAction::Begin:
+      base::logEvent(base::Severity::Notice, "stopping", {{"signal", number}});
+      stop_([this] { context_.stop(); });
+      break;
+    case base::ShutdownAction::Continue:
+      base::logEvent(base::Severity::Notice, "still-stopping", {{"signal", number}});
+      break;
+    case base::ShutdownAction::EndAtOnce:
       base::logEvent(base::Severity::Warning, "ended-at-once", {{"signal", number}});
       std::_Exit(static_cast<int>(command_line::ExitCode::EndedAtOnce));
-    }
-    stopping_ = true;
-    base::logEvent(base::Severity::Notice, "stopping", {{"signal", number}});
-    stop_([this] { context_.stop(); });
-    awaitSignal();
-  });
+  }
 }
 
 }  // namespace switchsaddle
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -9,6 +9,7 @@
 
 #include "switchsaddle/base/incident_log.h"
 #include "switchsaddle/base/random.h"
+#include "switchsaddle/base/shutdown_policy.h"
 #include "switchsaddle/configuration/settings.h"
 #include "switchsaddle/journal/journal.h"
 #include "switchsaddle/metrics/page.h"
@@ -41,7 +42,7 @@
   void appendMetrics(metrics::Page& page) const;
 
   /**
-   * Runs until graceful shutdown is complete. A second signal ends the process immediately.
+   * Runs until graceful shutdown is complete. Further signals are handled by ShutdownPolicy.
    * @param stop starts the shutdown on the first SIGTERM or SIGINT and calls its argument when
    * done.
    * @return the exit code.
@@ -53,6 +54,7 @@
  private:
   static void logJournalEvent(const journal::Event& event);
   void awaitSignal();
+  void onSignal(int signal);
   void awaitHangup();
   void pollSettingsFile();
 
@@ -71,7 +73,7 @@
   std::filesystem::path settings_file_;
   std::filesystem::file_time_type settings_modified_at_{};
   base::TimerPtr settings_timer_;
-  bool stopping_ = false;
+  base::ShutdownPolicy shutdown_;
 };
 
 }  // namespace switchsaddle
