--- /dev/null
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/testbed/soak/blocking_socket.h"
+#include "switchsaddle/testbed/soak/interruption.h"
+#include "switchsaddle/testbed/soak/message_reader.h"
+#include "switchsaddle/testbed/soak/run_ledger.h"
+
+namespace switchsaddle::testbed {
+
+/** How a WireWorker behaves. */
+struct WireWorkerOptions {
+  std::string name;
+  base::NodeAddress address;
+  /** Requests that it works on at a time; more are refused. */
+  int slots = 16;
+  /** Whether it cuts, resets and sends surplus bytes as faulty workers do. */
+  bool faulty = false;
+  std::uint64_t seed = 1;
+};
+
+/**
+ * A worker stand-in that answers forwarded requests and one-shots on real sockets and, if faulty,
+ * misuses its connections: refuses, closes before, within or after an answer, resets, answers
+ * late, and sends surplus responses with and without an id, whole or cut. A restart makes it a new
+ * instance at the same address. Each connection has a thread; runs are recorded in the ledger.
+ *
+ * Invariant: a request is recorded as run exactly if the worker has started to work on it, and it
+ * is never answered "not run" afterwards.
+ */
+class WireWorker {
+ public:
+  /** @param ledger outlives the worker. */
+  WireWorker(WireWorkerOptions options, RunLedger& ledger);
+  ~WireWorker();
+  WireWorker(const WireWorker&) = delete;
+  WireWorker& operator=(const WireWorker&) = delete;
+
+  /** The id of the current instance. */
+  std::string id() const;
+  const base::NodeAddress& address() const { return address_; }
+  /** Resets all connections, is away for the duration, and comes back as a new instance. */
+  void restart(base::Duration away);
+
+ private:
+  /** One life of the worker; its connections end with it. */
+  struct Instance {
+    std::string id;
+    Interruption ended;
+    std::atomic<int> active = 0;
+  };
+  using InstancePtr = std::shared_ptr<Instance>;
+  /** One request that is being answered. */
+  struct Exchange {
+    Instance& instance;
+    BlockingSocket& socket;
+    base::RandomSource& random;
+    WireMessage request;
+    std::string request_id;
+    /** Draws the behaviour: uniform in [0, 1). */
+    double draw;
+  };
+
+  /** The thread of one connection. */
+  struct Connection {
+    std::thread thread;
+    std::shared_ptr<std::atomic<bool>> ended;
+  };
+
+  void start();
+  void stop();
+  void joinEndedConnections();
+  void acceptConnections(const InstancePtr& instance);
+  void serve(const InstancePtr& instance, BlockingSocket socket, std::uint64_t seed);
+  /** Each returns whether the connection stays open. */
+  bool answer(Exchange& exchange);
+  bool run(Exchange& exchange);
+  bool answerWhole(Exchange& exchange);
+  bool answerStream(Exchange& exchange);
+  bool sendSurplus(Exchange& exchange) const;
+  base::Duration drawWorkTime(Exchange& exchange) const;
+
+  WireWorkerOptions options_;
+  RunLedger& ledger_;
+  base::NodeAddress address_;
+  mutable std::mutex mutex_;
+  InstancePtr instance_;
+  int generation_ = 0;
+  std::unique_ptr<BlockingListener> listener_;
+  std::thread accepting_;
+  std::vector<Connection> connections_;
+};
+
+}  // namespace switchsaddle::testbed
--- /dev/null
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -0,0 +1,274 @@
+#include "switchsaddle/testbed/soak/wire_worker.h"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include "switchsaddle/testbed/soak/wire_text.h"
+
+namespace switchsaddle::testbed {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = BlockingSocket::Clock;
+
+constexpr base::Duration AcceptInterval = milliseconds(100);
+/** Slice of waiting for the next request, after which the end of the instance is looked at. */
+constexpr base::Duration ReadSlice = milliseconds(100);
+constexpr base::Duration RequestLimit = std::chrono::seconds(5);
+constexpr base::Duration EventInterval = milliseconds(20);
+/** Distance of the seeds of two workers, each of whose connections has a seed of its own. */
+constexpr std::uint64_t ConnectionSeeds = 1'000'003;
+constexpr int StreamEvents = 5;
+constexpr int CutAfterEvents = 3;
+constexpr int LongestShortWorkMs = 60;
+constexpr int LongestSurplusDelayMs = 30;
+constexpr std::string_view NotRunHeader = "Not-Run: true\r\n";
+
+/** Shares of the behaviours of a faulty worker; each begins where the one before ends. */
+struct Behaviour {
+  static constexpr double Refuse = 0.05;
+  static constexpr double CloseUnread = 0.06;
+  static constexpr double CloseAfterRun = 0.08;
+  static constexpr double ResetAfterRun = 0.09;
+  static constexpr double LastAnswer = 0.11;
+  static constexpr double CutAnswer = 0.13;
+  static constexpr double LongWork = 0.16;
+  static constexpr double Surplus = 0.40;
+};
+/** Share of long runs at a sound worker. */
+constexpr double SoundLongShare = 0.05;
+
+std::string idHeader(std::string_view id) {
+  return "Request-Id: " + std::string(id) + "\r\n";
+}
+
+/** The client's id of the attempt: a one-shot reaches the worker under an id of the front. */
+std::string clientId(const WireMessage& request) {
+  const std::string_view caller = request.header("Caller-Request-Id");
+  return std::string(caller.empty() ? request.header("Request-Id") : caller);
+}
+
+std::string workOf(const WireMessage& request) {
+  const std::string_view key = request.header("Idempotency-Key");
+  return key.empty() ? request.body : std::string(key);
+}
+
+bool isOneShot(const WireMessage& request) {
+  return !request.header("Idempotency-Key").empty();
+}
+
+/** Counts a running request for as long as it exists. */
+class ActiveCount {
+ public:
+  explicit ActiveCount(std::atomic<int>& count) : count_(count) { ++count_; }
+  ~ActiveCount() { --count_; }
+  ActiveCount(const ActiveCount&) = delete;
+  ActiveCount& operator=(const ActiveCount&) = delete;
+
+ private:
+  std::atomic<int>& count_;
+};
+
+}  // namespace
+
+WireWorker::WireWorker(WireWorkerOptions options, RunLedger& ledger)
+    : options_(std::move(options)), ledger_(ledger), address_(options_.address) {
+  start();
+}
+
+WireWorker::~WireWorker() {
+  stop();
+}
+
+std::string WireWorker::id() const {
+  const std::lock_guard lock(mutex_);
+  return instance_->id;
+}
+
+void WireWorker::start() {
+  listener_ = std::make_unique<BlockingListener>(address_);
+  address_ = listener_->address();
+  auto instance = std::make_shared<Instance>();
+  {
+    const std::lock_guard lock(mutex_);
+    instance->id = options_.name + "-" + std::to_string(++generation_);
+    instance_ = instance;
+  }
+  accepting_ = std::thread([this, instance] { acceptConnections(instance); });
+}
+
+void WireWorker::stop() {
+  {
+    const std::lock_guard lock(mutex_);
+    instance_->ended.raise();
+  }
+  accepting_.join();
+  for (Connection& connection : std::exchange(connections_, {})) {
+    connection.thread.join();
+  }
+  listener_.reset();
+}
+
+void WireWorker::restart(base::Duration away) {
+  stop();
+  Interruption pause;
+  pause.wait(away);
+  start();
+}
+
+void WireWorker::acceptConnections(const InstancePtr& instance) {
+  std::uint64_t number = 0;
+  while (!instance->ended.raised()) {
+    std::optional<BlockingSocket> socket = listener_->accept(AcceptInterval);
+    if (!socket) {
+      continue;
+    }
+    joinEndedConnections();
+    const std::uint64_t seed = options_.seed * ConnectionSeeds + ++number;
+    auto ended = std::make_shared<std::atomic<bool>>(false);
+    std::thread thread([this, instance, seed, ended, accepted = std::move(*socket)]() mutable {
+      serve(instance, std::move(accepted), seed);
+      *ended = true;
+    });
+    connections_.push_back({std::move(thread), std::move(ended)});
+  }
+}
+
+void WireWorker::joinEndedConnections() {
+  std::erase_if(connections_, [](Connection& connection) {
+    const bool has_ended = *connection.ended;
+    if (has_ended) {
+      connection.thread.join();
+    }
+    return has_ended;
+  });
+}
+
+void WireWorker::serve(const InstancePtr& instance, BlockingSocket socket, std::uint64_t seed) {
+  base::RandomSource random(seed);
+  MessageReader reader(socket);
+  while (!instance->ended.raised()) {
+    Exchange exchange{*instance, socket, random, {}, {}, random.uniform()};
+    if (!socket.waitForBytes(ReadSlice)) {
+      continue;
+    }
+    if (reader.read(exchange.request, Clock::now() + RequestLimit) != MessageOutcome::Complete) {
+      return;
+    }
+    exchange.request_id = exchange.request.header("Request-Id");
+    if (!answer(exchange)) {
+      return;
+    }
+  }
+  socket.reset();
+}
+
+bool WireWorker::answer(Exchange& exchange) {
+  if (exchange.request.first_line.starts_with("GET ")) {
+    return exchange.socket.write(responseText(200, "", ""));
+  }
+  const std::string refusal = idHeader(exchange.request_id) + std::string(NotRunHeader);
+  const std::string_view expected = exchange.request.header("Expect-Instance");
+  if (!expected.empty() && expected != exchange.instance.id) {
+    return exchange.socket.write(responseText(421, refusal, ""));
+  }
+  const bool refuses = options_.faulty && exchange.draw < Behaviour::Refuse;
+  if (refuses || exchange.instance.active >= options_.slots) {
+    return exchange.socket.write(responseText(503, refusal, ""));
+  }
+  if (options_.faulty && exchange.draw < Behaviour::CloseUnread) {
+    return false;
+  }
+  return run(exchange);
+}
+
+base::Duration WireWorker::drawWorkTime(Exchange& exchange) const {
+  const bool is_long =
+      options_.faulty ? exchange.draw >= Behaviour::CutAnswer && exchange.draw < Behaviour::LongWork
+                      : exchange.draw < SoundLongShare;
+  if (is_long) {
+    return milliseconds(500 + exchange.random.below(1'900));
+  }
+  return milliseconds(1 + exchange.random.below(LongestShortWorkMs));
+}
+
+bool WireWorker::run(Exchange& exchange) {
+  const ActiveCount active(exchange.instance.active);
+  ledger_.add(
+      WorkerRun{clientId(exchange.request), workOf(exchange.request), exchange.instance.id});
+  if (!exchange.instance.ended.wait(drawWorkTime(exchange))) {
+    return false;
+  }
+  if (options_.faulty && exchange.draw < Behaviour::CloseAfterRun) {
+    return false;
+  }
+  if (options_.faulty && exchange.draw < Behaviour::ResetAfterRun) {
+    exchange.socket.reset();
+    return false;
+  }
+  const bool is_stream = exchange.request.first_line.find(" /stream/") != std::string::npos;
+  return is_stream ? answerStream(exchange) : answerWhole(exchange);
+}
+
+bool WireWorker::answerWhole(Exchange& exchange) {
+  const std::string work = workOf(exchange.request);
+  const std::string body = isOneShot(exchange.request) ? "{\"done\":\"" + work + "\"}" : work;
+  const bool is_last = options_.faulty && exchange.draw >= Behaviour::ResetAfterRun &&
+                       exchange.draw < Behaviour::LastAnswer;
+  const bool is_cut = options_.faulty && exchange.draw >= Behaviour::LastAnswer &&
+                      exchange.draw < Behaviour::CutAnswer;
+  const std::string closing = is_last ? "Connection: close\r\n" : "";
+  const std::string bytes = responseText(200, idHeader(exchange.request_id) + closing, body);
+  if (is_cut) {
+    exchange.socket.write(std::string_view(bytes).substr(0, bytes.size() / 2));
+    return false;
+  }
+  return exchange.socket.write(bytes) && !is_last && sendSurplus(exchange);
+}
+
+bool WireWorker::answerStream(Exchange& exchange) {
+  const bool is_cut = options_.faulty && exchange.draw >= Behaviour::LastAnswer &&
+                      exchange.draw < Behaviour::CutAnswer;
+  if (!exchange.socket.write(streamHeadText(idHeader(exchange.request_id)))) {
+    return false;
+  }
+  for (int number = 1; number <= StreamEvents; ++number) {
+    const bool written = exchange.socket.write(chunkText(eventText(number, exchange.request.body)));
+    if (!written || !exchange.instance.ended.wait(EventInterval)) {
+      return false;
+    }
+    if (is_cut && number == CutAfterEvents) {
+      exchange.socket.reset();
+      return false;
+    }
+  }
+  return exchange.socket.write(chunkText("")) && sendSurplus(exchange);
+}
+
+bool WireWorker::sendSurplus(Exchange& exchange) const {
+  const bool is_surplus =
+      options_.faulty && exchange.draw >= Behaviour::LongWork && exchange.draw < Behaviour::Surplus;
+  if (!is_surplus) {
+    return true;
+  }
+  const std::string id = idHeader(exchange.request_id);
+  const std::string not_run(NotRunHeader);
+  const std::array<std::string, 10> responses{
+      responseText(503, not_run, ""),
+      responseText(429, not_run, ""),
+      responseText(421, "", ""),
+      responseText(408, "", ""),
+      responseText(503, "", "busy"),
+      responseText(500, "", "failed"),
+      responseText(200, "", "of no request"),
+      responseText(503, id + not_run, ""),
+      responseText(200, id, "once more"),
+      responseText(503, not_run, "").substr(0, 20),
+  };
+  const auto delay = milliseconds(exchange.random.below(LongestSurplusDelayMs + 1));
+  return exchange.instance.ended.wait(delay) &&
+         exchange.socket.write(responses.at(exchange.random.below(responses.size())));
+}
+
+}  // namespace switchsaddle::testbed
--- /dev/null
+++ b/libraries/testbed/test/soak/wire_client_test.cc
@@ -0,0 +1,65 @@
+#include "switchsaddle/testbed/soak/wire_client.h"
+
+#include <gtest/gtest.h>
+
+#include "switchsaddle/testbed/soak/wire_text.h"
+#include "switchsaddle/testbed/soak/wire_worker.h"
+
+namespace switchsaddle::testbed {
+namespace {
+
+/** A client that sends straight to a worker. */
+class WireClientTest : public testing::Test {
+ protected:
+  WireClient clientOf(const WireWorker& worker) {
+    WireClientOptions options;
+    options.fronts = {{"worker", worker.address()}};
+    options.host = "soak.example";
+    return {options, ledger};
+  }
+  static WireWorkerOptions workerOptions(bool faulty) {
+    WireWorkerOptions options;
+    options.name = "worker";
+    options.address = {"127.0.0.1", 0};
+    options.faulty = faulty;
+    return options;
+  }
+
+  RunLedger ledger{false};
+  Interruption interruption;
+};
+
+TEST_F(WireClientTest, SoundWorkerRunsEachWorkOnce) {
+  WireWorker worker(workerOptions(false), ledger);
+  WireClient client = clientOf(worker);
+  for (int count = 0; count < 10; ++count) {
+    client.sendWork(interruption);
+  }
+  EXPECT_TRUE(ledger.violations().empty());
+  EXPECT_EQ(ledger.summary(), "10 works, 10 runs, 0 changes; attempts: 200=10");
+}
+
+TEST_F(WireClientTest, ReconnectsAfterTheWorkerHasRestarted) {
+  WireWorker worker(workerOptions(false), ledger);
+  WireClient client = clientOf(worker);
+  client.sendWork(interruption);
+  const std::string first = worker.id();
+  worker.restart({});
+  EXPECT_NE(worker.id(), first);
+  client.sendWork(interruption);
+  client.sendWork(interruption);
+  EXPECT_TRUE(ledger.violations().empty());
+}
+
+TEST_F(WireClientTest, TakesSurplusResponsesOfAFaultyWorkerAsForeign) {
+  WireWorker worker(workerOptions(true), ledger);
+  WireClient client = clientOf(worker);
+  for (int count = 0; count < 30; ++count) {
+    client.sendWork(interruption);
+  }
+  // Without a front in between, surplus responses reach the client.
+  EXPECT_FALSE(ledger.violations().empty());
+}
+
+}  // namespace
+}  // namespace switchsaddle::testbed
--- a/programs/testbed/commands.h
+++ b/programs/testbed/commands.h
@@ -21,5 +21,6 @@
 void addSlopesCommand(CLI::App& app);
 void addFuzzCommand(CLI::App& app);
 void addFailuresCommand(CLI::App& app);
+void addSoakCommand(CLI::App& app);
 
 }  // namespace switchsaddle::testbed_commands
--- /dev/null
+++ b/programs/testbed/soak/soak_command.cc
@@ -0,0 +1,148 @@
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "commands.h"
+#include "soak/soak_disturbances.h"
+#include "soak/soak_fleet.h"
+
+namespace switchsaddle::testbed_commands {
+namespace {
+
+namespace files = std::filesystem;
+
+constexpr int ViolationsFound = 1;
+/** The second octet of the loopback networks of the seeds begins here. */
+constexpr std::uint64_t FirstNetwork = 100;
+constexpr std::uint64_t Networks = 100;
+/** Time for which requests go on after the last disturbance. */
+constexpr base::Duration CalmTime = std::chrono::seconds(2);
+
+/** The command line of `switchsaddle-testbed soak`. */
+struct SoakArguments {
+  SoakFleetOptions fleet;
+  std::uint64_t first_seed = 1;
+  int seeds = 1;
+  int seconds = 30;
+  int clients = 40;
+  int disturbers = 4;
+  bool sound_workers = false;
+  std::vector<std::string> kinds = soakDisturbanceKinds();
+};
+
+SoakFleetOptions fleetOptions(const SoakArguments& arguments, std::uint64_t seed) {
+  SoakFleetOptions options = arguments.fleet;
+  options.directory = files::absolute(options.directory + "/seed-" + std::to_string(seed)).string();
+  if (options.program.empty()) {
+    const files::path own_program = files::read_symlink("/proc/self/exe");
+    options.program = (own_program.parent_path() / "switchsaddle").string();
+  }
+  options.program = files::absolute(options.program).string();
+  if (options.network.empty()) {
+    options.network = "127." + std::to_string(FirstNetwork + seed % Networks);
+  }
+  options.faulty_workers = !arguments.sound_workers;
+  options.seed = seed * 1'000;
+  return options;
+}
+
+/** Sends work from all clients while the fleet is disturbed, and for a calm time after that. */
+void sendAndDisturb(const SoakArguments& arguments, SoakFleet& fleet, testbed::RunLedger& ledger,
+                    std::uint64_t seed, const std::string& directory) {
+  testbed::Interruption clients_end;
+  std::vector<std::thread> clients;
+  for (int number = 1; number <= arguments.clients; ++number) {
+    testbed::WireClientOptions options;
+    options.fronts = fleet.fronts();
+    options.host = SoakFleet::forwardedHost();
+    options.tenant_key = fleet.tenantKey();
+    options.service = SoakService;
+    options.seed = seed * 1'000 + static_cast<std::uint64_t>(number);
+    clients.emplace_back([options, &ledger, &clients_end] {
+      testbed::WireClient(options, ledger).run(clients_end);
+    });
+  }
+  SoakDisturbances disturbances(fleet, ledger, arguments.kinds, arguments.disturbers, seed,
+                                directory + "/disturbances.log");
+  testbed::Interruption pause;
+  pause.wait(std::chrono::seconds(arguments.seconds));
+  disturbances.stop();
+  pause.wait(CalmTime);
+  clients_end.raise();
+  for (std::thread& client : clients) {
+    client.join();
+  }
+}
+
+/** @return the number of violations. */
+std::size_t runSeed(const SoakArguments& arguments, std::uint64_t seed) {
+  testbed::RunLedger ledger(arguments.sound_workers && answersAreOwed(arguments.kinds));
+  const SoakFleetOptions options = fleetOptions(arguments, seed);
+  SoakFleet fleet(options, ledger);
+  sendAndDisturb(arguments, fleet, ledger, seed, options.directory);
+  const std::vector<testbed::SoakViolation> violations = ledger.violations();
+  for (const testbed::SoakViolation& violation : violations) {
+    std::cout << testbed::violationName(violation.kind) << ": " << violation.text << "\n";
+  }
+  std::cout << "seed " << seed << ": " << violations.size() << " violations; " << ledger.summary()
+            << std::endl;
+  return violations.size();
+}
+
+void runSoak(const SoakArguments& arguments) {
+  std::size_t violations = 0;
+  for (int index = 0; index < arguments.seeds; ++index) {
+    violations += runSeed(arguments, arguments.first_seed + static_cast<std::uint64_t>(index));
+  }
+  std::cout << "seeds: " << arguments.seeds << ", violations: " << violations << std::endl;
+  if (violations > 0) {
+    throw CLI::RuntimeError(ViolationsFound);
+  }
+}
+
+void addFleetOptions(CLI::App& command, SoakArguments& arguments) {
+  command
+      .add_option("--directory", arguments.fleet.directory,
+                  "Folder for the fleets; each seed gets a subfolder")
+      ->required();
+  command.add_option("--switchsaddle", arguments.fleet.program,
+                     "Path of the switchsaddle program (default: in the folder of this program)");
+  command.add_option("--network", arguments.fleet.network,
+                     "First two octets of every address (default: 127.100 to 127.199, by seed)");
+  command.add_option("--cores", arguments.fleet.cores, "Number of cores (default 5)")
+      ->check(CLI::Range(3, 9));
+  command.add_option("--fronts", arguments.fleet.fronts, "Number of fronts (default 4)")
+      ->check(CLI::Range(2, 200));
+  command.add_option("--workers", arguments.fleet.workers, "Number of workers (default 9)")
+      ->check(CLI::Range(2, 200));
+  command.add_flag("--sound-workers", arguments.sound_workers,
+                   "Workers misuse no connection (default: they do)");
+}
+
+}  // namespace
+
+void addSoakCommand(CLI::App& app) {
+  auto arguments = std::make_shared<SoakArguments>();
+  CLI::App* command = app.add_subcommand(
+      "soak", "Disturb real daemons between stand-ins on raw sockets and check what runs twice");
+  addFleetOptions(*command, *arguments);
+  command->add_option("--seed", arguments->first_seed, "First seed (default 1)");
+  command->add_option("--seeds", arguments->seeds, "Number of seeds (default 1)")
+      ->check(CLI::PositiveNumber);
+  command->add_option("--seconds", arguments->seconds, "Disturbed time of each seed (default 30)")
+      ->check(CLI::PositiveNumber);
+  command->add_option("--clients", arguments->clients, "Number of clients (default 40)")
+      ->check(CLI::Range(1, 1'000));
+  command
+      ->add_option("--disturbers", arguments->disturbers, "Disturbances that overlap (default 4)")
+      ->check(CLI::Range(1, 100));
+  command->add_option("--kinds", arguments->kinds, "Kinds to draw from (default: all)")
+      ->check(CLI::IsMember(soakDisturbanceKinds()));
+  command->callback([arguments] { runSoak(*arguments); });
+}
+
+}  // namespace switchsaddle::testbed_commands
--- /dev/null
+++ b/programs/testbed/soak/soak_disturbances.cc
@@ -0,0 +1,203 @@
+#include "soak/soak_disturbances.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <utility>
+
+#include "soak/soak_operator.h"
+
+namespace switchsaddle::testbed_commands {
+namespace {
+
+using std::chrono::milliseconds;
+using testbed::ProcessRole;
+
+constexpr const char* FrontTerm = "front-term";
+constexpr const char* FrontKill = "front-kill";
+constexpr const char* FrontFreeze = "front-freeze";
+constexpr const char* FrontHangup = "front-hangup";
+constexpr const char* CoreTerm = "core-term";
+constexpr const char* CoreKill = "core-kill";
+constexpr const char* CoreFreeze = "core-freeze";
+constexpr const char* WorkerRestart = "worker-restart";
+constexpr const char* Change = "change";
+constexpr std::array AllKinds{FrontTerm, FrontKill,  FrontFreeze,   FrontHangup, CoreTerm,
+                              CoreKill,  CoreFreeze, WorkerRestart, Change};
+/** Kinds under which a front answers every request that it has taken. */
+constexpr std::array OrderlyKinds{FrontTerm, FrontHangup, CoreTerm, CoreKill, CoreFreeze, Change};
+
+/** The supervisor kills a process that has not ended this long after its first SIGTERM. */
+constexpr base::Duration Grace = std::chrono::seconds(8);
+constexpr base::Duration KillLimit = std::chrono::seconds(5);
+constexpr int MaximumTerms = 3;
+constexpr double HangupShare = 0.3;
+constexpr double KilledDuringShutdownShare = 0.3;
+constexpr int Operators = 2;
+
+}  // namespace
+
+std::vector<std::string> soakDisturbanceKinds() {
+  return {AllKinds.begin(), AllKinds.end()};
+}
+
+bool answersAreOwed(const std::vector<std::string>& kinds) {
+  return std::ranges::all_of(kinds, [](const std::string& kind) {
+    return std::ranges::find(OrderlyKinds, kind) != OrderlyKinds.end();
+  });
+}
+
+SoakDisturbances::SoakDisturbances(SoakFleet& fleet, testbed::RunLedger& ledger,
+                                   std::vector<std::string> kinds, int threads, std::uint64_t seed,
+                                   const std::string& file)
+    : fleet_(fleet), ledger_(ledger), record_(file), kinds_(std::move(kinds)) {
+  if (includes(Change)) {
+    for (int number = 1; number <= Operators; ++number) {
+      threads_.emplace_back(
+          [this, number, seed] { changeConfiguration(seed + static_cast<std::uint64_t>(number)); });
+    }
+    std::erase(kinds_, Change);
+  }
+  for (int number = 1; number <= threads && !kinds_.empty(); ++number) {
+    threads_.emplace_back(
+        [this, number, seed] { disturb(seed * 100 + static_cast<std::uint64_t>(number)); });
+  }
+}
+
+SoakDisturbances::~SoakDisturbances() {
+  stop();
+}
+
+void SoakDisturbances::stop() {
+  interruption_.raise();
+  for (std::thread& thread : std::exchange(threads_, {})) {
+    thread.join();
+  }
+}
+
+bool SoakDisturbances::includes(const std::string& kind) const {
+  return std::ranges::find(kinds_, kind) != kinds_.end();
+}
+
+bool SoakDisturbances::pause(base::RandomSource& random, int least_ms, int most_ms) {
+  const auto range = static_cast<std::uint64_t>(most_ms) - static_cast<std::uint64_t>(least_ms) + 1;
+  return interruption_.wait(milliseconds(least_ms) + milliseconds(random.below(range)));
+}
+
+void SoakDisturbances::note(const std::string& event, const std::string& subject) {
+  const std::lock_guard lock(mutex_);
+  record_ << ledger_.elapsedSeconds() << ' ' << event << ' ' << subject << std::endl;
+}
+
+void SoakDisturbances::disturb(std::uint64_t seed) {
+  base::RandomSource random(seed);
+  while (pause(random, 100, 1'500)) {
+    disturbOnce(kinds_[random.below(kinds_.size())], random);
+  }
+}
+
+void SoakDisturbances::disturbOnce(const std::string& kind, base::RandomSource& random) {
+  if (kind == WorkerRestart) {
+    const auto& workers = fleet_.workers();
+    const std::size_t index = random.below(workers.size());
+    const std::string name = "worker-" + std::to_string(index);
+    {
+      const std::lock_guard lock(mutex_);
+      if (!reserved_.insert(name).second) {
+        return;
+      }
+    }
+    note(WorkerRestart, name);
+    workers[index].worker->restart(milliseconds(50 + random.below(950)));
+    release(name);
+    return;
+  }
+  disturbProcess(kind, random);
+}
+
+void SoakDisturbances::disturbProcess(const std::string& kind, base::RandomSource& random) {
+  const bool is_front = kind.starts_with("front");
+  const std::string name = reserve(is_front ? ProcessRole::Front : ProcessRole::Core, random);
+  if (name.empty()) {
+    return;
+  }
+  note(kind, name);
+  if (kind == FrontTerm || kind == CoreTerm) {
+    terminate(name, includes(is_front ? FrontKill : CoreKill), random);
+  } else if (kind == FrontKill || kind == CoreKill) {
+    kill(name, random);
+  } else if (kind == FrontFreeze || kind == CoreFreeze) {
+    freeze(name, random);
+  } else {
+    fleet_.signal(name, SIGHUP);
+  }
+  release(name);
+}
+
+void SoakDisturbances::terminate(const std::string& name, bool may_kill,
+                                 base::RandomSource& random) {
+  const std::uint64_t terms = 1 + random.below(MaximumTerms);
+  for (std::uint64_t number = 0; number < terms; ++number) {
+    note("sigterm", name);
+    fleet_.signal(name, SIGTERM);
+    if (random.chance(HangupShare)) {
+      fleet_.signal(name, SIGHUP);
+    }
+    pause(random, 0, 500);
+  }
+  if (may_kill && random.chance(KilledDuringShutdownShare)) {
+    pause(random, 0, 3'000);
+    note("kill-during-shutdown", name);
+    fleet_.signal(name, SIGKILL);
+  }
+  if (!fleet_.waitForEnd(name, Grace)) {
+    fleet_.signal(name, SIGKILL);
+    fleet_.waitForEnd(name, KillLimit);
+  }
+  note("ended", name);
+  pause(random, 0, 1'000);
+  fleet_.startAgain(name);
+}
+
+void SoakDisturbances::kill(const std::string& name, base::RandomSource& random) {
+  fleet_.signal(name, SIGKILL);
+  fleet_.waitForEnd(name, KillLimit);
+  pause(random, 0, 2'000);
+  fleet_.startAgain(name);
+}
+
+void SoakDisturbances::freeze(const std::string& name, base::RandomSource& random) {
+  fleet_.signal(name, SIGSTOP);
+  pause(random, 200, 3'500);
+  fleet_.signal(name, SIGCONT);
+}
+
+void SoakDisturbances::changeConfiguration(std::uint64_t seed) {
+  base::RandomSource random(seed);
+  SoakOperator configuring(fleet_.controlAddresses(), fleet_.operatorKey(), seed, ledger_);
+  while (pause(random, 300, 2'000)) {
+    configuring.change(random);
+  }
+}
+
+std::string SoakDisturbances::reserve(ProcessRole role, base::RandomSource& random) {
+  std::vector<std::string> names = fleet_.namesOf(role);
+  const std::lock_guard lock(mutex_);
+  const std::size_t all = names.size();
+  std::erase_if(names, [this](const std::string& name) { return reserved_.contains(name); });
+  const std::size_t disturbed = all - names.size();
+  const std::size_t limit = role == ProcessRole::Core ? (all - 1) / 2 : all / 2;
+  if (disturbed >= limit) {
+    return {};
+  }
+  std::string chosen = names[random.below(names.size())];
+  reserved_.insert(chosen);
+  return chosen;
+}
+
+void SoakDisturbances::release(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  reserved_.erase(name);
+}
+
+}  // namespace switchsaddle::testbed_commands
--- /dev/null
+++ b/programs/testbed/soak/soak_disturbances.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <fstream>
+#include <mutex>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "soak/soak_fleet.h"
+#include "switchsaddle/base/random.h"
+#include "switchsaddle/testbed/soak/interruption.h"
+
+namespace switchsaddle::testbed_commands {
+
+/** The kinds of disturbances of a soak. */
+std::vector<std::string> soakDisturbanceKinds();
+
+/** @return whether every request that was taken must be answered despite the kinds. */
+bool answersAreOwed(const std::vector<std::string>& kinds);
+
+/**
+ * Disturbs a soak's fleet on several threads, so that signals, restarts and changes overlap: series
+ * of SIGTERMs with SIGHUPs between them, kills also during a shutdown, freezes, restarts of workers
+ * and changes of the configuration by two operators. Half of the fronts and a majority of the cores
+ * stay undisturbed. Seeded; writes each disturbance to a file, with the seconds
+ * since the ledger was created.
+ */
+class SoakDisturbances {
+ public:
+  /**
+   * @param fleet outlives this object, as does `ledger`.
+   * @param threads number of disturbances that overlap.
+   */
+  SoakDisturbances(SoakFleet& fleet, testbed::RunLedger& ledger, std::vector<std::string> kinds,
+                   int threads, std::uint64_t seed, const std::string& file);
+  ~SoakDisturbances();
+  SoakDisturbances(const SoakDisturbances&) = delete;
+  SoakDisturbances& operator=(const SoakDisturbances&) = delete;
+
+  /** Ends what is going on: wakes and starts all processes. */
+  void stop();
+
+ private:
+  void disturb(std::uint64_t seed);
+  void disturbOnce(const std::string& kind, base::RandomSource& random);
+  void disturbProcess(const std::string& kind, base::RandomSource& random);
+  void terminate(const std::string& name, bool may_kill, base::RandomSource& random);
+  void kill(const std::string& name, base::RandomSource& random);
+  void freeze(const std::string& name, base::RandomSource& random);
+  void changeConfiguration(std::uint64_t seed);
+  /** Reserves a process of the role that may be disturbed; empty if there is none. */
+  std::string reserve(testbed::ProcessRole role, base::RandomSource& random);
+  void release(const std::string& name);
+  void note(const std::string& event, const std::string& subject);
+  bool pause(base::RandomSource& random, int least_ms, int most_ms);
+  bool includes(const std::string& kind) const;
+
+  SoakFleet& fleet_;
+  testbed::RunLedger& ledger_;
+  std::ofstream record_;
+  std::vector<std::string> kinds_;
+  testbed::Interruption interruption_;
+  std::mutex mutex_;
+  std::set<std::string> reserved_;
+  std::vector<std::thread> threads_;
+};
+
+}  // namespace switchsaddle::testbed_commands
--- /dev/null
+++ b/programs/testbed/soak/soak_fleet.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "fleet.h"
+#include "soak/soak_platform.h"
+#include "switchsaddle/testbed/soak/run_ledger.h"
+#include "switchsaddle/testbed/soak/wire_client.h"
+
+namespace switchsaddle::testbed_commands {
+
+/** The size and behaviour of a soak's fleet. */
+struct SoakFleetOptions {
+  std::string directory;
+  /** Path of the switchsaddle program. */
+  std::string program;
+  /** First two octets of every address. */
+  std::string network;
+  int cores = 5;
+  int fronts = 4;
+  int workers = 9;
+  bool faulty_workers = true;
+  std::uint64_t seed = 1;
+};
+
+/**
+ * The processes of a soak: cores and fronts as daemons, platform and workers as stand-ins within
+ * this process. Starts all on construction and kills the daemons on destruction. Thread-safe, as
+ * long as each process is disturbed by one thread at a time.
+ */
+class SoakFleet {
+ public:
+  /** @param ledger outlives the fleet. Throws base::Error if a process does not become ready. */
+  SoakFleet(SoakFleetOptions options, testbed::RunLedger& ledger);
+  ~SoakFleet();
+  SoakFleet(const SoakFleet&) = delete;
+  SoakFleet& operator=(const SoakFleet&) = delete;
+
+  std::vector<testbed::FrontTarget> fronts();
+  std::vector<base::NodeAddress> controlAddresses();
+  std::vector<std::string> namesOf(testbed::ProcessRole role);
+  const std::vector<SoakWorker>& workers() const { return workers_; }
+  const std::string& operatorKey() const { return operator_key_; }
+  const std::string& tenantKey() const { return tenant_key_; }
+  static const char* forwardedHost() { return "soak.example"; }
+
+  void signal(const std::string& name, int signal_number);
+  /** @return whether the process ended within the limit. */
+  bool waitForEnd(const std::string& name, base::Duration limit);
+  void startAgain(const std::string& name);
+
+ private:
+  void startWorkers();
+  void startDaemons();
+  /** Starts the processes of a role and waits until they are ready. */
+  void startAll(testbed::ProcessRole role);
+  std::string layout() const;
+  std::string configuration() const;
+  testbed::ProcessIdentity identityOf(const std::string& name);
+
+  SoakFleetOptions options_;
+  testbed::RunLedger& ledger_;
+  std::string operator_key_ = "operator-soak-key";
+  std::string tenant_key_ = "tenant-soak-key";
+  std::mutex mutex_;
+  std::unique_ptr<Fleet> fleet_;
+  std::vector<SoakWorker> workers_;
+  std::unique_ptr<SoakPlatform> platform_;
+};
+
+}  // namespace switchsaddle::testbed_commands
