Calls: unacknowledged bytes are noticed by the sender, which resets the connection

Cause: TCP_USER_TIMEOUT ends the connection in the kernel without a reset, and what a cut holds up is delivered when it ends; only a reset by the sender drops it. TCP_USER_TIMEOUT is gone from calls.

--- a/libraries/front/source/worker_calls/http_forward_port.cc
+++ b/libraries/front/source/worker_calls/http_forward_port.cc
@@ -20,7 +20,7 @@
   // The run's deadline ends requests that take too long.
   options.response_timeout = {};
   options.idle_timeout = {};
-  options.tcp_user_timeout = UnacknowledgedTimeout;
+  options.unacknowledged_limit = UnacknowledgedTimeout;
   options.maximum_idle_time = dispatch.maximum_idle_time;
   options.retry_lost_get = false;
   // Without an id no response can be told from a surplus one of an earlier request.
--- a/libraries/http/include/switchsaddle/http/client.h
+++ b/libraries/http/include/switchsaddle/http/client.h
@@ -63,10 +63,11 @@
   /** Maximum time between two reads of the body. */
   base::Duration idle_timeout = std::chrono::seconds(30);
   /**
-   * TCP_USER_TIMEOUT: time for which sent bytes or keep-alive probes may stay unacknowledged. Zero
-   * keeps the system's default.
+   * Time for which sent bytes may stay unacknowledged by the server's machine. After it the
+   * connection is reset, so that bytes that the network holds up are lost; idle connections are
+   * probed. Zero for no limit.
    */
-  base::Duration tcp_user_timeout{};
+  base::Duration unacknowledged_limit{};
   /** Maximum idle time of a pooled connection that is reused. */
   base::Duration maximum_idle_time = std::chrono::seconds(30);
   /** Retry a GET once if it was lost on a reused connection. */
--- a/libraries/http/source/client_exchange.cc
+++ b/libraries/http/source/client_exchange.cc
@@ -30,7 +30,8 @@
       options_(std::move(options)),
       observer_(std::move(observer)),
       socket_(client_->strand),
-      timer_(client_->strand) {}
+      timer_(client_->strand),
+      acknowledgement_timer_(client_->strand) {}
 
 void ClientExchange::start() {
   if (ended_) {
@@ -54,8 +55,8 @@
   if (ended_.exchange(true)) {
     return;
   }
-  // Posted, since end() releases the observer, which may be calling cancel().
-  asio::post(client_->strand, [self = shared_from_this()] { self->end(); });
+  // Posted, since abort() releases the observer, which may be calling cancel().
+  asio::post(client_->strand, [self = shared_from_this()] { self->abort(); });
 }
 
 void ClientExchange::connect() {
@@ -86,7 +87,7 @@
     fail(ExchangeFailure::NotConnected, refused);
     return;
   }
-  setClientSocketOptions(socket_, options_.tcp_user_timeout);
+  setClientSocketOptions(socket_, options_.unacknowledged_limit > base::Duration::zero());
   sendRequest();
 }
 
@@ -95,9 +96,37 @@
   written_bytes_ = 0;
   reading_ = false;
   discarding_ = false;
+  unacknowledged_bytes_ = request_bytes_.size();
+  watchAcknowledgement();
   writeSome();
 }
 
+void ClientExchange::watchAcknowledgement() {
+  if (options_.unacknowledged_limit <= base::Duration::zero()) {
+    return;
+  }
+  acknowledgement_timer_.arm(options_.unacknowledged_limit,
+                             [self = shared_from_this(), attempt = attempt_] {
+                               if (!self->outdated(attempt)) {
+                                 self->checkAcknowledgement();
+                               }
+                             });
+}
+
+void ClientExchange::checkAcknowledgement() {
+  const std::size_t unacknowledged =
+      unacknowledgedBytes(socket_) + request_bytes_.size() - written_bytes_;
+  if (unacknowledged == 0) {
+    return;
+  }
+  if (unacknowledged < unacknowledged_bytes_) {
+    unacknowledged_bytes_ = unacknowledged;
+    watchAcknowledgement();
+    return;
+  }
+  fail(parser_.hasStarted() ? ExchangeFailure::BodyTruncated : ExchangeFailure::NoResponse);
+}
+
 void ClientExchange::writeSome() {
   const asio::const_buffer remaining = asio::buffer(request_bytes_) + written_bytes_;
   socket_.async_write_some(remaining, [self = shared_from_this(), attempt = attempt_](
@@ -277,13 +306,19 @@
 void ClientExchange::fail(ExchangeFailure failure, bool refused) {
   const auto observer = observer_;
   ended_ = true;
-  end();
+  abort();
   observer->onFailure(failure, refused);
 }
 
+void ClientExchange::abort() {
+  resetOnClose(socket_);
+  end();
+}
+
 void ClientExchange::end() {
   ++attempt_;
   timer_.cancel();
+  acknowledgement_timer_.cancel();
   error_code ignored;
   socket_.close(ignored);
   observer_.reset();
--- a/libraries/http/source/client_exchange.h
+++ b/libraries/http/source/client_exchange.h
@@ -45,6 +45,9 @@
   void onConnect(const boost::system::error_code& error);
 
   void sendRequest();
+  /** Checks after the limit whether the server's machine acknowledges the request's bytes. */
+  void watchAcknowledgement();
+  void checkAcknowledgement();
   void writeSome();
   void onWritten(const boost::system::error_code& error, std::size_t bytes);
   void onWriteFailed();
@@ -66,6 +69,11 @@
   void failBeforeHead(bool any_byte_sent);
   bool mayRetry(bool any_byte_sent) const;
   void fail(ExchangeFailure failure, bool refused = false);
+  /**
+   * Ends an exchange that is not complete. Resets the connection: bytes of the request that the
+   * network still holds up must not reach the server later.
+   */
+  void abort();
   void end();
   /** @param delay zero for no time-out. */
   void armTimer(base::Duration delay, ExchangeFailure failure);
@@ -78,6 +86,7 @@
   std::shared_ptr<ExchangeObserver> observer_;
   boost::asio::ip::tcp::socket socket_;
   DeadlineTimer timer_;
+  DeadlineTimer acknowledgement_timer_;
   std::uint64_t attempt_ = 0;
   boost::beast::flat_buffer buffer_;
   ResponseParser parser_;
@@ -88,6 +97,8 @@
   /** The connection is from the pool. */
   bool reused_ = false;
   std::size_t written_bytes_ = 0;
+  /** Bytes of the request that were unacknowledged, or not written, at the last check. */
+  std::size_t unacknowledged_bytes_ = 0;
   /** Reading has started, possibly while a long request is still being written. */
   bool reading_ = false;
   /** The response being read belongs to another request. */
--- a/libraries/http/source/client_socket.cc
+++ b/libraries/http/source/client_socket.cc
@@ -1,7 +1,9 @@
 #include "client_socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace switchsaddle::http {
 
@@ -16,7 +18,6 @@
 constexpr int KeepAliveSeconds = 1;
 constexpr int KeepAliveProbes = 1;
 
-using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 using KeepAliveIdle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
 using KeepAliveInterval = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
 using KeepAliveCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
@@ -47,20 +48,29 @@
   return local_ip.empty() ? error : bindLocalAddress(socket, local_ip);
 }
 
-void setClientSocketOptions(tcp::socket& socket, base::Duration user_timeout) {
+void setClientSocketOptions(tcp::socket& socket, bool probes_when_idle) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  if (user_timeout <= base::Duration::zero()) {
+  if (!probes_when_idle) {
     return;
   }
-  const auto timeout_ms = static_cast<int>(base::toMilliseconds(user_timeout));
-  socket.set_option(UserTimeout(timeout_ms), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(KeepAliveIdle(KeepAliveSeconds), ignored);
   socket.set_option(KeepAliveInterval(KeepAliveSeconds), ignored);
   socket.set_option(KeepAliveCount(KeepAliveProbes), ignored);
 }
 
+std::size_t unacknowledgedBytes(tcp::socket& socket) {
+  int bytes = 0;
+  const int result = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes);
+  return result == 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
+void resetOnClose(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 bool isConnectedToItself(const tcp::socket& socket) {
   error_code error;
   return socket.local_endpoint(error) == socket.remote_endpoint(error);
--- a/libraries/http/source/client_socket.h
+++ b/libraries/http/source/client_socket.h
@@ -17,10 +17,16 @@
 
 /**
  * Sets the options of a connected socket.
- * @param user_timeout time for which bytes or keep-alive probes may stay unacknowledged; zero keeps
- *     the system's default.
+ * @param probes_when_idle whether the kernel probes the connection while no bytes are in flight,
+ *     and ends it if the peer's machine does not respond.
  */
-void setClientSocketOptions(boost::asio::ip::tcp::socket& socket, base::Duration user_timeout);
+void setClientSocketOptions(boost::asio::ip::tcp::socket& socket, bool probes_when_idle);
+
+/** @return the number of written bytes that the peer's machine has not acknowledged. */
+std::size_t unacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
+/** Makes the next close of the socket reset the connection, so that bytes in flight are lost. */
+void resetOnClose(boost::asio::ip::tcp::socket& socket);
 
 /**
  * @return whether the socket is connected to itself, which Linux does if the server's port is free
