--- a/libraries/compatibility/test/json_format_test.cc
+++ b/libraries/compatibility/test/json_format_test.cc
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
+#include "control/health_json.h"
+#include "control/status_json.h"
 #include "golden_file.h"
-#include "health_json.h"
 #include "request/caller_answers.h"
-#include "status_json.h"
 #include "switchsaddle/configuration/change_json.h"
 #include "switchsaddle/configuration/state_report.h"
 #include "switchsaddle/front/node/counters.h"
--- a/libraries/core/include/switchsaddle/core/configuration_follower.h
+++ b/libraries/core/include/switchsaddle/core/configuration/configuration_follower.h
@@ -4,8 +4,8 @@
 
 #include "switchsaddle/base/callback_scope.h"
 #include "switchsaddle/base/dispatcher.h"
-#include "switchsaddle/core/core_membership.h"
-#include "switchsaddle/core/in_force_tracker.h"
+#include "switchsaddle/core/configuration/in_force_tracker.h"
+#include "switchsaddle/core/membership/core_membership.h"
 #include "switchsaddle/dissemination/configuration_replica.h"
 #include "switchsaddle/registers/proposer.h"
 
--- a/libraries/core/include/switchsaddle/core/configuration_stack.h
+++ b/libraries/core/include/switchsaddle/core/configuration/configuration_stack.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "switchsaddle/core/configuration_follower.h"
-#include "switchsaddle/core/core_environment.h"
-#include "switchsaddle/core/in_force_tracker.h"
-#include "switchsaddle/core/register_change_coordinator.h"
-#include "switchsaddle/core/register_stack.h"
+#include "switchsaddle/core/configuration/configuration_follower.h"
+#include "switchsaddle/core/configuration/in_force_tracker.h"
+#include "switchsaddle/core/configuration/register_change_coordinator.h"
+#include "switchsaddle/core/node/core_environment.h"
+#include "switchsaddle/core/node/register_stack.h"
 #include "switchsaddle/dissemination/configuration_replica.h"
 #include "switchsaddle/dissemination/gossip_agent.h"
 #include "switchsaddle/sessions/session_table.h"
--- a/libraries/core/include/switchsaddle/core/in_force_tracker.h
+++ b/libraries/core/include/switchsaddle/core/configuration/in_force_tracker.h
@@ -7,7 +7,7 @@
 
 #include "switchsaddle/base/callback_scope.h"
 #include "switchsaddle/base/dispatcher.h"
-#include "switchsaddle/core/configuration_pusher.h"
+#include "switchsaddle/core/configuration/configuration_pusher.h"
 #include "switchsaddle/dissemination/configuration_replica.h"
 #include "switchsaddle/sessions/session_directory.h"
 #include "switchsaddle/transport/peer_calls.h"
--- a/libraries/core/include/switchsaddle/core/control_service.h
+++ b/libraries/core/include/switchsaddle/core/control/control_service.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "switchsaddle/configuration/source_document.h"
-#include "switchsaddle/core/control_dependencies.h"
+#include "switchsaddle/core/control/control_dependencies.h"
 #include "switchsaddle/http/message.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/core_http_service.h
+++ b/libraries/core/include/switchsaddle/core/control/core_http_service.h
@@ -3,7 +3,7 @@
 #include <functional>
 #include <string_view>
 
-#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/core/node/core_node.h"
 #include "switchsaddle/http/message.h"
 #include "switchsaddle/metrics/page.h"
 
--- a/libraries/core/include/switchsaddle/core/candidate_table.h
+++ b/libraries/core/include/switchsaddle/core/membership/candidate_table.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/base/time.h"
-#include "switchsaddle/core/member_spread.h"
+#include "switchsaddle/core/membership/member_spread.h"
 #include "switchsaddle/wire/control_messages.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/membership_role.h
+++ b/libraries/core/include/switchsaddle/core/membership/membership_role.h
@@ -2,10 +2,10 @@
 
 #include <cstdint>
 
-#include "switchsaddle/core/core_environment.h"
-#include "switchsaddle/core/membership_reconciler.h"
-#include "switchsaddle/core/node_information.h"
-#include "switchsaddle/core/register_stack.h"
+#include "switchsaddle/core/control/node_information.h"
+#include "switchsaddle/core/membership/membership_reconciler.h"
+#include "switchsaddle/core/node/core_environment.h"
+#include "switchsaddle/core/node/register_stack.h"
 #include "switchsaddle/lease/lease_holder.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/shortfall_monitor.h
+++ b/libraries/core/include/switchsaddle/core/membership/shortfall_monitor.h
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "switchsaddle/base/time.h"
-#include "switchsaddle/core/member_spread.h"
+#include "switchsaddle/core/membership/member_spread.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/include/switchsaddle/core/core_environment.h
+++ b/libraries/core/include/switchsaddle/core/node/core_environment.h
@@ -4,7 +4,7 @@
 #include "switchsaddle/base/incident.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/configuration/settings.h"
-#include "switchsaddle/core/core_faults.h"
+#include "switchsaddle/core/node/core_faults.h"
 #include "switchsaddle/journal/journal.h"
 #include "switchsaddle/metrics/strand_watch.h"
 #include "switchsaddle/storage/record_store.h"
--- a/libraries/core/include/switchsaddle/core/core_metrics.h
+++ b/libraries/core/include/switchsaddle/core/node/core_metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/core/node/core_node.h"
 #include "switchsaddle/metrics/page.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/ledger_host.h
+++ b/libraries/core/include/switchsaddle/core/node/ledger_host.h
@@ -9,7 +9,7 @@
 #include "switchsaddle/admission/slot_ledger.h"
 #include "switchsaddle/base/callback_scope.h"
 #include "switchsaddle/configuration/view.h"
-#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/control/node_information.h"
 #include "switchsaddle/lease/lease_holder.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/platform_watcher_role.h
+++ b/libraries/core/include/switchsaddle/core/node/platform_watcher_role.h
@@ -4,9 +4,9 @@
 #include <vector>
 
 #include "switchsaddle/base/callback_scope.h"
-#include "switchsaddle/core/core_environment.h"
-#include "switchsaddle/core/core_membership.h"
-#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/control/node_information.h"
+#include "switchsaddle/core/membership/core_membership.h"
+#include "switchsaddle/core/node/core_environment.h"
 #include "switchsaddle/dissemination/gossip_agent.h"
 #include "switchsaddle/lease/lease_holder.h"
 #include "switchsaddle/sessions/session_table.h"
--- a/libraries/core/include/switchsaddle/core/register_stack.h
+++ b/libraries/core/include/switchsaddle/core/node/register_stack.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "switchsaddle/core/core_environment.h"
-#include "switchsaddle/core/core_membership.h"
-#include "switchsaddle/core/observed_proposer.h"
+#include "switchsaddle/core/configuration/observed_proposer.h"
+#include "switchsaddle/core/membership/core_membership.h"
+#include "switchsaddle/core/node/core_environment.h"
 #include "switchsaddle/registers/acceptor.h"
 #include "switchsaddle/registers/acceptor_set_change.h"
 #include "switchsaddle/registers/bootstrap.h"
--- a/libraries/core/include/switchsaddle/core/store_recovery.h
+++ b/libraries/core/include/switchsaddle/core/node/store_recovery.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "switchsaddle/base/callback_scope.h"
-#include "switchsaddle/core/core_environment.h"
+#include "switchsaddle/core/node/core_environment.h"
 #include "switchsaddle/lease/lease_granter.h"
 #include "switchsaddle/registers/acceptor.h"
 
--- a/libraries/core/include/switchsaddle/core/quota_allocator.h
+++ b/libraries/core/include/switchsaddle/core/quotas/quota_allocator.h
@@ -9,7 +9,7 @@
 
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/configuration/view.h"
-#include "switchsaddle/core/fleet_demand.h"
+#include "switchsaddle/core/quotas/fleet_demand.h"
 #include "switchsaddle/wire/session_messages.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/quota_leases.h
+++ b/libraries/core/include/switchsaddle/core/quotas/quota_leases.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
-#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/control/node_information.h"
 #include "switchsaddle/lease/lease_holder.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/quota_ledger.h
+++ b/libraries/core/include/switchsaddle/core/quotas/quota_ledger.h
@@ -8,9 +8,9 @@
 
 #include "switchsaddle/base/callback_scope.h"
 #include "switchsaddle/base/dispatcher.h"
-#include "switchsaddle/core/quota_allocator.h"
-#include "switchsaddle/core/quota_pacer.h"
-#include "switchsaddle/core/unsettled_grants.h"
+#include "switchsaddle/core/quotas/quota_allocator.h"
+#include "switchsaddle/core/quotas/quota_pacer.h"
+#include "switchsaddle/core/quotas/unsettled_grants.h"
 #include "switchsaddle/transport/peer_calls.h"
 #include "switchsaddle/wire/quota_messages.h"
 
--- a/libraries/core/include/switchsaddle/core/quota_role.h
+++ b/libraries/core/include/switchsaddle/core/quotas/quota_role.h
@@ -3,11 +3,11 @@
 #include <cstdint>
 #include <vector>
 
-#include "switchsaddle/core/core_environment.h"
-#include "switchsaddle/core/core_membership.h"
-#include "switchsaddle/core/quota_allocator.h"
-#include "switchsaddle/core/quota_leases.h"
-#include "switchsaddle/core/quota_ledger.h"
+#include "switchsaddle/core/membership/core_membership.h"
+#include "switchsaddle/core/node/core_environment.h"
+#include "switchsaddle/core/quotas/quota_allocator.h"
+#include "switchsaddle/core/quotas/quota_leases.h"
+#include "switchsaddle/core/quotas/quota_ledger.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/include/switchsaddle/core/unsettled_grants.h
+++ b/libraries/core/include/switchsaddle/core/quotas/unsettled_grants.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <deque>
 
-#include "switchsaddle/core/quota_allocator.h"
+#include "switchsaddle/core/quotas/quota_allocator.h"
 #include "switchsaddle/wire/quota_messages.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/include/switchsaddle/core/fleet_telemetry.h
+++ b/libraries/core/include/switchsaddle/core/telemetry/fleet_telemetry.h
@@ -7,9 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "switchsaddle/core/core_environment.h"
-#include "switchsaddle/core/load_ledger.h"
-#include "switchsaddle/core/quota_allocator.h"
+#include "switchsaddle/core/node/core_environment.h"
+#include "switchsaddle/core/quotas/quota_allocator.h"
+#include "switchsaddle/core/telemetry/load_ledger.h"
 #include "switchsaddle/sessions/session_table.h"
 #include "switchsaddle/worker_health/health_ranking.h"
 #include "switchsaddle/worker_health/outlier_detector.h"
--- a/libraries/core/include/switchsaddle/core/load_ledger.h
+++ b/libraries/core/include/switchsaddle/core/telemetry/load_ledger.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
-#include "switchsaddle/core/fleet_demand.h"
+#include "switchsaddle/core/quotas/fleet_demand.h"
 #include "switchsaddle/wire/session_messages.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/configuration_follower.cc
+++ b/libraries/core/source/configuration/configuration_follower.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/configuration_follower.h"
+#include "switchsaddle/core/configuration/configuration_follower.h"
 
 #include <utility>
 
--- a/libraries/core/source/configuration_pusher.cc
+++ b/libraries/core/source/configuration/configuration_pusher.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/configuration_pusher.h"
+#include "switchsaddle/core/configuration/configuration_pusher.h"
 
 #include <algorithm>
 #include <utility>
--- a/libraries/core/source/configuration_stack.cc
+++ b/libraries/core/source/configuration/configuration_stack.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/configuration_stack.h"
+#include "switchsaddle/core/configuration/configuration_stack.h"
 
 #include <string>
 
--- a/libraries/core/source/in_force_tracker.cc
+++ b/libraries/core/source/configuration/in_force_tracker.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/in_force_tracker.h"
+#include "switchsaddle/core/configuration/in_force_tracker.h"
 
 #include <algorithm>
 #include <utility>
--- a/libraries/core/source/register_change_coordinator.cc
+++ b/libraries/core/source/configuration/register_change_coordinator.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/register_change_coordinator.h"
+#include "switchsaddle/core/configuration/register_change_coordinator.h"
 
 #include <optional>
 #include <utility>
--- a/libraries/core/source/configuration_handlers.cc
+++ b/libraries/core/source/control/configuration_handlers.cc
@@ -1,8 +1,8 @@
-#include "configuration_handlers.h"
+#include "control/configuration_handlers.h"
 
 #include <utility>
 
-#include "control_requests.h"
+#include "control/control_requests.h"
 #include "switchsaddle/configuration/change_json.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/configuration_handlers.h
+++ b/libraries/core/source/control/configuration_handlers.h
@@ -3,9 +3,9 @@
 #include <string>
 #include <vector>
 
-#include "configuration_reader.h"
-#include "switchsaddle/core/control_dependencies.h"
-#include "switchsaddle/core/control_service.h"
+#include "control/configuration_reader.h"
+#include "switchsaddle/core/control/control_dependencies.h"
+#include "switchsaddle/core/control/control_service.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/configuration_reader.cc
+++ b/libraries/core/source/control/configuration_reader.cc
@@ -1,8 +1,8 @@
-#include "configuration_reader.h"
+#include "control/configuration_reader.h"
 
 #include <utility>
 
-#include "control_requests.h"
+#include "control/control_requests.h"
 #include "switchsaddle/base/error.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/configuration_reader.h
+++ b/libraries/core/source/control/configuration_reader.h
@@ -3,8 +3,8 @@
 #include <functional>
 
 #include "switchsaddle/configuration/register_value.h"
-#include "switchsaddle/core/control_dependencies.h"
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_dependencies.h"
+#include "switchsaddle/core/control/control_service.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/control_requests.cc
+++ b/libraries/core/source/control/control_requests.cc
@@ -1,4 +1,4 @@
-#include "control_requests.h"
+#include "control/control_requests.h"
 
 #include <algorithm>
 #include <optional>
--- a/libraries/core/source/control_requests.h
+++ b/libraries/core/source/control/control_requests.h
@@ -7,7 +7,7 @@
 
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/configuration/document.h"
-#include "switchsaddle/core/control_dependencies.h"
+#include "switchsaddle/core/control/control_dependencies.h"
 #include "switchsaddle/http/message.h"
 
 /**
--- a/libraries/core/source/control_routes.cc
+++ b/libraries/core/source/control/control_routes.cc
@@ -1,4 +1,4 @@
-#include "control_routes.h"
+#include "control/control_routes.h"
 
 #include <algorithm>
 #include <array>
--- a/libraries/core/source/control_service.cc
+++ b/libraries/core/source/control/control_service.cc
@@ -1,15 +1,15 @@
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_service.h"
 
 #include <utility>
 
-#include "configuration_handlers.h"
-#include "configuration_reader.h"
-#include "control_requests.h"
-#include "control_routes.h"
-#include "health_handlers.h"
-#include "maintenance_handlers.h"
-#include "node_handlers.h"
-#include "operator_authentication.h"
+#include "control/configuration_handlers.h"
+#include "control/configuration_reader.h"
+#include "control/control_requests.h"
+#include "control/control_routes.h"
+#include "control/health_handlers.h"
+#include "control/maintenance_handlers.h"
+#include "control/node_handlers.h"
+#include "control/operator_authentication.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/core_http_service.cc
+++ b/libraries/core/source/control/core_http_service.cc
@@ -1,10 +1,10 @@
-#include "switchsaddle/core/core_http_service.h"
+#include "switchsaddle/core/control/core_http_service.h"
 
 #include <algorithm>
 #include <array>
 #include <utility>
 
-#include "switchsaddle/core/core_metrics.h"
+#include "switchsaddle/core/node/core_metrics.h"
 #include "switchsaddle/http/error_response.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/health_handlers.cc
+++ b/libraries/core/source/control/health_handlers.cc
@@ -1,7 +1,7 @@
-#include "health_handlers.h"
+#include "control/health_handlers.h"
 
-#include "control_requests.h"
-#include "health_json.h"
+#include "control/control_requests.h"
+#include "control/health_json.h"
 #include "switchsaddle/configuration/view.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/health_handlers.h
+++ b/libraries/core/source/control/health_handlers.h
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "switchsaddle/core/control_dependencies.h"
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_dependencies.h"
+#include "switchsaddle/core/control/control_service.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/health_json.cc
+++ b/libraries/core/source/control/health_json.cc
@@ -1,4 +1,4 @@
-#include "health_json.h"
+#include "control/health_json.h"
 
 #include <algorithm>
 #include <cmath>
--- a/libraries/core/source/health_json.h
+++ b/libraries/core/source/control/health_json.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "switchsaddle/configuration/maintenance.h"
-#include "switchsaddle/core/change_coordinator.h"
+#include "switchsaddle/core/configuration/change_coordinator.h"
 #include "switchsaddle/worker_health/health_ranking.h"
 #include "switchsaddle/workers/worker_directory.h"
 
--- a/libraries/core/source/maintenance_handlers.cc
+++ b/libraries/core/source/control/maintenance_handlers.cc
@@ -1,10 +1,10 @@
-#include "maintenance_handlers.h"
+#include "control/maintenance_handlers.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "control_requests.h"
-#include "health_json.h"
+#include "control/control_requests.h"
+#include "control/health_json.h"
 #include "switchsaddle/worker_health/dispatch_sample.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/maintenance_handlers.h
+++ b/libraries/core/source/control/maintenance_handlers.h
@@ -3,10 +3,10 @@
 #include <string>
 #include <vector>
 
-#include "configuration_reader.h"
+#include "control/configuration_reader.h"
 #include "switchsaddle/configuration/maintenance.h"
-#include "switchsaddle/core/control_dependencies.h"
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_dependencies.h"
+#include "switchsaddle/core/control/control_service.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/node_handlers.cc
+++ b/libraries/core/source/control/node_handlers.cc
@@ -1,9 +1,9 @@
-#include "node_handlers.h"
+#include "control/node_handlers.h"
 
 #include <utility>
 
-#include "control_requests.h"
-#include "status_json.h"
+#include "control/control_requests.h"
+#include "control/status_json.h"
 #include "switchsaddle/dissemination/state_report.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/node_handlers.h
+++ b/libraries/core/source/control/node_handlers.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "switchsaddle/core/control_dependencies.h"
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_dependencies.h"
+#include "switchsaddle/core/control/control_service.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/operator_authentication.cc
+++ b/libraries/core/source/control/operator_authentication.cc
@@ -1,8 +1,8 @@
-#include "operator_authentication.h"
+#include "control/operator_authentication.h"
 
 #include <algorithm>
 
-#include "control_requests.h"
+#include "control/control_requests.h"
 #include "switchsaddle/configuration/view.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/operator_authentication.h
+++ b/libraries/core/source/control/operator_authentication.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "switchsaddle/base/result_code.h"
-#include "switchsaddle/core/control_dependencies.h"
+#include "switchsaddle/core/control/control_dependencies.h"
 #include "switchsaddle/http/message.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/status_json.cc
+++ b/libraries/core/source/control/status_json.cc
@@ -1,4 +1,4 @@
-#include "status_json.h"
+#include "control/status_json.h"
 
 #include "switchsaddle/configuration/change_json.h"
 #include "switchsaddle/configuration/json_writer.h"
--- a/libraries/core/source/status_json.h
+++ b/libraries/core/source/control/status_json.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/control/node_information.h"
 #include "switchsaddle/wire/session_messages.h"
 
 /**
--- a/libraries/core/source/candidate_table.cc
+++ b/libraries/core/source/membership/candidate_table.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/candidate_table.h"
+#include "switchsaddle/core/membership/candidate_table.h"
 
 #include <algorithm>
 
--- a/libraries/core/source/core_membership.cc
+++ b/libraries/core/source/membership/core_membership.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/core_membership.h"
+#include "switchsaddle/core/membership/core_membership.h"
 
 #include <algorithm>
 
--- a/libraries/core/source/member_liveness.cc
+++ b/libraries/core/source/membership/member_liveness.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/member_liveness.h"
+#include "switchsaddle/core/membership/member_liveness.h"
 
 #include <algorithm>
 
--- a/libraries/core/source/membership_reconciler.cc
+++ b/libraries/core/source/membership/membership_reconciler.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/membership_reconciler.h"
+#include "switchsaddle/core/membership/membership_reconciler.h"
 
 #include <algorithm>
 #include <utility>
--- a/libraries/core/source/membership_role.cc
+++ b/libraries/core/source/membership/membership_role.cc
@@ -1,9 +1,9 @@
-#include "switchsaddle/core/membership_role.h"
+#include "switchsaddle/core/membership/membership_role.h"
 
 #include <string>
 
-#include "core_options.h"
-#include "lease_events.h"
+#include "node/core_options.h"
+#include "node/lease_events.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/shortfall_monitor.cc
+++ b/libraries/core/source/membership/shortfall_monitor.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/shortfall_monitor.h"
+#include "switchsaddle/core/membership/shortfall_monitor.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/stalled_change_monitor.cc
+++ b/libraries/core/source/membership/stalled_change_monitor.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/stalled_change_monitor.h"
+#include "switchsaddle/core/membership/stalled_change_monitor.h"
 
 #include <string>
 
--- a/libraries/core/source/core_metrics.cc
+++ b/libraries/core/source/node/core_metrics.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/core_metrics.h"
+#include "switchsaddle/core/node/core_metrics.h"
 
 #include <algorithm>
 
--- a/libraries/core/source/core_node.cc
+++ b/libraries/core/source/node/core_node.cc
@@ -1,9 +1,9 @@
-#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/core/node/core_node.h"
 
 #include <utility>
 
-#include "core_options.h"
-#include "switchsaddle/core/session_fronts.h"
+#include "node/core_options.h"
+#include "switchsaddle/core/telemetry/session_fronts.h"
 #include "switchsaddle/node_options/node_options.h"
 #include "switchsaddle/workers/worker_journal.h"
 
--- a/libraries/core/source/core_options.cc
+++ b/libraries/core/source/node/core_options.cc
@@ -1,4 +1,4 @@
-#include "core_options.h"
+#include "node/core_options.h"
 
 #include <algorithm>
 
--- a/libraries/core/source/core_options.h
+++ b/libraries/core/source/node/core_options.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "switchsaddle/configuration/settings.h"
-#include "switchsaddle/core/core_faults.h"
-#include "switchsaddle/core/membership_reconciler.h"
+#include "switchsaddle/core/membership/membership_reconciler.h"
+#include "switchsaddle/core/node/core_faults.h"
 #include "switchsaddle/lease/lease_times.h"
 #include "switchsaddle/registers/acceptor.h"
 #include "switchsaddle/registers/bootstrap.h"
--- a/libraries/core/source/lease_events.cc
+++ b/libraries/core/source/node/lease_events.cc
@@ -1,4 +1,4 @@
-#include "lease_events.h"
+#include "node/lease_events.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/ledger_host.cc
+++ b/libraries/core/source/node/ledger_host.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/ledger_host.h"
+#include "switchsaddle/core/node/ledger_host.h"
 
 #include <algorithm>
 #include <map>
--- a/libraries/core/source/platform_watcher_role.cc
+++ b/libraries/core/source/node/platform_watcher_role.cc
@@ -1,8 +1,8 @@
-#include "switchsaddle/core/platform_watcher_role.h"
+#include "switchsaddle/core/node/platform_watcher_role.h"
 
-#include "core_options.h"
-#include "lease_events.h"
-#include "switchsaddle/core/session_fronts.h"
+#include "node/core_options.h"
+#include "node/lease_events.h"
+#include "switchsaddle/core/telemetry/session_fronts.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/register_stack.cc
+++ b/libraries/core/source/node/register_stack.cc
@@ -1,6 +1,6 @@
-#include "switchsaddle/core/register_stack.h"
+#include "switchsaddle/core/node/register_stack.h"
 
-#include "core_options.h"
+#include "node/core_options.h"
 #include "switchsaddle/claims/claim_value.h"
 
 namespace switchsaddle::core {
--- a/libraries/core/source/store_recovery.cc
+++ b/libraries/core/source/node/store_recovery.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/store_recovery.h"
+#include "switchsaddle/core/node/store_recovery.h"
 
 #include <utility>
 
--- a/libraries/core/source/fleet_demand.cc
+++ b/libraries/core/source/quotas/fleet_demand.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/fleet_demand.h"
+#include "switchsaddle/core/quotas/fleet_demand.h"
 
 #include <algorithm>
 #include <set>
--- a/libraries/core/source/quota_leases.cc
+++ b/libraries/core/source/quotas/quota_leases.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/quota_leases.h"
+#include "switchsaddle/core/quotas/quota_leases.h"
 
 #include "switchsaddle/admission/ledger_shard.h"
 
--- a/libraries/core/source/quota_ledger.cc
+++ b/libraries/core/source/quotas/quota_ledger.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/quota_ledger.h"
+#include "switchsaddle/core/quotas/quota_ledger.h"
 
 #include <algorithm>
 #include <utility>
--- a/libraries/core/source/quota_pacer.cc
+++ b/libraries/core/source/quotas/quota_pacer.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/quota_pacer.h"
+#include "switchsaddle/core/quotas/quota_pacer.h"
 
 #include <algorithm>
 #include <cmath>
--- a/libraries/core/source/quota_role.cc
+++ b/libraries/core/source/quotas/quota_role.cc
@@ -1,6 +1,6 @@
-#include "switchsaddle/core/quota_role.h"
+#include "switchsaddle/core/quotas/quota_role.h"
 
-#include "core_options.h"
+#include "node/core_options.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/unsettled_grants.cc
+++ b/libraries/core/source/quotas/unsettled_grants.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/unsettled_grants.h"
+#include "switchsaddle/core/quotas/unsettled_grants.h"
 
 namespace switchsaddle::core {
 
--- a/libraries/core/source/fleet_telemetry.cc
+++ b/libraries/core/source/telemetry/fleet_telemetry.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/fleet_telemetry.h"
+#include "switchsaddle/core/telemetry/fleet_telemetry.h"
 
 #include <algorithm>
 #include <utility>
--- a/libraries/core/source/session_fronts.cc
+++ b/libraries/core/source/telemetry/session_fronts.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/session_fronts.h"
+#include "switchsaddle/core/telemetry/session_fronts.h"
 
 #include <set>
 
--- a/libraries/core/test/change_fixture.h
+++ b/libraries/core/test/change_fixture.h
@@ -5,7 +5,7 @@
 #include <memory>
 
 #include "fakes.h"
-#include "switchsaddle/core/register_change_coordinator.h"
+#include "switchsaddle/core/configuration/register_change_coordinator.h"
 #include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/network.h"
 
--- a/libraries/core/test/observed_proposer_test.cc
+++ b/libraries/core/test/configuration/observed_proposer_test.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/observed_proposer.h"
+#include "switchsaddle/core/configuration/observed_proposer.h"
 
 #include <gtest/gtest.h>
 
--- a/libraries/core/test/control_service_test.cc
+++ b/libraries/core/test/control/control_service_test.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_service.h"
 
 #include <gtest/gtest.h>
 
--- a/libraries/core/test/fakes.h
+++ b/libraries/core/test/fakes.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "switchsaddle/core/node_information.h"
+#include "switchsaddle/core/control/node_information.h"
 #include "switchsaddle/registers/proposer.h"
 #include "switchsaddle/sessions/session_directory.h"
 
--- a/libraries/core/test/member_spread_test.cc
+++ b/libraries/core/test/membership/member_spread_test.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/member_spread.h"
+#include "switchsaddle/core/membership/member_spread.h"
 
 #include <gtest/gtest.h>
 
--- a/libraries/core/test/core_incidents_test.cc
+++ b/libraries/core/test/node/core_incidents_test.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
-#include "switchsaddle/core/core_http_service.h"
-#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/core/control/core_http_service.h"
+#include "switchsaddle/core/node/core_node.h"
 #include "switchsaddle/simulation/collecting_incidents.h"
 #include "switchsaddle/simulation/network.h"
 #include "switchsaddle/simulation/simulated_disk.h"
--- a/libraries/core/test/quota_allocator_test.cc
+++ b/libraries/core/test/quotas/quota_allocator_test.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/quota_allocator.h"
+#include "switchsaddle/core/quotas/quota_allocator.h"
 
 #include <gtest/gtest.h>
 
--- a/libraries/core/test/load_ledger_test.cc
+++ b/libraries/core/test/telemetry/load_ledger_test.cc
@@ -1,4 +1,4 @@
-#include "switchsaddle/core/load_ledger.h"
+#include "switchsaddle/core/telemetry/load_ledger.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
--- a/libraries/front/test/admission/quota_ledger_test.cc
+++ b/libraries/front/test/admission/quota_ledger_test.cc
@@ -10,7 +10,7 @@
 #include <memory>
 #include <set>
 
-#include "switchsaddle/core/quota_ledger.h"
+#include "switchsaddle/core/quotas/quota_ledger.h"
 #include "switchsaddle/front/admission/quota_meter.h"
 #include "switchsaddle/front/node/front_history.h"
 #include "switchsaddle/simulation/network.h"
--- a/libraries/front/test/admission/quota_meter_test.cc
+++ b/libraries/front/test/admission/quota_meter_test.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <memory>
 
-#include "switchsaddle/core/quota_allocator.h"
+#include "switchsaddle/core/quotas/quota_allocator.h"
 #include "switchsaddle/front/node/front_history.h"
 #include "switchsaddle/simulation/process.h"
 #include "switchsaddle/simulation/world.h"
--- a/libraries/front/test/contract/live_fleet.h
+++ b/libraries/front/test/contract/live_fleet.h
@@ -5,7 +5,7 @@
 #include <optional>
 
 #include "fleet/simulated_fleet.h"
-#include "switchsaddle/core/core_http_service.h"
+#include "switchsaddle/core/control/core_http_service.h"
 #include "switchsaddle/http/client.h"
 #include "switchsaddle/http/server.h"
 
--- a/libraries/front/test/fleet/simulated_fleet.h
+++ b/libraries/front/test/fleet/simulated_fleet.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "fakes.h"
-#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/core/node/core_node.h"
 #include "switchsaddle/front/node/front_node.h"
 #include "switchsaddle/simulation/network.h"
 #include "switchsaddle/simulation/simulated_disk.h"
--- a/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
@@ -3,7 +3,7 @@
 #include <memory>
 #include <vector>
 
-#include "switchsaddle/core/core_node.h"
+#include "switchsaddle/core/node/core_node.h"
 #include "switchsaddle/metrics/strand_watch.h"
 #include "switchsaddle/simulation/network.h"
 #include "switchsaddle/simulation/simulated_disk.h"
--- a/programs/switchsaddle/platform_adapter.h
+++ b/programs/switchsaddle/platform_adapter.h
@@ -4,7 +4,7 @@
 
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/configuration/settings.h"
-#include "switchsaddle/core/control_service.h"
+#include "switchsaddle/core/control/control_service.h"
 #include "switchsaddle/front/forward/forward_headers.h"
 #include "switchsaddle/http/client.h"
 #include "switchsaddle/http/message.h"
