--- a/libraries/testbed/source/soak/wire_worker.cc
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -75,6 +75,8 @@
 WireWorker::WireWorker(WireWorkerOptions options, RunLedger& ledger)
     : options_(std::move(options)), ledger_(ledger), address_(options_.address) {
   start();
+  // Other threads may read the address from here on; a restart keeps the port.
+  address_ = listener_->address();
 }
 
 WireWorker::~WireWorker() {
@@ -88,7 +90,6 @@
 
 void WireWorker::start() {
   listener_ = std::make_unique<BlockingListener>(address_);
-  address_ = listener_->address();
   auto instance = std::make_shared<Instance>();
   {
     const std::lock_guard lock(mutex_);
