Cores: the first acceptor set forms although the core that commits it was restarted before

Cause: only that core commits the first set, and it learned the initial cores from its settings alone. Class: a step that only one process can take while what it needs is lost with that process. Change: wire::InitialCores, a message kind of its own at the end of wire::Message (the golden forms stay, ProtocolVersion too: earlier releases drop it). Initial cores that know the list since the first start tell it to the committer while it answers as empty. Safe: an instance of the committer learns the list only from a core that has answered no other instance of it, and a first set needs the answers of all initial cores in one round. Ways weighed: the next core in order commits (two committers, sets that may differ), the list on disk (a core that dies before it is written). Not covered: a committer that loses its disk before there is a set; all initial cores restarted before there is one. Besides: names of messages stand in wire::messageName once; two were missing, so that a table of lightweight fronts would have printed a null pointer.

--- a/libraries/lightweight_fronts/include/switchsaddle/lightweight_fronts/counting_transport.h
+++ b/libraries/lightweight_fronts/include/switchsaddle/lightweight_fronts/counting_transport.h
@@ -18,11 +18,6 @@
 /** Counts by the message's index in wire::Message. */
 using KindCounts = std::array<KindCount, std::variant_size_v<wire::Message>>;
 
-/** @return the name of a kind of message.
- *
- * @param kind index in wire::Message. */
-const char* kindName(std::size_t kind);
-
 /**
  * Forwards envelopes to another transport and counts them by kind. Counting bytes encodes each
  * envelope once more, so that processor time must be measured without it. Runs on the transport's
--- a/libraries/lightweight_fronts/source/counting_transport.cc
+++ b/libraries/lightweight_fronts/source/counting_transport.cc
@@ -4,52 +4,6 @@
 
 namespace switchsaddle::lightweight_fronts {
 
-namespace {
-
-constexpr std::array<const char*, std::variant_size_v<wire::Message>> KindNames{
-    "Acknowledgement",
-    "PrepareRequest",
-    "AcceptRequest",
-    "RegisterReply",
-    "RegisterScanRequest",
-    "RegisterScanReply",
-    "RegisterInstallRequest",
-    "RegisterInstallReply",
-    "AcceptorSetInstallRequest",
-    "AcceptorSetInstallReply",
-    "LeaseRequest",
-    "LeaseReply",
-    "LeaseRelease",
-    "SessionOpenRequest",
-    "SessionOpenReply",
-    "SessionRecordBatch",
-    "SessionRecordBatchReply",
-    "SessionTableRequest",
-    "SessionTableReply",
-    "ConfigurationDelta",
-    "ConfigurationFetch",
-    "WorkerView",
-    "GossipDigest",
-    "GossipDelta",
-    "SlotRequest",
-    "SlotReply",
-    "SlotRecall",
-    "SlotReport",
-    "ClaimBegin",
-    "ClaimFinish",
-    "ClaimReply",
-    "ControlRequest",
-    "ControlReply",
-    "CoreAnnounce",
-    "CoreAnnounceReply",
-    "WorkerViewChange"};
-
-}  // namespace
-
-const char* kindName(std::size_t kind) {
-  return kind < KindNames.size() ? KindNames.at(kind) : "unknown";
-}
-
 CountingTransport::CountingTransport(transport::Transport& inner, KindCounts& sent,
                                      KindCounts& received, bool count_bytes)
     : inner_(inner), sent_(sent), received_(received), count_bytes_(count_bytes) {
--- a/libraries/registers/include/switchsaddle/registers/bootstrap.h
+++ b/libraries/registers/include/switchsaddle/registers/bootstrap.h
@@ -2,6 +2,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,7 +17,7 @@
 
 /** Peers and intervals for the time in which a core process is not a member of an acceptor set. */
 struct BootstrapOptions {
-  /** The cores of the fleet's first start; empty on a core that joins later. */
+  /** The cores of the fleet's first start; empty on a core that is started later. */
   std::vector<base::NodeAddress> initial_cores;
   /** Further cores that may have the acceptor set. */
   std::vector<base::NodeAddress> seeds;
@@ -28,10 +30,15 @@
 /**
  * Announces this core process to its peers while it is not a member of an acceptor set, adopts the
  * set in force from any peer that has one, and commits the first set of a fleet. Only the initial
- * core with the lowest address commits it, and only once every initial core has answered the same
- * round of announcements and none has any state. A set that any peer has takes precedence.
- * Therefore a core whose data folder was wiped adopts its peers' set, of which its new instance is
- * not a member. Runs on the acceptor's strand.
+ * core with the lowest address (the committer) commits it, and only once every initial core has
+ * answered the same round of announcements and none has any state. A set that any peer has takes
+ * precedence. Therefore a core whose data folder was wiped adopts its peers' set, of which its new
+ * instance is not a member.
+ *
+ * A committer that was restarted before there was a set learns the initial cores from those that
+ * know them since the first start. Invariant: an instance of the committer learns them only from a
+ * core that has answered no other instance of it. Since a first set needs the answers of all
+ * initial cores, no other instance has committed one. Runs on the acceptor's strand.
  */
 class Bootstrap {
  public:
@@ -54,7 +61,13 @@
   void onAnnounce(const wire::CoreAnnounce& announce, const transport::ReplyFunction& reply);
   void announce();
   void onReply(std::uint64_t round, const wire::CoreAnnounceReply& reply);
-  bool isFirstInitialCore() const;
+  /** @return the initial core that commits the first set; none if this core knows no initial cores.
+   */
+  std::optional<base::NodeAddress> committer() const;
+  /** Tells the committer the initial cores, unless another instance of it may have committed a set.
+   */
+  void offerInitialCores(const wire::AcceptorMember& committer);
+  void onInitialCores(const wire::InitialCores& cores);
   void commitFirstSet();
   void publish(const wire::AcceptorSet& set);
   wire::AcceptorMember ownMember() const;
@@ -67,6 +80,8 @@
   base::TimerPtr timer_;
   /** Numbers the rounds of announcements. */
   std::uint64_t round_ = 0;
+  /** Instances of the committer whose announcements this process answered. */
+  std::set<std::uint64_t> answered_committers_;
   /** The cores without state that answered the current round. */
   std::map<base::NodeAddress, wire::AcceptorMember> empty_cores_;
   base::CallbackScope callbacks_;
--- a/libraries/registers/source/bootstrap.cc
+++ b/libraries/registers/source/bootstrap.cc
@@ -17,6 +17,8 @@
       timer_(dispatcher_.createTimer([this] { announce(); })) {
   calls_.handle<wire::CoreAnnounce>([this](const auto&, const wire::CoreAnnounce& announce,
                                            const auto& reply) { onAnnounce(announce, reply); });
+  calls_.handle<wire::InitialCores>(
+      [this](const auto&, const wire::InitialCores& cores, const auto&) { onInitialCores(cores); });
 }
 
 void Bootstrap::start() {
@@ -33,6 +35,9 @@
     return;
   }
   const wire::AcceptorSet& set = acceptor_.acceptorSet();
+  if (announce.member.address == committer()) {
+    answered_committers_.insert(announce.member.instance);
+  }
   reply(wire::CoreAnnounceReply{set, ownMember(), acceptor_.hasState(), options_.zone});
   const bool is_candidate = set.epoch != 0 && !containsInstance(set, announce.member.instance);
   if (is_candidate && listener_) {
@@ -70,16 +75,36 @@
     return;
   }
   empty_cores_[reply.member.address] = reply.member;
+  if (reply.member.address == committer()) {
+    offerInitialCores(reply.member);
+  }
   commitFirstSet();
 }
 
-bool Bootstrap::isFirstInitialCore() const {
+std::optional<base::NodeAddress> Bootstrap::committer() const {
   const auto& cores = options_.initial_cores;
-  return !cores.empty() && *std::min_element(cores.begin(), cores.end()) == calls_.localAddress();
+  return cores.empty() ? std::nullopt : std::optional(*std::ranges::min_element(cores));
+}
+
+void Bootstrap::offerInitialCores(const wire::AcceptorMember& committer) {
+  const bool is_only_instance =
+      answered_committers_.empty() ||
+      (answered_committers_.size() == 1 && answered_committers_.contains(committer.instance));
+  if (committer.address != calls_.localAddress() && is_only_instance) {
+    calls_.notify(committer.address,
+                  wire::InitialCores{committer.instance, options_.initial_cores});
+  }
+}
+
+void Bootstrap::onInitialCores(const wire::InitialCores& cores) {
+  const bool is_for_this_core = acceptor_.loaded() && cores.instance == acceptor_.instance();
+  if (is_for_this_core && !acceptor_.hasState() && options_.initial_cores.empty()) {
+    options_.initial_cores = cores.addresses;
+  }
 }
 
 void Bootstrap::commitFirstSet() {
-  if (acceptor_.hasState() || !isFirstInitialCore()) {
+  if (acceptor_.hasState() || committer() != calls_.localAddress()) {
     return;
   }
   wire::AcceptorSet first;
--- a/libraries/registers/test/bootstrap_test.cc
+++ b/libraries/registers/test/bootstrap_test.cc
@@ -71,6 +71,30 @@
   }
 }
 
+/** Whether a set forms after the core that commits it was restarted as a later start, if one core
+ * answered it before and the third neither answered it nor knows the initial cores. */
+bool formsAfterRestartOfCommitter(bool wiped) {
+  TestCluster cluster(1, 3, withoutFirstSet());
+  cluster.restart(0);
+  cluster.restart(1);
+  cluster.world.runFor(seconds(1));
+  if (wiped) {
+    cluster.wipe(0);
+  }
+  cluster.restartAsLaterStart(0);
+  cluster.restartAsLaterStart(2);
+  cluster.world.runFor(seconds(5));
+  return cluster.core(1).acceptor->acceptorSet().epoch == 1;
+}
+
+TEST(BootstrapTest, RestartedCommitterLearnsTheInitialCoresFromOneThatAnsweredIt) {
+  EXPECT_TRUE(formsAfterRestartOfCommitter(false));
+}
+
+TEST(BootstrapTest, WipedCommitterDoesNotLearnTheInitialCoresFromOneThatAnsweredItsFormerInstance) {
+  EXPECT_FALSE(formsAfterRestartOfCommitter(true));
+}
+
 TEST(BootstrapTest, WipedCoreDoesNotVoteAndBecomesACandidate) {
   for (const std::size_t wiped : {0, 3}) {
     TestCluster cluster(7, 5);
--- a/libraries/wire/include/switchsaddle/wire/control_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/control_messages.h
@@ -72,4 +72,19 @@
   }
 };
 
+/**
+ * Core to the initial core that commits the first acceptor set, before there is one: names the
+ * initial cores, which that core does not know if it has been restarted since the first start.
+ */
+struct InitialCores {
+  /** Instance of the core that the message is for. */
+  std::uint64_t instance = 0;
+  std::vector<base::NodeAddress> addresses;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(instance, addresses);
+  }
+};
+
 }  // namespace switchsaddle::wire
--- a/libraries/wire/include/switchsaddle/wire/message.h
+++ b/libraries/wire/include/switchsaddle/wire/message.h
@@ -23,7 +23,7 @@
 
 /**
  * Any message between nodes. The index of an alternative is part of the wire format: new messages
- * are appended, and adding one increments ProtocolVersion.
+ * are appended. Nodes of earlier releases drop messages that they do not know.
  */
 using Message =
     std::variant<Acknowledgement, PrepareRequest, AcceptRequest, RegisterReply, RegisterScanRequest,
@@ -34,7 +34,7 @@
                  ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest, GossipDelta,
                  SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
                  ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply,
-                 WorkerViewChange, QuotaRequest, QuotaReply>;
+                 WorkerViewChange, QuotaRequest, QuotaReply, InitialCores>;
 
 /** Version in the header of each encoded envelope; decode() rejects any other. */
 inline constexpr std::uint16_t ProtocolVersion = 2;
--- a/programs/testbed/lightweight_fronts_command.cc
+++ b/programs/testbed/lightweight_fronts_command.cc
@@ -161,9 +161,8 @@
   file << "kind,frames_sent,bytes_sent,frames_received,bytes_received\n";
   for (std::size_t kind = 0; kind < sent.size(); ++kind) {
     if (sent[kind].frames + received[kind].frames > 0) {
-      file << lightweight_fronts::kindName(kind) << ',' << sent[kind].frames << ','
-           << sent[kind].bytes << ',' << received[kind].frames << ',' << received[kind].bytes
-           << '\n';
+      file << wire::messageName(kind) << ',' << sent[kind].frames << ',' << sent[kind].bytes << ','
+           << received[kind].frames << ',' << received[kind].bytes << '\n';
     }
   }
 }
