Registers: promises move with the registers in a change of the acceptor set; removals copy too

Now shown by a run: an abandoned proposal at ballot 100,000 that one member accepted, two replacements whose transfers did not read that member, a value chosen at a lower ballot by the new majority, and the next read returned the abandoned one. Cause: RegisterTransfer copied accepted values and no promises, so that ballots below an accepted one could be chosen again. Class: what a quorum has promised is lost with its members. The same cause elsewhere, found while arguing: after the removal of two members a value of a bare majority was left at one of three (AcceptorSetChange::remove; no product code calls it), and a register that may expire kept a promise below the floor that its acceptor inherits. Change: a transfer merges the highest promise of its sources, registers without a value included, and the target takes it over (RegisterTable::acceptCopy); where no member joins, all members that stay are targets; the inherited floor holds for present registers too. No change of the wire: RegisterScanEntry had the field.

--- a/libraries/registers/source/acceptor_set_change.cc
+++ b/libraries/registers/source/acceptor_set_change.cc
@@ -1,5 +1,6 @@
 #include "switchsaddle/registers/acceptor_set_change.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "acceptor_members.h"
@@ -132,13 +133,15 @@
     evaluate();
     return;
   }
-  to_transfer_.clear();
-  bool joined = true;
-  for (const wire::AcceptorMember& member : joint_.members) {
-    if (!containsMember(joint_.previous, member)) {
-      to_transfer_.push_back(member);
-      joined = joined && result.synced.contains(member.instance);
-    }
+  to_transfer_ = joint_.members;
+  std::erase_if(to_transfer_,
+                [this](const auto& member) { return containsMember(joint_.previous, member); });
+  const bool joined = std::ranges::all_of(to_transfer_, [&result](const auto& member) {
+    return result.synced.contains(member.instance);
+  });
+  if (to_transfer_.empty()) {
+    // Members that stay may lack what the leaving member and a bare majority have.
+    to_transfer_ = joint_.members;
   }
   if (!result.quorum || !joined) {
     retryLater();
--- a/libraries/registers/source/register_table.cc
+++ b/libraries/registers/source/register_table.cc
@@ -53,10 +53,11 @@
 }
 
 wire::Ballot RegisterTable::promisedBallot(const std::string& key) const {
-  if (const RegisterState* state = find(key)) {
-    return state->promised;
+  const RegisterState* state = find(key);
+  if (!mayExpire(key)) {
+    return state == nullptr ? wire::Ballot{} : state->promised;
   }
-  return mayExpire(key) ? removedFloor() : wire::Ballot{};
+  return state == nullptr ? removedFloor() : std::max(state->promised, removed_.inherited_floor);
 }
 
 wire::Ballot RegisterTable::removedFloor() const {
@@ -84,18 +85,20 @@
 
 RegisterTable::CopyResult RegisterTable::acceptCopy(const wire::RegisterScanEntry& copy) {
   const bool may_be_removed = find(copy.key) == nullptr && mayExpire(copy.key);
-  if (may_be_removed && copy.accepted <= removed_.floor) {
+  if (may_be_removed && !copy.accepted.isZero() && copy.accepted <= removed_.floor) {
     return CopyResult::BelowFloor;
   }
-  const RegisterState& state = findOrInsert(copy.key);
-  if (copy.accepted <= state.accepted) {
-    return CopyResult::AlreadyCurrent;
+  const wire::Ballot promise = std::max(copy.promised, promisedBallot(copy.key));
+  RegisterState& state = findOrInsert(copy.key);
+  CopyResult result = CopyResult::AlreadyCurrent;
+  if (copy.accepted > state.accepted) {
+    result = copy.accepted < state.promised ? CopyResult::PromisedHigher : CopyResult::Accepted;
   }
-  if (copy.accepted < state.promised) {
-    return CopyResult::PromisedHigher;
+  if (result == CopyResult::Accepted) {
+    accept(copy.key, copy.accepted, copy.value, copy.lineage);
   }
-  accept(copy.key, copy.accepted, copy.value, copy.lineage);
-  return CopyResult::Accepted;
+  state.promised = std::max(state.promised, promise);
+  return result;
 }
 
 bool RegisterTable::inheritFloor(const wire::Ballot& floor) {
--- a/libraries/registers/source/register_table.h
+++ b/libraries/registers/source/register_table.h
@@ -46,7 +46,8 @@
   /** The registers with keys above `after`, or all if `after` is empty, in key order. */
   States::const_iterator upperBound(const std::string& after) const;
   States::const_iterator end() const { return states_.end(); }
-  /** @return the highest ballot promised for the key, or the floor if the register was removed. */
+  /** @return the highest ballot promised for the key. For one that may expire it is at least the
+   * inherited floor or, if the register is absent, the floor. */
   wire::Ballot promisedBallot(const std::string& key) const;
   /** @return the floor that a new member inherits when it copies from this acceptor. */
   wire::Ballot removedFloor() const;
@@ -68,7 +69,7 @@
     BelowFloor,
   };
   /** Accepts a register copied from another acceptor, under the same condition as an accept
-   * request. */
+   * request, and promises what the copy promises. */
   CopyResult acceptCopy(const wire::RegisterScanEntry& copy);
   /** Inherits the floor of other acceptors. @return whether it is higher than the one inherited
    * before. */
--- a/libraries/registers/source/register_transfer.cc
+++ b/libraries/registers/source/register_transfer.cc
@@ -8,6 +8,19 @@
 
 namespace switchsaddle::registers {
 
+namespace {
+
+/** Merges one source's register: the value at the highest accepted ballot, the highest promise. */
+void mergeEntry(wire::RegisterScanEntry& merged, const wire::RegisterScanEntry& entry) {
+  const wire::Ballot promised = std::max(merged.promised, entry.promised);
+  if (merged.key.empty() || merged.accepted < entry.accepted) {
+    merged = entry;
+  }
+  merged.promised = promised;
+}
+
+}  // namespace
+
 RegisterTransfer::RegisterTransfer(transport::PeerCalls& calls, QuorumProposer& proposer,
                                    wire::AcceptorSet joint, wire::AcceptorMember target,
                                    RegisterTransferOptions options)
@@ -80,21 +93,18 @@
   for (const wire::RegisterScanReply& reply : replies_) {
     lowerFrontier(frontier, reply);
   }
-  std::map<std::string, wire::RegisterScanEntry> newest;
+  std::map<std::string, wire::RegisterScanEntry> merged;
   for (const wire::RegisterScanReply& reply : replies_) {
     removed_floor_ = std::max(removed_floor_, reply.removed_floor);
     for (const wire::RegisterScanEntry& entry : reply.entries) {
-      const bool in_page = !frontier || entry.key <= *frontier;
-      if (in_page && newest[entry.key].accepted < entry.accepted) {
-        newest[entry.key] = entry;
+      if (!frontier || entry.key <= *frontier) {
+        mergeEntry(merged[entry.key], entry);
       }
     }
   }
   entries_.clear();
-  for (const auto& [key, entry] : newest) {
-    if (!entry.accepted.isZero()) {
-      entries_.push_back(entry);
-    }
+  for (const auto& [key, entry] : merged) {
+    entries_.push_back(entry);
   }
   last_page_ = !frontier;
   cursor_ = frontier.value_or(cursor_);
@@ -136,6 +146,10 @@
     installPage();
     return;
   }
+  if (entries_[index].accepted.isZero()) {
+    proposeAgain(index + 1);
+    return;
+  }
   proposer_.rewrite(entries_[index].key,
                     [weak = weak_from_this(), index](const RegisterOutcome& outcome) {
                       const auto self = weak.lock();
--- a/libraries/registers/source/register_transfer.h
+++ b/libraries/registers/source/register_transfer.h
@@ -21,11 +21,18 @@
 };
 
 /**
- * Copies the registers of a majority of a joint set's previous members to one new member, page by
- * page, each register at its highest accepted ballot. If the new member has promised a higher
- * ballot for a register and rejects it, the registers of that page are proposed again. The transfer
+ * Copies the registers of a majority of a joint set's previous members to one member of the next
+ * set, page by page, each register at its highest accepted ballot and with the highest promise.
+ *
+ * Invariant, together with AcceptorSetChange: if an accept request was sent at a ballot, enough
+ * members have promised that ballot that each later quorum contains one of them. Otherwise a value
+ * that was accepted by a member which the transfer did not read could displace a value that was
+ * chosen later at a lower ballot.
+ *
+ * If the target has promised a higher ballot for a register and rejects it, the registers of that
+ * page are proposed again. The transfer
  * ends at the first page that fails. A later transfer starts from the beginning; registers that the
- * new member already has are not written again. Runs on the acceptor's strand.
+ * target already has are not accepted again. Runs on the acceptor's strand.
  */
 class RegisterTransfer : public std::enable_shared_from_this<RegisterTransfer> {
  public:
--- a/libraries/registers/test/acceptor_set_change_test.cc
+++ b/libraries/registers/test/acceptor_set_change_test.cc
@@ -93,6 +93,82 @@
   EXPECT_TRUE(cluster.core(joining).acceptor->mayVote());
 }
 
+constexpr const char* Key = "key";
+
+TestOptions withoutScrubbing() {
+  TestOptions options;
+  options.scrubber.page_interval = std::chrono::hours(1);
+  options.proposer.operation_deadline = seconds(20);
+  return options;
+}
+
+void writeAndWait(TestCluster& cluster, std::size_t proposer, const std::string& value) {
+  std::optional<base::ResultCode> code;
+  cluster.core(proposer).proposer->change(
+      Key, [value](const std::string&) { return value; },
+      [&code](const RegisterOutcome& outcome) { code = outcome.code; });
+  cluster.world.runUntil([&code] { return code.has_value(); }, seconds(20));
+  EXPECT_EQ(code, base::ResultCode::Ok);
+}
+
+std::string readAndWait(TestCluster& cluster, std::size_t proposer) {
+  std::optional<std::string> value;
+  cluster.core(proposer).proposer->read(
+      Key, [&value](const RegisterOutcome& outcome) { value = outcome.value; });
+  cluster.world.runUntil([&value] { return value.has_value(); }, seconds(20));
+  return value.value_or("(none)");
+}
+
+/** A proposer that is promised a ballot by two members and ends when one other has its value. */
+void proposeAndAbandon(TestCluster& cluster, const std::vector<std::size_t>& promising,
+                       std::size_t accepting, const std::string& value) {
+  const wire::Ballot ballot{100'000, 1};
+  const std::uint64_t epoch = cluster.core(0).acceptor->acceptorSet().epoch;
+  transport::PeerCalls& calls = *cluster.core(accepting).calls;
+  for (const std::size_t index : promising) {
+    calls.call(cluster.core(index).address, wire::PrepareRequest{Key, ballot, epoch}, seconds(1),
+               [](const transport::CallResult&) {});
+  }
+  calls.call(cluster.core(accepting).address, wire::AcceptRequest{Key, ballot, epoch, value, {}},
+             seconds(1), [](const transport::CallResult&) {});
+  cluster.world.runFor(seconds(1));
+}
+
+TEST(AcceptorSetChangeTest,
+     AbandonedProposalAtAnUnreadMemberDisplacesNoValueChosenAfterReplacements) {
+  TestCluster cluster(13, 3, withoutScrubbing());
+  cluster.world.runFor(milliseconds(20));
+  proposeAndAbandon(cluster, {0, 1}, 2, "abandoned");
+  for (const std::size_t leaving : {1, 0}) {
+    const std::size_t joining = cluster.addCore();
+    cluster.world.runFor(seconds(1));
+    const std::size_t driver = leaving == 1 ? 0 : 3;
+    cluster.partition(driver, 2);
+    ASSERT_EQ(replaceAndWait(cluster, driver, leaving, joining), base::ResultCode::Ok);
+  }
+  writeAndWait(cluster, 3, "chosen");
+  cluster.network.healAll();
+  cluster.partition(4, 3);
+  EXPECT_EQ(readAndWait(cluster, 4), "chosen");
+}
+
+TEST(AcceptorSetChangeTest, ValueOfABareMajoritySurvivesTheRemovalOfTwoOfIt) {
+  TestCluster cluster(14, 5, withoutScrubbing());
+  cluster.world.runFor(milliseconds(20));
+  cluster.partition(0, 3);
+  cluster.partition(0, 4);
+  writeAndWait(cluster, 0, "chosen");
+  cluster.network.healAll();
+  for (const std::size_t leaving : {0, 1}) {
+    ChangeResult removed;
+    cluster.core(2).change->remove(cluster.member(leaving), removed.callback());
+    cluster.world.runFor(seconds(3));
+    ASSERT_EQ(removed.code, base::ResultCode::Ok);
+  }
+  cluster.partition(3, 2);
+  EXPECT_EQ(readAndWait(cluster, 3), "chosen");
+}
+
 /** One member loses its data, and the driver is killed at a time that depends on the seed. */
 TEST(AcceptorSetChangeTest, AnotherCoreFinishesTheChangeAfterTheDriverFailed) {
   std::size_t replaced = 0;
