--- a/libraries/core/source/node/core_node.cc
+++ b/libraries/core/source/node/core_node.cc
@@ -134,7 +134,9 @@
   }
   registers_.bootstrap.start();
   registers_.scrubber.start();
-  stalled_change_monitor_.start();
+  if (!environment_.faults.ignore_stalled_set_changes) {
+    stalled_change_monitor_.start();
+  }
   if (environment_.settings.list_before_lease) {
     watcher_role_.publishInitialView();
   }
--- a/libraries/core/source/node/core_options.cc
+++ b/libraries/core/source/node/core_options.cc
@@ -38,8 +38,10 @@
   return result;
 }
 
-registers::BootstrapOptions bootstrapOptionsOf(const configuration::Settings& settings) {
+registers::BootstrapOptions bootstrapOptionsOf(const configuration::Settings& settings,
+                                               const CoreFaults& faults) {
   registers::BootstrapOptions result;
+  result.test_withhold_initial_cores = faults.withhold_initial_cores;
   result.initial_cores = settings.initial_cores;
   result.seeds = settings.seeds;
   result.zone = settings.zone;
--- a/libraries/core/source/node/core_options.h
+++ b/libraries/core/source/node/core_options.h
@@ -24,7 +24,8 @@
 lease::LeaseTimes shortLeaseTimesOf(const configuration::TimeSettings& times);
 registers::AcceptorOptions acceptorOptionsOf(const CoreFaults& faults);
 registers::ProposerOptions proposerOptionsOf(const configuration::TimeSettings& times);
-registers::BootstrapOptions bootstrapOptionsOf(const configuration::Settings& settings);
+registers::BootstrapOptions bootstrapOptionsOf(const configuration::Settings& settings,
+                                               const CoreFaults& faults);
 workers::PlatformWatcherOptions watcherOptionsOf(const configuration::TimeSettings& times);
 MembershipOptions membershipOptionsOf(const configuration::Settings& settings);
 
--- a/libraries/core/source/node/register_stack.cc
+++ b/libraries/core/source/node/register_stack.cc
@@ -12,7 +12,7 @@
                       proposerOptionsOf(environment.settings.times)),
       proposer(environment.dispatcher, quorum_proposer, environment.incidentSink()),
       bootstrap(environment.dispatcher, environment.calls, acceptor,
-                bootstrapOptionsOf(environment.settings)),
+                bootstrapOptionsOf(environment.settings, environment.faults)),
       set_change(environment.dispatcher, environment.calls, acceptor, quorum_proposer),
       scrubber(environment.dispatcher, environment.calls, environment.random, acceptor,
                quorum_proposer, environment.store),
--- a/libraries/registers/include/switchsaddle/registers/acceptor_set_change.h
+++ b/libraries/registers/include/switchsaddle/registers/acceptor_set_change.h
@@ -24,6 +24,8 @@
   std::uint32_t page_limit = 200;
   /** Leaves out the transfer of the registers. For tests only: it loses committed values. */
   bool test_skip_transfer = false;
+  /** Transfers values without promises. For tests only: it may bring back older values. */
+  bool test_skip_promises = false;
 };
 
 /**
--- a/libraries/registers/include/switchsaddle/registers/bootstrap.h
+++ b/libraries/registers/include/switchsaddle/registers/bootstrap.h
@@ -25,6 +25,8 @@
   base::Duration announce_interval = std::chrono::milliseconds(250);
   /** Timeout of each request. */
   base::Duration call_timeout = std::chrono::milliseconds(500);
+  /** Tells a restarted core nothing of the initial cores. For tests only: no set may form. */
+  bool test_withhold_initial_cores = false;
 };
 
 /**
--- a/libraries/registers/source/acceptor_set_change.cc
+++ b/libraries/registers/source/acceptor_set_change.cc
@@ -158,7 +158,8 @@
   }
   transfer_ = std::make_shared<RegisterTransfer>(
       calls_, proposer_, joint_, to_transfer_.back(),
-      RegisterTransferOptions{options_.call_timeout, options_.page_limit});
+      RegisterTransferOptions{options_.call_timeout, options_.page_limit,
+                              options_.test_skip_promises});
   transfer_->start([this] { noteProgress(); }, [this](bool complete) { onTransferred(complete); });
 }
 
--- a/libraries/registers/source/bootstrap.cc
+++ b/libraries/registers/source/bootstrap.cc
@@ -90,7 +90,8 @@
   const bool is_only_instance =
       answered_committers_.empty() ||
       (answered_committers_.size() == 1 && answered_committers_.contains(committer.instance));
-  if (committer.address != calls_.localAddress() && is_only_instance) {
+  const bool withholds = options_.test_withhold_initial_cores;
+  if (committer.address != calls_.localAddress() && is_only_instance && !withholds) {
     calls_.notify(committer.address,
                   wire::InitialCores{committer.instance, options_.initial_cores});
   }
--- a/libraries/registers/source/register_transfer.cc
+++ b/libraries/registers/source/register_transfer.cc
@@ -105,6 +105,9 @@
   entries_.clear();
   for (const auto& [key, entry] : merged) {
     entries_.push_back(entry);
+    if (options_.skip_promises) {
+      entries_.back().promised = entry.accepted;
+    }
   }
   last_page_ = !frontier;
   cursor_ = frontier.value_or(cursor_);
--- a/libraries/registers/source/register_transfer.h
+++ b/libraries/registers/source/register_transfer.h
@@ -18,6 +18,8 @@
   base::Duration call_timeout{};
   /** Maximum number of registers in one page. */
   std::uint32_t page_limit = 0;
+  /** For tests only. */
+  bool skip_promises = false;
 };
 
 /**
--- a/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
+++ b/libraries/scenarios/include/switchsaddle/scenarios/simulated_core.h
@@ -40,6 +40,8 @@
   /** Starts the process with the present content of the disk. */
   void start();
   void kill(CrashKind crash);
+  /** From its next start on, the process has the settings of a fleet that was started before. */
+  void forgetInitialCores() { settings_.initial_cores.clear(); }
   bool running() const { return incarnation_ != nullptr; }
   /** Delays the next disk task of the running process by this duration. */
   void stallDisk(base::Duration duration) {
--- a/libraries/simulation/include/switchsaddle/simulation/network.h
+++ b/libraries/simulation/include/switchsaddle/simulation/network.h
@@ -26,6 +26,13 @@
   base::Duration work_per_kilobyte{};
 };
 
+/** What happens to one envelope on its way, in addition to the conditions. */
+struct EnvelopeFate {
+  bool lost = false;
+  bool duplicated = false;
+  base::Duration extra_delay{};
+};
+
 /**
  * Delivers envelopes between simulated processes with random delays, hence not in order. Each is
  * encoded by wire::encode and decoded on delivery. Envelopes to an address without a running
@@ -39,9 +46,16 @@
   using Observer = std::function<void(const base::NodeAddress& to, const wire::Envelope& envelope,
                                       std::size_t bytes)>;
 
+  /** Decides the fate of an envelope, of which `bytes` is the encoded form. */
+  using FateSource =
+      std::function<EnvelopeFate(const base::NodeAddress& from, const base::NodeAddress& to,
+                                 const wire::Envelope& envelope, const std::string& bytes)>;
+
   NetworkConditions conditions;
   /** If set, called for every envelope that is sent, delivered or not. */
   Observer observer;
+  /** If set, called for every envelope that is sent. */
+  FateSource fate;
 
   /** @return the transport of a process at an address, which is detached when destroyed. At most
    * one for each address at a time. */
@@ -69,7 +83,7 @@
   void send(Endpoint& from, const base::NodeAddress& to, const wire::Envelope& envelope);
   void detach(const base::NodeAddress& address);
   void deliver(const Delivery& delivery);
-  void schedule(const Delivery& delivery);
+  void schedule(const Delivery& delivery, base::Duration extra_delay);
   /** Reports to the sender, if it is still running, that the receiver is not. */
   void refuse(const Delivery& delivery);
   /** @return the receiver of one incarnation at an address, or null if it has ended. */
--- a/libraries/simulation/source/network.cc
+++ b/libraries/simulation/source/network.cc
@@ -78,19 +78,21 @@
   if (observer) {
     observer(to, envelope, bytes.size());
   }
-  if (world_.random().chance(conditions.loss)) {
+  const EnvelopeFate chosen =
+      fate ? fate(from.localAddress(), to, envelope, bytes) : EnvelopeFate{};
+  if (world_.random().chance(conditions.loss) || chosen.lost) {
     return;
   }
   const Delivery delivery{
       from.localAddress(), to, from.incarnation(), {envelope.kind, envelope.request_id}, bytes};
-  schedule(delivery);
-  if (world_.random().chance(conditions.duplication)) {
-    schedule(delivery);
+  schedule(delivery, chosen.extra_delay);
+  if (world_.random().chance(conditions.duplication) || chosen.duplicated) {
+    schedule(delivery, chosen.extra_delay);
   }
 }
 
-void Network::schedule(const Delivery& delivery) {
-  world_.schedule(randomDelay(), [this, delivery] { deliver(delivery); });
+void Network::schedule(const Delivery& delivery, base::Duration extra_delay) {
+  world_.schedule(randomDelay() + extra_delay, [this, delivery] { deliver(delivery); });
 }
 
 void Network::deliver(const Delivery& delivery) {
--- a/programs/testbed/commands.h
+++ b/programs/testbed/commands.h
@@ -21,6 +21,7 @@
 void addSlopesCommand(CLI::App& app);
 void addFuzzCommand(CLI::App& app);
 void addFailuresCommand(CLI::App& app);
+void addExploreCommand(CLI::App& app);
 void addSoakCommand(CLI::App& app);
 
 }  // namespace switchsaddle::testbed_commands
--- a/programs/testbed/lightweight_fronts_command.cc
+++ b/programs/testbed/lightweight_fronts_command.cc
@@ -17,6 +17,7 @@
 
 #include "commands.h"
 #include "lightweight_front_shard.h"
+#include "switchsaddle/wire/message_name.h"
 
 namespace switchsaddle::testbed_commands {
 namespace {
