Sessions: each core gets an equal part of the fronts, also cores that are no seeds

Seen in counts of DelayedCoreTest: fronts begin at one of three seeds and stay there, so that the other members of the set grant no session until a core is late; fronts of a core that is replaced all go to the first one on the list. Change: CoreSelection::replace moves to added cores with the probability that gives each core an equal part, and to a random core where the current one is gone.

--- a/libraries/sessions/source/core_selection.cc
+++ b/libraries/sessions/source/core_selection.cc
@@ -22,13 +22,25 @@
   }
 }
 
-void CoreSelection::replace(const std::vector<base::NodeAddress>& cores) {
-  const auto found =
-      cores_.empty() ? cores.end() : std::find(cores.begin(), cores.end(), *current());
-  const std::size_t index =
-      found == cores.end() ? 0 : static_cast<std::size_t>(found - cores.begin());
+void CoreSelection::replace(const std::vector<base::NodeAddress>& cores,
+                            base::RandomSource& random) {
+  const base::NodeAddress next = chooseAmong(cores, random);
   cores_ = cores;
-  current_ = index;
+  current_ = static_cast<std::size_t>(std::ranges::find(cores_, next) - cores_.begin());
+}
+
+base::NodeAddress CoreSelection::chooseAmong(const std::vector<base::NodeAddress>& cores,
+                                             base::RandomSource& random) const {
+  const base::NodeAddress* used = current();
+  if (used == nullptr || std::ranges::find(cores, *used) == cores.end()) {
+    return cores[random.below(cores.size())];
+  }
+  std::vector<base::NodeAddress> added = cores;
+  std::erase_if(added, [this](const base::NodeAddress& core) {
+    return std::ranges::find(cores_, core) != cores_.end();
+  });
+  const bool moves = random.below(cores.size()) < added.size();
+  return moves ? added[random.below(added.size())] : *used;
 }
 
 void CoreSelection::add(const std::vector<base::NodeAddress>& cores) {
--- a/libraries/sessions/source/core_selection.h
+++ b/libraries/sessions/source/core_selection.h
@@ -26,12 +26,19 @@
   bool switchFrom(const base::NodeAddress& core);
   /** Switches to another core chosen at random. */
   void switchAtRandom(base::RandomSource& random);
-  /** Replaces the cores; the current one stays current if it is among them. */
-  void replace(const std::vector<base::NodeAddress>& cores);
+  /**
+   * Replaces the cores. The current one stays current if it is among them, except that added cores
+   * take their share of the fronts: each core is the current one of an equal part of them.
+   * @param cores not empty.
+   */
+  void replace(const std::vector<base::NodeAddress>& cores, base::RandomSource& random);
   /** Adds the cores that are not known yet. */
   void add(const std::vector<base::NodeAddress>& cores);
 
  private:
+  base::NodeAddress chooseAmong(const std::vector<base::NodeAddress>& cores,
+                                base::RandomSource& random) const;
+
   std::vector<base::NodeAddress> cores_;
   std::size_t current_;
 };
--- a/libraries/sessions/source/quorum_session_client.cc
+++ b/libraries/sessions/source/quorum_session_client.cc
@@ -182,7 +182,7 @@
   members_digest_ = reply.members_digest;
   fronts_ = reply.front_addresses;
   if (reply.core_addresses != cores_->addresses()) {
-    cores_->replace(reply.core_addresses);
+    cores_->replace(reply.core_addresses, random_);
   }
 }
 
