Leases: a failed campaign is released only where it may have been granted

Cause: a candidate that lost a campaign told all granters so, also those that had rejected it: 260 of some 15,000 messages to five cores in 5 s of calm, each of which two cores pay for. Change: LeaseRound remembers rejections; the others get the release.

--- a/libraries/lease/include/switchsaddle/lease/lease_holder.h
+++ b/libraries/lease/include/switchsaddle/lease/lease_holder.h
@@ -71,7 +71,10 @@
   void onExpired();
   /** Ends the lease locally, and reports the loss if the gain was reported. */
   void endLease();
+  /** Releases the term at all granters. */
   void release(std::uint64_t term);
+  /** Releases the round's term at the granters that may have granted it. */
+  void releaseGrants(const LeaseRound& round);
   /** @return the lowest term of the current epoch above all terms seen in that epoch. */
   std::uint64_t nextTerm() const;
   bool isCurrentEpoch(std::uint64_t term) const;
--- a/libraries/lease/source/lease_holder.cc
+++ b/libraries/lease/source/lease_holder.cc
@@ -165,7 +165,7 @@
     return;
   }
   // Releases the grants of the failed campaign, so that a rival need not wait until they expire.
-  release(round->term());
+  releaseGrants(*round);
   next_round_timer_->enable(round->rivalRemaining(granters_) + drawBackoff());
 }
 
@@ -184,9 +184,16 @@
 }
 
 void LeaseHolder::release(std::uint64_t term) {
-  wire::LeaseRelease message{name_, instance_, term};
   for (const base::NodeAddress& granter : granters_.coreAddresses()) {
-    calls_.notify(granter, message);
+    calls_.notify(granter, wire::LeaseRelease{name_, instance_, term});
+  }
+}
+
+void LeaseHolder::releaseGrants(const LeaseRound& round) {
+  for (const base::NodeAddress& granter : granters_.coreAddresses()) {
+    if (round.mayHaveGranted(granter)) {
+      calls_.notify(granter, wire::LeaseRelease{name_, instance_, round.term()});
+    }
   }
 }
 
--- a/libraries/lease/source/lease_round.cc
+++ b/libraries/lease/source/lease_round.cc
@@ -5,6 +5,7 @@
 namespace switchsaddle::lease {
 
 void LeaseRound::addRejection(const base::NodeAddress& granter, const wire::LeaseReply& reply) {
+  rejected_by_.insert(granter);
   const base::Duration remaining = std::chrono::milliseconds(reply.remaining_ms);
   if (remaining > base::Duration::zero()) {
     rejected_for_[reply.holder].insert(granter);
--- a/libraries/lease/source/lease_round.h
+++ b/libraries/lease/source/lease_round.h
@@ -26,6 +26,11 @@
   void addGrant(const base::NodeAddress& granter) { granted_by_.insert(granter); }
   void addRejection(const base::NodeAddress& granter, const wire::LeaseReply& reply);
 
+  /** Whether the granter has granted the term or has not answered. */
+  bool mayHaveGranted(const base::NodeAddress& granter) const {
+    return !rejected_by_.contains(granter);
+  }
+
   bool grantedByQuorum(const GranterSet& granters) const { return granters.quorum(granted_by_); }
   /** Set once a majority has granted the term. */
   void markWon() { won_ = true; }
@@ -48,6 +53,7 @@
   std::size_t outstanding_ = 0;
   std::set<base::NodeAddress> answered_by_;
   std::set<base::NodeAddress> granted_by_;
+  std::set<base::NodeAddress> rejected_by_;
   /** The granters that rejected the request for the lease of each rival. */
   std::map<base::NodeAddress, std::set<base::NodeAddress>> rejected_for_;
   /** Longest remaining time of a rival's lease that any granter reported. */
