--- a/programs/testbed/soak/soak_command.cc
+++ b/programs/testbed/soak/soak_command.cc
@@ -9,6 +9,7 @@
 #include "commands.h"
 #include "soak/soak_disturbances.h"
 #include "soak/soak_fleet.h"
+#include "soak/soak_operator.h"
 
 namespace switchsaddle::testbed_commands {
 namespace {
@@ -21,6 +22,7 @@
 constexpr std::uint64_t Networks = 100;
 /** Time for which requests go on after the last disturbance. */
 constexpr base::Duration CalmTime = std::chrono::seconds(2);
+constexpr int LastReads = 10;
 
 /** The command line of `switchsaddle-testbed soak`. */
 struct SoakArguments {
@@ -50,9 +52,20 @@
   return options;
 }
 
+/** Reads the configuration several times, after everything has recovered. */
+void readAtTheEnd(SoakFleet& fleet, testbed::RunLedger& ledger, testbed::ControlHistory& history,
+                  std::uint64_t seed) {
+  base::RandomSource random(seed);
+  SoakOperator reading(fleet.controlAddresses(), fleet.operatorKey(), 0, ledger, history);
+  for (int count = 0; count < LastReads; ++count) {
+    reading.read(random);
+  }
+}
+
 /** Sends work from all clients while the fleet is disturbed, and for a calm time after that. */
 void sendAndDisturb(const SoakArguments& arguments, SoakFleet& fleet, testbed::RunLedger& ledger,
-                    std::uint64_t seed, const std::string& directory) {
+                    testbed::ControlHistory& history, std::uint64_t seed,
+                    const std::string& directory) {
   testbed::Interruption clients_end;
   std::vector<std::thread> clients;
   for (int number = 1; number <= arguments.clients; ++number) {
@@ -66,7 +79,7 @@
       testbed::WireClient(options, ledger).run(clients_end);
     });
   }
-  SoakDisturbances disturbances(fleet, ledger, arguments.kinds, arguments.disturbers, seed,
+  SoakDisturbances disturbances(fleet, ledger, history, arguments.kinds, arguments.disturbers, seed,
                                 directory + "/disturbances.log");
   testbed::Interruption pause;
   pause.wait(std::chrono::seconds(arguments.seconds));
@@ -76,6 +89,7 @@
   for (std::thread& client : clients) {
     client.join();
   }
+  readAtTheEnd(fleet, ledger, history, seed);
 }
 
 /** @return the number of violations. */
@@ -83,14 +97,22 @@
   testbed::RunLedger ledger(arguments.sound_workers && answersAreOwed(arguments.kinds));
   const SoakFleetOptions options = fleetOptions(arguments, seed);
   SoakFleet fleet(options, ledger);
-  sendAndDisturb(arguments, fleet, ledger, seed, options.directory);
+  testbed::ControlHistory history;
+  sendAndDisturb(arguments, fleet, ledger, history, seed, options.directory);
   const std::vector<testbed::SoakViolation> violations = ledger.violations();
+  const std::vector<std::string> control_violations = history.violations();
   for (const testbed::SoakViolation& violation : violations) {
     std::cout << testbed::violationName(violation.kind) << ": " << violation.text << "\n";
   }
-  std::cout << "seed " << seed << ": " << violations.size() << " violations; " << ledger.summary()
-            << std::endl;
-  return violations.size();
+  for (const std::string& text : control_violations) {
+    std::cout << "control-plane: " << text << "\n";
+  }
+  const std::size_t count = violations.size() + control_violations.size();
+  std::cout << "seed " << seed << ": " << count << " violations; " << ledger.summary()
+            << "; operators: done=" << history.count(testbed::ControlOutcome::Done)
+            << " refused=" << history.count(testbed::ControlOutcome::Refused)
+            << " unknown=" << history.count(testbed::ControlOutcome::Unknown) << std::endl;
+  return count;
 }
 
 void runSoak(const SoakArguments& arguments) {
--- a/programs/testbed/soak/soak_disturbances.cc
+++ b/programs/testbed/soak/soak_disturbances.cc
@@ -33,7 +33,8 @@
 constexpr int MaximumTerms = 3;
 constexpr double HangupShare = 0.3;
 constexpr double KilledDuringShutdownShare = 0.3;
-constexpr int Operators = 2;
+constexpr int Operators = 4;
+constexpr int LongestOperatorPauseMs = 600;
 
 }  // namespace
 
@@ -48,13 +49,13 @@
 }
 
 SoakDisturbances::SoakDisturbances(SoakFleet& fleet, testbed::RunLedger& ledger,
-                                   std::vector<std::string> kinds, int threads, std::uint64_t seed,
-                                   const std::string& file)
-    : fleet_(fleet), ledger_(ledger), record_(file), kinds_(std::move(kinds)) {
+                                   testbed::ControlHistory& history, std::vector<std::string> kinds,
+                                   int threads, std::uint64_t seed, const std::string& file)
+    : fleet_(fleet), ledger_(ledger), history_(history), record_(file), kinds_(std::move(kinds)) {
   if (includes(Change)) {
     for (int number = 1; number <= Operators; ++number) {
       threads_.emplace_back(
-          [this, number, seed] { changeConfiguration(seed + static_cast<std::uint64_t>(number)); });
+          [this, number, seed] { operate(seed + static_cast<std::uint64_t>(number)); });
     }
     std::erase(kinds_, Change);
   }
@@ -172,11 +173,12 @@
   fleet_.signal(name, SIGCONT);
 }
 
-void SoakDisturbances::changeConfiguration(std::uint64_t seed) {
+void SoakDisturbances::operate(std::uint64_t seed) {
   base::RandomSource random(seed);
-  SoakOperator configuring(fleet_.controlAddresses(), fleet_.operatorKey(), seed, ledger_);
-  while (pause(random, 300, 2'000)) {
-    configuring.change(random);
+  SoakOperator soak_operator(fleet_.controlAddresses(), fleet_.operatorKey(), seed, ledger_,
+                             history_);
+  while (pause(random, 0, LongestOperatorPauseMs)) {
+    soak_operator.operate(random);
   }
 }
 
--- a/programs/testbed/soak/soak_disturbances.h
+++ b/programs/testbed/soak/soak_disturbances.h
@@ -9,6 +9,7 @@
 
 #include "soak/soak_fleet.h"
 #include "switchsaddle/base/random.h"
+#include "switchsaddle/testbed/soak/control_history.h"
 #include "switchsaddle/testbed/soak/interruption.h"
 
 namespace switchsaddle::testbed_commands {
@@ -22,18 +23,19 @@
 /**
  * Disturbs a soak's fleet on several threads, so that signals, restarts and changes overlap: series
  * of SIGTERMs with SIGHUPs between them, kills also during a shutdown, freezes, restarts of workers
- * and changes of the configuration by two operators. Half of the fronts and a majority of the cores
+ * and operators that change, read and evacuate. Half of the fronts and a majority of the cores
  * stay undisturbed. Seeded; writes each disturbance to a file, with the seconds
  * since the ledger was created.
  */
 class SoakDisturbances {
  public:
   /**
-   * @param fleet outlives this object, as does `ledger`.
+   * @param fleet outlives this object, as do `ledger` and `history`.
    * @param threads number of disturbances that overlap.
    */
-  SoakDisturbances(SoakFleet& fleet, testbed::RunLedger& ledger, std::vector<std::string> kinds,
-                   int threads, std::uint64_t seed, const std::string& file);
+  SoakDisturbances(SoakFleet& fleet, testbed::RunLedger& ledger, testbed::ControlHistory& history,
+                   std::vector<std::string> kinds, int threads, std::uint64_t seed,
+                   const std::string& file);
   ~SoakDisturbances();
   SoakDisturbances(const SoakDisturbances&) = delete;
   SoakDisturbances& operator=(const SoakDisturbances&) = delete;
@@ -48,7 +50,8 @@
   void terminate(const std::string& name, bool may_kill, base::RandomSource& random);
   void kill(const std::string& name, base::RandomSource& random);
   void freeze(const std::string& name, base::RandomSource& random);
-  void changeConfiguration(std::uint64_t seed);
+  /** Operates the configuration until the disturbances end. */
+  void operate(std::uint64_t seed);
   /** Reserves a process of the role that may be disturbed; empty if there is none. */
   std::string reserve(testbed::ProcessRole role, base::RandomSource& random);
   void release(const std::string& name);
@@ -58,6 +61,7 @@
 
   SoakFleet& fleet_;
   testbed::RunLedger& ledger_;
+  testbed::ControlHistory& history_;
   std::ofstream record_;
   std::vector<std::string> kinds_;
   testbed::Interruption interruption_;
--- a/programs/testbed/soak/soak_fleet.cc
+++ b/programs/testbed/soak/soak_fleet.cc
@@ -20,6 +20,8 @@
 
 constexpr base::Duration ReadyLimit = std::chrono::seconds(60);
 constexpr base::Duration KillLimit = std::chrono::seconds(10);
+/** Shorter than operators wait for an answer, so that no order takes effect after they left. */
+constexpr int AcknowledgementDeadlineMs = 700;
 constexpr std::uint16_t WorkerPort = 8'000;
 constexpr std::array Zones{"a", "b", "c"};
 
@@ -67,7 +69,9 @@
       {"cores", boost::json::object{{"count", options_.cores}}},
       {"fronts", boost::json::object{{"count", options_.fronts}}},
       {"workers", boost::json::array{}},
-      {"times", boost::json::object{{"process_grace_s", 8}, {"stop_notice_ms", 2'700}}}};
+      {"times", boost::json::object{{"process_grace_s", 8},
+                                    {"stop_notice_ms", 2'700},
+                                    {"acknowledgement_deadline_ms", AcknowledgementDeadlineMs}}}};
   return boost::json::serialize(text);
 }
 
--- a/programs/testbed/soak/soak_operator.cc
+++ b/programs/testbed/soak/soak_operator.cc
@@ -1,5 +1,6 @@
 #include "soak/soak_operator.h"
 
+#include <array>
 #include <boost/json.hpp>
 #include <utility>
 
@@ -10,11 +11,21 @@
 namespace switchsaddle::testbed_commands {
 namespace {
 
+using testbed::ControlOperation;
+using testbed::ControlOperationKind;
+using testbed::ControlOutcome;
+
 constexpr base::Duration AnswerLimit = std::chrono::seconds(1);
 constexpr int MaximumSends = 6;
+constexpr double ChangeShare = 0.4;
+constexpr double EvacuationShare = 0.3;
+/** Zones without workers or nodes, so that their evacuation harms no request. */
+constexpr std::array Zones{"hall-1", "hall-2"};
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint16_t StatusAccepted = 202;
 constexpr std::uint16_t StatusConflict = 409;
+constexpr std::uint16_t FirstStatusOfClientError = 400;
+constexpr std::uint16_t FirstStatusOfServerFailure = 500;
 
 /** @return the version that an answer names; 0 if it names none. */
 std::uint64_t versionOf(const http::Response& answer) {
@@ -26,39 +37,121 @@
   }
 }
 
+bool isCommitted(const http::Response& answer) {
+  return answer.status == StatusOk || answer.status == StatusAccepted;
+}
+
+/** Whether the answer refuses an order because the zone has the state already. */
+bool isRefused(const http::Response& answer) {
+  return answer.status >= FirstStatusOfClientError && answer.status < FirstStatusOfServerFailure;
+}
+
 }  // namespace
 
 SoakOperator::SoakOperator(std::vector<base::NodeAddress> nodes, std::string key,
-                           std::uint64_t number, testbed::RunLedger& ledger)
+                           std::uint64_t number, testbed::RunLedger& ledger,
+                           testbed::ControlHistory& history)
     : nodes_(std::move(nodes)),
       key_(std::move(key)),
       name_("operator-" + std::to_string(number)),
-      ledger_(ledger) {}
+      ledger_(ledger),
+      history_(history) {}
+
+void SoakOperator::operate(base::RandomSource& random) {
+  const double draw = random.uniform();
+  if (draw < ChangeShare) {
+    change(random);
+  } else if (draw < ChangeShare + EvacuationShare) {
+    evacuate(random);
+  } else {
+    read(random);
+  }
+}
+
+ControlOperation SoakOperator::begin(ControlOperationKind kind) {
+  ControlOperation operation;
+  operation.kind = kind;
+  operation.id = name_ + "-" + std::to_string(++operations_);
+  operation.invoked_s = ledger_.elapsedSeconds();
+  return operation;
+}
+
+void SoakOperator::end(ControlOperation operation, ControlOutcome outcome, std::uint64_t version) {
+  operation.ended_s = ledger_.elapsedSeconds();
+  operation.outcome = outcome;
+  operation.version = version;
+  history_.add(std::move(operation));
+}
+
+std::optional<http::Response> SoakOperator::send(base::RandomSource& random,
+                                                 http::Request request) const {
+  request.headers = {{"Content-Type", "application/json"}, {"Authorization", "Bearer " + key_}};
+  return fetchOnce(nodes_[random.below(nodes_.size())], std::move(request), AnswerLimit);
+}
 
 void SoakOperator::change(base::RandomSource& random) {
-  const std::string id = name_ + "-" + std::to_string(++changes_);
+  ControlOperation operation = begin(ControlOperationKind::Change);
+  operation.base_version = known_version_;
   const boost::json::object set{{"tuning/route-explore-share", random.uniform()}};
   http::Request request;
   request.method = "POST";
   request.target = "/v1/configuration/changes";
-  request.headers = {{"Content-Type", "application/json"}, {"Authorization", "Bearer " + key_}};
-  request.body = boost::json::serialize(
-      boost::json::object{{"change_id", id}, {"base_version", known_version_}, {"set", set}});
+  request.body = boost::json::serialize(boost::json::object{
+      {"change_id", operation.id}, {"base_version", known_version_}, {"set", set}});
   for (int sent = 0; sent < MaximumSends; ++sent) {
-    const auto answer = fetchOnce(nodes_[random.below(nodes_.size())], request, AnswerLimit);
-    if (!answer) {
-      continue;
-    }
-    if (answer->status == StatusOk || answer->status == StatusAccepted) {
+    const auto answer = send(random, request);
+    if (answer && isCommitted(*answer)) {
       known_version_ = versionOf(*answer);
-      ledger_.add(testbed::AcknowledgedChange{id, known_version_});
+      ledger_.add(testbed::AcknowledgedChange{operation.id, known_version_});
+      end(std::move(operation), ControlOutcome::Done, known_version_);
       return;
     }
-    if (answer->status == StatusConflict) {
+    if (answer && answer->status == StatusConflict) {
       known_version_ = versionOf(*answer);
+      end(std::move(operation), ControlOutcome::Refused, 0);
+      return;
+    }
+  }
+  end(std::move(operation), ControlOutcome::Unknown, 0);
+}
+
+void SoakOperator::evacuate(base::RandomSource& random) {
+  const bool begins = random.chance(0.5);
+  ControlOperation operation =
+      begin(begins ? ControlOperationKind::BeginEvacuation : ControlOperationKind::EndEvacuation);
+  operation.zone = Zones.at(random.below(Zones.size()));
+  for (int sent = 0; sent < MaximumSends; ++sent) {
+    http::Request request;
+    request.method = begins ? "POST" : "DELETE";
+    request.target = "/v1/zones/" + operation.zone + "/evacuation?change_id=" + operation.id + "-" +
+                     std::to_string(sent);
+    const auto answer = send(random, std::move(request));
+    if (answer && (isCommitted(*answer) || isRefused(*answer))) {
+      // A refusal tells the state at that time, as an acknowledgement does, but no version.
+      const std::uint64_t version = isCommitted(*answer) ? versionOf(*answer) : 0;
+      end(std::move(operation), ControlOutcome::Done, version);
       return;
     }
   }
+  end(std::move(operation), ControlOutcome::Unknown, 0);
+}
+
+void SoakOperator::read(base::RandomSource& random) {
+  ControlOperation operation = begin(ControlOperationKind::Read);
+  http::Request request;
+  request.method = "GET";
+  request.target = "/v1/configuration";
+  const auto answer = send(random, std::move(request));
+  if (!answer || answer->status != StatusOk) {
+    end(std::move(operation), ControlOutcome::Unknown, 0);
+    return;
+  }
+  for (const char* zone : Zones) {
+    if (answer->body.find("evacuations/" + std::string(zone)) != std::string::npos) {
+      operation.evacuated.insert(zone);
+    }
+  }
+  end(std::move(operation), ControlOutcome::Done, versionOf(*answer));
 }
 
 }  // namespace switchsaddle::testbed_commands
