--- a/libraries/lease/test/lease_holder_test.cc
+++ b/libraries/lease/test/lease_holder_test.cc
@@ -50,5 +50,21 @@
   EXPECT_TRUE(fleet.runUntil([&] { return lost; }, LeaseTimes{}.duration));
 }
 
+TEST(LeaseHolderTest, LosingCandidatesReleaseNothingThatWasNotGranted) {
+  LeaseFleet fleet(4);
+  ASSERT_TRUE(fleet.runUntil([&] { return fleet.holder() != nullptr; }, seconds(10)));
+  fleet.run(seconds(2));
+  std::size_t requests = 0;
+  std::size_t releases = 0;
+  fleet.network.observer = [&](const base::NodeAddress&, const wire::Envelope& envelope,
+                               std::size_t) {
+    requests += std::holds_alternative<wire::LeaseRequest>(envelope.message) ? 1U : 0U;
+    releases += std::holds_alternative<wire::LeaseRelease>(envelope.message) ? 1U : 0U;
+  };
+  fleet.run(seconds(10));
+  EXPECT_GT(requests, 0U);
+  EXPECT_EQ(releases, 0U);
+}
+
 }  // namespace
 }  // namespace switchsaddle::lease
