Test bed: crowds of clients that misbehave; settings say what the machine lends

The verb `switchsaddle-testbed crowd` starts a fleet of real daemons for each of 28 kinds of such clients, sends 40 of them (600 connections where they send little) to one listener of a front or core, and checks that every daemon lives, that its peak memory and its descriptors stay within its machine's, that an ordinary request and an operator's read are answered while the crowd is still there, and that a body of 4 MiB is served once it has left. No times and no shares of requests. The machine of the test has 64 MiB and 400 descriptors. The settings `limits.memory_mb` and `limits.descriptors` are read and checked, and the deploy templates fill them in; nothing follows from them yet.

One kind ends the front at once: a last chunk that comes byte by byte fails an assertion of Beast's parser (`n >= 5`).

A fleet of the soak whose start fails no longer leaves its daemons running (seen: six cores left behind).

--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -59,6 +59,16 @@
   bool operator==(const ForwardingSettings&) const = default;
 };
 
+/** What the machine lends this process; bounds on what peers may make it hold follow from it. */
+struct ResourceSettings {
+  /** Memory that the process may use at most, in MiB. */
+  std::uint32_t memory_mb = 1'024;
+  /** Descriptors that the process may open; zero for the limit that the system sets. */
+  std::uint32_t descriptors = 0;
+
+  bool operator==(const ResourceSettings&) const = default;
+};
+
 /** Settings of one process, from its settings file and command line. */
 struct Settings {
   /** Listening address for peers. */
@@ -99,6 +109,7 @@
   std::string dialect;
   ExpiredSessionPolicy lapsed_session = ExpiredSessionPolicy::Refuse;
   ForwardingSettings forwarding;
+  ResourceSettings limits;
 };
 
 /**
--- a/libraries/configuration/source/settings_change.cc
+++ b/libraries/configuration/source/settings_change.cc
@@ -25,6 +25,7 @@
   compare("list_before_lease", &Settings::list_before_lease);
   compare("times", &Settings::times);
   compare("forwarding", &Settings::forwarding);
+  compare("limits", &Settings::limits);
   return names;
 }
 
--- a/libraries/configuration/source/settings_parser.cc
+++ b/libraries/configuration/source/settings_parser.cc
@@ -18,6 +18,10 @@
 /** Upper limit of the tolerated losses of cores and zones. */
 constexpr std::int64_t MaximumLosses = 10;
 
+/** Range of the memory of a machine, in MiB, and of its descriptors. */
+constexpr IntegerRange MemoryRange{1, 16'777'216};
+constexpr IntegerRange DescriptorRange{0, 16'777'216};
+
 /** A time limit of the settings file in milliseconds: its key, range and member. */
 struct TimeField {
   const char* name;
@@ -147,6 +151,19 @@
   forwarding_reader.finish();
 }
 
+void readLimits(ObjectReader& reader, ResourceSettings& limits, Faults& faults) {
+  const JsonValue* value = reader.optional("limits");
+  if (value == nullptr) {
+    return;
+  }
+  ObjectReader limit_reader(*value, "limits", faults);
+  limits.memory_mb =
+      static_cast<std::uint32_t>(limit_reader.integer("memory_mb", MemoryRange, limits.memory_mb));
+  limits.descriptors = static_cast<std::uint32_t>(
+      limit_reader.integer("descriptors", DescriptorRange, limits.descriptors));
+  limit_reader.finish();
+}
+
 ExpiredSessionPolicy readExpiredSessionPolicy(ObjectReader& reader) {
   const std::string text = reader.text("lapsed_session", "refuse");
   if (text != "refuse" && text != "serve") {
@@ -210,6 +227,7 @@
   settings.dialect = reader.text("dialect");
   settings.lapsed_session = readExpiredSessionPolicy(reader);
   readForwarding(reader, settings.forwarding, faults);
+  readLimits(reader, settings.limits, faults);
   reader.finish();
   resolveCoreAddresses(settings);
   return settings;
--- a/libraries/configuration/test/settings_test.cc
+++ b/libraries/configuration/test/settings_test.cc
@@ -85,6 +85,7 @@
       "lapsed_session": "serve", "list_before_lease": true,
       "forwarding": {"retry_share": 0.2, "retry_extra": 52, "quota_window_s": 8,
                      "quota_overshoot": 0.1, "quota_slack": 140000},
+      "limits": {"memory_mb": 160, "descriptors": 4100},
       "times": {"process_grace_s": 8, "stop_notice_ms": 2700}
     })",
                                           faults);
@@ -96,10 +97,13 @@
   EXPECT_EQ(settings.times.stop_deadline, std::chrono::milliseconds(6'500));
   EXPECT_EQ(settings.times.stop_notice, std::chrono::milliseconds(2'700));
   EXPECT_DOUBLE_EQ(settings.forwarding.quotas.slack, 140'000);
+  EXPECT_EQ(settings.limits.memory_mb, 160U);
+  EXPECT_EQ(settings.limits.descriptors, 4'100U);
   EXPECT_THAT(parseFaults(R"({"lapsed_session": "maybe", "forwarding": {"retry_share": -1, "x": 1},
-                              "fleet_peer_port": 70000})"),
+                              "fleet_peer_port": 70000, "limits": {"memory_mb": 0, "y": 1}})"),
               ElementsAre("fleet_peer_port InvalidValue", "lapsed_session InvalidValue",
-                          "forwarding.retry_share InvalidValue", "forwarding.x UnknownField"));
+                          "forwarding.retry_share InvalidValue", "forwarding.x UnknownField",
+                          "limits.memory_mb InvalidValue", "limits.y UnknownField"));
 }
 
 TEST(SettingsTest, NullAndEmptyValuesCountAsUnset) {
@@ -109,7 +113,7 @@
       "region": null, "platform_address": "", "readiness_address": null, "seeds": ["10.1.0.2:1"],
       "first_start": null, "tolerated_core_losses": null, "tolerated_zone_losses": 1,
       "forwarding": {"retry_share": null, "retry_extra": 0, "quota_window_s": null},
-      "times": {"process_grace_s": null}
+      "limits": {"memory_mb": null, "descriptors": null}, "times": {"process_grace_s": null}
     })",
                                           faults);
   EXPECT_THAT(faultNames(faults), IsEmpty());
@@ -118,6 +122,7 @@
   EXPECT_EQ(settings.tolerated_zone_losses, 1);
   EXPECT_DOUBLE_EQ(settings.forwarding.retry_share, ForwardingSettings{}.retry_share);
   EXPECT_EQ(settings.times.stop_deadline, TimeSettings{}.stop_deadline);
+  EXPECT_EQ(settings.limits, ResourceSettings{});
   EXPECT_THAT(parseFaults(R"({"unknown": 1, "zone": null})"), ElementsAre("unknown UnknownField"));
 }
 
@@ -130,8 +135,9 @@
   after.zone = "south";
   after.times.platform_poll = std::chrono::milliseconds(1);
   after.forwarding.quotas.slack = 7;
+  after.limits.memory_mb = 64;
   EXPECT_EQ(settingsThatNeedRestart(before, after),
-            (std::vector<std::string>{"zone", "times", "forwarding"}));
+            (std::vector<std::string>{"zone", "times", "forwarding", "limits"}));
 }
 
 }  // namespace
--- a/libraries/testbed/include/switchsaddle/testbed/fleet/fleet_layout.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/fleet_layout.h
@@ -33,6 +33,8 @@
   int crashed_listed_ms = 8'000;
   /** JSON of the settings' "times", copied unchanged into each settings file. */
   std::string times_json = "{}";
+  /** JSON of the settings' "limits", copied likewise. */
+  std::string limits_json = "{}";
 };
 
 /**
@@ -70,6 +72,7 @@
   std::string region;
   std::string operator_key;
   std::string times_json = "{}";
+  std::string limits_json = "{}";
   std::vector<FleetProcess> processes;
 
   FleetProcess* find(const std::string& name);
@@ -91,6 +94,9 @@
 FleetState planFleet(const FleetLayout& layout, const std::string& directory,
                      const FleetPrograms& programs);
 
+/** @return the address at which a front answers readiness checks. */
+base::NodeAddress readinessAddress(const FleetProcess& front);
+
 /** The settings file of a core or front; `operator_hash` is the SHA-256 of the operator's key. */
 std::string settingsText(const FleetState& state, const FleetProcess& process,
                          const std::string& operator_hash);
--- a/libraries/testbed/source/fleet/fleet_layout.cc
+++ b/libraries/testbed/source/fleet/fleet_layout.cc
@@ -12,10 +12,11 @@
 namespace {
 
 constexpr std::int64_t LargestCount = 250;
-constexpr std::array LayoutKeys{
-    std::string_view("network"),  std::string_view("region"), std::string_view("operator_key"),
-    std::string_view("zones"),    std::string_view("cores"),  std::string_view("fronts"),
-    std::string_view("platform"), std::string_view("times"),  std::string_view("workers")};
+constexpr std::array LayoutKeys{std::string_view("network"),      std::string_view("region"),
+                                std::string_view("operator_key"), std::string_view("zones"),
+                                std::string_view("cores"),        std::string_view("fronts"),
+                                std::string_view("platform"),     std::string_view("times"),
+                                std::string_view("limits"),       std::string_view("workers")};
 
 void rejectUnknownKeys(const boost::json::object& object) {
   for (const auto& field : object) {
@@ -132,6 +133,7 @@
   layout.crashed_listed_ms =
       static_cast<int>(integerField(platform, "crashed_listed_ms", layout.crashed_listed_ms));
   layout.times_json = boost::json::serialize(objectField(object, "times"));
+  layout.limits_json = boost::json::serialize(objectField(object, "limits"));
   rejectDuplicateNames(layout);
   return layout;
 }
--- a/libraries/testbed/source/fleet/fleet_plan.cc
+++ b/libraries/testbed/source/fleet/fleet_plan.cc
@@ -9,6 +9,7 @@
 
 constexpr std::uint16_t PeerPort = 7'000;
 constexpr std::uint16_t HttpPort = 8'000;
+constexpr std::uint16_t ReadinessPort = 8'001;
 constexpr std::size_t SeedCount = 3;
 
 FleetProcess planPlatform(const FleetLayout& layout, const std::string& directory,
@@ -119,6 +120,7 @@
   state.region = layout.region;
   state.operator_key = layout.operator_key;
   state.times_json = layout.times_json;
+  state.limits_json = layout.limits_json;
   state.processes.push_back(planPlatform(layout, directory, programs));
   for (const LayoutWorker& worker : layout.workers) {
     state.processes.push_back(planWorker(worker, directory, programs));
@@ -136,6 +138,10 @@
   return state;
 }
 
+base::NodeAddress readinessAddress(const FleetProcess& front) {
+  return {front.http_address.ip, ReadinessPort};
+}
+
 std::string settingsText(const FleetState& state, const FleetProcess& process,
                          const std::string& operator_hash) {
   const std::vector<base::NodeAddress> cores = state.coreAddresses();
@@ -151,12 +157,16 @@
                                {"data_folder", process.data_folder},
                                {"seeds", addressList(seeds)},
                                {"operator_hashes", boost::json::array{operator_hash}},
-                               {"times", boost::json::parse(state.times_json)}};
+                               {"times", boost::json::parse(state.times_json)},
+                               {"limits", boost::json::parse(state.limits_json)}};
   for (const FleetProcess& other : state.processes) {
     if (other.role == ProcessRole::Platform) {
       settings["platform_address"] = other.http_address.toString();
     }
   }
+  if (process.role == ProcessRole::Front) {
+    settings["readiness_address"] = readinessAddress(process).toString();
+  }
   if (process.role == ProcessRole::Core && !process.replacement) {
     settings["initial_cores"] = addressList(cores);
   }
--- a/libraries/testbed/source/fleet/fleet_state.cc
+++ b/libraries/testbed/source/fleet/fleet_state.cc
@@ -88,11 +88,13 @@
   for (const FleetProcess& process : state.processes) {
     processes.push_back(toJson(process));
   }
-  return boost::json::serialize(boost::json::object{{"directory", state.directory},
-                                                    {"region", state.region},
-                                                    {"operator_key", state.operator_key},
-                                                    {"times", boost::json::parse(state.times_json)},
-                                                    {"processes", std::move(processes)}});
+  return boost::json::serialize(
+      boost::json::object{{"directory", state.directory},
+                          {"region", state.region},
+                          {"operator_key", state.operator_key},
+                          {"times", boost::json::parse(state.times_json)},
+                          {"limits", boost::json::parse(state.limits_json)},
+                          {"processes", std::move(processes)}});
 }
 
 FleetState parseFleetState(const std::string& text) {
@@ -102,6 +104,7 @@
   state.region = textField(object, "region");
   state.operator_key = textField(object, "operator_key");
   state.times_json = boost::json::serialize(objectField(object, "times"));
+  state.limits_json = boost::json::serialize(objectField(object, "limits"));
   for (const boost::json::object& process : objectListField(object, "processes")) {
     state.processes.push_back(processFromJson(process));
   }
--- a/programs/testbed/commands.h
+++ b/programs/testbed/commands.h
@@ -23,5 +23,6 @@
 void addFailuresCommand(CLI::App& app);
 void addExploreCommand(CLI::App& app);
 void addSoakCommand(CLI::App& app);
+void addCrowdCommand(CLI::App& app);
 
 }  // namespace switchsaddle::testbed_commands
--- /dev/null
+++ b/programs/testbed/crowd/crowd_command.cc
@@ -0,0 +1,121 @@
+#include <CLI/CLI.hpp>
+#include <filesystem>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "commands.h"
+#include "crowd/crowd_run.h"
+
+namespace switchsaddle::testbed_commands {
+
+namespace {
+
+constexpr int ViolationsFound = 1;
+constexpr std::size_t BytesPerMebibyte = 1U << 20U;
+
+std::vector<std::string> kindNames() {
+  std::vector<std::string> names;
+  for (const testbed::CrowdKind& kind : testbed::crowdKinds({})) {
+    names.push_back(kind.name);
+  }
+  return names;
+}
+
+/** The command line of `switchsaddle-testbed crowd`. */
+struct CrowdArguments {
+  CrowdRunOptions run;
+  std::vector<std::string> kinds = kindNames();
+  bool list = false;
+};
+
+testbed::CrowdKind findKind(const std::string& name, const testbed::CrowdRequests& requests) {
+  const std::vector<testbed::CrowdKind> kinds = testbed::crowdKinds(requests);
+  return *std::ranges::find(kinds, name, &testbed::CrowdKind::name);
+}
+
+void print(const std::string& name, const CrowdReport& report) {
+  for (const std::string& violation : report.violations) {
+    std::cout << name << ": " << violation << "\n";
+  }
+  std::cout << "crowd " << name << ": " << report.violations.size() << " violations; sent "
+            << report.bytes_sent / BytesPerMebibyte << " MiB, closed " << report.closed_connections;
+  for (const auto& [process, usage] : report.usage) {
+    std::cout << "; " << process << " " << usage.peak_memory_bytes / BytesPerMebibyte
+              << " MiB at most, " << usage.memory_bytes / BytesPerMebibyte << " at the end, "
+              << usage.descriptors << " descriptors";
+  }
+  std::cout << std::endl;
+}
+
+/** Runs one crowd on a fleet of its own. @return the number of violations. */
+std::size_t runKind(const CrowdArguments& arguments, const std::string& name) {
+  CrowdRunOptions options = arguments.run;
+  options.fleet.directory =
+      std::filesystem::absolute(options.fleet.directory + "/" + name).string();
+  options.fleet.program = switchsaddleProgram(options.fleet.program);
+  CrowdRun run(options);
+  const CrowdReport report = run.run(findKind(name, run.requests()));
+  print(name, report);
+  return report.violations.size();
+}
+
+void listKinds() {
+  for (const std::string& name : kindNames()) {
+    std::cout << name << "\n";
+  }
+}
+
+void runCrowds(const CrowdArguments& arguments) {
+  std::size_t violations = 0;
+  for (const std::string& name : arguments.kinds) {
+    violations += runKind(arguments, name);
+  }
+  std::cout << "crowds: " << arguments.kinds.size() << ", violations: " << violations << std::endl;
+  if (violations > 0) {
+    throw CLI::RuntimeError(ViolationsFound);
+  }
+}
+
+}  // namespace
+
+void addCrowdCommand(CLI::App& app) {
+  auto arguments = std::make_shared<CrowdArguments>();
+  CrowdRunOptions& run = arguments->run;
+  run.fleet.cores = 3;
+  run.fleet.fronts = 2;
+  run.fleet.workers = 2;
+  run.fleet.directory = ".";
+  run.fleet.network = "127.98";
+  CLI::App* command = app.add_subcommand(
+      "crowd", "Send crowds of misbehaving clients to real daemons and check what these hold");
+  command->add_option(
+      "--directory", run.fleet.directory,
+      "Folder for the fleets; each kind gets a subfolder (default: the current one)");
+  command->add_flag("--list", arguments->list, "Print the names of the kinds and end");
+  command->add_option("--switchsaddle", run.fleet.program,
+                      "Path of the switchsaddle program (default: in the folder of this program)");
+  command->add_option("--network", run.fleet.network,
+                      "First two octets of every address (default 127.98)");
+  command->add_option("--memory-mb", run.memory_mb, "Memory of each machine, in MiB (default 64)");
+  command->add_option("--descriptors", run.descriptors,
+                      "Descriptors of each machine (default 400)");
+  command->add_option("--clients", run.size.clients, "Number of clients (default 40)")
+      ->check(CLI::Range(1, 1'000));
+  command
+      ->add_option("--reconnects", run.size.reconnects,
+                   "Connections of a client in place of closed ones (default 3)")
+      ->check(CLI::Range(0, 100));
+  command->add_option("--kinds", arguments->kinds, "Kinds to send (default: all)")
+      ->check(CLI::IsMember(kindNames()));
+  command->callback([arguments] {
+    if (arguments->list) {
+      listKinds();
+    } else {
+      runCrowds(*arguments);
+    }
+  });
+}
+
+}  // namespace switchsaddle::testbed_commands
--- a/programs/testbed/main.cc
+++ b/programs/testbed/main.cc
@@ -22,6 +22,7 @@
   switchsaddle::testbed_commands::addFuzzCommand(app);
   switchsaddle::testbed_commands::addFailuresCommand(app);
   switchsaddle::testbed_commands::addSoakCommand(app);
+  switchsaddle::testbed_commands::addCrowdCommand(app);
   switchsaddle::testbed_commands::addExploreCommand(app);
   try {
     CLI11_PARSE(app, argument_count, arguments);
--- a/programs/testbed/soak/soak_command.cc
+++ b/programs/testbed/soak/soak_command.cc
@@ -39,11 +39,7 @@
 SoakFleetOptions fleetOptions(const SoakArguments& arguments, std::uint64_t seed) {
   SoakFleetOptions options = arguments.fleet;
   options.directory = files::absolute(options.directory + "/seed-" + std::to_string(seed)).string();
-  if (options.program.empty()) {
-    const files::path own_program = files::read_symlink("/proc/self/exe");
-    options.program = (own_program.parent_path() / "switchsaddle").string();
-  }
-  options.program = files::absolute(options.program).string();
+  options.program = switchsaddleProgram(options.program);
   if (options.network.empty()) {
     options.network = "127." + std::to_string(FirstNetwork + seed % Networks);
   }
--- a/programs/testbed/soak/soak_fleet.cc
+++ b/programs/testbed/soak/soak_fleet.cc
@@ -39,6 +39,15 @@
 
 }  // namespace
 
+std::string switchsaddleProgram(const std::string& program) {
+  namespace files = std::filesystem;
+  if (!program.empty()) {
+    return files::absolute(program).string();
+  }
+  const files::path own_program = files::read_symlink("/proc/self/exe");
+  return (own_program.parent_path() / "switchsaddle").string();
+}
+
 SoakFleet::SoakFleet(SoakFleetOptions options, testbed::RunLedger& ledger)
     : options_(std::move(options)), ledger_(ledger) {
   std::filesystem::create_directories(options_.directory);
@@ -47,10 +56,19 @@
       testbed::planFleet(parsed, options_.directory, {options_.program, options_.program}));
   fleet_->prepare();
   startWorkers();
-  startDaemons();
+  try {
+    startDaemons();
+  } catch (...) {
+    killDaemons();
+    throw;
+  }
 }
 
 SoakFleet::~SoakFleet() {
+  killDaemons();
+}
+
+void SoakFleet::killDaemons() {
   try {
     for (const ProcessRole role : {ProcessRole::Front, ProcessRole::Core}) {
       fleet_->signalAll(fleet_->ofRole(role), SIGKILL, ProcessCondition::Exited, KillLimit);
@@ -69,6 +87,7 @@
       {"cores", boost::json::object{{"count", options_.cores}}},
       {"fronts", boost::json::object{{"count", options_.fronts}}},
       {"workers", boost::json::array{}},
+      {"limits", boost::json::parse(options_.limits_json)},
       {"times", boost::json::object{{"process_grace_s", 8},
                                     {"stop_notice_ms", 2'700},
                                     {"acknowledgement_deadline_ms", AcknowledgementDeadlineMs}}}};
@@ -153,6 +172,11 @@
   return names;
 }
 
+FleetProcess SoakFleet::process(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  return *fleet_->state().find(name);
+}
+
 testbed::ProcessIdentity SoakFleet::identityOf(const std::string& name) {
   const std::lock_guard lock(mutex_);
   return Fleet::identityOf(*fleet_->state().find(name));
--- a/programs/testbed/soak/soak_fleet.h
+++ b/programs/testbed/soak/soak_fleet.h
@@ -24,8 +24,13 @@
   int workers = 9;
   bool faulty_workers = true;
   std::uint64_t seed = 1;
+  /** JSON of the settings' "limits" of every daemon. */
+  std::string limits_json = "{}";
 };
 
+/** @return the absolute path of the program; if it is empty, of the one beside this program. */
+std::string switchsaddleProgram(const std::string& program);
+
 /**
  * The processes of a soak: cores and fronts as daemons, platform and workers as stand-ins within
  * this process. Starts all on construction and kills the daemons on destruction. Thread-safe, as
@@ -42,6 +47,8 @@
   std::vector<testbed::FrontTarget> fronts();
   std::vector<base::NodeAddress> controlAddresses();
   std::vector<std::string> namesOf(testbed::ProcessRole role);
+  /** The process with this name, as it was started last. */
+  testbed::FleetProcess process(const std::string& name);
   const std::vector<SoakWorker>& workers() const { return workers_; }
   const std::string& operatorKey() const { return operator_key_; }
   const std::string& tenantKey() const { return tenant_key_; }
@@ -55,6 +62,7 @@
  private:
   void startWorkers();
   void startDaemons();
+  void killDaemons();
   /** Starts the processes of a role and waits until they are ready. */
   void startAll(testbed::ProcessRole role);
   std::string layout() const;
--- /dev/null
+++ b/scripts/crowd.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Crowds of misbehaving clients against real daemons (docs/TESTBED.md): each daemon must live, stay within the memory
+# and the descriptors of its machine, and answer ordinary requests. One crowd runs at a time. Passes over the crowds
+# that KNOWN-RED.txt lists as `crowd NAME`, and prints them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+testbed=${BUILD:-build}/programs/switchsaddle-testbed
+directory=$(mktemp -d)
+# Two runs on one machine use different addresses.
+network=127.$((200 + $$ % 50))
+mapfile -t known_red < <(sed -n 's/^crowd \([a-z-]*\),.*/\1/p' KNOWN-RED.txt)
+mapfile -t kinds < <("$testbed" crowd --list)
+for kind in "${kinds[@]}"; do
+  if [[ " ${known_red[*]} " == *" $kind "* ]]; then
+    echo "crowd $kind: listed in KNOWN-RED.txt, skipped"
+  else
+    "$testbed" crowd --directory "$directory" --network "$network" --kinds "$kind"
+  fi
+done
+rm -r "$directory"
