HTTP client: a last chunk in pieces no longer ends the process

Cause: Beast's parser asserts that the last chunk of a body ("0", CR LF, CR LF) comes with five bytes. A peer that sends "0", CR LF and one byte more ends the process with SIGABRT. Change: `ParserFeed` hands Beast the bytes of a last chunk together and none of an unfinished element twice; the exchange reads the socket itself. An exchange keeps the request's body beside its head in place of a copy behind it, and keeps what is counted for the body.

--- a/libraries/http/include/switchsaddle/http/message.h
+++ b/libraries/http/include/switchsaddle/http/message.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/http/client_presence.h"
 
 namespace switchsaddle::http {
@@ -24,6 +25,11 @@
   std::string body;
   /** The client that sent it; null if no server received it. */
   ClientPresencePtr client = nullptr;
+  /**
+   * The memory that the server counts for this request. Whoever keeps the request's content keeps
+   * this too, and grows it by what the content makes it keep besides. Null if nothing is counted.
+   */
+  base::ByteReservationPtr memory = nullptr;
 
   /** @return the value of the first field with this name, or an empty view. */
   std::string_view header(std::string_view name) const;
--- a/libraries/http/source/client_exchange.cc
+++ b/libraries/http/source/client_exchange.cc
@@ -1,8 +1,11 @@
 #include "client_exchange.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/core/read_size.hpp>
+#include <boost/beast/http/error.hpp>
 #include <string_view>
 #include <utility>
 
@@ -18,6 +21,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr std::size_t LargestReadBytes = 64U << 10U;
+
 }  // namespace
 
 ClientExchange::ClientExchange(std::shared_ptr<ClientState> client, base::NodeAddress address,
@@ -26,7 +31,9 @@
     : client_(std::move(client)),
       address_(std::move(address)),
       method_(request.method),
-      request_bytes_(serialiseRequest(request, address_.toString(), !options.fresh_connection)),
+      request_head_(serialiseRequestHead(request, address_.toString(), !options.fresh_connection)),
+      request_body_(std::move(request.body)),
+      request_memory_(std::move(request.memory)),
       options_(std::move(options)),
       observer_(std::move(observer)),
       socket_(client_->strand),
@@ -96,7 +103,7 @@
   written_bytes_ = 0;
   reading_ = false;
   discarding_ = false;
-  unacknowledged_bytes_ = request_bytes_.size();
+  unacknowledged_bytes_ = requestBytes();
   watchAcknowledgement();
   writeSome();
 }
@@ -114,8 +121,7 @@
 }
 
 void ClientExchange::checkAcknowledgement() {
-  const std::size_t unacknowledged =
-      unacknowledgedBytes(socket_) + request_bytes_.size() - written_bytes_;
+  const std::size_t unacknowledged = unacknowledgedBytes(socket_) + requestBytes() - written_bytes_;
   if (unacknowledged == 0) {
     return;
   }
@@ -128,7 +134,10 @@
 }
 
 void ClientExchange::writeSome() {
-  const asio::const_buffer remaining = asio::buffer(request_bytes_) + written_bytes_;
+  const std::size_t head_bytes = std::min(written_bytes_, request_head_.size());
+  const std::array<asio::const_buffer, 2> remaining{
+      asio::buffer(request_head_) + head_bytes,
+      asio::buffer(request_body_) + (written_bytes_ - head_bytes)};
   socket_.async_write_some(remaining, [self = shared_from_this(), attempt = attempt_](
                                           const error_code& error, std::size_t bytes) {
     if (!self->outdated(attempt)) {
@@ -145,7 +154,7 @@
   }
   // A server may respond before it has read a long request.
   startReading();
-  if (written_bytes_ < request_bytes_.size()) {
+  if (written_bytes_ < requestBytes()) {
     writeSome();
   }
 }
@@ -170,11 +179,32 @@
 
 void ClientExchange::readHead() {
   parser_.start(method_);
-  beast_http::async_read_header(
-      socket_, buffer_, parser_.beast(),
-      [self = shared_from_this(), attempt = attempt_](const error_code& error, std::size_t) {
-        if (!self->outdated(attempt)) {
-          self->onHead(error);
+  parseHead();
+}
+
+void ClientExchange::parseHead() {
+  const error_code error = parser_.parse(buffer_);
+  if (error == beast_http::error::need_more) {
+    receive(&ClientExchange::parseHead, &ClientExchange::onHead);
+  } else {
+    onHead(error);
+  }
+}
+
+void ClientExchange::receive(void (ClientExchange::*parse)(),
+                             void (ClientExchange::*on_end)(const error_code& error)) {
+  const std::size_t room = boost::beast::read_size(buffer_, LargestReadBytes);
+  socket_.async_read_some(
+      buffer_.prepare(room), [self = shared_from_this(), attempt = attempt_, parse, on_end](
+                                 const error_code& error, std::size_t bytes) {
+        if (self->outdated(attempt)) {
+          return;
+        }
+        self->buffer_.commit(bytes);
+        if (!error) {
+          (*self.*parse)();
+        } else {
+          (*self.*on_end)(error == asio::error::eof ? self->parser_.finish() : error);
         }
       });
 }
@@ -213,13 +243,17 @@
   }
   armTimer(options_.idle_timeout, ExchangeFailure::TimedOut);
   parser_.prepareBody();
-  beast_http::async_read_some(
-      socket_, buffer_, parser_.beast(),
-      [self = shared_from_this(), attempt = attempt_](const error_code& error, std::size_t) {
-        if (!self->outdated(attempt)) {
-          self->onBody(error);
-        }
-      });
+  parseBody();
+}
+
+void ClientExchange::parseBody() {
+  const error_code error = parser_.parse(buffer_);
+  const bool needs_more = error == beast_http::error::need_more && parser_.bodyBytes().empty();
+  if (needs_more) {
+    receive(&ClientExchange::parseBody, &ClientExchange::onBody);
+  } else {
+    onBody(error == beast_http::error::need_more ? error_code() : error);
+  }
 }
 
 void ClientExchange::onBody(const error_code& error) {
@@ -270,7 +304,7 @@
     readHead();
     return;
   }
-  const bool request_sent = written_bytes_ == request_bytes_.size();
+  const bool request_sent = written_bytes_ == requestBytes();
   const bool reusable =
       !options_.fresh_connection && request_sent && parser_.keepsAlive() && buffer_.size() == 0;
   if (reusable) {
--- a/libraries/http/source/client_exchange.h
+++ b/libraries/http/source/client_exchange.h
@@ -39,6 +39,7 @@
 
  private:
   bool outdated(std::uint64_t attempt) const { return ended_ || attempt != attempt_; }
+  std::size_t requestBytes() const { return request_head_.size() + request_body_.size(); }
   PoolKey poolKey() const { return {address_, options_.local_ip}; }
 
   void connect();
@@ -53,10 +54,16 @@
   void onWriteFailed();
 
   void startReading();
+  /** Starts to read the next response. */
   void readHead();
+  void parseHead();
+  /** Reads from the connection, then calls `parse`, or `on_end` if the connection has ended. */
+  void receive(void (ClientExchange::*parse)(),
+               void (ClientExchange::*on_end)(const boost::system::error_code& error));
   void onHead(const boost::system::error_code& error);
   void deliverHead();
   void readBody();
+  void parseBody();
   void onBody(const boost::system::error_code& error);
   /** Continues after a chunk of a response that is discarded. */
   void onDiscardedBody(bool truncated);
@@ -81,7 +88,10 @@
   std::shared_ptr<ClientState> client_;
   base::NodeAddress address_;
   std::string method_;
-  std::string request_bytes_;
+  std::string request_head_;
+  std::string request_body_;
+  /** What is counted for the request, whose body this keeps. */
+  base::ByteReservationPtr request_memory_;
   ExchangeOptions options_;
   std::shared_ptr<ExchangeObserver> observer_;
   boost::asio::ip::tcp::socket socket_;
--- a/libraries/http/source/response_parser.cc
+++ b/libraries/http/source/response_parser.cc
@@ -16,6 +16,21 @@
   parser_->header_limit(HeaderLimitBytes);
   parser_->body_limit(boost::none);
   parser_->skip(method == "HEAD");
+  feed_ = {};
+}
+
+boost::system::error_code ResponseParser::parse(boost::beast::flat_buffer& buffer) {
+  // The head is to be seen before the body is parsed.
+  parser_->eager(parser_->is_header_done());
+  return feed_.feed(*parser_, buffer);
+}
+
+boost::system::error_code ResponseParser::finish() {
+  boost::system::error_code error = boost::beast::http::error::end_of_stream;
+  if (parser_->got_some()) {
+    parser_->put_eof(error);
+  }
+  return error;
 }
 
 bool ResponseParser::isInformational() const {
--- a/libraries/http/source/response_parser.h
+++ b/libraries/http/source/response_parser.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "parser_feed.h"
 #include "switchsaddle/base/time.h"
 #include "switchsaddle/http/message.h"
 
@@ -23,8 +24,13 @@
   /** Discards the current response. */
   void reset() { parser_.reset(); }
 
-  /** @return the parser for Beast's read functions; valid after start(). */
-  BeastParser& beast() { return *parser_; }
+  /**
+   * Parses received bytes: the head first, then body bytes into the buffer of prepareBody().
+   * @return need_more if the buffer has too few of them.
+   */
+  boost::system::error_code parse(boost::beast::flat_buffer& buffer);
+  /** Handles the end of the connection. @return an error if the response is not complete. */
+  boost::system::error_code finish();
 
   /** @return whether a byte of the response has been parsed. */
   bool hasStarted() const { return parser_ && parser_->got_some(); }
@@ -45,6 +51,7 @@
   static constexpr std::size_t BodyBufferBytes = 16U << 10U;
 
   std::optional<BeastParser> parser_;
+  ParserFeed feed_;
   std::array<char, BodyBufferBytes> body_buffer_;
 };
 
--- a/libraries/http/source/serialise.cc
+++ b/libraries/http/source/serialise.cc
@@ -65,7 +65,7 @@
   return out;
 }
 
-std::string serialiseRequest(const Request& request, const std::string& host, bool keep_alive) {
+std::string serialiseRequestHead(const Request& request, const std::string& host, bool keep_alive) {
   std::string out;
   appendClean(out, request.method);
   out += ' ';
@@ -79,7 +79,6 @@
   }
   appendHeader(out, "Connection", keep_alive ? "keep-alive" : "close");
   out += LineEnd;
-  out += request.body;
   return out;
 }
 
--- a/libraries/http/source/serialise.h
+++ b/libraries/http/source/serialise.h
@@ -16,8 +16,8 @@
  */
 std::string serialiseHead(const Response& response, BodyFraming framing, bool keep_alive);
 
-/** @return the complete request; Host, Content-Length and Connection are generated. */
-std::string serialiseRequest(const Request& request, const std::string& host, bool keep_alive);
+/** @return the request up to its body; Host, Content-Length and Connection are generated. */
+std::string serialiseRequestHead(const Request& request, const std::string& host, bool keep_alive);
 
 /** @return one chunk of a chunked body. @param bytes must not be empty. */
 std::string serialiseChunk(const std::string& bytes);
--- a/libraries/http/test/client_test.cc
+++ b/libraries/http/test/client_test.cc
@@ -56,6 +56,15 @@
     return observer;
   }
 
+  /** Sends the response of serveRaw() byte by byte, each after the client has read the last. */
+  void sendByteByByte(const std::shared_ptr<tcp::socket>& socket, const std::string& bytes) {
+    for (const char byte : bytes) {
+      boost::asio::write(*socket, boost::asio::buffer(&byte, 1));
+      context.restart();
+      context.run_for(std::chrono::milliseconds(1));
+    }
+  }
+
   std::optional<tcp::acceptor> acceptor;
   std::string raw_response;
   bool raw_hold_open = false;
@@ -63,6 +72,18 @@
   std::vector<std::shared_ptr<tcp::socket>> raw_sockets;
 };
 
+TEST_F(ClientTest, ReadsALastChunkThatComesByteByByte) {
+  const base::NodeAddress address = serveRaw("HTTP/1.1 200 OK\r\n", true);
+  const auto observer = std::make_shared<RecordingObserver>();
+  running = client->start(address, {"GET", "/", {}, ""}, {}, observer);
+  ASSERT_TRUE(runUntil([&] { return raw_sockets.size() == 1; }));
+  raw_sockets.front()->set_option(tcp::no_delay(true));
+  sendByteByByte(raw_sockets.front(),
+                 "Transfer-Encoding: chunked\r\n\r\n0\r\nField: value\r\n\r\n");
+  ASSERT_TRUE(runUntil([&] { return observer->ended(); }));
+  EXPECT_EQ(observer->completions, 1);
+}
+
 TEST_F(ClientTest, ReusesAConnectionForTheNextExchange) {
   serveEcho();
   for (int repeat = 0; repeat < 5; ++repeat) {
