HTTP server: what clients send or leave unread is held within a budget

Causes, all in how a connection read its request: - Beast holds chunk sizes, chunk extensions and trailers without any limit until their end comes. - It keeps the fields of an unfinished head parsed: 16 KB of the smallest fields took 190 KB for each connection. - Bodies had a limit each, and none together; `Content-Length` reserved all of it. - A response that nobody read was kept until the kernel gave up, a minute later. - A listener took 10,000 connections whatever the machine has, and closed the newest where it took no more. - A last chunk in pieces failed Beast's assertion and ended the process. - Trailer fields became header fields of the request that is sent on.

Change: `RequestReader` takes memory from the server's budget before it keeps anything: head and announced body at once, chunked bodies as their buffer doubles. Heads are parsed when complete; framing and trailers have the head's limit; trailers are discarded. While a body is awaited no buffer is pinned, so that its memory can be freed at any time. Without room the unfinished request that has been arriving longest, or the response unread for longest, gives way once it is a second old (`ConnectionTable`); it cannot buy time by sending a byte now and then. Else the request is refused before its body is read: 503, new code 3013, Retry-After, which is a promise that it has not run. Requests that are being answered never give way. A full table closes the connection that has waited longest. Clients that take no byte for 30 s are disconnected. All of it is counted (`ServerCounters`).

--- a/libraries/base/include/switchsaddle/base/result_code.h
+++ b/libraries/base/include/switchsaddle/base/result_code.h
@@ -40,6 +40,7 @@
   RetryBudgetSpent = 3010,
   UnknownRoute = 3011,
   QuotaSpent = 3012,
+  RequestMemoryFull = 3013,
   // 4000: one-shot requests.
   OutcomeUnknown = 4001,
   KeyReusedForOtherRequest = 4002,
--- a/libraries/base/source/result_code.cc
+++ b/libraries/base/source/result_code.cc
@@ -47,6 +47,8 @@
     ResultCodeInfo{UnknownRoute, "UnknownRoute", 404, false, "No route takes this host and path."},
     ResultCodeInfo{QuotaSpent, "QuotaSpent", 429, true,
                    "The tenant has used up its quota for now; the request has not run."},
+    ResultCodeInfo{RequestMemoryFull, "RequestMemoryFull", 503, true,
+                   "This node has no memory for the request now; it has not run."},
     ResultCodeInfo{OutcomeUnknown, "OutcomeUnknown", 504, false,
                    "The one-shot may have run; its key will not run again."},
     ResultCodeInfo{KeyReusedForOtherRequest, "KeyReusedForOtherRequest", 409, false,
--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/node_address.h"
+#include "switchsaddle/base/time.h"
 #include "switchsaddle/http/message.h"
 
 namespace boost::asio {
@@ -45,10 +49,43 @@
 struct ServerLimits {
   std::size_t body_bytes = 4U << 20U;
   std::size_t header_bytes = 16U << 10U;
-  /** Maximum number of open connections; further ones are closed. */
+  /**
+   * Maximum number of open connections. A further one takes the place of the connection that has
+   * waited longest without a complete request; if all are being answered, it is closed.
+   */
   std::size_t connections = 10'000;
   /** Time-out of a request's header, and of its body. */
   int header_timeout_s = 15;
+  /**
+   * What the requests and responses of all connections may keep in memory together. A request that
+   * finds no room takes the place of the unfinished one that has been arriving longest; if there is
+   * none, it is rejected before its body is read. Null for no limit.
+   */
+  std::shared_ptr<base::ByteBudget> memory = nullptr;
+  /** Age from which an unfinished request, or an unread response, gives way to others. */
+  base::Duration protected_time = std::chrono::seconds(1);
+  /** Time after which a client that takes no byte of its response is disconnected. */
+  base::Duration write_timeout = std::chrono::seconds(30);
+};
+
+/** What a server has rejected and closed since its start. */
+struct ServerCounters {
+  /** Connections closed at once, since all others were being answered. */
+  std::uint64_t connections_refused = 0;
+  /** Connections closed in favour of new ones while they waited for a request. */
+  std::uint64_t connections_displaced = 0;
+  /** Requests rejected because there was no memory for them. */
+  std::uint64_t requests_refused = 0;
+  /** Unfinished requests and unread responses that gave way to others. */
+  std::uint64_t requests_displaced = 0;
+  /** Requests rejected because they exceed the limit of the body. */
+  std::uint64_t requests_too_large = 0;
+  /** Requests rejected because they are malformed, or exceed the limit of the header. */
+  std::uint64_t requests_malformed = 0;
+  /** Requests that did not arrive within the time-out. */
+  std::uint64_t requests_timed_out = 0;
+  /** Clients disconnected because they did not read their response. */
+  std::uint64_t responses_timed_out = 0;
 };
 
 /**
@@ -66,6 +103,7 @@
   /** Closes each connection after its next response ("Connection: close"); accepts new ones. */
   virtual void closeAfterResponses() = 0;
   virtual std::size_t openConnections() const = 0;
+  virtual ServerCounters counters() const = 0;
 };
 
 /**
--- a/libraries/http/source/server.cc
+++ b/libraries/http/source/server.cc
@@ -16,12 +16,16 @@
 using boost::system::error_code;
 
 constexpr auto AcceptRetryDelay = std::chrono::milliseconds(100);
+constexpr auto StallCheckInterval = std::chrono::seconds(5);
 
 /** Accepts the connections of a server. Runs on its strand. */
 class Listener : public std::enable_shared_from_this<Listener> {
  public:
   Listener(std::shared_ptr<ServerState> server, const base::NodeAddress& address)
-      : server_(std::move(server)), acceptor_(server_->strand), retry_timer_(server_->strand) {
+      : server_(std::move(server)),
+        acceptor_(server_->strand),
+        retry_timer_(server_->strand),
+        stall_timer_(server_->strand) {
     try {
       const tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
       acceptor_.open(endpoint.protocol());
@@ -52,22 +56,47 @@
         });
   }
 
-  void close() {
+  /** Looks at intervals for clients that do not read their response. */
+  void watchStalledClients() {
+    stall_timer_.expires_after(StallCheckInterval);
+    stall_timer_.async_wait([weak = weak_from_this()](const error_code& cancelled) {
+      const auto self = weak.lock();
+      if (!cancelled && self && !self->server_->closed) {
+        self->server_->connections.closeStalled();
+        self->watchStalledClients();
+      }
+    });
+  }
+
+  void stopAccepting() {
     error_code ignored;
     acceptor_.close(ignored);
     retry_timer_.cancel();
   }
 
+  void close() {
+    stopAccepting();
+    stall_timer_.cancel();
+  }
+
  private:
   void addConnection(tcp::socket socket) {
-    if (server_->connections.size() >= server_->limits.connections) {
+    const bool is_full = server_->connections.size() >= server_->limits.connections;
+    if (is_full && !displaceConnection()) {
+      ++server_->counters.connections_refused;
       return;
     }
     auto connection = std::make_shared<ServerConnection>(server_, std::move(socket));
-    server_->connections.insert(connection);
+    server_->connections.add(connection);
     connection->start();
   }
 
+  bool displaceConnection() {
+    const bool is_displaced = server_->connections.displaceConnection();
+    server_->counters.connections_displaced += is_displaced ? 1 : 0;
+    return is_displaced;
+  }
+
   /** Retries after an error such as a lack of file descriptors. */
   void retryAccept() {
     retry_timer_.expires_after(AcceptRetryDelay);
@@ -81,6 +110,7 @@
   std::shared_ptr<ServerState> server_;
   tcp::acceptor acceptor_;
   boost::asio::steady_timer retry_timer_;
+  boost::asio::steady_timer stall_timer_;
   base::NodeAddress address_;
 };
 
@@ -94,27 +124,27 @@
                         std::make_shared<const RequestHandler>(std::move(handler)),
                         false,
                         false,
+                        {},
                         {}})),
         listener_(std::make_shared<Listener>(state_, address)) {
     listener_->accept();
+    listener_->watchStalledClients();
   }
   ~ServerImplementation() override {
     state_->closed = true;
     listener_->close();
-    const auto connections = state_->connections;
-    for (const auto& connection : connections) {
-      connection->close();
-    }
+    state_->connections.closeAll();
     state_->handler.reset();
   }
 
   base::NodeAddress address() const override { return listener_->address(); }
   void stopAccepting() override {
     state_->draining = true;
-    listener_->close();
+    listener_->stopAccepting();
   }
   void closeAfterResponses() override { state_->draining = true; }
   std::size_t openConnections() const override { return state_->connections.size(); }
+  ServerCounters counters() const override { return state_->counters; }
 
  private:
   std::shared_ptr<ServerState> state_;
--- a/libraries/http/source/server_connection.cc
+++ b/libraries/http/source/server_connection.cc
@@ -5,11 +5,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/rfc7230.hpp>
 #include <cerrno>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -37,9 +38,18 @@
 constexpr int UserTimeoutMilliseconds = 60'000;
 /** Maximum number of chunks in one gathered write. */
 constexpr std::size_t BatchWrites = 16;
+/** Maximum number of bytes passed to the kernel in one call. */
+constexpr std::size_t WriteBytes = 64U << 10U;
 constexpr unsigned Http11 = 11;
+constexpr const char* RetryAfterSeconds = "1";
 constexpr std::uint16_t StatusNoContent = 204;
 constexpr std::uint16_t StatusNotModified = 304;
+/** End of a head. */
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+/** Pieces of a body that are read in one turn, so that other connections get theirs. */
+constexpr int PiecesPerTurn = 16;
+/** Small, since bytes that have arrived but are not read use memory of the machine too. */
+constexpr int ReceiveBufferBytes = 32 << 10;
 constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 void setConnectionOptions(asio::ip::tcp::socket& socket) {
@@ -48,6 +58,15 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
+  socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ignored);
+  socket.non_blocking(true, ignored);
+}
+
+/** @return whether the first byte may be that of a method or of an empty line before it. */
+bool startsLikeRequest(const boost::beast::flat_buffer& buffer) {
+  const char first = buffer.size() == 0 ? '\r' : *static_cast<const char*>(buffer.data().data());
+  const bool is_visible = first > ' ' && first < '\x7f';
+  return is_visible || first == '\r' || first == '\n';
 }
 
 /** @return whether requests with this method change nothing (RFC 9110, section 9.2.1). */
@@ -55,22 +74,21 @@
   return method == "GET" || method == "HEAD" || method == "OPTIONS" || method == "TRACE";
 }
 
-Request toRequest(beast_http::request<beast_http::string_body> parsed) {
-  Request request;
-  request.method = std::string(parsed.method_string());
-  request.target = std::string(parsed.target());
-  for (const auto& field : parsed) {
-    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
-  request.body = std::move(parsed.body());
-  return request;
+/** @return the response to a request for which there is no memory; it has not run. */
+Response memoryResponse() {
+  Response response = errorResponse(base::ResultCode::RequestMemoryFull);
+  response.headers.push_back({"Retry-After", RetryAfterSeconds});
+  return response;
 }
 
 }  // namespace
 
 ServerConnection::ServerConnection(std::shared_ptr<ServerState> server,
                                    asio::ip::tcp::socket socket)
-    : server_(std::move(server)), socket_(std::move(socket)), timer_(server_->strand) {}
+    : server_(std::move(server)),
+      socket_(std::move(socket)),
+      timer_(server_->strand),
+      buffer_(server_->limits.header_bytes + ReadAheadBytes) {}
 
 void ServerConnection::start() {
   setConnectionOptions(socket_);
@@ -86,7 +104,9 @@
     return;
   }
   const bool was_in_exchange = inExchange();
-  phase_ = Phase::Closed;
+  enter(Phase::Closed);
+  reader_.reset();
+  memory_.reset();
   presence_->leave();
   timer_.cancel();
   error_code ignored;
@@ -101,7 +121,41 @@
   if (was_in_exchange && disconnected && !server_->closed) {
     asio::post(server_->strand, std::move(disconnected));
   }
-  server_->connections.erase(shared_from_this());
+  server_->connections.remove(shared_from_this());
+}
+
+void ServerConnection::enter(Phase phase) {
+  phase_ = phase;
+  phase_start_ = ConnectionTable::Clock::now();
+}
+
+bool ServerConnection::isWaiting() const {
+  return phase_ == Phase::Idle || phase_ == Phase::Reading || phase_ == Phase::Lingering;
+}
+
+bool ServerConnection::isOverdue(ConnectionTable::Clock::time_point now) const {
+  const bool may_be_overdue = phase_ == Phase::Reading || phase_ == Phase::Finishing;
+  return may_be_overdue && now - phase_start_ >= server_->limits.protected_time;
+}
+
+void ServerConnection::displaceRequest() {
+  ++server_->counters.requests_displaced;
+  if (phase_ == Phase::Reading) {
+    reject(memoryResponse());
+  } else {
+    close();
+  }
+}
+
+void ServerConnection::closeIfStalled(ConnectionTable::Clock::time_point now) {
+  if (writing_ && now - write_progress_ >= server_->limits.write_timeout) {
+    ++server_->counters.responses_timed_out;
+    close();
+  }
+}
+
+bool ServerConnection::isReading(std::uint64_t last_exchange) const {
+  return phase_ == Phase::Reading && reader_ && last_exchange == exchange_;
 }
 
 bool ServerConnection::isCurrent(std::uint64_t exchange) const {
@@ -110,9 +164,10 @@
 }
 
 void ServerConnection::awaitRequest() {
-  phase_ = Phase::Idle;
+  enter(Phase::Idle);
+  memory_.reset();
   if (buffer_.size() > 0 && !reading_ahead_) {
-    readHead();
+    startRequest();
     return;
   }
   if (buffer_.size() > 0) {
@@ -128,12 +183,13 @@
 }
 
 void ServerConnection::readAhead() {
-  const bool full = buffer_.size() >= ReadAheadBytes;
+  const bool full = phase_ != Phase::Reading && buffer_.size() >= ReadAheadBytes;
   if (reading_ahead_ || full) {
     return;
   }
   reading_ahead_ = true;
-  socket_.async_read_some(buffer_.prepare(ReadAheadBytes),
+  const std::size_t room = std::min(ReadAheadBytes, buffer_.max_size() - buffer_.size());
+  socket_.async_read_some(buffer_.prepare(room),
                           [self = shared_from_this()](const error_code& error, std::size_t bytes) {
                             self->onReadAhead(error, bytes);
                           });
@@ -156,6 +212,8 @@
   }
   buffer_.commit(bytes);
   if (phase_ == Phase::Idle) {
+    startRequest();
+  } else if (phase_ == Phase::Reading) {
     readHead();
   } else if (phase_ == Phase::Lingering) {
     buffer_.clear();
@@ -165,25 +223,56 @@
   }
 }
 
-void ServerConnection::readHead() {
-  phase_ = Phase::Reading;
+void ServerConnection::startRequest() {
+  enter(Phase::Reading);
   first_request_ = false;
-  parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(server_->limits.header_bytes));
-  parser_->body_limit(server_->limits.body_bytes);
+  searched_bytes_ = 0;
+  reader_.emplace(server_->limits);
+  memory_ = reader_->memory();
   armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
-  beast_http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& error, std::size_t) { self->onHead(error); });
+  readHead();
+}
+
+bool ServerConnection::isHeadComplete() {
+  const std::string_view bytes(static_cast<const char*>(buffer_.data().data()), buffer_.size());
+  const bool is_found = bytes.find(HeadEnd, searched_bytes_) != std::string_view::npos;
+  searched_bytes_ = bytes.size() - std::min(bytes.size(), HeadEnd.size() - 1);
+  return is_found;
+}
+
+void ServerConnection::readHead() {
+  const bool exceeds_limit = buffer_.size() > server_->limits.header_bytes;
+  if (isHeadComplete() || exceeds_limit || !startsLikeRequest(buffer_)) {
+    parseHead();
+  } else {
+    readAhead();
+  }
+}
+
+void ServerConnection::parseHead() {
+  if (!handleReadError(reader_->parseHead(buffer_))) {
+    onHead();
+  }
+}
+
+template <class Action>
+bool ServerConnection::withMemory(Action action) {
+  while (!action()) {
+    if (!server_->connections.displaceRequest(*this)) {
+      ++server_->counters.requests_refused;
+      reject(memoryResponse());
+      return false;
+    }
+  }
+  return true;
 }
 
-void ServerConnection::onHead(const error_code& error) {
-  if (phase_ == Phase::Closed || handleReadError(error)) {
+void ServerConnection::onHead() {
+  if (!withMemory([this] { return reader_->takeHead(); })) {
     return;
   }
-  const bool continue_expected =
-      beast_http::token_list(parser_->get()[beast_http::field::expect]).exists("100-continue");
-  if (continue_expected && !parser_->is_done()) {
+  armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
+  if (reader_->expectsContinue()) {
     sendContinue();
   } else {
     readBody();
@@ -191,35 +280,90 @@
 }
 
 void ServerConnection::sendContinue() {
+  writing_ = true;
+  write_progress_ = ConnectionTable::Clock::now();
   asio::async_write(socket_, asio::buffer(Continue),
                     [self = shared_from_this()](const error_code& failure, std::size_t) {
-                      if (failure) {
-                        self->close();
-                      } else if (self->phase_ != Phase::Closed) {
-                        self->readBody();
-                      }
+                      self->onContinueWritten(failure);
                     });
 }
 
-void ServerConnection::readBody() {
-  armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
-  beast_http::async_read(socket_, buffer_, *parser_,
-                         [self = shared_from_this()](const error_code& error, std::size_t) {
-                           self->onRequest(error);
-                         });
+void ServerConnection::onContinueWritten(const error_code& error) {
+  writing_ = false;
+  if (error) {
+    close();
+  } else if (phase_ == Phase::Reading) {
+    readBody();
+  } else if (!queue_.empty()) {
+    // The request has been rejected meanwhile.
+    write();
+  }
 }
 
-void ServerConnection::onRequest(const error_code& error) {
-  if (phase_ == Phase::Closed || handleReadError(error)) {
+void ServerConnection::readBody() {
+  for (int pieces = 0; pieces < PiecesPerTurn && !reader_->isComplete(); ++pieces) {
+    if (!readPiece()) {
+      return;
+    }
+  }
+  if (reader_->isComplete()) {
+    onRequest();
     return;
   }
+  asio::post(server_->strand, [self = shared_from_this(), request = exchange_] {
+    if (self->isReading(request)) {
+      self->readBody();
+    }
+  });
+}
+
+bool ServerConnection::readPiece() {
+  if (!withMemory([this] { return reader_->prepareBody(); })) {
+    return false;
+  }
+  const error_code error = reader_->parseBody(buffer_);
+  return error == beast_http::error::need_more ? receiveMore() : !handleReadError(error);
+}
+
+bool ServerConnection::receiveMore() {
+  const std::size_t room = buffer_.max_size() - buffer_.size();
+  if (room == 0) {
+    // A line of the chunks' framing, or the trailer, is longer than a head may be.
+    return !handleReadError(beast_http::error::header_limit);
+  }
+  error_code error;
+  buffer_.commit(socket_.read_some(buffer_.prepare(room), error));
+  if (error == asio::error::would_block) {
+    awaitBody();
+    return false;
+  }
+  return !handleReadError(error);
+}
+
+void ServerConnection::awaitBody() {
+  // Waiting without a buffer lets the memory of the request be freed at any time.
+  socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                     [self = shared_from_this(), request = exchange_](const error_code& error) {
+                       if (!self->isReading(request)) {
+                         return;
+                       }
+                       if (error) {
+                         self->close();
+                       } else {
+                         self->readBody();
+                       }
+                     });
+}
+
+void ServerConnection::onRequest() {
   timer_.cancel();
-  const unsigned version = parser_->get().version();
-  keep_alive_ = parser_->get().keep_alive();
-  head_only_ = parser_->get().method() == beast_http::verb::head;
+  const auto& head = reader_->head();
+  const unsigned version = head.version();
+  keep_alive_ = head.keep_alive();
+  head_only_ = head.method() == beast_http::verb::head;
   framing_ = version >= Http11 ? BodyFraming::Chunked : BodyFraming::UntilClose;
-  Request request = toRequest(parser_->release());
-  parser_.reset();
+  Request request = reader_->release();
+  reader_.reset();
   callHandler(std::move(request));
 }
 
@@ -235,7 +379,7 @@
     presence_->leave();
   }
   request.client = presence_;
-  phase_ = Phase::Awaiting;
+  enter(Phase::Awaiting);
   const std::uint64_t exchange = ++exchange_;
   readAhead();
   auto writer =
@@ -264,22 +408,27 @@
   if (!is_parse_error || is_truncated) {
     close();
   } else if (error == beast_http::error::body_limit) {
+    ++server_->counters.requests_too_large;
     reject(errorResponse(base::ResultCode::BodyTooLarge));
   } else {
+    ++server_->counters.requests_malformed;
     reject(errorResponse(base::ResultCode::MalformedHttp, error.message()));
   }
   return true;
 }
 
 void ServerConnection::reject(const Response& response) {
-  phase_ = Phase::Finishing;
+  enter(Phase::Finishing);
+  reader_.reset();
+  memory_.reset();
   keep_alive_ = false;
   armTimer(std::chrono::seconds(server_->limits.header_timeout_s));
   enqueue(serialiseHead(response, BodyFraming::ContentLength, false) + response.body, nullptr);
 }
 
 void ServerConnection::linger() {
-  phase_ = Phase::Lingering;
+  enter(Phase::Lingering);
+  memory_.reset();
   armTimer(LingerTimeout);
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -299,19 +448,36 @@
 void ServerConnection::armTimer(std::chrono::seconds delay) {
   timer_.arm(delay, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
-      self->close();
+      self->onTimeout();
     }
   });
 }
 
+void ServerConnection::onTimeout() {
+  server_->counters.requests_timed_out += phase_ == Phase::Reading ? 1 : 0;
+  close();
+}
+
+void ServerConnection::countResponse(std::size_t bytes) {
+  if (!memory_) {
+    return;
+  }
+  memory_->forceTo(bytes);
+  while (server_->limits.memory->isExceeded() && server_->connections.displaceRequest(*this)) {
+  }
+}
+
 void ServerConnection::respond(Response response) {
-  phase_ = Phase::Finishing;
+  enter(Phase::Finishing);
   keep_alive_ = keep_alive_ && !server_->draining;
   const bool bodiless = response.status == StatusNoContent || response.status == StatusNotModified;
   std::string bytes = serialiseHead(
       response, bodiless ? BodyFraming::None : BodyFraming::ContentLength, keep_alive_);
-  if (!bodiless && !head_only_) {
-    bytes += response.body;
+  const bool has_body = !bodiless && !head_only_ && !response.body.empty();
+  countResponse(bytes.size() + (has_body ? response.body.size() : 0));
+  if (has_body) {
+    queue_.push_back({std::move(bytes), nullptr});
+    bytes = std::move(response.body);
   }
   enqueue(std::move(bytes), nullptr);
 }
@@ -320,7 +486,8 @@
   if (phase_ != Phase::Awaiting) {
     return;
   }
-  phase_ = Phase::Streaming;
+  enter(Phase::Streaming);
+  memory_.reset();
   error_code ignored;
   socket_.set_option(asio::socket_base::send_buffer_size(StreamSendBufferBytes), ignored);
   keep_alive_ = keep_alive_ && !server_->draining && framing_ == BodyFraming::Chunked;
@@ -339,7 +506,7 @@
   if (phase_ != Phase::Streaming) {
     return;
   }
-  phase_ = Phase::Finishing;
+  enter(Phase::Finishing);
   const bool chunked = framing_ == BodyFraming::Chunked && !head_only_;
   enqueue(chunked ? std::string(LastChunk) : std::string(), nullptr);
 }
@@ -379,10 +546,14 @@
     buffers.push_back(asio::buffer(pending.bytes));
   }
   writing_ = true;
-  asio::async_write(socket_, buffers,
-                    [self = shared_from_this(), batch](const error_code& error, std::size_t) {
-                      self->onWritten(error, *batch);
-                    });
+  const auto self = shared_from_this();
+  const auto note_progress = [self](const error_code& error, std::size_t) -> std::size_t {
+    self->write_progress_ = ConnectionTable::Clock::now();
+    return error ? 0 : WriteBytes;
+  };
+  asio::async_write(
+      socket_, buffers, note_progress,
+      [self, batch](const error_code& error, std::size_t) { self->onWritten(error, *batch); });
 }
 
 void ServerConnection::onWritten(const error_code& error, std::vector<PendingWrite>& batch) {
--- a/libraries/http/source/server_connection.h
+++ b/libraries/http/source/server_connection.h
@@ -5,15 +5,14 @@
 
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <deque>
 #include <memory>
 #include <optional>
-#include <set>
 #include <vector>
 
+#include "connection_table.h"
 #include "deadline_timer.h"
+#include "request_reader.h"
 #include "serialise.h"
 #include "switchsaddle/http/server.h"
 
@@ -21,8 +20,6 @@
 
 using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
-class ServerConnection;
-
 /** State shared by a server and its connections; outlives the server while connections exist. */
 struct ServerState {
   Strand strand;
@@ -33,7 +30,8 @@
   bool closed = false;
   /** Connections close after their next response. */
   bool draining = false;
-  std::set<std::shared_ptr<ServerConnection>> connections;
+  ConnectionTable connections;
+  ServerCounters counters;
 };
 
 /**
@@ -41,7 +39,11 @@
  * to the last has been written. While the response is awaited, the connection reads ahead a limited
  * number of bytes in order to detect a disconnect. Before a request that may change something is
  * handled, the connection looks whether its client has closed it meanwhile, as it may have while
- * this process was frozen; the request's ClientPresence tells. Runs on the server's strand.
+ * this process was frozen; the request's ClientPresence tells.
+ *
+ * Invariant: beside a fixed amount for each connection, what a client sends or does not read is
+ * held only in memory taken from the server's budget. A head is parsed once it is complete, since
+ * the parsed fields need much more memory than their bytes. Runs on the server's strand.
  */
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
@@ -62,6 +64,20 @@
   void postWritten(std::function<void(bool)> written, bool result);
   bool streaming() const { return phase_ == Phase::Streaming; }
 
+  // The functions of ConnectionTable.
+  /** @return when the current phase began. */
+  ConnectionTable::Clock::time_point phaseStart() const { return phase_start_; }
+  /** @return whether the connection has no complete request and no response to write. */
+  bool isWaiting() const;
+  /** @return whether a request is arriving, or a response is being read, beyond the protected time.
+   */
+  bool isOverdue(ConnectionTable::Clock::time_point now) const;
+  bool holdsMemory() const { return memory_ && memory_->held() > 0; }
+  /** Rejects the unfinished request, or disconnects the client that does not read. */
+  void displaceRequest();
+  /** Disconnects the client if it has taken no byte of its response for the write time-out. */
+  void closeIfStalled(ConnectionTable::Clock::time_point now);
+
  private:
   enum class Phase : std::uint8_t {
     /** No byte of the next request has been received. */
@@ -82,17 +98,35 @@
     std::string bytes;
     std::function<void(bool)> written;
   };
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   bool inExchange() const;
+  /** @return whether the request after the exchange with this number is still being read. */
+  bool isReading(std::uint64_t last_exchange) const;
+  void enter(Phase phase);
   void awaitRequest();
   void readAhead();
   void onReadAhead(const boost::system::error_code& error, std::size_t bytes);
+  void startRequest();
+  /** Parses the head once it is complete, else reads on. */
   void readHead();
-  void onHead(const boost::system::error_code& error);
+  bool isHeadComplete();
+  void parseHead();
+  void onHead();
+  /** Reads what has arrived of the body, then waits for more. */
   void readBody();
-  void onRequest(const boost::system::error_code& error);
+  /** @return false if the connection waits for more bytes, or the request has been rejected. */
+  bool readPiece();
+  /** Reads further bytes into the buffer. @return as readPiece(). */
+  bool receiveMore();
+  void awaitBody();
+  void onRequest();
+  /**
+   * Calls the action until the budget has room for it, while other requests can give way.
+   * @return whether it had room; if not, the request has been rejected.
+   */
+  template <class Action>
+  bool withMemory(Action action);
   void sendContinue();
+  void onContinueWritten(const boost::system::error_code& error);
   void callHandler(Request request);
   /** @return whether the client has closed its sending side or reset the connection. */
   bool hasClientClosed();
@@ -104,6 +138,10 @@
   void readLingering();
   /** Closes the connection after the delay. */
   void armTimer(std::chrono::seconds delay);
+  /** Closes a connection whose client did not send a request in time. */
+  void onTimeout();
+  /** Counts the response, in place of the request that it answers, and makes room for it. */
+  void countResponse(std::size_t bytes);
   void enqueue(std::string bytes, std::function<void(bool)> written);
   void write();
   std::vector<PendingWrite> popBatch();
@@ -114,8 +152,13 @@
   boost::asio::ip::tcp::socket socket_;
   DeadlineTimer timer_;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  /** Bytes of the head that were searched for its end. */
+  std::size_t searched_bytes_ = 0;
+  std::optional<RequestReader> reader_;
+  /** What is counted for the request or response in progress; null if nothing is counted. */
+  base::ByteReservationPtr memory_;
   Phase phase_ = Phase::Idle;
+  ConnectionTable::Clock::time_point phase_start_ = ConnectionTable::Clock::now();
   bool reading_ahead_ = false;
   /** Number of the last exchange started. */
   std::uint64_t exchange_ = 0;
@@ -126,6 +169,8 @@
   BodyFraming framing_ = BodyFraming::Chunked;
   std::deque<PendingWrite> queue_;
   bool writing_ = false;
+  /** When the client last took bytes of a response. */
+  ConnectionTable::Clock::time_point write_progress_;
   std::function<void()> client_disconnected_;
   std::shared_ptr<ClientPresence> presence_ = std::make_shared<ClientPresence>();
   std::size_t lingered_bytes_ = 0;
