Transport: unfinished frames of all peers have one limit, connections give way

Change: buffers above 16 KiB count against `receive_bytes`; where there is no room the connection that has delivered no message for the longest time is closed, also when there are too many connections. Nodes that speak deliver messages all the time. The queues of several destinations share one frame's bytes: a configuration sent to all nodes is kept once.

--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -23,7 +23,11 @@
   /** Maximum size of the queue of one destination; if it is exceeded, the oldest frames are
    * dropped. */
   std::size_t queue_bytes = 64U << 20U;
-  /** Maximum number of incoming connections; further ones are closed. */
+  /** What the unfinished frames of all incoming connections may use together; a frame that finds
+   * no room takes the place of those whose connections have delivered none for the longest time. */
+  std::size_t receive_bytes = 256U << 20U;
+  /** Maximum number of incoming connections; a further one takes the place of the one that has
+   * delivered no frame for the longest time. */
   std::size_t incoming_connections = 8192;
   base::Duration connect_timeout = std::chrono::seconds(1);
   /** TCP_USER_TIMEOUT: time for which sent bytes may stay unacknowledged. */
@@ -49,6 +53,8 @@
   /** Envelopes whose receiver threw an exception. */
   std::uint64_t failed_deliveries = 0;
   std::uint64_t refused_connections = 0;
+  /** Incoming connections closed because another connection or its frame needed the room. */
+  std::uint64_t displaced_connections = 0;
 };
 
 /**
--- a/libraries/transport/source/frame_queue.cc
+++ b/libraries/transport/source/frame_queue.cc
@@ -13,22 +13,22 @@
 }  // namespace
 
 std::size_t FrameQueue::push(QueuedFrame frame, std::size_t limit_bytes) {
-  bytes_ += frame.bytes.size();
+  bytes_ += frame.bytes->size();
   frames_.push_back(std::move(frame));
   std::size_t dropped = 0;
   while (bytes_ > limit_bytes && !frames_.empty()) {
-    bytes_ -= frames_.front().bytes.size();
+    bytes_ -= frames_.front().bytes->size();
     frames_.pop_front();
     ++dropped;
   }
   return dropped;
 }
 
-std::vector<std::string> FrameQueue::popBatch() {
-  std::vector<std::string> batch;
+std::vector<FramePtr> FrameQueue::popBatch() {
+  std::vector<FramePtr> batch;
   std::size_t batch_bytes = 0;
   while (!frames_.empty() && batch.size() < BatchFrames && batch_bytes < BatchBytes) {
-    batch_bytes += frames_.front().bytes.size();
+    batch_bytes += frames_.front().bytes->size();
     batch.push_back(std::move(frames_.front().bytes));
     frames_.pop_front();
   }
--- a/libraries/transport/source/frame_queue.h
+++ b/libraries/transport/source/frame_queue.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -9,9 +10,12 @@
 
 namespace switchsaddle::transport {
 
-/** An encoded frame and the identity of its envelope. */
+/** An encoded frame; the queues of all its destinations share it. */
+using FramePtr = std::shared_ptr<const std::string>;
+
+/** A frame and the identity of its envelope. */
 struct QueuedFrame {
-  std::string bytes;
+  FramePtr bytes;
   RefusedEnvelope envelope;
 };
 
@@ -24,8 +28,8 @@
    */
   std::size_t push(QueuedFrame frame, std::size_t limit_bytes);
 
-  /** Removes the frames of one gathered write. @return their bytes. */
-  std::vector<std::string> popBatch();
+  /** Removes the frames of one gathered write. @return them in order. */
+  std::vector<FramePtr> popBatch();
 
   /** Removes all frames. @return them in order. */
   std::deque<QueuedFrame> clear();
--- a/libraries/transport/source/tcp_incoming_connection.cc
+++ b/libraries/transport/source/tcp_incoming_connection.cc
@@ -2,10 +2,12 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "frame.h"
 #include "socket_options.h"
+#include "tcp_listener.h"
 
 namespace switchsaddle::transport {
 
@@ -24,12 +26,17 @@
 }  // namespace
 
 TcpTransport::IncomingConnection::IncomingConnection(std::shared_ptr<Shared> shared,
-                                                     tcp::socket socket, ClosedCallback on_closed)
+                                                     tcp::socket socket,
+                                                     std::weak_ptr<Listener> listener)
     : shared_(std::move(shared)),
       socket_(std::move(socket)),
-      on_closed_(std::move(on_closed)),
+      listener_(std::move(listener)),
       read_bytes_(SmallReadBytes) {}
 
+TcpTransport::IncomingConnection::~IncomingConnection() {
+  releaseReserved();
+}
+
 void TcpTransport::IncomingConnection::start() {
   setConnectionOptions(socket_, shared_->options.user_timeout);
   read();
@@ -40,8 +47,21 @@
   socket_.close(ignored);
 }
 
+void TcpTransport::IncomingConnection::discard() {
+  close();
+  releaseReserved();
+}
+
+void TcpTransport::IncomingConnection::releaseReserved() {
+  shared_->receive_bytes -= std::exchange(reserved_bytes_, 0);
+}
+
 void TcpTransport::IncomingConnection::read() {
   const std::size_t filled = buffer_.size();
+  if (!reserveBuffer(filled + read_bytes_)) {
+    finish();
+    return;
+  }
   buffer_.resize(filled + read_bytes_);
   socket_.async_read_some(
       boost::asio::buffer(buffer_.data() + filled, read_bytes_),
@@ -52,6 +72,23 @@
       });
 }
 
+bool TcpTransport::IncomingConnection::reserveBuffer(std::size_t bytes) {
+  if (bytes <= buffer_.capacity()) {
+    return true;
+  }
+  const std::size_t capacity = std::max(bytes, 2 * buffer_.capacity());
+  const std::size_t wanted = capacity > RetainedBufferBytes ? capacity : 0;
+  const std::shared_ptr<Listener> listener = listener_.lock();
+  if (wanted > reserved_bytes_ &&
+      (!listener || !listener->makeRoom(wanted - reserved_bytes_, *this))) {
+    return false;
+  }
+  shared_->receive_bytes += wanted - reserved_bytes_;
+  reserved_bytes_ = wanted;
+  buffer_.reserve(capacity);
+  return true;
+}
+
 void TcpTransport::IncomingConnection::onRead(const error_code& error) {
   if (shared_->closed) {
     return;
@@ -60,9 +97,14 @@
     read();
     return;
   }
+  finish();
+}
+
+void TcpTransport::IncomingConnection::finish() {
   close();
-  if (!shared_->closed) {
-    on_closed_(shared_from_this());
+  const std::shared_ptr<Listener> listener = listener_.lock();
+  if (listener && !shared_->closed) {
+    listener->remove(shared_from_this());
   }
 }
 
@@ -95,6 +137,7 @@
     ++shared_->counters.malformed_frames;
     return false;
   }
+  last_frame_ = Clock::now();
   ++shared_->counters.frames_received;
   shared_->counters.bytes_received += LengthBytes + body.size();
   if (shared_->receiver == nullptr) {
@@ -116,6 +159,7 @@
 void TcpTransport::IncomingConnection::shrinkBuffer() {
   if (buffer_.empty() && buffer_.capacity() > RetainedBufferBytes) {
     buffer_.shrink_to_fit();
+    releaseReserved();
   }
 }
 
--- a/libraries/transport/source/tcp_incoming_connection.h
+++ b/libraries/transport/source/tcp_incoming_connection.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
-#include <functional>
+#include <chrono>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -16,18 +16,32 @@
  */
 class TcpTransport::IncomingConnection : public std::enable_shared_from_this<IncomingConnection> {
  public:
-  using ClosedCallback = std::function<void(const std::shared_ptr<IncomingConnection>&)>;
+  using Clock = std::chrono::steady_clock;
 
-  /** @param on_closed called when the connection ends for a reason other than close(). */
+  /** @param listener owns the connection while it is open. */
   IncomingConnection(std::shared_ptr<Shared> shared, boost::asio::ip::tcp::socket socket,
-                     ClosedCallback on_closed);
+                     std::weak_ptr<Listener> listener);
+  ~IncomingConnection();
+  IncomingConnection(const IncomingConnection&) = delete;
+  IncomingConnection& operator=(const IncomingConnection&) = delete;
 
   void start();
   void close();
+  /** Closes the connection and gives back what its buffer takes. */
+  void discard();
+  /** @return when the last frame was delivered, or the connection was opened. */
+  Clock::time_point lastFrame() const { return last_frame_; }
+  /** @return whether an unfinished frame uses more than the connection's own buffer. */
+  bool holdsFrame() const { return reserved_bytes_ > 0; }
 
  private:
   void read();
+  /** Makes room for the next read. @return false if there is none. */
+  bool reserveBuffer(std::size_t bytes);
+  void releaseReserved();
   void onRead(const boost::system::error_code& error);
+  /** Closes the connection and removes it from the listener. */
+  void finish();
   /** Delivers all complete frames of the buffer; @return whether the connection stays open. */
   bool deliverFrames();
   /** Decodes and delivers one frame; @return whether the connection stays open. */
@@ -39,7 +53,10 @@
 
   std::shared_ptr<Shared> shared_;
   boost::asio::ip::tcp::socket socket_;
-  ClosedCallback on_closed_;
+  std::weak_ptr<Listener> listener_;
+  Clock::time_point last_frame_ = Clock::now();
+  /** What the buffer takes of Shared::receive_bytes. */
+  std::size_t reserved_bytes_ = 0;
   /** Bytes received and not yet delivered. */
   std::string buffer_;
   /** Size of the next read. */
--- a/libraries/transport/source/tcp_listener.cc
+++ b/libraries/transport/source/tcp_listener.cc
@@ -64,20 +64,48 @@
 }
 
 void TcpTransport::Listener::addConnection(tcp::socket socket) {
-  if (connections_.size() >= shared_->options.incoming_connections) {
+  const bool is_full = connections_.size() >= shared_->options.incoming_connections;
+  if (is_full && !displace(nullptr)) {
     return;
   }
-  auto connection = std::make_shared<IncomingConnection>(
-      shared_, std::move(socket),
-      [weak = weak_from_this()](const std::shared_ptr<IncomingConnection>& closed) {
-        if (const auto self = weak.lock()) {
-          self->connections_.erase(closed);
-        }
-      });
+  auto connection =
+      std::make_shared<IncomingConnection>(shared_, std::move(socket), weak_from_this());
   connections_.insert(connection);
   connection->start();
 }
 
+void TcpTransport::Listener::remove(const std::shared_ptr<IncomingConnection>& connection) {
+  connections_.erase(connection);
+}
+
+bool TcpTransport::Listener::makeRoom(std::size_t bytes, const IncomingConnection& requester) {
+  while (shared_->receive_bytes + bytes > shared_->options.receive_bytes) {
+    if (!displace(&requester)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool TcpTransport::Listener::displace(const IncomingConnection* requester) {
+  std::shared_ptr<IncomingConnection> oldest;
+  for (const auto& connection : connections_) {
+    const bool is_spared =
+        requester != nullptr && (connection.get() == requester || !connection->holdsFrame());
+    const bool is_older = !oldest || connection->lastFrame() < oldest->lastFrame();
+    if (!is_spared && is_older) {
+      oldest = connection;
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  ++shared_->counters.displaced_connections;
+  oldest->discard();
+  connections_.erase(oldest);
+  return true;
+}
+
 void TcpTransport::Listener::retryAccept() {
   retry_timer_.expires_after(AcceptRetryDelay);
   retry_timer_.async_wait([self = shared_from_this()](const error_code&) {
--- a/libraries/transport/source/tcp_listener.h
+++ b/libraries/transport/source/tcp_listener.h
@@ -23,9 +23,23 @@
   void accept();
   /** Closes the listening socket and all connections. */
   void close();
+  /** Removes a connection that has ended. */
+  void remove(const std::shared_ptr<IncomingConnection>& connection);
+  /**
+   * Makes room for a frame by closing the connections whose unfinished frames are oldest.
+   * @param requester is spared.
+   * @return whether the bytes are within the limit.
+   */
+  bool makeRoom(std::size_t bytes, const IncomingConnection& requester);
 
  private:
   void addConnection(boost::asio::ip::tcp::socket socket);
+  /**
+   * Closes the connection that has delivered no frame for the longest time.
+   * @param requester is spared, as are connections without an unfinished frame if it is given.
+   * @return false if there is none.
+   */
+  bool displace(const IncomingConnection* requester);
   /** Retries after an error such as a lack of file descriptors. */
   void retryAccept();
 
--- a/libraries/transport/source/tcp_outgoing_connection.cc
+++ b/libraries/transport/source/tcp_outgoing_connection.cc
@@ -142,10 +142,10 @@
   }
   writing_ = true;
   used_ = true;
-  const auto frames = std::make_shared<std::vector<std::string>>(queue_.popBatch());
+  const auto frames = std::make_shared<std::vector<FramePtr>>(queue_.popBatch());
   std::vector<boost::asio::const_buffer> buffers;
-  for (const std::string& frame : *frames) {
-    buffers.push_back(boost::asio::buffer(frame));
+  for (const FramePtr& frame : *frames) {
+    buffers.push_back(boost::asio::buffer(*frame));
   }
   boost::asio::async_write(socket_, buffers,
                            [self = shared_from_this(), attempt = attempt_, frames](
--- a/libraries/transport/source/tcp_transport.cc
+++ b/libraries/transport/source/tcp_transport.cc
@@ -50,7 +50,7 @@
     shared_->counters.frames_dropped += peers.size();
     return;
   }
-  const std::string frame = makeFrame(bytes);
+  const auto frame = std::make_shared<const std::string>(makeFrame(bytes));
   for (const base::NodeAddress& peer : peers) {
     connectionTo(peer).send({frame, {envelope.kind, envelope.request_id}});
   }
--- a/libraries/transport/source/tcp_transport_state.h
+++ b/libraries/transport/source/tcp_transport_state.h
@@ -20,6 +20,8 @@
   base::NodeAddress local;
   Receiver* receiver = nullptr;
   TcpTransportCounters counters;
+  /** Bytes reserved for unfinished frames of all incoming connections. */
+  std::size_t receive_bytes = 0;
   /** The transport has been destroyed. */
   bool closed = false;
 };
--- a/libraries/transport/test/tcp_transport_test.cc
+++ b/libraries/transport/test/tcp_transport_test.cc
@@ -86,6 +86,46 @@
   }));
 }
 
+TEST_F(TcpTransportTest, TheOldestUnfinishedFrameGivesWay) {
+  TcpTransportOptions options;
+  options.frame_bytes = 1U << 20U;
+  options.receive_bytes = 2U << 20U;
+  const auto transport = make("127.0.2.2", options);
+  transport->setReceiver(&receiver);
+  const std::string unfinished = std::string("\x00\x10\x00\x00", 4) + std::string(900'000, 'f');
+  std::vector<tcp::socket> sockets;
+  for (int count = 0; count < 3; ++count) {
+    sockets.push_back(connectRaw(*transport));
+    bool is_written = false;
+    boost::asio::async_write(
+        sockets.back(), boost::asio::buffer(unfinished),
+        [&](const boost::system::error_code&, std::size_t) { is_written = true; });
+    ASSERT_TRUE(runUntil([&] { return is_written; }));
+  }
+  EXPECT_TRUE(closedByPeer(sockets.front()));
+  EXPECT_GE(transport->counters().displaced_connections, 1U);
+  // A node that speaks the protocol is still heard.
+  const auto sender = make("127.0.2.1");
+  sender->send(transport->localAddress(), numbered(*sender, 7, std::string(500'000, 'x')));
+  EXPECT_TRUE(runUntil([&] { return receiver.envelopes.size() == 1; }));
+}
+
+TEST_F(TcpTransportTest, TheConnectionWithoutFramesForLongestGivesWay) {
+  TcpTransportOptions options;
+  options.incoming_connections = 2;
+  const auto transport = make("127.0.2.2", options);
+  transport->setReceiver(&receiver);
+  const auto sender = make("127.0.2.1");
+  tcp::socket first = connectRaw(*transport);
+  sender->send(transport->localAddress(), numbered(*sender, 1, "a"));
+  ASSERT_TRUE(runUntil([&] { return receiver.envelopes.size() == 1; }));
+  tcp::socket second = connectRaw(*transport);
+  EXPECT_TRUE(closedByPeer(first));
+  sender->send(transport->localAddress(), numbered(*sender, 2, "b"));
+  EXPECT_TRUE(runUntil([&] { return receiver.envelopes.size() == 2; }));
+  EXPECT_EQ(transport->counters().displaced_connections, 1U);
+}
+
 TEST_F(TcpTransportTest, ClosesAConnectionWithoutAcknowledgements) {
   TcpTransportOptions options;
   options.user_timeout = std::chrono::milliseconds(200);
