JSON: a document of the smallest values is refused before it is parsed

Cause: a value takes about a hundred bytes once parsed, in the text two. Change: `JsonLimits::maximum_values`, counted over the text before parsing: 262,144 by default, 16 bytes a value in a document of 4 MiB; 65,536 in a request.

--- a/libraries/configuration/include/switchsaddle/configuration/json_value.h
+++ b/libraries/configuration/include/switchsaddle/configuration/json_value.h
@@ -41,6 +41,11 @@
 struct JsonLimits {
   std::size_t maximum_bytes = 4'194'304;
   std::size_t maximum_depth = 16;
+  /**
+   * Values of a document, nested ones included: each takes far more memory than its text. Not
+   * counted where comments are accepted.
+   */
+  std::size_t maximum_values = 262'144;
   /** Accept comments, as in files edited by people. */
   bool comments = false;
 };
@@ -48,13 +53,19 @@
 /**
  * Parses JSON.
  * @param path location of the text, to which the paths of faults are relative.
- * @param faults receives a fault if the text is too large, too deep or not JSON, and one for each
- *     duplicate key.
+ * @param faults receives a fault if the text is too large, has too many values, is too deep or not
+ * JSON, and one for each duplicate key.
  * @return the value, or std::nullopt if there was a fault.
  */
 std::optional<JsonValue> parseJson(std::string_view text, const JsonLimits& limits,
                                    const std::string& path, std::vector<Fault>& faults);
 
+/**
+ * @return whether a JSON text may have more than this number of values, nested ones included; for
+ *     texts that are to be refused before they are parsed.
+ */
+bool hasMoreValues(std::string_view text, std::size_t maximum);
+
 /** @return the canonical form of a JSON text; a text that is not JSON is returned unchanged. */
 std::string canonicalText(const std::string& json);
 
--- a/libraries/configuration/source/json_parser.cc
+++ b/libraries/configuration/source/json_parser.cc
@@ -152,6 +152,24 @@
 
 }  // namespace
 
+bool hasMoreValues(std::string_view text, std::size_t maximum) {
+  // Every value but the first follows a comma or opens an object or array.
+  std::size_t values = 1;
+  bool in_string = false;
+  bool is_escaped = false;
+  for (const char character : text) {
+    if (in_string) {
+      in_string = is_escaped || character != '"';
+      is_escaped = !is_escaped && character == '\\';
+      continue;
+    }
+    in_string = character == '"';
+    const bool begins_value = character == ',' || character == '[' || character == '{';
+    values += begins_value ? 1 : 0;
+  }
+  return values > maximum;
+}
+
 std::optional<JsonValue> parseJson(std::string_view text, const JsonLimits& limits,
                                    const std::string& path, std::vector<Fault>& faults) {
   if (text.size() > limits.maximum_bytes) {
@@ -159,6 +177,11 @@
                       "must have at most " + std::to_string(limits.maximum_bytes) + " bytes"});
     return std::nullopt;
   }
+  if (!limits.comments && hasMoreValues(text, limits.maximum_values)) {
+    faults.push_back({path, base::ResultCode::BodyTooLarge,
+                      "must have at most " + std::to_string(limits.maximum_values) + " values"});
+    return std::nullopt;
+  }
   json::parse_options options;
   options.max_depth = limits.maximum_depth;
   options.allow_comments = limits.comments;
--- a/libraries/configuration/source/state_report.cc
+++ b/libraries/configuration/source/state_report.cc
@@ -14,7 +14,7 @@
 
 /** A report may contain all sessions and workers of a fleet. */
 constexpr JsonLimits ReportLimits{
-    .maximum_bytes = 67'108'864, .maximum_depth = 8, .comments = false};
+    .maximum_bytes = 67'108'864, .maximum_depth = 8, .maximum_values = 16'777'216};
 constexpr IntegerRange AnyCount{0, std::numeric_limits<std::int64_t>::max()};
 
 struct StateKey {
--- a/libraries/configuration/test/json_value_test.cc
+++ b/libraries/configuration/test/json_value_test.cc
@@ -43,6 +43,21 @@
   EXPECT_EQ(canonicalOf("[" + nested + "]"), "fault");
 }
 
+TEST(JsonValueTest, RejectsMoreValuesThanTheMaximum) {
+  std::vector<Fault> faults;
+  const JsonLimits limits{.maximum_values = 5};
+  EXPECT_TRUE(parseJson(R"({"a": [1, "2,3[4"], "b\",{": 5})", limits, "", faults));
+  EXPECT_FALSE(parseJson(R"({"a": [1, 2, 3, 4]})", limits, "", faults));
+  ASSERT_EQ(faults.size(), 1U);
+  EXPECT_EQ(faults.front().code, base::ResultCode::BodyTooLarge);
+}
+
+TEST(JsonValueTest, CountsNoFewerValuesThanADocumentHas) {
+  EXPECT_FALSE(hasMoreValues(R"({"a": [{}, [], null], "b": "\\"})", 8));
+  EXPECT_TRUE(hasMoreValues("[1,2,3]", 3));
+  EXPECT_TRUE(hasMoreValues("[[[[", 4));
+}
+
 TEST(JsonValueTest, RandomDoublesRoundTripExactly) {
   base::RandomSource random(7);
   for (int round = 0; round < 20'000; ++round) {
--- a/libraries/front/source/request/request_parser.cc
+++ b/libraries/front/source/request/request_parser.cc
@@ -24,6 +24,8 @@
 constexpr std::array<std::string_view, 3> OneShotFields{"service", "model", "payload"};
 constexpr std::array<std::string_view, 2> PrefixSegmentFields{"id", "tokens"};
 constexpr std::size_t MaximumDepth = 32;
+/** A long conversation has some thousand; a parsed value takes a hundred bytes and more. */
+constexpr std::size_t MaximumValues = 65'536;
 /** Mean length of a token in bytes, for estimating the tokens of messages. */
 constexpr std::size_t BytesPerToken = 4;
 constexpr std::int64_t LargestCount = 1'000'000'000;
@@ -36,10 +38,12 @@
   std::vector<configuration::Fault> faults;
   configuration::JsonLimits limits;
   limits.maximum_depth = MaximumDepth;
+  limits.maximum_values = MaximumValues;
   std::optional<JsonValue> value = configuration::parseJson(body, limits, "", faults);
   if (!value) {
     const configuration::Fault fault = faults.empty() ? configuration::Fault{} : faults.front();
-    fail(ResultCode::MalformedJson, fault.path, fault.message);
+    const bool is_too_large = fault.code == ResultCode::BodyTooLarge;
+    fail(is_too_large ? fault.code : ResultCode::MalformedJson, fault.path, fault.message);
   }
   if (value->kind != JsonKind::Object) {
     fail(ResultCode::InvalidValue, "", "the body must be a JSON object");
--- a/libraries/operator_client/source/response_body.cc
+++ b/libraries/operator_client/source/response_body.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr configuration::JsonLimits BodyLimits{
-    .maximum_bytes = 67'108'864, .maximum_depth = 32, .comments = false};
+    .maximum_bytes = 67'108'864, .maximum_depth = 32, .maximum_values = 16'777'216};
 
 }  // namespace
 
