Front: what is counted for a request stays counted as long as its body is kept

Cause: bodies outlive the exchange that brought them (one-shots go on without their caller), and copies were made that nobody needed: the one-shot's counter kept the whole request. A stream that nobody read kept 16 events of any size. Change: requests carry their reservation to the worker call; a collected response grows it, and a response for which there is no memory ends with 502, which promises nothing. Unread events of a forwarded stream are bounded by 64 KiB besides.

--- a/libraries/front/include/switchsaddle/front/one_shot/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot/one_shot_flow.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "switchsaddle/admission/slot_broker.h"
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/callback_scope.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/random.h"
@@ -40,6 +41,8 @@
   std::uint64_t fingerprint = 0;
   /** Body of the request to the worker. */
   std::string body;
+  /** What is counted for the request that brought the body; null if nothing is counted. */
+  base::ByteReservationPtr memory = nullptr;
   base::Duration deadline = std::chrono::seconds(10);
 };
 
--- a/libraries/front/include/switchsaddle/front/request/caller_service.h
+++ b/libraries/front/include/switchsaddle/front/request/caller_service.h
@@ -98,9 +98,10 @@
   void handleCompletion(const http::Request& request, const http::ResponseWriterPtr& writer);
   void handleOneShot(const http::Request& request, const http::ResponseWriterPtr& writer);
   void runStream(StreamRequest stream, bool as_event_stream, const http::ResponseWriterPtr& writer);
-  void runOneShot(const OneShotRequest& request, const http::ResponseWriterPtr& writer,
+  void runOneShot(OneShotRequest request, const http::ResponseWriterPtr& writer,
                   const StageTicket& ticket);
-  void countOneShot(const OneShotRequest& request, const OneShotAnswer& answer);
+  /** @param incident names the request; reported if its outcome is unknown. */
+  void countOneShot(base::Incident incident, const OneShotAnswer& answer);
   /** @throws base::Error with Stopping or NotServing unless new work is accepted. */
   void checkServing() const;
 
--- a/libraries/front/include/switchsaddle/front/stream/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream/stream_flow.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "switchsaddle/admission/slot_broker.h"
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/incident.h"
 #include "switchsaddle/base/random.h"
@@ -37,6 +38,8 @@
   std::string caller_request_id;
   /** Body of the request to the worker. */
   std::string body;
+  /** What is counted for the request that brought the body; null if nothing is counted. */
+  base::ByteReservationPtr memory = nullptr;
 };
 
 /** Why a stream was rejected before its first event. */
--- a/libraries/front/include/switchsaddle/front/worker_calls/worker_port.h
+++ b/libraries/front/include/switchsaddle/front/worker_calls/worker_port.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/base/time.h"
 
@@ -26,6 +27,8 @@
   /** The decode worker, if prefill and decode run on different workers. */
   std::optional<base::NodeAddress> decode;
   std::string body;
+  /** What is counted for the request that brought the body; null if nothing is counted. */
+  base::ByteReservationPtr memory = nullptr;
   /** Use a new connection, and close it after the response. */
   bool fresh_connection = false;
   /** Time-out of the response header. */
--- a/libraries/front/source/forward/forward_request.cc
+++ b/libraries/front/source/forward/forward_request.cc
@@ -201,6 +201,7 @@
   message.method = request.message.method;
   message.target = request.message.target;
   message.body = request.message.body;
+  message.memory = request.message.memory;
   copyForwardedHeaders(request, headers, last_event_id.has_value(), message);
   const std::int64_t remaining_ms = std::max<std::int64_t>(1, base::toMilliseconds(remaining));
   message.headers.push_back({headers.deadline_ms, std::to_string(remaining_ms)});
--- a/libraries/front/source/forward/forward_run.cc
+++ b/libraries/front/source/forward/forward_run.cc
@@ -218,8 +218,10 @@
 }
 
 void ForwardRun::collect(const std::string& bytes) {
+  const base::ByteReservationPtr& memory = request_.message.memory;
+  const bool has_memory = !memory || memory->tryGrow(bytes.size());
   body_ += bytes;
-  if (body_.size() > MaximumCollectedBytes) {
+  if (body_.size() > MaximumCollectedBytes || !has_memory) {
     onLost(ResultCode::WorkerFailed);
     return;
   }
--- a/libraries/front/source/forward/forward_run.h
+++ b/libraries/front/source/forward/forward_run.h
@@ -83,7 +83,8 @@
   void recordLateness();
   void recordLoss(ForwardLoss loss);
   void writeEvents(std::string bytes);
-  void onWritten(WriteOutcome outcome);
+  /** @param bytes size of the chunk. */
+  void onWritten(WriteOutcome outcome, std::size_t bytes);
   void resumeReading();
   void finishStream();
   void answerComplete();
@@ -142,6 +143,7 @@
   std::optional<std::uint64_t> last_event_id_;
   /** Chunks that the caller's connection has not accepted yet. */
   std::size_t outstanding_ = 0;
+  std::size_t outstanding_bytes_ = 0;
   /** Resumes reading from the worker; empty while reading continues. */
   std::function<void()> resume_;
 };
--- a/libraries/front/source/forward/forward_run_events.cc
+++ b/libraries/front/source/forward/forward_run_events.cc
@@ -14,6 +14,8 @@
 
 /** Chunks that the caller's connection may have pending before reading from the worker pauses. */
 constexpr std::size_t MaximumOutstanding = 16;
+/** Their bytes, beside the event that exceeds them. */
+constexpr std::size_t MaximumOutstandingBytes = 64U << 10U;
 
 }  // namespace
 
@@ -80,9 +82,11 @@
 void ForwardRun::writeEvents(std::string bytes) {
   beginStream();
   ++outstanding_;
-  caller_.writeChunk(std::move(bytes), [weak = weak_from_this()](WriteOutcome outcome) {
+  const std::size_t size = bytes.size();
+  outstanding_bytes_ += size;
+  caller_.writeChunk(std::move(bytes), [weak = weak_from_this(), size](WriteOutcome outcome) {
     if (const auto run = weak.lock()) {
-      run->onWritten(outcome);
+      run->onWritten(outcome, size);
     }
   });
 }
@@ -96,11 +100,12 @@
   caller_.startStream(callerMessage(*head_));
 }
 
-void ForwardRun::onWritten(WriteOutcome outcome) {
+void ForwardRun::onWritten(WriteOutcome outcome, std::size_t bytes) {
   if (ended_) {
     return;
   }
   --outstanding_;
+  outstanding_bytes_ -= bytes;
   if (outcome == WriteOutcome::Disconnected) {
     cancel();
     return;
@@ -109,7 +114,9 @@
 }
 
 void ForwardRun::resumeReading() {
-  if (resume_ && outstanding_ < MaximumOutstanding) {
+  const bool may_read =
+      outstanding_ < MaximumOutstanding && outstanding_bytes_ < MaximumOutstandingBytes;
+  if (resume_ && may_read) {
     std::exchange(resume_, nullptr)();
   } else if (resume_) {
     sample_.held_back = true;
--- a/libraries/front/source/one_shot/one_shot_run.cc
+++ b/libraries/front/source/one_shot/one_shot_run.cc
@@ -190,6 +190,7 @@
   request.tenant = request_.tenant;
   request.idempotency_key = request_.idempotency_key;
   request.body = request_.body;
+  request.memory = request_.memory;
   request.fresh_connection = true;
   request.response_timeout = request_.deadline;
   return request;
--- a/libraries/front/source/request/caller_service.cc
+++ b/libraries/front/source/request/caller_service.cc
@@ -176,6 +176,7 @@
   stream.caller_request_id = request.header("Request-Id");
   stream.prompt = std::move(body.prompt);
   stream.body = std::move(body.worker_body);
+  stream.memory = request.memory;
   runStream(std::move(stream), body.stream, writer);
 }
 
@@ -216,40 +217,44 @@
   one_shot.caller_request_id = request.header("Request-Id");
   one_shot.fingerprint = body.fingerprint;
   one_shot.body = std::move(body.worker_body);
+  one_shot.memory = request.memory;
   one_shot.deadline = std::chrono::milliseconds(tenant.shape.one_shot_deadline_ms);
-  auto run = callbacks_.guard([this, one_shot, writer](const StageTicket& ticket) {
-    runOneShot(one_shot, writer, ticket);
-  });
+  auto run = callbacks_.guard(
+      [this, one_shot = std::move(one_shot), writer](const StageTicket& ticket) mutable {
+        runOneShot(std::move(one_shot), writer, ticket);
+      });
   if (!one_shot_stage_.submit(std::move(run))) {
     throw base::Error(ResultCode::QueueFull, "");
   }
 }
 
-void CallerService::runOneShot(const OneShotRequest& request, const http::ResponseWriterPtr& writer,
+void CallerService::runOneShot(OneShotRequest request, const http::ResponseWriterPtr& writer,
                                const StageTicket& ticket) {
-  auto count = callbacks_.guard(
-      [this, request](const OneShotAnswer& answer) { countOneShot(request, answer); });
+  base::Incident incident;
+  incident.request_id = request.caller_request_id;
+  incident.fields = {{"tenant", request.tenant},
+                     {"service", request.service},
+                     {"idempotency_key", request.idempotency_key}};
+  auto count =
+      callbacks_.guard([this, incident = std::move(incident)](const OneShotAnswer& answer) {
+        countOneShot(incident, answer);
+      });
   // The caller gets its answer even if the service has been destroyed meanwhile.
-  dependencies_.one_shots.run(request,
+  dependencies_.one_shots.run(std::move(request),
                               [count, writer, ticket](const OneShotAnswer& answer) mutable {
                                 count(answer);
                                 writer->respond(oneShotAnswer(answer));
                               });
 }
 
-void CallerService::countOneShot(const OneShotRequest& request, const OneShotAnswer& answer) {
+void CallerService::countOneShot(base::Incident incident, const OneShotAnswer& answer) {
   dependencies_.counters.countRequest("one-shot", outcomeName(answer.outcome), answer.code);
   if (answer.outcome != Outcome::Unknown || dependencies_.incidents == nullptr) {
     return;
   }
-  base::Incident incident;
   incident.event = "one-shot-unknown";
   incident.severity = base::Severity::Warning;
   incident.code = answer.code;
-  incident.request_id = request.caller_request_id;
-  incident.fields = {{"tenant", request.tenant},
-                     {"service", request.service},
-                     {"idempotency_key", request.idempotency_key}};
   dependencies_.incidents->report(incident);
 }
 
--- a/libraries/front/source/stream/stream_run.cc
+++ b/libraries/front/source/stream/stream_run.cc
@@ -173,6 +173,7 @@
   request.caller_request_id = request_.caller_request_id;
   request.tenant = request_.tenant;
   request.body = request_.body;
+  request.memory = request_.memory;
   request.response_timeout = ResponseTimeout;
   if (placement.decode) {
     request.decode = placement.decode->entry.address;
--- a/libraries/front/source/worker_calls/http_worker_port.cc
+++ b/libraries/front/source/worker_calls/http_worker_port.cc
@@ -50,6 +50,7 @@
   message.method = "POST";
   message.target = request.target;
   message.body = request.body;
+  message.memory = request.memory;
   message.headers.push_back({"Content-Type", "application/json"});
   message.headers.push_back({RequestIdHeader, request.request_id});
   message.headers.push_back({"Tenant", request.tenant});
