Nodes: bounds on what peers hold follow from the machine's own limits

Change: `node_options::nodeLimits` derives memory for requests, connections, frames and queues from `limits.memory_mb` and `limits.descriptors`, the latter cut to what the system allows. Freed blocks of 256 KiB and more go back to the system at once. What the servers refuse, close and hold is on the metrics page.

--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -2,7 +2,9 @@
 
 #include "daemon_process.h"
 #include "platform_adapter.h"
+#include "process_limits.h"
 #include "role_commands.h"
+#include "server_metrics.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/command_line/command_line.h"
@@ -23,8 +25,9 @@
   CoreDaemon(const configuration::Settings& settings, SettingsOptions options)
       : settings_(settings),
         options_(std::move(options)),
+        limits_(processLimits(settings_, node_options::NodeRole::Core)),
         adapter_(createPlatformAdapter(settings_)),
-        process_(settings_),
+        process_(settings_, limits_.peers),
         file_system_(settings_.data_folder),
         executor_(process_.dispatcher()),
         store_(process_.dispatcher(), file_system_, executor_, process_.random()),
@@ -41,8 +44,8 @@
                                     {},
                                     &process_.incidents(),
                                     &process_.strandWatch()}),
-        service_(node_, [this](metrics::Page& page) { process_.appendMetrics(page); }),
-        server_(http::startServer(process_.context(), settings_.http_address, http::ServerLimits{},
+        service_(node_, [this](metrics::Page& page) { appendMetrics(page); }),
+        server_(http::startServer(process_.context(), settings_.http_address, limits_.callers,
                                   [this](http::Request request, http::ResponseWriterPtr writer) {
                                     handle(std::move(request), std::move(writer));
                                   })) {}
@@ -64,6 +67,11 @@
   }
 
  private:
+  void appendMetrics(metrics::Page& page) const {
+    process_.appendMetrics(page);
+    appendServerMetrics(page, "control", *server_, limits_.callers);
+  }
+
   void handle(http::Request request, http::ResponseWriterPtr writer) {
     process_.dispatcher().post([this, request = std::move(request), writer = std::move(writer)] {
       const auto respond = [writer](http::Response response) {
@@ -77,6 +85,7 @@
 
   configuration::Settings settings_;
   SettingsOptions options_;
+  node_options::NodeLimits limits_;
   std::unique_ptr<PlatformAdapter> adapter_;
   DaemonProcess process_;
   storage::PosixFileSystem file_system_;
@@ -97,6 +106,7 @@
                             {"switchsaddle core --settings core.json --data-folder data"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
+    returnFreedMemory();
     CoreDaemon daemon(loadSettings(*options, "core"), *options);
     exit_code = daemon.run();
   });
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -25,9 +25,10 @@
 
 }  // namespace
 
-DaemonProcess::DaemonProcess(const configuration::Settings& settings)
+DaemonProcess::DaemonProcess(const configuration::Settings& settings,
+                             const transport::TcpTransportOptions& peers)
     : dispatcher_(context_),
-      transport_(context_, dispatcher_, settings.peer_address),
+      transport_(context_, dispatcher_, settings.peer_address, peers),
       calls_(dispatcher_, transport_),
       journal_(dispatcher_),
       incidents_(dispatcher_, base::processLogRing(), logFolder(settings)),
@@ -109,6 +110,9 @@
   add("peer_bytes_sent_total", "Bytes sent to other nodes.", traffic.bytes_sent);
   add("peer_bytes_received_total", "Bytes of messages received from other nodes.",
       traffic.bytes_received);
+  add("peer_connections_displaced_total",
+      "Connections of other nodes closed because others needed their room.",
+      traffic.displaced_connections);
   page.histogram("strand_lateness_seconds", "Delay of the control strand's timers, in seconds.",
                  strand_watch_.lateness());
   page.process();
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -28,8 +28,12 @@
  */
 class DaemonProcess {
  public:
-  /** @throws base::Error with InvalidAddress if the peer address is invalid or in use. */
-  explicit DaemonProcess(const configuration::Settings& settings);
+  /**
+   * @param peers limits of the connections between nodes.
+   * @throws base::Error with InvalidAddress if the peer address is invalid or in use.
+   */
+  DaemonProcess(const configuration::Settings& settings,
+                const transport::TcpTransportOptions& peers);
 
   boost::asio::io_context& context() { return context_; }
   transport::AsioDispatcher& dispatcher() { return dispatcher_; }
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -2,7 +2,9 @@
 
 #include "daemon_process.h"
 #include "platform_adapter.h"
+#include "process_limits.h"
 #include "role_commands.h"
+#include "server_metrics.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/command_line/command_line.h"
@@ -21,16 +23,17 @@
   FrontDaemon(const configuration::Settings& settings, SettingsOptions options)
       : settings_(settings),
         options_(std::move(options)),
+        limits_(processLimits(settings_, node_options::NodeRole::Front)),
         adapter_(createPlatformAdapter(settings_)),
-        process_(settings_),
+        process_(settings_, limits_.peers),
         instance_(process_.random().next()),
         client_(http::createClient(process_.context())),
         worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
         forward_port_(process_.dispatcher(), *client_),
         node_(environment()),
-        server_(startServer(settings_.http_address)) {
+        server_(startServer(settings_.http_address, limits_.callers)) {
     if (!settings_.readiness_address.empty()) {
-      readiness_server_ = startServer(settings_.readiness_address);
+      readiness_server_ = startServer(settings_.readiness_address, limits_.readiness);
     }
   }
 
@@ -51,13 +54,22 @@
   }
 
  private:
-  std::unique_ptr<http::Server> startServer(const base::NodeAddress& address) {
-    return http::startServer(process_.context(), address, http::ServerLimits{},
+  std::unique_ptr<http::Server> startServer(const base::NodeAddress& address,
+                                            const http::ServerLimits& limits) {
+    return http::startServer(process_.context(), address, limits,
                              [this](http::Request request, http::ResponseWriterPtr writer) {
                                node_.service().enqueue(std::move(request), std::move(writer));
                              });
   }
 
+  void appendMetrics(metrics::Page& page) const {
+    process_.appendMetrics(page);
+    appendServerMetrics(page, "callers", *server_, limits_.callers);
+    if (readiness_server_) {
+      appendServerMetrics(page, "readiness", *readiness_server_, limits_.readiness);
+    }
+  }
+
   front::FrontEnvironment environment() {
     return {.dispatcher = process_.dispatcher(),
             .calls = process_.calls(),
@@ -67,13 +79,14 @@
             .workers = worker_port_,
             .instance = instance_,
             .incidents = &process_.incidents(),
-            .process_metrics = [this](metrics::Page& page) { process_.appendMetrics(page); },
+            .process_metrics = [this](metrics::Page& page) { appendMetrics(page); },
             .forward_port = &forward_port_,
             .forward_headers = adapter_->forwardHeaders()};
   }
 
   configuration::Settings settings_;
   SettingsOptions options_;
+  node_options::NodeLimits limits_;
   std::unique_ptr<PlatformAdapter> adapter_;
   DaemonProcess process_;
   std::uint64_t instance_;
@@ -93,6 +106,7 @@
   command_line::describeUse(*command, {"switchsaddle front --settings front.json"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
+    returnFreedMemory();
     FrontDaemon daemon(loadSettings(*options, "front"), *options);
     exit_code = daemon.run();
   });
