--- a/libraries/http/source/server_connection.h
+++ b/libraries/http/source/server_connection.h
@@ -134,6 +134,8 @@
   bool handleReadError(const boost::system::error_code& error);
   /** Sends an error response and closes the connection. */
   void reject(const Response& response);
+  /** Rejects a request for which there is no memory; it has not run. */
+  void rejectForMemory();
   void linger();
   void readLingering();
   /** Closes the connection after the delay. */
