--- a/libraries/http/test/server_limits_test.cc
+++ b/libraries/http/test/server_limits_test.cc
@@ -14,6 +14,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::size_t BodyBytes = 100'000;
+/** More than the kernel's buffers of both ends take. */
+constexpr std::size_t LongResponseBytes = 20'000'000;
 const std::string ChunkedHead =
     "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n";
 
@@ -156,15 +158,15 @@
 TEST_F(ServerLimitsTest, AnUnreadResponseGivesWayToARequest) {
   limits.memory = std::make_shared<base::ByteBudget>(3 * BodyBytes);
   limits.protected_time = base::Duration::zero();
-  constexpr std::size_t LongResponse = 20'000'000;
   serve(
       [](Request request, ResponseWriterPtr writer) {
-        writer->respond({200, {}, std::string(request.target == "/long" ? LongResponse : 1, 'r')});
+        writer->respond(
+            {200, {}, std::string(request.target == "/long" ? LongResponseBytes : 1, 'r')});
       },
       limits);
   tcp::socket unread = connectRaw();
   send(unread, "GET /long HTTP/1.1\r\n\r\n");
-  ASSERT_TRUE(usesAtLeast(LongResponse));
+  ASSERT_TRUE(usesAtLeast(LongResponseBytes));
   EXPECT_EQ(run({"POST", "/", {}, std::string(BodyBytes, 'x')})->head->status, 200);
   EXPECT_EQ(server->counters().requests_displaced, 1U);
 }
@@ -173,7 +175,7 @@
   limits.write_timeout = base::Duration::zero();
   serve(
       [](const Request&, const ResponseWriterPtr& writer) {
-        writer->respond({200, {}, std::string(20'000'000, 'r')});
+        writer->respond({200, {}, std::string(LongResponseBytes, 'r')});
       },
       limits);
   tcp::socket unread = connectRaw();
