--- a/libraries/configuration/source/settings_parser.cc
+++ b/libraries/configuration/source/settings_parser.cc
@@ -18,8 +18,9 @@
 /** Upper limit of the tolerated losses of cores and zones. */
 constexpr std::int64_t MaximumLosses = 10;
 
-/** Range of the memory of a machine, in MiB, and of its descriptors. */
-constexpr IntegerRange MemoryRange{1, 16'777'216};
+/** Memory of a machine, in MiB; platforms may give fractions. */
+constexpr double LeastMemoryMb = 1;
+constexpr double LargestMemoryMb = 16'777'216;
 constexpr IntegerRange DescriptorRange{0, 16'777'216};
 
 /** A time limit of the settings file in milliseconds: its key, range and member. */
@@ -157,8 +158,11 @@
     return;
   }
   ObjectReader limit_reader(*value, "limits", faults);
-  limits.memory_mb =
-      static_cast<std::uint32_t>(limit_reader.integer("memory_mb", MemoryRange, limits.memory_mb));
+  const double memory_mb = limit_reader.nonNegativeNumber("memory_mb", limits.memory_mb);
+  if (memory_mb < LeastMemoryMb) {
+    limit_reader.fault("memory_mb", ResultCode::InvalidValue, "must be at least 1");
+  }
+  limits.memory_mb = static_cast<std::uint32_t>(std::min(memory_mb, LargestMemoryMb));
   limits.descriptors = static_cast<std::uint32_t>(
       limit_reader.integer("descriptors", DescriptorRange, limits.descriptors));
   limit_reader.finish();
