Test bed: daemons inherit no sockets of the test bed; a worker's stand-in waits for its address

Cause: a daemon that is forked while a worker's stand-in restarts holds the former listening socket until it runs its program; Asio's sockets it even kept for good (a platform's address stayed in use by six cores).

--- a/libraries/http/source/server_connection_reading.cc
+++ b/libraries/http/source/server_connection_reading.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
--- a/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
@@ -74,6 +74,8 @@
     std::shared_ptr<std::atomic<bool>> ended;
   };
 
+  /** Listens at the address; tries again for a while if it is still in use. */
+  std::unique_ptr<BlockingListener> listen() const;
   void start();
   void stop();
   void joinEndedConnections();
--- a/libraries/testbed/source/fleet/process_control.cc
+++ b/libraries/testbed/source/fleet/process_control.cc
@@ -62,6 +62,8 @@
   ::dup2(null_device, STDIN_FILENO);
   ::dup2(log, STDOUT_FILENO);
   ::dup2(log, STDERR_FILENO);
+  // Listening sockets of the caller would keep their addresses in use after it has ended.
+  ::close_range(STDERR_FILENO + 1, ~0U, 0);
   std::vector<char*> arguments;
   arguments.reserve(command.size() + 1);
   for (const std::string& argument : command) {
--- a/libraries/testbed/source/soak/wire_worker.cc
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "switchsaddle/base/error.h"
 #include "switchsaddle/testbed/soak/wire_text.h"
 
 namespace switchsaddle::testbed {
@@ -12,6 +13,8 @@
 using std::chrono::milliseconds;
 using Clock = BlockingSocket::Clock;
 
+constexpr int ListenAttempts = 100;
+constexpr base::Duration ListenPause = std::chrono::milliseconds(20);
 constexpr base::Duration AcceptInterval = milliseconds(100);
 /** Slice of waiting for the next request, after which the end of the instance is looked at. */
 constexpr base::Duration ReadSlice = milliseconds(100);
@@ -88,8 +91,21 @@
   return instance_->id;
 }
 
+std::unique_ptr<BlockingListener> WireWorker::listen() const {
+  Interruption pause;
+  for (int attempt = 1; attempt < ListenAttempts; ++attempt) {
+    try {
+      return std::make_unique<BlockingListener>(address_);
+    } catch (const base::Error&) {
+      // A process that was forked meanwhile holds the former socket until it runs its program.
+      pause.wait(ListenPause);
+    }
+  }
+  return std::make_unique<BlockingListener>(address_);
+}
+
 void WireWorker::start() {
-  listener_ = std::make_unique<BlockingListener>(address_);
+  listener_ = listen();
   auto instance = std::make_shared<Instance>();
   {
     const std::lock_guard lock(mutex_);
