Test bed: knows how every process that it launched has ended

Cause: soak, crowds and failures check what callers and operators see, and a fleet hides the loss of a process from them.

ProcessEnds: the run is the parent of all it launches, reaps it, and tells each end that it did not bring about itself by SIGKILL or SIGTERM.

Only the first start of a core names the initial cores, as on the users' platform.

--- a/libraries/testbed/include/switchsaddle/testbed/fleet/fleet_layout.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/fleet_layout.h
@@ -57,7 +57,7 @@
   base::NodeAddress peer_address;
   base::NodeAddress http_address;
   std::string data_folder;
-  /** Set for a core that replaced another one; its settings have no initial cores. */
+  /** Set for a core that replaced another one, after the first start of the fleet. */
   bool replacement = false;
   std::vector<std::string> command;
   /** 0 if the process was never started. */
@@ -97,7 +97,10 @@
 /** @return the address at which a front answers readiness checks. */
 base::NodeAddress readinessAddress(const FleetProcess& front);
 
-/** The settings file of a core or front; `operator_hash` is the SHA-256 of the operator's key. */
+/**
+ * The settings file of a core or front for its next start; only the first start of a core names the
+ * initial cores. `operator_hash` is the SHA-256 of the operator's key.
+ */
 std::string settingsText(const FleetState& state, const FleetProcess& process,
                          const std::string& operator_hash);
 
--- a/libraries/testbed/source/fleet/fleet_plan.cc
+++ b/libraries/testbed/source/fleet/fleet_plan.cc
@@ -167,7 +167,8 @@
   if (process.role == ProcessRole::Front) {
     settings["readiness_address"] = readinessAddress(process).toString();
   }
-  if (process.role == ProcessRole::Core && !process.replacement) {
+  const bool was_started = process.pid != 0;
+  if (process.role == ProcessRole::Core && !process.replacement && !was_started) {
     settings["initial_cores"] = addressList(cores);
   }
   return boost::json::serialize(settings);
--- a/libraries/testbed/source/fleet/process_control.cc
+++ b/libraries/testbed/source/fleet/process_control.cc
@@ -5,12 +5,14 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <sstream>
 #include <thread>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/testbed/fleet/process_ends.h"
 
 namespace switchsaddle::testbed {
 namespace {
@@ -125,7 +127,9 @@
   if (taken != sizeof(program) || program <= 0) {
     throw base::Error(base::ResultCode::StorageFailed, "cannot start " + command[0]);
   }
-  return ProcessIdentity{program, readStat(program).start_ticks};
+  const ProcessIdentity identity{program, readStat(program).start_ticks};
+  processEnds().onLaunch(std::filesystem::path(log_path).stem().string(), identity);
+  return identity;
 }
 
 base::Duration cpuTimeOf(const ProcessIdentity& process) {
@@ -152,6 +156,7 @@
   if (conditionOf(process) == ProcessCondition::Exited) {
     return false;
   }
+  processEnds().onSignal(process, signal_number);
   return ::kill(static_cast<pid_t>(process.pid), signal_number) == 0;
 }
 
--- a/programs/testbed/crowd/crowd_command.cc
+++ b/programs/testbed/crowd/crowd_command.cc
@@ -7,6 +7,7 @@
 
 #include "commands.h"
 #include "crowd/crowd_run.h"
+#include "switchsaddle/testbed/fleet/process_ends.h"
 
 namespace switchsaddle::testbed_commands {
 
@@ -68,6 +69,7 @@
 }
 
 void runCrowds(const CrowdArguments& arguments) {
+  testbed::processEnds().watch();
   std::size_t violations = 0;
   for (const std::string& name : arguments.kinds) {
     violations += runKind(arguments, name);
--- a/programs/testbed/crowd/crowd_run.cc
+++ b/programs/testbed/crowd/crowd_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "switchsaddle/testbed/fleet/process_ends.h"
 #include "switchsaddle/testbed/soak/interruption.h"
 #include "switchsaddle/testbed/soak/message_reader.h"
 
@@ -122,6 +123,9 @@
 }
 
 void CrowdRun::sample(CrowdReport& report) {
+  for (std::string& end : testbed::processEnds().takeUnexpected()) {
+    report.violations.push_back(std::move(end));
+  }
   for (const std::string& name : daemons_) {
     const auto usage = testbed::usageOf(Fleet::identityOf(fleet_.process(name)));
     testbed::ProcessUsage& largest = report.usage[name];
--- a/programs/testbed/failure_run.cc
+++ b/programs/testbed/failure_run.cc
@@ -9,6 +9,7 @@
 #include "http_probe.h"
 #include "operator_orders.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/testbed/fleet/process_ends.h"
 #include "switchsaddle/testbed/records/order_event.h"
 
 namespace switchsaddle::testbed_commands {
@@ -233,6 +234,9 @@
                            std::to_string(random_.below(12'000)) + "}";
   record_.note("fault", worker->name, body);
   affected_.insert(worker->name);
+  if (mode == "crash") {
+    testbed::processEnds().expectExit(Fleet::identityOf(*worker));
+  }
   sendFault(*worker, body);
   later(between(1'000, 5'000), [this, name = worker->name, mode] {
     FleetProcess* faulty = fleet_.state().find(name);
--- a/programs/testbed/failures_command.cc
+++ b/programs/testbed/failures_command.cc
@@ -12,6 +12,7 @@
 #include "fleet_up.h"
 #include "load_run.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/testbed/fleet/process_ends.h"
 #include "switchsaddle/testbed/load/load_plan.h"
 #include "switchsaddle/testbed/records/json_fields.h"
 
@@ -85,11 +86,17 @@
   loading.get();
   const auto report = testbed::checkHistory(readEvidence(
       {{load.record}, directory + "/journals", directory + "/orders.jsonl", fleet_file}));
-  std::cout << "seed " << seed << "\n" << testbed::formatHistoryReport(report) << std::flush;
-  return report.violations.size();
+  const std::vector<std::string> ends = testbed::processEnds().takeUnexpected();
+  std::cout << "seed " << seed << "\n" << testbed::formatHistoryReport(report);
+  for (const std::string& text : ends) {
+    std::cout << "process: " << text << "\n";
+  }
+  std::cout << testbed::processEnds().summary() << std::endl;
+  return report.violations.size() + ends.size();
 }
 
 void runFailures(const FailuresArguments& arguments) {
+  testbed::processEnds().watch();
   std::size_t violations = 0;
   for (int index = 0; index < arguments.seeds; ++index) {
     violations += runSeed(arguments, arguments.first_seed + static_cast<std::uint64_t>(index));
--- a/programs/testbed/fleet.cc
+++ b/programs/testbed/fleet.cc
@@ -140,6 +140,13 @@
   if (testbed::conditionOf(identityOf(process)) != ProcessCondition::Exited) {
     fail(process.name + " is already running");
   }
+  startSuccessor(process);
+}
+
+void Fleet::startSuccessor(FleetProcess& process) {
+  if (process.pid != 0) {
+    writeSettings(process);
+  }
   const auto identity =
       testbed::launchDetached(process.command, state_.directory + "/" + process.name + ".log");
   process.pid = identity.pid;
--- a/programs/testbed/fleet.h
+++ b/programs/testbed/fleet.h
@@ -42,7 +42,10 @@
   /** Creates the folders and settings files of all processes. */
   void prepare();
   void writeSettings(const testbed::FleetProcess& process) const;
+  /** Starts a process that does not run. Throws base::Error if it does. */
   void start(testbed::FleetProcess& process);
+  /** Starts a process anew, also while its predecessor still runs. */
+  void startSuccessor(testbed::FleetProcess& process);
   /** Sends the signal to all, then waits until each has the condition. Throws base::Error if one
    * does not have it within `limit`. */
   void signalAll(const std::vector<testbed::FleetProcess*>& processes, int signal_number,
--- a/programs/testbed/soak/soak_command.cc
+++ b/programs/testbed/soak/soak_command.cc
@@ -1,4 +1,5 @@
 #include <CLI/CLI.hpp>
+#include <csignal>
 #include <filesystem>
 #include <iostream>
 #include <memory>
@@ -11,6 +12,7 @@
 #include "soak/soak_fleet.h"
 #include "soak/soak_operator.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/testbed/fleet/process_ends.h"
 
 namespace switchsaddle::testbed_commands {
 namespace {
@@ -24,6 +26,7 @@
 /** Time for which requests go on after the last disturbance. */
 constexpr base::Duration CalmTime = std::chrono::seconds(2);
 constexpr int LastReads = 10;
+constexpr base::Duration UntoldEndLimit = std::chrono::seconds(10);
 
 /** The command line of `switchsaddle-testbed soak`. */
 struct SoakArguments {
@@ -34,6 +37,8 @@
   int clients = 40;
   int disturbers = 4;
   bool sound_workers = false;
+  /** Processes that are ended without the checker being told, to show that it sees their end. */
+  int untold_ends = 0;
   std::vector<std::string> kinds = soakDisturbanceKinds();
 };
 
@@ -89,6 +94,17 @@
   readAtTheEnd(fleet, ledger, history, seed);
 }
 
+/** Ends processes in a way that the checker of their ends is not told of. */
+void endWithoutTelling(SoakFleet& fleet, int count) {
+  const std::vector<std::string> names = fleet.namesOf(testbed::ProcessRole::Front);
+  for (int index = 0; index < count; ++index) {
+    const testbed::ProcessIdentity process =
+        fleet.identityOf(names.at(static_cast<std::size_t>(index) % names.size()));
+    ::kill(static_cast<pid_t>(process.pid), SIGSEGV);
+    testbed::waitForCondition(process, testbed::ProcessCondition::Exited, UntoldEndLimit);
+  }
+}
+
 /**
  * Changes that an earlier run of the seed left on the disks would count as repeats of this one's.
  * @throws base::Error if the folder holds an earlier run.
@@ -108,6 +124,8 @@
   SoakFleet fleet(options, ledger);
   testbed::ControlHistory history;
   sendAndDisturb(arguments, fleet, ledger, history, seed, options.directory);
+  endWithoutTelling(fleet, arguments.untold_ends);
+  const std::vector<std::string> ends = testbed::processEnds().takeUnexpected();
   const std::vector<testbed::SoakViolation> violations = ledger.violations();
   const std::vector<std::string> control_violations = history.violations();
   for (const testbed::SoakViolation& violation : violations) {
@@ -116,15 +134,20 @@
   for (const std::string& text : control_violations) {
     std::cout << "control-plane: " << text << "\n";
   }
-  const std::size_t count = violations.size() + control_violations.size();
+  for (const std::string& text : ends) {
+    std::cout << "process: " << text << "\n";
+  }
+  const std::size_t count = violations.size() + control_violations.size() + ends.size();
   std::cout << "seed " << seed << ": " << count << " violations; " << ledger.summary()
             << "; operators: done=" << history.count(testbed::ControlOutcome::Done)
             << " refused=" << history.count(testbed::ControlOutcome::Refused)
-            << " unknown=" << history.count(testbed::ControlOutcome::Unknown) << std::endl;
+            << " unknown=" << history.count(testbed::ControlOutcome::Unknown) << "; "
+            << testbed::processEnds().summary() << std::endl;
   return count;
 }
 
 void runSoak(const SoakArguments& arguments) {
+  testbed::processEnds().watch();
   std::size_t violations = 0;
   for (int index = 0; index < arguments.seeds; ++index) {
     violations += runSeed(arguments, arguments.first_seed + static_cast<std::uint64_t>(index));
@@ -150,6 +173,14 @@
       ->check(CLI::Range(2, 200));
   command.add_option("--workers", arguments.fleet.workers, "Number of workers (default 9)")
       ->check(CLI::Range(2, 200));
+  command
+      .add_option("--first-start-kills", arguments.fleet.first_start_kills,
+                  "Kills of all cores before the first configuration (default 0)")
+      ->check(CLI::Range(0, 100));
+  command
+      .add_option("--untold-ends", arguments.untold_ends,
+                  "Fronts ended behind the checker's back, which must fail the run (default 0)")
+      ->check(CLI::Range(0, 100));
   command.add_flag("--sound-workers", arguments.sound_workers,
                    "Workers misuse no connection (default: they do)");
 }
--- a/programs/testbed/soak/soak_disturbances.cc
+++ b/programs/testbed/soak/soak_disturbances.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "soak/soak_operator.h"
+#include "switchsaddle/testbed/fleet/process_control.h"
 
 namespace switchsaddle::testbed_commands {
 namespace {
@@ -18,21 +19,30 @@
 constexpr const char* FrontFreeze = "front-freeze";
 constexpr const char* FrontLate = "front-late";
 constexpr const char* FrontHangup = "front-hangup";
+constexpr const char* FrontSuccessor = "front-successor";
 constexpr const char* CoreTerm = "core-term";
+constexpr const char* CoreSuccessor = "core-successor";
+constexpr const char* CoreKillAll = "core-kill-all";
 constexpr const char* CoreKill = "core-kill";
 constexpr const char* CoreFreeze = "core-freeze";
 constexpr const char* WorkerRestart = "worker-restart";
 constexpr const char* Change = "change";
-constexpr std::array AllKinds{FrontTerm, FrontLate, FrontKill,  FrontFreeze,   FrontHangup,
-                              CoreTerm,  CoreKill,  CoreFreeze, WorkerRestart, Change};
+constexpr std::array AllKinds{FrontTerm,      FrontLate, FrontKill,     FrontFreeze,
+                              FrontSuccessor, FrontHangup, CoreTerm,    CoreKill,
+                              CoreKillAll,    CoreFreeze,  CoreSuccessor, WorkerRestart,
+                              Change};
 /** Kinds under which a front answers every request that it has taken. */
-constexpr std::array OrderlyKinds{FrontTerm, FrontHangup, CoreTerm, CoreKill, CoreFreeze, Change};
+constexpr std::array OrderlyKinds{FrontTerm, FrontHangup, CoreTerm, CoreKill,
+                                  CoreFreeze, CoreSuccessor, Change};
 
 /** The supervisor kills a process that has not ended this long after its first SIGTERM. */
 constexpr base::Duration Grace = std::chrono::seconds(8);
 constexpr base::Duration KillLimit = std::chrono::seconds(5);
 constexpr int MaximumTerms = 3;
 constexpr double HangupShare = 0.3;
+constexpr double EarlyHangupShare = 0.5;
+/** A start takes up to so long on a busy machine. */
+constexpr int LatestEarlyHangupMs = 40;
 constexpr double KilledDuringShutdownShare = 0.3;
 /** Short stops in a row, which make a process late without freezing it. */
 constexpr int ShortStops = 20;
@@ -120,6 +130,10 @@
 }
 
 void SoakDisturbances::disturbProcess(const std::string& kind, base::RandomSource& random) {
+  if (kind == CoreKillAll) {
+    killAllCores(random);
+    return;
+  }
   const bool is_front = kind.starts_with("front");
   const std::string name = reserve(is_front ? ProcessRole::Front : ProcessRole::Core, random);
   if (name.empty()) {
@@ -130,6 +144,8 @@
     terminate(name, includes(is_front ? FrontKill : CoreKill), random);
   } else if (kind == FrontKill || kind == CoreKill) {
     kill(name, random);
+  } else if (kind == FrontSuccessor || kind == CoreSuccessor) {
+    succeed(name, random);
   } else if (kind == FrontFreeze || kind == CoreFreeze) {
     freeze(name, random);
   } else if (kind == FrontLate) {
@@ -162,14 +178,59 @@
   }
   note("ended", name);
   pause(random, 0, 1'000);
-  fleet_.startAgain(name);
+  startAgain(name, random);
 }
 
 void SoakDisturbances::kill(const std::string& name, base::RandomSource& random) {
   fleet_.signal(name, SIGKILL);
   fleet_.waitForEnd(name, KillLimit);
   pause(random, 0, 2'000);
+  startAgain(name, random);
+}
+
+void SoakDisturbances::succeed(const std::string& name, base::RandomSource& random) {
+  const testbed::ProcessIdentity predecessor = fleet_.identityOf(name);
+  testbed::sendSignal(predecessor, SIGTERM);
+  pause(random, 0, 500);
+  fleet_.startSuccessor(name);
+  hangUpEarly(name, random);
+  if (!testbed::waitForCondition(predecessor, testbed::ProcessCondition::Exited, Grace)) {
+    testbed::sendSignal(predecessor, SIGKILL);
+    testbed::waitForCondition(predecessor, testbed::ProcessCondition::Exited, KillLimit);
+  }
+  note("predecessor-ended", name);
+}
+
+void SoakDisturbances::killAllCores(base::RandomSource& random) {
+  const std::vector<std::string> names = reserveAll(ProcessRole::Core);
+  if (names.empty()) {
+    return;
+  }
+  note(CoreKillAll, "all");
+  for (const std::string& name : names) {
+    fleet_.signal(name, SIGKILL);
+  }
+  for (const std::string& name : names) {
+    fleet_.waitForEnd(name, KillLimit);
+  }
+  pause(random, 0, 1'000);
+  for (const std::string& name : names) {
+    startAgain(name, random);
+    release(name);
+  }
+}
+
+void SoakDisturbances::startAgain(const std::string& name, base::RandomSource& random) {
   fleet_.startAgain(name);
+  hangUpEarly(name, random);
+}
+
+void SoakDisturbances::hangUpEarly(const std::string& name, base::RandomSource& random) {
+  if (random.chance(EarlyHangupShare)) {
+    pause(random, 0, LatestEarlyHangupMs);
+    note("sighup-while-starting", name);
+    fleet_.signal(name, SIGHUP);
+  }
 }
 
 void SoakDisturbances::freeze(const std::string& name, base::RandomSource& random) {
@@ -211,6 +272,18 @@
   return chosen;
 }
 
+std::vector<std::string> SoakDisturbances::reserveAll(ProcessRole role) {
+  const std::vector<std::string> names = fleet_.namesOf(role);
+  const std::lock_guard lock(mutex_);
+  const bool is_disturbed = std::ranges::any_of(
+      names, [this](const std::string& name) { return reserved_.contains(name); });
+  if (is_disturbed) {
+    return {};
+  }
+  reserved_.insert(names.begin(), names.end());
+  return names;
+}
+
 void SoakDisturbances::release(const std::string& name) {
   const std::lock_guard lock(mutex_);
   reserved_.erase(name);
--- a/programs/testbed/soak/soak_disturbances.h
+++ b/programs/testbed/soak/soak_disturbances.h
@@ -22,10 +22,11 @@
 
 /**
  * Disturbs a soak's fleet on several threads, so that signals, restarts and changes overlap: series
- * of SIGTERMs with SIGHUPs between them, kills also during a shutdown, freezes, rows of short
- * stops, restarts of workers and operators that change, read and evacuate. Half of the fronts and a
- * majority of the cores stay undisturbed. Seeded; writes each disturbance to a file, with the
- * seconds since the ledger was created.
+ * of SIGTERMs with SIGHUPs between them, kills also during a shutdown, SIGHUPs during a start,
+ * successors that are started before their predecessor has ended, freezes, rows of short stops,
+ * restarts of workers and operators that change, read and evacuate. Half of the fronts and a
+ * majority of the cores stay undisturbed, except when all cores are killed at once. Seeded; writes
+ * each disturbance to a file, with the seconds since the ledger was created.
  */
 class SoakDisturbances {
  public:
@@ -49,12 +50,20 @@
   void disturbProcess(const std::string& kind, base::RandomSource& random);
   void terminate(const std::string& name, bool may_kill, base::RandomSource& random);
   void kill(const std::string& name, base::RandomSource& random);
+  /** Starts the successor of a process while that shuts down. */
+  void succeed(const std::string& name, base::RandomSource& random);
+  void killAllCores(base::RandomSource& random);
+  /** Starts a process that has ended; it may get a SIGHUP while it starts. */
+  void startAgain(const std::string& name, base::RandomSource& random);
+  void hangUpEarly(const std::string& name, base::RandomSource& random);
   void freeze(const std::string& name, base::RandomSource& random);
   void slow(const std::string& name, base::RandomSource& random);
   /** Operates the configuration until the disturbances end. */
   void operate(std::uint64_t seed);
   /** Reserves a process of the role that may be disturbed; empty if there is none. */
   std::string reserve(testbed::ProcessRole role, base::RandomSource& random);
+  /** Reserves all processes of the role; empty if one of them is disturbed already. */
+  std::vector<std::string> reserveAll(testbed::ProcessRole role);
   void release(const std::string& name);
   void note(const std::string& event, const std::string& subject);
   bool pause(base::RandomSource& random, int least_ms, int most_ms);
--- a/programs/testbed/soak/soak_fleet.cc
+++ b/programs/testbed/soak/soak_fleet.cc
@@ -8,8 +8,10 @@
 #include <utility>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/base/random.h"
 #include "switchsaddle/configuration/view.h"
 #include "switchsaddle/testbed/fleet/process_control.h"
+#include "switchsaddle/testbed/soak/interruption.h"
 
 namespace switchsaddle::testbed_commands {
 namespace {
@@ -23,6 +25,9 @@
 /** Shorter than operators wait for an answer, so that no order takes effect after they left. */
 constexpr int AcknowledgementDeadlineMs = 700;
 constexpr std::uint16_t WorkerPort = 8'000;
+/** All cores are killed up to so long after a start, and come back up to so long after that. */
+constexpr std::uint64_t LatestFirstStartKillMs = 600;
+constexpr std::uint64_t LongestAbsenceMs = 1'000;
 constexpr std::array Zones{"a", "b", "c"};
 
 boost::json::object forwardingRoute(const char* kind, const char* prefix) {
@@ -131,16 +136,33 @@
 
 void SoakFleet::startDaemons() {
   startAll(ProcessRole::Core);
+  killCoresOfTheFirstStart();
+  waitReady(ProcessRole::Core);
   fleet_->applyConfiguration(configuration(), ReadyLimit);
   startAll(ProcessRole::Front);
+  waitReady(ProcessRole::Front);
 }
 
 void SoakFleet::startAll(ProcessRole role) {
-  const std::vector<FleetProcess*> processes = fleet_->ofRole(role);
-  for (FleetProcess* process : processes) {
+  for (FleetProcess* process : fleet_->ofRole(role)) {
     fleet_->start(*process);
   }
-  fleet_->waitReady(processes, ReadyLimit);
+}
+
+void SoakFleet::waitReady(ProcessRole role) {
+  fleet_->waitReady(fleet_->ofRole(role), ReadyLimit);
+}
+
+void SoakFleet::killCoresOfTheFirstStart() {
+  base::RandomSource random(options_.seed);
+  testbed::Interruption pause;
+  for (int kill = 0; kill < options_.first_start_kills; ++kill) {
+    pause.wait(std::chrono::milliseconds(random.below(LatestFirstStartKillMs)));
+    fleet_->signalAll(fleet_->ofRole(ProcessRole::Core), SIGKILL, ProcessCondition::Exited,
+                      KillLimit);
+    pause.wait(std::chrono::milliseconds(random.below(LongestAbsenceMs)));
+    startAll(ProcessRole::Core);
+  }
 }
 
 std::vector<testbed::FrontTarget> SoakFleet::fronts() {
@@ -195,4 +217,9 @@
   fleet_->start(*fleet_->state().find(name));
 }
 
+void SoakFleet::startSuccessor(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  fleet_->startSuccessor(*fleet_->state().find(name));
+}
+
 }  // namespace switchsaddle::testbed_commands
--- a/programs/testbed/soak/soak_fleet.h
+++ b/programs/testbed/soak/soak_fleet.h
@@ -22,6 +22,8 @@
   int cores = 5;
   int fronts = 4;
   int workers = 9;
+  /** How often all cores are killed and started again before the first configuration. */
+  int first_start_kills = 0;
   bool faulty_workers = true;
   std::uint64_t seed = 1;
   /** JSON of the settings' "limits" of every daemon. */
@@ -54,20 +56,24 @@
   const std::string& tenantKey() const { return tenant_key_; }
   static const char* forwardedHost() { return "soak.example"; }
 
+  testbed::ProcessIdentity identityOf(const std::string& name);
   void signal(const std::string& name, int signal_number);
   /** @return whether the process ended within the limit. */
   bool waitForEnd(const std::string& name, base::Duration limit);
   void startAgain(const std::string& name);
+  /** Starts a process anew while its predecessor may still run. */
+  void startSuccessor(const std::string& name);
 
  private:
   void startWorkers();
   void startDaemons();
   void killDaemons();
-  /** Starts the processes of a role and waits until they are ready. */
   void startAll(testbed::ProcessRole role);
+  void waitReady(testbed::ProcessRole role);
+  /** Kills all cores at the same moment and starts them again within a second, several times. */
+  void killCoresOfTheFirstStart();
   std::string layout() const;
   std::string configuration() const;
-  testbed::ProcessIdentity identityOf(const std::string& name);
 
   SoakFleetOptions options_;
   testbed::RunLedger& ledger_;
