Daemons: take over signals and standard descriptors, whatever the parent left

Callers saw: processes that end. Cause: the kernel's default actions and what the parent left were taken for granted. SIGPIPE (the reader of the log ended), SIGXFSZ (a limit on file sizes), SIGUSR1 and others ended the process; SIGHUP did so until its handler was installed; a blocked SIGTERM never arrived; with descriptors 0 to 2 closed a socket or a record's file got their numbers and was written the log.

Change, in one place (process_surroundings): orders (TERM, INT, HUP) wait until their handlers are installed, signals that are no orders are ignored, descriptors 0 to 2 are opened.

--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -3,6 +3,7 @@
 #include "daemon_process.h"
 #include "platform_adapter.h"
 #include "process_limits.h"
+#include "process_surroundings.h"
 #include "role_commands.h"
 #include "server_metrics.h"
 #include "settings_options.h"
@@ -106,6 +107,7 @@
                             {"switchsaddle core --settings core.json --data-folder data"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
+    takeOverSurroundings();
     returnFreedMemory();
     CoreDaemon daemon(loadSettings(*options, "core"), *options);
     exit_code = daemon.run();
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "switchsaddle/base/crash_dump.h"
+#include "process_surroundings.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/command_line/exit_code.h"
 #include "switchsaddle/journal/incident_of.h"
@@ -57,6 +58,7 @@
   awaitSignal();
   awaitHangup();
   dispatcher_.post([this] { strand_watch_.start(); });
+  takeSignals();
   context_.run();
   return EXIT_SUCCESS;
 }
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -3,6 +3,7 @@
 #include "daemon_process.h"
 #include "platform_adapter.h"
 #include "process_limits.h"
+#include "process_surroundings.h"
 #include "role_commands.h"
 #include "server_metrics.h"
 #include "settings_options.h"
@@ -106,6 +107,7 @@
   command_line::describeUse(*command, {"switchsaddle front --settings front.json"});
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
+    takeOverSurroundings();
     returnFreedMemory();
     FrontDaemon daemon(loadSettings(*options, "front"), *options);
     exit_code = daemon.run();
