Log: written on a thread of its own, bounded, and never waited for

Callers saw: a node that answers nobody, its readiness port neither, while its process lives. Cause: a line was written to the log's pipe on the strand that serves; a reader that stops holds the strand up in write().

Change: base::LogWriter.

--- a/libraries/base/source/crash_dump.cc
+++ b/libraries/base/source/crash_dump.cc
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <exception>
 
+#include "switchsaddle/base/log_writer.h"
+
 namespace switchsaddle::base {
 
 namespace {
@@ -74,6 +76,7 @@
 /** Logs the reason, so that the dump written on SIGABRT contains it. */
 [[noreturn]] void onTerminate() {
   logEvent(Severity::Error, "terminating", {{"reason", terminationReason()}});
+  flushProcessLog();
   std::abort();
 }
 
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -8,6 +8,7 @@
 #include "server_metrics.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/base/log_writer.h"
 #include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/core/control/core_http_service.h"
 #include "switchsaddle/core/node/core_node.h"
@@ -108,6 +109,7 @@
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
     takeOverSurroundings();
+    base::writeLogOnThread();
     returnFreedMemory();
     CoreDaemon daemon(loadSettings(*options, "core"), *options);
     exit_code = daemon.run();
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -6,6 +6,7 @@
 #include "switchsaddle/base/crash_dump.h"
 #include "process_surroundings.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/base/log_writer.h"
 #include "switchsaddle/command_line/exit_code.h"
 #include "switchsaddle/journal/incident_of.h"
 
@@ -117,6 +118,11 @@
       traffic.displaced_connections);
   page.histogram("strand_lateness_seconds", "Delay of the control strand's timers, in seconds.",
                  strand_watch_.lateness());
+  const base::LogWriterCounters log = base::processLogCounters();
+  add("log_lines_dropped_total", "Log lines dropped because the log is not read fast enough.",
+      log.dropped);
+  add("log_lines_refused_total", "Log lines that the log's file or reader did not take.",
+      log.refused);
   page.process();
 }
 
@@ -141,6 +147,7 @@
       break;
     case base::ShutdownAction::EndAtOnce:
       base::logEvent(base::Severity::Warning, "ended-at-once", {{"signal", number}});
+      base::flushProcessLog();
       std::_Exit(static_cast<int>(command_line::ExitCode::EndedAtOnce));
   }
 }
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -8,6 +8,7 @@
 #include "server_metrics.h"
 #include "settings_options.h"
 #include "switchsaddle/base/log.h"
+#include "switchsaddle/base/log_writer.h"
 #include "switchsaddle/command_line/command_line.h"
 #include "switchsaddle/front/node/front_node.h"
 #include "switchsaddle/front/worker_calls/http_forward_port.h"
@@ -108,6 +109,7 @@
   const auto options = addSettingsOptions(*command);
   command->callback([options, &exit_code] {
     takeOverSurroundings();
+    base::writeLogOnThread();
     returnFreedMemory();
     FrontDaemon daemon(loadSettings(*options, "front"), *options);
     exit_code = daemon.run();
--- a/programs/switchsaddle/main.cc
+++ b/programs/switchsaddle/main.cc
@@ -2,12 +2,14 @@
 
 #include <CLI/CLI.hpp>
 #include <iostream>
+#include <string>
 
 #include "check_command.h"
 #include "ctl_command.h"
 #include "information_commands.h"
 #include "role_commands.h"
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/base/log_writer.h"
 #include "switchsaddle/command_line/command_line.h"
 
 namespace {
@@ -16,15 +18,12 @@
 
 int report(const switchsaddle::base::Error& error) {
   const switchsaddle::base::ResultCodeInfo& info = switchsaddle::base::describe(error.code());
-  std::cerr << "switchsaddle: " << static_cast<int>(info.code) << " " << info.name << ": "
-            << error.what() << "\n";
+  switchsaddle::base::writeLogLine("switchsaddle: " + std::to_string(static_cast<int>(info.code)) +
+                                   " " + std::string(info.name) + ": " + error.what());
   return static_cast<int>(ExitCode::Refused);
 }
 
-}  // namespace
-
-/** Entry point of the daemons and of the operators' commands, which are subcommands. */
-int main(int argument_count, char** arguments) {
+int runCommand(int argument_count, char** arguments) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(arguments[0]);
   CLI::App app{"switchsaddle: a router fleet for language model sessions", "switchsaddle"};
@@ -49,3 +48,12 @@
         switchsaddle::base::Error(switchsaddle::base::ResultCode::InternalError, exception.what()));
   }
 }
+
+}  // namespace
+
+/** Entry point of the daemons and of the operators' commands, which are subcommands. */
+int main(int argument_count, char** arguments) {
+  const int exit_code = runCommand(argument_count, arguments);
+  switchsaddle::base::flushProcessLog();
+  return exit_code;
+}
