Daemons: faults of starting that pass are waited for

Callers saw: processes that do not start, or end with 1 and come back in series. Cause: addresses, data folder with its lock and settings file were taken once; whatever stood in the way for a moment (a predecessor that is not gone, another connection's local port, a file that is still written) ended the process.

Change: startAndRun. 6012 SettingsUnreadable, 6013 AddressUnavailable, 8001, 8002 and refusals of the system are tried again every 100 ms for 60 s, longer than a predecessor's grace, told as start-delayed, and ended at once by SIGTERM. Settings that cannot be right stay final.

--- a/libraries/base/include/switchsaddle/base/result_code.h
+++ b/libraries/base/include/switchsaddle/base/result_code.h
@@ -67,6 +67,8 @@
   UnknownWorker = 6009,
   SettingsNeedRestart = 6010,
   OrderExpired = 6011,
+  SettingsUnreadable = 6012,
+  AddressUnavailable = 6013,
   // 7000: the control plane.
   NoQuorum = 7001,
   SessionLapsed = 7002,
--- a/libraries/configuration/include/switchsaddle/configuration/json_value.h
+++ b/libraries/configuration/include/switchsaddle/configuration/json_value.h
@@ -60,6 +60,9 @@
 std::optional<JsonValue> parseJson(std::string_view text, const JsonLimits& limits,
                                    const std::string& path, std::vector<Fault>& faults);
 
+/** @return whether the text is the beginning of a JSON text, or empty: it may still be written. */
+bool isCutJson(std::string_view text, const JsonLimits& limits);
+
 /**
  * @return whether a JSON text may have more than this number of values, nested ones included; for
  *     texts that are to be refused before they are parsed.
--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -118,6 +118,9 @@
  */
 Settings parseSettings(const std::string& text, std::vector<Fault>& faults);
 
+/** @return whether a settings file ends before it is complete, or is empty. */
+bool isCutSettingsFile(const std::string& text);
+
 /** @return the names of changed settings that take effect only after a restart: all but `seeds`. */
 std::vector<std::string> settingsThatNeedRestart(const Settings& before, const Settings& after);
 
--- a/libraries/configuration/source/json_parser.cc
+++ b/libraries/configuration/source/json_parser.cc
@@ -2,6 +2,7 @@
 #include <boost/json/basic_parser_impl.hpp>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 #include "json_members.h"
 #include "switchsaddle/configuration/json_value.h"
@@ -150,8 +151,32 @@
   }
 }
 
+using Parser = json::basic_parser<TreeBuilder>;
+
+/** @return the error, with the number of bytes that were read before it. */
+std::pair<json::error_code, std::size_t> readTree(Parser& parser, std::string_view text) {
+  json::error_code error;
+  const std::size_t consumed = parser.write_some(false, text.data(), text.size(), error);
+  if (!error && consumed < text.size()) {
+    error = json::error::extra_data;
+  }
+  return {error, consumed};
+}
+
+json::parse_options optionsOf(const JsonLimits& limits) {
+  json::parse_options options;
+  options.max_depth = limits.maximum_depth;
+  options.allow_comments = limits.comments;
+  return options;
+}
+
 }  // namespace
 
+bool isCutJson(std::string_view text, const JsonLimits& limits) {
+  Parser parser(optionsOf(limits));
+  return readTree(parser, text).first == json::error::incomplete;
+}
+
 bool hasMoreValues(std::string_view text, std::size_t maximum) {
   // Every value but the first follows a comma or opens an object or array.
   std::size_t values = 1;
@@ -182,15 +207,8 @@
                       "must have at most " + std::to_string(limits.maximum_values) + " values"});
     return std::nullopt;
   }
-  json::parse_options options;
-  options.max_depth = limits.maximum_depth;
-  options.allow_comments = limits.comments;
-  json::basic_parser<TreeBuilder> parser(options);
-  json::error_code error;
-  const std::size_t consumed = parser.write_some(false, text.data(), text.size(), error);
-  if (!error && consumed < text.size()) {
-    error = json::error::extra_data;
-  }
+  Parser parser(optionsOf(limits));
+  const auto [error, consumed] = readTree(parser, text);
   if (error) {
     faults.push_back({path, base::ResultCode::MalformedJson,
                       error.message() + " at byte " + std::to_string(consumed)});
--- a/libraries/configuration/source/settings_parser.cc
+++ b/libraries/configuration/source/settings_parser.cc
@@ -205,6 +205,10 @@
 
 }  // namespace
 
+bool isCutSettingsFile(const std::string& text) {
+  return isCutJson(text, SettingsLimits);
+}
+
 Settings parseSettings(const std::string& text, std::vector<Fault>& faults) {
   Settings settings;
   const std::optional<JsonValue> value = parseJson(text, SettingsLimits, "", faults);
--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -109,7 +109,7 @@
 /**
  * Starts a server.
  * @param address port 0 chooses a free port.
- * @throws base::Error with InvalidAddress if the address is invalid or in use.
+ * @throws base::Error with InvalidAddress, or AddressUnavailable if it cannot be taken now.
  */
 std::unique_ptr<Server> startServer(boost::asio::io_context& context,
                                     const base::NodeAddress& address, const ServerLimits& limits,
--- a/libraries/http/source/server.cc
+++ b/libraries/http/source/server.cc
@@ -26,15 +26,20 @@
         acceptor_(server_->strand),
         retry_timer_(server_->strand),
         stall_timer_(server_->strand) {
+    error_code invalid;
+    const tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip, invalid), address.port);
+    if (invalid) {
+      throw base::Error(base::ResultCode::InvalidAddress,
+                        "not an IP address: " + address.toString());
+    }
     try {
-      const tcp::endpoint endpoint(boost::asio::ip::make_address(address.ip), address.port);
       acceptor_.open(endpoint.protocol());
       acceptor_.set_option(tcp::acceptor::reuse_address(true));
       acceptor_.bind(endpoint);
       acceptor_.listen();
       address_ = {address.ip, acceptor_.local_endpoint().port()};
     } catch (const std::exception& exception) {
-      throw base::Error(base::ResultCode::InvalidAddress,
+      throw base::Error(base::ResultCode::AddressUnavailable,
                         "cannot listen on " + address.toString() + ": " + exception.what());
     }
   }
--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -70,7 +70,7 @@
   /**
    * Starts to listen.
    * @param listen port 0 chooses a free port.
-   * @throws base::Error with InvalidAddress if the address is invalid or in use.
+   * @throws base::Error with InvalidAddress, or AddressUnavailable if it cannot be taken now.
    */
   TcpTransport(boost::asio::io_context& context, AsioDispatcher& dispatcher,
                const base::NodeAddress& listen, const TcpTransportOptions& options = {});
--- a/libraries/transport/source/tcp_listener.cc
+++ b/libraries/transport/source/tcp_listener.cc
@@ -33,7 +33,7 @@
     acceptor_.bind(endpoint);
     acceptor_.listen();
   } catch (const std::exception& exception) {
-    throw base::Error(base::ResultCode::InvalidAddress,
+    throw base::Error(base::ResultCode::AddressUnavailable,
                       "cannot listen on " + listen.toString() + ": " + exception.what());
   }
   shared_->local = base::NodeAddress{listen.ip, acceptor_.local_endpoint().port()};
--- a/libraries/transport/source/tcp_listener.h
+++ b/libraries/transport/source/tcp_listener.h
@@ -15,7 +15,7 @@
  public:
   /**
    * Binds and listens; sets Shared::local.
-   * @throws base::Error with InvalidAddress.
+   * @throws base::Error with InvalidAddress, or AddressUnavailable if it cannot be taken now.
    */
   Listener(std::shared_ptr<Shared> shared, const base::NodeAddress& listen);
 
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include "daemon_process.h"
+#include "daemon_start.h"
 #include "platform_adapter.h"
 #include "process_limits.h"
 #include "process_surroundings.h"
@@ -22,7 +23,7 @@
 namespace {
 
 /** A core daemon: a CoreNode with the sockets, disk and clock of the process. */
-class CoreDaemon {
+class CoreDaemon : public Daemon {
  public:
   CoreDaemon(const configuration::Settings& settings, SettingsOptions options)
       : settings_(settings),
@@ -52,7 +53,7 @@
                                     handle(std::move(request), std::move(writer));
                                   })) {}
 
-  int run() {
+  int run() override {
     process_.dispatcher().post([this] { node_.start(); });
     base::logEvent(
         base::Severity::Notice, "core-started",
@@ -111,8 +112,9 @@
     takeOverSurroundings();
     base::writeLogOnThread();
     returnFreedMemory();
-    CoreDaemon daemon(loadSettings(*options, "core"), *options);
-    exit_code = daemon.run();
+    exit_code = startAndRun([&options] {
+      return std::make_unique<CoreDaemon>(loadSettings(*options, "core"), *options);
+    });
   });
 }
 
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -30,7 +30,7 @@
  public:
   /**
    * @param peers limits of the connections between nodes.
-   * @throws base::Error with InvalidAddress if the peer address is invalid or in use.
+   * @throws base::Error with InvalidAddress or AddressUnavailable.
    */
   DaemonProcess(const configuration::Settings& settings,
                 const transport::TcpTransportOptions& peers);
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -1,6 +1,7 @@
 #include <CLI/CLI.hpp>
 
 #include "daemon_process.h"
+#include "daemon_start.h"
 #include "platform_adapter.h"
 #include "process_limits.h"
 #include "process_surroundings.h"
@@ -20,7 +21,7 @@
 namespace {
 
 /** A front daemon: a FrontNode with the sockets and clock of the process. */
-class FrontDaemon {
+class FrontDaemon : public Daemon {
  public:
   FrontDaemon(const configuration::Settings& settings, SettingsOptions options)
       : settings_(settings),
@@ -39,7 +40,7 @@
     }
   }
 
-  int run() {
+  int run() override {
     process_.dispatcher().post([this] { node_.start(); });
     base::logEvent(base::Severity::Notice, "front-started",
                    {{"peer", settings_.peer_address.toString()},
@@ -111,8 +112,9 @@
     takeOverSurroundings();
     base::writeLogOnThread();
     returnFreedMemory();
-    FrontDaemon daemon(loadSettings(*options, "front"), *options);
-    exit_code = daemon.run();
+    exit_code = startAndRun([&options] {
+      return std::make_unique<FrontDaemon>(loadSettings(*options, "front"), *options);
+    });
   });
 }
 
--- a/programs/switchsaddle/settings_options.cc
+++ b/programs/switchsaddle/settings_options.cc
@@ -14,7 +14,8 @@
 std::string readFile(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
-    throw base::Error(base::ResultCode::SettingsInvalid, "cannot read the settings file " + path);
+    throw base::Error(base::ResultCode::SettingsUnreadable,
+                      "cannot read the settings file " + path);
   }
   std::ostringstream text;
   text << file.rdbuf();
@@ -103,7 +104,12 @@
   std::vector<configuration::Fault> faults;
   configuration::Settings settings;
   if (!options.file.empty()) {
-    settings = configuration::parseSettings(readFile(options.file), faults);
+    const std::string text = readFile(options.file);
+    if (configuration::isCutSettingsFile(text)) {
+      throw base::Error(base::ResultCode::SettingsUnreadable,
+                        "the settings file " + options.file + " is not whole", options.file);
+    }
+    settings = configuration::parseSettings(text, faults);
   }
   applyFlags(options, settings);
   if (faults.empty()) {
