Registers: the seeds elect a first set when no core knows the initial cores

Callers saw: a system that does not start; all processes run and no change is ever acknowledged.

No election where a tolerated loss could have emptied all seeds at once, or where regions may be lost (tolerated_region_losses, new).

--- a/libraries/configuration/include/switchsaddle/configuration/settings.h
+++ b/libraries/configuration/include/switchsaddle/configuration/settings.h
@@ -100,6 +100,8 @@
    */
   std::uint32_t tolerated_core_losses = 0;
   std::uint32_t tolerated_zone_losses = 0;
+  /** Core only: number of regions whose loss the fleet must tolerate. */
+  std::uint32_t tolerated_region_losses = 0;
   /**
    * Core only: read the platform's worker list once at start-up, before the watcher lease is
    * acquired, so that a fleet without any stored state serves earlier.
--- a/libraries/configuration/source/settings_change.cc
+++ b/libraries/configuration/source/settings_change.cc
@@ -22,6 +22,7 @@
   compare("lapsed_session", &Settings::lapsed_session);
   compare("tolerated_core_losses", &Settings::tolerated_core_losses);
   compare("tolerated_zone_losses", &Settings::tolerated_zone_losses);
+  compare("tolerated_region_losses", &Settings::tolerated_region_losses);
   compare("list_before_lease", &Settings::list_before_lease);
   compare("times", &Settings::times);
   compare("forwarding", &Settings::forwarding);
--- a/libraries/configuration/source/settings_parser.cc
+++ b/libraries/configuration/source/settings_parser.cc
@@ -231,6 +231,7 @@
   settings.first_start = reader.boolean("first_start", false);
   settings.tolerated_core_losses = readToleratedLosses(reader, "tolerated_core_losses");
   settings.tolerated_zone_losses = readToleratedLosses(reader, "tolerated_zone_losses");
+  settings.tolerated_region_losses = readToleratedLosses(reader, "tolerated_region_losses");
   settings.list_before_lease = reader.boolean("list_before_lease", false);
   settings.dialect = reader.text("dialect");
   settings.lapsed_session = readExpiredSessionPolicy(reader);
--- a/libraries/configuration/test/settings_test.cc
+++ b/libraries/configuration/test/settings_test.cc
@@ -111,7 +111,7 @@
   const Settings settings = parseSettings(R"({
       "peer_address": "10.1.0.1:7500", "http_address": "10.1.0.1:8000", "zone": "north",
       "region": null, "platform_address": "", "readiness_address": null, "seeds": ["10.1.0.2:1"],
-      "first_start": null, "tolerated_core_losses": null, "tolerated_zone_losses": 1,
+      "first_start": null, "tolerated_core_losses": null, "tolerated_zone_losses": 1, "tolerated_region_losses": 2,
       "forwarding": {"retry_share": null, "retry_extra": 0, "quota_window_s": null},
       "limits": {"memory_mb": null, "descriptors": null}, "times": {"process_grace_s": null}
     })",
@@ -120,6 +120,7 @@
   EXPECT_TRUE(settings.platform_address.empty());
   EXPECT_EQ(settings.tolerated_core_losses, 0);
   EXPECT_EQ(settings.tolerated_zone_losses, 1);
+  EXPECT_EQ(settings.tolerated_region_losses, 2);
   EXPECT_DOUBLE_EQ(settings.forwarding.retry_share, ForwardingSettings{}.retry_share);
   EXPECT_EQ(settings.times.stop_deadline, TimeSettings{}.stop_deadline);
   EXPECT_EQ(settings.limits, ResourceSettings{});
--- a/libraries/core/source/node/core_options.cc
+++ b/libraries/core/source/node/core_options.cc
@@ -45,6 +45,9 @@
   result.initial_cores = settings.initial_cores;
   result.seeds = settings.seeds;
   result.zone = settings.zone;
+  result.election.tolerated_core_losses = settings.tolerated_core_losses;
+  result.election.tolerated_zone_losses = settings.tolerated_zone_losses;
+  result.election.enabled = settings.tolerated_region_losses == 0;
   return result;
 }
 
--- a/libraries/registers/include/switchsaddle/registers/bootstrap.h
+++ b/libraries/registers/include/switchsaddle/registers/bootstrap.h
@@ -11,6 +11,7 @@
 #include "switchsaddle/base/callback_scope.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/registers/acceptor.h"
+#include "switchsaddle/registers/first_set_election.h"
 #include "switchsaddle/transport/peer_calls.h"
 
 namespace switchsaddle::registers {
@@ -25,6 +26,8 @@
   base::Duration announce_interval = std::chrono::milliseconds(250);
   /** Timeout of each request. */
   base::Duration call_timeout = std::chrono::milliseconds(500);
+  /** The first set of a fleet in which no core knows the initial cores any more. */
+  FirstSetElectionOptions election;
   /** Tells a restarted core nothing of the initial cores. For tests only: no set may form. */
   bool test_withhold_initial_cores = false;
 };
@@ -40,7 +43,9 @@
  * A committer that was restarted before there was a set learns the initial cores from those that
  * know them since the first start. Invariant: an instance of the committer learns them only from a
  * core that has answered no other instance of it. Since a first set needs the answers of all
- * initial cores, no other instance has committed one. Runs on the acceptor's strand.
+ * initial cores, no other instance has committed one. If no core knows them any more,
+ * FirstSetElection decides. From every state before the first set, one is committed once all initial
+ * cores run, unless one of them has lost its disk. Runs on the acceptor's strand.
  */
 class Bootstrap {
  public:
@@ -54,7 +59,7 @@
   /** Starts the announcements; called once. */
   void start();
   /** Replaces the further cores that may have the acceptor set. */
-  void setSeeds(std::vector<base::NodeAddress> seeds) { options_.seeds = std::move(seeds); }
+  void setSeeds(std::vector<base::NodeAddress> seeds);
   /** @param listener called for each announcement of an instance that is not in the acceptor set.
    */
   void setCandidateListener(CandidateListener listener) { listener_ = std::move(listener); }
@@ -71,6 +76,7 @@
   void offerInitialCores(const wire::AcceptorMember& committer);
   void onInitialCores(const wire::InitialCores& cores);
   void commitFirstSet();
+  void commit(const std::vector<wire::AcceptorMember>& members);
   void publish(const wire::AcceptorSet& set);
   wire::AcceptorMember ownMember() const;
 
@@ -86,6 +92,7 @@
   std::set<std::uint64_t> answered_committers_;
   /** The cores without state that answered the current round. */
   std::map<base::NodeAddress, wire::AcceptorMember> empty_cores_;
+  FirstSetElection election_;
   base::CallbackScope callbacks_;
 };
 
--- a/libraries/registers/source/bootstrap.cc
+++ b/libraries/registers/source/bootstrap.cc
@@ -14,7 +14,10 @@
       calls_(calls),
       acceptor_(acceptor),
       options_(std::move(options)),
-      timer_(dispatcher_.createTimer([this] { announce(); })) {
+      timer_(dispatcher_.createTimer([this] { announce(); })),
+      election_(dispatcher, calls, acceptor, options_.election, options_.zone,
+                [this](const auto& members) { commit(members); }) {
+  election_.setCores(options_.initial_cores.empty() ? options_.seeds : options_.initial_cores);
   calls_.handle<wire::CoreAnnounce>([this](const auto&, const wire::CoreAnnounce& announce,
                                            const auto& reply) { onAnnounce(announce, reply); });
   calls_.handle<wire::InitialCores>(
@@ -25,6 +28,13 @@
   timer_->enable(base::Duration::zero());
 }
 
+void Bootstrap::setSeeds(std::vector<base::NodeAddress> seeds) {
+  options_.seeds = std::move(seeds);
+  if (options_.initial_cores.empty()) {
+    election_.setCores(options_.seeds);
+  }
+}
+
 wire::AcceptorMember Bootstrap::ownMember() const {
   return {calls_.localAddress(), acceptor_.instance()};
 }
@@ -38,6 +48,7 @@
   if (announce.member.address == committer()) {
     answered_committers_.insert(announce.member.instance);
   }
+  election_.noteAnswered(announce.member);
   reply(wire::CoreAnnounceReply{set, ownMember(), acceptor_.hasState(), options_.zone});
   const bool is_candidate = set.epoch != 0 && !containsInstance(set, announce.member.instance);
   if (is_candidate && listener_) {
@@ -63,6 +74,9 @@
                   }
                 }));
   }
+  if (options_.initial_cores.empty()) {
+    election_.startRound(options_.call_timeout);
+  }
 }
 
 void Bootstrap::onReply(std::uint64_t round, const wire::CoreAnnounceReply& reply) {
@@ -108,15 +122,21 @@
   if (acceptor_.hasState() || committer() != calls_.localAddress()) {
     return;
   }
-  wire::AcceptorSet first;
-  first.epoch = 1;
+  std::vector<wire::AcceptorMember> members;
   for (const base::NodeAddress& address : options_.initial_cores) {
     const auto found = empty_cores_.find(address);
     if (found == empty_cores_.end()) {
       return;
     }
-    first.members.push_back(found->second);
+    members.push_back(found->second);
   }
+  commit(members);
+}
+
+void Bootstrap::commit(const std::vector<wire::AcceptorMember>& members) {
+  wire::AcceptorSet first;
+  first.epoch = 1;
+  first.members = members;
   acceptor_.installSet(first, [this, first](bool synced) {
     if (synced) {
       publish(first);
--- a/libraries/registers/test/test_cluster.cc
+++ b/libraries/registers/test/test_cluster.cc
@@ -140,6 +140,7 @@
 BootstrapOptions TestCluster::laterStartOptions() const {
   BootstrapOptions options;
   options.seeds = bootstrap_options_.initial_cores;
+  options.election = options_.election;
   return options;
 }
 
--- a/libraries/registers/test/test_cluster.h
+++ b/libraries/registers/test/test_cluster.h
@@ -57,6 +57,7 @@
   ProposerOptions proposer;
   AcceptorSetChangeOptions change;
   ScrubberOptions scrubber;
+  FirstSetElectionOptions election;
   /** If false, the cluster starts no nodes, and Bootstrap commits the first set later. */
   bool first_set_known = true;
 };
--- a/libraries/wire/include/switchsaddle/wire/control_messages.h
+++ b/libraries/wire/include/switchsaddle/wire/control_messages.h
@@ -87,4 +87,32 @@
   }
 };
 
+/**
+ * Core to core, before there is an acceptor set and when no core knows the initial cores any more:
+ * asks whether the candidate may commit the first set, of these cores.
+ */
+struct FirstSetVoteRequest {
+  AcceptorMember candidate;
+  /** In ascending order. */
+  std::vector<base::NodeAddress> cores;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(candidate, cores);
+  }
+};
+
+/** Reply to FirstSetVoteRequest. */
+struct FirstSetVoteReply {
+  bool granted = false;
+  /** The answering core process. */
+  AcceptorMember voter;
+  std::string zone;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(granted, voter, zone);
+  }
+};
+
 }  // namespace switchsaddle::wire
--- a/libraries/wire/include/switchsaddle/wire/message.h
+++ b/libraries/wire/include/switchsaddle/wire/message.h
@@ -34,7 +34,8 @@
                  ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest, GossipDelta,
                  SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
                  ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply,
-                 WorkerViewChange, QuotaRequest, QuotaReply, InitialCores>;
+                 WorkerViewChange, QuotaRequest, QuotaReply, InitialCores, FirstSetVoteRequest,
+                 FirstSetVoteReply>;
 
 /** Version in the header of each encoded envelope; decode() rejects any other. */
 inline constexpr std::uint16_t ProtocolVersion = 2;
--- a/libraries/wire/source/message_name.cc
+++ b/libraries/wire/source/message_name.cc
@@ -46,7 +46,9 @@
     "WorkerViewChange",
     "QuotaRequest",
     "QuotaReply",
-    "InitialCores"};
+    "InitialCores",
+    "FirstSetVoteRequest",
+    "FirstSetVoteReply"};
 static_assert(!Names.back().empty(), "a message has no name");
 
 }  // namespace
