--- a/libraries/testbed/include/switchsaddle/testbed/fleet/fleet_layout.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/fleet_layout.h
@@ -35,6 +35,8 @@
   std::string times_json = "{}";
   /** JSON of the settings' "limits", copied likewise. */
   std::string limits_json = "{}";
+  /** Losses of cores that the fleet bears at once; zero keeps the initial acceptor set. */
+  int tolerated_core_losses = 0;
 };
 
 /**
@@ -73,6 +75,7 @@
   std::string operator_key;
   std::string times_json = "{}";
   std::string limits_json = "{}";
+  int tolerated_core_losses = 0;
   std::vector<FleetProcess> processes;
 
   FleetProcess* find(const std::string& name);
--- a/libraries/testbed/include/switchsaddle/testbed/fleet/process_control.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/process_control.h
@@ -34,6 +34,12 @@
 /** Sends a signal to this process only; returns false if it has exited. */
 bool sendSignal(const ProcessIdentity& process, int signal_number);
 
+/**
+ * Whether the process blocks, handles or ignores the signal. Before its first instruction, while the
+ * system loads its libraries, no program can.
+ */
+bool protectsItselfFrom(const ProcessIdentity& process, int signal_number);
+
 /** Waits until the process has the condition; returns false if `limit` passes first. */
 bool waitForCondition(const ProcessIdentity& process, ProcessCondition condition,
                       base::Duration limit);
--- a/libraries/testbed/source/fleet/fleet_layout.cc
+++ b/libraries/testbed/source/fleet/fleet_layout.cc
@@ -16,7 +16,8 @@
                                 std::string_view("operator_key"), std::string_view("zones"),
                                 std::string_view("cores"),        std::string_view("fronts"),
                                 std::string_view("platform"),     std::string_view("times"),
-                                std::string_view("limits"),       std::string_view("workers")};
+                                std::string_view("limits"),       std::string_view("workers"),
+                                std::string_view("tolerated_core_losses")};
 
 void rejectUnknownKeys(const boost::json::object& object) {
   for (const auto& field : object) {
@@ -133,6 +134,8 @@
   layout.crashed_listed_ms =
       static_cast<int>(integerField(platform, "crashed_listed_ms", layout.crashed_listed_ms));
   layout.times_json = boost::json::serialize(objectField(object, "times"));
+  layout.tolerated_core_losses =
+      static_cast<int>(integerField(object, "tolerated_core_losses", layout.tolerated_core_losses));
   layout.limits_json = boost::json::serialize(objectField(object, "limits"));
   rejectDuplicateNames(layout);
   return layout;
--- a/libraries/testbed/source/fleet/fleet_plan.cc
+++ b/libraries/testbed/source/fleet/fleet_plan.cc
@@ -121,6 +121,7 @@
   state.operator_key = layout.operator_key;
   state.times_json = layout.times_json;
   state.limits_json = layout.limits_json;
+  state.tolerated_core_losses = layout.tolerated_core_losses;
   state.processes.push_back(planPlatform(layout, directory, programs));
   for (const LayoutWorker& worker : layout.workers) {
     state.processes.push_back(planWorker(worker, directory, programs));
@@ -167,6 +168,9 @@
   if (process.role == ProcessRole::Front) {
     settings["readiness_address"] = readinessAddress(process).toString();
   }
+  if (process.role == ProcessRole::Core) {
+    settings["tolerated_core_losses"] = state.tolerated_core_losses;
+  }
   const bool was_started = process.pid != 0;
   if (process.role == ProcessRole::Core && !process.replacement && !was_started) {
     settings["initial_cores"] = addressList(cores);
--- a/libraries/testbed/source/fleet/fleet_state.cc
+++ b/libraries/testbed/source/fleet/fleet_state.cc
@@ -94,6 +94,7 @@
                           {"operator_key", state.operator_key},
                           {"times", boost::json::parse(state.times_json)},
                           {"limits", boost::json::parse(state.limits_json)},
+                          {"tolerated_core_losses", state.tolerated_core_losses},
                           {"processes", std::move(processes)}});
 }
 
@@ -105,6 +106,8 @@
   state.operator_key = textField(object, "operator_key");
   state.times_json = boost::json::serialize(objectField(object, "times"));
   state.limits_json = boost::json::serialize(objectField(object, "limits"));
+  state.tolerated_core_losses =
+      static_cast<int>(integerField(object, "tolerated_core_losses", 0));
   for (const boost::json::object& process : objectListField(object, "processes")) {
     state.processes.push_back(processFromJson(process));
   }
--- a/libraries/testbed/source/fleet/process_control.cc
+++ b/libraries/testbed/source/fleet/process_control.cc
@@ -152,6 +152,22 @@
   return stat.state == 'T' ? ProcessCondition::Stopped : ProcessCondition::Running;
 }
 
+bool protectsItselfFrom(const ProcessIdentity& process, int signal_number) {
+  constexpr int HexadecimalBase = 16;
+  const std::uint64_t signal_bit = std::uint64_t{1} << static_cast<unsigned>(signal_number - 1);
+  std::ifstream file("/proc/" + std::to_string(process.pid) + "/status");
+  std::string name;
+  std::string value;
+  while (file >> name) {
+    const bool is_mask = name == "SigBlk:" || name == "SigIgn:" || name == "SigCgt:";
+    if (is_mask && file >> value &&
+        (std::stoull(value, nullptr, HexadecimalBase) & signal_bit) != 0) {
+      return conditionOf(process) != ProcessCondition::Exited;
+    }
+  }
+  return false;
+}
+
 bool sendSignal(const ProcessIdentity& process, int signal_number) {
   if (conditionOf(process) == ProcessCondition::Exited) {
     return false;
--- a/libraries/testbed/test/fleet/process_control_test.cc
+++ b/libraries/testbed/test/fleet/process_control_test.cc
@@ -31,6 +31,17 @@
   EXPECT_FALSE(sendSignal(process_, SIGKILL));
 }
 
+TEST_F(ProcessControlTest, TellsWhetherAProcessProtectsItselfFromASignal) {
+  EXPECT_FALSE(protectsItselfFrom(process_, SIGUSR1));
+  const ProcessIdentity ignoring =
+      launchDetached({"/bin/sh", "-c", "trap '' USR1; exec /bin/sleep 600"}, "/dev/null");
+  while (!protectsItselfFrom(ignoring, SIGUSR1)) {
+    ASSERT_NE(conditionOf(ignoring), ProcessCondition::Exited);
+  }
+  EXPECT_FALSE(protectsItselfFrom(ignoring, SIGUSR2));
+  EXPECT_TRUE(sendSignal(ignoring, SIGKILL));
+}
+
 TEST_F(ProcessControlTest, AReusedPidIsNotTheSameProcess) {
   const ProcessIdentity other{process_.pid, process_.start_ticks + 1};
   EXPECT_EQ(conditionOf(other), ProcessCondition::Exited);
--- a/programs/testbed/soak/soak_disturbances.cc
+++ b/programs/testbed/soak/soak_disturbances.cc
@@ -228,8 +228,11 @@
 void SoakDisturbances::hangUpEarly(const std::string& name, base::RandomSource& random) {
   if (random.chance(EarlyHangupShare)) {
     pause(random, 0, LatestEarlyHangupMs);
-    note("sighup-while-starting", name);
-    fleet_.signal(name, SIGHUP);
+    const testbed::ProcessIdentity process = fleet_.identityOf(name);
+    if (testbed::protectsItselfFrom(process, SIGHUP)) {
+      note("sighup-while-starting", name);
+      testbed::sendSignal(process, SIGHUP);
+    }
   }
 }
 
--- a/programs/testbed/soak/soak_fleet.cc
+++ b/programs/testbed/soak/soak_fleet.cc
@@ -90,6 +90,7 @@
       {"operator_key", operator_key_},
       {"zones", boost::json::array(Zones.begin(), Zones.end())},
       {"cores", boost::json::object{{"count", options_.cores}}},
+      {"tolerated_core_losses", (options_.cores - 1) / 2},
       {"fronts", boost::json::object{{"count", options_.fronts}}},
       {"workers", boost::json::array{}},
       {"limits", boost::json::parse(options_.limits_json)},
