Connections: another node may listen on the port that the kernel chose for one

Callers saw: a process that does not start, Address already in use, and not for a moment: nodes keep their connections to cores and workers open. Cause: the kernel picks a connection's local port among those that a node may be told to listen on; without SO_REUSEADDR on the connection's socket nobody can listen there until it ends. Found by looking for the class of what the start takes for granted.

Evidence: TcpTransportTest.ANodeCanListenOnThePortOfAnotherNodesConnection and ClientTest.AServerCanListenOnThePortOfAConnection; with the option taken out of either file both fail with Address already in use, with it both pass.

--- a/libraries/http/source/client_socket.cc
+++ b/libraries/http/source/client_socket.cc
@@ -45,6 +45,8 @@
   }
   error_code ignored;
   socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ignored);
+  // A node may listen on the port that the kernel chooses for this connection.
+  socket.set_option(asio::socket_base::reuse_address(true), ignored);
   return local_ip.empty() ? error : bindLocalAddress(socket, local_ip);
 }
 
--- a/libraries/http/test/client_test.cc
+++ b/libraries/http/test/client_test.cc
@@ -120,6 +120,19 @@
   EXPECT_EQ(observer->failures, 1);
 }
 
+TEST_F(ClientTest, AServerCanListenOnThePortOfAConnection) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor peer(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  tcp::socket accepted(context);
+  peer.async_accept(accepted, [](const boost::system::error_code&) {});
+  const auto observer = std::make_shared<RecordingObserver>();
+  running = client->start({"127.0.0.1", peer.local_endpoint().port()}, {"GET", "/", {}, ""}, {},
+                          observer);
+  ASSERT_TRUE(runUntil([&] { return accepted.is_open(); }));
+  const base::NodeAddress local{"127.0.0.1", accepted.remote_endpoint().port()};
+  EXPECT_NO_THROW(startServer(context, local, {}, nullptr));
+}
+
 TEST_F(ClientTest, ReportsAnInvalidAddress) {
   const auto observer = runAt({"not an address", 1}, {"POST", "/", {}, "x"});
   EXPECT_EQ(observer->failure, ExchangeFailure::NotConnected);
--- a/libraries/transport/source/socket_options.cc
+++ b/libraries/transport/source/socket_options.cc
@@ -33,6 +33,11 @@
   socket.set_option(IntegerOption<IPPROTO_TCP, TCP_USER_TIMEOUT>(milliseconds), ignored);
 }
 
+void shareLocalPort(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(boost::asio::socket_base::reuse_address(true), ignored);
+}
+
 void bindLocalAddress(tcp::socket& socket, const base::NodeAddress& local,
                       const tcp::endpoint& peer) {
   error_code error;
--- a/libraries/transport/source/socket_options.h
+++ b/libraries/transport/source/socket_options.h
@@ -18,6 +18,12 @@
  */
 void setConnectionOptions(boost::asio::ip::tcp::socket& socket, base::Duration user_timeout);
 
+/**
+ * Lets another process listen on the port that the kernel chooses for this connection. Without it a
+ * node that is started could not take its address for as long as the connection lasts.
+ */
+void shareLocalPort(boost::asio::ip::tcp::socket& socket);
+
 /**
  * Binds the socket to the IP address at which peers reach this node. Best effort: the connection
  * also works without it.
--- a/libraries/transport/source/tcp_outgoing_connection.cc
+++ b/libraries/transport/source/tcp_outgoing_connection.cc
@@ -71,6 +71,9 @@
   error_code error;
   socket_ = tcp::socket(shared_->strand);
   socket_.open(endpoint.protocol(), error);
+  if (!error) {
+    shareLocalPort(socket_);
+  }
   return error;
 }
 
--- a/libraries/transport/test/tcp_transport_test.cc
+++ b/libraries/transport/test/tcp_transport_test.cc
@@ -302,6 +302,17 @@
   EXPECT_EQ(destroying.calls, 2);
 }
 
+TEST_F(TcpTransportTest, ANodeCanListenOnThePortOfAnotherNodesConnection) {
+  const auto sender = make("127.0.2.1");
+  tcp::acceptor peer(context, {boost::asio::ip::make_address("127.0.2.3"), 0});
+  tcp::socket accepted(context);
+  peer.async_accept(accepted, [](const boost::system::error_code&) {});
+  sender->send({"127.0.2.3", peer.local_endpoint().port()}, numbered(*sender, 1));
+  ASSERT_TRUE(runUntil([&] { return accepted.is_open(); }));
+  const base::NodeAddress local{"127.0.2.1", accepted.remote_endpoint().port()};
+  EXPECT_NO_THROW(TcpTransport(context, dispatcher, local));
+}
+
 TEST_F(TcpTransportTest, RejectsAnInvalidAddressAndOneInUse) {
   const auto listening = make("127.0.2.1");
   const std::pair<base::NodeAddress, base::ResultCode> cases[] = {
