--- a/libraries/base/source/log_writer.cc
+++ b/libraries/base/source/log_writer.cc
@@ -122,8 +122,8 @@
 
 bool LogWriter::flush(Duration limit) {
   std::unique_lock lock(state_->mutex);
-  return state_->changed.wait_for(
-      lock, limit, [this] { return state_->lines.empty() && !state_->writing; });
+  return state_->changed.wait_for(lock, limit,
+                                  [this] { return state_->lines.empty() && !state_->writing; });
 }
 
 LogWriterCounters LogWriter::counters() const {
--- a/libraries/registers/include/switchsaddle/registers/bootstrap.h
+++ b/libraries/registers/include/switchsaddle/registers/bootstrap.h
@@ -44,8 +44,8 @@
  * know them since the first start. Invariant: an instance of the committer learns them only from a
  * core that has answered no other instance of it. Since a first set needs the answers of all
  * initial cores, no other instance has committed one. If no core knows them any more,
- * FirstSetElection decides. From every state before the first set, one is committed once all initial
- * cores run, unless one of them has lost its disk. Runs on the acceptor's strand.
+ * FirstSetElection decides. From every state before the first set, one is committed once all
+ * initial cores run, unless one of them has lost its disk. Runs on the acceptor's strand.
  */
 class Bootstrap {
  public:
--- a/libraries/registers/include/switchsaddle/registers/first_set_election.h
+++ b/libraries/registers/include/switchsaddle/registers/first_set_election.h
@@ -27,8 +27,8 @@
 
 /**
  * Elects the core that commits the first acceptor set of a fleet whose cores were all restarted
- * before there was one, so that none of them knows the initial cores. The candidate is the seed with
- * the lowest address, the set are the seeds.
+ * before there was one, so that none of them knows the initial cores. The candidate is the seed
+ * with the lowest address, the set are the seeds.
  *
  * Invariant: no set is committed while there are acknowledged values of another set. A vote says
  * that the voter has no set and no register, that it has the same seeds, and that its process has
--- a/libraries/testbed/include/switchsaddle/testbed/fleet/process_control.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/process_control.h
@@ -35,8 +35,8 @@
 bool sendSignal(const ProcessIdentity& process, int signal_number);
 
 /**
- * Whether the process blocks, handles or ignores the signal. Before its first instruction, while the
- * system loads its libraries, no program can.
+ * Whether the process blocks, handles or ignores the signal. Before its first instruction, while
+ * the system loads its libraries, no program can.
  */
 bool protectsItselfFrom(const ProcessIdentity& process, int signal_number);
 
--- a/libraries/testbed/source/fleet/fleet_layout.cc
+++ b/libraries/testbed/source/fleet/fleet_layout.cc
@@ -12,11 +12,16 @@
 namespace {
 
 constexpr std::int64_t LargestCount = 250;
-constexpr std::array LayoutKeys{std::string_view("network"),      std::string_view("region"),
-                                std::string_view("operator_key"), std::string_view("zones"),
-                                std::string_view("cores"),        std::string_view("fronts"),
-                                std::string_view("platform"),     std::string_view("times"),
-                                std::string_view("limits"),       std::string_view("workers"),
+constexpr std::array LayoutKeys{std::string_view("network"),
+                                std::string_view("region"),
+                                std::string_view("operator_key"),
+                                std::string_view("zones"),
+                                std::string_view("cores"),
+                                std::string_view("fronts"),
+                                std::string_view("platform"),
+                                std::string_view("times"),
+                                std::string_view("limits"),
+                                std::string_view("workers"),
                                 std::string_view("tolerated_core_losses")};
 
 void rejectUnknownKeys(const boost::json::object& object) {
--- a/libraries/testbed/source/fleet/fleet_state.cc
+++ b/libraries/testbed/source/fleet/fleet_state.cc
@@ -106,8 +106,7 @@
   state.operator_key = textField(object, "operator_key");
   state.times_json = boost::json::serialize(objectField(object, "times"));
   state.limits_json = boost::json::serialize(objectField(object, "limits"));
-  state.tolerated_core_losses =
-      static_cast<int>(integerField(object, "tolerated_core_losses", 0));
+  state.tolerated_core_losses = static_cast<int>(integerField(object, "tolerated_core_losses", 0));
   for (const boost::json::object& process : objectListField(object, "processes")) {
     state.processes.push_back(processFromJson(process));
   }
--- a/libraries/wire/include/switchsaddle/wire/message.h
+++ b/libraries/wire/include/switchsaddle/wire/message.h
@@ -25,17 +25,15 @@
  * Any message between nodes. The index of an alternative is part of the wire format: new messages
  * are appended. Nodes of earlier releases drop messages that they do not know.
  */
-using Message =
-    std::variant<Acknowledgement, PrepareRequest, AcceptRequest, RegisterReply, RegisterScanRequest,
-                 RegisterScanReply, RegisterInstallRequest, RegisterInstallReply,
-                 AcceptorSetInstallRequest, AcceptorSetInstallReply, LeaseRequest, LeaseReply,
-                 LeaseRelease, SessionOpenRequest, SessionOpenReply, SessionRecordBatch,
-                 SessionRecordBatchReply, SessionTableRequest, SessionTableReply,
-                 ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest, GossipDelta,
-                 SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
-                 ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply,
-                 WorkerViewChange, QuotaRequest, QuotaReply, InitialCores, FirstSetVoteRequest,
-                 FirstSetVoteReply>;
+using Message = std::variant<
+    Acknowledgement, PrepareRequest, AcceptRequest, RegisterReply, RegisterScanRequest,
+    RegisterScanReply, RegisterInstallRequest, RegisterInstallReply, AcceptorSetInstallRequest,
+    AcceptorSetInstallReply, LeaseRequest, LeaseReply, LeaseRelease, SessionOpenRequest,
+    SessionOpenReply, SessionRecordBatch, SessionRecordBatchReply, SessionTableRequest,
+    SessionTableReply, ConfigurationDelta, ConfigurationFetch, WorkerView, GossipDigest,
+    GossipDelta, SlotRequest, SlotReply, SlotRecall, SlotReport, ClaimBegin, ClaimFinish,
+    ClaimReply, ControlRequest, ControlReply, CoreAnnounce, CoreAnnounceReply, WorkerViewChange,
+    QuotaRequest, QuotaReply, InitialCores, FirstSetVoteRequest, FirstSetVoteReply>;
 
 /** Version in the header of each encoded envelope; decode() rejects any other. */
 inline constexpr std::uint16_t ProtocolVersion = 2;
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -3,8 +3,8 @@
 #include <csignal>
 #include <cstdlib>
 
-#include "switchsaddle/base/crash_dump.h"
 #include "process_surroundings.h"
+#include "switchsaddle/base/crash_dump.h"
 #include "switchsaddle/base/log.h"
 #include "switchsaddle/base/log_writer.h"
 #include "switchsaddle/command_line/exit_code.h"
--- a/programs/switchsaddle/daemon_start.h
+++ b/programs/switchsaddle/daemon_start.h
@@ -25,9 +25,9 @@
 
 /**
  * Starts a daemon and runs it. A fault of starting that may pass by itself is not final: a
- * predecessor may still hold an address or the data folder, a disk may be mounted late, the settings
- * may just be written. The daemon then tries again for a minute, says so in the log, and ends at
- * once on SIGTERM or SIGINT. Settings that cannot be right end the start at once.
+ * predecessor may still hold an address or the data folder, a disk may be mounted late, the
+ * settings may just be written. The daemon then tries again for a minute, says so in the log, and
+ * ends at once on SIGTERM or SIGINT. Settings that cannot be right end the start at once.
  * @return the exit code.
  * @throws what the factory throws, if that is final or does not pass in time.
  */
--- a/programs/switchsaddle/process_surroundings.cc
+++ b/programs/switchsaddle/process_surroundings.cc
@@ -50,7 +50,7 @@
 }
 
 /** What the system calls before the constructors of the program and its libraries. */
-using EarlyFunction = void (*)(int, char**, char**);
+using PreinitFunction = void (*)(int, char**, char**);
 
 /** Takes over the surroundings of a daemon; those of an operator's command stay as they are. */
 void takeOverEarly(int argument_count, char** arguments, char** /*environment*/) {
@@ -61,7 +61,8 @@
 }
 
 // Constructors take milliseconds on a busy machine, in which a SIGHUP would end the process.
-__attribute__((section(".preinit_array"), used)) const EarlyFunction early_function = takeOverEarly;
+__attribute__((section(".preinit_array"), used)) const PreinitFunction BeforeConstructors =
+    takeOverEarly;
 
 }  // namespace
 
--- a/programs/switchsaddle/process_surroundings.h
+++ b/programs/switchsaddle/process_surroundings.h
@@ -4,8 +4,8 @@
 
 /**
  * What a daemon takes for granted of its surroundings: that its program and libraries could be
- * loaded, and that it gets memory, descriptors and threads within its limits. Not taken for granted,
- * and where it is seen to:
+ * loaded, and that it gets memory, descriptors and threads within its limits. Not taken for
+ * granted, and where it is seen to:
  *
  * - actions and mask of signals, descriptors 0 to 2: takeOverSurroundings();
  * - that the log is read: base::writeLogOnThread();
@@ -18,13 +18,14 @@
 
 /**
  * Takes over what the parent process left. From now on SIGTERM, SIGINT and SIGHUP wait until
- * takeSignals(), signals that are no order to a daemon are ignored, and descriptors 0 to 2 are open.
- * In a daemon it also runs before the constructors of all libraries. Only system calls: nothing else
- * can be used so early.
+ * takeSignals(), signals that are no order to a daemon are ignored, and descriptors 0 to 2 are
+ * open. In a daemon it also runs before the constructors of all libraries. Only system calls:
+ * nothing else can be used so early.
  */
 void takeOverSurroundings();
 
-/** Lets signals through, whatever mask the parent left. Called once their handlers are installed. */
+/** Lets signals through, whatever mask the parent left. Called once their handlers are installed.
+ */
 void takeSignals();
 
 }  // namespace switchsaddle
--- a/programs/test/daemon_start_test.cc
+++ b/programs/test/daemon_start_test.cc
@@ -90,7 +90,8 @@
   EXPECT_EQ(daemon.log().text().find(Delayed), std::string::npos);
 }
 
-/** Holds a daemon in the middle of its start: its settings file is a pipe that nobody writes yet. */
+/** Holds a daemon in the middle of its start: its settings file is a pipe that nobody writes yet.
+ */
 class DaemonMidStartTest : public DaemonStartTest {
  protected:
   void SetUp() override {
--- a/programs/test/tested_daemon.cc
+++ b/programs/test/tested_daemon.cc
@@ -45,10 +45,9 @@
   const std::string addresses = R"("peer_address":")" + peerAddress().toString() +
                                 R"(","http_address":")" + httpAddress().toString() + '"';
   const std::string common = R"(,"zone":"a","seeds":["127.49.0.1:7000"])";
-  const std::string own =
-      role_ == DaemonRole::Front
-          ? R"(,"readiness_address":")" + readinessAddress().toString() + '"'
-          : R"(,"data_folder":")" + dataFolder() + '"';
+  const std::string own = role_ == DaemonRole::Front
+                              ? R"(,"readiness_address":")" + readinessAddress().toString() + '"'
+                              : R"(,"data_folder":")" + dataFolder() + '"';
   return "{" + addresses + common + own + "}\n";
 }
 
--- a/programs/test/tested_daemon.h
+++ b/programs/test/tested_daemon.h
@@ -45,7 +45,8 @@
 class TestedDaemon {
  public:
   /** @param prepare runs in the child before the program. */
-  explicit TestedDaemon(const DaemonSite& site, const testbed::ChildPreparation& prepare = [] {});
+  explicit TestedDaemon(
+      const DaemonSite& site, const testbed::ChildPreparation& prepare = [] {});
 
   testbed::LogPipe& log() { return log_; }
   testbed::ChildProcess& process() { return process_; }
--- a/programs/testbed/soak/soak_disturbances.cc
+++ b/programs/testbed/soak/soak_disturbances.cc
@@ -27,12 +27,11 @@
 constexpr const char* CoreFreeze = "core-freeze";
 constexpr const char* WorkerRestart = "worker-restart";
 constexpr const char* Change = "change";
-constexpr std::array AllKinds{FrontTerm,      FrontLate, FrontKill,     FrontFreeze,
-                              FrontSuccessor, FrontHangup, CoreTerm,    CoreKill,
-                              CoreKillAll,    CoreFreeze,  CoreSuccessor, WorkerRestart,
-                              Change};
+constexpr std::array AllKinds{FrontTerm,     FrontLate,     FrontKill, FrontFreeze, FrontSuccessor,
+                              FrontHangup,   CoreTerm,      CoreKill,  CoreKillAll, CoreFreeze,
+                              CoreSuccessor, WorkerRestart, Change};
 /** Kinds under which a front answers every request that it has taken. */
-constexpr std::array OrderlyKinds{FrontTerm, FrontHangup, CoreTerm, CoreKill,
+constexpr std::array OrderlyKinds{FrontTerm,  FrontHangup,   CoreTerm, CoreKill,
                                   CoreFreeze, CoreSuccessor, Change};
 
 /** The supervisor kills a process that has not ended this long after its first SIGTERM. */
