Daemons: signals have no effect on a process that is ending

Callers saw: a process that ends by itself, killed by SIGHUP, while it shuts down. Cause: once the daemon has stopped, its handlers are removed, which brings the default actions back, and the destruction of its state and the last lines of the log still take milliseconds.

Change: orders wait from the moment at which the daemon has stopped.

--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -61,6 +61,7 @@
   dispatcher_.post([this] { strand_watch_.start(); });
   takeSignals();
   context_.run();
+  holdSignals();
   return EXIT_SUCCESS;
 }
 
--- a/programs/switchsaddle/process_surroundings.cc
+++ b/programs/switchsaddle/process_surroundings.cc
@@ -66,9 +66,13 @@
 
 }  // namespace
 
-void takeOverSurroundings() {
+void holdSignals() {
   const sigset_t orders = setOf(Orders);
   ::sigprocmask(SIG_BLOCK, &orders, nullptr);
+}
+
+void takeOverSurroundings() {
+  holdSignals();
   ignoreSignals();
   openStandardDescriptors();
 }
--- a/programs/switchsaddle/process_surroundings.h
+++ b/programs/switchsaddle/process_surroundings.h
@@ -24,6 +24,9 @@
  */
 void takeOverSurroundings();
 
+/** Makes orders wait again, for good: the process is ending, and their handlers are removed. */
+void holdSignals();
+
 /** Lets signals through, whatever mask the parent left. Called once their handlers are installed.
  */
 void takeSignals();
--- a/programs/test/daemon_surroundings_test.cc
+++ b/programs/test/daemon_surroundings_test.cc
@@ -52,6 +52,16 @@
   EXPECT_EQ(daemon.terminate(), Orderly);
 }
 
+TEST_P(DaemonSurroundingsTest, HangupsUntilItsLastMomentDoNotEndAStoppingDaemon) {
+  TestedDaemon daemon(site_);
+  ASSERT_TRUE(daemon.waitForStart());
+  daemon.process().signal(SIGTERM);
+  while (!daemon.process().waitForEnd(base::Duration::zero())) {
+    daemon.process().signal(SIGHUP);
+  }
+  EXPECT_EQ(daemon.process().waitForEnd(TestLimit), Orderly);
+}
+
 TEST_P(DaemonSurroundingsTest, ABlockedMaskOfTheParentIsNotKept) {
   TestedDaemon daemon(site_, [] {
     sigset_t blocked;
