--- a/libraries/testbed/include/switchsaddle/testbed/fleet/process_control.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/process_control.h
@@ -18,12 +18,18 @@
 /** The state of a process. */
 enum class ProcessCondition : std::uint8_t { Exited, Running, Stopped };
 
+/** What the system lets a program use; 0 leaves a limit as it is. */
+struct LaunchLimits {
+  std::uint64_t address_space_bytes = 0;
+  std::uint64_t descriptors = 0;
+};
+
 /**
  * Starts a program in its own session, so that it outlives the caller, and appends its output to a
  * log file. Throws base::Error with StorageFailed if the program cannot be started.
  */
-ProcessIdentity launchDetached(const std::vector<std::string>& command,
-                               const std::string& log_path);
+ProcessIdentity launchDetached(const std::vector<std::string>& command, const std::string& log_path,
+                               const LaunchLimits& limits = {});
 
 /** User and system processor time that the process has used; zero if it has exited. */
 base::Duration cpuTimeOf(const ProcessIdentity& process);
--- a/libraries/testbed/include/switchsaddle/testbed/soak/wire_client.h
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -11,6 +12,7 @@
 #include "switchsaddle/testbed/soak/interruption.h"
 #include "switchsaddle/testbed/soak/message_reader.h"
 #include "switchsaddle/testbed/soak/run_ledger.h"
+#include "switchsaddle/testbed/soak/wire_names.h"
 
 namespace switchsaddle::testbed {
 
@@ -31,6 +33,11 @@
   std::string service;
   base::Duration mean_pause = std::chrono::milliseconds(100);
   std::uint64_t seed = 1;
+  WireNames names;
+  /** More header lines of a forwarded request, each ending with CR LF; by default none. */
+  std::function<std::string(base::RandomSource&)> draw_headers;
+  /** Bodies of forwarded requests are padded with up to so many bytes. */
+  std::size_t padding_bytes = 0;
 };
 
 /**
@@ -58,7 +65,8 @@
   };
 
   ClientAttempt attempt(Kind kind, const std::string& work);
-  std::string requestText(Kind kind, const ClientAttempt& attempt) const;
+  std::string requestText(Kind kind, const ClientAttempt& attempt);
+  std::string forwardedText(Kind kind, const ClientAttempt& attempt);
   /** @return the kept connection to the front, or a new one; null if there is none. */
   std::unique_ptr<Connection> takeConnection(const FrontTarget& front);
   void judgeAnswer(Kind kind, const WireMessage& answer, ClientAttempt& attempt) const;
--- a/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -13,6 +14,7 @@
 #include "switchsaddle/testbed/soak/interruption.h"
 #include "switchsaddle/testbed/soak/message_reader.h"
 #include "switchsaddle/testbed/soak/run_ledger.h"
+#include "switchsaddle/testbed/soak/wire_names.h"
 
 namespace switchsaddle::testbed {
 
@@ -25,6 +27,10 @@
   /** Whether it cuts, resets and sends surplus bytes as faulty workers do. */
   bool faulty = false;
   std::uint64_t seed = 1;
+  WireNames names;
+  /** The whole response to a GET request of this target, by the instance; by default an empty one.
+   */
+  std::function<std::string(std::string_view target, const std::string& instance)> answer_get;
 };
 
 /**
@@ -95,6 +101,7 @@
   void serve(const InstancePtr& instance, BlockingSocket socket, std::uint64_t seed);
   /** Each returns whether the connection stays open. */
   bool answer(Exchange& exchange);
+  bool answerGet(Exchange& exchange) const;
   bool refuse(Exchange& exchange, int status) const;
   bool run(Exchange& exchange);
   bool answerWhole(Exchange& exchange);
@@ -103,6 +110,11 @@
   /** Waits a little and writes the bytes. @return whether the connection stays open. */
   static bool writeLate(Exchange& exchange, const std::string& bytes);
   base::Duration drawWorkTime(Exchange& exchange) const;
+  std::string idHeader(std::string_view id) const;
+  /** The header that says that a request has not run. */
+  std::string notRunHeader() const;
+  /** The client's id of the attempt. */
+  std::string clientId(const WireMessage& request) const;
 
   WireWorkerOptions options_;
   RunLedger& ledger_;
--- a/libraries/testbed/source/fleet/process_control.cc
+++ b/libraries/testbed/source/fleet/process_control.cc
@@ -1,6 +1,7 @@
 #include "switchsaddle/testbed/fleet/process_control.h"
 
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -58,7 +59,22 @@
   return stat;
 }
 
-[[noreturn]] void runProgram(const std::vector<std::string>& command, const std::string& log_path) {
+/** What is launched: a program, its log and its limits. */
+struct Launch {
+  const std::vector<std::string>& command;
+  const std::string& log_path;
+  const LaunchLimits& limits;
+};
+
+void setLimit(int resource, std::uint64_t value) {
+  if (value > 0) {
+    const rlimit limit{value, value};
+    ::setrlimit(static_cast<__rlimit_resource>(resource), &limit);
+  }
+}
+
+[[noreturn]] void runProgram(const Launch& launch) {
+  const auto& [command, log_path, limits] = launch;
   const int log = ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   const int null_device = ::open("/dev/null", O_RDONLY);
   ::dup2(null_device, STDIN_FILENO);
@@ -72,6 +88,8 @@
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
   arguments.push_back(nullptr);
+  setLimit(RLIMIT_AS, limits.address_space_bytes);
+  setLimit(RLIMIT_NOFILE, limits.descriptors);
   ::execv(arguments[0], arguments.data());
   ::_exit(ExecFailed);
 }
@@ -85,12 +103,11 @@
 
 /** Runs in the intermediate process: starts a new session, forks the program and writes its pid to
  * `report`. */
-[[noreturn]] void forkProgram(const std::vector<std::string>& command, const std::string& log_path,
-                              int report) {
+[[noreturn]] void forkProgram(const Launch& launch, int report) {
   ::setsid();
   const pid_t program = ::fork();
   if (program == 0) {
-    runProgram(command, log_path);
+    runProgram(launch);
   }
   const ssize_t written = ::write(report, &program, sizeof(program));
   ::_exit(written == sizeof(program) ? 0 : 1);
@@ -98,8 +115,8 @@
 
 }  // namespace
 
-ProcessIdentity launchDetached(const std::vector<std::string>& command,
-                               const std::string& log_path) {
+ProcessIdentity launchDetached(const std::vector<std::string>& command, const std::string& log_path,
+                               const LaunchLimits& limits) {
   if (command.empty() || ::access(command[0].c_str(), X_OK) != 0) {
     throw base::Error(
         base::ResultCode::StorageFailed,
@@ -112,7 +129,7 @@
   }
   const pid_t intermediate = ::fork();
   if (intermediate == 0) {
-    forkProgram(command, log_path, pipe_ends[1]);
+    forkProgram({command, log_path, limits}, pipe_ends[1]);
   }
   ::close(pipe_ends[1]);
   pid_t program = -1;
--- a/libraries/testbed/source/soak/wire_client.cc
+++ b/libraries/testbed/source/soak/wire_client.cc
@@ -99,21 +99,33 @@
   return connection;
 }
 
-std::string WireClient::requestText(Kind kind, const ClientAttempt& attempt) const {
-  std::string headers = "Request-Id: " + attempt.request_id + "\r\n";
-  if (kind == Kind::OneShot) {
-    headers += "Host: own\r\nAuthorization: Bearer " + options_.tenant_key +
-               "\r\nIdempotency-Key: " + attempt.work + "\r\nContent-Type: application/json\r\n";
-    const std::string body =
-        R"({"service":")" + options_.service + R"(","payload":{"order":")" + attempt.work + "\"}}";
-    return postText("/v1/one-shots", headers, body);
+std::string WireClient::requestText(Kind kind, const ClientAttempt& attempt) {
+  if (kind != Kind::OneShot) {
+    return forwardedText(kind, attempt);
+  }
+  const std::string headers = "Request-Id: " + attempt.request_id +
+                              "\r\nHost: own\r\nAuthorization: Bearer " + options_.tenant_key +
+                              "\r\nIdempotency-Key: " + attempt.work +
+                              "\r\nContent-Type: application/json\r\n";
+  const std::string body =
+      R"({"service":")" + options_.service + R"(","payload":{"order":")" + attempt.work + "\"}}";
+  return postText("/v1/one-shots", headers, body);
+}
+
+std::string WireClient::forwardedText(Kind kind, const ClientAttempt& attempt) {
+  std::string headers = options_.names.request_id + ": " + attempt.request_id +
+                        "\r\nHost: " + options_.host + "\r\n" + options_.names.deadline_ms + ": " +
+                        std::to_string(base::toMilliseconds(Deadline)) + "\r\n";
+  if (options_.draw_headers) {
+    headers += options_.draw_headers(random_);
+  }
+  std::string body = attempt.work;
+  if (options_.padding_bytes > 0) {
+    body += "\n" + std::string(random_.below(options_.padding_bytes), '.');
   }
-  headers += "Host: " + options_.host +
-             "\r\nDeadline-Ms: " + std::to_string(base::toMilliseconds(Deadline)) + "\r\n";
   const std::string_view target = kind == Kind::Stream ? "/stream/" : "/once/";
   const bool is_chunked = attempts_ % 2 == 0;
-  return is_chunked ? chunkedPostText(target, headers, attempt.work)
-                    : postText(target, headers, attempt.work);
+  return is_chunked ? chunkedPostText(target, headers, body) : postText(target, headers, body);
 }
 
 ClientAttempt WireClient::attempt(Kind kind, const std::string& work) {
@@ -148,7 +160,7 @@
 
 void WireClient::judgeAnswer(Kind kind, const WireMessage& answer, ClientAttempt& attempt) const {
   attempt.status = answer.status();
-  const std::string_view answered_id = answer.header("Request-Id");
+  const std::string_view answered_id = answer.header(options_.names.request_id);
   const bool names_another =
       kind != Kind::OneShot && !answered_id.empty() && answered_id != attempt.request_id;
   bool body_fits = true;
--- a/libraries/testbed/source/soak/wire_worker.cc
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -26,11 +26,11 @@
 constexpr int CutAfterEvents = 3;
 constexpr int LongestShortWorkMs = 60;
 constexpr int LongestSurplusDelayMs = 30;
+constexpr std::string_view GetMethod = "GET ";
 constexpr int StatusMisdirected = 421;
 constexpr int StatusUnavailable = 503;
 /** Share of a faulty worker's refusals that it sends twice. */
 constexpr double RepeatedRefusalShare = 0.3;
-constexpr std::string_view NotRunHeader = "Not-Run: true\r\n";
 
 /** Shares of the behaviours of a faulty worker; each begins where the one before ends. */
 struct Behaviour {
@@ -46,19 +46,10 @@
 /** Share of long runs at a sound worker. */
 constexpr double SoundLongShare = 0.05;
 
-std::string idHeader(std::string_view id) {
-  return "Request-Id: " + std::string(id) + "\r\n";
-}
-
-/** The client's id of the attempt: a one-shot reaches the worker under an id of the front. */
-std::string clientId(const WireMessage& request) {
-  const std::string_view caller = request.header("Caller-Request-Id");
-  return std::string(caller.empty() ? request.header("Request-Id") : caller);
-}
-
 std::string workOf(const WireMessage& request) {
   const std::string_view key = request.header("Idempotency-Key");
-  return key.empty() ? request.body : std::string(key);
+  // A client may pad its body after the first line.
+  return key.empty() ? request.body.substr(0, request.body.find('\n')) : std::string(key);
 }
 
 bool isOneShot(const WireMessage& request) {
@@ -66,9 +57,9 @@
 }
 
 /** @return the beginning of an answer whose body lacks `missing` bytes. */
-std::string cutAnswer(std::string_view request_id, std::size_t missing) {
+std::string cutAnswer(std::string_view header_lines, std::size_t missing) {
   const std::string whole =
-      responseText(200, idHeader(request_id), "once more" + std::string(missing, '.'));
+      responseText(200, header_lines, "once more" + std::string(missing, '.'));
   return whole.substr(0, whole.size() - missing);
 }
 
@@ -197,7 +188,7 @@
     if (reader.read(exchange.request, Clock::now() + RequestLimit) != MessageOutcome::Complete) {
       return;
     }
-    exchange.request_id = exchange.request.header("Request-Id");
+    exchange.request_id = exchange.request.header(options_.names.request_id);
     if (!answer(exchange)) {
       return;
     }
@@ -206,10 +197,10 @@
 }
 
 bool WireWorker::answer(Exchange& exchange) {
-  if (exchange.request.first_line.starts_with("GET ")) {
-    return exchange.socket.write(responseText(200, "", ""));
+  if (exchange.request.first_line.starts_with(GetMethod)) {
+    return answerGet(exchange);
   }
-  const std::string_view expected = exchange.request.header("Expect-Instance");
+  const std::string_view expected = exchange.request.header(options_.names.expect_instance);
   if (!expected.empty() && expected != exchange.instance.id) {
     return refuse(exchange, StatusMisdirected);
   }
@@ -223,9 +214,33 @@
   return run(exchange);
 }
 
+bool WireWorker::answerGet(Exchange& exchange) const {
+  if (!options_.answer_get) {
+    return exchange.socket.write(responseText(200, "", ""));
+  }
+  std::string_view target = exchange.request.first_line;
+  target.remove_prefix(GetMethod.size());
+  target = target.substr(0, target.find(' '));
+  return exchange.socket.write(options_.answer_get(target, exchange.instance.id));
+}
+
+std::string WireWorker::idHeader(std::string_view id) const {
+  return options_.names.request_id + ": " + std::string(id) + "\r\n";
+}
+
+std::string WireWorker::notRunHeader() const {
+  return options_.names.not_run + ": true\r\n";
+}
+
+std::string WireWorker::clientId(const WireMessage& request) const {
+  // A one-shot reaches the worker under an id of the front.
+  const std::string_view caller = request.header("Caller-Request-Id");
+  return std::string(caller.empty() ? request.header(options_.names.request_id) : caller);
+}
+
 bool WireWorker::refuse(Exchange& exchange, int status) const {
   const std::string refusal =
-      responseText(status, idHeader(exchange.request_id) + std::string(NotRunHeader), "");
+      responseText(status, idHeader(exchange.request_id) + notRunHeader(), "");
   const bool is_repeated = options_.faulty && exchange.random.chance(RepeatedRefusalShare);
   return exchange.socket.write(refusal) && (!is_repeated || writeLate(exchange, refusal));
 }
@@ -286,7 +301,8 @@
     return false;
   }
   for (int number = 1; number <= StreamEvents; ++number) {
-    const bool written = exchange.socket.write(chunkText(eventText(number, exchange.request.body)));
+    const bool written =
+        exchange.socket.write(chunkText(eventText(number, workOf(exchange.request))));
     if (!written || !exchange.instance.ended.wait(EventInterval)) {
       return false;
     }
@@ -305,7 +321,7 @@
     return true;
   }
   const std::string id = idHeader(exchange.request_id);
-  const std::string not_run(NotRunHeader);
+  const std::string not_run = notRunHeader();
   const std::array<std::string, 14> responses{
       responseText(503, not_run, ""),
       responseText(429, not_run, ""),
@@ -319,9 +335,9 @@
       responseText(503, not_run, "").substr(0, 20),
       // Cut so that the next response on the connection joins the head or the body.
       "HTTP/1.1 421 Mis",
-      "HTTP/1.1 503 Busy\r\nNot-Run: true",
-      "HTTP/1.1 503 Busy\r\nNot-Run: true\r\n",
-      cutAnswer(exchange.request_id, responseText(200, id, workOf(exchange.request)).size()),
+      "HTTP/1.1 503 Busy\r\n" + not_run.substr(0, not_run.size() - 2),
+      "HTTP/1.1 503 Busy\r\n" + not_run,
+      cutAnswer(id, responseText(200, id, workOf(exchange.request)).size()),
   };
   return writeLate(exchange, responses.at(exchange.random.below(responses.size())));
 }
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -25,15 +25,16 @@
 /** A core daemon: a CoreNode with the sockets, disk and clock of the process. */
 class CoreDaemon : public Daemon {
  public:
-  CoreDaemon(const configuration::Settings& settings, SettingsOptions options)
+  CoreDaemon(const configuration::Settings& settings, SettingsOptions options,
+             const DiskFactory& open_disk)
       : settings_(settings),
         options_(std::move(options)),
         limits_(processLimits(settings_, node_options::NodeRole::Core)),
         adapter_(createPlatformAdapter(settings_)),
         process_(settings_, limits_.peers),
-        file_system_(settings_.data_folder),
+        disk_(open_disk(settings_.data_folder)),
         executor_(process_.dispatcher()),
-        store_(process_.dispatcher(), file_system_, executor_, process_.random()),
+        store_(process_.dispatcher(), *disk_, executor_, process_.random()),
         client_(http::createClient(process_.context())),
         platform_(adapter_->createPlatformSource(process_.dispatcher(), *client_,
                                                  settings_.platform_address)),
@@ -91,7 +92,7 @@
   node_options::NodeLimits limits_;
   std::unique_ptr<PlatformAdapter> adapter_;
   DaemonProcess process_;
-  storage::PosixFileSystem file_system_;
+  std::unique_ptr<storage::FileSystem> disk_;
   storage::ThreadStorageExecutor executor_;
   storage::FileRecordStore store_;
   std::unique_ptr<http::Client> client_;
@@ -103,17 +104,21 @@
 
 }  // namespace
 
-void addCoreCommand(CLI::App& app, int& exit_code) {
+std::unique_ptr<storage::FileSystem> openDisk(const std::string& data_folder) {
+  return std::make_unique<storage::PosixFileSystem>(data_folder);
+}
+
+void addCoreCommand(CLI::App& app, int& exit_code, DiskFactory open_disk) {
   CLI::App* command = app.add_subcommand("core", "Run a core: a node of the control plane");
   command_line::describeUse(*command,
                             {"switchsaddle core --settings core.json --data-folder data"});
   const auto options = addSettingsOptions(*command);
-  command->callback([options, &exit_code] {
+  command->callback([options, open_disk = std::move(open_disk), &exit_code] {
     takeOverSurroundings();
     base::writeLogOnThread();
     returnFreedMemory();
-    exit_code = startAndRun([&options] {
-      return std::make_unique<CoreDaemon>(loadSettings(*options, "core"), *options);
+    exit_code = startAndRun([&options, &open_disk] {
+      return std::make_unique<CoreDaemon>(loadSettings(*options, "core"), *options, open_disk);
     });
   });
 }
--- a/programs/testbed/crowd/crowd_run.cc
+++ b/programs/testbed/crowd/crowd_run.cc
@@ -70,10 +70,10 @@
 
 testbed::CrowdRequests CrowdRun::requests() const {
   testbed::CrowdRequests requests;
-  requests.forwarded_host = SoakFleet::forwardedHost();
+  requests.forwarded_host = SoakHost;
   requests.forwarded_target = "/once/";
   requests.stream_target = "/stream/";
-  requests.tenant_key = fleet_.tenantKey();
+  requests.tenant_key = SoakTenantKey;
   return requests;
 }
 
@@ -161,7 +161,7 @@
   if (!isAnswered(addressOf(CrowdListener::FrontHttp), ordinary)) {
     report.violations.push_back("no ordinary request was answered " + when);
   }
-  if (!isAnswered(addressOf(CrowdListener::CoreHttp), readConfiguration(fleet_.operatorKey()))) {
+  if (!isAnswered(addressOf(CrowdListener::CoreHttp), readConfiguration(SoakOperatorKey))) {
     report.violations.push_back("no operator could read the configuration " + when);
   }
 }
--- a/programs/testbed/fleet.cc
+++ b/programs/testbed/fleet.cc
@@ -131,9 +131,11 @@
     return;
   }
   files::create_directories(process.data_folder);
-  const std::string hash = configuration::sha256Hex(state_.operator_key);
-  writeFile(state_.directory + "/settings/" + process.name + ".json",
-            testbed::settingsText(state_, process, hash));
+  const std::string text =
+      settings_source_
+          ? settings_source_(state_, process)
+          : testbed::settingsText(state_, process, configuration::sha256Hex(state_.operator_key));
+  writeFile(state_.directory + "/settings/" + process.name + ".json", text);
 }
 
 void Fleet::start(FleetProcess& process) {
@@ -147,8 +149,8 @@
   if (process.pid != 0) {
     writeSettings(process);
   }
-  const auto identity =
-      testbed::launchDetached(process.command, state_.directory + "/" + process.name + ".log");
+  const auto identity = testbed::launchDetached(
+      process.command, state_.directory + "/" + process.name + ".log", launch_limits_);
   process.pid = identity.pid;
   process.start_ticks = identity.start_ticks;
   save();
@@ -202,12 +204,16 @@
                      {"Authorization", "Bearer " + state_.operator_key}};
   request.body = std::string(R"({"change_id":")") + InitialChangeId +
                  R"(","base_version":0,"document":)" + plain + "}";
+  submit(request, limit);
+}
+
+void Fleet::submit(const http::Request& change, base::Duration limit) {
   const auto cores = ofRole(ProcessRole::Core);
   const auto deadline = std::chrono::steady_clock::now() + limit;
   std::string last_answer = "no answer";
   for (std::size_t turn = 0; std::chrono::steady_clock::now() < deadline; ++turn) {
     const auto response =
-        fetchOnce(cores.at(turn % cores.size())->http_address, request, ChangeTimeout);
+        fetchOnce(cores.at(turn % cores.size())->http_address, change, ChangeTimeout);
     if (response.has_value()) {
       last_answer = std::to_string(response->status) + " " + response->body;
       if (response->status == 200 || response->status == 202) {
--- a/programs/testbed/fleet.h
+++ b/programs/testbed/fleet.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "switchsaddle/base/time.h"
+#include "switchsaddle/http/message.h"
 #include "switchsaddle/testbed/fleet/fleet_layout.h"
 #include "switchsaddle/testbed/fleet/process_control.h"
 
@@ -22,6 +25,10 @@
   int file_ = -1;
 };
 
+/** The settings file of a core or front for its next start. */
+using SettingsSource =
+    std::function<std::string(const testbed::FleetState&, const testbed::FleetProcess&)>;
+
 /**
  * A fleet of real processes in one directory. Its state is kept in fleet.json, so that each command
  * finds the processes by pid and start time. Each change writes a new file and renames it.
@@ -33,6 +40,11 @@
   static Fleet load(const std::string& directory);
   void save() const;
 
+  /** From now on settings files have this text; by default testbed::settingsText(). */
+  void setSettingsSource(SettingsSource source) { settings_source_ = std::move(source); }
+  /** The limits of processes that are started from now on. */
+  void setLaunchLimits(const testbed::LaunchLimits& limits) { launch_limits_ = limits; }
+
   testbed::FleetState& state() { return state_; }
   /** The processes with these names; "cores", "fronts", "workers" and "all" are groups. */
   std::vector<testbed::FleetProcess*> named(const std::vector<std::string>& names);
@@ -58,6 +70,8 @@
   void waitReady(const std::vector<testbed::FleetProcess*>& processes, base::Duration limit);
   /** Applies a complete configuration as the operator; resends the change until it is committed. */
   void applyConfiguration(const std::string& document, base::Duration limit);
+  /** Sends a change to the cores in turn until one acknowledges it. Throws base::Error. */
+  void submit(const http::Request& change, base::Duration limit);
   /** One line for each process: name, role, zone, address, pid, condition and readiness. */
   std::string status() const;
 
@@ -65,6 +79,8 @@
 
  private:
   testbed::FleetState state_;
+  SettingsSource settings_source_;
+  testbed::LaunchLimits launch_limits_;
 };
 
 }  // namespace switchsaddle::testbed_commands
--- a/programs/testbed/main.cc
+++ b/programs/testbed/main.cc
@@ -1,11 +1,41 @@
 #include <CLI/CLI.hpp>
 #include <exception>
 #include <iostream>
+#include <memory>
+#include <string_view>
 
+#include "command_runner.h"
 #include "commands.h"
+#include "role_commands.h"
+#include "switchsaddle/testbed/disk/faulty_disk.h"
+
+namespace {
+
+using switchsaddle::testbed::FaultyDisk;
+
+std::unique_ptr<switchsaddle::storage::FileSystem> openFaultyDisk(const std::string& data_folder) {
+  return std::make_unique<FaultyDisk>(switchsaddle::openDisk(data_folder),
+                                      switchsaddle::testbed::diskFaultsFile(data_folder));
+}
+
+/** The daemons of the product; a core runs on a disk that can be faulty. */
+void addDaemons(CLI::App& app, int& exit_code) {
+  switchsaddle::addCoreCommand(app, exit_code, openFaultyDisk);
+  switchsaddle::addFrontCommand(app, exit_code);
+}
+
+bool namesDaemon(int argument_count, char** arguments) {
+  const std::string_view command = argument_count > 1 ? arguments[1] : "";
+  return command == "core" || command == "front";
+}
+
+}  // namespace
 
 /** Entry point of the test bed: fakes, load, checks and experiments. Not installed. */
 int main(int argument_count, char** arguments) {
+  if (namesDaemon(argument_count, arguments)) {
+    return switchsaddle::runCommand(argument_count, arguments, addDaemons);
+  }
   CLI::App app{"switchsaddle-testbed: fake workers, load, checks and experiments for switchsaddle"};
   app.require_subcommand(1);
   switchsaddle::testbed_commands::addWorkerCommand(app);
--- a/programs/testbed/soak/soak_command.cc
+++ b/programs/testbed/soak/soak_command.cc
@@ -1,4 +1,5 @@
 #include <CLI/CLI.hpp>
+#include <boost/json.hpp>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -10,7 +11,6 @@
 #include "commands.h"
 #include "soak/soak_disturbances.h"
 #include "soak/soak_fleet.h"
-#include "soak/soak_operator.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/testbed/fleet/process_ends.h"
 
@@ -20,6 +20,7 @@
 namespace files = std::filesystem;
 
 constexpr int ViolationsFound = 1;
+constexpr unsigned MegabyteBits = 20;
 /** The second octet of the loopback networks of the seeds begins here. */
 constexpr std::uint64_t FirstNetwork = 100;
 constexpr std::uint64_t Networks = 100;
@@ -35,13 +36,28 @@
   int seeds = 1;
   int seconds = 30;
   int clients = 40;
+  int client_pause_ms = 100;
   int disturbers = 4;
   bool sound_workers = false;
+  std::uint64_t address_space_mb = 0;
+  std::uint64_t memory_mb = 0;
   /** Processes that are ended without the checker being told, to show that it sees their end. */
   int untold_ends = 0;
   std::vector<std::string> kinds = soakDisturbanceKinds();
 };
 
+/** @return the settings' "limits" of every daemon. */
+std::string limitsOf(const SoakArguments& arguments) {
+  boost::json::object limits;
+  if (arguments.memory_mb > 0) {
+    limits["memory_mb"] = arguments.memory_mb;
+  }
+  if (arguments.fleet.launch_limits.descriptors > 0) {
+    limits["descriptors"] = arguments.fleet.launch_limits.descriptors;
+  }
+  return boost::json::serialize(limits);
+}
+
 SoakFleetOptions fleetOptions(const SoakArguments& arguments, std::uint64_t seed) {
   SoakFleetOptions options = arguments.fleet;
   options.directory = files::absolute(options.directory + "/seed-" + std::to_string(seed)).string();
@@ -50,6 +66,8 @@
     options.network = "127." + std::to_string(FirstNetwork + seed % Networks);
   }
   options.faulty_workers = !arguments.sound_workers;
+  options.launch_limits.address_space_bytes = arguments.address_space_mb << MegabyteBits;
+  options.limits_json = limitsOf(arguments);
   options.seed = seed * 1'000;
   return options;
 }
@@ -58,9 +76,15 @@
 void readAtTheEnd(SoakFleet& fleet, testbed::RunLedger& ledger, testbed::ControlHistory& history,
                   std::uint64_t seed) {
   base::RandomSource random(seed);
-  SoakOperator reading(fleet.controlAddresses(), fleet.operatorKey(), 0, ledger, history);
+  const OperatorPtr reader =
+      fleet.dialect().createOperator({.nodes = [&fleet] { return fleet.controlAddresses(); },
+                                      .key = SoakOperatorKey,
+                                      .number = 0,
+                                      .ledger = ledger,
+                                      .history = history,
+                                      .on_acknowledged = {}});
   for (int count = 0; count < LastReads; ++count) {
-    reading.read(random);
+    reader->read(random);
   }
 }
 
@@ -73,10 +97,10 @@
   for (int number = 1; number <= arguments.clients; ++number) {
     testbed::WireClientOptions options;
     options.fronts = fleet.fronts();
-    options.host = SoakFleet::forwardedHost();
-    options.tenant_key = fleet.tenantKey();
-    options.service = SoakService;
+    options.host = SoakHost;
     options.seed = seed * 1'000 + static_cast<std::uint64_t>(number);
+    options.mean_pause = std::chrono::milliseconds(arguments.client_pause_ms);
+    fleet.dialect().prepareClient(options);
     clients.emplace_back([options, &ledger, &clients_end] {
       testbed::WireClient(options, ledger).run(clients_end);
     });
@@ -181,6 +205,28 @@
       .add_option("--untold-ends", arguments.untold_ends,
                   "Fronts ended behind the checker's back, which must fail the run (default 0)")
       ->check(CLI::Range(0, 100));
+  command.add_flag("--platform", arguments.fleet.platform_dialect,
+                   "Speak the interfaces of the users' platform, settings from its templates");
+  command.add_option("--templates", arguments.fleet.templates,
+                     "Folder of the platform's settings templates (default deploy)");
+  command.add_flag("--faulty-disks", arguments.fleet.faulty_disks,
+                   "Cores run on disks that can be slow, stall and fill up");
+  command
+      .add_option("--sync-ms", arguments.fleet.sync_ms,
+                  "Time of a sync on such a disk, in milliseconds (default 5)")
+      ->check(CLI::Range(0, 1'000));
+  command
+      .add_option("--address-space-mb", arguments.address_space_mb,
+                  "Limit of each daemon's address space (default: none)")
+      ->check(CLI::Range(1, 1'000'000));
+  command
+      .add_option("--descriptors", arguments.fleet.launch_limits.descriptors,
+                  "Limit of each daemon's descriptors (default: none)")
+      ->check(CLI::Range(64, 1'000'000));
+  command
+      .add_option("--memory-mb", arguments.memory_mb,
+                  "Memory that each daemon's settings give it (default: none)")
+      ->check(CLI::Range(32, 1'000'000));
   command.add_flag("--sound-workers", arguments.sound_workers,
                    "Workers misuse no connection (default: they do)");
 }
@@ -199,6 +245,10 @@
       ->check(CLI::PositiveNumber);
   command->add_option("--clients", arguments->clients, "Number of clients (default 40)")
       ->check(CLI::Range(1, 1'000));
+  command
+      ->add_option("--client-pause-ms", arguments->client_pause_ms,
+                   "Mean pause of a client between two works, in milliseconds (default 100)")
+      ->check(CLI::Range(1, 100'000));
   command
       ->add_option("--disturbers", arguments->disturbers, "Disturbances that overlap (default 4)")
       ->check(CLI::Range(1, 100));
--- a/programs/testbed/soak/soak_disturbances.cc
+++ b/programs/testbed/soak/soak_disturbances.cc
@@ -5,9 +5,6 @@
 #include <csignal>
 #include <utility>
 
-#include "soak/soak_operator.h"
-#include "switchsaddle/testbed/fleet/process_control.h"
-
 namespace switchsaddle::testbed_commands {
 namespace {
 
@@ -25,28 +22,28 @@
 constexpr const char* CoreKillAll = "core-kill-all";
 constexpr const char* CoreKill = "core-kill";
 constexpr const char* CoreFreeze = "core-freeze";
+constexpr const char* FrontHerd = "front-herd";
+constexpr const char* FrontSettings = "front-settings";
+constexpr const char* CoreSettings = "core-settings";
+constexpr const char* CoreDisk = "core-disk";
+constexpr const char* CoreWipe = "core-wipe";
+constexpr const char* CoreReplace = "core-replace";
+constexpr const char* CoreAfterAcknowledgement = "core-after-acknowledgement";
 constexpr const char* WorkerRestart = "worker-restart";
 constexpr const char* Change = "change";
-constexpr std::array AllKinds{FrontTerm,     FrontLate,     FrontKill, FrontFreeze, FrontSuccessor,
-                              FrontHangup,   CoreTerm,      CoreKill,  CoreKillAll, CoreFreeze,
-                              CoreSuccessor, WorkerRestart, Change};
+constexpr std::array AllKinds{
+    FrontTerm,     FrontLate,    FrontKill,     FrontFreeze,   FrontSuccessor,
+    FrontHangup,   FrontHerd,    CoreTerm,      CoreKill,      CoreKillAll,
+    CoreFreeze,    CoreDisk,     CoreWipe,      CoreReplace,   CoreAfterAcknowledgement,
+    FrontSettings, CoreSettings, CoreSuccessor, WorkerRestart, Change};
 /** Kinds under which a front answers every request that it has taken. */
 constexpr std::array OrderlyKinds{FrontTerm,  FrontHangup,   CoreTerm, CoreKill,
                                   CoreFreeze, CoreSuccessor, Change};
 
-/** The supervisor kills a process that has not ended this long after its first SIGTERM. */
-constexpr base::Duration Grace = std::chrono::seconds(8);
-constexpr base::Duration KillLimit = std::chrono::seconds(5);
-constexpr int MaximumTerms = 3;
-constexpr double HangupShare = 0.3;
-constexpr double EarlyHangupShare = 0.5;
-/** A start takes up to so long on a busy machine. */
-constexpr int LatestEarlyHangupMs = 40;
-constexpr double KilledDuringShutdownShare = 0.3;
-/** Short stops in a row, which make a process late without freezing it. */
-constexpr int ShortStops = 20;
 constexpr int Operators = 4;
 constexpr int LongestOperatorPauseMs = 600;
+/** Share of the fronts that a herd takes. */
+constexpr double HerdShare = 0.55;
 
 }  // namespace
 
@@ -64,6 +61,9 @@
                                    testbed::ControlHistory& history, std::vector<std::string> kinds,
                                    int threads, std::uint64_t seed, const std::string& file)
     : fleet_(fleet), ledger_(ledger), history_(history), record_(file), kinds_(std::move(kinds)) {
+  if (!fleet_.hasFaultyDisks()) {
+    std::erase(kinds_, CoreDisk);
+  }
   if (includes(Change)) {
     for (int number = 1; number <= Operators; ++number) {
       threads_.emplace_back(
@@ -129,149 +129,144 @@
 }
 
 void SoakDisturbances::disturbProcess(const std::string& kind, base::RandomSource& random) {
+  SoakActions actions = actionsOf(random);
   if (kind == CoreKillAll) {
-    killAllCores(random);
+    disturbTogether(kind, reserveAll(ProcessRole::Core), actions);
+    return;
+  }
+  if (kind == FrontHerd) {
+    disturbTogether(kind, reserveSeveral(ProcessRole::Front, HerdShare, random), actions);
+    return;
+  }
+  if (kind == CoreAfterAcknowledgement) {
+    kills_next_acknowledger_ = true;
+    return;
+  }
+  const bool loses_disk = kind == CoreWipe || kind == CoreReplace;
+  if (loses_disk && losing_disk_.exchange(true)) {
     return;
   }
   const bool is_front = kind.starts_with("front");
   const std::string name = reserve(is_front ? ProcessRole::Front : ProcessRole::Core, random);
-  if (name.empty()) {
-    return;
+  if (!name.empty()) {
+    note(kind, name);
+    act(kind, name, actions);
+    release(name);
+  }
+  if (loses_disk) {
+    losing_disk_ = false;
   }
-  note(kind, name);
+}
+
+void SoakDisturbances::act(const std::string& kind, const std::string& name, SoakActions& actions) {
   if (kind == FrontTerm || kind == CoreTerm) {
-    terminate(name, includes(is_front ? FrontKill : CoreKill), random);
+    actions.terminate(name, includes(kind == FrontTerm ? FrontKill : CoreKill));
   } else if (kind == FrontKill || kind == CoreKill) {
-    kill(name, random);
+    actions.kill(name);
   } else if (kind == FrontSuccessor || kind == CoreSuccessor) {
-    succeed(name, random);
+    actions.succeed(name);
   } else if (kind == FrontFreeze || kind == CoreFreeze) {
-    freeze(name, random);
+    actions.freeze(name);
   } else if (kind == FrontLate) {
-    slow(name, random);
+    actions.slow(name);
+  } else if (kind == CoreWipe) {
+    actions.wipe(name);
+  } else if (kind == CoreReplace) {
+    actions.replaceCore(name);
+  } else if (kind == CoreDisk) {
+    actions.disturbDisk(name);
+  } else if (kind == FrontSettings || kind == CoreSettings) {
+    actions.changeSettings(name);
   } else {
     fleet_.signal(name, SIGHUP);
   }
-  release(name);
-}
-
-void SoakDisturbances::terminate(const std::string& name, bool may_kill,
-                                 base::RandomSource& random) {
-  const std::uint64_t terms = 1 + random.below(MaximumTerms);
-  for (std::uint64_t number = 0; number < terms; ++number) {
-    note("sigterm", name);
-    fleet_.signal(name, SIGTERM);
-    if (random.chance(HangupShare)) {
-      fleet_.signal(name, SIGHUP);
-    }
-    pause(random, 0, 500);
-  }
-  if (may_kill && random.chance(KilledDuringShutdownShare)) {
-    pause(random, 0, 3'000);
-    note("kill-during-shutdown", name);
-    fleet_.signal(name, SIGKILL);
-  }
-  if (!fleet_.waitForEnd(name, Grace)) {
-    fleet_.signal(name, SIGKILL);
-    fleet_.waitForEnd(name, KillLimit);
-  }
-  note("ended", name);
-  pause(random, 0, 1'000);
-  startAgain(name, random);
-}
-
-void SoakDisturbances::kill(const std::string& name, base::RandomSource& random) {
-  fleet_.signal(name, SIGKILL);
-  fleet_.waitForEnd(name, KillLimit);
-  pause(random, 0, 2'000);
-  startAgain(name, random);
 }
 
-void SoakDisturbances::succeed(const std::string& name, base::RandomSource& random) {
-  const testbed::ProcessIdentity predecessor = fleet_.identityOf(name);
-  testbed::sendSignal(predecessor, SIGTERM);
-  pause(random, 0, 500);
-  fleet_.startSuccessor(name);
-  hangUpEarly(name, random);
-  if (!testbed::waitForCondition(predecessor, testbed::ProcessCondition::Exited, Grace)) {
-    testbed::sendSignal(predecessor, SIGKILL);
-    testbed::waitForCondition(predecessor, testbed::ProcessCondition::Exited, KillLimit);
-  }
-  note("predecessor-ended", name);
+SoakActions SoakDisturbances::actionsOf(base::RandomSource& random) {
+  return SoakActions(
+      fleet_, interruption_, random,
+      [this](const std::string& event, const std::string& subject) { note(event, subject); });
 }
 
-void SoakDisturbances::killAllCores(base::RandomSource& random) {
-  const std::vector<std::string> names = reserveAll(ProcessRole::Core);
-  if (names.empty()) {
-    return;
-  }
-  note(CoreKillAll, "all");
+void SoakDisturbances::disturbTogether(const std::string& kind,
+                                       const std::vector<std::string>& names,
+                                       SoakActions& actions) {
   for (const std::string& name : names) {
-    fleet_.signal(name, SIGKILL);
+    note(kind, name);
   }
-  for (const std::string& name : names) {
-    fleet_.waitForEnd(name, KillLimit);
+  if (!names.empty()) {
+    actions.killTogether(names);
   }
-  pause(random, 0, 1'000);
   for (const std::string& name : names) {
-    startAgain(name, random);
     release(name);
   }
 }
 
-void SoakDisturbances::startAgain(const std::string& name, base::RandomSource& random) {
-  fleet_.startAgain(name);
-  hangUpEarly(name, random);
-}
-
-void SoakDisturbances::hangUpEarly(const std::string& name, base::RandomSource& random) {
-  if (random.chance(EarlyHangupShare)) {
-    pause(random, 0, LatestEarlyHangupMs);
-    const testbed::ProcessIdentity process = fleet_.identityOf(name);
-    if (testbed::protectsItselfFrom(process, SIGHUP)) {
-      note("sighup-while-starting", name);
-      testbed::sendSignal(process, SIGHUP);
-    }
+void SoakDisturbances::onAcknowledged(const base::NodeAddress& node, base::RandomSource& random) {
+  if (!kills_next_acknowledger_.exchange(false)) {
+    return;
   }
-}
-
-void SoakDisturbances::freeze(const std::string& name, base::RandomSource& random) {
-  fleet_.signal(name, SIGSTOP);
-  pause(random, 200, 3'500);
-  fleet_.signal(name, SIGCONT);
-}
-
-void SoakDisturbances::slow(const std::string& name, base::RandomSource& random) {
-  for (int stop = 0; stop < ShortStops; ++stop) {
-    fleet_.signal(name, SIGSTOP);
-    pause(random, 50, 150);
-    fleet_.signal(name, SIGCONT);
-    pause(random, 5, 30);
+  const std::string name = reserveCoreAt(node);
+  if (!name.empty()) {
+    note(CoreAfterAcknowledgement, name);
+    actionsOf(random).kill(name);
+    release(name);
   }
 }
 
 void SoakDisturbances::operate(std::uint64_t seed) {
   base::RandomSource random(seed);
-  SoakOperator soak_operator(fleet_.controlAddresses(), fleet_.operatorKey(), seed, ledger_,
-                             history_);
+  const OperatorPtr soak_operator = fleet_.dialect().createOperator(
+      {.nodes = [this] { return fleet_.controlAddresses(); },
+       .key = SoakOperatorKey,
+       .number = seed,
+       .ledger = ledger_,
+       .history = history_,
+       .on_acknowledged =
+           [this, &random](const base::NodeAddress& node) { onAcknowledged(node, random); }});
   while (pause(random, 0, LongestOperatorPauseMs)) {
-    soak_operator.operate(random);
+    soak_operator->operate(random);
   }
 }
 
 std::string SoakDisturbances::reserve(ProcessRole role, base::RandomSource& random) {
-  std::vector<std::string> names = fleet_.namesOf(role);
   const std::lock_guard lock(mutex_);
+  const std::vector<std::string> names = reservable(role);
+  if (names.empty()) {
+    return {};
+  }
+  std::string chosen = names[random.below(names.size())];
+  reserved_.insert(chosen);
+  return chosen;
+}
+
+std::vector<std::string> SoakDisturbances::reservable(ProcessRole role) {
+  std::vector<std::string> names = fleet_.namesOf(role);
   const std::size_t all = names.size();
   std::erase_if(names, [this](const std::string& name) { return reserved_.contains(name); });
   const std::size_t disturbed = all - names.size();
   const std::size_t limit = role == ProcessRole::Core ? (all - 1) / 2 : all / 2;
-  if (disturbed >= limit) {
+  return disturbed < limit ? names : std::vector<std::string>();
+}
+
+std::vector<std::string> SoakDisturbances::reserveSeveral(ProcessRole role, double share,
+                                                          base::RandomSource& random) {
+  const std::lock_guard lock(mutex_);
+  std::vector<std::string> names = reservable(role);
+  std::erase_if(names, [&random, share](const std::string&) { return !random.chance(share); });
+  reserved_.insert(names.begin(), names.end());
+  return names;
+}
+
+std::string SoakDisturbances::reserveCoreAt(const base::NodeAddress& address) {
+  const std::lock_guard lock(mutex_);
+  const std::vector<std::string> names = reservable(ProcessRole::Core);
+  const std::string name = fleet_.coreAt(address);
+  if (std::ranges::find(names, name) == names.end()) {
     return {};
   }
-  std::string chosen = names[random.below(names.size())];
-  reserved_.insert(chosen);
-  return chosen;
+  reserved_.insert(name);
+  return name;
 }
 
 std::vector<std::string> SoakDisturbances::reserveAll(ProcessRole role) {
--- a/programs/testbed/soak/soak_disturbances.h
+++ b/programs/testbed/soak/soak_disturbances.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <fstream>
 #include <mutex>
 #include <set>
@@ -7,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "soak/soak_actions.h"
 #include "soak/soak_fleet.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/testbed/soak/control_history.h"
@@ -48,20 +50,23 @@
   void disturb(std::uint64_t seed);
   void disturbOnce(const std::string& kind, base::RandomSource& random);
   void disturbProcess(const std::string& kind, base::RandomSource& random);
-  void terminate(const std::string& name, bool may_kill, base::RandomSource& random);
-  void kill(const std::string& name, base::RandomSource& random);
-  /** Starts the successor of a process while that shuts down. */
-  void succeed(const std::string& name, base::RandomSource& random);
-  void killAllCores(base::RandomSource& random);
-  /** Starts a process that has ended; it may get a SIGHUP while it starts. */
-  void startAgain(const std::string& name, base::RandomSource& random);
-  void hangUpEarly(const std::string& name, base::RandomSource& random);
-  void freeze(const std::string& name, base::RandomSource& random);
-  void slow(const std::string& name, base::RandomSource& random);
+  void act(const std::string& kind, const std::string& name, SoakActions& actions);
+  void disturbTogether(const std::string& kind, const std::vector<std::string>& names,
+                       SoakActions& actions);
+  SoakActions actionsOf(base::RandomSource& random);
+  /** Kills the core that has just acknowledged a change, if that is due. */
+  void onAcknowledged(const base::NodeAddress& node, base::RandomSource& random);
   /** Operates the configuration until the disturbances end. */
   void operate(std::uint64_t seed);
   /** Reserves a process of the role that may be disturbed; empty if there is none. */
   std::string reserve(testbed::ProcessRole role, base::RandomSource& random);
+  /** The processes of the role of which one may be reserved. Called under the lock. */
+  std::vector<std::string> reservable(testbed::ProcessRole role);
+  /** Reserves each process of the role with this probability. */
+  std::vector<std::string> reserveSeveral(testbed::ProcessRole role, double share,
+                                          base::RandomSource& random);
+  /** Reserves the core that serves operators at the address; empty if it must not be disturbed. */
+  std::string reserveCoreAt(const base::NodeAddress& address);
   /** Reserves all processes of the role; empty if one of them is disturbed already. */
   std::vector<std::string> reserveAll(testbed::ProcessRole role);
   void release(const std::string& name);
@@ -77,6 +82,10 @@
   testbed::Interruption interruption_;
   std::mutex mutex_;
   std::set<std::string> reserved_;
+  /** At most one core at a time is without its disk or has not caught up. */
+  std::atomic<bool> losing_disk_ = false;
+  /** The core that acknowledges the next change is killed then. */
+  std::atomic<bool> kills_next_acknowledger_ = false;
   std::vector<std::thread> threads_;
 };
 
--- a/programs/testbed/soak/soak_fleet.cc
+++ b/programs/testbed/soak/soak_fleet.cc
@@ -29,37 +29,35 @@
 constexpr std::uint64_t LatestFirstStartKillMs = 600;
 constexpr std::uint64_t LongestAbsenceMs = 1'000;
 constexpr std::array Zones{"a", "b", "c"};
+constexpr const char* OwnProgram = "/proc/self/exe";
 
-boost::json::object forwardingRoute(const char* kind, const char* prefix) {
-  return {{"host", SoakFleet::forwardedHost()},
-          {"path_prefix", prefix},
-          {"kind", kind},
-          {"targets", boost::json::array{boost::json::object{{"pool", SoakService}}}},
-          {"time_limit_ms", 4'000},
-          {"answer_goal_ms", 500},
-          {"event_gap_goal_ms", 600},
-          {"attempts", 2},
-          {"open", true}};
+std::unique_ptr<SoakDialect> createDialect(const SoakFleetOptions& options) {
+  return options.platform_dialect ? createPlatformDialect(options.templates)
+                                  : createProductDialect();
 }
 
 }  // namespace
 
 std::string switchsaddleProgram(const std::string& program) {
-  namespace files = std::filesystem;
   if (!program.empty()) {
-    return files::absolute(program).string();
+    return std::filesystem::absolute(program).string();
   }
-  const files::path own_program = files::read_symlink("/proc/self/exe");
+  const std::filesystem::path own_program = std::filesystem::read_symlink(OwnProgram);
   return (own_program.parent_path() / "switchsaddle").string();
 }
 
 SoakFleet::SoakFleet(SoakFleetOptions options, testbed::RunLedger& ledger)
-    : options_(std::move(options)), ledger_(ledger) {
+    : options_(std::move(options)), ledger_(ledger), dialect_(createDialect(options_)) {
   std::filesystem::create_directories(options_.directory);
   const testbed::FleetLayout parsed = testbed::parseFleetLayout(layout());
   fleet_ = std::make_unique<Fleet>(
       testbed::planFleet(parsed, options_.directory, {options_.program, options_.program}));
+  fleet_->setSettingsSource([this](const testbed::FleetState& state, const FleetProcess& process) {
+    return dialect_->settings(state, process);
+  });
+  fleet_->setLaunchLimits(options_.launch_limits);
   fleet_->prepare();
+  prepareDisks();
   startWorkers();
   try {
     startDaemons();
@@ -87,7 +85,7 @@
   const boost::json::object text{
       {"network", options_.network},
       {"region", "soak"},
-      {"operator_key", operator_key_},
+      {"operator_key", SoakOperatorKey},
       {"zones", boost::json::array(Zones.begin(), Zones.end())},
       {"cores", boost::json::object{{"count", options_.cores}}},
       {"tolerated_core_losses", (options_.cores - 1) / 2},
@@ -100,25 +98,16 @@
   return boost::json::serialize(text);
 }
 
-std::string SoakFleet::configuration() const {
-  const boost::json::object shape{{"services", boost::json::array{SoakService}},
-                                  {"first_token_ms", 2'000},
-                                  {"stream_deadline_ms", 30'000},
-                                  {"one_shot_deadline_ms", 4'000},
-                                  {"maximum_tokens", 64}};
-  const boost::json::object document{
-      {"shapes/soak", shape},
-      {"share/root", boost::json::object{{"slots", 400}}},
-      {"tenants/soak",
-       boost::json::object{
-           {"shape", "soak"}, {"stream_branch", "root"}, {"one_shot_branch", "root"}}},
-      {"routes/soak", boost::json::object{{"service", SoakService}, {"pool", SoakService}}},
-      {"keys/soak",
-       boost::json::object{{"sha256", configuration::sha256Hex(tenant_key_)}, {"tenant", "soak"}}},
-      {"forwarding/pools/soak", boost::json::object{}},
-      {"forwarding/routes/once", forwardingRoute("at-most-once", "/once/")},
-      {"forwarding/routes/stream", forwardingRoute("event-stream", "/stream/")}};
-  return boost::json::serialize(document);
+void SoakFleet::prepareDisks() {
+  if (!options_.faulty_disks) {
+    return;
+  }
+  // The test bed's own program runs cores on such disks.
+  const std::string program = std::filesystem::read_symlink(OwnProgram).string();
+  for (FleetProcess* core : fleet_->ofRole(ProcessRole::Core)) {
+    core->command.front() = program;
+    setDiskOf(*core, {}, 1);
+  }
 }
 
 void SoakFleet::startWorkers() {
@@ -128,18 +117,22 @@
     worker.address = {options_.network + ".3." + std::to_string(number), WorkerPort};
     worker.faulty = options_.faulty_workers;
     worker.seed = options_.seed + static_cast<std::uint64_t>(number);
+    dialect_->prepareWorker(worker);
     workers_.push_back({std::make_unique<testbed::WireWorker>(worker, ledger_),
                         Zones.at(static_cast<std::size_t>(number) % Zones.size())});
   }
   const FleetProcess* platform = fleet_->ofRole(ProcessRole::Platform).front();
-  platform_ = std::make_unique<SoakPlatform>(platform->http_address, workers_);
+  platform_ = std::make_unique<SoakPlatform>(platform->http_address, workers_, *dialect_);
 }
 
 void SoakFleet::startDaemons() {
   startAll(ProcessRole::Core);
   killCoresOfTheFirstStart();
-  waitReady(ProcessRole::Core);
-  fleet_->applyConfiguration(configuration(), ReadyLimit);
+  // Cores of the platform that only stand by for members are never ready to vote.
+  if (!options_.platform_dialect) {
+    waitReady(ProcessRole::Core);
+  }
+  fleet_->submit(dialect_->firstConfiguration(), ReadyLimit);
   startAll(ProcessRole::Front);
   waitReady(ProcessRole::Front);
 }
@@ -178,7 +171,11 @@
 std::vector<base::NodeAddress> SoakFleet::controlAddresses() {
   const std::lock_guard lock(mutex_);
   std::vector<base::NodeAddress> addresses;
-  for (const ProcessRole role : {ProcessRole::Core, ProcessRole::Front}) {
+  std::vector<ProcessRole> roles{ProcessRole::Core};
+  if (dialect_->frontsServeOperators()) {
+    roles.push_back(ProcessRole::Front);
+  }
+  for (const ProcessRole role : roles) {
     for (const FleetProcess* process : fleet_->ofRole(role)) {
       addresses.push_back(process->http_address);
     }
@@ -223,4 +220,46 @@
   fleet_->startSuccessor(*fleet_->state().find(name));
 }
 
+void SoakFleet::wipe(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  fleet_->wipe(*fleet_->state().find(name));
+}
+
+std::string SoakFleet::replaceCore(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  FleetProcess& fresh = testbed::replaceCore(fleet_->state(), name);
+  fleet_->writeSettings(fresh);
+  setDiskOf(fresh, {}, 1);
+  fleet_->start(fresh);
+  return fresh.name;
+}
+
+void SoakFleet::rewriteSettings(const std::string& name) {
+  const std::lock_guard lock(mutex_);
+  fleet_->writeSettings(*fleet_->state().find(name));
+}
+
+void SoakFleet::setDisk(const std::string& name, const testbed::DiskFaults& faults, int slowdown) {
+  const std::lock_guard lock(mutex_);
+  setDiskOf(*fleet_->state().find(name), faults, slowdown);
+}
+
+void SoakFleet::setDiskOf(const FleetProcess& core, testbed::DiskFaults faults,
+                          int slowdown) const {
+  if (options_.faulty_disks) {
+    faults.sync_time = std::chrono::milliseconds(options_.sync_ms * slowdown);
+    testbed::writeDiskFaults(testbed::diskFaultsFile(core.data_folder), faults);
+  }
+}
+
+std::string SoakFleet::coreAt(const base::NodeAddress& address) {
+  const std::lock_guard lock(mutex_);
+  for (const FleetProcess* core : fleet_->ofRole(ProcessRole::Core)) {
+    if (core->http_address == address) {
+      return core->name;
+    }
+  }
+  return {};
+}
+
 }  // namespace switchsaddle::testbed_commands
--- a/programs/testbed/soak/soak_fleet.h
+++ b/programs/testbed/soak/soak_fleet.h
@@ -6,7 +6,10 @@
 #include <vector>
 
 #include "fleet.h"
+#include "soak/soak_dialect.h"
 #include "soak/soak_platform.h"
+#include "switchsaddle/testbed/disk/disk_faults.h"
+#include "switchsaddle/testbed/fleet/process_control.h"
 #include "switchsaddle/testbed/soak/run_ledger.h"
 #include "switchsaddle/testbed/soak/wire_client.h"
 
@@ -28,6 +31,15 @@
   std::uint64_t seed = 1;
   /** JSON of the settings' "limits" of every daemon. */
   std::string limits_json = "{}";
+  /** Whether the daemons speak the interfaces of the users' platform. */
+  bool platform_dialect = false;
+  /** The folder of the platform's settings templates. */
+  std::string templates = "deploy";
+  /** Whether cores run on disks that can be slow, stall and fill up. */
+  bool faulty_disks = false;
+  /** Time of a sync on such a disk. */
+  int sync_ms = 5;
+  testbed::LaunchLimits launch_limits;
 };
 
 /** @return the absolute path of the program; if it is empty, of the one beside this program. */
@@ -52,9 +64,8 @@
   /** The process with this name, as it was started last. */
   testbed::FleetProcess process(const std::string& name);
   const std::vector<SoakWorker>& workers() const { return workers_; }
-  const std::string& operatorKey() const { return operator_key_; }
-  const std::string& tenantKey() const { return tenant_key_; }
-  static const char* forwardedHost() { return "soak.example"; }
+  const SoakDialect& dialect() const { return *dialect_; }
+  bool hasFaultyDisks() const { return options_.faulty_disks; }
 
   testbed::ProcessIdentity identityOf(const std::string& name);
   void signal(const std::string& name, int signal_number);
@@ -63,8 +74,24 @@
   void startAgain(const std::string& name);
   /** Starts a process anew while its predecessor may still run. */
   void startSuccessor(const std::string& name);
+  /** Empties the disk of a process that is not running. */
+  void wipe(const std::string& name);
+  /**
+   * Starts a new core with an empty disk at another address in place of one that has ended.
+   * @return its name.
+   */
+  std::string replaceCore(const std::string& name);
+  /** Writes the settings file anew, as it is for the cores of the moment. */
+  void rewriteSettings(const std::string& name);
+  /** Lets the disk of a core be stalled or full, or take `slowdown` times as long for a sync. */
+  void setDisk(const std::string& name, const testbed::DiskFaults& faults, int slowdown = 1);
+  /** @return the name of the core that serves operators at the address; empty if there is none. */
+  std::string coreAt(const base::NodeAddress& address);
 
  private:
+  /** Lets cores run on disks of the test bed. */
+  void prepareDisks();
+  void setDiskOf(const testbed::FleetProcess& core, testbed::DiskFaults faults, int slowdown) const;
   void startWorkers();
   void startDaemons();
   void killDaemons();
@@ -73,12 +100,10 @@
   /** Kills all cores at the same moment and starts them again within a second, several times. */
   void killCoresOfTheFirstStart();
   std::string layout() const;
-  std::string configuration() const;
 
   SoakFleetOptions options_;
   testbed::RunLedger& ledger_;
-  std::string operator_key_ = "operator-soak-key";
-  std::string tenant_key_ = "tenant-soak-key";
+  std::unique_ptr<SoakDialect> dialect_;
   std::mutex mutex_;
   std::unique_ptr<Fleet> fleet_;
   std::vector<SoakWorker> workers_;
--- a/programs/testbed/soak/soak_operator.cc
+++ b/programs/testbed/soak/soak_operator.cc
@@ -48,14 +48,8 @@
 
 }  // namespace
 
-SoakOperator::SoakOperator(std::vector<base::NodeAddress> nodes, std::string key,
-                           std::uint64_t number, testbed::RunLedger& ledger,
-                           testbed::ControlHistory& history)
-    : nodes_(std::move(nodes)),
-      key_(std::move(key)),
-      name_("operator-" + std::to_string(number)),
-      ledger_(ledger),
-      history_(history) {}
+SoakOperator::SoakOperator(OperatorContext context)
+    : context_(std::move(context)), name_("operator-" + std::to_string(context_.number)) {}
 
 void SoakOperator::operate(base::RandomSource& random) {
   const double draw = random.uniform();
@@ -72,21 +66,23 @@
   ControlOperation operation;
   operation.kind = kind;
   operation.id = name_ + "-" + std::to_string(++operations_);
-  operation.invoked_s = ledger_.elapsedSeconds();
+  operation.invoked_s = context_.ledger.elapsedSeconds();
   return operation;
 }
 
 void SoakOperator::end(ControlOperation operation, ControlOutcome outcome, std::uint64_t version) {
-  operation.ended_s = ledger_.elapsedSeconds();
+  operation.ended_s = context_.ledger.elapsedSeconds();
   operation.outcome = outcome;
   operation.version = version;
-  history_.add(std::move(operation));
+  context_.history.add(std::move(operation));
 }
 
 std::optional<http::Response> SoakOperator::send(base::RandomSource& random,
                                                  http::Request request) const {
-  request.headers = {{"Content-Type", "application/json"}, {"Authorization", "Bearer " + key_}};
-  return fetchOnce(nodes_[random.below(nodes_.size())], std::move(request), AnswerLimit);
+  request.headers = {{"Content-Type", "application/json"},
+                     {"Authorization", "Bearer " + context_.key}};
+  const std::vector<base::NodeAddress> nodes = context_.nodes();
+  return fetchOnce(nodes[random.below(nodes.size())], std::move(request), AnswerLimit);
 }
 
 void SoakOperator::change(base::RandomSource& random) {
@@ -102,7 +98,7 @@
     const auto answer = send(random, request);
     if (answer && isCommitted(*answer)) {
       known_version_ = versionOf(*answer);
-      ledger_.add(testbed::AcknowledgedChange{operation.id, known_version_});
+      context_.ledger.add(testbed::AcknowledgedChange{operation.id, known_version_});
       end(std::move(operation), ControlOutcome::Done, known_version_);
       return;
     }
--- a/programs/testbed/soak/soak_operator.h
+++ b/programs/testbed/soak/soak_operator.h
@@ -2,31 +2,22 @@
 
 #include <optional>
 #include <string>
-#include <vector>
 
-#include "switchsaddle/base/node_address.h"
-#include "switchsaddle/base/random.h"
+#include "soak/configuration_operator.h"
 #include "switchsaddle/http/message.h"
-#include "switchsaddle/testbed/soak/control_history.h"
-#include "switchsaddle/testbed/soak/run_ledger.h"
 
 namespace switchsaddle::testbed_commands {
 
 /**
- * One of several operators that change and read the same configuration at any node. Gives a node up
- * after a second and resends to another one, and records what it asked for and was told. Blocks.
+ * An operator that speaks the product's control API. Gives a node up after a second and resends to
+ * another one, and records what it asked for and was told.
  */
-class SoakOperator {
+class SoakOperator : public ConfigurationOperator {
  public:
-  /** @param ledger its clock is the one of the history; outlives the operator, as does the history.
-   */
-  SoakOperator(std::vector<base::NodeAddress> nodes, std::string key, std::uint64_t number,
-               testbed::RunLedger& ledger, testbed::ControlHistory& history);
+  explicit SoakOperator(OperatorContext context);
 
-  /** Makes one change, orders or ends an evacuation, or reads the configuration. */
-  void operate(base::RandomSource& random);
-  /** Reads the configuration at a random node. */
-  void read(base::RandomSource& random);
+  void operate(base::RandomSource& random) override;
+  void read(base::RandomSource& random) override;
 
  private:
   /** Makes one change on the version that it knows; a conflict tells it the version in force. */
@@ -40,11 +31,8 @@
   /** Sends the request to a random node. @return its answer, if there was one within a second. */
   std::optional<http::Response> send(base::RandomSource& random, http::Request request) const;
 
-  std::vector<base::NodeAddress> nodes_;
-  std::string key_;
+  OperatorContext context_;
   std::string name_;
-  testbed::RunLedger& ledger_;
-  testbed::ControlHistory& history_;
   std::uint64_t known_version_ = 1;
   int operations_ = 0;
 };
--- a/programs/testbed/soak/soak_platform.cc
+++ b/programs/testbed/soak/soak_platform.cc
@@ -1,30 +1,17 @@
 #include "soak/soak_platform.h"
 
-#include <boost/json.hpp>
-
 namespace switchsaddle::testbed_commands {
 namespace {
 
-constexpr int ListedSlots = 16;
 /** Time for which the list still shows an instance that has ended. */
 constexpr base::Duration ListLag = std::chrono::seconds(3);
 
-boost::json::object listedWorker(const SoakWorker& entry, const std::string& id) {
-  return {{"id", id},
-          {"address", entry.worker->address().toString()},
-          {"zone", entry.zone},
-          {"models", boost::json::array{}},
-          {"service", SoakService},
-          {"stage", "both"},
-          {"weights_version", "1"},
-          {"slots", ListedSlots},
-          {"state", "ready"}};
-}
-
 }  // namespace
 
-SoakPlatform::SoakPlatform(const base::NodeAddress& address, const std::vector<SoakWorker>& workers)
+SoakPlatform::SoakPlatform(const base::NodeAddress& address, const std::vector<SoakWorker>& workers,
+                           const SoakDialect& dialect)
     : workers_(workers),
+      dialect_(dialect),
       server_(http::startServer(
           context_, address, {},
           [this](const http::Request& /*request*/, const http::ResponseWriterPtr& writer) {
@@ -38,13 +25,13 @@
 }
 
 std::string SoakPlatform::list() const {
-  boost::json::array listed;
+  std::vector<ListedInstance> instances;
   for (const SoakWorker& entry : workers_) {
     for (const std::string& id : entry.worker->listedIds(ListLag)) {
-      listed.push_back(listedWorker(entry, id));
+      instances.push_back({id, entry.worker->address(), entry.zone});
     }
   }
-  return boost::json::serialize(boost::json::object{{"workers", std::move(listed)}});
+  return dialect_.workerList(instances);
 }
 
 }  // namespace switchsaddle::testbed_commands
--- a/programs/testbed/soak/soak_platform.h
+++ b/programs/testbed/soak/soak_platform.h
@@ -6,14 +6,12 @@
 #include <thread>
 #include <vector>
 
+#include "soak/soak_dialect.h"
 #include "switchsaddle/http/server.h"
 #include "switchsaddle/testbed/soak/wire_worker.h"
 
 namespace switchsaddle::testbed_commands {
 
-/** The service and pool that the workers of a soak belong to. */
-inline constexpr const char* SoakService = "soak";
-
 /** The workers of a soak by their zones, as the platform lists them. */
 struct SoakWorker {
   std::unique_ptr<testbed::WireWorker> worker;
@@ -24,8 +22,9 @@
  * a while those that have ended, all ready. Serves on a thread of its own. */
 class SoakPlatform {
  public:
-  /** @param workers outlive the platform. */
-  SoakPlatform(const base::NodeAddress& address, const std::vector<SoakWorker>& workers);
+  /** @param workers outlive the platform, as does the dialect. */
+  SoakPlatform(const base::NodeAddress& address, const std::vector<SoakWorker>& workers,
+               const SoakDialect& dialect);
   ~SoakPlatform();
   SoakPlatform(const SoakPlatform&) = delete;
   SoakPlatform& operator=(const SoakPlatform&) = delete;
@@ -34,6 +33,7 @@
   std::string list() const;
 
   const std::vector<SoakWorker>& workers_;
+  const SoakDialect& dialect_;
   boost::asio::io_context context_{1};
   std::unique_ptr<http::Server> server_;
   std::thread thread_;
