--- a/programs/testbed/soak/platform_operator.cc
+++ b/programs/testbed/soak/platform_operator.cc
@@ -139,12 +139,14 @@
   }
   json::object document = platformDocument(version);
   // Tells this operator's document from the same version of another one.
-  document["author"] = name_;
+  document["author"] = name_ + "-" + std::to_string(operations_);
   return replaceRequest(known_version_, json::serialize(document));
 }
 
 http::Request PlatformOperator::drawPatch(base::RandomSource& random, std::uint64_t version) {
-  json::object patch{{"version", version}};
+  // Equal orders of two operators would count as one that is sent again.
+  const std::string mark = name_ + "-" + std::to_string(operations_);
+  json::object patch{{"version", version}, {"author", mark}};
   if (!random.chance(GrowthShare)) {
     const int timeout_ms = 3'000 + static_cast<int>(random.below(2'000));
     patch["upsert"] = json::object{{"routes", json::array{platformStreamRoute(timeout_ms)}}};
