Storage: lack of memory in a scrub or a rewrite does not end the process

Jobs of commit, open and compaction caught every exception; those of scrub and rewrite let any but base::Error leave the storage thread, which ends the process, and a callback that threw left the store busy for ever. A scrub is now given up (StorageFailed, which says nothing of the files), a rewrite is left to the next one, and the store goes on after a callback that throws.

--- a/libraries/storage/source/file_record_store.cc
+++ b/libraries/storage/source/file_record_store.cc
@@ -109,7 +109,12 @@
         busy_ = false;
         step_overdue_ = false;
         // Runs callbacks of the caller, which may destroy the store.
-        completion();
+        try {
+          completion();
+        } catch (...) {
+          start_next();
+          throw;
+        }
         start_next();
       }));
 }
@@ -153,7 +158,9 @@
 void FileRecordStore::startRewrite() {
   auto state = std::make_shared<std::vector<Record>>(commits_->extractRewrite());
   armCommitTimer();
-  run([directory = directory_, state] { directory->beginRewrite(std::move(*state)); },
+  // A rewrite that fails is made up for by the next one.
+  run([directory = directory_,
+       state] { resultOf([&] { directory->beginRewrite(std::move(*state)); }); },
       [this] {
         compaction_due_ = true;
         compaction_blocked_ = false;
@@ -161,7 +168,12 @@
 }
 
 void FileRecordStore::startScrubStep() {
-  run([directory = directory_, scrub = scrubs_.front()] { scrub->step(*directory); },
+  run(
+      [directory = directory_, scrub = scrubs_.front()] {
+        if (resultOf([&] { scrub->step(*directory); }) != base::ResultCode::Ok) {
+          scrub->abandon();
+        }
+      },
       [this] { finishScrubStep(); });
 }
 
--- a/libraries/storage/source/scrub_job.cc
+++ b/libraries/storage/source/scrub_job.cc
@@ -20,6 +20,10 @@
 }
 
 void ScrubJob::report() const {
+  if (abandoned_) {
+    callback_(base::ResultCode::StorageFailed, {});
+    return;
+  }
   callback_(damaged_ ? base::ResultCode::RecordCorrupt : base::ResultCode::Ok, damaged_keys_);
 }
 
--- a/libraries/storage/source/scrub_job.h
+++ b/libraries/storage/source/scrub_job.h
@@ -16,9 +16,12 @@
 
   /** The first step lists the files, each later step verifies one. Runs on the executor. */
   void step(RecordDirectory& directory);
+  /** Ends the pass after a step that failed, which says nothing of the files. */
+  void abandon() { abandoned_ = true; }
   /** Whether all files have been verified. Called only between two steps. */
-  bool done() const { return files_.empty(); }
-  /** Calls the callback with RecordCorrupt if any file is damaged. */
+  bool done() const { return abandoned_ || files_.empty(); }
+  /** Calls the callback: RecordCorrupt if a file is damaged, StorageFailed if the pass was
+   * abandoned. */
   void report() const;
 
  private:
@@ -27,6 +30,7 @@
   /** Files that have not been verified yet. */
   std::vector<std::string> files_;
   bool damaged_ = false;
+  bool abandoned_ = false;
   std::vector<std::string> damaged_keys_;
 };
 
