Daemons: a lack of memory ends a connection or a callback, not the process

Causes: (1) budgets take the whole memory of the settings, though the process itself and one arena of the allocator for each thread take up to 251.6 of 256 MiB of address space when idle; (2) an exception that leaves any callback of the io context ends the process.

Now: one arena (idle peak 36.6 MB), budgets keep to what RLIMIT_AS leaves, exceptions end the callback (callback-failed, callbacks_failed_total), in connections their connection (http_connections_failed_total; without this the peers of connections whose callback had failed waited 30 s), on the log's thread nothing.

DaemonMemoryTest: 3 of 4 red before, and with the budgets but without the containment both cases of an address space that is cut while the daemon runs; 6 of 6 pass now.

--- a/libraries/base/source/log_writer.cc
+++ b/libraries/base/source/log_writer.cc
@@ -9,6 +9,7 @@
 #include <deque>
 #include <iostream>
 #include <mutex>
+#include <new>
 #include <string_view>
 #include <system_error>
 #include <thread>
@@ -53,6 +54,8 @@
   void run();
   /** Takes the next line, after the lines dropped before it are told. @return false to stop. */
   bool take(std::string& line);
+  /** The same; an exception would end the process, since nobody can catch it on the thread. */
+  bool takeDespiteLackOfMemory(std::string& line);
 
   const int descriptor;
   const std::size_t queue_bytes;
@@ -78,6 +81,7 @@
   if (untold > 0 && lines.empty()) {
     line = formatEvent(Severity::Warning, "log-lines-dropped",
                        {{"count", std::to_string(std::exchange(untold, 0))}});
+    line += '\n';
   } else {
     line = std::move(lines.front());
     lines.pop_front();
@@ -87,10 +91,19 @@
   return true;
 }
 
+bool LogWriter::State::takeDespiteLackOfMemory(std::string& line) {
+  while (true) {
+    try {
+      return take(line);
+    } catch (const std::bad_alloc&) {
+      // The counter of dropped lines has told what the line would have.
+    }
+  }
+}
+
 void LogWriter::State::run() {
   std::string line;
-  while (take(line)) {
-    line += '\n';
+  while (takeDespiteLackOfMemory(line)) {
     const bool is_written = writeWhole(descriptor, line);
     const std::lock_guard lock(mutex);
     ++(is_written ? counters.written : counters.refused);
@@ -109,6 +122,7 @@
 }
 
 void LogWriter::write(std::string line) {
+  line += '\n';
   const std::lock_guard lock(state_->mutex);
   if (state_->waiting_bytes + line.size() > state_->queue_bytes) {
     ++state_->counters.dropped;
--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -74,6 +74,8 @@
   std::uint64_t connections_refused = 0;
   /** Connections closed in favour of new ones while they waited for a request. */
   std::uint64_t connections_displaced = 0;
+  /** Connections closed because an exception ended one of their callbacks. */
+  std::uint64_t connections_failed = 0;
   /** Requests rejected because there was no memory for them. */
   std::uint64_t requests_refused = 0;
   /** Unfinished requests and unread responses that gave way to others. */
--- a/libraries/http/source/connection_writer.h
+++ b/libraries/http/source/connection_writer.h
@@ -27,14 +27,11 @@
     if (responded_ || server_->closed) {
       return;
     }
-    run([](ServerConnection& connection) {
-      if (connection.streaming()) {
-        connection.close();
-      } else {
-        connection.respond(
-            errorResponse(base::ResultCode::InternalError, "the request was not answered"));
-      }
-    });
+    try {
+      run([](ServerConnection& connection) { connection.endUnanswered(); });
+    } catch (const std::exception&) {
+      // Without memory even for this, the client is told by its own time-out.
+    }
   }
 
   void respond(Response response) override {
@@ -51,15 +48,15 @@
     });
   }
   void writeChunk(std::string chunk, std::function<void(bool)> written) override {
-    boost::asio::dispatch(strand_,
-                          [connection = connection_, exchange = exchange_, chunk = std::move(chunk),
-                           written = std::move(written)]() mutable {
-                            if (connection->isCurrent(exchange) && connection->streaming()) {
-                              connection->writeChunk(chunk, std::move(written));
-                            } else if (written) {
-                              connection->postWritten(std::move(written), false);
-                            }
-                          });
+    boost::asio::dispatch(
+        strand_, [connection = connection_, exchange = exchange_, chunk = std::move(chunk),
+                  written = std::move(written)]() mutable {
+          if (connection->isCurrent(exchange) && connection->streaming()) {
+            connection->guarded([&] { connection->writeChunk(chunk, std::move(written)); });
+          } else if (written) {
+            connection->postWritten(std::move(written), false);
+          }
+        });
   }
   void endStream() override {
     responded_ = true;
@@ -83,7 +80,7 @@
     boost::asio::dispatch(strand_, [connection = connection_, exchange = exchange_,
                                     action = std::move(action)]() mutable {
       if (connection->isCurrent(exchange)) {
-        action(*connection);
+        connection->guarded([&] { action(*connection); });
       }
     });
   }
--- a/libraries/http/source/server.cc
+++ b/libraries/http/source/server.cc
@@ -56,8 +56,9 @@
             self->retryAccept();
             return;
           }
-          self->addConnection(std::move(socket));
+          // First, since taking the connection may fail for lack of memory.
           self->accept();
+          self->addConnection(std::move(socket));
         });
   }
 
--- a/libraries/http/source/server_connection.cc
+++ b/libraries/http/source/server_connection.cc
@@ -1,6 +1,5 @@
 #include "server_connection.h"
 
-#include <glog/logging.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -167,7 +166,7 @@
   const std::size_t room = std::min(ReadAheadBytes, buffer_.max_size() - buffer_.size());
   socket_.async_read_some(buffer_.prepare(room),
                           [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-                            self->onReadAhead(error, bytes);
+                            self->guarded([&] { self->onReadAhead(error, bytes); });
                           });
 }
 
@@ -224,6 +223,14 @@
   }
 }
 
+void ServerConnection::endUnanswered() {
+  if (streaming()) {
+    close();
+  } else {
+    respond(errorResponse(base::ResultCode::InternalError, "the request was not answered"));
+  }
+}
+
 void ServerConnection::linger() {
   enter(Phase::Lingering);
   memory_.reset();
--- a/libraries/http/source/server_connection.h
+++ b/libraries/http/source/server_connection.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <glog/logging.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -63,6 +65,12 @@
   /** Posts a chunk's callback to the strand. */
   void postWritten(std::function<void(bool)> written, bool result);
   bool streaming() const { return phase_ == Phase::Streaming; }
+  /** Ends an exchange that its handler has given up without a response. */
+  void endUnanswered();
+  /** Runs an action of this connection; closes the connection if it throws, as for lack of memory.
+   */
+  template <class Action>
+  void guarded(Action action);
 
   // The functions of ConnectionTable.
   /** @return when the current phase began. */
@@ -176,4 +184,15 @@
   std::size_t lingered_bytes_ = 0;
 };
 
+template <class Action>
+void ServerConnection::guarded(Action action) {
+  try {
+    action();
+  } catch (const std::exception& exception) {
+    ++server_->counters.connections_failed;
+    LOG(ERROR) << "event=connection_failed reason=" << exception.what();
+    close();
+  }
+}
+
 }  // namespace switchsaddle::http
--- a/libraries/http/source/server_connection_reading.cc
+++ b/libraries/http/source/server_connection_reading.cc
@@ -124,7 +124,7 @@
   }
   asio::post(server_->strand, [self = shared_from_this(), request = exchange_] {
     if (self->isReading(request)) {
-      self->readBody();
+      self->guarded([&self] { self->readBody(); });
     }
   });
 }
@@ -162,7 +162,7 @@
                        if (error) {
                          self->close();
                        } else {
-                         self->readBody();
+                         self->guarded([&self] { self->readBody(); });
                        }
                      });
 }
--- a/libraries/transport/source/tcp_incoming_connection.cc
+++ b/libraries/transport/source/tcp_incoming_connection.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <new>
 #include <utility>
 
 #include "frame.h"
@@ -68,7 +69,11 @@
       [self = shared_from_this(), filled](const error_code& error, std::size_t bytes) {
         self->buffer_.resize(filled + bytes);
         self->read_bytes_ = bytes == self->read_bytes_ ? LargeReadBytes : SmallReadBytes;
-        self->onRead(error);
+        try {
+          self->onRead(error);
+        } catch (const std::bad_alloc&) {
+          self->finish();
+        }
       });
 }
 
--- a/libraries/transport/source/tcp_listener.cc
+++ b/libraries/transport/source/tcp_listener.cc
@@ -48,8 +48,9 @@
       self->retryAccept();
       return;
     }
-    self->addConnection(std::move(socket));
+    // First, since taking the connection may fail for lack of memory.
     self->accept();
+    self->addConnection(std::move(socket));
   });
 }
 
--- a/libraries/transport/source/tcp_outgoing_connection.cc
+++ b/libraries/transport/source/tcp_outgoing_connection.cc
@@ -1,6 +1,7 @@
 #include "tcp_outgoing_connection.h"
 
 #include <boost/asio/write.hpp>
+#include <new>
 #include <utility>
 #include <vector>
 
@@ -28,10 +29,22 @@
   if (queue_.empty()) {
     return;
   }
-  if (state_ == State::Closed) {
-    connect();
-  } else if (state_ == State::Connected) {
-    write();
+  guarded([this] {
+    if (state_ == State::Closed) {
+      connect();
+    } else if (state_ == State::Connected) {
+      write();
+    }
+  });
+}
+
+template <class Action>
+void TcpTransport::OutgoingConnection::guarded(Action action) {
+  try {
+    action();
+  } catch (const std::bad_alloc&) {
+    close();
+    dropQueue();
   }
 }
 
@@ -62,7 +75,7 @@
   startConnectTimer();
   socket_.async_connect(endpoint, [self = shared_from_this(), attempt](const error_code& result) {
     if (!self->outdated(attempt)) {
-      self->onConnect(result);
+      self->guarded([&] { self->onConnect(result); });
     }
   });
 }
@@ -134,7 +147,7 @@
       boost::asio::buffer(&discarded_byte_, 1),
       [self = shared_from_this(), attempt = attempt_](const error_code&, std::size_t) {
         if (!self->outdated(attempt)) {
-          self->onDisconnected();
+          self->guarded([&self] { self->onDisconnected(); });
         }
       });
 }
@@ -150,13 +163,14 @@
   for (const FramePtr& frame : *frames) {
     buffers.push_back(boost::asio::buffer(*frame));
   }
-  boost::asio::async_write(socket_, buffers,
-                           [self = shared_from_this(), attempt = attempt_, frames](
-                               const error_code& error, std::size_t written) {
-                             if (!self->outdated(attempt)) {
-                               self->onWritten(error, frames->size(), written);
-                             }
-                           });
+  boost::asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this(), attempt = attempt_, frames](const error_code& error,
+                                                              std::size_t written) {
+        if (!self->outdated(attempt)) {
+          self->guarded([&] { self->onWritten(error, frames->size(), written); });
+        }
+      });
 }
 
 void TcpTransport::OutgoingConnection::onWritten(const error_code& error, std::size_t frames,
--- a/libraries/transport/source/tcp_outgoing_connection.h
+++ b/libraries/transport/source/tcp_outgoing_connection.h
@@ -28,6 +28,9 @@
   void close();
 
  private:
+  /** Runs an action of this connection; a lack of memory closes it and drops its messages. */
+  template <class Action>
+  void guarded(Action action);
   enum class State : std::uint8_t { Closed, Connecting, Connected };
 
   bool outdated(std::uint64_t attempt) const { return shared_->closed || attempt != attempt_; }
--- a/programs/switchsaddle/core_command.cc
+++ b/programs/switchsaddle/core_command.cc
@@ -116,7 +116,7 @@
   command->callback([options, open_disk = std::move(open_disk), &exit_code] {
     takeOverSurroundings();
     base::writeLogOnThread();
-    returnFreedMemory();
+    useMemorySparingly();
     exit_code = startAndRun([&options, &open_disk] {
       return std::make_unique<CoreDaemon>(loadSettings(*options, "core"), *options, open_disk);
     });
--- a/programs/switchsaddle/daemon_process.cc
+++ b/programs/switchsaddle/daemon_process.cc
@@ -60,11 +60,37 @@
   awaitHangup();
   dispatcher_.post([this] { strand_watch_.start(); });
   takeSignals();
-  context_.run();
+  runCallbacks();
   holdSignals();
   return EXIT_SUCCESS;
 }
 
+void DaemonProcess::runCallbacks() {
+  while (!context_.stopped()) {
+    try {
+      context_.run();
+    } catch (const std::exception& exception) {
+      // Ending the process would end every other one, too, that is sent the same.
+      ++failed_callbacks_;
+      reportFailure(exception.what());
+    }
+  }
+}
+
+void DaemonProcess::reportFailure(const char* reason) {
+  try {
+    base::Incident incident;
+    incident.event = "callback-failed";
+    incident.severity = base::Severity::Error;
+    incident.code = base::ResultCode::InternalError;
+    incident.fields = {{"reason", reason}};
+    incident.dumps_ring = true;
+    incidents_.report(incident);
+  } catch (const std::exception&) {
+    // There is no memory to tell it; the counter does.
+  }
+}
+
 void DaemonProcess::onSettingsChange(const std::string& file, std::function<void()> callback) {
   settings_file_ = file;
   settings_changed_ = std::move(callback);
@@ -117,6 +143,7 @@
   add("peer_connections_displaced_total",
       "Connections of other nodes closed because others needed their room.",
       traffic.displaced_connections);
+  add("callbacks_failed_total", "Callbacks that an exception ended.", failed_callbacks_);
   page.histogram("strand_lateness_seconds", "Delay of the control strand's timers, in seconds.",
                  strand_watch_.lateness());
   const base::LogWriterCounters log = base::processLogCounters();
--- a/programs/switchsaddle/daemon_process.h
+++ b/programs/switchsaddle/daemon_process.h
@@ -57,6 +57,9 @@
 
  private:
   static void logJournalEvent(const journal::Event& event);
+  /** Runs callbacks until the context is stopped; one that throws is reported and given up. */
+  void runCallbacks();
+  void reportFailure(const char* reason);
   void awaitSignal();
   void onSignal(int signal);
   void awaitHangup();
@@ -78,6 +81,7 @@
   std::filesystem::file_time_type settings_modified_at_{};
   base::TimerPtr settings_timer_;
   base::ShutdownPolicy shutdown_;
+  std::uint64_t failed_callbacks_ = 0;
 };
 
 }  // namespace switchsaddle
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -111,7 +111,7 @@
   command->callback([options, &exit_code] {
     takeOverSurroundings();
     base::writeLogOnThread();
-    returnFreedMemory();
+    useMemorySparingly();
     exit_code = startAndRun([&options] {
       return std::make_unique<FrontDaemon>(loadSettings(*options, "front"), *options);
     });
--- a/programs/switchsaddle/process_limits.cc
+++ b/programs/switchsaddle/process_limits.cc
@@ -2,9 +2,11 @@
 
 #include <malloc.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstddef>
+#include <fstream>
 
 namespace switchsaddle {
 
@@ -15,6 +17,32 @@
 /** Free memory at the end of the heap that the process keeps. */
 constexpr int RetainedHeapBytes = 1 << 20;
 
+/** Address space that a process needs besides what its peers make it hold: threads' stacks, buffers
+ * that grow by being copied, and state. */
+constexpr std::size_t OwnBytes = std::size_t{48} << 20U;
+/** The least that peers are let hold, however little there is. */
+constexpr std::size_t LeastMemoryMb = 16;
+constexpr unsigned BitsOfMebibyte = 20;
+
+/** @return the address space that the process uses; 0 if the system does not tell. */
+std::size_t usedAddressSpace() {
+  std::ifstream file("/proc/self/statm");
+  std::size_t pages = 0;
+  file >> pages;
+  return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+/** @return the memory that peers may make this process hold within the system's limit. */
+std::size_t affordableMemoryMb(std::size_t memory_mb) {
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_AS, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+    return memory_mb;
+  }
+  const std::size_t own = usedAddressSpace() + OwnBytes;
+  const std::size_t left_mb = (std::max<std::size_t>(limit.rlim_cur, own) - own) >> BitsOfMebibyte;
+  return std::min(memory_mb, std::max(left_mb, LeastMemoryMb));
+}
+
 /** @return the number of descriptors that the system lets this process open. */
 std::size_t systemDescriptors(std::size_t fallback) {
   rlimit limit{};
@@ -30,10 +58,15 @@
   const std::size_t given = settings.limits.descriptors;
   const std::size_t system = systemDescriptors(given > 0 ? given : UnlimitedDescriptors);
   const std::size_t descriptors = given > 0 ? std::min(given, system) : system;
-  return node_options::nodeLimits(settings.limits, descriptors, role);
+  configuration::ResourceSettings resources = settings.limits;
+  resources.memory_mb = affordableMemoryMb(resources.memory_mb);
+  return node_options::nodeLimits(resources, descriptors, role);
 }
 
-void returnFreedMemory() {
+void useMemorySparingly() {
+  // Each further arena reserves 64 MiB of address space; threads other than the main one allocate
+  // little.
+  ::mallopt(M_ARENA_MAX, 1);
   ::mallopt(M_MMAP_THRESHOLD, MappedBlockBytes);
   ::mallopt(M_TRIM_THRESHOLD, RetainedHeapBytes);
 }
--- a/programs/switchsaddle/process_limits.h
+++ b/programs/switchsaddle/process_limits.h
@@ -6,13 +6,13 @@
 namespace switchsaddle {
 
 /**
- * @return the bounds that follow from the settings and from the descriptors that the system lets
- *     this process open.
+ * @return the bounds that follow from the settings and from what the system lets this process use:
+ *     descriptors and address space.
  */
 node_options::NodeLimits processLimits(const configuration::Settings& settings,
                                        node_options::NodeRole role);
 
-/** Makes the allocator give large blocks back to the system as soon as they are freed. */
-void returnFreedMemory();
+/** Makes the allocator reserve little and give large blocks back as soon as they are freed. */
+void useMemorySparingly();
 
 }  // namespace switchsaddle
--- a/programs/switchsaddle/server_metrics.cc
+++ b/programs/switchsaddle/server_metrics.cc
@@ -17,6 +17,10 @@
   page.counter("http_connections_displaced_total",
                "Waiting connections closed in favour of new ones.",
                static_cast<double>(counters.connections_displaced), labels);
+  page.counter("http_connections_failed_total",
+               "Connections closed because an exception, such as a lack of memory, ended one of "
+               "their callbacks.",
+               static_cast<double>(counters.connections_failed), labels);
 }
 
 void appendRequests(metrics::Page& page, const std::string& listener,
--- a/programs/test/tested_daemon.cc
+++ b/programs/test/tested_daemon.cc
@@ -51,8 +51,10 @@
   return "{" + addresses + common + own + "}\n";
 }
 
-void DaemonSite::writeSettings() const {
-  std::ofstream(settingsFile()) << settingsText();
+void DaemonSite::writeSettings(const std::string& more) const {
+  std::string text = settingsText();
+  text.insert(text.rfind('}'), more);
+  std::ofstream(settingsFile()) << text;
 }
 
 std::vector<std::string> DaemonSite::command() const {
--- a/programs/test/tested_daemon.h
+++ b/programs/test/tested_daemon.h
@@ -28,7 +28,8 @@
   std::string settingsFile() const { return folder_ + "/settings.json"; }
   std::string dataFolder() const { return folder_ + "/data"; }
   std::string settingsText() const;
-  void writeSettings() const;
+  /** @param more further members of the settings as JSON, each with a comma before it. */
+  void writeSettings(const std::string& more = "") const;
   base::NodeAddress peerAddress() const { return {ip_, 7'000}; }
   base::NodeAddress httpAddress() const { return {ip_, 8'000}; }
   base::NodeAddress readinessAddress() const { return {ip_, 8'001}; }
