--- a/libraries/storage/source/file_record_store.cc
+++ b/libraries/storage/source/file_record_store.cc
@@ -26,6 +26,21 @@
   }
 }
 
+/** Calls each, also after one that throws. @throws the first exception of a callback. */
+void callAll(const CommitQueue::Callbacks& callbacks, base::ResultCode code) {
+  std::exception_ptr first;
+  for (const auto& callback : callbacks) {
+    try {
+      callback(code);
+    } catch (...) {
+      first = first ? first : std::current_exception();
+    }
+  }
+  if (first) {
+    std::rethrow_exception(first);
+  }
+}
+
 }  // namespace
 
 FileRecordStore::FileRecordStore(base::Dispatcher& dispatcher, FileSystem& file_system,
@@ -150,9 +165,7 @@
   compaction_due_ = true;
   const CommitQueue::Callbacks callbacks = commits_->extractInFlight();
   armCommitTimer();
-  for (const CommitCallback& callback : callbacks) {
-    callback(code);
-  }
+  callAll(callbacks, code);
 }
 
 void FileRecordStore::startRewrite() {
@@ -211,9 +224,7 @@
   CommitQueue::Callbacks callbacks = commits_->extractInFlight();
   CommitQueue::Callbacks queued = commits_->extractQueued();
   std::move(queued.begin(), queued.end(), std::back_inserter(callbacks));
-  for (const CommitCallback& callback : callbacks) {
-    callback(base::ResultCode::StorageSlow);
-  }
+  callAll(callbacks, base::ResultCode::StorageSlow);
 }
 
 void FileRecordStore::postResult(CommitCallback callback, base::ResultCode code) {
--- a/programs/switchsaddle/process_limits.h
+++ b/programs/switchsaddle/process_limits.h
@@ -7,7 +7,7 @@
 
 /**
  * @return the bounds that follow from the settings and from what the system lets this process use:
- *     descriptors and address space.
+ *     descriptors, address space and data.
  */
 node_options::NodeLimits processLimits(const configuration::Settings& settings,
                                        node_options::NodeRole role);
--- a/programs/test/daemon_memory_test.cc
+++ b/programs/test/daemon_memory_test.cc
@@ -17,6 +17,7 @@
 
 const ProcessEnd Orderly = ProcessEnd::exited(0);
 constexpr std::size_t MemoryMb = 256;
+constexpr std::size_t DataMb = 128;
 /** A little more than a daemon that nobody sends anything. */
 constexpr std::size_t CutMemoryMb = 48;
 constexpr std::size_t BytesPerMebibyte = 1U << 20U;
@@ -55,10 +56,11 @@
 
 class DaemonMemoryTest : public testing::TestWithParam<DaemonRole> {
  protected:
-  void expectLife() {
-    TestedDaemon daemon(site_, [] {
-      const rlimit limit{MemoryMb * BytesPerMebibyte, MemoryMb * BytesPerMebibyte};
-      ::setrlimit(RLIMIT_AS, &limit);
+  /** Expects it to live though the system lets it have only so much. */
+  void expectLife(__rlimit_resource resource, std::size_t limit_mb) {
+    TestedDaemon daemon(site_, [resource, limit_mb] {
+      const rlimit limit{limit_mb * BytesPerMebibyte, limit_mb * BytesPerMebibyte};
+      ::setrlimit(resource, &limit);
     });
     ASSERT_TRUE(daemon.waitForStart());
     {
@@ -74,12 +76,17 @@
 
 TEST_P(DaemonMemoryTest, PeersThatUseUpItsAddressSpaceDoNotEndTheDaemon) {
   site_.writeSettings(R"(,"limits":{"memory_mb":)" + std::to_string(MemoryMb) + "}");
-  expectLife();
+  expectLife(RLIMIT_AS, MemoryMb);
 }
 
 TEST_P(DaemonMemoryTest, AnAddressSpaceThatTheSettingsDoNotTellIsKeptTo) {
   site_.writeSettings();
-  expectLife();
+  expectLife(RLIMIT_AS, MemoryMb);
+}
+
+TEST_P(DaemonMemoryTest, ALimitOfDataThatTheSettingsDoNotTellIsKeptTo) {
+  site_.writeSettings();
+  expectLife(RLIMIT_DATA, DataMb);
 }
 
 TEST_P(DaemonMemoryTest, AnAddressSpaceThatIsCutWhileItRunsDoesNotEndTheDaemon) {
