--- a/programs/test/daemon_memory_test.cc
+++ b/programs/test/daemon_memory_test.cc
@@ -40,8 +40,9 @@
 /** Connections whose peers have sent as much as the daemon lets them. */
 std::vector<BlockingSocket> useUpMemory(const DaemonSite& site) {
   std::vector<BlockingSocket> sockets;
-  const std::string head = "POST /config/replace HTTP/1.1\r\nHost: test\r\nContent-Length: " +
-                           std::to_string(BodyBytes) + "\r\n\r\n";
+  const std::string head =
+      "POST /v1/configuration/changes HTTP/1.1\r\nHost: test\r\nContent-Length: " +
+      std::to_string(BodyBytes) + "\r\n\r\n";
   for (int body = 0; body < Bodies; ++body) {
     sockets.push_back(sendUnfinished(site.httpAddress(), head, BodyBytes));
   }
