A process that ends by a fatal signal tells it on standard error

Cause: installCrashDump did nothing without a data folder, and a front has none: neither handlers of signals nor std::set_terminate were in place, so a front that crashed left nothing behind; a core wrote a file, and nothing to its log. Evidence: CrashDumpDeathTest (2 new), DaemonSurroundingsTest.ADaemonThatCrashesTellsItInItsLog for both roles.

--- a/libraries/base/include/switchsaddle/base/log.h
+++ b/libraries/base/include/switchsaddle/base/log.h
@@ -48,6 +48,12 @@
    * or the interrupted one, a message that says so is written instead.
    */
   void writeFromSignal(int file) const;
+  /**
+   * Writes the last lines in the same way.
+   * @param most maximum number of lines.
+   * @param may_write asked before each line; the rest is left out once it returns false.
+   */
+  void writeFromSignal(int file, std::size_t most, bool (*may_write)(int file)) const;
   /** @return the number of lines ever appended, including those dropped. */
   std::uint64_t appended() const;
 
--- a/libraries/base/source/log.cc
+++ b/libraries/base/source/log.cc
@@ -118,6 +118,10 @@
 }
 
 void LogRing::writeFromSignal(int file) const {
+  writeFromSignal(file, capacity_, [](int) { return true; });
+}
+
+void LogRing::writeFromSignal(int file, std::size_t most, bool (*may_write)(int file)) const {
   constexpr std::string_view Busy = "log ring not written: it was locked when the signal arrived\n";
   constexpr std::string_view LineEnd = "\n";
   const std::unique_lock lock(mutex_, std::try_to_lock);
@@ -125,8 +129,12 @@
     writeAll(file, Busy);
     return;
   }
-  for (const std::string& line : lines_) {
-    writeAll(file, line);
+  for (std::size_t index = lines_.size() - std::min(most, lines_.size()); index < lines_.size();
+       ++index) {
+    if (!may_write(file)) {
+      return;
+    }
+    writeAll(file, lines_[index]);
     writeAll(file, LineEnd);
   }
 }
--- a/libraries/base/test/incident_log_test.cc
+++ b/libraries/base/test/incident_log_test.cc
@@ -150,6 +150,24 @@
   EXPECT_EQ(readFile(folder_ / CrashFileName), "reason=SIGSEGV\nearlier\n");
 }
 
+TEST_F(CrashDumpDeathTest, AProcessWithoutAFolderTellsItsEndOnStandardError) {
+  EXPECT_EXIT(
+      {
+        installCrashDump(ring_, "");
+        raise(SIGSEGV);
+      },
+      testing::KilledBySignal(SIGSEGV), "event=crashed signal=SIGSEGV\nearlier\n");
+}
+
+TEST_F(CrashDumpDeathTest, AnUncaughtExceptionWithoutAFolderIsTold) {
+  EXPECT_EXIT(
+      {
+        installCrashDump(processLogRing(), "");
+        std::thread([] { static_cast<void>(std::stoi("none")); }).join();
+      },
+      testing::KilledBySignal(SIGABRT), "event=terminating reason=stoi");
+}
+
 TEST_F(CrashDumpDeathTest, AnUncaughtExceptionWritesItsMessage) {
   EXPECT_EXIT(
       {
--- a/programs/test/daemon_surroundings_test.cc
+++ b/programs/test/daemon_surroundings_test.cc
@@ -52,6 +52,14 @@
   EXPECT_EQ(daemon.terminate(), Orderly);
 }
 
+TEST_P(DaemonSurroundingsTest, ADaemonThatCrashesTellsItInItsLog) {
+  TestedDaemon daemon(site_);
+  ASSERT_TRUE(daemon.waitForStart());
+  daemon.process().signal(SIGSEGV);
+  EXPECT_TRUE(daemon.log().waitForText("event=crashed signal=SIGSEGV", TestLimit));
+  EXPECT_EQ(daemon.process().waitForEnd(TestLimit), ProcessEnd::killed(SIGSEGV));
+}
+
 TEST_P(DaemonSurroundingsTest, HangupsUntilItsLastMomentDoNotEndAStoppingDaemon) {
   TestedDaemon daemon(site_);
   ASSERT_TRUE(daemon.waitForStart());
