Test bed: workers that misanswer, unread bytes, crowds of all kinds at once

A worker stand-in follows an AnswerScript where a request asks for one: heads, framings, trailers, bodies and events without end. Each script is a crowd kind of its own to callers that read, to callers that do not, and on the product's own streams.

--- a/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "switchsaddle/base/random.h"
+#include "switchsaddle/testbed/crowd/answer_script.h"
 #include "switchsaddle/testbed/soak/blocking_socket.h"
 #include "switchsaddle/testbed/soak/interruption.h"
 #include "switchsaddle/testbed/soak/message_reader.h"
@@ -103,6 +104,8 @@
   bool answer(Exchange& exchange);
   bool answerGet(Exchange& exchange) const;
   bool refuse(Exchange& exchange, int status) const;
+  /** Follows the script, then stays connected until the front closes the connection. */
+  bool misanswer(Exchange& exchange, const AnswerScript& script) const;
   bool run(Exchange& exchange);
   bool answerWhole(Exchange& exchange);
   bool answerStream(Exchange& exchange);
--- a/libraries/testbed/source/crowd/crowd_script.cc
+++ b/libraries/testbed/source/crowd/crowd_script.cc
@@ -1,5 +1,6 @@
 #include "switchsaddle/testbed/crowd/crowd_script.h"
 
+#include "switchsaddle/testbed/crowd/answer_script.h"
 #include "switchsaddle/testbed/soak/wire_text.h"
 
 namespace switchsaddle::testbed {
@@ -175,6 +176,45 @@
   kinds.push_back({"core-changes", CrowdListener::CoreHttp, change});
 }
 
+/** Requests that one client sends one after the other to workers that misanswer. */
+constexpr std::size_t MisansweredRequests = 5;
+
+/** Requests below the prefix whose workers follow the script. */
+CrowdScript misanswered(const CrowdRequests& requests, const std::string& prefix,
+                        const AnswerScript& script) {
+  CrowdRequests asking = requests;
+  asking.forwarded_target = prefix + answerRequest(script.name);
+  const std::string request = forwardedRequest(asking, "misanswered", "");
+  return {.filler = request, .filler_bytes = request.size() * MisansweredRequests};
+}
+
+/** A completion of the product's own interface whose worker follows the script. */
+CrowdScript misansweredCompletion(const CrowdRequests& requests, const AnswerScript& script) {
+  const std::string body =
+      R"({"user":")" + answerRequest(script.name) +
+      R"(","model":"m","stream":true,"messages":[{"role":"user","content":"c"}]})";
+  return {.opening =
+              postText("/v1/chat/completions",
+                       "Host: own\r\nAuthorization: Bearer " + requests.tenant_key + "\r\n", body)};
+}
+
+/** Answers of workers, to callers that read and to callers that do not. */
+void addAnswerKinds(const CrowdRequests& requests, std::vector<CrowdKind>& kinds) {
+  const auto front = CrowdListener::FrontHttp;
+  for (const AnswerScript& script : answerScripts()) {
+    const std::string name = "worker-" + script.name;
+    const CrowdScript stream = misanswered(requests, requests.stream_target, script);
+    kinds.push_back({name, front, misanswered(requests, requests.forwarded_target, script)});
+    kinds.push_back({name + "-stream", front, stream});
+    CrowdScript unread = stream;
+    unread.afterwards = CrowdAfterwards::StayWithoutReading;
+    kinds.push_back({name + "-unread", front, unread});
+    CrowdScript completion = misansweredCompletion(requests, script);
+    completion.afterwards = CrowdAfterwards::StayWithoutReading;
+    kinds.push_back({name + "-completion", front, completion});
+  }
+}
+
 }  // namespace
 
 std::vector<CrowdKind> crowdKinds(const CrowdRequests& requests) {
@@ -182,6 +222,7 @@
   addRequestKinds(requests, kinds);
   addListenerKinds(requests, kinds);
   addDocumentKinds(requests, kinds);
+  addAnswerKinds(requests, kinds);
   return kinds;
 }
 
--- a/libraries/testbed/source/fleet/process_usage.cc
+++ b/libraries/testbed/source/fleet/process_usage.cc
@@ -1,9 +1,11 @@
 #include "switchsaddle/testbed/fleet/process_usage.h"
 
+#include <charconv>
 #include <filesystem>
 #include <fstream>
-#include <iterator>
+#include <set>
 #include <string>
+#include <string_view>
 
 namespace switchsaddle::testbed {
 
@@ -27,6 +29,50 @@
   }
 }
 
+constexpr int Hexadecimal = 16;
+
+/** @return the number of a link like "socket:[123]"; empty for other links. */
+std::string socketNumber(const std::filesystem::path& descriptor) {
+  constexpr std::string_view Prefix = "socket:[";
+  std::error_code failure;
+  const std::string link = std::filesystem::read_symlink(descriptor, failure).string();
+  return link.starts_with(Prefix) ? link.substr(Prefix.size(), link.size() - Prefix.size() - 1)
+                                  : std::string();
+}
+
+std::size_t hexadecimal(std::string_view text) {
+  std::size_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value, Hexadecimal);
+  return value;
+}
+
+/** Sums the queues of the sockets with these numbers, as /proc/net/tcp tells them. */
+void readQueues(const std::set<std::string>& sockets, ProcessUsage& usage) {
+  constexpr const char* EstablishedState = "01";
+  std::ifstream table("/proc/net/tcp");
+  std::string rest;
+  std::getline(table, rest);
+  std::string slot;
+  std::string local;
+  std::string remote;
+  std::string state;
+  std::string queues;
+  std::string timer;
+  std::string retransmits;
+  std::string user;
+  std::string timeout;
+  std::string number;
+  while (table >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >>
+         timeout >> number) {
+    std::getline(table, rest);
+    if (state == EstablishedState && sockets.contains(number)) {
+      const std::size_t colon = queues.find(':');
+      usage.unsent_bytes += hexadecimal(std::string_view(queues).substr(0, colon));
+      usage.unread_bytes += hexadecimal(std::string_view(queues).substr(colon + 1));
+    }
+  }
+}
+
 }  // namespace
 
 std::optional<ProcessUsage> usageOf(const ProcessIdentity& process) {
@@ -41,7 +87,13 @@
   if (failure || usage.peak_memory_bytes == 0) {
     return std::nullopt;
   }
-  usage.descriptors = static_cast<std::size_t>(std::distance(begin(descriptors), {}));
+  std::set<std::string> sockets;
+  for (const std::filesystem::directory_entry& descriptor : descriptors) {
+    ++usage.descriptors;
+    sockets.insert(socketNumber(descriptor.path()));
+  }
+  sockets.erase("");
+  readQueues(sockets, usage);
   return usage;
 }
 
--- a/libraries/testbed/source/soak/wire_worker.cc
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/testbed/crowd/answer_script.h"
 #include "switchsaddle/testbed/soak/wire_text.h"
 
 namespace switchsaddle::testbed {
@@ -63,6 +64,15 @@
   return whole.substr(0, whole.size() - missing);
 }
 
+/** Bytes at the start of a body that may ask for a script. */
+constexpr std::size_t SearchedBodyBytes = 512;
+
+const AnswerScript* requestedAnswer(const WireMessage& request) {
+  const AnswerScript* script = testbed::requestedAnswer(request.first_line);
+  const std::string_view body = request.body;
+  return script != nullptr ? script : testbed::requestedAnswer(body.substr(0, SearchedBodyBytes));
+}
+
 /** Counts a running request for as long as it exists. */
 class ActiveCount {
  public:
@@ -204,6 +214,9 @@
   if (!expected.empty() && expected != exchange.instance.id) {
     return refuse(exchange, StatusMisdirected);
   }
+  if (const AnswerScript* script = requestedAnswer(exchange.request)) {
+    return misanswer(exchange, *script);
+  }
   const bool refuses = options_.faulty && exchange.draw < Behaviour::Refuse;
   if (refuses || exchange.instance.active >= options_.slots) {
     return refuse(exchange, StatusUnavailable);
@@ -224,6 +237,21 @@
   return exchange.socket.write(options_.answer_get(target, exchange.instance.id));
 }
 
+bool WireWorker::misanswer(Exchange& exchange, const AnswerScript& script) const {
+  const std::string opening =
+      "HTTP/1.1 200 OK\r\n" + idHeader(exchange.request_id) + script.opening;
+  bool is_open = exchange.socket.write(opening);
+  for (std::size_t sent = 0; is_open && sent < script.filler_bytes;) {
+    is_open = !exchange.instance.ended.raised() && exchange.socket.write(script.filler);
+    sent += script.filler.size();
+  }
+  // Stays connected: what it has begun never ends.
+  while (is_open && exchange.instance.ended.wait(ReadSlice)) {
+    is_open = !exchange.socket.waitForBytes({});
+  }
+  return false;
+}
+
 std::string WireWorker::idHeader(std::string_view id) const {
   return options_.names.request_id + ": " + std::string(id) + "\r\n";
 }
--- a/programs/testbed/crowd/crowd_command.cc
+++ b/programs/testbed/crowd/crowd_command.cc
@@ -15,6 +15,7 @@
 
 constexpr int ViolationsFound = 1;
 constexpr std::size_t BytesPerMebibyte = 1U << 20U;
+constexpr std::size_t BytesPerKibibyte = 1U << 10U;
 
 std::vector<std::string> kindNames() {
   std::vector<std::string> names;
@@ -29,6 +30,7 @@
   CrowdRunOptions run;
   std::vector<std::string> kinds = kindNames();
   bool list = false;
+  bool together = false;
 };
 
 testbed::CrowdKind findKind(const std::string& name, const testbed::CrowdRequests& requests) {
@@ -45,20 +47,30 @@
   for (const auto& [process, usage] : report.usage) {
     std::cout << "; " << process << " " << usage.peak_memory_bytes / BytesPerMebibyte
               << " MiB at most, " << usage.memory_bytes / BytesPerMebibyte << " at the end, "
-              << usage.descriptors << " descriptors";
+              << usage.descriptors << " descriptors, " << usage.unread_bytes / BytesPerKibibyte
+              << " KiB unread, " << usage.unsent_bytes / BytesPerKibibyte << " KiB unsent";
   }
   std::cout << std::endl;
 }
 
-/** Runs one crowd on a fleet of its own. @return the number of violations. */
-std::size_t runKind(const CrowdArguments& arguments, const std::string& name) {
+/**
+ * Runs crowds of these kinds at the same time on a fleet of their own.
+ * @param label name of the run in its folder and in the output.
+ * @return the number of violations.
+ */
+std::size_t runKinds(const CrowdArguments& arguments, const std::string& label,
+                     const std::vector<std::string>& names) {
   CrowdRunOptions options = arguments.run;
   options.fleet.directory =
-      std::filesystem::absolute(options.fleet.directory + "/" + name).string();
+      std::filesystem::absolute(options.fleet.directory + "/" + label).string();
   options.fleet.program = switchsaddleProgram(options.fleet.program);
   CrowdRun run(options);
-  const CrowdReport report = run.run(findKind(name, run.requests()));
-  print(name, report);
+  std::vector<testbed::CrowdKind> kinds;
+  for (const std::string& name : names) {
+    kinds.push_back(findKind(name, run.requests()));
+  }
+  const CrowdReport report = run.run(kinds);
+  print(label, report);
   return report.violations.size();
 }
 
@@ -71,8 +83,12 @@
 void runCrowds(const CrowdArguments& arguments) {
   testbed::processEnds().watch();
   std::size_t violations = 0;
-  for (const std::string& name : arguments.kinds) {
-    violations += runKind(arguments, name);
+  if (arguments.together) {
+    violations += runKinds(arguments, "together", arguments.kinds);
+  } else {
+    for (const std::string& name : arguments.kinds) {
+      violations += runKinds(arguments, name, {name});
+    }
   }
   std::cout << "crowds: " << arguments.kinds.size() << ", violations: " << violations << std::endl;
   if (violations > 0) {
@@ -96,6 +112,8 @@
       "--directory", run.fleet.directory,
       "Folder for the fleets; each kind gets a subfolder (default: the current one)");
   command->add_flag("--list", arguments->list, "Print the names of the kinds and end");
+  command->add_flag("--together", arguments->together,
+                    "Send crowds of all kinds at the same time to one fleet");
   command->add_option("--switchsaddle", run.fleet.program,
                       "Path of the switchsaddle program (default: in the folder of this program)");
   command->add_option("--network", run.fleet.network,
--- a/programs/testbed/crowd/crowd_run.cc
+++ b/programs/testbed/crowd/crowd_run.cc
@@ -1,6 +1,7 @@
 #include "crowd/crowd_run.h"
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 #include "switchsaddle/testbed/fleet/process_ends.h"
@@ -93,9 +94,9 @@
   return fleet_.process("core-1").peer_address;
 }
 
-CrowdReport CrowdRun::run(const testbed::CrowdKind& kind) {
+CrowdReport CrowdRun::run(const std::vector<testbed::CrowdKind>& kinds) {
   CrowdReport report;
-  sendCrowd(kind, report);
+  sendCrowds(kinds, report);
   const testbed::CrowdRequests made = requests();
   const std::string largest =
       testbed::forwardedRequest(made, "largest", std::string(made.body_limit_bytes, 'l'));
@@ -108,18 +109,25 @@
   return report;
 }
 
-void CrowdRun::sendCrowd(const testbed::CrowdKind& kind, CrowdReport& report) {
-  const testbed::Crowd crowd(addressOf(kind.listener), kind.script, options_.size);
+void CrowdRun::sendCrowds(const std::vector<testbed::CrowdKind>& kinds, CrowdReport& report) {
+  std::vector<std::unique_ptr<testbed::Crowd>> crowds;
+  for (const testbed::CrowdKind& kind : kinds) {
+    crowds.push_back(
+        std::make_unique<testbed::Crowd>(addressOf(kind.listener), kind.script, options_.size));
+  }
   testbed::Interruption pause;
   const auto limit = testbed::BlockingSocket::Clock::now() + CrowdLimit;
-  while (!crowd.settled() && testbed::BlockingSocket::Clock::now() < limit) {
+  while (!std::ranges::all_of(crowds, &testbed::Crowd::settled) &&
+         testbed::BlockingSocket::Clock::now() < limit) {
     sample(report);
     pause.wait(SampleInterval);
   }
   checkAnswers("while the crowd stayed", report);
   sample(report);
-  report.bytes_sent = crowd.bytesSent();
-  report.closed_connections = crowd.closedConnections();
+  for (const auto& crowd : crowds) {
+    report.bytes_sent += crowd->bytesSent();
+    report.closed_connections += crowd->closedConnections();
+  }
 }
 
 void CrowdRun::sample(CrowdReport& report) {
@@ -139,14 +147,17 @@
     largest.peak_memory_bytes = std::max(largest.peak_memory_bytes, usage->peak_memory_bytes);
     largest.memory_bytes = usage->memory_bytes;
     largest.descriptors = std::max(largest.descriptors, usage->descriptors);
+    largest.unread_bytes = std::max(largest.unread_bytes, usage->unread_bytes);
+    largest.unsent_bytes = std::max(largest.unsent_bytes, usage->unsent_bytes);
   }
 }
 
 void CrowdRun::checkBounds(CrowdReport& report) const {
   for (const auto& [name, usage] : report.usage) {
-    if (usage.peak_memory_bytes > options_.memory_mb * BytesPerMebibyte) {
-      report.violations.push_back(name + " held " +
-                                  std::to_string(usage.peak_memory_bytes / BytesPerMebibyte) +
+    // Bytes that have arrived use memory of the machine, too.
+    const std::size_t held = usage.peak_memory_bytes + usage.unread_bytes;
+    if (held > options_.memory_mb * BytesPerMebibyte) {
+      report.violations.push_back(name + " held " + std::to_string(held / BytesPerMebibyte) +
                                   " MiB of " + std::to_string(options_.memory_mb));
     }
     if (usage.descriptors > options_.descriptors) {
--- a/programs/testbed/crowd/crowd_run.h
+++ b/programs/testbed/crowd/crowd_run.h
@@ -31,21 +31,22 @@
 };
 
 /**
- * Sends one crowd to a fleet of its own and checks that every daemon lives, stays within the memory
- * and the descriptors of its machine, answers an ordinary request while the crowd is still there,
- * and, once it has left, the largest request that is allowed. Blocks.
+ * Sends crowds to a fleet of its own and checks that every daemon lives, stays within the memory
+ * and the descriptors of its machine, answers an ordinary request while they are still there,
+ * and, once they have left, the largest request that is allowed. Blocks.
  */
 class CrowdRun {
  public:
   explicit CrowdRun(CrowdRunOptions options);
 
-  CrowdReport run(const testbed::CrowdKind& kind);
+  /** Sends crowds of all these kinds at the same time. */
+  CrowdReport run(const std::vector<testbed::CrowdKind>& kinds);
   /** @return the requests that the crowds are made of. */
   testbed::CrowdRequests requests() const;
 
  private:
   base::NodeAddress addressOf(testbed::CrowdListener listener);
-  void sendCrowd(const testbed::CrowdKind& kind, CrowdReport& report);
+  void sendCrowds(const std::vector<testbed::CrowdKind>& kinds, CrowdReport& report);
   void sample(CrowdReport& report);
   void checkBounds(CrowdReport& report) const;
   /** Checks that both roles answer ordinary requests. */
--- a/programs/testbed/soak/product_dialect.cc
+++ b/programs/testbed/soak/product_dialect.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int ListedSlots = 16;
+constexpr const char* SoakModel = "m";
 
 boost::json::object forwardingRoute(const char* kind, const char* prefix) {
   return {{"host", SoakHost},
@@ -23,7 +24,7 @@
 }
 
 boost::json::object firstDocument() {
-  const boost::json::object shape{{"services", boost::json::array{SoakService}},
+  const boost::json::object shape{{"services", boost::json::array{SoakService, "completions"}},
                                   {"first_token_ms", 2'000},
                                   {"stream_deadline_ms", 30'000},
                                   {"one_shot_deadline_ms", 4'000},
@@ -34,6 +35,9 @@
            boost::json::object{
                {"shape", "soak"}, {"stream_branch", "root"}, {"one_shot_branch", "root"}}},
           {"routes/soak", boost::json::object{{"service", SoakService}, {"pool", SoakService}}},
+          {"routes/completions", boost::json::object{{"service", "completions"},
+                                                     {"models", boost::json::array{SoakModel}},
+                                                     {"pool", SoakService}}},
           {"keys/soak", boost::json::object{{"sha256", configuration::sha256Hex(SoakTenantKey)},
                                             {"tenant", "soak"}}},
           {"forwarding/pools/soak", boost::json::object{}},
@@ -56,7 +60,7 @@
       listed.push_back(boost::json::object{{"id", instance.id},
                                            {"address", instance.address.toString()},
                                            {"zone", instance.zone},
-                                           {"models", boost::json::array{}},
+                                           {"models", boost::json::array{SoakModel}},
                                            {"service", SoakService},
                                            {"stage", "both"},
                                            {"weights_version", "1"},
