Reading of the platform's list: bounds on bytes, values, pages and time

Cause: a page could have 64 MiB, its JSON any number of values, a list any number of pages as long as they were empty, and a page that trickled never ended; the watcher begins another reading after 2.5 s, and the one before went on. Change: ListReading (4 MiB and 262,144 values a page, 16 MiB and 2,500 pages a reading), 5 s a page. A list of over 100,000 workers was cut and applied as whole; a list over the bounds is now malformed, and the last one stays in force.

--- a/libraries/workers/source/platform_list.cc
+++ b/libraries/workers/source/platform_list.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "switchsaddle/base/error.h"
+#include "switchsaddle/workers/list_bounds.h"
 
 namespace switchsaddle::workers {
 
@@ -151,6 +152,9 @@
 }  // namespace
 
 PlatformReading parsePlatformList(const std::string& text) {
+  if (!ListReading().addPage(text)) {
+    return malformedReading(ResultCode::BodyTooLarge, "the list has too many bytes or values");
+  }
   boost::system::error_code failure;
   const json::value value = json::parse(text, failure);
   if (failure) {
--- a/programs/switchsaddle/http_platform_source.cc
+++ b/programs/switchsaddle/http_platform_source.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "switchsaddle/workers/list_bounds.h"
 #include "switchsaddle/workers/platform_list.h"
 
 namespace switchsaddle {
@@ -42,6 +43,8 @@
   http::ExchangeOptions options;
   options.connect_timeout = ConnectTimeout;
   options.response_timeout = ResponseTimeout;
+  options.total_timeout = workers::ListPageTimeout;
+  options.fetch_limit_bytes = workers::MaximumListPageBytes;
   client_.fetch(
       platform_, std::move(request), options,
       [this, callback = std::move(callback)](const http::Response* response,
