Workers' answers: what a front holds of them is bounded, each and together

Cause: the caller's side of http got bounds after the incident of clients that do not behave, the worker's side did not. Beast keeps a chunk size, chunk extension or trailer until its end comes, the buffer before it had no limit, and unread events, a response being collected and heads of many fields were counted nowhere, so their sum had no bound either. Change: a response's head and framing have 32 KiB; heads, unfinished events, collected responses and one-shots' answers are counted in a budget of their own beyond what each connection is granted; a front reads 16 KiB ahead of a caller instead of 64; receive buffers of workers' connections are 32 KiB instead of 128, send buffers of streams 32 instead of 64. Limits of connections, requests, frames and responses are shares of the memory that add up to less than four fifths of it with the real cost of a connection, 80 KiB, where 32 were assumed; a frame's buffer no longer grows beyond the frame.

--- a/libraries/base/include/switchsaddle/base/byte_budget.h
+++ b/libraries/base/include/switchsaddle/base/byte_budget.h
@@ -50,6 +50,11 @@
 
   /** @return whether the budget had room for the further bytes; without room nothing changes. */
   bool tryGrow(std::size_t bytes);
+  /**
+   * Holds exactly this many bytes from now on.
+   * @return whether the budget had room for what is more than before; without room nothing changes.
+   */
+  bool tryTo(std::size_t bytes);
   /** Holds exactly this many bytes from now on, even beyond the budget. */
   void forceTo(std::size_t bytes);
   std::size_t held() const { return held_.load(); }
--- a/libraries/base/source/byte_budget.cc
+++ b/libraries/base/source/byte_budget.cc
@@ -21,6 +21,16 @@
   return true;
 }
 
+bool ByteReservation::tryTo(std::size_t bytes) {
+  const std::size_t before = held();
+  if (bytes > before) {
+    return tryGrow(bytes - before);
+  }
+  held_ = bytes;
+  budget_->release(before - bytes);
+  return true;
+}
+
 void ByteReservation::forceTo(std::size_t bytes) {
   const std::size_t before = held_.exchange(bytes);
   budget_->force(bytes);
--- a/libraries/base/test/byte_budget_test.cc
+++ b/libraries/base/test/byte_budget_test.cc
@@ -33,6 +33,17 @@
   EXPECT_EQ(budget->used(), 0U);
 }
 
+TEST(ByteBudgetTest, HoldsWhatItIsSetToIfThereIsRoom) {
+  const auto budget = std::make_shared<ByteBudget>(1'000);
+  ByteReservation reservation(budget);
+  EXPECT_TRUE(reservation.tryTo(700));
+  EXPECT_FALSE(reservation.tryTo(1'001));
+  EXPECT_EQ(budget->used(), 700U);
+  EXPECT_TRUE(reservation.tryTo(100));
+  EXPECT_EQ(budget->used(), 100U);
+  EXPECT_EQ(reservation.held(), 100U);
+}
+
 TEST(ByteBudgetTest, CanBeForcedBeyondTheLimit) {
   const auto budget = std::make_shared<ByteBudget>(1'000);
   ByteReservation reservation(budget);
--- a/libraries/front/include/switchsaddle/front/forward/forward_flow.h
+++ b/libraries/front/include/switchsaddle/front/forward/forward_flow.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/base/random.h"
 #include "switchsaddle/front/admission/quota_meter.h"
@@ -45,6 +46,8 @@
   RetryAllowance retry_allowance;
   /** Receives reports of losses; may be null. */
   base::IncidentSink* incidents = nullptr;
+  /** What runs hold of workers' responses is counted here; null to count nothing. */
+  std::shared_ptr<base::ByteBudget> response_memory = nullptr;
 };
 
 class ForwardRun;
--- a/libraries/front/include/switchsaddle/front/node/counters.h
+++ b/libraries/front/include/switchsaddle/front/node/counters.h
@@ -25,6 +25,8 @@
   std::uint64_t dispatches = 0;
   std::uint64_t retries = 0;
   std::uint64_t resends = 0;
+  /** Workers' responses that were given up for lack of memory. */
+  std::uint64_t responses_without_memory = 0;
   std::map<base::ResultCode, std::uint64_t> refusals;
   /** Ended requests by kind ("stream" or "one-shot"), outcome and result code. */
   std::map<std::tuple<std::string_view, std::string_view, base::ResultCode>, std::uint64_t>
--- a/libraries/front/include/switchsaddle/front/node/front_node.h
+++ b/libraries/front/include/switchsaddle/front/node/front_node.h
@@ -62,6 +62,8 @@
   /** Sends forwarded requests; nothing is forwarded if null. */
   ForwardPort* forward_port = nullptr;
   ForwardHeaders forward_headers = {};
+  /** What runs hold of workers' responses is counted here; null to count nothing. */
+  std::shared_ptr<base::ByteBudget> response_memory = nullptr;
 };
 
 /**
--- a/libraries/front/include/switchsaddle/front/one_shot/one_shot_flow.h
+++ b/libraries/front/include/switchsaddle/front/one_shot/one_shot_flow.h
@@ -78,6 +78,8 @@
   RetryBudget& retries;
   WorkerCircuit& circuit;
   Counters& counters;
+  /** What runs hold of workers' responses is counted here; null to count nothing. */
+  std::shared_ptr<base::ByteBudget> response_memory = nullptr;
 };
 
 class OneShotRun;
--- a/libraries/front/include/switchsaddle/front/stream/stream_flow.h
+++ b/libraries/front/include/switchsaddle/front/stream/stream_flow.h
@@ -71,6 +71,8 @@
   /** Ends the stream after the last event.
    * @param code Ok only if the worker completed the run. */
   virtual void end(base::ResultCode code) = 0;
+  /** @return the bytes of events that the sink keeps after they have been written. */
+  virtual std::size_t keptBytes() const { return 0; }
 };
 
 /** Bounded stages that streams pass through; a full queue rejects a stream at once. */
@@ -96,6 +98,8 @@
   base::IncidentSink* incidents = nullptr;
   /** Whether the sequence of events is checked; false only in tests of faults that this detects. */
   bool check_sequence = true;
+  /** What runs hold of workers' responses is counted here; null to count nothing. */
+  std::shared_ptr<base::ByteBudget> response_memory = nullptr;
 };
 
 class StreamRun;
--- a/libraries/front/include/switchsaddle/front/worker_calls/http_worker_port.h
+++ b/libraries/front/include/switchsaddle/front/worker_calls/http_worker_port.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/dispatcher.h"
 #include "switchsaddle/front/worker_calls/worker_port.h"
 #include "switchsaddle/http/client.h"
@@ -18,8 +19,12 @@
  */
 class HttpWorkerPort : public WorkerPort {
  public:
-  /** @param local_ip the local address to connect from; empty for any. */
-  HttpWorkerPort(base::Dispatcher& dispatcher, http::Client& client, std::string local_ip = {});
+  /**
+   * @param local_ip the local address to connect from; empty for any.
+   * @param response_memory what the responses are counted in; null to count nothing.
+   */
+  HttpWorkerPort(base::Dispatcher& dispatcher, http::Client& client, std::string local_ip = {},
+                 std::shared_ptr<base::ByteBudget> response_memory = nullptr);
   WorkerCallPtr send(const WorkerRequest& request,
                      std::shared_ptr<WorkerObserver> observer) override;
 
@@ -27,6 +32,7 @@
   base::Dispatcher& dispatcher_;
   http::Client& client_;
   std::string local_ip_;
+  std::shared_ptr<base::ByteBudget> response_memory_;
 };
 
 }  // namespace switchsaddle::front
--- a/libraries/front/source/forward/forward_run.cc
+++ b/libraries/front/source/forward/forward_run.cc
@@ -67,7 +67,8 @@
       caller_(environment_.dispatcher, std::move(writer)),
       pool_(choosePool(request_, environment_.random)),
       attempts_(environment_.retries, environment_.counters, pool_.name),
-      deadline_(environment_.dispatcher, [this] { onDeadline(); }) {}
+      deadline_(environment_.dispatcher, [this] { onDeadline(); }),
+      response_memory_(environment_.response_memory) {}
 
 void ForwardRun::start() {
   started_at_ = environment_.dispatcher.now();
@@ -151,7 +152,7 @@
   dispatched_at_ = environment_.dispatcher.now();
   status_ = 0;
   head_.reset();
-  body_.clear();
+  body_ = {};
   splitter_.reset();
   resume_ = nullptr;
   events_of_dispatch_ = 0;
@@ -223,18 +224,27 @@
   if (!isCurrent(dispatch)) {
     return;
   }
-  if (!valid) {
+  if (!valid || !takeResponseMemory()) {
     onLost(ResultCode::StreamBroken);
     return;
   }
   resumeReading();
 }
 
+bool ForwardRun::takeResponseMemory() {
+  const std::size_t error_bytes = worker_error_ ? worker_error_->body.size() : 0;
+  const std::size_t bytes =
+      body_.size() + splitter_.pendingBytes() + outstanding_bytes_ + error_bytes;
+  if (response_memory_.tryHold(bytes)) {
+    return true;
+  }
+  ++environment_.counters.responses_without_memory;
+  return false;
+}
+
 void ForwardRun::collect(const std::string& bytes) {
-  const base::ByteReservationPtr& memory = request_.message.memory;
-  const bool has_memory = !memory || memory->tryGrow(bytes.size());
   body_ += bytes;
-  if (body_.size() > MaximumCollectedBytes || !has_memory) {
+  if (body_.size() > MaximumCollectedBytes || !takeResponseMemory()) {
     onLost(ResultCode::WorkerFailed);
     return;
   }
--- a/libraries/front/source/forward/forward_run.h
+++ b/libraries/front/source/forward/forward_run.h
@@ -10,6 +10,7 @@
 #include "attempt/active_call.h"
 #include "attempt/attempt_list.h"
 #include "attempt/request_deadline.h"
+#include "attempt/response_memory.h"
 #include "forward/forward_log.h"
 #include "switchsaddle/front/forward/forward_flow.h"
 #include "switchsaddle/front/request/caller_connection.h"
@@ -91,6 +92,8 @@
   /** Whether the body is relayed event by event; otherwise it is collected. */
   bool isRelayed() const;
   void collect(const std::string& bytes);
+  /** Counts what the run holds of responses. @return false if there is no room for it. */
+  bool takeResponseMemory();
   void beginStream();
   void relay(const std::vector<streams::RawEvent>& events);
   void onFirstEvent();
@@ -128,6 +131,7 @@
   RequestDeadline deadline_;
   base::TimePoint started_at_;
   bool ended_ = false;
+  ResponseMemory response_memory_;
   double acquired_quota_units_ = 0;
 
   /** Dispatches that ended without having run. */
--- a/libraries/front/source/forward/forward_run_events.cc
+++ b/libraries/front/source/forward/forward_run_events.cc
@@ -15,7 +15,7 @@
 /** Chunks that the caller's connection may have pending before reading from the worker pauses. */
 constexpr std::size_t MaximumOutstanding = 16;
 /** Their bytes, beside the event that exceeds them. */
-constexpr std::size_t MaximumOutstandingBytes = 64U << 10U;
+constexpr std::size_t MaximumOutstandingBytes = 16U << 10U;
 
 }  // namespace
 
@@ -106,6 +106,7 @@
   }
   --outstanding_;
   outstanding_bytes_ -= bytes;
+  takeResponseMemory();
   if (outcome == WriteOutcome::Disconnected) {
     cancel();
     return;
--- a/libraries/front/source/node/counters.cc
+++ b/libraries/front/source/node/counters.cc
@@ -28,6 +28,8 @@
       one_shots_replayed);
   add("dispatches_total", "Dispatches of requests to workers, including retries.", dispatches);
   add("resends_total", "Dispatches of a request that had been dispatched before.", resends);
+  add("worker_responses_without_memory_total",
+      "Responses of workers that were given up for lack of memory.", responses_without_memory);
   add("retries_total", "Dispatches after the first attempt of a request failed.", retries);
   for (const auto& [code, count] : refusals) {
     page.counter("refusals_total", "Rejected requests by result code.", static_cast<double>(count),
--- a/libraries/front/source/node/front_node.cc
+++ b/libraries/front/source/node/front_node.cc
@@ -68,10 +68,10 @@
       streams_(StreamEnvironment{environment.dispatcher, environment.random, slots(),
                                  servingSession(), router_, environment.workers, *this, retries_,
                                  circuit_, counters_, stages_, environment.incidents,
-                                 environment.check_sequence}),
+                                 environment.check_sequence, environment.response_memory}),
       one_shots_(OneShotEnvironment{environment.dispatcher, environment.random, claims(), slots(),
                                     servingSession(), environment.workers, *this, retries_,
-                                    circuit_, counters_}),
+                                    circuit_, counters_, environment.response_memory}),
       health_(environment.dispatcher),
       quota_ledgers_(environment.dispatcher, environment.calls, environment.instance,
                      [this] { return session_.coreAddresses(); }),
@@ -109,10 +109,10 @@
   const configuration::ForwardingSettings& settings = environment_.settings.forwarding;
   const RetryAllowance allowance{settings.retry_share * UsedRetryShare,
                                  settings.retry_extra * UsedRetryShare};
-  return std::make_unique<ForwardFlow>(
-      ForwardEnvironment{environment_.dispatcher, environment_.random, *environment_.forward_port,
-                         placer_, *this, retries_, circuit_, quotas_, health_, counters_,
-                         environment_.forward_headers, allowance, environment_.incidents});
+  return std::make_unique<ForwardFlow>(ForwardEnvironment{
+      environment_.dispatcher, environment_.random, *environment_.forward_port, placer_, *this,
+      retries_, circuit_, quotas_, health_, counters_, environment_.forward_headers, allowance,
+      environment_.incidents, environment_.response_memory});
 }
 
 admission::SlotBroker& FrontNode::slots() {
--- a/libraries/front/source/one_shot/one_shot_run.cc
+++ b/libraries/front/source/one_shot/one_shot_run.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t MaximumAnswerBytes = 1U << 20U;
 /** Retries of recording an end if the core can't be reached. */
 constexpr int RecordRetries = 10;
+/** Copies of a response while it is recorded: the run's, the message's, the frame's. */
+constexpr std::size_t AnswerCopies = 3;
 constexpr std::uint16_t StatusOk = 200;
 
 using OneShotObserver = AttemptObserver<WorkerHead, OneShotRun, std::string>;
@@ -48,7 +50,8 @@
       attempts_(environment_.retries, environment_.counters, request_.service),
       guard_(environment_.session, environment_.fleet_view),
       deadline_(environment_.dispatcher, [this] { onDeadline(); }),
-      poll_timer_(environment_.dispatcher.createTimer([this] { sendBegin(); })) {}
+      poll_timer_(environment_.dispatcher.createTimer([this] { sendBegin(); })),
+      response_memory_(environment_.response_memory) {}
 
 void OneShotRun::start() {
   deadline_.start(request_.deadline);
@@ -225,7 +228,10 @@
 }
 
 void OneShotRun::appendToBody(const std::string& bytes) {
-  if (body_.size() + bytes.size() > MaximumAnswerBytes) {
+  const std::size_t size = body_.size() + bytes.size();
+  const bool has_memory = response_memory_.tryHold(size * AnswerCopies);
+  environment_.counters.responses_without_memory += has_memory ? 0 : 1;
+  if (size > MaximumAnswerBytes || !has_memory) {
     endUnknown();
     return;
   }
--- a/libraries/front/source/one_shot/one_shot_run.h
+++ b/libraries/front/source/one_shot/one_shot_run.h
@@ -9,6 +9,7 @@
 #include "attempt/attempt_list.h"
 #include "attempt/dispatch_guard.h"
 #include "attempt/request_deadline.h"
+#include "attempt/response_memory.h"
 #include "switchsaddle/front/one_shot/one_shot_flow.h"
 
 namespace switchsaddle::front {
@@ -86,6 +87,7 @@
   /** Whether the complete response of the current attempt was received. */
   bool ran_ = false;
   std::string body_;
+  ResponseMemory response_memory_;
 };
 
 }  // namespace switchsaddle::front
--- a/libraries/front/source/request/caller_sinks.h
+++ b/libraries/front/source/request/caller_sinks.h
@@ -41,6 +41,7 @@
   void setRun(const std::string& run, std::uint32_t cached_tokens) override;
   void sendEvent(std::string event, WriteCallback written) override;
   void end(base::ResultCode code) override;
+  std::size_t keptBytes() const override { return text_.size(); }
 
  private:
   std::string model_;
--- a/libraries/front/source/stream/stream_run.cc
+++ b/libraries/front/source/stream/stream_run.cc
@@ -13,6 +13,8 @@
 constexpr const char* CompletionsService = "completions";
 constexpr std::uint16_t StatusOk = 200;
 constexpr std::uint32_t DefaultRetryAfterMs = 1'000;
+/** Bytes of events that the sink may have pending before reading from the worker pauses. */
+constexpr std::size_t MaximumOutstandingBytes = 16U << 10U;
 /** Timeout for a worker's response header. */
 constexpr base::Duration ResponseTimeout = std::chrono::seconds(15);
 
@@ -42,7 +44,8 @@
       relay_(streams::RelayMachine::DefaultMaximumOutstanding, environment_.check_sequence),
       attempts_(environment_.retries, environment_.counters, CompletionsService),
       guard_(environment_.session, environment_.fleet_view),
-      deadline_(environment_.dispatcher, [this] { onDeadline(); }) {}
+      deadline_(environment_.dispatcher, [this] { onDeadline(); }),
+      response_memory_(environment_.response_memory) {}
 
 void StreamRun::start() {
   deadline_.start(std::chrono::milliseconds(request_.shape.stream_deadline_ms));
@@ -236,9 +239,22 @@
     finish(ResultCode::Ok);
     return;
   }
+  if (!takeResponseMemory()) {
+    onAttemptFailed(relay_.mayRetryElsewhere() ? ResultCode::WorkerFailed
+                                               : ResultCode::StreamBroken);
+    return;
+  }
   resumeReading();
 }
 
+bool StreamRun::takeResponseMemory() {
+  if (response_memory_.tryHold(relay_.pendingBytes() + outstanding_bytes_ + sink_->keptBytes())) {
+    return true;
+  }
+  ++environment_.counters.responses_without_memory;
+  return false;
+}
+
 void StreamRun::onFirstChunk() {
   completion_.time_to_first_token = environment_.dispatcher.now() - dispatched_at_;
   environment_.counters.first_token.observe(completion_.time_to_first_token);
@@ -246,7 +262,7 @@
 }
 
 void StreamRun::resumeReading() {
-  if (resume_ && relay_.mayRead()) {
+  if (resume_ && relay_.mayRead() && outstanding_bytes_ < MaximumOutstandingBytes) {
     std::exchange(resume_, nullptr)();
   }
 }
@@ -291,9 +307,10 @@
 
 void StreamRun::sendEvents(const std::vector<std::string>& events) {
   for (const std::string& event : events) {
-    sink_->sendEvent(event, [weak = weak_from_this()](WriteOutcome outcome) {
+    outstanding_bytes_ += event.size();
+    sink_->sendEvent(event, [weak = weak_from_this(), bytes = event.size()](WriteOutcome outcome) {
       if (const auto run = weak.lock()) {
-        run->onWritten(outcome);
+        run->onWritten(outcome, bytes);
       }
     });
     if (ended_) {
@@ -302,10 +319,12 @@
   }
 }
 
-void StreamRun::onWritten(WriteOutcome outcome) {
+void StreamRun::onWritten(WriteOutcome outcome, std::size_t bytes) {
   if (ended_) {
     return;
   }
+  outstanding_bytes_ -= bytes;
+  takeResponseMemory();
   if (outcome == WriteOutcome::Disconnected) {
     cancel();
     return;
--- a/libraries/front/source/stream/stream_run.h
+++ b/libraries/front/source/stream/stream_run.h
@@ -9,6 +9,7 @@
 #include "attempt/attempt_list.h"
 #include "attempt/dispatch_guard.h"
 #include "attempt/request_deadline.h"
+#include "attempt/response_memory.h"
 #include "switchsaddle/front/admission/admission_gate.h"
 #include "switchsaddle/front/stream/stream_flow.h"
 #include "switchsaddle/streams/relay_machine.h"
@@ -51,8 +52,11 @@
   void onFirstChunk();
   void onAttemptFailed(base::ResultCode code);
   void sendEvents(const std::vector<std::string>& events);
-  void onWritten(WriteOutcome outcome);
+  /** @param bytes size of the event. */
+  void onWritten(WriteOutcome outcome, std::size_t bytes);
   void resumeReading();
+  /** Counts what the run holds of responses. @return false if there is no room for it. */
+  bool takeResponseMemory();
   void onDeadline();
   void finish(base::ResultCode code);
   void reportBroken(base::ResultCode code);
@@ -70,6 +74,9 @@
   AttemptList attempts_;
   DispatchGuard guard_;
   RequestDeadline deadline_;
+  ResponseMemory response_memory_;
+  /** Bytes of the events that the sink has not written yet. */
+  std::size_t outstanding_bytes_ = 0;
   /** Whether a worker may have received the request. */
   bool sent_ = false;
   base::ResultCode last_failure_ = base::ResultCode::NoWorkerAvailable;
--- a/libraries/front/source/worker_calls/http_forward_port.cc
+++ b/libraries/front/source/worker_calls/http_forward_port.cc
@@ -38,7 +38,8 @@
 
 WorkerCallPtr HttpForwardPort::forward(ForwardDispatch dispatch,
                                        std::shared_ptr<ForwardObserver> observer) {
-  const http::ExchangeOptions options = optionsOf(dispatch);
+  http::ExchangeOptions options = optionsOf(dispatch);
+  options.response_memory = response_memory_;
   auto call = std::make_shared<HttpCall<http::Response>>(
       dispatcher_, std::move(observer), [](const http::Response& head) { return head; });
   call->setExchange(client_.start(dispatch.worker, std::move(dispatch.message), options, call));
--- a/libraries/front/source/worker_calls/http_worker_port.cc
+++ b/libraries/front/source/worker_calls/http_worker_port.cc
@@ -82,8 +82,12 @@
 }
 
 HttpWorkerPort::HttpWorkerPort(base::Dispatcher& dispatcher, http::Client& client,
-                               std::string local_ip)
-    : dispatcher_(dispatcher), client_(client), local_ip_(std::move(local_ip)) {}
+                               std::string local_ip,
+                               std::shared_ptr<base::ByteBudget> response_memory)
+    : dispatcher_(dispatcher),
+      client_(client),
+      local_ip_(std::move(local_ip)),
+      response_memory_(std::move(response_memory)) {}
 
 WorkerCallPtr HttpWorkerPort::send(const WorkerRequest& request,
                                    std::shared_ptr<WorkerObserver> observer) {
@@ -91,6 +95,7 @@
   options.response_timeout = request.response_timeout;
   options.fresh_connection = request.fresh_connection;
   options.local_ip = local_ip_;
+  options.response_memory = response_memory_;
   options.accepts_response = responseMatcher(request.address, RequestIdHeader, request.request_id);
   options.is_refusal = [](const http::Response& head) { return parseWorkerHead(head).not_run; };
   auto call =
--- a/libraries/front/test/forward/forward_fixture.h
+++ b/libraries/front/test/forward/forward_fixture.h
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <memory>
+
 #include "fakes.h"
 #include "forward/forward_fakes.h"
 #include "switchsaddle/front/forward/forward_flow.h"
@@ -26,6 +28,7 @@
   worker_health::EvidenceRecorder health{process};
   ForwardPlacer placer{process, world.random(), router, circuit, fleet_view, {"127.0.0.1", 1}};
   Counters counters;
+  std::shared_ptr<base::ByteBudget> response_memory = std::make_shared<base::ByteBudget>(256 << 10);
   ForwardFlow flow{ForwardEnvironment{process,
                                       world.random(),
                                       port,
@@ -37,7 +40,9 @@
                                       health,
                                       counters,
                                       {},
-                                      allowance}};
+                                      allowance,
+                                      nullptr,
+                                      response_memory}};
 };
 
 }  // namespace switchsaddle::front
--- a/libraries/front/test/forward/forward_flow_test.cc
+++ b/libraries/front/test/forward/forward_flow_test.cc
@@ -3,7 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include "forward/forward_fixture.h"
+#include "forward/forward_flow_fixture.h"
 #include "switchsaddle/base/error.h"
 #include "switchsaddle/base/log.h"
 
@@ -14,57 +14,6 @@
 using testing::AllOf;
 using testing::HasSubstr;
 
-class ForwardFlowTest : public ForwardFixture {
- protected:
-  ForwardFlowTest() : ForwardFixture(RetryAllowance{0.2, 10}) {
-    configuration::Forwarding& forwarding = fleet_view.view.forwarding;
-    forwarding.pools["shop"].name = "shop";
-    addRoute("once", ForwardKind::AtMostOnce, 1);
-    addRoute("again", ForwardKind::Idempotent, 2);
-    addRoute("stream", ForwardKind::EventStream, 1);
-    addRoute("resumed", ForwardKind::ResumableStream, 2);
-    configuration::ForwardTenant& tenant = forwarding.tenants["t"];
-    tenant.name = "t";
-    tenant.key_hashes = {configuration::sha256Hex("secret")};
-    tenant.priority = 1;
-    tenant.has_priority = true;
-    forwarding.index();
-    for (const char* name : {"w1", "w2", "w3"}) {
-      fleet_view.addWorker(name, "shop");
-    }
-    for (int count = 0; count < 100; ++count) {
-      retries.countFirstAttempt("shop");
-    }
-    quotas.setAllocations({});
-  }
-  void addRoute(const std::string& name, ForwardKind kind, std::uint32_t attempts) {
-    configuration::ForwardRoute& route = fleet_view.view.forwarding.routes[name];
-    route.name = name;
-    route.host = "a.example";
-    route.path_prefix = "/" + name + "/";
-    route.kind = kind;
-    route.targets = {{"shop", 1}};
-    route.attempts = attempts;
-    route.time_limit_ms = 2'000;
-  }
-  std::shared_ptr<ForwardWriter> run(const std::string& route,
-                                     const std::vector<http::Header>& more = {}) {
-    http::Request message;
-    message.method = "POST";
-    message.target = "/" + route + "/x?y=1";
-    message.headers = {{"Host", "A.example:80"}, {"Request-Id", "r-1"},
-                       {"Caller-Key", "secret"}, {"Connection", "keep-alive, X-Hop"},
-                       {"X-Hop", "mine"},        {"Tenant", "forged"},
-                       {"Other", "kept"},        {"Request-Priority", "0"}};
-    message.headers.insert(message.headers.end(), more.begin(), more.end());
-    message.body = "body";
-    auto writer = std::make_shared<ForwardWriter>();
-    flow.run(parseForwardRequest(fleet_view.configuration(), message, {}), writer);
-    return writer;
-  }
-  FakeForwardPort::Sent& last() { return port.sent.back(); }
-};
-
 TEST_F(ForwardFlowTest, ForwardsTheMessageUnchangedExceptForTheHeadersItSets) {
   const auto writer = run("once", {{"Deadline-Ms", "1500"}});
   const http::Request& message = last().dispatch.message;
--- a/libraries/http/include/switchsaddle/http/client.h
+++ b/libraries/http/include/switchsaddle/http/client.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/node_address.h"
 #include "switchsaddle/base/time.h"
 #include "switchsaddle/http/message.h"
@@ -62,6 +63,8 @@
   base::Duration response_timeout = std::chrono::seconds(60);
   /** Maximum time between two reads of the body. */
   base::Duration idle_timeout = std::chrono::seconds(30);
+  /** Maximum time of the whole exchange, however its response comes. */
+  base::Duration total_timeout{};
   /**
    * Time for which sent bytes may stay unacknowledged by the server's machine. After it the
    * connection is reset, so that bytes that the network holds up are lost; idle connections are
@@ -87,8 +90,18 @@
   bool fresh_connection = false;
   /** Numeric local address to connect from; empty for any. */
   std::string local_ip;
+  /**
+   * What is read of the response and not yet passed to the observer is counted here, beyond a fixed
+   * allowance; a response for which there is no room is lost. Null to count nothing.
+   */
+  std::shared_ptr<base::ByteBudget> response_memory = nullptr;
+  /** Maximum size of a body that fetch() collects. */
+  std::size_t fetch_limit_bytes = 64U << 20U;
 };
 
+/** Maximum size of a response's head, and of a line of its chunks' framing or its trailer. */
+inline constexpr std::size_t MaximumResponseHeadBytes = 32U << 10U;
+
 /** HTTP/1.1 client with a pool of keep-alive connections. Thread-safe. */
 class Client {
  public:
--- a/libraries/http/source/client.cc
+++ b/libraries/http/source/client.cc
@@ -9,21 +9,20 @@
 
 namespace {
 
-constexpr std::size_t FetchBodyLimitBytes = 64U << 20U;
-
 /** Collects the response of Client::fetch(). */
 class ResponseCollector : public ExchangeObserver {
  public:
   using Callback = std::function<void(const Response*, ExchangeFailure)>;
 
-  explicit ResponseCollector(Callback callback) : callback_(std::move(callback)) {}
+  ResponseCollector(std::size_t limit_bytes, Callback callback)
+      : limit_bytes_(limit_bytes), callback_(std::move(callback)) {}
 
   void setExchange(std::weak_ptr<Exchange> exchange) { exchange_ = std::move(exchange); }
 
   void onResponseHead(const Response& head) override { response_ = head; }
   void onBodyBytes(std::string bytes, std::function<void()> resume) override {
-    response_.body += bytes;
-    if (response_.body.size() <= FetchBodyLimitBytes) {
+    if (response_.body.size() + bytes.size() <= limit_bytes_) {
+      response_.body += bytes;
       resume();
       return;
     }
@@ -38,6 +37,7 @@
   }
 
  private:
+  std::size_t limit_bytes_;
   Callback callback_;
   std::weak_ptr<Exchange> exchange_;
   Response response_;
@@ -46,7 +46,9 @@
 class ClientImplementation : public Client {
  public:
   explicit ClientImplementation(boost::asio::io_context& context)
-      : state_(std::make_shared<ClientState>(ClientState{boost::asio::make_strand(context), {}})) {}
+      : state_(
+            std::make_shared<ClientState>(ClientState{boost::asio::make_strand(context), {}, {}})) {
+  }
 
   std::shared_ptr<Exchange> start(const base::NodeAddress& address, Request request,
                                   const ExchangeOptions& options,
@@ -59,7 +61,8 @@
 
   void fetch(const base::NodeAddress& address, Request request, const ExchangeOptions& options,
              std::function<void(const Response*, ExchangeFailure)> callback) override {
-    auto collector = std::make_shared<ResponseCollector>(std::move(callback));
+    auto collector =
+        std::make_shared<ResponseCollector>(options.fetch_limit_bytes, std::move(callback));
     collector->setExchange(start(address, std::move(request), options, collector));
   }
 
--- a/libraries/http/source/client_exchange.cc
+++ b/libraries/http/source/client_exchange.cc
@@ -21,7 +21,13 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t LargestReadBytes = 64U << 10U;
+constexpr std::size_t LargestReadBytes = 16U << 10U;
+/** What a response may take without being counted: one read and the head of an ordinary one. */
+constexpr std::size_t UncountedBytes = LargestReadBytes + (8U << 10U);
+/** Copies of a head's bytes: the parser's, the message's, the observer's two. */
+constexpr std::size_t HeadCopies = 4;
+/** Memory of one header field in all copies, besides its bytes. */
+constexpr std::size_t FieldBytes = 256;
 constexpr std::uint16_t FirstErrorStatus = 400;
 
 }  // namespace
@@ -39,12 +45,17 @@
       observer_(std::move(observer)),
       socket_(client_->strand),
       timer_(client_->strand),
-      acknowledgement_timer_(client_->strand) {}
+      acknowledgement_timer_(client_->strand) {
+  if (options_.response_memory) {
+    response_memory_ = std::make_shared<base::ByteReservation>(options_.response_memory);
+  }
+}
 
 void ClientExchange::start() {
   if (ended_) {
     return;
   }
+  started_at_ = std::chrono::steady_clock::now();
   std::optional<tcp::socket> pooled;
   if (!options_.fresh_connection) {
     pooled = client_->pool.acquire(poolKey(), options_.maximum_idle_time);
@@ -181,11 +192,27 @@
 
 void ClientExchange::readHead() {
   parser_.start(method_);
+  head_memory_ = 0;
   parseHead();
 }
 
-void ClientExchange::parseHead() {
+error_code ClientExchange::parseHeadBytes() {
+  const std::string_view bytes(static_cast<const char*>(buffer_.data().data()), buffer_.size());
   const error_code error = parser_.parse(buffer_);
+  const std::string_view parsed = bytes.substr(0, bytes.size() - buffer_.size());
+  const auto lines = static_cast<std::size_t>(std::ranges::count(parsed, '\n'));
+  head_memory_ += parsed.size() * HeadCopies + lines * FieldBytes;
+  return takeMemory() ? error : asio::error::no_memory;
+}
+
+bool ClientExchange::takeMemory() {
+  const std::size_t bytes = head_memory_ + buffer_.size();
+  const std::size_t counted = bytes - std::min(bytes, UncountedBytes);
+  return !response_memory_ || response_memory_->tryTo(counted);
+}
+
+void ClientExchange::parseHead() {
+  const error_code error = parseHeadBytes();
   if (error == beast_http::error::need_more) {
     receive(&ClientExchange::parseHead, &ClientExchange::onHead);
   } else {
@@ -196,6 +223,10 @@
 void ClientExchange::receive(void (ClientExchange::*parse)(),
                              void (ClientExchange::*on_end)(const error_code& error)) {
   const std::size_t room = boost::beast::read_size(buffer_, LargestReadBytes);
+  if (room == 0) {
+    (this->*on_end)(beast_http::error::header_limit);
+    return;
+  }
   socket_.async_read_some(
       buffer_.prepare(room), [self = shared_from_this(), attempt = attempt_, parse, on_end](
                                  const error_code& error, std::size_t bytes) {
@@ -203,10 +234,12 @@
           return;
         }
         self->buffer_.commit(bytes);
-        if (!error) {
-          (*self.*parse)();
-        } else {
+        if (error) {
           (*self.*on_end)(error == asio::error::eof ? self->parser_.finish() : error);
+        } else if (!self->takeMemory()) {
+          (*self.*on_end)(asio::error::no_memory);
+        } else {
+          (*self.*parse)();
         }
       });
 }
@@ -252,12 +285,16 @@
     complete();
     return;
   }
+  if (isOverdue()) {
+    fail(ExchangeFailure::TimedOut);
+    return;
+  }
   armTimer(options_.idle_timeout, ExchangeFailure::TimedOut);
-  parser_.prepareBody();
   parseBody();
 }
 
 void ClientExchange::parseBody() {
+  parser_.prepareBody(client_->body_piece);
   const error_code error = parser_.parse(buffer_);
   const bool needs_more = error == beast_http::error::need_more && parser_.bodyBytes().empty();
   if (needs_more) {
@@ -371,9 +408,29 @@
   error_code ignored;
   socket_.close(ignored);
   observer_.reset();
+  // The owner may keep the exchange.
+  parser_.reset();
+  buffer_ = boost::beast::flat_buffer(MaximumResponseHeadBytes);
+  response_memory_.reset();
+}
+
+bool ClientExchange::isOverdue() const {
+  return options_.total_timeout > base::Duration::zero() &&
+         std::chrono::steady_clock::now() - started_at_ >= options_.total_timeout;
+}
+
+base::Duration ClientExchange::withinTotal(base::Duration delay) const {
+  if (options_.total_timeout <= base::Duration::zero()) {
+    return delay;
+  }
+  constexpr base::Duration AtOnce = std::chrono::milliseconds(1);
+  const auto spent = std::chrono::steady_clock::now() - started_at_;
+  const auto left = std::max<base::Duration>(options_.total_timeout - spent, AtOnce);
+  return delay <= base::Duration::zero() ? left : std::min(delay, left);
 }
 
 void ClientExchange::armTimer(base::Duration delay, ExchangeFailure failure) {
+  delay = withinTotal(delay);
   if (delay <= base::Duration::zero()) {
     timer_.cancel();
     return;
--- a/libraries/http/source/client_exchange.h
+++ b/libraries/http/source/client_exchange.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,10 +17,15 @@
 
 using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
 
+/** Maximum number of body bytes passed to an observer at a time. */
+inline constexpr std::size_t BodyPieceBytes = 16U << 10U;
+
 /** State shared by the exchanges of one client. */
 struct ClientState {
   Strand strand;
   ClientPool pool;
+  /** Where a piece of any exchange's body is parsed to, before it is passed to the observer. */
+  std::array<char, BodyPieceBytes> body_piece;
 };
 
 /**
@@ -28,6 +35,10 @@
  * Each connection attempt has its own number: handlers of an earlier attempt compare it and do
  * nothing. Pending handlers keep the exchange alive until it has ended. Runs on the client's
  * strand; cancel() is thread-safe.
+ *
+ * Invariant: of a response, an exchange holds at most MaximumResponseHeadBytes of unparsed bytes,
+ * one parsed head and one piece of the body; what exceeds a fixed allowance is taken from the
+ * response memory.
  */
 class ClientExchange : public Exchange, public std::enable_shared_from_this<ClientExchange> {
  public:
@@ -57,6 +68,11 @@
   /** Starts to read the next response. */
   void readHead();
   void parseHead();
+  /** Parses what has come of a head and counts its memory. @return no_memory if there is no room.
+   */
+  boost::system::error_code parseHeadBytes();
+  /** Counts what is held of the response. @return whether there is room for it. */
+  bool takeMemory();
   /** Reads from the connection, then calls `parse`, or `on_end` if the connection has ended. */
   void receive(void (ClientExchange::*parse)(),
                void (ClientExchange::*on_end)(const boost::system::error_code& error));
@@ -89,6 +105,10 @@
    */
   void abort();
   void end();
+  /** @return whether the exchange has taken longer than its total time-out. */
+  bool isOverdue() const;
+  /** @return the time-out, or what is left of the exchange's whole time if that is less. */
+  base::Duration withinTotal(base::Duration delay) const;
   /** @param delay zero for no time-out. */
   void armTimer(base::Duration delay, ExchangeFailure failure);
 
@@ -104,9 +124,14 @@
   boost::asio::ip::tcp::socket socket_;
   DeadlineTimer timer_;
   DeadlineTimer acknowledgement_timer_;
+  std::chrono::steady_clock::time_point started_at_;
   std::uint64_t attempt_ = 0;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{MaximumResponseHeadBytes};
   ResponseParser parser_;
+  /** What is counted for the response; null if nothing is counted. */
+  base::ByteReservationPtr response_memory_;
+  /** Memory of what is parsed of the head, in all its copies. */
+  std::size_t head_memory_ = 0;
   /** Number of the body chunk last passed to the observer. */
   std::uint64_t chunk_ = 0;
   /** The connection ended after the chunk that the observer is processing. */
--- a/libraries/http/source/client_socket.cc
+++ b/libraries/http/source/client_socket.cc
@@ -13,8 +13,9 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-/** Small, so that back-pressure of a slow reader reaches the server soon. */
-constexpr int ReceiveBufferBytes = 128 << 10;
+/** Small, so that back-pressure of a slow reader reaches the server soon, and since bytes that have
+ * arrived but are not read use memory of the machine too. */
+constexpr int ReceiveBufferBytes = 32 << 10;
 constexpr int KeepAliveSeconds = 1;
 constexpr int KeepAliveProbes = 1;
 
--- a/libraries/http/source/response_parser.cc
+++ b/libraries/http/source/response_parser.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <charconv>
 
+#include "switchsaddle/http/client.h"
+
 namespace switchsaddle::http {
 
 namespace {
 
-constexpr std::uint32_t HeaderLimitBytes = 64U << 10U;
 constexpr unsigned InformationalClass = 1;
 constexpr std::size_t StatusDigits = 3;
 
@@ -41,10 +42,11 @@
 
 void ResponseParser::start(std::string_view method) {
   parser_.emplace();
-  parser_->header_limit(HeaderLimitBytes);
+  parser_->header_limit(MaximumResponseHeadBytes);
   parser_->body_limit(boost::none);
   parser_->skip(method == "HEAD");
   feed_ = {};
+  body_buffer_ = {};
 }
 
 boost::system::error_code ResponseParser::parse(boost::beast::flat_buffer& buffer) {
@@ -81,7 +83,8 @@
   return head;
 }
 
-void ResponseParser::prepareBody() {
+void ResponseParser::prepareBody(std::span<char> buffer) {
+  body_buffer_ = buffer;
   parser_->get().body().data = body_buffer_.data();
   parser_->get().body().size = body_buffer_.size();
   parser_->get().body().more = true;
--- a/libraries/http/source/response_parser.h
+++ b/libraries/http/source/response_parser.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include <array>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -49,16 +49,14 @@
   Response head() const;
 
   /** Provides the buffer for the next bytes of the body. */
-  void prepareBody();
+  void prepareBody(std::span<char> buffer);
   /** @return the bytes parsed since prepareBody(). */
   std::string_view bodyBytes() const;
 
  private:
-  static constexpr std::size_t BodyBufferBytes = 16U << 10U;
-
   std::optional<BeastParser> parser_;
   ParserFeed feed_;
-  std::array<char, BodyBufferBytes> body_buffer_;
+  std::span<char> body_buffer_;
 };
 
 /** @return the time-out of the Keep-Alive header; std::nullopt if there is none. */
--- a/libraries/http/source/server_connection.cc
+++ b/libraries/http/source/server_connection.cc
@@ -29,7 +29,7 @@
 /** Maximum number of bytes read while a response is awaited. */
 constexpr std::size_t ReadAheadBytes = 4U << 10U;
 /** Small, so that back-pressure of a slow client reaches the writer of the stream soon. */
-constexpr int StreamSendBufferBytes = 64 << 10;
+constexpr int StreamSendBufferBytes = 32 << 10;
 /** Time for which a client may leave sent bytes unacknowledged. */
 constexpr int UserTimeoutMilliseconds = 60'000;
 /** Maximum number of chunks in one gathered write. */
--- a/libraries/node_options/source/node_limits.cc
+++ b/libraries/node_options/source/node_limits.cc
@@ -24,10 +24,21 @@
 /** A core is connected to every node. */
 constexpr DescriptorShares CoreShares{.callers = 15, .peers = 35};
 
-/** Memory of a connection besides what is counted: its buffers, its state, bytes not yet read. */
-constexpr std::size_t ConnectionBytes = 32U << 10U;
+/** Shares of the memory for what others make the process hold, in hundredths. The rest is left for
+ * the node's own state. */
+struct MemoryShares {
+  std::size_t requests = 25;
+  std::size_t responses = 10;
+  std::size_t caller_connections = 20;
+  std::size_t peer_frames = 12;
+  std::size_t peer_connections = 5;
+};
+
+constexpr MemoryShares Shares;
 /** Room for one body as long as the limit allows, in both its copies, and its head. */
 constexpr std::size_t LeastRequestBytes = 13 * BytesPerMebibyte;
+/** Room for one response as long as a request's body may be. */
+constexpr std::size_t LeastResponseBytes = 6 * BytesPerMebibyte;
 constexpr std::size_t LeastFrameBytes = 8 * BytesPerMebibyte;
 constexpr std::size_t LargestFrameBytes = 64 * BytesPerMebibyte;
 
@@ -35,9 +46,14 @@
 constexpr std::size_t ReadinessBodyBytes = 64U << 10U;
 constexpr std::size_t ReadinessMemoryBytes = BytesPerMebibyte;
 
+std::size_t shareOf(std::size_t memory, std::size_t hundredths) {
+  return memory / 100 * hundredths;
+}
+
 http::ServerLimits callerLimits(std::size_t memory, std::size_t connections) {
-  const std::size_t request_bytes = std::max(LeastRequestBytes, memory / 8 * 3);
-  const std::size_t affordable_connections = memory / 7 / ConnectionBytes;
+  const std::size_t request_bytes = std::max(LeastRequestBytes, shareOf(memory, Shares.requests));
+  const std::size_t affordable_connections =
+      shareOf(memory, Shares.caller_connections) / ConnectionBytes;
   http::ServerLimits limits;
   limits.memory = std::make_shared<base::ByteBudget>(request_bytes);
   limits.connections = std::max(LeastConnections, std::min(connections, affordable_connections));
@@ -54,11 +70,14 @@
 
 transport::TcpTransportOptions peerLimits(std::size_t memory, std::size_t connections) {
   transport::TcpTransportOptions options;
-  options.frame_bytes = std::clamp(memory / 8, LeastFrameBytes, LargestFrameBytes);
-  // The buffer of a frame may grow to twice its size.
-  options.receive_bytes = 2 * options.frame_bytes;
+  const std::size_t receive_bytes = shareOf(memory, Shares.peer_frames);
+  const std::size_t affordable_connections =
+      shareOf(memory, Shares.peer_connections) / PeerConnectionBytes;
+  options.frame_bytes = std::clamp(receive_bytes / 2, LeastFrameBytes, LargestFrameBytes);
+  options.receive_bytes = std::max(receive_bytes, transport::frameBufferBytes(options.frame_bytes));
   options.queue_bytes = options.frame_bytes;
-  options.incoming_connections = std::max(LeastConnections, connections);
+  options.incoming_connections =
+      std::max(LeastConnections, std::min(connections, affordable_connections));
   return options;
 }
 
@@ -74,6 +93,8 @@
   limits.callers = callerLimits(memory, sockets * shares.callers / 100);
   limits.readiness = readinessLimits();
   limits.peers = peerLimits(memory, sockets * shares.peers / 100);
+  limits.responses = std::make_shared<base::ByteBudget>(
+      std::max(LeastResponseBytes, shareOf(memory, Shares.responses)));
   return limits;
 }
 
--- a/libraries/node_options/test/node_limits_test.cc
+++ b/libraries/node_options/test/node_limits_test.cc
@@ -15,12 +15,12 @@
   return resources;
 }
 
-/** All that peers can make the process hold at the same time. */
-std::size_t memoryOfPeers(const NodeLimits& limits) {
+/** All that callers, workers and other nodes can make the process hold at the same time. */
+std::size_t memoryOfOthers(const NodeLimits& limits) {
   const std::size_t connections = limits.callers.connections + limits.readiness.connections;
-  const std::size_t connection_bytes = 32U << 10U;
   return limits.callers.memory->limit() + limits.readiness.memory->limit() +
-         connections * connection_bytes + limits.peers.receive_bytes;
+         connections * ConnectionBytes + limits.responses->limit() + limits.peers.receive_bytes +
+         limits.peers.incoming_connections * PeerConnectionBytes;
 }
 
 class NodeLimitsTest : public testing::TestWithParam<NodeRole> {};
@@ -28,7 +28,7 @@
 TEST_P(NodeLimitsTest, LeaveAFifthOfTheMemoryToTheNodeItself) {
   for (const std::uint32_t memory_mb : {64U, 160U, 256U, 260U, 1'024U, 16'384U}) {
     const NodeLimits limits = nodeLimits(machine(memory_mb), 4'096, GetParam());
-    EXPECT_LE(memoryOfPeers(limits), memory_mb * BytesPerMebibyte / 5 * 4) << memory_mb;
+    EXPECT_LE(memoryOfOthers(limits), memory_mb * BytesPerMebibyte / 5 * 4) << memory_mb;
   }
 }
 
@@ -42,9 +42,18 @@
   }
 }
 
+TEST_P(NodeLimitsTest, AFrameAsLongAsTheLimitHasRoom) {
+  for (const std::uint32_t memory_mb : {16U, 64U, 160U, 260U, 16'384U}) {
+    const transport::TcpTransportOptions peers =
+        nodeLimits(machine(memory_mb), 4'096, GetParam()).peers;
+    EXPECT_GE(peers.receive_bytes, transport::frameBufferBytes(peers.frame_bytes)) << memory_mb;
+  }
+}
+
 TEST_P(NodeLimitsTest, ASmallMachineStillTakesTheLargestRequest) {
   const NodeLimits limits = nodeLimits(machine(16), 64, GetParam());
   EXPECT_GE(limits.callers.memory->limitOfLargeHolders(), 2 * limits.callers.body_bytes);
+  EXPECT_GE(limits.responses->limitOfLargeHolders(), limits.callers.body_bytes);
   EXPECT_GE(limits.callers.connections, 16U);
 }
 
--- a/libraries/streams/include/switchsaddle/streams/event_splitter.h
+++ b/libraries/streams/include/switchsaddle/streams/event_splitter.h
@@ -37,6 +37,8 @@
   bool feed(std::string_view bytes, std::vector<RawEvent>& events);
   /** Whether bytes of an incomplete event are buffered. */
   bool midEvent() const { return !pending_.empty(); }
+  /** Size of the incomplete event. */
+  std::size_t pendingBytes() const { return pending_.size(); }
   /** Discards an incomplete event, for example when the stream continues from another worker. */
   void reset();
 
--- a/libraries/streams/include/switchsaddle/streams/event_stream_parser.h
+++ b/libraries/streams/include/switchsaddle/streams/event_stream_parser.h
@@ -34,6 +34,8 @@
    * of the worker or exceeds the maximum size; the events before it are appended in this case too.
    */
   base::ResultCode feed(std::string_view bytes, std::vector<WorkerEvent>& events);
+  /** Size of the incomplete event. */
+  std::size_t pendingBytes() const { return line_.size() + data_.size() + event_name_.size(); }
 
  private:
   base::ResultCode parseLine(std::string_view line, std::vector<WorkerEvent>& events);
--- a/libraries/streams/include/switchsaddle/streams/relay_machine.h
+++ b/libraries/streams/include/switchsaddle/streams/relay_machine.h
@@ -78,6 +78,8 @@
   RelayState state() const { return state_; }
   /** @return the number of emitted events that have not been written. */
   std::size_t outstanding() const { return outstanding_; }
+  /** @return the size of the worker's incomplete event. */
+  std::size_t pendingBytes() const { return parser_.pendingBytes(); }
   /** @return the number of emitted chunks. */
   std::uint64_t chunks() const { return chunks_; }
   /** @return the number of emitted output tokens. */
--- a/libraries/streams/source/event_splitter.cc
+++ b/libraries/streams/source/event_splitter.cc
@@ -26,7 +26,7 @@
 }  // namespace
 
 void EventSplitter::reset() {
-  pending_.clear();
+  pending_ = {};
   line_start_ = 0;
   id_.reset();
 }
@@ -56,7 +56,7 @@
   }
   line_start_ = pending_.size();
   if (line.empty()) {
-    events.push_back({std::exchange(pending_, {}), id_});
+    events.push_back({std::move(pending_), id_});
     reset();
   } else if (const std::optional<std::uint64_t> id = idOf(line)) {
     id_ = id;
--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -39,6 +39,9 @@
   base::Duration idle_timeout = std::chrono::seconds(10);
 };
 
+/** @return the largest buffer of an unfinished frame whose body has this size. */
+std::size_t frameBufferBytes(std::size_t frame_bytes);
+
 /** Counters of a TcpTransport since its creation. */
 struct TcpTransportCounters {
   std::uint64_t frames_sent = 0;
--- a/libraries/transport/source/tcp_incoming_connection.cc
+++ b/libraries/transport/source/tcp_incoming_connection.cc
@@ -26,6 +26,10 @@
 
 }  // namespace
 
+std::size_t frameBufferBytes(std::size_t frame_bytes) {
+  return LengthBytes + frame_bytes + LargeReadBytes;
+}
+
 TcpTransport::IncomingConnection::IncomingConnection(std::shared_ptr<Shared> shared,
                                                      tcp::socket socket,
                                                      std::weak_ptr<Listener> listener)
@@ -81,7 +85,9 @@
   if (bytes <= buffer_.capacity()) {
     return true;
   }
-  const std::size_t capacity = std::max(bytes, 2 * buffer_.capacity());
+  const std::size_t doubled =
+      std::min(2 * buffer_.capacity(), frameBufferBytes(shared_->options.frame_bytes));
+  const std::size_t capacity = std::max(bytes, doubled);
   const std::size_t wanted = capacity > RetainedBufferBytes ? capacity : 0;
   const std::shared_ptr<Listener> listener = listener_.lock();
   if (wanted > reserved_bytes_ &&
@@ -90,7 +96,11 @@
   }
   shared_->receive_bytes += wanted - reserved_bytes_;
   reserved_bytes_ = wanted;
-  buffer_.reserve(capacity);
+  // A string that is asked to grow may take twice what it has.
+  std::string larger;
+  larger.reserve(capacity);
+  larger = buffer_;
+  buffer_.swap(larger);
   return true;
 }
 
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -31,8 +31,8 @@
         process_(settings_, limits_.peers),
         instance_(process_.random().next()),
         client_(http::createClient(process_.context())),
-        worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip),
-        forward_port_(process_.dispatcher(), *client_),
+        worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip, limits_.responses),
+        forward_port_(process_.dispatcher(), *client_, limits_.responses),
         node_(environment()),
         server_(startServer(settings_.http_address, limits_.callers)) {
     if (!settings_.readiness_address.empty()) {
@@ -68,6 +68,7 @@
   void appendMetrics(metrics::Page& page) const {
     process_.appendMetrics(page);
     appendServerMetrics(page, "callers", *server_, limits_.callers);
+    appendResponseMetrics(page, *limits_.responses);
     if (readiness_server_) {
       appendServerMetrics(page, "readiness", *readiness_server_, limits_.readiness);
     }
@@ -84,7 +85,8 @@
             .incidents = &process_.incidents(),
             .process_metrics = [this](metrics::Page& page) { appendMetrics(page); },
             .forward_port = &forward_port_,
-            .forward_headers = adapter_->forwardHeaders()};
+            .forward_headers = adapter_->forwardHeaders(),
+            .response_memory = limits_.responses};
   }
 
   configuration::Settings settings_;
--- a/programs/switchsaddle/server_metrics.cc
+++ b/programs/switchsaddle/server_metrics.cc
@@ -55,4 +55,12 @@
   }
 }
 
+void appendResponseMetrics(metrics::Page& page, const base::ByteBudget& responses) {
+  page.gauge("worker_response_memory_bytes",
+             "Memory counted for responses of workers, on their way to callers.",
+             static_cast<double>(responses.used()));
+  page.gauge("worker_response_memory_limit_bytes", "Memory that these responses may use.",
+             static_cast<double>(responses.limit()));
+}
+
 }  // namespace switchsaddle
--- a/programs/switchsaddle/server_metrics.h
+++ b/programs/switchsaddle/server_metrics.h
@@ -15,4 +15,7 @@
 void appendServerMetrics(metrics::Page& page, const std::string& listener,
                          const http::Server& server, const http::ServerLimits& limits);
 
+/** Adds what is held of workers' responses. */
+void appendResponseMetrics(metrics::Page& page, const base::ByteBudget& responses);
+
 }  // namespace switchsaddle
