--- a/libraries/front/test/forward/response_memory_test.cc
+++ b/libraries/front/test/forward/response_memory_test.cc
@@ -75,6 +75,7 @@
   last().head(200);
   for (int event = 0; event < 1'000; ++event) {
     last().bytes("data: " + std::string(1'000, 'e') + "\n\n");
+    world.runFor(std::chrono::milliseconds(1));
   }
   last().observer->onComplete();
   EXPECT_TRUE(writer->ended);
--- a/libraries/http/include/switchsaddle/http/client.h
+++ b/libraries/http/include/switchsaddle/http/client.h
@@ -119,7 +119,14 @@
                      std::function<void(const Response*, ExchangeFailure)> callback) = 0;
 };
 
-/** @return a client whose callbacks run on a strand of the context. */
-std::unique_ptr<Client> createClient(boost::asio::io_context& context);
+/** Idle connections that a client keeps unless it is told otherwise. */
+inline constexpr std::size_t DefaultIdleConnections = 4'096;
+
+/**
+ * @param idle_connections number of connections that are kept for further exchanges.
+ * @return a client whose callbacks run on a strand of the context.
+ */
+std::unique_ptr<Client> createClient(boost::asio::io_context& context,
+                                     std::size_t idle_connections = DefaultIdleConnections);
 
 }  // namespace switchsaddle::http
--- a/libraries/http/source/client.cc
+++ b/libraries/http/source/client.cc
@@ -45,10 +45,9 @@
 
 class ClientImplementation : public Client {
  public:
-  explicit ClientImplementation(boost::asio::io_context& context)
-      : state_(
-            std::make_shared<ClientState>(ClientState{boost::asio::make_strand(context), {}, {}})) {
-  }
+  ClientImplementation(boost::asio::io_context& context, std::size_t idle_connections)
+      : state_(std::make_shared<ClientState>(
+            ClientState{boost::asio::make_strand(context), ClientPool(idle_connections), {}})) {}
 
   std::shared_ptr<Exchange> start(const base::NodeAddress& address, Request request,
                                   const ExchangeOptions& options,
@@ -72,8 +71,9 @@
 
 }  // namespace
 
-std::unique_ptr<Client> createClient(boost::asio::io_context& context) {
-  return std::make_unique<ClientImplementation>(context);
+std::unique_ptr<Client> createClient(boost::asio::io_context& context,
+                                     std::size_t idle_connections) {
+  return std::make_unique<ClientImplementation>(context, idle_connections);
 }
 
 }  // namespace switchsaddle::http
--- a/libraries/http/source/client_pool.cc
+++ b/libraries/http/source/client_pool.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -38,7 +39,11 @@
     connections.pop_back();
     const bool is_fresh = now - connection.idle_since <= idle_limit && now < connection.expires_at;
     if (is_fresh && isUsable(connection.socket)) {
-      return std::move(connection.socket);
+      Socket socket = std::move(connection.socket);
+      if (connections.empty()) {
+        idle_.erase(found);
+      }
+      return socket;
     }
   }
   idle_.erase(found);
@@ -48,13 +53,32 @@
 void ClientPool::release(const PoolKey& key, Socket socket,
                          std::optional<base::Duration> keep_alive_timeout) {
   sweep();
-  std::vector<IdleConnection>& connections = idle_[key];
-  if (connections.size() < MaximumConnectionsPerKey) {
-    const auto now = Clock::now();
-    const base::Duration lifetime =
-        keep_alive_timeout ? *keep_alive_timeout * 4 / 5 - ExpiryMargin : DefaultIdleTimeout;
-    connections.push_back({std::move(socket), now, now + lifetime});
+  if (maximum_connections_ == 0 || idle_[key].size() >= MaximumConnectionsPerKey) {
+    return;
+  }
+  if (size() >= maximum_connections_) {
+    closeOldest();
+  }
+  const auto now = Clock::now();
+  const base::Duration lifetime =
+      keep_alive_timeout ? *keep_alive_timeout * 4 / 5 - ExpiryMargin : DefaultIdleTimeout;
+  idle_[key].push_back({std::move(socket), now, now + lifetime});
+}
+
+std::size_t ClientPool::size() const {
+  std::size_t connections = 0;
+  for (const auto& [key, idle] : idle_) {
+    connections += idle.size();
   }
+  return connections;
+}
+
+void ClientPool::closeOldest() {
+  const auto oldest = std::ranges::min_element(idle_, {}, [](const auto& entry) {
+    return entry.second.empty() ? Clock::time_point::max() : entry.second.front().idle_since;
+  });
+  std::vector<IdleConnection>& connections = oldest->second;
+  connections.erase(connections.begin());
 }
 
 void ClientPool::sweep() {
--- a/libraries/http/source/client_pool.h
+++ b/libraries/http/source/client_pool.h
@@ -32,10 +32,15 @@
  public:
   using Socket = boost::asio::ip::tcp::socket;
 
+  /** @param maximum_connections number of connections that are kept, of all keys together. */
+  explicit ClientPool(std::size_t maximum_connections)
+      : maximum_connections_(maximum_connections) {}
+
   /** @return the most recently released usable connection idle for at most `idle_limit`. */
   std::optional<Socket> acquire(const PoolKey& key, base::Duration idle_limit);
   /**
-   * Adds an idle connection; closes it if the pool of the key is full.
+   * Adds an idle connection; closes it if the pool of the key is full. If the whole pool is full,
+   * it takes the place of the connection that has been idle longest.
    * @param keep_alive_timeout time for which the server keeps the connection, if it sent one.
    */
   void release(const PoolKey& key, Socket socket, std::optional<base::Duration> keep_alive_timeout);
@@ -50,10 +55,17 @@
     Clock::time_point expires_at;
   };
 
+  using Connections = std::map<PoolKey, std::vector<IdleConnection>>;
+
   /** Closes expired connections, once in each sweep interval. */
   void sweep();
+  /** Closes the connection that has been idle longest. */
+  void closeOldest();
+  std::size_t size() const;
 
-  std::map<PoolKey, std::vector<IdleConnection>> idle_;
+  std::size_t maximum_connections_;
+  /** The connections of each key, in the order of their release. */
+  Connections idle_;
   Clock::time_point last_sweep_ = Clock::now();
 };
 
--- a/libraries/http/test/client_limits_test.cc
+++ b/libraries/http/test/client_limits_test.cc
@@ -148,6 +148,19 @@
   EXPECT_EQ(observer->failure, ExchangeFailure::TimedOut);
 }
 
+TEST_F(ClientLimitsTest, IdleConnectionsOfAllServersTogetherAreBounded) {
+  constexpr std::size_t Kept = 2;
+  client = createClient(context, Kept);
+  serve([](const Request&, const ResponseWriterPtr& writer) { writer->respond({200, {}, ""}); });
+  for (int number = 1; number <= 5; ++number) {
+    ExchangeOptions options;
+    // Connections from different addresses are not interchangeable, as those to different servers.
+    options.local_ip = "127.0.0." + std::to_string(number);
+    EXPECT_EQ(run({"GET", "/", {}, ""}, options)->completions, 1);
+  }
+  EXPECT_TRUE(runUntil([&] { return server->openConnections() == Kept; }));
+}
+
 TEST_F(ClientLimitsTest, FetchGivesABodyUpThatIsLargerThanItsLimit) {
   const base::NodeAddress address = answerWith(Chunked, "5\r\nbytes\r\n");
   ExchangeOptions options;
--- a/libraries/node_options/include/switchsaddle/node_options/node_limits.h
+++ b/libraries/node_options/include/switchsaddle/node_options/node_limits.h
@@ -22,6 +22,8 @@
   /** What workers, and whoever else this node asks, can make it hold by their responses, beyond
    * ConnectionBytes of the callers that wait for them. */
   std::shared_ptr<base::ByteBudget> responses;
+  /** Connections to workers that are kept while they are idle. */
+  std::size_t idle_worker_connections = 0;
 };
 
 /**
@@ -30,6 +32,8 @@
  * 32 KiB each), and one piece of the response on its way (16 KiB).
  */
 inline constexpr std::size_t ConnectionBytes = 80U << 10U;
+/** Memory of an idle connection to a worker: bytes that have arrived unasked. */
+inline constexpr std::size_t IdleConnectionBytes = 32U << 10U;
 /** Memory of a connection of another node, besides that of its unfinished frame. */
 inline constexpr std::size_t PeerConnectionBytes = 16U << 10U;
 
--- a/libraries/node_options/source/node_limits.cc
+++ b/libraries/node_options/source/node_limits.cc
@@ -20,7 +20,7 @@
 };
 
 /** A front opens a connection to a worker for each of its callers. */
-constexpr DescriptorShares FrontShares{.callers = 30, .peers = 12};
+constexpr DescriptorShares FrontShares{.callers = 28, .peers = 12};
 /** A core is connected to every node. */
 constexpr DescriptorShares CoreShares{.callers = 15, .peers = 35};
 
@@ -29,7 +29,7 @@
 struct MemoryShares {
   std::size_t requests = 25;
   std::size_t responses = 10;
-  std::size_t caller_connections = 20;
+  std::size_t caller_connections = 18;
   std::size_t peer_frames = 12;
   std::size_t peer_connections = 5;
 };
@@ -93,6 +93,7 @@
   limits.callers = callerLimits(memory, sockets * shares.callers / 100);
   limits.readiness = readinessLimits();
   limits.peers = peerLimits(memory, sockets * shares.peers / 100);
+  limits.idle_worker_connections = limits.callers.connections / 2;
   limits.responses = std::make_shared<base::ByteBudget>(
       std::max(LeastResponseBytes, shareOf(memory, Shares.responses)));
   return limits;
--- a/libraries/node_options/test/node_limits_test.cc
+++ b/libraries/node_options/test/node_limits_test.cc
@@ -20,7 +20,8 @@
   const std::size_t connections = limits.callers.connections + limits.readiness.connections;
   return limits.callers.memory->limit() + limits.readiness.memory->limit() +
          connections * ConnectionBytes + limits.responses->limit() + limits.peers.receive_bytes +
-         limits.peers.incoming_connections * PeerConnectionBytes;
+         limits.peers.incoming_connections * PeerConnectionBytes +
+         limits.idle_worker_connections * IdleConnectionBytes;
 }
 
 class NodeLimitsTest : public testing::TestWithParam<NodeRole> {};
@@ -36,7 +37,8 @@
   for (const std::size_t descriptors : {400U, 1'024U, 4'096U, 20'000U}) {
     const NodeLimits limits = nodeLimits(machine(16'384), descriptors, GetParam());
     // Each request may open a connection to a worker.
-    const std::size_t of_requests = 2 * limits.callers.connections + limits.readiness.connections;
+    const std::size_t of_requests = 2 * limits.callers.connections +
+                                    limits.idle_worker_connections + limits.readiness.connections;
     EXPECT_LE(of_requests + limits.peers.incoming_connections + OwnFiles, descriptors)
         << descriptors;
   }
--- a/programs/switchsaddle/front_command.cc
+++ b/programs/switchsaddle/front_command.cc
@@ -30,7 +30,7 @@
         adapter_(createPlatformAdapter(settings_)),
         process_(settings_, limits_.peers),
         instance_(process_.random().next()),
-        client_(http::createClient(process_.context())),
+        client_(http::createClient(process_.context(), limits_.idle_worker_connections)),
         worker_port_(process_.dispatcher(), *client_, settings_.http_address.ip, limits_.responses),
         forward_port_(process_.dispatcher(), *client_, limits_.responses),
         node_(environment()),
--- a/scripts/crowd.sh
+++ b/scripts/crowd.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Crowds of misbehaving clients against real daemons (docs/TESTBED.md): each daemon must live, stay within the memory
+# Crowds of misbehaving clients, and of workers that misanswer, against real daemons (docs/TESTBED.md): each daemon must live, stay within the memory
 # and the descriptors of its machine, and answer ordinary requests. One crowd runs at a time. Passes over the crowds
 # that KNOWN-RED.txt lists as `crowd NAME`, and prints them.
 set -euo pipefail
@@ -17,4 +17,9 @@
     "$testbed" crowd --directory "$directory" --network "$network" --kinds "$kind"
   fi
 done
+# All kinds at the same time, on machines of the size of the users' fronts.
+if [ "${#known_red[@]}" -eq 0 ]; then
+  "$testbed" crowd --directory "$directory" --network "$network" --together --clients 10 \
+    --memory-mb 160 --descriptors 4100
+fi
 rm -r "$directory"
