--- a/libraries/fuzz/include/switchsaddle/fuzz/target.h
+++ b/libraries/fuzz/include/switchsaddle/fuzz/target.h
@@ -33,6 +33,8 @@
 
 /** The HTTP server on the loopback address. It must answer a valid request after each input. */
 Target httpServerTarget();
+/** @return a target that reads the input as a response, then a valid one. */
+Target httpClientTarget();
 
 /** The result of running a target. */
 struct FuzzReport {
--- a/libraries/fuzz/source/targets.cc
+++ b/libraries/fuzz/source/targets.cc
@@ -37,6 +37,7 @@
   std::vector<Target> targets = textTargets();
   std::vector<Target> more = binaryTargets();
   more.push_back(httpServerTarget());
+  more.push_back(httpClientTarget());
   std::move(more.begin(), more.end(), std::back_inserter(targets));
   for (Target& target : targets) {
     const std::vector<std::string> files =
--- a/libraries/fuzz/test/fuzz_test.cc
+++ b/libraries/fuzz/test/fuzz_test.cc
@@ -42,7 +42,7 @@
 
 TEST_P(FuzzTest, AcceptsOrRejectsEveryInputWithinBoundedMemory) {
   const Target tested = target();
-  const std::size_t executions = GetParam() == "http-server" ? HttpExecutions : Executions;
+  const std::size_t executions = GetParam().starts_with("http-") ? HttpExecutions : Executions;
   allocation_tracker::resetLargestAllocation();
   const FuzzReport report =
       runTarget(tested, Seed, [&](std::size_t done) { return done < executions; });
@@ -58,7 +58,7 @@
                                          "settings", "configuration", "beliefs", "event-stream",
                                          "worker-head", "platform-list", "message",
                                          "register-value", "reservations", "claim", "acceptor-set",
-                                         "http-server"),
+                                         "http-server", "http-client"),
                          [](const auto& reader) {
                            std::string name = reader.param;
                            std::replace(name.begin(), name.end(), '-', '_');
@@ -66,7 +66,7 @@
                          });
 
 TEST(FuzzCorpusTest, ListsEveryTarget) {
-  EXPECT_EQ(allTargets(CorpusFolder).size(), 16U);
+  EXPECT_EQ(allTargets(CorpusFolder).size(), 17U);
 }
 
 TEST(FuzzCorpusTest, RunsEveryCorpusInputWithoutAnException) {
