Messages to all other nodes together are bounded, not only those to each

Cause: the queue of messages was bounded for each destination (as long as the longest frame) and for no sum, and a batch that is being written was counted nowhere: with many nodes that do not read, a front of 160 MB may hold 468 times 9.6 MiB. Change: each frame is counted in one budget, once for all its destinations, until it is written or dropped. A frame that finds no room takes the place of the oldest ones in the longest queue; a fourth stays for frames of at most 64 KiB, so that heartbeats and renewals pass beside a large transfer. Tests: SendBudgetTest; TheQueuesOfAllDestinationsTogetherAreBounded is red without the bound (0 of at least 136 frames dropped).

--- a/libraries/transport/include/switchsaddle/transport/tcp_transport.h
+++ b/libraries/transport/include/switchsaddle/transport/tcp_transport.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/base/time.h"
 #include "switchsaddle/transport/transport.h"
 
@@ -23,6 +24,10 @@
   /** Maximum size of the queue of one destination; if it is exceeded, the oldest frames are
    * dropped. */
   std::size_t queue_bytes = 64U << 20U;
+  /** What the frames for all destinations may use together, queued or being written; a frame that
+   * finds no room takes the place of the oldest ones in the longest queue. A fourth is left to
+   * frames of at most base::ByteBudget::SmallHolderBytes. */
+  std::size_t send_bytes = 256U << 20U;
   /** What the unfinished frames of all incoming connections may use together; a frame that finds
    * no room takes the place of those whose connections have delivered none for the longest time. */
   std::size_t receive_bytes = 256U << 20U;
@@ -42,6 +47,9 @@
 /** @return the largest buffer of an unfinished frame whose body has this size. */
 std::size_t frameBufferBytes(std::size_t frame_bytes);
 
+/** @return the least `send_bytes` with which a frame whose body has this size can be sent. */
+std::size_t leastSendBytes(std::size_t frame_bytes);
+
 /** Counters of a TcpTransport since its creation. */
 struct TcpTransportCounters {
   std::uint64_t frames_sent = 0;
@@ -96,6 +104,10 @@
   class OutgoingConnection;
 
   OutgoingConnection& connectionTo(const base::NodeAddress& peer);
+  /** @return whether the frame could be counted; drops queued frames for it. */
+  bool makeRoom(base::ByteReservation& reservation, std::size_t bytes);
+  /** @return the connection with the longest queue, or nullptr if all queues are empty. */
+  OutgoingConnection* longestQueue() const;
 
   std::shared_ptr<Shared> shared_;
   std::shared_ptr<Listener> listener_;
--- a/libraries/transport/source/frame_queue.h
+++ b/libraries/transport/source/frame_queue.h
@@ -4,18 +4,29 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/transport/transport.h"
 
 namespace switchsaddle::transport {
 
-/** An encoded frame; the queues of all its destinations share it. */
-using FramePtr = std::shared_ptr<const std::string>;
+/** An encoded frame, and what it takes of the budget of all frames until it is destroyed. */
+struct Frame {
+  Frame(std::string frame_bytes, std::shared_ptr<base::ByteBudget> budget)
+      : bytes(std::move(frame_bytes)), reservation(std::move(budget)) {}
+
+  std::string bytes;
+  base::ByteReservation reservation;
+};
+
+/** The queues of all destinations of a frame share it. */
+using FramePtr = std::shared_ptr<const Frame>;
 
 /** A frame and the identity of its envelope. */
 struct QueuedFrame {
-  FramePtr bytes;
+  FramePtr frame;
   RefusedEnvelope envelope;
 };
 
@@ -28,6 +39,9 @@
    */
   std::size_t push(QueuedFrame frame, std::size_t limit_bytes);
 
+  /** Removes the oldest frame; the queue must not be empty. */
+  void dropOldest();
+
   /** Removes the frames of one gathered write. @return them in order. */
   std::vector<FramePtr> popBatch();
 
@@ -35,6 +49,8 @@
   std::deque<QueuedFrame> clear();
 
   bool empty() const { return frames_.empty(); }
+  /** @return the bytes of all frames. */
+  std::size_t bytes() const { return bytes_; }
 
  private:
   std::deque<QueuedFrame> frames_;
--- a/libraries/transport/source/tcp_outgoing_connection.cc
+++ b/libraries/transport/source/tcp_outgoing_connection.cc
@@ -38,6 +38,11 @@
   });
 }
 
+void TcpTransport::OutgoingConnection::dropOldest() {
+  queue_.dropOldest();
+  ++shared_->counters.frames_dropped;
+}
+
 template <class Action>
 void TcpTransport::OutgoingConnection::guarded(Action action) {
   try {
@@ -161,7 +166,7 @@
   const auto frames = std::make_shared<std::vector<FramePtr>>(queue_.popBatch());
   std::vector<boost::asio::const_buffer> buffers;
   for (const FramePtr& frame : *frames) {
-    buffers.push_back(boost::asio::buffer(*frame));
+    buffers.push_back(boost::asio::buffer(frame->bytes));
   }
   boost::asio::async_write(
       socket_, buffers,
--- a/libraries/transport/source/tcp_outgoing_connection.h
+++ b/libraries/transport/source/tcp_outgoing_connection.h
@@ -25,6 +25,10 @@
   void send(QueuedFrame frame);
   /** @return whether the connection is closed and its queue empty. */
   bool idle() const { return state_ == State::Closed && queue_.empty(); }
+  /** @return the bytes of the frames that are not being written yet. */
+  std::size_t queuedBytes() const { return queue_.bytes(); }
+  /** Drops the oldest frame that is not being written yet; there must be one. */
+  void dropOldest();
   void close();
 
  private:
--- a/libraries/transport/source/tcp_transport.cc
+++ b/libraries/transport/source/tcp_transport.cc
@@ -15,6 +15,11 @@
 
 }  // namespace
 
+std::size_t leastSendBytes(std::size_t frame_bytes) {
+  // Large frames may fill three fourths.
+  return (LengthBytes + frame_bytes) / 3 * 4 + 4;
+}
+
 TcpTransport::TcpTransport(boost::asio::io_context& /*context*/, AsioDispatcher& dispatcher,
                            const base::NodeAddress& listen, const TcpTransportOptions& options)
     : shared_(std::make_shared<Shared>(dispatcher, options)),
@@ -50,12 +55,39 @@
     shared_->counters.frames_dropped += peers.size();
     return;
   }
-  const auto frame = std::make_shared<const std::string>(makeFrame(bytes));
+  const auto frame = std::make_shared<Frame>(makeFrame(bytes), shared_->send_budget);
+  if (!makeRoom(frame->reservation, frame->bytes.size())) {
+    shared_->counters.frames_dropped += peers.size();
+    return;
+  }
   for (const base::NodeAddress& peer : peers) {
     connectionTo(peer).send({frame, {envelope.kind, envelope.request_id}});
   }
 }
 
+bool TcpTransport::makeRoom(base::ByteReservation& reservation, std::size_t bytes) {
+  while (!reservation.tryTo(bytes)) {
+    OutgoingConnection* longest = longestQueue();
+    if (longest == nullptr) {
+      return false;
+    }
+    longest->dropOldest();
+  }
+  return true;
+}
+
+TcpTransport::OutgoingConnection* TcpTransport::longestQueue() const {
+  OutgoingConnection* longest = nullptr;
+  std::size_t longest_bytes = 0;
+  for (const auto& [peer, connection] : outgoing_) {
+    if (connection->queuedBytes() > longest_bytes) {
+      longest = connection.get();
+      longest_bytes = connection->queuedBytes();
+    }
+  }
+  return longest;
+}
+
 TcpTransport::OutgoingConnection& TcpTransport::connectionTo(const base::NodeAddress& peer) {
   std::shared_ptr<OutgoingConnection>& connection = outgoing_[peer];
   if (!connection) {
--- a/libraries/transport/source/tcp_transport_state.h
+++ b/libraries/transport/source/tcp_transport_state.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <memory>
+
+#include "switchsaddle/base/byte_budget.h"
 #include "switchsaddle/transport/asio_dispatcher.h"
 #include "switchsaddle/transport/tcp_transport.h"
 
@@ -12,7 +15,9 @@
 class TcpTransport::Shared {
  public:
   Shared(const AsioDispatcher& dispatcher, const TcpTransportOptions& transport_options)
-      : strand(dispatcher.strand()), options(transport_options) {}
+      : strand(dispatcher.strand()),
+        options(transport_options),
+        send_budget(std::make_shared<base::ByteBudget>(transport_options.send_bytes)) {}
 
   AsioDispatcher::Strand strand;
   TcpTransportOptions options;
@@ -20,6 +25,8 @@
   base::NodeAddress local;
   Receiver* receiver = nullptr;
   TcpTransportCounters counters;
+  /** What the frames of all outgoing connections take, queued or being written. */
+  std::shared_ptr<base::ByteBudget> send_budget;
   /** Bytes reserved for unfinished frames of all incoming connections. */
   std::size_t receive_bytes = 0;
   /** The transport has been destroyed. */
--- a/libraries/transport/test/tcp_transport_test.cc
+++ b/libraries/transport/test/tcp_transport_test.cc
@@ -86,6 +86,77 @@
   }));
 }
 
+class SendBudgetTest : public TcpTransportTest {
+ protected:
+  static constexpr std::size_t FrameBytes = 64U << 10U;
+  static constexpr std::size_t BudgetBytes = 4U << 20U;
+
+  SendBudgetTest() {
+    TcpTransportOptions options;
+    options.send_bytes = BudgetBytes;
+    sender_ = make("127.0.2.1", options);
+    for (std::uint8_t number = 0; number < 20; ++number) {
+      unresponsive_.emplace_back(context,
+                                 tcp::endpoint{boost::asio::ip::make_address("127.0.2.3"), 0});
+    }
+  }
+  static base::NodeAddress addressOf(const tcp::acceptor& acceptor) {
+    return {acceptor.local_endpoint().address().to_string(), acceptor.local_endpoint().port()};
+  }
+  void send(const tcp::acceptor& to, std::size_t bytes) {
+    sender_->send(addressOf(to), numbered(*sender_, 0, std::string(bytes, 'x')));
+  }
+
+  std::vector<tcp::acceptor> unresponsive_;
+  std::unique_ptr<TcpTransport> sender_;
+};
+
+TEST_F(SendBudgetTest, TheQueuesOfAllDestinationsTogetherAreBounded) {
+  constexpr std::uint64_t FramesOfEach = 10;
+  for (std::uint64_t frame = 0; frame < FramesOfEach; ++frame) {
+    for (const tcp::acceptor& peer : unresponsive_) {
+      send(peer, FrameBytes);
+    }
+  }
+  const std::uint64_t sent = FramesOfEach * unresponsive_.size();
+  EXPECT_GE(sender_->counters().frames_dropped, sent - BudgetBytes / FrameBytes);
+  EXPECT_LT(sender_->counters().frames_dropped, sent);
+}
+
+TEST_F(SendBudgetTest, AFullBudgetCostsTheLongestQueueItsOldestFrames) {
+  const auto target = make("127.0.2.2");
+  target->setReceiver(&receiver);
+  sender_->send(target->localAddress(), numbered(*sender_, 1, "short"));
+  for (std::size_t sent = 0; sent < 2 * BudgetBytes; sent += FrameBytes) {
+    send(unresponsive_.front(), FrameBytes);
+  }
+  sender_->send(target->localAddress(), numbered(*sender_, 2, std::string(FrameBytes, 'y')));
+  ASSERT_TRUE(runUntil([&] { return receiver.envelopes.size() == 2; }));
+  EXPECT_EQ(receiver.envelopes.front().request_id, 1U);
+}
+
+TEST_F(SendBudgetTest, AFrameForManyDestinationsCountsOnce) {
+  std::vector<base::NodeAddress> peers;
+  for (const tcp::acceptor& peer : unresponsive_) {
+    peers.push_back(addressOf(peer));
+  }
+  sender_->sendToAll(peers, numbered(*sender_, 0, std::string(BudgetBytes / 2, 'x')));
+  EXPECT_EQ(sender_->counters().frames_dropped, 0U);
+}
+
+TEST_F(SendBudgetTest, TheLongestFrameFitsTheLeastBudget) {
+  TcpTransportOptions options;
+  options.frame_bytes = 1U << 20U;
+  options.send_bytes = leastSendBytes(options.frame_bytes);
+  const auto sender = make("127.0.2.4", options);
+  const auto target = make("127.0.2.2");
+  target->setReceiver(&receiver);
+  const std::size_t overhead = wire::encode(numbered(*sender, 0, "")).size();
+  sender->send(target->localAddress(),
+               numbered(*sender, 0, std::string(options.frame_bytes - overhead - 16, 'x')));
+  EXPECT_TRUE(runUntil([&] { return !receiver.envelopes.empty(); }));
+}
+
 TEST_F(TcpTransportTest, TheOldestUnfinishedFrameGivesWay) {
   TcpTransportOptions options;
   options.frame_bytes = 1U << 20U;
