Connections that the server has not taken yet are bounded in number and bytes

Cause: a state that the table of sources and states lacked: the system completes connections, and takes their bytes, before the process accepts them. The listener's queue had the system's 4,096 places; a process that gets no processor time for a while holds some 32 KiB unread for each, 134 MB in all, which counts as its memory on the users' machines. Change: ServerLimits::waiting_connections bounds the queue; the listener's receive buffer is inherited, so that it holds before a connection is taken, too. Test: ServerLimitsTest.ConnectionsThatWaitToBeTakenHoldLittle, red on the server before (1,047,712 bytes of 32 clients where 589,824 are allowed).

--- a/libraries/http/include/switchsaddle/http/server.h
+++ b/libraries/http/include/switchsaddle/http/server.h
@@ -45,6 +45,9 @@
 using ResponseWriterPtr = std::shared_ptr<ResponseWriter>;
 using RequestHandler = std::function<void(Request, ResponseWriterPtr)>;
 
+/** What may arrive on a client's connection before it is read. */
+inline constexpr std::size_t ReceiveBufferBytes = 32U << 10U;
+
 /** Limits of a server. A request beyond them is rejected with a JSON error. */
 struct ServerLimits {
   std::size_t body_bytes = 4U << 20U;
@@ -54,6 +57,9 @@
    * waited longest without a complete request; if all are being answered, it is closed.
    */
   std::size_t connections = 10'000;
+  /** Connections that the system completes before the server takes them, as while the process gets
+   * no processor time; each may send ReceiveBufferBytes meanwhile. */
+  std::size_t waiting_connections = 1'024;
   /** Time-out of a request's header, and of its body. */
   int header_timeout_s = 15;
   /**
--- a/libraries/http/source/server.cc
+++ b/libraries/http/source/server.cc
@@ -35,8 +35,10 @@
     try {
       acceptor_.open(endpoint.protocol());
       acceptor_.set_option(tcp::acceptor::reuse_address(true));
+      // Inherited by its connections, those that are not taken yet among them.
+      acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
       acceptor_.bind(endpoint);
-      acceptor_.listen();
+      acceptor_.listen(static_cast<int>(server_->limits.waiting_connections));
       address_ = {address.ip, acceptor_.local_endpoint().port()};
     } catch (const std::exception& exception) {
       throw base::Error(base::ResultCode::AddressUnavailable,
--- a/libraries/http/source/server_connection.cc
+++ b/libraries/http/source/server_connection.cc
@@ -38,8 +38,6 @@
 constexpr std::size_t WriteBytes = 64U << 10U;
 constexpr std::uint16_t StatusNoContent = 204;
 constexpr std::uint16_t StatusNotModified = 304;
-/** Small, since bytes that have arrived but are not read use memory of the machine too. */
-constexpr int ReceiveBufferBytes = 32 << 10;
 
 void setConnectionOptions(asio::ip::tcp::socket& socket) {
   using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -47,7 +45,6 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   socket.set_option(asio::socket_base::keep_alive(true), ignored);
   socket.set_option(UserTimeout(UserTimeoutMilliseconds), ignored);
-  socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes), ignored);
   socket.non_blocking(true, ignored);
 }
 
--- a/libraries/http/test/server_limits_test.cc
+++ b/libraries/http/test/server_limits_test.cc
@@ -1,7 +1,10 @@
 // What a server holds for clients that do not behave: see ServerLimits.
 
 #include <gtest/gtest.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <string>
 #include <vector>
@@ -54,6 +57,28 @@
     }
     return readToEnd(socket);
   }
+  tcp::socket connectWithoutWaiting() {
+    tcp::socket socket(context);
+    socket.open(tcp::v4());
+    socket.non_blocking(true);
+    // Begun at once; its end, for which the context would have to run, may never come.
+    socket.async_connect(
+        {boost::asio::ip::make_address(server->address().ip), server->address().port},
+        [](const boost::system::error_code&) {});
+    return socket;
+  }
+  /** Writes as much as the system takes. @return how many bytes have arrived at the other end. */
+  static std::size_t fill(tcp::socket& socket) {
+    const std::string bytes(64U << 10U, 'b');
+    std::size_t written = 0;
+    boost::system::error_code full;
+    while (!full) {
+      written += socket.write_some(boost::asio::buffer(bytes), full);
+    }
+    int unacknowledged = 0;
+    ::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged);
+    return written - std::min(written, static_cast<std::size_t>(unacknowledged));
+  }
   /** Opens a connection whose body lacks its last byte. */
   tcp::socket connectStoppingShort() {
     tcp::socket socket = connectRaw();
@@ -184,6 +209,21 @@
   EXPECT_EQ(server->openConnections(), 0U);
 }
 
+TEST_F(ServerLimitsTest, ConnectionsThatWaitToBeTakenHoldLittle) {
+  constexpr std::size_t Waiting = 8;
+  limits.waiting_connections = Waiting;
+  serveEcho();
+  std::size_t arrived = 0;
+  std::vector<tcp::socket> clients;
+  for (std::size_t opened = 0; opened < 4 * Waiting; ++opened) {
+    clients.push_back(connectWithoutWaiting());
+    arrived += fill(clients.back());
+  }
+  EXPECT_GE(arrived, Waiting * ReceiveBufferBytes / 2);
+  // The system queues one more than it is told, and counts its own use twice.
+  EXPECT_LE(arrived, (Waiting + 1) * 2 * ReceiveBufferBytes);
+}
+
 TEST_F(ServerLimitsTest, TheConnectionThatWaitedLongestGivesWayToANewOne) {
   limits.connections = 2;
   serveEcho();
