Node limits: waiting connections and messages to other nodes are part of the one sum

The sum under four fifths of the memory now holds the listeners' queues (4 % and 16 connections of the readiness listener) and the messages to other nodes (four thirds of the longest frame). Requests have 20 % (25), connections of callers 15 % (18), unfinished frames 10 % (12), connections of nodes 4 % (5); a frame may have 3 MiB at least where it had 8. NodeLimitsTest asserts the sum with both, at the most connections.

--- a/libraries/node_options/source/node_limits.cc
+++ b/libraries/node_options/source/node_limits.cc
@@ -27,11 +27,12 @@
 /** Shares of the memory for what others make the process hold, in hundredths. The rest is left for
  * the node's own state. */
 struct MemoryShares {
-  std::size_t requests = 25;
+  std::size_t requests = 20;
   std::size_t responses = 10;
-  std::size_t caller_connections = 18;
-  std::size_t peer_frames = 12;
-  std::size_t peer_connections = 5;
+  std::size_t caller_connections = 15;
+  std::size_t waiting_connections = 4;
+  std::size_t peer_frames = 10;
+  std::size_t peer_connections = 4;
 };
 
 constexpr MemoryShares Shares;
@@ -39,9 +40,12 @@
 constexpr std::size_t LeastRequestBytes = 13 * BytesPerMebibyte;
 /** Room for one response as long as a request's body may be. */
 constexpr std::size_t LeastResponseBytes = 6 * BytesPerMebibyte;
-constexpr std::size_t LeastFrameBytes = 8 * BytesPerMebibyte;
+constexpr std::size_t LeastFrameBytes = 3 * BytesPerMebibyte;
 constexpr std::size_t LargestFrameBytes = 64 * BytesPerMebibyte;
 
+/** Beyond it a process that gets no processor time would only answer too late. */
+constexpr std::size_t MostWaitingConnections = 1'024;
+
 constexpr std::size_t ReadinessConnections = 32;
 constexpr std::size_t ReadinessBodyBytes = 64U << 10U;
 constexpr std::size_t ReadinessMemoryBytes = BytesPerMebibyte;
@@ -57,6 +61,9 @@
   http::ServerLimits limits;
   limits.memory = std::make_shared<base::ByteBudget>(request_bytes);
   limits.connections = std::max(LeastConnections, std::min(connections, affordable_connections));
+  limits.waiting_connections =
+      std::clamp(shareOf(memory, Shares.waiting_connections) / http::ReceiveBufferBytes,
+                 LeastConnections, MostWaitingConnections);
   return limits;
 }
 
@@ -64,6 +71,7 @@
   http::ServerLimits limits;
   limits.body_bytes = ReadinessBodyBytes;
   limits.connections = ReadinessConnections;
+  limits.waiting_connections = ReadinessConnections / 2;
   limits.memory = std::make_shared<base::ByteBudget>(ReadinessMemoryBytes);
   return limits;
 }
@@ -76,6 +84,7 @@
   options.frame_bytes = std::clamp(receive_bytes / 2, LeastFrameBytes, LargestFrameBytes);
   options.receive_bytes = std::max(receive_bytes, transport::frameBufferBytes(options.frame_bytes));
   options.queue_bytes = options.frame_bytes;
+  options.send_bytes = transport::leastSendBytes(options.frame_bytes);
   options.incoming_connections =
       std::max(LeastConnections, std::min(connections, affordable_connections));
   return options;
--- a/libraries/node_options/test/node_limits_test.cc
+++ b/libraries/node_options/test/node_limits_test.cc
@@ -18,8 +18,11 @@
 /** All that callers, workers and other nodes can make the process hold at the same time. */
 std::size_t memoryOfOthers(const NodeLimits& limits) {
   const std::size_t connections = limits.callers.connections + limits.readiness.connections;
+  const std::size_t waiting =
+      limits.callers.waiting_connections + limits.readiness.waiting_connections;
   return limits.callers.memory->limit() + limits.readiness.memory->limit() +
-         connections * ConnectionBytes + limits.responses->limit() + limits.peers.receive_bytes +
+         connections * ConnectionBytes + waiting * http::ReceiveBufferBytes +
+         limits.responses->limit() + limits.peers.receive_bytes + limits.peers.send_bytes +
          limits.peers.incoming_connections * PeerConnectionBytes +
          limits.idle_worker_connections * IdleConnectionBytes;
 }
@@ -49,6 +52,7 @@
     const transport::TcpTransportOptions peers =
         nodeLimits(machine(memory_mb), 4'096, GetParam()).peers;
     EXPECT_GE(peers.receive_bytes, transport::frameBufferBytes(peers.frame_bytes)) << memory_mb;
+    EXPECT_GE(peers.send_bytes, transport::leastSendBytes(peers.frame_bytes)) << memory_mb;
   }
 }
 
