--- a/libraries/testbed/include/switchsaddle/testbed/fleet/process_ends.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/process_ends.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -30,20 +30,30 @@
   void expectExit(const ProcessIdentity& process);
   /**
    * Reaps the processes that have ended.
-   * @return one line for each end since the last call that the run did not bring about.
+   * @return one line for each end since the last call that the run did not bring about, with the
+   *     signals that the run had sent to the process and when.
    */
   std::vector<std::string> takeUnexpected();
   /** @return how many processes were launched, and how many have ended as the run wanted. */
   std::string summary();
 
  private:
+  using Clock = std::chrono::steady_clock;
+  struct SentSignal {
+    int number = 0;
+    Clock::duration after_launch{};
+  };
   struct Launch {
     std::string name;
-    std::set<int> signals;
+    Clock::time_point launched_at;
+    std::vector<SentSignal> signals;
     bool may_exit = false;
   };
 
   void reap();
+  static bool wasSent(const Launch& launch, int signal_number);
+  /** @return the signals that the run sent, each with the time since the launch. */
+  static std::string describeSignals(const Launch& launch);
   static bool isExpected(const Launch& launch, const ProcessEnd& end);
 
   mutable std::mutex mutex_;
--- a/libraries/testbed/source/fleet/process_ends.cc
+++ b/libraries/testbed/source/fleet/process_ends.cc
@@ -3,6 +3,7 @@
 #include <sys/prctl.h>
 #include <sys/wait.h>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -28,7 +29,7 @@
 void ProcessEnds::onLaunch(const std::string& name, const ProcessIdentity& process) {
   const std::lock_guard lock(mutex_);
   if (watching_) {
-    running_[process.pid] = {name, {}, false};
+    running_[process.pid] = {name, Clock::now(), {}, false};
     ++launched_;
   }
 }
@@ -37,7 +38,8 @@
   const std::lock_guard lock(mutex_);
   const auto found = running_.find(process.pid);
   if (found != running_.end()) {
-    found->second.signals.insert(signal_number);
+    Launch& launch = found->second;
+    launch.signals.push_back({signal_number, Clock::now() - launch.launched_at});
   }
 }
 
@@ -73,7 +75,7 @@
       ++ended_;
     } else {
       unexpected_.push_back(launch->second.name + " (process " + std::to_string(launch->first) +
-                            ") ended by itself: " + end.text());
+                            ") ended by itself: " + end.text() + describeSignals(launch->second));
     }
     launch = running_.erase(launch);
   }
@@ -82,9 +84,26 @@
 bool ProcessEnds::isExpected(const Launch& launch, const ProcessEnd& end) {
   if (end.by_signal) {
     const bool ends_processes = end.number == SIGKILL || end.number == SIGTERM;
-    return ends_processes && launch.signals.contains(end.number);
+    return ends_processes && wasSent(launch, end.number);
   }
-  return launch.may_exit || (end.number == 0 && launch.signals.contains(SIGTERM));
+  return launch.may_exit || (end.number == 0 && wasSent(launch, SIGTERM));
+}
+
+bool ProcessEnds::wasSent(const Launch& launch, int signal_number) {
+  return std::ranges::any_of(launch.signals, [signal_number](const SentSignal& signal) {
+    return signal.number == signal_number;
+  });
+}
+
+std::string ProcessEnds::describeSignals(const Launch& launch) {
+  std::string text;
+  for (const SentSignal& signal : launch.signals) {
+    const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(signal.after_launch);
+    text += text.empty() ? "; sent:" : ",";
+    text += " signal " + std::to_string(signal.number) + " " + std::to_string(after.count()) +
+            " ms after its launch";
+  }
+  return text;
 }
 
 ProcessEnds& processEnds() {
--- a/libraries/testbed/test/fleet/process_ends_test.cc
+++ b/libraries/testbed/test/fleet/process_ends_test.cc
@@ -56,6 +56,16 @@
   EXPECT_THAT(unexpectedAfterEndOf(process), ElementsAre(HasSubstr("signal 1 ")));
 }
 
+TEST_F(ProcessEndsTest, TheSignalsBeforeAnEndAreToldWithTheirTimes) {
+  const ProcessIdentity process = launchSleeper();
+  ends_.onSignal(process, SIGCONT);
+  ends_.onSignal(process, SIGHUP);
+  sendSignal(process, SIGHUP);
+  EXPECT_THAT(unexpectedAfterEndOf(process),
+              ElementsAre(testing::ContainsRegex(
+                  "sent: signal 18 [0-9]+ ms after its launch, signal 1 [0-9]+ ms after")));
+}
+
 TEST_F(ProcessEndsTest, AnExitThatNobodyOrderedIsToldWhateverItsStatus) {
   EXPECT_THAT(unexpectedAfterEndOf(launch({"/bin/true"})), ElementsAre(HasSubstr("status 0")));
 }
