Soak: what daemons hold is sampled and checked, and faulty workers misanswer

Left open by the last postmortem: the soak did not sample memory, its workers did not send answers without end, and unread bytes of connections that their peer had closed were counted nowhere (only established ones were). One in a hundred requests at a faulty worker is misanswered by a script of the crowds. Unread bytes count in every state of a connection.

--- a/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
@@ -37,8 +37,8 @@
 /**
  * A worker stand-in that answers forwarded requests and one-shots on real sockets and, if faulty,
  * misuses its connections: refuses, closes before, within or after an answer, resets, answers
- * late, repeats refusals and answers, and sends surplus responses with and without an id, whole or
- * cut. A restart makes it a new instance at the same address. Each connection has a thread; runs
+ * late, repeats refusals and answers, sends surplus responses with and without an id, whole or
+ * cut, and answers without end. A restart makes it a new instance at the same address. Each connection has a thread; runs
  * are recorded in the ledger.
  *
  * Invariant: a request is recorded as run exactly if the worker has started to work on it, and it
@@ -104,6 +104,7 @@
   bool answer(Exchange& exchange);
   bool answerGet(Exchange& exchange) const;
   bool refuse(Exchange& exchange, int status) const;
+  bool misanswers(const Exchange& exchange) const;
   /** Follows the script, then stays connected until the front closes the connection. */
   bool misanswer(Exchange& exchange, const AnswerScript& script) const;
   bool run(Exchange& exchange);
--- a/libraries/testbed/source/fleet/process_usage.cc
+++ b/libraries/testbed/source/fleet/process_usage.cc
@@ -48,7 +48,8 @@
 
 /** Sums the queues of the sockets with these numbers, as /proc/net/tcp tells them. */
 void readQueues(const std::set<std::string>& sockets, ProcessUsage& usage) {
-  constexpr const char* EstablishedState = "01";
+  // A listener's queue counts connections.
+  constexpr const char* ListeningState = "0A";
   std::ifstream table("/proc/net/tcp");
   std::string rest;
   std::getline(table, rest);
@@ -65,7 +66,7 @@
   while (table >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >>
          timeout >> number) {
     std::getline(table, rest);
-    if (state == EstablishedState && sockets.contains(number)) {
+    if (state != ListeningState && sockets.contains(number)) {
       const std::size_t colon = queues.find(':');
       usage.unsent_bytes += hexadecimal(std::string_view(queues).substr(0, colon));
       usage.unread_bytes += hexadecimal(std::string_view(queues).substr(colon + 1));
--- a/libraries/testbed/source/soak/wire_worker.cc
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -43,6 +43,8 @@
   static constexpr double CutAnswer = 0.13;
   static constexpr double LongWork = 0.16;
   static constexpr double Surplus = 0.40;
+  /** Answers that do not end, or that are no answers. */
+  static constexpr double Misanswer = 0.41;
 };
 /** Share of long runs at a sound worker. */
 constexpr double SoundLongShare = 0.05;
@@ -237,6 +239,11 @@
   return exchange.socket.write(options_.answer_get(target, exchange.instance.id));
 }
 
+bool WireWorker::misanswers(const Exchange& exchange) const {
+  return options_.faulty && exchange.draw >= Behaviour::Surplus &&
+         exchange.draw < Behaviour::Misanswer;
+}
+
 bool WireWorker::misanswer(Exchange& exchange, const AnswerScript& script) const {
   const std::string opening =
       "HTTP/1.1 200 OK\r\n" + idHeader(exchange.request_id) + script.opening;
@@ -292,6 +299,10 @@
   const ActiveCount active(exchange.instance.active);
   ledger_.add(
       WorkerRun{clientId(exchange.request), workOf(exchange.request), exchange.instance.id});
+  if (misanswers(exchange)) {
+    const std::vector<AnswerScript>& scripts = answerScripts();
+    return misanswer(exchange, scripts[exchange.random.below(scripts.size())]);
+  }
   if (!exchange.instance.ended.wait(drawWorkTime(exchange))) {
     return false;
   }
--- a/programs/testbed/soak/soak_command.cc
+++ b/programs/testbed/soak/soak_command.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "commands.h"
+#include "soak/memory_watch.h"
 #include "soak/soak_disturbances.h"
 #include "soak/soak_fleet.h"
 #include "switchsaddle/base/error.h"
@@ -39,6 +40,8 @@
   int client_pause_ms = 100;
   int disturbers = 4;
   bool sound_workers = false;
+  bool plain_launches = false;
+  bool unchecked_memory = false;
   std::uint64_t address_space_mb = 0;
   std::uint64_t memory_mb = 0;
   /** Processes that are ended without the checker being told, to show that it sees their end. */
@@ -66,6 +69,7 @@
     options.network = "127." + std::to_string(FirstNetwork + seed % Networks);
   }
   options.faulty_workers = !arguments.sound_workers;
+  options.launch_limits.hangups_wait = !arguments.plain_launches;
   options.launch_limits.address_space_bytes = arguments.address_space_mb << MegabyteBits;
   options.limits_json = limitsOf(arguments);
   options.seed = seed * 1'000;
@@ -88,10 +92,21 @@
   }
 }
 
+/** What was seen of the memory of the daemons. */
+struct MemoryFindings {
+  std::vector<std::string> violations;
+  std::string summary;
+};
+
+/** @return what a daemon may hold, in bytes; 0 if that is not checked. */
+std::size_t memoryLimit(const SoakArguments& arguments) {
+  return arguments.unchecked_memory ? 0 : arguments.memory_mb << MegabyteBits;
+}
+
 /** Sends work from all clients while the fleet is disturbed, and for a calm time after that. */
-void sendAndDisturb(const SoakArguments& arguments, SoakFleet& fleet, testbed::RunLedger& ledger,
-                    testbed::ControlHistory& history, std::uint64_t seed,
-                    const std::string& directory) {
+MemoryFindings sendAndDisturb(const SoakArguments& arguments, SoakFleet& fleet,
+                              testbed::RunLedger& ledger, testbed::ControlHistory& history,
+                              std::uint64_t seed, const std::string& directory) {
   testbed::Interruption clients_end;
   std::vector<std::thread> clients;
   for (int number = 1; number <= arguments.clients; ++number) {
@@ -105,6 +120,7 @@
       testbed::WireClient(options, ledger).run(clients_end);
     });
   }
+  MemoryWatch memory(fleet, memoryLimit(arguments));
   SoakDisturbances disturbances(fleet, ledger, history, arguments.kinds, arguments.disturbers, seed,
                                 directory + "/disturbances.log");
   testbed::Interruption pause;
@@ -116,6 +132,8 @@
     client.join();
   }
   readAtTheEnd(fleet, ledger, history, seed);
+  memory.stop();
+  return {memory.violations(), memory.summary()};
 }
 
 /** Ends processes in a way that the checker of their ends is not told of. */
@@ -147,7 +165,8 @@
   requireNewFolder(options.directory);
   SoakFleet fleet(options, ledger);
   testbed::ControlHistory history;
-  sendAndDisturb(arguments, fleet, ledger, history, seed, options.directory);
+  const MemoryFindings memory =
+      sendAndDisturb(arguments, fleet, ledger, history, seed, options.directory);
   endWithoutTelling(fleet, arguments.untold_ends);
   const std::vector<std::string> ends = testbed::processEnds().takeUnexpected();
   const std::vector<testbed::SoakViolation> violations = ledger.violations();
@@ -158,15 +177,19 @@
   for (const std::string& text : control_violations) {
     std::cout << "control-plane: " << text << "\n";
   }
+  for (const std::string& text : memory.violations) {
+    std::cout << "memory: " << text << "\n";
+  }
   for (const std::string& text : ends) {
     std::cout << "process: " << text << "\n";
   }
-  const std::size_t count = violations.size() + control_violations.size() + ends.size();
+  const std::size_t count =
+      violations.size() + control_violations.size() + memory.violations.size() + ends.size();
   std::cout << "seed " << seed << ": " << count << " violations; " << ledger.summary()
             << "; operators: done=" << history.count(testbed::ControlOutcome::Done)
             << " refused=" << history.count(testbed::ControlOutcome::Refused)
             << " unknown=" << history.count(testbed::ControlOutcome::Unknown) << "; "
-            << testbed::processEnds().summary() << std::endl;
+            << testbed::processEnds().summary() << "; " << memory.summary << std::endl;
   return count;
 }
 
@@ -224,9 +247,14 @@
                   "Limit of each daemon's descriptors (default: none)")
       ->check(CLI::Range(64, 1'000'000));
   command
-      .add_option("--memory-mb", arguments.memory_mb,
-                  "Memory that each daemon's settings give it (default: none)")
+      .add_option(
+          "--memory-mb", arguments.memory_mb,
+          "Memory that each daemon's settings give it, and that it may hold (default: none)")
       ->check(CLI::Range(32, 1'000'000));
+  command.add_flag("--unchecked-memory", arguments.unchecked_memory,
+                   "Do not check what daemons hold, as with sanitizers, which hold more");
+  command.add_flag("--plain-launches", arguments.plain_launches,
+                   "Launch daemons without holding SIGHUP back until they have started");
   command.add_flag("--sound-workers", arguments.sound_workers,
                    "Workers misuse no connection (default: they do)");
 }
--- a/scripts/soak-sanitized.sh
+++ b/scripts/soak-sanitized.sh
@@ -10,6 +10,6 @@
 ninja -C "$build" switchsaddle switchsaddle-testbed
 directory=$(mktemp -d)
 "$build/programs/switchsaddle-testbed" soak --directory "$directory" --network "127.$((60 + $$ % 40))" \
-  --platform --faulty-disks --fronts 6 --memory-mb 256 --descriptors 4096 --client-pause-ms 400 --disturbers 6 \
+  --platform --faulty-disks --fronts 6 --memory-mb 256 --unchecked-memory --descriptors 4096 --client-pause-ms 400 --disturbers 6 \
   --seed "${SEED:-1}" --seeds "${SEEDS:-2}" --seconds "${SECONDS_OF_SEED:-20}"
 rm -r "$directory"
