--- a/programs/testbed/soak/memory_watch.cc
+++ b/programs/testbed/soak/memory_watch.cc
@@ -1,7 +1,6 @@
 #include "soak/memory_watch.h"
 
 #include <algorithm>
-#include <optional>
 
 #include "switchsaddle/testbed/fleet/process_usage.h"
 
@@ -39,16 +38,12 @@
 }
 
 void MemoryWatch::sample() {
-  for (const testbed::ProcessRole role :
-       {testbed::ProcessRole::Core, testbed::ProcessRole::Front}) {
-    for (const std::string& name : fleet_.namesOf(role)) {
-      const std::optional<testbed::ProcessUsage> usage =
-          testbed::usageOf(Fleet::identityOf(fleet_.process(name)));
-      if (usage) {
-        const std::lock_guard lock(mutex_);
-        std::size_t& held = held_[name];
-        held = std::max(held, usage->peak_memory_bytes + usage->unread_bytes);
-      }
+  for (const testbed::FleetProcess& daemon : fleet_.daemons()) {
+    const auto usage = testbed::usageOf(Fleet::identityOf(daemon));
+    if (usage) {
+      const std::lock_guard lock(mutex_);
+      std::size_t& held = held_[daemon.name];
+      held = std::max(held, usage->peak_memory_bytes + usage->unread_bytes);
     }
   }
 }
--- a/programs/testbed/soak/soak_fleet.cc
+++ b/programs/testbed/soak/soak_fleet.cc
@@ -192,6 +192,17 @@
   return names;
 }
 
+std::vector<FleetProcess> SoakFleet::daemons() {
+  const std::lock_guard lock(mutex_);
+  std::vector<FleetProcess> daemons;
+  for (const ProcessRole role : {ProcessRole::Core, ProcessRole::Front}) {
+    for (const FleetProcess* process : fleet_->ofRole(role)) {
+      daemons.push_back(*process);
+    }
+  }
+  return daemons;
+}
+
 FleetProcess SoakFleet::process(const std::string& name) {
   const std::lock_guard lock(mutex_);
   return *fleet_->state().find(name);
--- a/programs/testbed/soak/soak_fleet.h
+++ b/programs/testbed/soak/soak_fleet.h
@@ -61,6 +61,8 @@
   std::vector<testbed::FrontTarget> fronts();
   std::vector<base::NodeAddress> controlAddresses();
   std::vector<std::string> namesOf(testbed::ProcessRole role);
+  /** All cores and fronts, as they were started last. */
+  std::vector<testbed::FleetProcess> daemons();
   /** The process with this name, as it was started last. */
   testbed::FleetProcess process(const std::string& name);
   const std::vector<SoakWorker>& workers() const { return workers_; }
