--- a/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
+++ b/libraries/testbed/include/switchsaddle/testbed/soak/wire_worker.h
@@ -38,8 +38,8 @@
  * A worker stand-in that answers forwarded requests and one-shots on real sockets and, if faulty,
  * misuses its connections: refuses, closes before, within or after an answer, resets, answers
  * late, repeats refusals and answers, sends surplus responses with and without an id, whole or
- * cut, and answers without end. A restart makes it a new instance at the same address. Each connection has a thread; runs
- * are recorded in the ledger.
+ * cut, and answers without end. A restart makes it a new instance at the same address. Each
+ * connection has a thread; runs are recorded in the ledger.
  *
  * Invariant: a request is recorded as run exactly if the worker has started to work on it, and it
  * is never answered "not run" afterwards.
