--- a/libraries/testbed/source/workers/decode_relay.cc
+++ b/libraries/testbed/source/workers/decode_relay.cc
@@ -16,18 +16,9 @@
       writer_(std::move(writer)) {}
 
 void DecodeRelay::start() {
-  const std::weak_ptr<DecodeRelay> weak = weak_from_this();
   worker_.pending.insert(shared_from_this());
-  writer_->onClientDisconnected([weak] {
-    if (const auto self = weak.lock()) {
-      self->onClientDisconnected();
-    }
-  });
-  ticket_ = worker_.slots.acquire([weak] {
-    if (const auto self = weak.lock()) {
-      self->onSlotAcquired();
-    }
-  });
+  writer_->onClientDisconnected(whileAlive(weak_from_this(), &DecodeRelay::onClientDisconnected));
+  ticket_ = worker_.slots.acquire(whileAlive(weak_from_this(), &DecodeRelay::onSlotAcquired));
   if (ticket_ == SlotQueue::Refused) {
     writer_->respond(worker_.refuseBeforeRun(Kind, request_.identity, "queue full"));
     close();
@@ -38,10 +29,7 @@
   prefilling_ = true;
   run_ = worker_.nextRun();
   const std::uint64_t cached = worker_.cache.cachedTokens(request_.segments);
-  std::uint64_t prompt_tokens = request_.own_tokens;
-  for (const PrefixSegment& segment : request_.segments) {
-    prompt_tokens += segment.tokens;
-  }
+  const std::uint64_t prompt_tokens = request_.promptTokens();
   worker_.cache.insert(request_.segments);
   worker_.note("start", Kind, run_, request_.identity, cached, 0);
   const base::Duration age = worker_.dispatcher.now() - worker_.started;
--- a/libraries/testbed/source/workers/one_shot_run.cc
+++ b/libraries/testbed/source/workers/one_shot_run.cc
@@ -15,11 +15,7 @@
 
 void OneShotRun::start() {
   worker_.pending.insert(shared_from_this());
-  ticket_ = worker_.slots.acquire([weak = weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->onSlotAcquired();
-    }
-  });
+  ticket_ = worker_.slots.acquire(whileAlive(weak_from_this(), &OneShotRun::onSlotAcquired));
   if (ticket_ == SlotQueue::Refused) {
     writer_->respond(worker_.refuseBeforeRun(Kind, identity_, "queue full"));
     worker_.forget(shared_from_this());
--- a/libraries/testbed/source/workers/stream_run.cc
+++ b/libraries/testbed/source/workers/stream_run.cc
@@ -18,22 +18,21 @@
 
 }  // namespace
 
+std::uint64_t StreamRequest::promptTokens() const {
+  std::uint64_t tokens = own_tokens;
+  for (const PrefixSegment& segment : segments) {
+    tokens += segment.tokens;
+  }
+  return tokens;
+}
+
 StreamRun::StreamRun(WorkerState& worker, StreamRequest request, http::ResponseWriterPtr writer)
     : worker_(worker), request_(std::move(request)), writer_(std::move(writer)) {}
 
 void StreamRun::start() {
-  const std::weak_ptr<StreamRun> weak = weak_from_this();
   worker_.pending.insert(shared_from_this());
-  writer_->onClientDisconnected([weak] {
-    if (const auto self = weak.lock()) {
-      self->onClientDisconnected();
-    }
-  });
-  ticket_ = worker_.slots.acquire([weak] {
-    if (const auto self = weak.lock()) {
-      self->onSlotAcquired();
-    }
-  });
+  writer_->onClientDisconnected(whileAlive(weak_from_this(), &StreamRun::onClientDisconnected));
+  ticket_ = worker_.slots.acquire(whileAlive(weak_from_this(), &StreamRun::onSlotAcquired));
   if (ticket_ == SlotQueue::Refused) {
     closed_ = true;
     writer_->respond(worker_.refuseBeforeRun(Kind, request_.identity, "queue full"));
@@ -48,10 +47,7 @@
   run_ = worker_.nextRun();
   sent_run_ = run_;
   cached_tokens_ = worker_.cache.cachedTokens(request_.segments);
-  std::uint64_t prompt_tokens = request_.own_tokens;
-  for (const PrefixSegment& segment : request_.segments) {
-    prompt_tokens += segment.tokens;
-  }
+  const std::uint64_t prompt_tokens = request_.promptTokens();
   worker_.cache.insert(request_.segments);
   worker_.note("start", Kind, run_, request_.identity, cached_tokens_, 0);
 
--- a/libraries/testbed/source/workers/stream_run.h
+++ b/libraries/testbed/source/workers/stream_run.h
@@ -18,6 +18,9 @@
   std::uint32_t output_tokens = 1;
   /** Set if another worker has done the prefill. */
   bool prefilled = false;
+
+  /** @return the tokens of the whole prompt. */
+  std::uint64_t promptTokens() const;
 };
 
 /**
--- a/libraries/testbed/source/workers/worker_state.h
+++ b/libraries/testbed/source/workers/worker_state.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "switchsaddle/base/dispatcher.h"
@@ -23,6 +24,16 @@
   virtual ~PendingRequest() = default;
 };
 
+/** @return a callback that calls the method, or does nothing once the object has gone. */
+template <class Object>
+std::function<void()> whileAlive(std::weak_ptr<Object> object, void (Object::*method)()) {
+  return [object = std::move(object), method] {
+    if (const auto alive = object.lock()) {
+      (alive.get()->*method)();
+    }
+  };
+}
+
 /** Identifiers, tenant and model of a request. */
 struct RequestIdentity {
   std::string request_id;
