Crowd of clients that come while the daemons get no processor time; bytes of connections not accepted yet count

Cause of the gap: usageOf() counted unread bytes of established connections that the process had accepted. What waits in a listener's queue, or was sent before the peer closed, was counted nowhere, in no crowd and no soak: so no run could show that the queue had no bound of its own.

--- a/libraries/testbed/include/switchsaddle/testbed/fleet/process_usage.h
+++ b/libraries/testbed/include/switchsaddle/testbed/fleet/process_usage.h
@@ -13,7 +13,8 @@
   std::size_t peak_memory_bytes = 0;
   std::size_t memory_bytes = 0;
   std::size_t descriptors = 0;
-  /** Bytes that have arrived on its connections and that it has not read. */
+  /** Bytes that have arrived on its connections, those that it has not accepted yet among them, and
+   * that it has not read. */
   std::size_t unread_bytes = 0;
   /** Bytes that it has written and that its peers have not acknowledged. */
   std::size_t unsent_bytes = 0;
--- a/libraries/testbed/source/fleet/process_usage.cc
+++ b/libraries/testbed/source/fleet/process_usage.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace switchsaddle::testbed {
 
@@ -46,30 +47,58 @@
   return value;
 }
 
-/** Sums the queues of the sockets with these numbers, as /proc/net/tcp tells them. */
-void readQueues(const std::set<std::string>& sockets, ProcessUsage& usage) {
-  // A listener's queue counts connections.
-  constexpr const char* ListeningState = "0A";
-  std::ifstream table("/proc/net/tcp");
-  std::string rest;
-  std::getline(table, rest);
-  std::string slot;
+// A listener's queue counts connections.
+constexpr const char* ListeningState = "0A";
+/** The number of a socket that no process has yet, or has any more. */
+constexpr const char* NoSocketNumber = "0";
+
+/** A line of /proc/net/tcp. */
+struct SocketLine {
   std::string local;
-  std::string remote;
   std::string state;
+  /** Bytes that were not acknowledged, a colon, and bytes that were not read. */
   std::string queues;
+  std::string number;
+
+  bool isListener() const { return state == ListeningState; }
+};
+
+std::vector<SocketLine> readSocketLines() {
+  std::ifstream table("/proc/net/tcp");
+  std::string skipped;
+  std::getline(table, skipped);
+  std::vector<SocketLine> lines;
+  SocketLine line;
+  std::string slot;
+  std::string remote;
   std::string timer;
   std::string retransmits;
   std::string user;
   std::string timeout;
-  std::string number;
-  while (table >> slot >> local >> remote >> state >> queues >> timer >> retransmits >> user >>
-         timeout >> number) {
-    std::getline(table, rest);
-    if (state != ListeningState && sockets.contains(number)) {
-      const std::size_t colon = queues.find(':');
-      usage.unsent_bytes += hexadecimal(std::string_view(queues).substr(0, colon));
-      usage.unread_bytes += hexadecimal(std::string_view(queues).substr(colon + 1));
+  while (table >> slot >> line.local >> remote >> line.state >> line.queues >> timer >>
+         retransmits >> user >> timeout >> line.number) {
+    std::getline(table, skipped);
+    lines.push_back(line);
+  }
+  return lines;
+}
+
+/** Sums the queues of the sockets with these numbers, and of connections that wait for one of them
+ * to accept them. */
+void readQueues(const std::set<std::string>& sockets, ProcessUsage& usage) {
+  const std::vector<SocketLine> lines = readSocketLines();
+  std::set<std::string> listening;
+  for (const SocketLine& line : lines) {
+    if (line.isListener() && sockets.contains(line.number)) {
+      listening.insert(line.local);
+    }
+  }
+  for (const SocketLine& line : lines) {
+    const bool is_waiting = line.number == NoSocketNumber && listening.contains(line.local);
+    if (!line.isListener() && (is_waiting || sockets.contains(line.number))) {
+      const std::size_t colon = line.queues.find(':');
+      usage.unsent_bytes += hexadecimal(std::string_view(line.queues).substr(0, colon));
+      usage.unread_bytes += hexadecimal(std::string_view(line.queues).substr(colon + 1));
     }
   }
 }
--- a/programs/testbed/crowd/crowd_command.cc
+++ b/programs/testbed/crowd/crowd_command.cc
@@ -114,6 +114,8 @@
   command->add_flag("--list", arguments->list, "Print the names of the kinds and end");
   command->add_flag("--together", arguments->together,
                     "Send crowds of all kinds at the same time to one fleet");
+  command->add_flag("--frozen", run.frozen,
+                    "Stop the daemons while the crowds arrive, as if they got no processor time");
   command->add_option("--switchsaddle", run.fleet.program,
                       "Path of the switchsaddle program (default: in the folder of this program)");
   command->add_option("--network", run.fleet.network,
--- a/programs/testbed/crowd/crowd_run.cc
+++ b/programs/testbed/crowd/crowd_run.cc
@@ -1,6 +1,7 @@
 #include "crowd/crowd_run.h"
 
 #include <algorithm>
+#include <csignal>
 #include <memory>
 #include <utility>
 
@@ -18,6 +19,8 @@
 constexpr base::Duration SampleInterval = std::chrono::milliseconds(20);
 /** Time after which a crowd that still sends counts as sent: one may be held up by the server. */
 constexpr base::Duration CrowdLimit = std::chrono::seconds(25);
+/** For so long daemons are frozen at most: the clients cannot send all they have. */
+constexpr base::Duration FrozenTime = std::chrono::seconds(3);
 /** Attempts at one request, as a client makes that is told to come back or finds no place. */
 constexpr int Attempts = 60;
 constexpr base::Duration AttemptPause = std::chrono::milliseconds(500);
@@ -110,18 +113,25 @@
 }
 
 void CrowdRun::sendCrowds(const std::vector<testbed::CrowdKind>& kinds, CrowdReport& report) {
+  if (options_.frozen) {
+    signalDaemons(SIGSTOP);
+  }
   std::vector<std::unique_ptr<testbed::Crowd>> crowds;
   for (const testbed::CrowdKind& kind : kinds) {
     crowds.push_back(
         std::make_unique<testbed::Crowd>(addressOf(kind.listener), kind.script, options_.size));
   }
   testbed::Interruption pause;
-  const auto limit = testbed::BlockingSocket::Clock::now() + CrowdLimit;
+  const auto limit =
+      testbed::BlockingSocket::Clock::now() + (options_.frozen ? FrozenTime : CrowdLimit);
   while (!std::ranges::all_of(crowds, &testbed::Crowd::settled) &&
          testbed::BlockingSocket::Clock::now() < limit) {
     sample(report);
     pause.wait(SampleInterval);
   }
+  if (options_.frozen) {
+    signalDaemons(SIGCONT);
+  }
   checkAnswers("while the crowd stayed", report);
   sample(report);
   for (const auto& crowd : crowds) {
@@ -130,6 +140,12 @@
   }
 }
 
+void CrowdRun::signalDaemons(int signal_number) {
+  for (const std::string& name : daemons_) {
+    fleet_.signal(name, signal_number);
+  }
+}
+
 void CrowdRun::sample(CrowdReport& report) {
   for (std::string& end : testbed::processEnds().takeUnexpected()) {
     report.violations.push_back(std::move(end));
--- a/programs/testbed/crowd/crowd_run.h
+++ b/programs/testbed/crowd/crowd_run.h
@@ -18,6 +18,8 @@
   std::size_t memory_mb = 64;
   std::size_t descriptors = 400;
   testbed::CrowdSize size;
+  /** Whether the daemons get no processor time while the crowds arrive. */
+  bool frozen = false;
 };
 
 /** What was seen of one crowd. */
@@ -47,6 +49,7 @@
  private:
   base::NodeAddress addressOf(testbed::CrowdListener listener);
   void sendCrowds(const std::vector<testbed::CrowdKind>& kinds, CrowdReport& report);
+  void signalDaemons(int signal_number);
   void sample(CrowdReport& report);
   void checkBounds(CrowdReport& report) const;
   /** Checks that both roles answer ordinary requests. */
