Test bed: a worker that restarts resets an answer without length in place of completing it

A restart resets connections, but a misanswering one was closed in order, which completes such an answer: by the users' pages one that is reset is not complete. So the front passed on a complete answer of the worker; the test bed's fault.

--- a/libraries/testbed/source/soak/wire_worker.cc
+++ b/libraries/testbed/source/soak/wire_worker.cc
@@ -256,6 +256,10 @@
   while (is_open && exchange.instance.ended.wait(ReadSlice)) {
     is_open = !exchange.socket.waitForBytes({});
   }
+  if (exchange.instance.ended.raised()) {
+    // An orderly close would complete an answer without a length.
+    exchange.socket.reset();
+  }
   return false;
 }
 
--- a/libraries/testbed/test/soak/wire_client_test.cc
+++ b/libraries/testbed/test/soak/wire_client_test.cc
@@ -2,12 +2,18 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <thread>
+
+#include "switchsaddle/testbed/crowd/answer_script.h"
 #include "switchsaddle/testbed/soak/wire_text.h"
 #include "switchsaddle/testbed/soak/wire_worker.h"
 
 namespace switchsaddle::testbed {
 namespace {
 
+constexpr base::Duration Limit = std::chrono::seconds(20);
+
 /** A client that sends straight to a worker. */
 class WireClientTest : public testing::Test {
  protected:
@@ -61,5 +67,22 @@
   EXPECT_FALSE(ledger.violations().empty());
 }
 
+TEST_F(WireClientTest, ARestartOfTheWorkerDoesNotCompleteAnAnswerWithoutLength) {
+  WireWorker worker(workerOptions(false), ledger);
+  BlockingSocket socket;
+  ASSERT_EQ(socket.connect(worker.address(), Limit), ConnectOutcome::Connected);
+  ASSERT_TRUE(socket.write(postText("/once/", "", answerRequest("until-close"))));
+  const auto deadline = BlockingSocket::Clock::now() + Limit;
+  std::string answer;
+  ASSERT_EQ(socket.read(answer, deadline), ReadOutcome::Bytes);
+  std::thread restart([&worker] { worker.restart({}); });
+  ReadOutcome last = ReadOutcome::Bytes;
+  while (last == ReadOutcome::Bytes) {
+    last = socket.read(answer, deadline);
+  }
+  restart.join();
+  EXPECT_EQ(last, ReadOutcome::Reset);
+}
+
 }  // namespace
 }  // namespace switchsaddle::testbed
